--- /dev/null
+++ b/schema/schema.go
@@ -0,0 +1,8 @@
+// Package schema holds the messages and settings of every process. The types
+// are generated from messages.yaml and settings.yaml; only the checks of
+// settings are written by hand. It decides nothing and speaks no protocol.
+package schema
+
+//go:generate ../bin/go-jsonschema -p schema --tags json,msg --only-models --struct-name-from-title --disable-omitempty --capitalization ID -o messages_gen.go messages.yaml
+//go:generate ../bin/msgp -file messages_gen.go -o codec_gen.go -tests=false
+//go:generate ../bin/settingsgen settings.yaml settings_gen.go
