Add the core types and first decisions

Cause: decisions have to stay apart from the encoding of messages. Ruled out: decisions inside HTTP handlers behind locks; they could not be run by another front end, by rapid, or replayed.

--- /dev/null
+++ b/caller/router.go
@@ -0,0 +1,220 @@
+package caller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// callHops is how often a call may be forwarded between hosts.
+	callHops = 1
+	// answerAddresses is the number of addresses in an answer to a question.
+	answerAddresses = 3
+)
+
+// route is a cell that may receive new work.
+type route struct {
+	cell   Cell
+	slots  int
+	ranked []schema.Host
+	// credit implements smooth weighted round robin by slots.
+	credit int
+}
+
+// Router decides which host places a call.
+type Router struct {
+	// Self is this host's name.
+	Self string
+	// Keep is how long callers may keep an answer.
+	Keep time.Duration
+
+	configuration schema.Configuration
+	hosts         []schema.Host
+	routes        map[string][]*route
+}
+
+// NewRouter returns a router without configuration and hosts: it refuses every
+// call until it has both.
+func NewRouter(self string, keep time.Duration) *Router {
+	return &Router{Self: self, Keep: keep, routes: map[string][]*route{}}
+}
+
+// Step reacts to one event.
+func (r *Router) Step(_ time.Time, event Event) []Action {
+	switch event := event.(type) {
+	case Asked:
+		return []Action{r.ask(event)}
+	case Called:
+		return []Action{r.call(event.Call)}
+	case ConfigurationChanged:
+		r.configuration = event.Configuration
+		r.reroute()
+	case HostsChanged:
+		r.hosts = event.Hosts
+		r.reroute()
+	}
+
+	return nil
+}
+
+// Owned returns the cells that this host owns, in no order.
+func (r *Router) Owned() []Cell {
+	var owned []Cell
+	for _, routes := range r.routes {
+		for _, route := range routes {
+			if r.owns(route) {
+				owned = append(owned, route.cell)
+			}
+		}
+	}
+
+	return owned
+}
+
+// Owner returns the name of the host that owns the cell, or nothing when the
+// cell may not receive new work.
+func (r *Router) Owner(cell Cell) string {
+	for _, route := range r.routes[cell.Service] {
+		if route.cell == cell && len(route.ranked) > 0 {
+			return route.ranked[0].Name
+		}
+	}
+
+	return ""
+}
+
+// reroute computes the routes from the configuration and the hosts.
+func (r *Router) reroute() {
+	in := map[string]bool{}
+	for _, dataCentre := range r.configuration.DataCentres {
+		in[dataCentre.Name] = dataCentre.State == schema.DataCentreStateIn
+	}
+	slots := map[Cell]int{}
+	for _, server := range r.configuration.BackendServers {
+		if in[server.DataCentre] && !server.Leaving {
+			slots[Cell{Service: server.Service, DataCentre: server.DataCentre}] += server.Slots
+		}
+	}
+	r.routes = map[string][]*route{}
+	for _, service := range r.configuration.Services {
+		for _, dataCentre := range r.configuration.DataCentres {
+			cell := Cell{Service: service.Name, DataCentre: dataCentre.Name}
+			if slots[cell] > 0 {
+				r.routes[service.Name] = append(r.routes[service.Name],
+					&route{cell: cell, slots: slots[cell], ranked: Rank(cell, r.hosts)})
+			}
+		}
+	}
+}
+
+// ask answers which hosts to use for a service.
+func (r *Router) ask(question Asked) Action {
+	routes, reason := r.usable(question.Service)
+	if reason != "" {
+		return Refuse{ID: question.ID, Outcome: NotRun{Reason: reason, Addresses: r.others()}}
+	}
+
+	return AnswerAsk{ID: question.ID, Answer: schema.AskAnswer{
+		Service:              question.Service,
+		Addresses:            addresses(choose(routes), routes),
+		KeepMs:               int(r.Keep.Milliseconds()),
+		ConfigurationVersion: r.configuration.Version,
+	}}
+}
+
+// call places, forwards or refuses a call.
+func (r *Router) call(call Call) Action {
+	routes, reason := r.usable(call.Service)
+	if reason != "" {
+		return Refuse{ID: call.ID, Outcome: NotRun{Reason: reason, Addresses: r.others()}}
+	}
+	call.Idempotent = call.Idempotent && r.idempotent(call.Service)
+	owned := slices.DeleteFunc(slices.Clone(routes), func(route *route) bool { return !r.owns(route) })
+	if len(owned) > 0 {
+		return PlaceCall{Call: call, Cell: choose(owned).cell}
+	}
+	chosen := choose(routes)
+	if call.Hops >= callHops {
+		return Refuse{ID: call.ID, Outcome: NotRun{Reason: ReasonMisdirected, Addresses: addresses(chosen, routes)}}
+	}
+
+	return ForwardCall{Call: call, Address: chosen.ranked[0].CallerAddress}
+}
+
+// usable returns the routes of a service, or the reason why there are none.
+func (r *Router) usable(service string) ([]*route, Reason) {
+	if r.configuration.Version == 0 || len(r.hosts) == 0 {
+		return nil, ReasonNotReady
+	}
+	if routes := r.routes[service]; len(routes) > 0 {
+		return routes, ""
+	}
+	declared := func(s schema.Service) bool { return s.Name == service }
+	if slices.ContainsFunc(r.configuration.Services, declared) {
+		return nil, ReasonNoBackendServer
+	}
+
+	return nil, ReasonUnknownService
+}
+
+// idempotent reports whether the service's safe methods may run more than once.
+func (r *Router) idempotent(service string) bool {
+	return slices.ContainsFunc(r.configuration.Services, func(s schema.Service) bool {
+		return s.Name == service && s.Idempotent
+	})
+}
+
+// owns reports whether this host owns the route's cell.
+func (r *Router) owns(route *route) bool {
+	return len(route.ranked) > 0 && route.ranked[0].Name == r.Self
+}
+
+// others returns addresses of other live hosts.
+func (r *Router) others() []string {
+	var list []string
+	for _, host := range r.hosts {
+		if host.Name != r.Self && len(list) < answerAddresses {
+			list = append(list, host.CallerAddress)
+		}
+	}
+
+	return list
+}
+
+// choose returns the next route by smooth weighted round robin.
+func choose(routes []*route) *route {
+	total := 0
+	best := routes[0]
+	for _, route := range routes {
+		total += route.slots
+		route.credit += route.slots
+		if route.credit > best.credit {
+			best = route
+		}
+	}
+	best.credit -= total
+
+	return best
+}
+
+// addresses lists the chosen route's owner, its stand-by and the owners of the
+// other routes.
+func addresses(chosen *route, routes []*route) []string {
+	var list []string
+	add := func(host schema.Host) {
+		if len(list) < answerAddresses && !slices.Contains(list, host.CallerAddress) {
+			list = append(list, host.CallerAddress)
+		}
+	}
+	add(chosen.ranked[0])
+	for _, route := range routes {
+		add(route.ranked[0])
+	}
+	for _, host := range chosen.ranked[1:] {
+		add(host)
+	}
+
+	return list
+}
--- /dev/null
+++ b/dispatch/duty.go
@@ -0,0 +1,345 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// tickInterval is the time between checks of deadlines while calls wait or run.
+const tickInterval = 5 * time.Millisecond
+
+// pending is a call that has no reply yet or whose answer is being delivered.
+type pending struct {
+	request *Request
+	call    caller.Call
+	reply   *ring.Ring[Reply]
+	forward *Attempt
+}
+
+// Duty is the state of the dispatch duty.
+type Duty struct {
+	// Inputs is the ring that the duty takes from.
+	Inputs *ring.Ring[Input]
+	// Attempts is the ring that the senders take from.
+	Attempts *ring.Ring[*Attempt]
+	// Router decides where calls are placed.
+	Router *caller.Router
+	// Pool decides how placed calls are run.
+	Pool *backend.Pool
+	// Log receives broken invariants.
+	Log *logrus.Entry
+
+	configuration schema.Configuration
+	calls         map[caller.CallID]*pending
+	questions     map[caller.CallID]*ring.Ring[AskReply]
+	attempts      map[backend.AttemptID]*Attempt
+	answer        *Answer
+}
+
+// New returns a duty that has no configuration yet.
+func New(inputs *ring.Ring[Input], attempts *ring.Ring[*Attempt], router *caller.Router, pool *backend.Pool, log *logrus.Entry) *Duty {
+	return &Duty{
+		Inputs:    inputs,
+		Attempts:  attempts,
+		Router:    router,
+		Pool:      pool,
+		Log:       log,
+		calls:     map[caller.CallID]*pending{},
+		questions: map[caller.CallID]*ring.Ring[AskReply]{},
+		attempts:  map[backend.AttemptID]*Attempt{},
+	}
+}
+
+// Run takes inputs until the context ends.
+func (d *Duty) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case input := <-d.Inputs.Items():
+			d.Step(time.Now(), input)
+		case now := <-ticker.C:
+			if d.Pool.Busy() {
+				d.backend(now, backend.Ticked{})
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Step carries out one input.
+func (d *Duty) Step(now time.Time, input Input) {
+	switch input := input.(type) {
+	case Ask:
+		d.ask(now, input)
+	case Call:
+		d.calls[input.Call.ID] = &pending{request: input.Request, call: input.Call, reply: input.Reply}
+		d.caller(now, caller.Called{Call: input.Call})
+	case Cancel:
+		d.cancel(now, input.Call)
+	case Answering:
+		d.answering(now, input)
+	case Ended:
+		d.ended(now, input)
+	case Configure:
+		d.configuration = input.Configuration
+		d.caller(now, caller.ConfigurationChanged{Configuration: input.Configuration})
+		d.adoptCells(now)
+	case Hosts:
+		d.caller(now, caller.HostsChanged{Hosts: input.Hosts})
+		d.adoptCells(now)
+	case Dump:
+		_ = input.Reply.Offer(d.dump()) // the ring has room by contract
+	}
+}
+
+// ask answers a question.
+func (d *Duty) ask(now time.Time, question Ask) {
+	id := NextCall()
+	d.questions[id] = question.Reply
+	d.caller(now, caller.Asked{ID: id, Service: question.Service})
+}
+
+// answerAsk replies to a question.
+func (d *Duty) answerAsk(id caller.CallID, reply AskReply) {
+	_ = d.questions[id].Offer(reply) // the ring has room by contract
+	delete(d.questions, id)
+}
+
+// refuse ends a call or a question that is not placed.
+func (d *Duty) refuse(action caller.Refuse) {
+	if _, asked := d.questions[action.ID]; asked {
+		d.answerAsk(action.ID, AskReply{Refusal: action.Outcome})
+
+		return
+	}
+	d.finish(action.ID, Finished{Outcome: action.Outcome})
+}
+
+// caller steps the router and carries out its actions.
+func (d *Duty) caller(now time.Time, event caller.Event) {
+	for _, action := range d.Router.Step(now, event) {
+		switch action := action.(type) {
+		case caller.PlaceCall:
+			d.backend(now, backend.CallPlaced{Call: action.Call, Cell: action.Cell})
+		case caller.ForwardCall:
+			d.forward(action)
+		case caller.AnswerAsk:
+			d.answerAsk(action.ID, AskReply{Answer: &action.Answer})
+		case caller.Refuse:
+			d.refuse(action)
+		case caller.Violation:
+			d.violated(action)
+		}
+	}
+}
+
+// backend steps the pool and carries out its actions.
+func (d *Duty) backend(now time.Time, event backend.Event) {
+	var unsent []backend.AttemptID
+	for _, action := range d.Pool.Step(now, event) {
+		switch action := action.(type) {
+		case backend.StartAttempt:
+			if !d.start(action) {
+				unsent = append(unsent, action.Attempt)
+			}
+		case backend.CancelAttempt:
+			d.attempts[action.Attempt].Cancel()
+		case backend.DeliverAnswer:
+			d.begin(action.Call, d.answer)
+		case backend.EndCall:
+			d.endCall(action)
+		case backend.Violation:
+			d.violated(action.Violation)
+		}
+	}
+	for _, id := range unsent {
+		d.ended(now, Ended{Attempt: d.attempts[id], Result: backend.Unsent{Cause: &ring.FullError{
+			Ring: d.Attempts.Name, Capacity: d.Attempts.Capacity(),
+		}}})
+	}
+}
+
+// start gives an attempt to the senders and reports whether their ring had room.
+func (d *Duty) start(action backend.StartAttempt) bool {
+	call := d.calls[action.Call]
+	attempt := NewAttempt(Attempt{
+		ID:       action.Attempt,
+		Call:     action.Call,
+		Service:  call.call.Service,
+		Address:  action.Address,
+		Request:  call.request,
+		Deadline: action.Deadline,
+		Depth:    call.call.Depth,
+	})
+	d.attempts[action.Attempt] = attempt
+
+	return d.Attempts.Offer(attempt) == nil
+}
+
+// forward sends a call to another entry host.
+func (d *Duty) forward(action caller.ForwardCall) {
+	call := d.calls[action.Call.ID]
+	call.forward = NewAttempt(Attempt{
+		Call:     action.Call.ID,
+		Service:  action.Call.Service,
+		Address:  action.Address,
+		Request:  call.request,
+		Deadline: action.Call.Deadline,
+		Forward:  true,
+		Hops:     action.Call.Hops + 1,
+		Depth:    action.Call.Depth,
+		OrderID:  action.Call.OrderID,
+	})
+	if err := d.Attempts.Offer(call.forward); err != nil {
+		d.finish(action.Call.ID, Finished{Outcome: caller.NotRun{Reason: caller.ReasonOverloaded}})
+	}
+}
+
+// cancel gives up a call whose caller went away.
+func (d *Duty) cancel(now time.Time, id caller.CallID) {
+	call, ok := d.calls[id]
+	if !ok {
+		return
+	}
+	if call.forward != nil {
+		call.forward.Cancel()
+
+		return
+	}
+	d.backend(now, backend.CallCancelled{Call: id})
+}
+
+// answering begins a large answer.
+func (d *Duty) answering(now time.Time, input Answering) {
+	if input.Attempt.Forward {
+		d.begin(input.Attempt.Call, input.Answer)
+
+		return
+	}
+	d.answer = input.Answer
+	d.backend(now, backend.AttemptAnswering{Attempt: input.Attempt.ID})
+	d.answer = nil
+}
+
+// ended ends an attempt and what depends on it.
+func (d *Duty) ended(now time.Time, input Ended) {
+	if input.Attempt.Forward {
+		d.finish(input.Attempt.Call, Finished{Outcome: backend.OutcomeOf(input.Result), Answer: input.Answer})
+
+		return
+	}
+	d.answer = input.Answer
+	d.backend(now, backend.AttemptEnded{Attempt: input.Attempt.ID, Result: input.Result})
+	d.answer = nil
+	delete(d.attempts, input.Attempt.ID)
+}
+
+// endCall replies with the outcome that the pool decided.
+func (d *Duty) endCall(action backend.EndCall) {
+	finished := Finished{Outcome: action.Outcome}
+	if _, answered := action.Outcome.(caller.Answered); answered {
+		finished.Answer = d.answer
+	}
+	d.finish(action.Call, finished)
+}
+
+// begin replies with the first part of a large answer. The call stays until
+// its attempt ends, so that it can still be cancelled.
+func (d *Duty) begin(id caller.CallID, answer *Answer) {
+	call, ok := d.calls[id]
+	if !ok || call.reply == nil {
+		return
+	}
+	_ = call.reply.Offer(Begun{Answer: answer}) // the ring has room by contract
+	call.reply = nil
+}
+
+// finish forgets the call and replies unless an answer was begun.
+func (d *Duty) finish(id caller.CallID, finished Finished) {
+	call, ok := d.calls[id]
+	if !ok {
+		return
+	}
+	delete(d.calls, id)
+	if call.reply != nil {
+		_ = call.reply.Offer(finished) // the ring has room by contract
+	}
+}
+
+// adoptCells tells the pool which cells this host owns.
+func (d *Duty) adoptCells(now time.Time) {
+	cells := map[caller.Cell][]backend.Declared{}
+	for _, cell := range d.Router.Owned() {
+		cells[cell] = nil
+	}
+	for _, server := range d.configuration.BackendServers {
+		cell := caller.Cell{Service: server.Service, DataCentre: server.DataCentre}
+		if _, owned := cells[cell]; owned {
+			cells[cell] = append(cells[cell], backend.Declared{
+				Address: server.Address, Slots: server.Slots, Leaving: server.Leaving,
+			})
+		}
+	}
+	d.backend(now, backend.CellsChanged{Cells: cells})
+}
+
+// dump describes every routable cell and the state of the owned ones.
+func (d *Duty) dump() []schema.CellDump {
+	dumps := []schema.CellDump{}
+	for _, service := range d.configuration.Services {
+		for _, dataCentre := range d.configuration.DataCentres {
+			cell := caller.Cell{Service: service.Name, DataCentre: dataCentre.Name}
+			owner := d.Router.Owner(cell)
+			if owner == "" {
+				continue
+			}
+			dump := schema.CellDump{Service: cell.Service, DataCentre: cell.DataCentre, Owner: owner}
+			dump.BackendServers = []schema.BackendServerDump{}
+			if state, ok := d.Pool.Cells[cell]; ok {
+				dump.Queued = len(state.Queue)
+				dump.BackendServers = dumpServers(state.Servers)
+			}
+			dumps = append(dumps, dump)
+		}
+	}
+
+	return dumps
+}
+
+// dumpServers describes backend servers in the order of their addresses.
+func dumpServers(servers []*backend.Server) []schema.BackendServerDump {
+	dumps := make([]schema.BackendServerDump, 0, len(servers))
+	for _, server := range servers {
+		dumps = append(dumps, schema.BackendServerDump{
+			Address:   server.Address,
+			Slots:     server.Slots,
+			InFlight:  server.InFlight,
+			Allowance: server.Allowance,
+			LatencyUs: int(server.Latency.Microseconds()),
+		})
+	}
+	slices.SortFunc(dumps, func(a, b schema.BackendServerDump) int {
+		if a.Address < b.Address {
+			return -1
+		}
+
+		return 1
+	})
+
+	return dumps
+}
+
+// violated logs a broken invariant.
+func (d *Duty) violated(violation caller.Violation) {
+	d.Log.WithFields(logrus.Fields{"event": "invariant_broken", "invariant": violation.Invariant}).Error(violation.Detail)
+}
--- /dev/null
+++ b/sheet/sheet.go
@@ -0,0 +1,186 @@
+// Package sheet reads the morning sheet, a CSV file in which each row declares
+// one thing. It names every fault at once by row and column. Change this
+// package to change the sheet's columns.
+package sheet
+
+import (
+	"bytes"
+	"encoding/csv"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// The columns, in the order of the header row.
+const (
+	columnKind        = "kind"
+	columnName        = "name"
+	columnService     = "service"
+	columnDataCentre  = "data_centre"
+	columnAddress     = "address"
+	columnSlots       = "slots"
+	columnConnections = "connections"
+	columnState       = "state"
+	columnAt          = "at"
+	columnProbeRate   = "probes_per_1000_s"
+	columnIdempotent  = "idempotent"
+)
+
+// columns is the header row.
+var columns = []string{
+	columnKind, columnName, columnService, columnDataCentre, columnAddress, columnSlots,
+	columnConnections, columnState, columnAt, columnProbeRate, columnIdempotent,
+}
+
+// kind describes the rows of one kind.
+type kind struct {
+	columns []string
+	read    func(r *row, into *schema.Configuration)
+}
+
+// kinds holds the columns and the reader of each kind of row.
+var kinds = map[string]kind{
+	"day":            {[]string{columnAt}, readDay},
+	"service":        {[]string{columnName, columnProbeRate, columnIdempotent}, readService},
+	"data_centre":    {[]string{columnName, columnState}, readDataCentre},
+	"backend_server": {[]string{columnService, columnDataCentre, columnAddress, columnSlots, columnConnections, columnState}, readBackendServer},
+	"planned_stop":   {[]string{columnName, columnAt}, readPlannedStop},
+}
+
+// Parse returns the configuration that a sheet declares. The error is a
+// *schema.InvalidError that names every fault.
+func Parse(file string, data []byte) (schema.Configuration, error) {
+	p := parser{file: file}
+	p.read(data)
+	p.relate()
+	if len(p.faults) > 0 {
+		return schema.Configuration{}, &schema.InvalidError{Input: file, Faults: p.faults}
+	}
+	sortAll(&p.configuration)
+
+	return p.configuration, nil
+}
+
+// parser collects what the rows declare and the faults in them.
+type parser struct {
+	file          string
+	configuration schema.Configuration
+	faults        []schema.Fault
+	places        map[string]string
+}
+
+// read reads all rows.
+func (p *parser) read(data []byte) {
+	reader := csv.NewReader(bytes.NewReader(data))
+	reader.FieldsPerRecord = -1
+	reader.Comment = '#'
+	header, err := reader.Read()
+	if err != nil || !slices.Equal(header, columns) {
+		p.rejectf("row 1", fmt.Sprint(header), "the header row must be %v", columns)
+
+		return
+	}
+	for {
+		record, err := reader.Read()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			p.rejectf("csv", "", "%v", err)
+
+			return
+		}
+		line, _ := reader.FieldPos(0)
+		p.row(line, record)
+	}
+}
+
+// row reads one row.
+func (p *parser) row(line int, record []string) {
+	place := fmt.Sprintf("row %d", line)
+	if len(record) != len(columns) {
+		p.rejectf(place, fmt.Sprint(len(record)), "must have %d columns", len(columns))
+
+		return
+	}
+	r := &row{parser: p, place: place, values: map[string]string{}}
+	for i, column := range columns {
+		r.values[column] = record[i]
+	}
+	described, ok := kinds[r.values[columnKind]]
+	if !ok {
+		r.reject(columnKind, "must be day, service, data_centre, backend_server or planned_stop")
+
+		return
+	}
+	for _, column := range columns[1:] {
+		if r.values[column] != "" && !slices.Contains(described.columns, column) {
+			r.reject(column, "must be empty in a row of kind "+r.values[columnKind])
+		}
+	}
+	described.read(r, &p.configuration)
+}
+
+// rejectf records a fault.
+func (p *parser) rejectf(place, value, format string, args ...any) {
+	p.faults = append(p.faults, schema.Fault{
+		Place: p.file + " " + place, Value: value, Problem: fmt.Sprintf(format, args...),
+	})
+}
+
+// row is one row with its values by column.
+type row struct {
+	parser *parser
+	place  string
+	values map[string]string
+}
+
+// reject records a fault in a column.
+func (r *row) reject(column, problem string) {
+	r.parser.rejectf(r.place+" column "+column, r.values[column], "%s", problem)
+}
+
+// number reads a whole number within bounds.
+func (r *row) number(column string, low, high int) int {
+	value, err := strconv.Atoi(r.values[column])
+	if err != nil || value < low || value > high {
+		r.reject(column, fmt.Sprintf("must be a whole number from %d to %d", low, high))
+	}
+
+	return value
+}
+
+// name reads a name.
+func (r *row) name(column string) string {
+	if !schema.IsName(r.values[column]) {
+		r.reject(column, "must be 1 to 63 lower-case letters, digits or dashes, starting with a letter")
+	}
+
+	return r.values[column]
+}
+
+// oneOf reads one of two words and reports whether it is the first.
+func (r *row) oneOf(column, first, second string) bool {
+	value := r.values[column]
+	if value != first && value != second {
+		r.reject(column, fmt.Sprintf("must be %s or %s", first, second))
+	}
+
+	return value == first
+}
+
+// unique rejects a second row for the same thing.
+func (r *row) unique(column, key string) {
+	if r.parser.places == nil {
+		r.parser.places = map[string]string{}
+	}
+	key = r.values[columnKind] + " " + key
+	if earlier, ok := r.parser.places[key]; ok {
+		r.reject(column, "is declared already in "+earlier)
+	}
+	r.parser.places[key] = r.place
+}
