Serve one path from end to end in separate processes

Ruled out: fasthttp.Client towards backend servers: it hides whether bytes left and cannot be cancelled. One HostClient for each connection over an observed net.Conn tells both, with the library's retries off. Change: caller, backend, peer, platform and operator encodings, the host's wiring, the command line, and stand-ins for platform, backend servers, callers.

--- /dev/null
+++ b/backendhttp/backendhttp.go
@@ -0,0 +1,68 @@
+// Package backendhttp sends attempts to backend servers and to other entry
+// hosts over HTTP and reports exactly what left and what came back. It decides
+// nothing: it never retries and never chooses an address. Change this package
+// to change the encoding towards backend servers.
+package backendhttp
+
+import "github.com/baobabdrum/baobabdrum/dispatch"
+
+// Header fields between entry hosts, callers and backend servers.
+const (
+	// HeaderDeadline carries the time left in milliseconds.
+	HeaderDeadline = "Baobabdrum-Deadline-Ms"
+	// HeaderDepth carries the number of calls that the call is nested in.
+	HeaderDepth = "Baobabdrum-Depth"
+	// HeaderHops carries the number of entry hosts that forwarded the call.
+	HeaderHops = "Baobabdrum-Hops"
+	// HeaderOrderID carries the id of an order.
+	HeaderOrderID = "Baobabdrum-Order-Id"
+	// HeaderShed marks a backend server's answer that says that the call was not
+	// run.
+	HeaderShed = "Baobabdrum-Shed"
+	// HeaderPrefix starts every header field of this project.
+	HeaderPrefix = "Baobabdrum-"
+)
+
+const (
+	// wholeBody is the largest body in bytes that is collected before it is
+	// reported.
+	wholeBody = 64 << 10
+	// chunkSize is the size in bytes of the parts of a larger body.
+	chunkSize = 32 << 10
+	// chunkRing is the number of parts that wait for the caller.
+	chunkRing = 8
+)
+
+// hopByHop are header fields that concern one connection only.
+var hopByHop = map[string]bool{
+	"connection":          true,
+	"keep-alive":          true,
+	"proxy-authenticate":  true,
+	"proxy-authorization": true,
+	"te":                  true,
+	"trailer":             true,
+	"transfer-encoding":   true,
+	"upgrade":             true,
+	"content-length":      true,
+	"host":                true,
+}
+
+// PassedOn reports whether a header field with this lower-case name is passed
+// on between callers and backend servers.
+func PassedOn(lower string) bool {
+	return !hopByHop[lower] && (len(lower) < len(HeaderPrefix) || lower[:len(HeaderPrefix)] != "baobabdrum-")
+}
+
+// shed reports whether the answer says that the call was not run.
+func shed(answer *dispatch.Answer) bool {
+	if answer.Forwarded {
+		return false
+	}
+	for _, header := range answer.Headers {
+		if header.Name == HeaderShed {
+			return true
+		}
+	}
+
+	return false
+}
--- /dev/null
+++ b/callerhttp/call.go
@@ -0,0 +1,128 @@
+package callerhttp
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/ring"
+)
+
+const (
+	// maxDepth is the deepest nesting of calls that is accepted.
+	maxDepth = 16
+	// maxHops is the largest number of forwards that a request may state.
+	maxHops = 3
+	// maxDeadline is the longest time that a caller may wait.
+	maxDeadline = 10 * time.Minute
+)
+
+// call runs a caller's request and answers with what came back.
+func (f *Front) call(c fiber.Ctx) error {
+	call, faults := f.decode(c)
+	if len(faults) > 0 {
+		return reject(c, faults)
+	}
+	reply := ring.New[dispatch.Reply]("reply", 1)
+	if err := f.Inputs.Offer(dispatch.Call{Call: call, Request: request(c), Reply: reply}); err != nil {
+		return fail(c, caller.NotRun{Reason: caller.ReasonOverloaded}, err.Error())
+	}
+	switch reply := f.wait(c, call.ID, reply).(type) {
+	case dispatch.Begun:
+		return f.stream(c, call.ID, reply.Answer)
+	case dispatch.Finished:
+		return finish(c, reply)
+	default:
+		return fail(c, caller.Unknown{Reason: caller.ReasonStopping}, "the host stopped before the call ended")
+	}
+}
+
+// decode reads what the decisions need to know, and the faults in it.
+func (f *Front) decode(c fiber.Ctx) (caller.Call, []fault) {
+	limits := faults{}
+	timeout := limits.number(c, backendhttp.HeaderDeadline, f.CallTimeout.Milliseconds(), 1, maxDeadline.Milliseconds())
+	depth := limits.number(c, backendhttp.HeaderDepth, 0, 0, maxDepth)
+	hops := limits.number(c, backendhttp.HeaderHops, 0, 0, maxHops)
+	method := c.Method()
+
+	return caller.Call{
+		ID:         dispatch.NextCall(),
+		Service:    strings.Clone(c.Params("service")),
+		Caller:     c.RequestCtx().RemoteIP().String(),
+		Idempotent: method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions,
+		Deadline:   time.Now().Add(time.Duration(timeout) * time.Millisecond),
+		Depth:      int(depth),
+		Hops:       int(hops),
+	}, limits.found
+}
+
+// request copies what a backend server receives.
+func request(c fiber.Ctx) *dispatch.Request {
+	target := "/" + strings.Clone(c.Params("*"))
+	if query := c.RequestCtx().URI().QueryString(); len(query) > 0 {
+		target += "?" + string(query)
+	}
+	copied := &dispatch.Request{
+		Method: strings.Clone(c.Method()),
+		Target: target,
+		Body:   append([]byte(nil), c.Request().Body()...),
+	}
+	for name, value := range c.Request().Header.All() {
+		if backendhttp.PassedOn(strings.ToLower(string(name))) {
+			copied.Headers = append(copied.Headers, dispatch.Header{Name: string(name), Value: string(value)})
+		}
+	}
+
+	return copied
+}
+
+// wait returns the reply of the dispatch duty, or nil when the host stops. It
+// cancels the call when the caller's connection is closed.
+func (f *Front) wait(c fiber.Ctx, id caller.CallID, reply *ring.Ring[dispatch.Reply]) dispatch.Reply {
+	timer := time.NewTimer(goneInterval)
+	defer timer.Stop()
+	cancelled := false
+	for {
+		select {
+		case received := <-reply.Items():
+			return received
+		case <-c.RequestCtx().Done():
+			return nil
+		case <-timer.C:
+			if !cancelled && gone(c.RequestCtx().Conn()) {
+				cancelled = f.Inputs.Offer(dispatch.Cancel{Call: id}) == nil
+			}
+			timer.Reset(goneInterval)
+		}
+	}
+}
+
+// finish answers with the outcome of a call.
+func finish(c fiber.Ctx, reply dispatch.Finished) error {
+	if _, answered := reply.Outcome.(caller.Answered); !answered {
+		return fail(c, reply.Outcome, "the call was not answered")
+	}
+	head(c, reply.Answer)
+
+	return c.Send(reply.Answer.Body)
+}
+
+// head writes the status and the header fields of an answer.
+func head(c fiber.Ctx, answer *dispatch.Answer) {
+	c.Status(answer.Status)
+	if !answer.Forwarded {
+		c.Set(HeaderOutcome, "answered")
+	}
+	for _, header := range answer.Headers {
+		c.Response().Header.Add(header.Name, header.Value)
+	}
+	if answer.Length >= 0 && c.Method() == http.MethodHead {
+		c.Set(fiber.HeaderContentLength, strconv.Itoa(answer.Length))
+	}
+}
--- /dev/null
+++ b/callerhttp/callerhttp.go
@@ -0,0 +1,66 @@
+// Package callerhttp is the HTTP front end for callers. Its handlers only
+// decode, offer the call to the dispatch duty, wait for the reply and encode
+// it. Change this package to change what callers send and see.
+package callerhttp
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/ring"
+)
+
+const (
+	// HeaderOutcome carries answered, not_run or unknown.
+	HeaderOutcome = "Baobabdrum-Outcome"
+	// HeaderReason carries the reason of not_run and unknown.
+	HeaderReason = "Baobabdrum-Reason"
+)
+
+const (
+	// idleTimeout closes a caller's connection that was not used for as long.
+	idleTimeout = time.Minute
+	// shutdownTimeout bounds how long requests in flight may hold up a stop.
+	shutdownTimeout = 10 * time.Second
+)
+
+// Front serves callers.
+type Front struct {
+	// Inputs is the ring of the dispatch duty.
+	Inputs *ring.Ring[dispatch.Input]
+	// CallTimeout is the deadline of calls that state none.
+	CallTimeout time.Duration
+
+	app *fiber.App
+}
+
+// New returns a front end that accepts request bodies of up to bodyLimit bytes.
+func New(inputs *ring.Ring[dispatch.Input], callTimeout time.Duration, bodyLimit int) *Front {
+	front := &Front{Inputs: inputs, CallTimeout: callTimeout}
+	front.app = fiber.New(fiber.Config{
+		AppName:                   "baobabdrum",
+		BodyLimit:                 bodyLimit,
+		CaseSensitive:             true,
+		DisableDefaultContentType: true,
+		DisableHeadAutoRegister:   true,
+		ErrorHandler:              refuse,
+		IdleTimeout:               idleTimeout,
+	})
+	front.app.Get("/ask/:service", front.ask)
+	front.app.All("/call/:service/*", front.call)
+
+	return front
+}
+
+// Run serves callers until the context ends.
+func (f *Front) Run(ctx context.Context, listener net.Listener) error {
+	return f.app.Listener(listener, fiber.ListenConfig{
+		DisableStartupMessage: true,
+		GracefulContext:       ctx,
+		ShutdownTimeout:       shutdownTimeout,
+	})
+}
--- /dev/null
+++ b/cmd/cmd.go
@@ -0,0 +1,204 @@
+// Package cmd holds the command line: one file for each command. Commands check
+// their settings, call the packages that do the work and choose the exit code.
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+
+	"github.com/baobabdrum/baobabdrum/jsonhttp"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// Exit codes of every command.
+const (
+	// ExitDone says that the command did what was asked.
+	ExitDone = 0
+	// ExitFailed says that the command failed.
+	ExitFailed = 1
+	// ExitInvalid says that a setting, an argument or a file is invalid.
+	ExitInvalid = 2
+	// ExitNotRun says that a call was not run.
+	ExitNotRun = 3
+	// ExitUnknown says that a call or a change may have taken effect.
+	ExitUnknown = 4
+	// ExitConflict says that another change was accepted first.
+	ExitConflict = 5
+)
+
+// exitCodes documents the exit codes.
+const exitCodes = `Exit codes: 0 done, 1 failed, 2 invalid setting, argument or file,
+3 the call was not run, 4 it may have taken effect, 5 conflict with another change.`
+
+// Output is where commands write.
+type Output struct {
+	// Results receives what the command was asked for.
+	Results io.Writer
+	// Messages receives log lines and errors.
+	Messages io.Writer
+}
+
+// Command is a subcommand with its help.
+type Command struct {
+	// Name is the word on the command line.
+	Name string
+	// Short is one line of help.
+	Short string
+	// Long is the help text with examples.
+	Long string
+	// Options holds the flags and runs the command.
+	Options flags.Commander
+}
+
+// Run runs the command line and returns the exit code.
+func Run(args []string, results, messages io.Writer) int {
+	output := Output{Results: results, Messages: messages}
+	parser := flags.NewNamedParser("baobabdrum", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "A load balancer for servers whose load shifts in milliseconds.\n" + exitCodes
+	for _, command := range commands(output) {
+		if _, err := parser.AddCommand(command.Name, command.Short, command.Long+"\n"+exitCodes, command.Options); err != nil {
+			fmt.Fprintln(messages, err)
+
+			return ExitFailed
+		}
+	}
+	_, err := parser.ParseArgs(args)
+
+	return exit(output, err)
+}
+
+// commands lists the commands in the order of the help.
+func commands(output Output) []Command {
+	return []Command{
+		{"host", "Run an entry host", hostHelp, &Host{output: output}},
+		{"sheet", "Check, apply or show the morning sheet", sheetHelp, newSheet(output)},
+		{"data-centre", "Take a data centre out or in", dataCentreHelp, &DataCentre{output: output}},
+		{"ask", "Ask which hosts to use for a service", askHelp, &Ask{output: output}},
+		{"call", "Call a service", callHelp, &Call{output: output}},
+		{"dump", "Show the state of an entry host", dumpHelp, &Dump{output: output}},
+		{"version", "Show the version", "Shows the version of this program.", &Version{output: output}},
+	}
+}
+
+// exit reports an error and returns the exit code for it.
+func exit(output Output, err error) int {
+	var (
+		help    *flags.Error
+		invalid *schema.InvalidError
+		status  *jsonhttp.StatusError
+		outcome *OutcomeError
+	)
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &help) && help.Type == flags.ErrHelp:
+		fmt.Fprintln(output.Results, help.Message)
+
+		return ExitDone
+	case errors.As(err, &help):
+		fmt.Fprintln(output.Messages, help.Message)
+
+		return ExitInvalid
+	case errors.As(err, &invalid):
+		fmt.Fprintln(output.Messages, invalid)
+
+		return ExitInvalid
+	case errors.As(err, &status):
+		return exitStatus(output, status)
+	case errors.As(err, &outcome):
+		fmt.Fprintln(output.Messages, outcome)
+
+		return outcome.Code
+	default:
+		fmt.Fprintln(output.Messages, err)
+
+		return ExitFailed
+	}
+}
+
+// exitStatus reports a failure that an entry host returned.
+func exitStatus(output Output, status *jsonhttp.StatusError) int {
+	var failure schema.Failure
+	if json.Unmarshal(status.Body, &failure) != nil {
+		fmt.Fprintln(output.Messages, status)
+
+		return ExitFailed
+	}
+	fmt.Fprintf(output.Messages, "%s: %s: %s\n", failure.Outcome, failure.Reason, failure.Detail)
+	switch {
+	case failure.Reason == "invalid":
+		return ExitInvalid
+	case failure.Reason == "conflict", failure.Reason == "outdated":
+		return ExitConflict
+	case failure.Outcome == "unknown":
+		return ExitUnknown
+	default:
+		return ExitNotRun
+	}
+}
+
+// OutcomeError reports a call that a backend server did not answer.
+type OutcomeError struct {
+	// Code is the exit code.
+	Code int
+	// Message says what happened.
+	Message string
+}
+
+// Error returns the message.
+func (e *OutcomeError) Error() string {
+	return e.Message
+}
+
+// invalid returns an error for the faults, or nil if there are none.
+func invalid(input string, faults []schema.Fault) error {
+	if len(faults) == 0 {
+		return nil
+	}
+
+	return &schema.InvalidError{Input: input, Faults: faults}
+}
+
+// client returns a client for the checked settings.
+func client(flags schema.ClientFlags) (*jsonhttp.Client, error) {
+	settings, faults := flags.Check()
+	if err := invalid("settings", faults); err != nil {
+		return nil, err
+	}
+
+	return jsonhttp.NewClient(settings.HostAddress, settings.Token, settings.Timeout), nil
+}
+
+// print writes a message as indented JSON.
+func (o Output) print(message any) error {
+	encoder := json.NewEncoder(o.Results)
+	encoder.SetIndent("", "  ")
+
+	return encoder.Encode(message)
+}
+
+// logger returns a logger of one key=value line for each event.
+func (o Output) logger(level string, fields logrus.Fields) *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(o.Messages)
+	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		logger.SetLevel(parsed)
+	}
+
+	return logger.WithFields(fields)
+}
+
+// signalled returns a context that ends at an interrupt or a termination
+// signal.
+func signalled() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
--- /dev/null
+++ b/cmd/version.go
@@ -0,0 +1,23 @@
+package cmd
+
+import (
+	"fmt"
+	"runtime/debug"
+)
+
+// Version shows the version.
+type Version struct {
+	output Output
+}
+
+// Execute prints the module's version and the Go version.
+func (c *Version) Execute([]string) error {
+	version := "(devel)"
+	goVersion := ""
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version, goVersion = info.Main.Version, info.GoVersion
+	}
+	_, err := fmt.Fprintf(c.output.Results, "baobabdrum %s %s\n", version, goVersion)
+
+	return err
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,188 @@
+// Package host wires the duties of an entry host: it makes the rings, opens the
+// listeners and runs one goroutine for each duty in a group that stops
+// together. Change this package to add a duty or to join duties differently.
+package host
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/callerhttp"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/group"
+	"github.com/baobabdrum/baobabdrum/operatorhttp"
+	"github.com/baobabdrum/baobabdrum/peer"
+	"github.com/baobabdrum/baobabdrum/peerrpc"
+	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// controlRing is the capacity of rings that carry no calls.
+	controlRing = 256
+	// platformTimeout bounds one exchange with the platform.
+	platformTimeout = 2 * time.Second
+	// addressConnections bounds this host's connections to one address.
+	addressConnections = 64
+)
+
+// Host is an entry host with its rings.
+type Host struct {
+	// Settings are the checked settings.
+	Settings schema.HostSettings
+	// Self is what the host announces.
+	Self schema.Host
+	// Log receives one line for each event.
+	Log *logrus.Entry
+
+	dispatch       *ring.Ring[dispatch.Input]
+	attempts       *ring.Ring[*dispatch.Attempt]
+	peers          *ring.Ring[peerInput]
+	exchanges      *ring.Ring[peer.Action]
+	requests       *ring.Ring[peerrpc.Request]
+	configurations *ring.Ring[configurationInput]
+	changes        *ring.Ring[operatorhttp.ChangeRequest]
+	dumps          *ring.Ring[operatorhttp.DumpRequest]
+	platform       *platformhttp.Client
+	seed           uint64
+}
+
+// Check returns the faults that concern several settings.
+func Check(settings schema.HostSettings) []schema.Fault {
+	if settings.Token != "" {
+		return nil
+	}
+	var faults []schema.Fault
+	places := map[string]string{"peer-address": settings.PeerAddress, "operator-address": settings.OperatorAddress}
+	for _, place := range []string{"operator-address", "peer-address"} {
+		address, err := netip.ParseAddrPort(places[place])
+		if err == nil && !address.Addr().IsLoopback() {
+			faults = append(faults, schema.Fault{
+				Place: place, Value: places[place], Problem: "needs a token unless it is a loopback address",
+			})
+		}
+	}
+
+	return faults
+}
+
+// New returns a host with empty rings and a fresh incarnation.
+func New(settings schema.HostSettings, log *logrus.Entry) *Host {
+	seed := uint64(settings.Seed) //nolint:gosec // checked to be non-negative
+	if seed == 0 {
+		var drawn [8]byte
+		_, _ = crand.Read(drawn[:]) // it never fails
+		seed = binary.LittleEndian.Uint64(drawn[:])
+	}
+
+	return &Host{
+		Settings: settings,
+		Log:      log,
+		Self: schema.Host{
+			Name:            settings.Name,
+			DataCentre:      settings.DataCentre,
+			Incarnation:     ulid.Make().String(),
+			CallerAddress:   settings.CallerAddress,
+			PeerAddress:     settings.PeerAddress,
+			OperatorAddress: settings.OperatorAddress,
+			State:           schema.HostStateJoining,
+		},
+		dispatch:       ring.New[dispatch.Input]("dispatch", settings.DispatchRing),
+		attempts:       ring.New[*dispatch.Attempt]("senders", settings.Senders),
+		peers:          ring.New[peerInput]("peers", controlRing),
+		exchanges:      ring.New[peer.Action]("exchanges", controlRing),
+		requests:       ring.New[peerrpc.Request]("peer_requests", controlRing),
+		configurations: ring.New[configurationInput]("configuration", controlRing),
+		changes:        ring.New[operatorhttp.ChangeRequest]("operator", controlRing),
+		dumps:          ring.New[operatorhttp.DumpRequest]("dump", controlRing),
+		platform:       platformhttp.New(settings.PlatformAddress, platformTimeout),
+		seed:           seed,
+	}
+}
+
+// listeners are the open listening sockets.
+type listeners struct {
+	caller   net.Listener
+	peer     net.Listener
+	operator net.Listener
+}
+
+// listen opens all listening sockets or none.
+func (h *Host) listen() (listeners, error) {
+	var open listeners
+	for address, target := range map[string]*net.Listener{
+		h.Settings.CallerAddress:   &open.caller,
+		h.Settings.PeerAddress:     &open.peer,
+		h.Settings.OperatorAddress: &open.operator,
+	} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			open.close()
+
+			return listeners{}, eris.Wrapf(err, "listening on %s", address)
+		}
+		*target = listener
+	}
+
+	return open, nil
+}
+
+// close closes the sockets that are open.
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.caller, l.peer, l.operator} {
+		if listener != nil {
+			_ = listener.Close() // nothing depends on it any more
+		}
+	}
+}
+
+// Run runs the host until the context ends or a duty fails.
+func (h *Host) Run(ctx context.Context) error {
+	open, err := h.listen()
+	if err != nil {
+		return err
+	}
+	defer open.close()
+	h.Log.WithFields(logrus.Fields{
+		"event": "host_started", "incarnation": h.Self.Incarnation, "caller_address": h.Settings.CallerAddress,
+	}).Info("listening")
+
+	duties := group.New(ctx)
+	router := caller.NewRouter(h.Self.Name, h.Settings.AnswerKeep)
+	pool := backend.NewPool(h.Settings.QueueLength)
+	duties.Go("dispatch", dispatch.New(h.dispatch, h.attempts, router, pool, h.Log).Run)
+	connections := backendhttp.NewConnections(addressConnections)
+	for range h.Settings.Senders {
+		sender := &backendhttp.Sender{Attempts: h.attempts, Reports: h.dispatch, Connections: connections}
+		duties.Go("sender", sender.Run)
+	}
+	duties.Go("configuration", h.runConfiguration)
+	duties.Go("peers", h.runPeers)
+	duties.Go("exchanges", h.runExchanges)
+	duties.Go("platform", h.runPlatform)
+	duties.Go("operator", h.runOperator)
+	duties.Go("dump", h.runDump)
+	duties.Go("peer front", func(ctx context.Context) error {
+		return peerrpc.Serve(ctx, open.peer, h.Settings.Token, h.requests)
+	})
+	duties.Go("caller front", func(ctx context.Context) error {
+		return callerhttp.New(h.dispatch, h.Settings.CallTimeout, h.Settings.BodyLimit).Run(ctx, open.caller)
+	})
+	duties.Go("operator front", func(ctx context.Context) error {
+		return operatorhttp.New(h.changes, h.dumps, h.Settings.Token).Run(ctx, open.operator)
+	})
+
+	return duties.Wait()
+}
--- /dev/null
+++ b/jsonhttp/jsonhttp.go
@@ -0,0 +1,140 @@
+// Package jsonhttp carries typed messages as JSON over HTTP between operators,
+// hosts and the platform. Change this package to change how those messages
+// are encoded; it holds none of their meaning.
+package jsonhttp
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+// bearer precedes the token in the authorization header field.
+const bearer = "Bearer "
+
+// StatusError reports a response that does not hold the expected message.
+type StatusError struct {
+	// Path is the path of the request.
+	Path string
+	// Status is the HTTP status.
+	Status int
+	// Body is the response's body.
+	Body []byte
+}
+
+// Error names the path and the status and quotes the body.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s: status %d: %s", e.Path, e.Status, strings.TrimSpace(string(e.Body)))
+}
+
+// Client sends typed messages to one address. It never retries.
+type Client struct {
+	// Address is the ip:port.
+	Address string
+	// Token is sent with each request unless it is empty.
+	Token string
+	// Timeout bounds each exchange.
+	Timeout time.Duration
+
+	http fasthttp.HostClient
+}
+
+// NewClient returns a client without open connections.
+func NewClient(address, token string, timeout time.Duration) *Client {
+	return &Client{Address: address, Token: token, Timeout: timeout, http: fasthttp.HostClient{
+		Addr:                      address,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+// Get reads a message.
+func Get[Out any](client *Client, path string) (Out, error) {
+	var out Out
+	raw, err := client.Exchange(http.MethodGet, path, nil)
+	if err != nil {
+		return out, err
+	}
+
+	return out, eris.Wrapf(json.Unmarshal(raw, &out), "decoding the response of %s", path)
+}
+
+// Post sends a message and reads the response.
+func Post[In, Out any](client *Client, path string, in In) (Out, error) {
+	var out Out
+	body, err := json.Marshal(in)
+	if err != nil {
+		return out, eris.Wrapf(err, "encoding the request of %s", path)
+	}
+	raw, err := client.Exchange(http.MethodPost, path, body)
+	if err != nil {
+		return out, err
+	}
+
+	return out, eris.Wrapf(json.Unmarshal(raw, &out), "decoding the response of %s", path)
+}
+
+// Exchange sends a body and returns the body of a response with status 200.
+// Another status is returned as a *StatusError.
+func (c *Client) Exchange(method, path string, body []byte) ([]byte, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI(path)
+	request.Header.SetHost(c.Address)
+	if c.Token != "" {
+		request.Header.Set(fasthttp.HeaderAuthorization, bearer+c.Token)
+	}
+	request.SetBodyRaw(body)
+	if err := c.http.DoTimeout(request, response, c.Timeout); err != nil {
+		return nil, eris.Wrapf(err, "%s %s%s", method, c.Address, path)
+	}
+	copied := append([]byte(nil), response.Body()...)
+	if response.StatusCode() != http.StatusOK {
+		return nil, &StatusError{Path: path, Status: response.StatusCode(), Body: copied}
+	}
+
+	return copied, nil
+}
+
+// Handle returns a handler that decodes a message, rejecting unknown fields,
+// and answers with the message that serve returns.
+func Handle[In, Out any](serve func(in In) (Out, error)) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		var in In
+		decoder := json.NewDecoder(strings.NewReader(string(c.Body())))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&in); err != nil {
+			return fiber.NewError(http.StatusBadRequest, err.Error())
+		}
+		out, err := serve(in)
+		if err != nil {
+			return err
+		}
+
+		return c.JSON(out)
+	}
+}
+
+// Authorize returns a handler that lets only requests with the token pass. An
+// empty token lets every request pass.
+func Authorize(token string) fiber.Handler {
+	expected := []byte(bearer + token)
+
+	return func(c fiber.Ctx) error {
+		given := c.Request().Header.Peek(fasthttp.HeaderAuthorization)
+		if token != "" && subtle.ConstantTimeCompare(given, expected) != 1 {
+			return fiber.NewError(http.StatusUnauthorized, "the token is missing or wrong")
+		}
+
+		return c.Next()
+	}
+}
--- /dev/null
+++ b/peerrpc/peerrpc.go
@@ -0,0 +1,120 @@
+// Package peerrpc carries messages between entry hosts by net/rpc with
+// MessagePack. It decides nothing. Change this package to change the encoding
+// between hosts.
+package peerrpc
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// exchangeTimeout bounds one exchange with another host.
+	exchangeTimeout = time.Second
+	// serviceName is the name under which net/rpc finds the methods.
+	serviceName = "Peer"
+)
+
+// Request is what another host asks: Digest or Configuration.
+//
+//sumtype:decl
+type Request interface{ request() }
+
+// DigestRequest brings another host's digest.
+type DigestRequest struct {
+	// Digest is the other host's digest.
+	Digest schema.Digest
+	// Reply receives this host's digest; it must have room.
+	Reply *ring.Ring[schema.Digest]
+}
+
+// ConfigurationRequest asks for the configuration in force.
+type ConfigurationRequest struct {
+	// Reply receives the configuration; it must have room.
+	Reply *ring.Ring[schema.Configuration]
+}
+
+func (DigestRequest) request()        {}
+func (ConfigurationRequest) request() {}
+
+// Peer holds the methods that other hosts call.
+type Peer struct {
+	requests *ring.Ring[Request]
+}
+
+// Exchange trades digests.
+func (p *Peer) Exchange(digest *schema.Digest, out *schema.Digest) error {
+	reply := ring.New[schema.Digest]("digest", 1)
+
+	return serve(p.requests, DigestRequest{Digest: *digest, Reply: reply}, reply, out)
+}
+
+// Configuration returns the configuration in force.
+func (p *Peer) Configuration(_ *schema.ConfigurationRequest, out *schema.Configuration) error {
+	reply := ring.New[schema.Configuration]("configuration", 1)
+
+	return serve(p.requests, ConfigurationRequest{Reply: reply}, reply, out)
+}
+
+// serve offers a request to a duty and waits for its reply.
+func serve[Out any](requests *ring.Ring[Request], request Request, reply *ring.Ring[Out], out *Out) error {
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	if err := requests.Offer(request); err != nil {
+		return err
+	}
+	taken, err := reply.Take(ctx)
+	*out = taken
+
+	return err
+}
+
+// Serve accepts other hosts' connections until the context ends.
+func Serve(ctx context.Context, listener net.Listener, token string, requests *ring.Ring[Request]) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, &Peer{requests: requests}); err != nil {
+		return eris.Wrap(err, "registering the methods for peers")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() }) // accepting ends whether or not this fails
+	defer stop()
+	connections := newServing(server, token)
+	defer connections.close()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return eris.Wrap(err, "accepting a peer's connection")
+		}
+		connections.add(conn)
+	}
+}
+
+// Call sends a request to a host and reads the response into out.
+func Call[In, Out any](ctx context.Context, address, token, method string, in *In, out *Out) error {
+	dialer := net.Dialer{Timeout: exchangeTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "connecting to peer %s", address)
+	}
+	if err := conn.SetDeadline(time.Now().Add(exchangeTimeout)); err != nil {
+		return eris.Wrapf(err, "bounding the exchange with peer %s", address)
+	}
+	client := rpc.NewClientWithCodec(newCodec(conn, token))
+	defer client.Close()
+
+	return eris.Wrapf(client.Call(serviceName+"."+method, in, out), "calling %s of peer %s", method, address)
+}
+
+// Methods that hosts call on each other.
+const (
+	// MethodExchange trades digests.
+	MethodExchange = "Exchange"
+	// MethodConfiguration returns the configuration in force.
+	MethodConfiguration = "Configuration"
+)
--- /dev/null
+++ b/platformhttp/platformhttp.go
@@ -0,0 +1,47 @@
+// Package platformhttp speaks to the platform's table service, object store and
+// host list. It decides nothing. Change this package to change the encoding
+// towards the platform.
+package platformhttp
+
+import (
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/jsonhttp"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// Paths of the platform's service.
+const (
+	// PathRows precedes the key of a row.
+	PathRows = "/rows/"
+	// PathTransaction accepts a schema.Transaction.
+	PathTransaction = "/transaction"
+	// PathHosts returns a schema.HostList.
+	PathHosts = "/hosts"
+)
+
+// Client reads and writes the platform's table.
+type Client struct {
+	client *jsonhttp.Client
+}
+
+// New returns a client that waits at most the timeout for each reply.
+func New(address string, timeout time.Duration) *Client {
+	return &Client{client: jsonhttp.NewClient(address, "", timeout)}
+}
+
+// Read returns a row; version 0 means that it does not exist.
+func (c *Client) Read(key string) (schema.Row, error) {
+	return jsonhttp.Get[schema.Row](c.client, PathRows+key)
+}
+
+// Write commits the transaction if each row still has its stated version. After
+// an error the transaction may have been committed or not.
+func (c *Client) Write(transaction schema.Transaction) (schema.TransactionResult, error) {
+	return jsonhttp.Post[schema.Transaction, schema.TransactionResult](c.client, PathTransaction, transaction)
+}
+
+// Hosts returns the platform's lagging list of hosts.
+func (c *Client) Hosts() (schema.HostList, error) {
+	return jsonhttp.Get[schema.HostList](c.client, PathHosts)
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,163 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/baobabdrum/baobabdrum/group"
+	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// Kinds of faults of the platform.
+const (
+	faultOutage    = "outage"
+	faultSlow      = "slow"
+	faultLostReply = "lost_reply"
+)
+
+// tableRequest is what the table's duty takes from its ring.
+type tableRequest struct {
+	use   func(t *Table, now time.Time) any
+	reply *ring.Ring[tableReply]
+}
+
+// tableReply is the result with the fault that was in effect.
+type tableReply struct {
+	result any
+	fault  schema.PlatformFault
+}
+
+// Platform serves the table, the list of hosts and the control address.
+type Platform struct {
+	requests *ring.Ring[tableRequest]
+	table    *Table
+}
+
+// RunPlatform runs the platform stand-in until the context ends.
+func RunPlatform(ctx context.Context, settings schema.PlatformSettings) error {
+	platform := &Platform{
+		requests: ring.New[tableRequest]("table", 4096),
+		table:    NewTable(settings.ListLag),
+	}
+	duties := group.New(ctx)
+	duties.Go("table", platform.runTable)
+	err := serve(duties, map[string]*fiber.App{
+		settings.Address: platform.front(), settings.ControlAddress: platform.control(),
+	})
+	if err != nil {
+		return err
+	}
+
+	return duties.Wait()
+}
+
+// runTable owns the table.
+func (p *Platform) runTable(ctx context.Context) error {
+	for {
+		request, err := p.requests.Take(ctx)
+		if err != nil {
+			return err
+		}
+		now := time.Now()
+		fault := p.table.Fault(now)
+		reply := tableReply{fault: fault}
+		if fault.Kind != faultOutage {
+			reply.result = request.use(p.table, now)
+		}
+		_ = request.reply.Offer(reply) // the ring has room by contract
+	}
+}
+
+// front serves the platform's service.
+func (p *Platform) front() *fiber.App {
+	front := app()
+	front.Get(platformhttp.PathRows+"*", func(c fiber.Ctx) error {
+		key := strings.Clone(c.Params("*"))
+
+		return p.serve(c, false, func(t *Table, _ time.Time) any { return t.Read(key) })
+	})
+	front.Get(platformhttp.PathHosts, func(c fiber.Ctx) error {
+		return p.serve(c, false, func(t *Table, now time.Time) any { return t.Hosts(now) })
+	})
+	front.Post(platformhttp.PathTransaction, func(c fiber.Ctx) error {
+		transaction, err := accept[schema.Transaction](c)
+		if err != nil {
+			return err
+		}
+
+		return p.serve(c, true, func(t *Table, _ time.Time) any { return t.Commit(transaction) })
+	})
+
+	return front
+}
+
+// serve uses the table and suffers the fault in effect.
+func (p *Platform) serve(c fiber.Ctx, write bool, use func(t *Table, now time.Time) any) error {
+	reply, err := p.ask(use)
+	if err != nil {
+		return err
+	}
+	switch {
+	case reply.fault.Kind == faultOutage:
+		return fiber.NewError(http.StatusServiceUnavailable, "the platform is down")
+	case reply.fault.Kind == faultSlow:
+		time.Sleep(time.Duration(reply.fault.DelayMs) * time.Millisecond)
+	case reply.fault.Kind == faultLostReply && write:
+		return c.Drop()
+	}
+
+	return respond(c, http.StatusOK, reply.result)
+}
+
+// ask gives a request to the table's duty and waits for the reply.
+func (p *Platform) ask(use func(t *Table, now time.Time) any) (tableReply, error) {
+	reply := ring.New[tableReply]("reply", 1)
+	if err := p.requests.Offer(tableRequest{use: use, reply: reply}); err != nil {
+		return tableReply{}, err
+	}
+
+	return reply.Take(context.Background())
+}
+
+// control serves the control address.
+func (p *Platform) control() *fiber.App {
+	control := app()
+	control.Post("/fault", func(c fiber.Ctx) error {
+		fault, err := accept[schema.PlatformFault](c)
+		if err != nil {
+			return err
+		}
+
+		return p.command(c, func(t *Table, now time.Time) { t.Inject(now, fault) })
+	})
+	control.Post("/hosts", func(c fiber.Ctx) error {
+		list, err := accept[schema.HostList](c)
+		if err != nil {
+			return err
+		}
+
+		return p.command(c, func(t *Table, now time.Time) { t.SetHosts(now, list) })
+	})
+
+	return control
+}
+
+// command changes the table whatever fault is in effect.
+func (p *Platform) command(c fiber.Ctx, change func(t *Table, now time.Time)) error {
+	changed := func(t *Table, now time.Time) any {
+		change(t, now)
+
+		return nil
+	}
+	if _, err := p.ask(changed); err != nil {
+		return err
+	}
+
+	return c.SendStatus(http.StatusOK)
+}
--- /dev/null
+++ b/standin/standin-backend/main.go
@@ -0,0 +1,11 @@
+// Command standin-backend runs the backend stand-in.
+package main
+
+import (
+	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/standin"
+)
+
+func main() {
+	standin.Main(schema.BackendFlags.Check, standin.RunBackend)
+}
--- /dev/null
+++ b/standin/standin.go
@@ -0,0 +1,95 @@
+// Package standin holds small stand-ins for what surrounds baobabdrum: the
+// platform, backend servers and callers. Their faults are scripted through a
+// control address. Nothing of the product imports it.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"github.com/baobabdrum/baobabdrum/group"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// Exit codes of every stand-in.
+const (
+	exitFailed  = 1
+	exitInvalid = 2
+)
+
+// Main parses the flags, checks the settings and runs the stand-in until it
+// ends or is interrupted.
+func Main[Flags, Settings any](check func(f Flags) (Settings, []schema.Fault), run func(ctx context.Context, s Settings) error) {
+	var raw Flags
+	parser := flags.NewParser(&raw, flags.Default)
+	if _, err := parser.Parse(); err != nil {
+		var help *flags.Error
+		if errors.As(err, &help) && help.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(exitInvalid)
+	}
+	settings, faults := check(raw)
+	if len(faults) > 0 {
+		_, _ = os.Stderr.WriteString((&schema.InvalidError{Input: "settings", Faults: faults}).Error() + "\n")
+		os.Exit(exitInvalid)
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	err := run(ctx, settings)
+	cancel()
+	if err != nil {
+		_, _ = os.Stderr.WriteString(eris.ToString(err, false) + "\n")
+		os.Exit(exitFailed)
+	}
+}
+
+// app returns an HTTP application that answers failures as text.
+func app() *fiber.App {
+	return fiber.New(fiber.Config{AppName: "standin", BodyLimit: 64 << 20})
+}
+
+// serve adds duties that serve the applications on the addresses.
+func serve(duties *group.Group, apps map[string]*fiber.App) error {
+	for address, app := range apps {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return eris.Wrapf(err, "listening on %s", address)
+		}
+		duties.Go("front "+address, func(ctx context.Context) error {
+			return app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true, GracefulContext: ctx})
+		})
+	}
+
+	return nil
+}
+
+// respond writes a message as JSON.
+func respond(c fiber.Ctx, status int, message any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return eris.Wrap(err, "encoding a response")
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+
+	return c.Status(status).Send(body)
+}
+
+// accept decodes a JSON message from the body.
+func accept[In any](c fiber.Ctx) (In, error) {
+	var in In
+	if err := json.Unmarshal(c.Body(), &in); err != nil {
+		return in, fiber.NewError(http.StatusBadRequest, err.Error())
+	}
+
+	return in, nil
+}
