Carry the held shares of the probe budget to the pool

Cause: placement and membership are built side by side and meet here. Ruled out: letting the pool read the membership; that would join two decisions. Change: dispatch.Shares and backend.SharesChanged; the pool keeps the number. Conclusion: peers produce the number, the pool spends it.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -125,6 +125,13 @@
 	Leaving bool
 }
 
+// SharesChanged says how many hosts' shares of the probe budget this host may
+// spend on its cells, its own among them.
+type SharesChanged struct {
+	// Held is the number of shares.
+	Held int
+}
+
 // Ticked says that time passed.
 type Ticked struct{}
 
@@ -133,6 +140,7 @@
 func (AttemptAnswering) event() {}
 func (AttemptEnded) event()     {}
 func (CellsChanged) event()     {}
+func (SharesChanged) event()    {}
 func (Ticked) event()           {}
 
 // Action is what the pool wants done.
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -30,6 +30,8 @@
 type Pool struct {
 	// QueueLength bounds the calls that wait in one cell.
 	QueueLength int
+	// Shares is the number of hosts' shares of the probe budget that may be spent.
+	Shares int
 	// Cells are the cells that this host owns.
 	Cells map[caller.Cell]*CellState
 
@@ -43,6 +45,7 @@
 func NewPool(queueLength int) *Pool {
 	return &Pool{
 		QueueLength: queueLength,
+		Shares:      1,
 		Cells:       map[caller.Cell]*CellState{},
 		calls:       map[caller.CallID]*placedCall{},
 		attempts:    map[AttemptID]*attempt{},
@@ -68,6 +71,8 @@
 		p.ended(now, event)
 	case CellsChanged:
 		p.change(now, event.Cells)
+	case SharesChanged:
+		p.Shares = event.Held
 	case Ticked:
 		p.expire(now)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -192,6 +192,12 @@
 	Hosts []schema.Host
 }
 
+// Shares says how many hosts' shares of the probe budget this host may spend.
+type Shares struct {
+	// Held is the number of shares, its own among them.
+	Held int
+}
+
 // Dump asks for the state of the duty.
 type Dump struct {
 	// Reply receives one reply; it must have room.
@@ -205,6 +211,7 @@
 func (Ended) input()     {}
 func (Configure) input() {}
 func (Hosts) input()     {}
+func (Shares) input()    {}
 func (Dump) input()      {}
 
 // lastCall is the newest call id of this process.
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -97,6 +97,8 @@
 	case Hosts:
 		d.caller(now, caller.HostsChanged{Hosts: input.Hosts})
 		d.adoptCells(now)
+	case Shares:
+		d.backend(now, backend.SharesChanged{Held: input.Held})
 	case Dump:
 		_ = input.Reply.Offer(d.dump()) // the ring has room by contract
 	}
