Decide which orders run, at most once each

Cause: orders that may not repeat had an id field and no decisions behind it.

Ruled out: returning a refused id to unseen. A delayed copy of a request that was told not_run would then run it, which breaks 'told not_run, was not run'. A refused order runs again only for a request with a higher attempt number, which a caller sends after it heard the refusal.

Change: order ids (incarnation and ULID), issued with the answer to 'which host' for the first host; the order book with its states, one run each, repeats joined, answers kept within 64 KiB each and 32 MiB in all; a full book remembers the newest refused time of issue instead of the refused ids, so that a refused id never runs although it is not stored.

Before/after: no tests of orders before; go test -race ./caller passes after.

Conclusion: the decisions stand alone; the dispatch duty and the front end follow.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -69,6 +69,18 @@
 	ReasonStopping Reason = "stopping"
 	// ReasonInvalid says that the request was malformed.
 	ReasonInvalid Reason = "invalid"
+	// ReasonExpired says that the lifetime of an order id has passed.
+	ReasonExpired Reason = "expired"
+	// ReasonIncarnationGone says that the only incarnation that may run an order
+	// is not known to be live.
+	ReasonIncarnationGone Reason = "incarnation_gone"
+	// ReasonOrderMismatch says that the order id belongs to another request.
+	ReasonOrderMismatch Reason = "order_mismatch"
+	// ReasonAnswerNotKept says that an order ran and was answered, and that its
+	// answer is not held any more.
+	ReasonAnswerNotKept Reason = "answer_not_kept"
+	// ReasonPlatformUnavailable says that the platform could not be asked.
+	ReasonPlatformUnavailable Reason = "platform_unavailable"
 )
 
 // Outcome is how a call ends: Answered, NotRun or Unknown.
@@ -76,8 +88,12 @@
 //sumtype:decl
 type Outcome interface{ outcome() }
 
-// Answered says that the caller received a backend server's whole answer.
-type Answered struct{}
+// Answered says that a backend server answered whole.
+type Answered struct {
+	// Reason is empty when the caller receives the answer, and says why not
+	// otherwise.
+	Reason Reason
+}
 
 // NotRun says that no backend server ran the call.
 type NotRun struct {
--- /dev/null
+++ b/caller/order_book.go
@@ -0,0 +1,422 @@
+package caller
+
+import (
+	"container/heap"
+	"fmt"
+	"time"
+)
+
+const (
+	// orderSkew is how far the clock of an id's issuer may be ahead.
+	orderSkew = 5 * time.Second
+	// orderWaiters bounds the requests that wait for the end of one run.
+	orderWaiters = 64
+	// keptAnswer is the largest body in bytes that is kept for repeats.
+	keptAnswer = 64 << 10
+	// keptAnswers bounds the bytes of all bodies that are kept.
+	keptAnswers = 32 << 20
+)
+
+// order is what the book remembers about one order.
+type order struct {
+	id          OrderID
+	state       OrderState
+	fingerprint Fingerprint
+	// outcome is told to repeats once the order has ended.
+	outcome Outcome
+	// next is the lowest attempt number that may run a refused order.
+	next int
+	run  CallID
+	// runAttempt is the attempt number of the request that started the run.
+	runAttempt int
+	waiters    []waiter
+	// kept is the number of bytes held for repeats.
+	kept int
+}
+
+// ended reports whether no run of the order is under way.
+func (o *order) ended() bool {
+	return o.state != OrderClaimed && o.state != OrderSent
+}
+
+// OrderBook runs each order of one incarnation at most once and remembers how
+// it ended until the id's lifetime has passed.
+type OrderBook struct {
+	// Incarnation is the only one whose orders the book accepts.
+	Incarnation string
+	// Lifetime is how long an order id stays valid.
+	Lifetime time.Duration
+	// Capacity bounds the orders that are remembered.
+	Capacity int
+	// Started is the start of the book's own clock, which adds the monotonic time
+	// since then and so is never set.
+	Started time.Time
+
+	orders map[OrderID]*order
+	runs   map[CallID]*order
+	oldest orderHeap
+	// floor is the newest time of issue that was refused without being
+	// remembered. An unseen order that is not newer never runs.
+	floor   time.Time
+	kept    int
+	actions []OrderAction
+}
+
+// NewOrderBook returns an empty book whose clock starts now.
+func NewOrderBook(incarnation string, lifetime time.Duration, capacity int, now time.Time) *OrderBook {
+	return &OrderBook{
+		Incarnation: incarnation,
+		Lifetime:    lifetime,
+		Capacity:    capacity,
+		Started:     now,
+		orders:      map[OrderID]*order{},
+		runs:        map[CallID]*order{},
+	}
+}
+
+// Step reacts to one event. The actions are valid until the next step.
+func (b *OrderBook) Step(now time.Time, event OrderEvent) []OrderAction {
+	b.actions = nil
+	b.evict(now)
+	switch event := event.(type) {
+	case OrderArrived:
+		b.arrived(now, event)
+	case OrderDeclined:
+		b.declined(now, event)
+	case OrderLeft:
+		b.left(event.Call)
+	case RunSent:
+		b.sent(event.Run)
+	case RunAnswering:
+		b.answering(event.Run)
+	case RunEnded:
+		b.runEnded(event)
+	case OrdersTicked:
+		b.expire(now)
+	}
+
+	return b.actions
+}
+
+// Busy reports whether a run is under way, so that time matters.
+func (b *OrderBook) Busy() bool {
+	return len(b.runs) > 0
+}
+
+// Size returns the number of orders that are remembered.
+func (b *OrderBook) Size() int {
+	return len(b.orders)
+}
+
+// State returns the state of an order of this incarnation and, if it has ended,
+// how.
+func (b *OrderBook) State(now time.Time, id OrderID) (OrderState, Outcome) {
+	if entry, ok := b.orders[id]; ok {
+		return entry.state, entry.outcome
+	}
+	if outcome := b.unrememberable(now, id); outcome != nil {
+		return OrderUnknown, outcome
+	}
+	if !id.Time().After(b.floor) {
+		return OrderRefused, NotRun{Reason: ReasonOverloaded}
+	}
+
+	return OrderUnseen, nil
+}
+
+// clock returns the time by the book's own clock.
+func (b *OrderBook) clock(now time.Time) time.Time {
+	return b.Started.Add(now.Sub(b.Started))
+}
+
+// unrememberable returns the outcome of an id that is outside of the span of
+// time for which orders are remembered, or nil.
+func (b *OrderBook) unrememberable(now time.Time, id OrderID) Outcome {
+	clock := b.clock(now)
+	switch {
+	case id.Incarnation != b.Incarnation:
+		return Unknown{Reason: ReasonIncarnationGone}
+	case !id.Time().Add(b.Lifetime).After(clock):
+		return Unknown{Reason: ReasonExpired}
+	case id.Time().After(clock.Add(b.Lifetime)):
+		return Unknown{Reason: ReasonInvalid}
+	default:
+		return nil
+	}
+}
+
+// arrived starts a run, joins the one under way, or tells how it ended.
+func (b *OrderBook) arrived(now time.Time, event OrderArrived) {
+	entry, outcome := b.entry(now, event.OrderRequest)
+	if entry == nil {
+		b.end(event.Call.ID, event.Order, outcome)
+
+		return
+	}
+	switch entry.state {
+	case OrderUnseen:
+		b.start(entry, event)
+	case OrderRefused:
+		if event.Attempt < entry.next {
+			b.end(event.Call.ID, entry.id, entry.outcome)
+
+			return
+		}
+		b.start(entry, event)
+	case OrderClaimed, OrderSent:
+		b.wait(entry, event.OrderRequest)
+	case OrderAnswered, OrderUnknown:
+		b.end(event.Call.ID, entry.id, entry.outcome)
+	}
+}
+
+// entry returns the order of a request, remembering one that is new, or says
+// why there is none.
+func (b *OrderBook) entry(now time.Time, request OrderRequest) (*order, Outcome) {
+	if entry, ok := b.orders[request.Order]; ok {
+		if entry.fingerprint != request.Fingerprint {
+			return nil, NotRun{Reason: ReasonOrderMismatch}
+		}
+
+		return entry, nil
+	}
+	if outcome := b.unrememberable(now, request.Order); outcome != nil {
+		return nil, outcome
+	}
+	issued := request.Order.Time()
+	future := issued.After(b.clock(now).Add(orderSkew))
+	if len(b.orders) >= b.Capacity || !issued.After(b.floor) {
+		if future {
+			return nil, Unknown{Reason: ReasonInvalid}
+		}
+		b.floor = later(b.floor, issued)
+
+		return nil, NotRun{Reason: ReasonOverloaded}
+	}
+	entry := &order{id: request.Order, state: OrderUnseen, fingerprint: request.Fingerprint}
+	b.orders[entry.id] = entry
+	heap.Push(&b.oldest, entry)
+	if future {
+		b.refuse(entry, request.Attempt, NotRun{Reason: ReasonInvalid})
+
+		return nil, entry.outcome
+	}
+
+	return entry, nil
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
+// start begins the only run of the order.
+func (b *OrderBook) start(entry *order, event OrderArrived) {
+	entry.state, entry.outcome = OrderClaimed, nil
+	entry.run, entry.runAttempt = event.Run, event.Attempt
+	b.runs[event.Run] = entry
+	b.wait(entry, event.OrderRequest)
+	run := event.Call
+	run.ID, run.Idempotent, run.Hops, run.OrderID = event.Run, false, 0, ""
+	b.actions = append(b.actions, StartRun{Call: run, For: event.Call.ID})
+}
+
+// wait lets a request wait for the end of the run.
+func (b *OrderBook) wait(entry *order, request OrderRequest) {
+	if len(entry.waiters) >= orderWaiters {
+		b.end(request.Call.ID, entry.id, Unknown{Reason: ReasonOverloaded})
+
+		return
+	}
+	entry.waiters = append(entry.waiters, waiter{
+		call: request.Call.ID, attempt: request.Attempt, deadline: request.Call.Deadline,
+	})
+}
+
+// declined keeps an order that did not run from running unless a later attempt
+// asks for it.
+func (b *OrderBook) declined(now time.Time, event OrderDeclined) {
+	entry, outcome := b.entry(now, event.OrderRequest)
+	if entry == nil {
+		b.end(event.Call.ID, event.Order, outcome)
+
+		return
+	}
+	switch entry.state {
+	case OrderUnseen, OrderRefused:
+		b.refuse(entry, event.Attempt, event.Outcome)
+		b.end(event.Call.ID, entry.id, entry.outcome)
+	case OrderClaimed, OrderSent:
+		b.wait(entry, event.OrderRequest)
+	case OrderAnswered, OrderUnknown:
+		b.end(event.Call.ID, entry.id, entry.outcome)
+	}
+}
+
+// refuse remembers that no request up to the attempt number runs the order.
+func (b *OrderBook) refuse(entry *order, attempt int, outcome NotRun) {
+	entry.state, entry.outcome = OrderRefused, outcome
+	entry.next = max(entry.next, attempt+1)
+}
+
+// left forgets a request whose caller went away. The run goes on, so that a
+// repeat gets its answer.
+func (b *OrderBook) left(call CallID) {
+	for _, entry := range b.runs {
+		for i, waiting := range entry.waiters {
+			if waiting.call == call {
+				entry.waiters = append(entry.waiters[:i], entry.waiters[i+1:]...)
+				b.end(call, entry.id, Unknown{Reason: ReasonCancelled})
+
+				return
+			}
+		}
+	}
+}
+
+// sent remembers that bytes of the run may have left.
+func (b *OrderBook) sent(run CallID) {
+	if entry, ok := b.runs[run]; ok {
+		entry.state = OrderSent
+	}
+}
+
+// answering gives a large answer to the request that has waited longest. The
+// others hear at the end of the run that it is not kept.
+func (b *OrderBook) answering(run CallID) {
+	entry, ok := b.runs[run]
+	if !ok {
+		return
+	}
+	if len(entry.waiters) == 0 {
+		b.actions = append(b.actions, CancelRun{Run: run})
+
+		return
+	}
+	b.actions = append(b.actions, BeginAnswer{Call: entry.waiters[0].call})
+	entry.waiters = entry.waiters[1:]
+	entry.outcome = Answered{Reason: ReasonAnswerNotKept}
+}
+
+// runEnded remembers how the run ended and tells it to those who wait.
+func (b *OrderBook) runEnded(event RunEnded) {
+	entry, ok := b.runs[event.Run]
+	if !ok {
+		b.violatedf("order_run", "run %d ended twice or never began", event.Run)
+
+		return
+	}
+	delete(b.runs, event.Run)
+	switch outcome := event.Outcome.(type) {
+	case Answered:
+		b.answered(entry, event.Size)
+	case NotRun:
+		attempt := entry.runAttempt
+		for _, waiting := range entry.waiters {
+			attempt = max(attempt, waiting.attempt)
+		}
+		b.refuse(entry, attempt, outcome)
+		b.tell(entry, outcome)
+	case Unknown:
+		entry.state, entry.outcome = OrderUnknown, outcome
+		b.tell(entry, outcome)
+	}
+}
+
+// answered keeps an answer that is small enough and tells it to those who wait.
+func (b *OrderBook) answered(entry *order, size int) {
+	entry.state = OrderAnswered
+	if entry.outcome != nil { // the answer was given away as it arrived
+		b.tell(entry, entry.outcome)
+
+		return
+	}
+	entry.outcome = Answered{}
+	b.tell(entry, entry.outcome)
+	if size > keptAnswer || b.kept+size > keptAnswers {
+		entry.outcome = Answered{Reason: ReasonAnswerNotKept}
+
+		return
+	}
+	entry.kept = size
+	b.kept += size
+	b.actions = append(b.actions, KeepAnswer{Order: entry.id})
+}
+
+// tell ends every request that waits.
+func (b *OrderBook) tell(entry *order, outcome Outcome) {
+	for _, waiting := range entry.waiters {
+		b.end(waiting.call, entry.id, outcome)
+	}
+	entry.waiters = nil
+}
+
+// end ends a request.
+func (b *OrderBook) end(call CallID, id OrderID, outcome Outcome) {
+	b.actions = append(b.actions, EndRequest{Call: call, Order: id, Outcome: outcome})
+}
+
+// expire ends the requests whose deadline passed while the run goes on.
+func (b *OrderBook) expire(now time.Time) {
+	for _, entry := range b.runs {
+		waiting := entry.waiters[:0]
+		for _, request := range entry.waiters {
+			if now.Before(request.deadline) {
+				waiting = append(waiting, request)
+
+				continue
+			}
+			b.end(request.call, entry.id, Unknown{Reason: ReasonDeadline})
+		}
+		entry.waiters = waiting
+	}
+}
+
+// evict forgets orders whose lifetime has passed. An order that is still under
+// way holds up those that were issued after it.
+func (b *OrderBook) evict(now time.Time) {
+	limit := b.clock(now).Add(-b.Lifetime)
+	for len(b.oldest) > 0 {
+		entry := b.oldest[0]
+		if entry.id.Time().After(limit) || !entry.ended() {
+			return
+		}
+		heap.Pop(&b.oldest)
+		delete(b.orders, entry.id)
+		b.kept -= entry.kept
+		b.actions = append(b.actions, ForgetOrder{Order: entry.id})
+	}
+}
+
+// violatedf reports a broken invariant.
+func (b *OrderBook) violatedf(invariant, format string, args ...any) {
+	b.actions = append(b.actions, Violation{Invariant: invariant, Detail: fmt.Sprintf(format, args...)})
+}
+
+// orderHeap has the order that was issued first at index 0.
+type orderHeap []*order
+
+// Len returns the number of orders.
+func (h orderHeap) Len() int { return len(h) }
+
+// Less reports whether the order at i was issued before the one at j.
+func (h orderHeap) Less(i, j int) bool { return h[i].id.ULID.Compare(h[j].id.ULID) < 0 }
+
+// Swap exchanges two orders.
+func (h orderHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push adds an order at the end; package heap calls it.
+func (h *orderHeap) Push(item any) { *h = append(*h, item.(*order)) }
+
+// Pop removes the order at the end; package heap calls it.
+func (h *orderHeap) Pop() any {
+	last := len(*h) - 1
+	item := (*h)[last]
+	*h = (*h)[:last]
+
+	return item
+}
--- /dev/null
+++ b/caller/order_book_test.go
@@ -0,0 +1,171 @@
+package caller_test
+
+import (
+	"cmp"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/caller"
+)
+
+// bookStart is the time at which the books of these tests start.
+var bookStart = time.UnixMilli(1_765_000_000_000)
+
+// orderAt returns an id of incarnation A issued that long after bookStart.
+func orderAt(offset time.Duration) caller.OrderID {
+	id := ulid.ULID{15: 1}
+	_ = id.SetTime(ulid.Timestamp(bookStart.Add(offset))) // the time is within the range
+
+	return caller.OrderID{Incarnation: incarnationA, ULID: id}
+}
+
+func request(call caller.CallID, attempt int, id caller.OrderID) caller.OrderRequest {
+	deadline := bookStart.Add(time.Hour)
+
+	return caller.OrderRequest{Call: caller.Call{ID: call, Deadline: deadline}, Order: id, Attempt: attempt}
+}
+
+func TestOrderBook(t *testing.T) {
+	id := orderAt(0)
+	other := orderAt(time.Second)
+	arrive := func(call caller.CallID, attempt int, id caller.OrderID) caller.OrderEvent {
+		return caller.OrderArrived{OrderRequest: request(call, attempt, id), Run: 100 + call}
+	}
+	shed := caller.NotRun{Reason: caller.ReasonShed}
+	cut := caller.Unknown{Reason: caller.ReasonCut}
+	lost := caller.Answered{Reason: caller.ReasonAnswerNotKept}
+	changed := request(2, 0, id)
+	changed.Fingerprint[0] = 1
+	foreign := id
+	foreign.Incarnation = incarnationB
+
+	for name, test := range map[string]struct {
+		capacity int
+		after    time.Duration
+		events   []caller.OrderEvent
+		want     map[caller.CallID]caller.Outcome
+		runs     int
+	}{
+		"a repeat waits for the first run": {
+			events: []caller.OrderEvent{arrive(1, 0, id), arrive(2, 0, id), caller.RunEnded{Run: 101, Outcome: caller.Answered{}}},
+			want:   map[caller.CallID]caller.Outcome{1: caller.Answered{}, 2: caller.Answered{}},
+			runs:   1,
+		},
+		"a repeat gets the kept answer": {
+			events: []caller.OrderEvent{arrive(1, 0, id), caller.RunEnded{Run: 101, Outcome: caller.Answered{}, Size: 64 << 10}, arrive(2, 1, id)},
+			want:   map[caller.CallID]caller.Outcome{1: caller.Answered{}, 2: caller.Answered{}},
+			runs:   1,
+		},
+		"an answer too large to keep": {
+			events: []caller.OrderEvent{arrive(1, 0, id), caller.RunEnded{Run: 101, Outcome: caller.Answered{}, Size: 64<<10 + 1}, arrive(2, 0, id)},
+			want:   map[caller.CallID]caller.Outcome{1: caller.Answered{}, 2: lost},
+			runs:   1,
+		},
+		"an answer given away as it arrives": {
+			events: []caller.OrderEvent{arrive(1, 0, id), arrive(2, 0, id), caller.RunAnswering{Run: 101}, caller.RunEnded{Run: 101, Outcome: caller.Answered{}}, arrive(3, 0, id)},
+			want:   map[caller.CallID]caller.Outcome{1: nil, 2: lost, 3: lost},
+			runs:   1,
+		},
+		"an unknown order is never sent again": {
+			events: []caller.OrderEvent{arrive(1, 0, id), caller.RunSent{Run: 101}, caller.RunEnded{Run: 101, Outcome: cut}, arrive(2, 9, id)},
+			want:   map[caller.CallID]caller.Outcome{1: cut, 2: cut},
+			runs:   1,
+		},
+		"a refused attempt never runs": {
+			events: []caller.OrderEvent{arrive(1, 0, id), caller.RunEnded{Run: 101, Outcome: shed}, arrive(2, 0, id)},
+			want:   map[caller.CallID]caller.Outcome{1: shed, 2: shed},
+			runs:   1,
+		},
+		"a later attempt runs a refused order": {
+			events: []caller.OrderEvent{arrive(1, 0, id), caller.RunEnded{Run: 101, Outcome: shed}, arrive(2, 1, id), caller.RunEnded{Run: 102, Outcome: caller.Answered{}}},
+			want:   map[caller.CallID]caller.Outcome{1: shed, 2: caller.Answered{}},
+			runs:   2,
+		},
+		"every attempt that was told not_run is spent": {
+			events: []caller.OrderEvent{arrive(1, 0, id), arrive(2, 5, id), caller.RunEnded{Run: 101, Outcome: shed}, arrive(3, 5, id)},
+			want:   map[caller.CallID]caller.Outcome{1: shed, 2: shed, 3: shed},
+			runs:   1,
+		},
+		"a declined order does not run": {
+			events: []caller.OrderEvent{caller.OrderDeclined{OrderRequest: request(1, 0, id), Outcome: shed}, arrive(2, 0, id)},
+			want:   map[caller.CallID]caller.Outcome{1: shed, 2: shed},
+		},
+		"other content under the same id": {
+			events: []caller.OrderEvent{arrive(1, 0, id), caller.OrderArrived{OrderRequest: changed, Run: 102}, caller.RunEnded{Run: 101, Outcome: caller.Answered{}}},
+			want:   map[caller.CallID]caller.Outcome{1: caller.Answered{}, 2: caller.NotRun{Reason: caller.ReasonOrderMismatch}},
+			runs:   1,
+		},
+		"an order of another incarnation": {
+			events: []caller.OrderEvent{arrive(1, 0, foreign)},
+			want:   map[caller.CallID]caller.Outcome{1: caller.Unknown{Reason: caller.ReasonIncarnationGone}},
+		},
+		"an expired id": {
+			after:  time.Minute,
+			events: []caller.OrderEvent{arrive(1, 0, id)},
+			want:   map[caller.CallID]caller.Outcome{1: caller.Unknown{Reason: caller.ReasonExpired}},
+		},
+		"an id from the future": {
+			events: []caller.OrderEvent{arrive(1, 0, orderAt(6*time.Second))},
+			want:   map[caller.CallID]caller.Outcome{1: caller.NotRun{Reason: caller.ReasonInvalid}},
+		},
+		"an id from too far in the future to remember": {
+			events: []caller.OrderEvent{arrive(1, 0, orderAt(2*time.Minute))},
+			want:   map[caller.CallID]caller.Outcome{1: caller.Unknown{Reason: caller.ReasonInvalid}},
+		},
+		"a full book refuses new orders and remembers the rest": {
+			capacity: 1,
+			events:   []caller.OrderEvent{arrive(1, 0, id), arrive(2, 0, other), caller.RunEnded{Run: 101, Outcome: caller.Answered{}}, arrive(3, 0, id), arrive(4, 1, other)},
+			want: map[caller.CallID]caller.Outcome{
+				1: caller.Answered{}, 2: caller.NotRun{Reason: caller.ReasonOverloaded}, 3: caller.Answered{}, 4: caller.NotRun{Reason: caller.ReasonOverloaded},
+			},
+			runs: 1,
+		},
+		"the caller went away": {
+			events: []caller.OrderEvent{arrive(1, 0, id), caller.OrderLeft{Call: 1}, caller.RunEnded{Run: 101, Outcome: caller.Answered{}}, arrive(2, 0, id)},
+			want:   map[caller.CallID]caller.Outcome{1: caller.Unknown{Reason: caller.ReasonCancelled}, 2: caller.Answered{}},
+			runs:   1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			book := caller.NewOrderBook(incarnationA, time.Minute, cmp.Or(test.capacity, 10), bookStart)
+			told, runs := map[caller.CallID]caller.Outcome{}, 0
+			for _, event := range test.events {
+				for _, action := range book.Step(bookStart.Add(test.after), event) {
+					switch action := action.(type) {
+					case caller.StartRun:
+						runs++
+						assert.Assert(t, !action.Call.Idempotent)
+					case caller.BeginAnswer:
+						told[action.Call] = nil
+					case caller.EndRequest:
+						_, twice := told[action.Call]
+						assert.Assert(t, !twice, "request %d was told twice", action.Call)
+						told[action.Call] = action.Outcome
+					case caller.Violation:
+						t.Fatal(action)
+					case caller.CancelRun, caller.KeepAnswer, caller.ForgetOrder:
+					}
+				}
+			}
+			assert.DeepEqual(t, told, test.want)
+			assert.Equal(t, runs, test.runs)
+		})
+	}
+}
+
+func TestOrderBookForgetsOnlyExpiredOrders(t *testing.T) {
+	book := caller.NewOrderBook(incarnationA, time.Minute, 10, bookStart)
+	arrived := caller.OrderArrived{OrderRequest: request(1, 0, orderAt(0)), Run: 101}
+	book.Step(bookStart, arrived)
+	book.Step(bookStart.Add(2*time.Minute), caller.OrdersTicked{})
+	assert.Equal(t, book.Size(), 1, "an order under way is not forgotten")
+	book.Step(bookStart.Add(2*time.Minute), caller.RunEnded{Run: 101, Outcome: caller.Answered{}})
+	book.Step(bookStart.Add(2*time.Minute), caller.OrdersTicked{})
+	assert.Equal(t, book.Size(), 0)
+	state, outcome := book.State(bookStart.Add(2*time.Minute), orderAt(0))
+	assert.Equal(t, state, caller.OrderUnknown)
+	assert.Equal(t, outcome, caller.Unknown{Reason: caller.ReasonExpired})
+}
--- /dev/null
+++ b/caller/order_id.go
@@ -0,0 +1,75 @@
+package caller
+
+import (
+	"io"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// PlaceOrderID is where faults of order ids are reported.
+const PlaceOrderID = "order_id"
+
+// OrderID identifies an order and names the only incarnation of a host that may
+// run it. Its text form is INCARNATION-ULID.
+type OrderID struct {
+	// Incarnation is the incarnation of the host that may run the order.
+	Incarnation string
+	// ULID holds the time of issue in milliseconds and 80 random bits.
+	ULID ulid.ULID
+}
+
+// NewOrderID issues an id for the incarnation. It fails only if the random
+// source does.
+func NewOrderID(incarnation string, now time.Time, random io.Reader) (OrderID, error) {
+	id, err := ulid.New(ulid.Timestamp(now), random)
+
+	return OrderID{Incarnation: incarnation, ULID: id}, eris.Wrap(err, "drawing an order id")
+}
+
+// ParseOrderID reads the text form. A failure is a *schema.InvalidError that
+// names the field and its value.
+func ParseOrderID(raw string) (OrderID, error) {
+	const wanted = 2*ulid.EncodedSize + 1
+	if len(raw) != wanted || raw[ulid.EncodedSize] != '-' {
+		return OrderID{}, invalidOrderID(raw, "must be two ULIDs joined by a dash")
+	}
+	incarnation, rest := raw[:ulid.EncodedSize], raw[ulid.EncodedSize+1:]
+	if !canonical(incarnation) {
+		return OrderID{}, invalidOrderID(raw, "must start with the incarnation, an upper-case ULID")
+	}
+	if !canonical(rest) {
+		return OrderID{}, invalidOrderID(raw, "must end with an upper-case ULID")
+	}
+
+	return OrderID{Incarnation: incarnation, ULID: ulid.MustParseStrict(rest)}, nil
+}
+
+// canonical reports whether the text is a ULID in the form in which it is
+// printed, so that no two texts name one id.
+func canonical(text string) bool {
+	parsed, err := ulid.ParseStrict(text)
+
+	return err == nil && parsed.String() == text
+}
+
+// invalidOrderID returns the failure for one rejected id.
+func invalidOrderID(raw, problem string) error {
+	return &schema.InvalidError{Input: "order", Faults: []schema.Fault{
+		{Place: PlaceOrderID, Value: raw, Problem: problem},
+	}}
+}
+
+// String returns the text form.
+func (o OrderID) String() string {
+	return o.Incarnation + "-" + o.ULID.String()
+}
+
+// Time returns when the id was issued by the issuer's clock, in whole
+// milliseconds.
+func (o OrderID) Time() time.Time {
+	return ulid.Time(o.ULID.Time())
+}
--- /dev/null
+++ b/caller/order_route.go
@@ -0,0 +1,70 @@
+package caller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// orderHops is how often an order may be forwarded between hosts on its way to
+// the incarnation that may run it.
+const orderHops = 2
+
+// OrderRoute says where an order goes: OrderHere, OrderElsewhere or
+// OrderNowhere.
+//
+//sumtype:decl
+type OrderRoute interface{ orderRoute() }
+
+// OrderHere says that this incarnation alone may run the order.
+type OrderHere struct{}
+
+// OrderElsewhere says that a live host may run the order.
+type OrderElsewhere struct {
+	// Address is that host's ip:port for callers.
+	Address string
+}
+
+// OrderNowhere says that the incarnation cannot be reached from here. Only that
+// incarnation knows whether the order ran.
+type OrderNowhere struct {
+	// Outcome says why.
+	Outcome Unknown
+}
+
+func (OrderHere) orderRoute()      {}
+func (OrderElsewhere) orderRoute() {}
+func (OrderNowhere) orderRoute()   {}
+
+// RouteOrder returns where an order goes that was forwarded as often as hops
+// says.
+func (r *Router) RouteOrder(id OrderID, hops int) OrderRoute {
+	if id.Incarnation == r.Incarnation {
+		return OrderHere{}
+	}
+	named := func(host schema.Host) bool { return host.Incarnation == id.Incarnation }
+	at := slices.IndexFunc(r.hosts, named)
+	switch {
+	case at < 0:
+		return OrderNowhere{Outcome: Unknown{Reason: ReasonIncarnationGone}}
+	case hops >= orderHops:
+		return OrderNowhere{Outcome: Unknown{Reason: ReasonMisdirected}}
+	default:
+		return OrderElsewhere{Address: r.hosts[at].CallerAddress}
+	}
+}
+
+// issue returns the text of an order id for the host, or nothing while the
+// router has no random source.
+func (r *Router) issue(now time.Time, host schema.Host) string {
+	if r.Random == nil {
+		return ""
+	}
+	id, err := NewOrderID(host.Incarnation, now, r.Random)
+	if err != nil {
+		return ""
+	}
+
+	return id.String()
+}
--- a/caller/router.go
+++ b/caller/router.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"io"
 	"slices"
 	"time"
 
@@ -29,6 +30,10 @@
 	Self string
 	// Keep is how long callers may keep an answer.
 	Keep time.Duration
+	// Incarnation is this host's incarnation.
+	Incarnation string
+	// Random is drawn from for order ids; without it none are issued.
+	Random io.Reader
 
 	configuration schema.Configuration
 	hosts         []schema.Host
@@ -42,10 +47,10 @@
 }
 
 // Step reacts to one event.
-func (r *Router) Step(_ time.Time, event Event) []Action {
+func (r *Router) Step(now time.Time, event Event) []Action {
 	switch event := event.(type) {
 	case Asked:
-		return []Action{r.ask(event)}
+		return []Action{r.ask(now, event)}
 	case Called:
 		return []Action{r.call(event.Call)}
 	case ConfigurationChanged:
@@ -110,16 +115,19 @@
 }
 
 // ask answers which hosts to use for a service.
-func (r *Router) ask(question Asked) Action {
+func (r *Router) ask(now time.Time, question Asked) Action {
 	routes, reason := r.usable(question.Service)
 	if reason != "" {
 		return Refuse{ID: question.ID, Outcome: NotRun{Reason: reason, Addresses: r.others()}}
 	}
 
+	chosen := choose(routes)
+
 	return AnswerAsk{ID: question.ID, Answer: schema.AskAnswer{
 		Service:              question.Service,
-		Addresses:            addresses(choose(routes), routes),
+		Addresses:            addresses(chosen, routes),
 		KeepMs:               int(r.Keep.Milliseconds()),
+		OrderID:              r.issue(now, chosen.ranked[0]),
 		ConfigurationVersion: r.configuration.Version,
 	}}
 }
