Measure slopes of state, messages and time

Ruled out: go test -bench, which gives times but no fit over sizes and no bytes held; figures by hand. Change: package slopes with a least-squares fit, run by standin-slopes.

--- /dev/null
+++ b/slopes/decisions.go
@@ -0,0 +1,161 @@
+package slopes
+
+import (
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/peer"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// queueLength is the bound of a cell's queue.
+	queueLength = 1024
+	// hostsToday is the number of entry hosts of one customer today.
+	hostsToday = 14
+	// keep is how long callers keep an answer.
+	keep = 2 * time.Second
+	// callDuration is how long a backend server takes in the measured calls.
+	callDuration = 5 * time.Millisecond
+	// seed is the seed of the membership's random choices.
+	seed = 1
+)
+
+// Sizes of the measurements.
+var (
+	// serverSizes are numbers of backend servers, up to the size to come.
+	serverSizes = []int{1000, 3000, 10000}
+	// hostSizes are numbers of entry hosts.
+	hostSizes = []int{hostsToday, 100, 300}
+)
+
+// Measure takes all measurements.
+func Measure() []Slope {
+	return []Slope{
+		measure("router state by backend servers", "bytes", serverSizes, func(size int) float64 {
+			return heapBytes(func() any { return router(size, hostsToday) })
+		}),
+		measure("pool state by backend servers of owned cells", "bytes", serverSizes, func(size int) float64 {
+			return heapBytes(func() any { return pool(size) })
+		}),
+		measure("configuration row by backend servers", "bytes", serverSizes, jsonBytes),
+		measure("configuration between hosts by backend servers", "bytes", serverSizes, peerBytes),
+		measure("configuration change by backend servers", "ns", serverSizes, changeTime),
+		measure("host change by hosts at 10,000 backend servers", "ns", hostSizes, hostChangeTime),
+		measure("decisions of a call by backend servers", "ns", serverSizes, callTime),
+		measure("membership state by hosts", "bytes", hostSizes, func(size int) float64 {
+			return heapBytes(func() any { return membership(size) })
+		}),
+		measure("digest by hosts", "bytes", hostSizes, digestBytes),
+		measure("hearing a digest by hosts", "ns", hostSizes, digestTime),
+	}
+}
+
+// router returns a router with configuration and hosts.
+func router(servers, hostCount int) *caller.Router {
+	list := hosts(hostCount)
+	r := caller.NewRouter(list[0].Name, keep)
+	r.Step(time.Time{}, caller.ConfigurationChanged{Configuration: declare(servers)})
+	r.Step(time.Time{}, caller.HostsChanged{Hosts: list})
+
+	return r
+}
+
+// cells returns the backend servers of all cells, as if one host owned them.
+func cells(servers int) map[caller.Cell][]backend.Declared {
+	all := map[caller.Cell][]backend.Declared{}
+	for _, server := range declare(servers).BackendServers {
+		cell := caller.Cell{Service: server.Service, DataCentre: server.DataCentre}
+		all[cell] = append(all[cell], backend.Declared{Address: server.Address, Slots: server.Slots})
+	}
+
+	return all
+}
+
+// pool returns a pool that owns all cells.
+func pool(servers int) *backend.Pool {
+	p := backend.NewPool(queueLength)
+	p.Step(time.Time{}, backend.CellsChanged{Cells: cells(servers)})
+
+	return p
+}
+
+// changeTime returns how long a router and a pool take over a configuration
+// change.
+func changeTime(servers int) float64 {
+	r, p := router(servers, hostsToday), pool(servers)
+	configuration := declare(servers)
+	owned := cells(servers)
+
+	return nanoseconds(func() {
+		r.Step(time.Time{}, caller.ConfigurationChanged{Configuration: configuration})
+		p.Step(time.Time{}, backend.CellsChanged{Cells: owned})
+	})
+}
+
+// hostChangeTime returns how long a router takes over a change of the hosts.
+func hostChangeTime(hostCount int) float64 {
+	r := router(serverSizes[len(serverSizes)-1], hostCount)
+	list := hosts(hostCount)
+
+	return nanoseconds(func() { r.Step(time.Time{}, caller.HostsChanged{Hosts: list}) })
+}
+
+// callTime returns how long the decisions of one call take.
+func callTime(servers int) float64 {
+	p := pool(servers)
+	list := make([]caller.Cell, 0, len(p.Cells))
+	for cell := range p.Cells {
+		list = append(list, cell)
+	}
+	now := time.Unix(0, 0)
+	id := caller.CallID(0)
+
+	return nanoseconds(func() {
+		id++
+		call := caller.Call{ID: id, Service: list[0].Service, Caller: "caller", Idempotent: true, Deadline: now.Add(time.Second)}
+		actions := p.Step(now, backend.CallPlaced{Call: call, Cell: list[int(id)%len(list)]}) //nolint:gosec // small counts
+		now = now.Add(callDuration)
+		for _, action := range actions {
+			if started, ok := action.(backend.StartAttempt); ok {
+				p.Step(now, backend.AttemptEnded{Attempt: started.Attempt, Result: backend.Whole{Status: 200}})
+
+				break
+			}
+		}
+	})
+}
+
+// membership returns a view of that many hosts.
+func membership(count int) *peer.Membership {
+	list := hosts(count)
+	m := peer.NewMembership(list[0], seed)
+	for _, host := range list[1:] {
+		m.Step(time.Time{}, peer.DigestHeard{Digest: schema.Digest{Sender: host}})
+	}
+
+	return m
+}
+
+// digestBytes returns the encoded size of a digest.
+func digestBytes(count int) float64 {
+	digest := membership(count).Digest()
+	raw, err := digest.MarshalMsg(nil)
+	if err != nil {
+		panic(err) // plain structs of strings and numbers always encode
+	}
+
+	return float64(len(raw))
+}
+
+// digestTime returns how long a membership takes over a digest that it hears.
+func digestTime(count int) float64 {
+	m := membership(count)
+	digest := membership(count).Digest()
+
+	return nanoseconds(func() {
+		digest.Sender.Heartbeat++
+		m.Step(time.Time{}, peer.DigestHeard{Digest: digest})
+	})
+}
--- /dev/null
+++ b/standin/standin-slopes/main.go
@@ -0,0 +1,18 @@
+// Command standin-slopes measures the slopes behind docs/CAPACITY.md.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+
+	"github.com/baobabdrum/baobabdrum/slopes"
+)
+
+func main() {
+	fmt.Printf("cores=%d go=%s\n", runtime.NumCPU(), runtime.Version())
+	if err := slopes.Print(os.Stdout, slopes.Measure()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
