Rank hosts for cells without sorting all of them

Cause: Rank hashed the cell's and the host's names together for every pair and sorted all hosts, though at most three are used. Ruled out: ranking only on a change of the one host (more state, and a change of configuration would still rank all); a consistent-hash ring (uneven with few hosts). Change: Ranker hashes each host's name once, combines the two hashes, and keeps the best three.

--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,8 @@
 
 thin: build
 	scripts/thin.sh
+
+.PHONY: slopes
+# slopes prints the figures of docs/CAPACITY.md.
+slopes: build
+	bin/standin-slopes
--- a/caller/owner.go
+++ b/caller/owner.go
@@ -1,45 +1,87 @@
 package caller
 
 import (
-	"cmp"
-	"slices"
+	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
-// Rank returns the hosts in the order in which they should own the cell, by
-// rendezvous hashing. Hosts of the cell's data centre come first.
-func Rank(cell Cell, hosts []schema.Host) []schema.Host {
-	type scored struct {
-		host  schema.Host
-		local bool
-		score uint64
+// Ranker orders entry hosts for cells by rendezvous hashing: when a host joins
+// or leaves, only the cells change owner that it gains or loses.
+type Ranker struct {
+	hosts  []schema.Host
+	hashes []uint64
+}
+
+// NewRanker returns a ranker over the hosts.
+func NewRanker(hosts []schema.Host) *Ranker {
+	ranker := &Ranker{hosts: hosts, hashes: make([]uint64, len(hosts))}
+	for i, host := range hosts {
+		ranker.hashes[i] = xxhash.Sum64String(host.Name)
 	}
-	list := make([]scored, 0, len(hosts))
-	for _, host := range hosts {
-		list = append(list, scored{
-			host:  host,
-			local: host.DataCentre == cell.DataCentre,
-			score: xxhash.Sum64String(cell.Service + "\x00" + cell.DataCentre + "\x00" + host.Name),
-		})
+
+	return ranker
+}
+
+// Rank returns up to count hosts in the order in which they should own the
+// cell. Hosts of the cell's data centre come first.
+func (r *Ranker) Rank(cell Cell, count int) []schema.Host {
+	hash := xxhash.Sum64String(cell.Service + "\x00" + cell.DataCentre)
+	best := make([]candidate, 0, count+1)
+	for i := range r.hosts {
+		best = insert(best, candidate{
+			host:  i,
+			local: r.hosts[i].DataCentre == cell.DataCentre,
+			score: combine(hash, r.hashes[i]),
+		}, count)
 	}
-	slices.SortFunc(list, func(a, b scored) int {
-		if a.local != b.local {
-			if a.local {
-				return -1
-			}
-
-			return 1
-		}
-
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host.Name, b.host.Name))
-	})
-	ranked := make([]schema.Host, 0, len(list))
-	for _, entry := range list {
-		ranked = append(ranked, entry.host)
+	ranked := make([]schema.Host, 0, len(best))
+	for _, entry := range best {
+		ranked = append(ranked, r.hosts[entry.host])
 	}
 
 	return ranked
 }
+
+// candidate is a host with its score for one cell.
+type candidate struct {
+	host  int
+	local bool
+	score uint64
+}
+
+// before reports whether the candidate ranks before another.
+func (c candidate) before(other candidate) bool {
+	if c.local != other.local {
+		return c.local
+	}
+
+	return c.score > other.score
+}
+
+// insert keeps the count best candidates in order.
+func insert(best []candidate, next candidate, count int) []candidate {
+	at := len(best)
+	for at > 0 && next.before(best[at-1]) {
+		at--
+	}
+	if at == count {
+		return best
+	}
+	best = append(best, candidate{})
+	copy(best[at+1:], best[at:])
+	best[at] = next
+
+	return best[:min(len(best), count)]
+}
+
+// combine returns the score of a host for a cell from both hashes.
+func combine(cell, host uint64) uint64 {
+	var joined [16]byte
+	binary.LittleEndian.PutUint64(joined[:8], cell)
+	binary.LittleEndian.PutUint64(joined[8:], host)
+
+	return xxhash.Sum64(joined[:])
+}
--- a/caller/router.go
+++ b/caller/router.go
@@ -97,13 +97,14 @@
 			slots[Cell{Service: server.Service, DataCentre: server.DataCentre}] += server.Slots
 		}
 	}
+	ranker := NewRanker(r.hosts)
 	r.routes = map[string][]*route{}
 	for _, service := range r.configuration.Services {
 		for _, dataCentre := range r.configuration.DataCentres {
 			cell := Cell{Service: service.Name, DataCentre: dataCentre.Name}
 			if slots[cell] > 0 {
 				r.routes[service.Name] = append(r.routes[service.Name],
-					&route{cell: cell, slots: slots[cell], ranked: Rank(cell, r.hosts)})
+					&route{cell: cell, slots: slots[cell], ranked: ranker.Rank(cell, answerAddresses)})
 			}
 		}
 	}
