Run orders at most once, from the front to the backend servers

Cause: the order book decided nothing that ran.

Ruled out: keeping a state in the platform's row of an order number. The row holds the order id of the request that claimed it, and only that id's incarnation may run it, so a row never has to say sent or answered and an order number costs one write.

Change: the dispatch duty routes orders to their incarnation, runs them as plain calls that are not repeated, and keeps answers; POST /order/:service/* and GET /order/:id; the claims duty with one transaction each 50 ms, in which a conflict takes only the claims that lost out of the batch; baobabdrum order. An incarnation is drawn from the operating system's random source, since two hosts must never share one. A stated attempt 0 vouches that no request came before, which lets hosts that know nothing of the order say not_run; without it they say unknown.

The HTTP path has no test yet.

Conclusion: the path through real hosts is tested next.

--- a/backendhttp/backendhttp.go
+++ b/backendhttp/backendhttp.go
@@ -16,6 +16,15 @@
 	HeaderHops = "Baobabdrum-Hops"
 	// HeaderOrderID carries the id of an order.
 	HeaderOrderID = "Baobabdrum-Order-Id"
+	// HeaderOrderAttempt carries the number of requests that the caller sent for
+	// the order before. Without it the caller does not say.
+	HeaderOrderAttempt = "Baobabdrum-Order-Attempt"
+	// HeaderOrderNumber carries a caller's own number for an order.
+	HeaderOrderNumber = "Baobabdrum-Order-Number"
+	// HeaderOutcome carries answered, not_run or unknown.
+	HeaderOutcome = "Baobabdrum-Outcome"
+	// HeaderReason carries the reason of not_run and unknown.
+	HeaderReason = "Baobabdrum-Reason"
 	// HeaderShed marks a backend server's answer that says that the call was not
 	// run.
 	HeaderShed = "Baobabdrum-Shed"
--- /dev/null
+++ b/backendhttp/outcome.go
@@ -0,0 +1,27 @@
+package backendhttp
+
+import "github.com/baobabdrum/baobabdrum/caller"
+
+// The words for outcomes in HeaderOutcome.
+const (
+	// OutcomeAnswered stands for caller.Answered.
+	OutcomeAnswered = "answered"
+	// OutcomeNotRun stands for caller.NotRun.
+	OutcomeNotRun = "not_run"
+	// OutcomeUnknown stands for caller.Unknown.
+	OutcomeUnknown = "unknown"
+)
+
+// outcome decodes the outcome that another entry host stated, or nil.
+func outcome(word, reason string) caller.Outcome {
+	switch word {
+	case OutcomeAnswered:
+		return caller.Answered{Reason: caller.Reason(reason)}
+	case OutcomeNotRun:
+		return caller.NotRun{Reason: caller.Reason(reason)}
+	case OutcomeUnknown:
+		return caller.Unknown{Reason: caller.Reason(reason)}
+	default:
+		return nil
+	}
+}
--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -181,14 +181,26 @@
 	if attempt.Forward {
 		request.Header.Set(HeaderHops, strconv.Itoa(attempt.Hops))
 	}
-	if attempt.OrderID != "" {
-		request.Header.Set(HeaderOrderID, attempt.OrderID)
-	}
+	encodeOrder(request, attempt)
 	request.SetBodyRaw(attempt.Request.Body)
 }
 
+// encodeOrder adds what a forwarded order carries.
+func encodeOrder(request *fasthttp.Request, attempt *dispatch.Attempt) {
+	if attempt.OrderID == "" {
+		return
+	}
+	request.Header.Set(HeaderOrderID, attempt.OrderID)
+	if attempt.OrderAttempt > 0 || attempt.OrderFirst {
+		request.Header.Set(HeaderOrderAttempt, strconv.Itoa(attempt.OrderAttempt))
+	}
+}
+
 // target returns the path and query at the address.
 func target(attempt *dispatch.Attempt) string {
+	if attempt.OrderID != "" {
+		return "/order/" + attempt.Service + attempt.Request.Target
+	}
 	if attempt.Forward {
 		return "/call/" + attempt.Service + attempt.Request.Target
 	}
@@ -203,6 +215,9 @@
 		Length:    response.Header.ContentLength(),
 		Forwarded: attempt.Forward,
 	}
+	if attempt.Forward {
+		answer.Outcome = outcome(string(response.Header.Peek(HeaderOutcome)), string(response.Header.Peek(HeaderReason)))
+	}
 	for name, value := range response.Header.All() {
 		lower := strings.ToLower(string(name))
 		if PassedOn(lower) || attempt.Forward && !hopByHop[lower] || string(name) == HeaderShed {
--- a/caller/order_book_test.go
+++ b/caller/order_book_test.go
@@ -169,3 +169,16 @@
 	assert.Equal(t, state, caller.OrderUnknown)
 	assert.Equal(t, outcome, caller.Unknown{Reason: caller.ReasonExpired})
 }
+
+func TestOrderRefusedByAFullBookNeverRuns(t *testing.T) {
+	book := caller.NewOrderBook(incarnationA, time.Minute, 1, bookStart)
+	late := orderAt(30 * time.Second)
+	book.Step(bookStart, caller.OrderArrived{OrderRequest: request(1, 0, orderAt(0)), Run: 101})
+	book.Step(bookStart, caller.RunEnded{Run: 101, Outcome: caller.Answered{}})
+	for _, after := range []time.Duration{30 * time.Second, 70 * time.Second} {
+		actions := book.Step(bookStart.Add(after), caller.OrderArrived{OrderRequest: request(2, 0, late), Run: 102})
+		assert.DeepEqual(t, actions[len(actions)-1], caller.EndRequest{
+			Call: 2, Order: late, Outcome: caller.NotRun{Reason: caller.ReasonOverloaded},
+		})
+	}
+}
--- a/caller/order_events.go
+++ b/caller/order_events.go
@@ -37,7 +37,8 @@
 	// Attempt is the number of requests that the caller sent for the order before.
 	Attempt int
 	// First says that the caller vouches that it sent no request for the order
-	// before.
+	// before, sends none while it waits for this one, and gives a higher attempt
+	// number to later ones.
 	First bool
 	// Fingerprint identifies the content.
 	Fingerprint Fingerprint
--- a/caller/order_route.go
+++ b/caller/order_route.go
@@ -29,8 +29,8 @@
 // OrderNowhere says that the incarnation cannot be reached from here. Only that
 // incarnation knows whether the order ran.
 type OrderNowhere struct {
-	// Outcome says why.
-	Outcome Unknown
+	// Reason says why.
+	Reason Reason
 }
 
 func (OrderHere) orderRoute()      {}
@@ -47,9 +47,9 @@
 	at := slices.IndexFunc(r.hosts, named)
 	switch {
 	case at < 0:
-		return OrderNowhere{Outcome: Unknown{Reason: ReasonIncarnationGone}}
+		return OrderNowhere{Reason: ReasonIncarnationGone}
 	case hops >= orderHops:
-		return OrderNowhere{Outcome: Unknown{Reason: ReasonMisdirected}}
+		return OrderNowhere{Reason: ReasonMisdirected}
 	default:
 		return OrderElsewhere{Address: r.hosts[at].CallerAddress}
 	}
--- a/callerhttp/callerhttp.go
+++ b/callerhttp/callerhttp.go
@@ -10,15 +10,16 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/baobabdrum/baobabdrum/backendhttp"
 	"github.com/baobabdrum/baobabdrum/dispatch"
 	"github.com/baobabdrum/baobabdrum/ring"
 )
 
 const (
 	// HeaderOutcome carries answered, not_run or unknown.
-	HeaderOutcome = "Baobabdrum-Outcome"
+	HeaderOutcome = backendhttp.HeaderOutcome
 	// HeaderReason carries the reason of not_run and unknown.
-	HeaderReason = "Baobabdrum-Reason"
+	HeaderReason = backendhttp.HeaderReason
 )
 
 const (
@@ -52,6 +53,8 @@
 	})
 	front.app.Get("/ask/:service", front.ask)
 	front.app.All("/call/:service/*", front.call)
+	front.app.Add(orderMethods, "/order/:service/*", front.order)
+	front.app.Get("/order/:id", front.orderStatus)
 
 	return front
 }
--- a/callerhttp/failure.go
+++ b/callerhttp/failure.go
@@ -8,14 +8,15 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/baobabdrum/baobabdrum/backendhttp"
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
 // The words for outcomes in header fields and bodies.
 const (
-	outcomeNotRun  = "not_run"
-	outcomeUnknown = "unknown"
+	outcomeNotRun  = backendhttp.OutcomeNotRun
+	outcomeUnknown = backendhttp.OutcomeUnknown
 )
 
 // fault is a rejected header field.
@@ -62,6 +63,9 @@
 			Outcome: outcomeUnknown, Reason: string(outcome.Reason), Detail: detail,
 		})
 	case caller.Answered:
+		return write(c, http.StatusGone, schema.Failure{
+			Outcome: backendhttp.OutcomeAnswered, Reason: string(outcome.Reason), Detail: detail,
+		})
 	}
 
 	return write(c, http.StatusInternalServerError, schema.Failure{Outcome: outcomeUnknown, Detail: detail})
--- /dev/null
+++ b/callerhttp/order.go
@@ -0,0 +1,150 @@
+package callerhttp
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// maxOrderNumber is the length of the longest order number of a caller's own
+	// in bytes.
+	maxOrderNumber = 128
+	// maxOrderAttempt is the largest attempt number.
+	maxOrderAttempt = 1_000_000
+	// orderNotAnswered is the detail of an order without an answer.
+	orderNotAnswered = "the order has no answer to give; GET /order/ID tells its state"
+)
+
+// orderMethods are the methods of orders: all but the safe ones.
+var orderMethods = []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
+
+// order runs an order at most once and answers with what came back. Once an
+// order id or number was read, not_run is only said by the order's host.
+func (f *Front) order(c fiber.Ctx) error {
+	input, found := f.decodeOrder(c)
+	if len(found) > 0 {
+		return rejectOrder(c, found)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), input.Order.Call.Deadline)
+	defer cancel()
+	if err := f.Inputs.Put(ctx, input); err != nil {
+		return fail(c, input.Order.Undelivered(caller.ReasonOverloaded), err.Error())
+	}
+	switch reply := f.wait(c, input.Order.Call.ID, input.Reply).(type) {
+	case dispatch.Begun:
+		return f.stream(c, input.Order.Call.ID, reply.Answer)
+	case dispatch.Finished:
+		if reply.Answer == nil {
+			return fail(c, reply.Outcome, orderNotAnswered)
+		}
+
+		return finish(c, reply)
+	default:
+		return fail(c, caller.Unknown{Reason: caller.ReasonStopping}, "the host stopped before the order ended")
+	}
+}
+
+// decodeOrder reads a request for an order and the faults in it.
+func (f *Front) decodeOrder(c fiber.Ctx) (dispatch.OrderCall, []fault) {
+	call, found := f.decode(c)
+	limits := faults{found: found}
+	order := caller.OrderRequest{
+		Call:    call,
+		Attempt: int(limits.number(c, backendhttp.HeaderOrderAttempt, 0, 0, maxOrderAttempt)),
+	}
+	order.First = order.Attempt == 0 && c.Get(backendhttp.HeaderOrderAttempt) != ""
+	number := strings.Clone(c.Get(backendhttp.HeaderOrderNumber))
+	raw := strings.Clone(c.Get(backendhttp.HeaderOrderID))
+	switch {
+	case (raw == "") == (number == ""):
+		limits.found = append(limits.found, fault{
+			Place: backendhttp.HeaderOrderID, Value: raw, Problem: "either this or " + backendhttp.HeaderOrderNumber + " must be given",
+		})
+	case raw != "":
+		order.Order = limits.orderID(raw)
+	case !printable(number):
+		limits.found = append(limits.found, fault{
+			Place: backendhttp.HeaderOrderNumber, Value: number, Problem: "must have 1 to 128 printable ASCII characters",
+		})
+	}
+	content := request(c)
+	order.Fingerprint = fingerprint(call.Service, content)
+
+	return dispatch.OrderCall{
+		Order: order, Number: number, Request: content, Reply: ring.New[dispatch.Reply]("reply", 1),
+	}, limits.found
+}
+
+// orderID reads an order id from text.
+func (f *faults) orderID(raw string) caller.OrderID {
+	id, err := caller.ParseOrderID(raw)
+	var invalid *schema.InvalidError
+	if errors.As(err, &invalid) {
+		f.found = append(f.found, invalid.Faults...)
+	}
+
+	return id
+}
+
+// printable reports whether the text may be an order number.
+func printable(number string) bool {
+	unprintable := func(r rune) bool { return r < ' ' || r > '~' }
+
+	return len(number) <= maxOrderNumber && !strings.ContainsFunc(number, unprintable)
+}
+
+// fingerprint identifies the content of an order.
+func fingerprint(service string, content *dispatch.Request) caller.Fingerprint {
+	head := strings.Join([]string{service, content.Method, content.Target, ""}, "\x00")
+
+	return sha256.Sum256(append([]byte(head), content.Body...))
+}
+
+// rejectOrder answers a malformed request. If it names an order, an earlier
+// request may have run that, so only a request without a valid order id or
+// number was not run for certain.
+func rejectOrder(c fiber.Ctx, found []fault) error {
+	_, err := caller.ParseOrderID(c.Get(backendhttp.HeaderOrderID))
+	number := c.Get(backendhttp.HeaderOrderNumber)
+	if err != nil && (number == "" || !printable(number)) {
+		return reject(c, found)
+	}
+
+	return write(c, http.StatusBadRequest, schema.Failure{
+		Outcome: outcomeUnknown, Reason: string(caller.ReasonInvalid),
+		Detail: "the request is malformed; an earlier one may have run the order", Faults: found,
+	})
+}
+
+// orderStatus answers with what this host knows about an order.
+func (f *Front) orderStatus(c fiber.Ctx) error {
+	limits := faults{}
+	id := limits.orderID(strings.Clone(c.Params("id")))
+	if len(limits.found) > 0 {
+		return reject(c, limits.found)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), min(f.CallTimeout, time.Minute))
+	defer cancel()
+	reply := ring.New[schema.OrderStatus]("order status", 1)
+	if err := f.Inputs.Put(ctx, dispatch.OrderAsk{Order: id, Reply: reply}); err != nil {
+		return fail(c, caller.Unknown{Reason: caller.ReasonOverloaded}, err.Error())
+	}
+	status, err := reply.Take(ctx)
+	if err != nil {
+		return fail(c, caller.Unknown{Reason: caller.ReasonStopping}, err.Error())
+	}
+
+	return c.JSON(status)
+}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -83,6 +83,7 @@
 		{"data-centre", "Take a data centre out or in", dataCentreHelp, &DataCentre{output: output}},
 		{"ask", "Ask which hosts to use for a service", askHelp, &Ask{output: output}},
 		{"call", "Call a service", callHelp, &Call{output: output}},
+		{"order", "Place an order that runs at most once", orderHelp, &Order{output: output}},
 		{"dump", "Show the state of an entry host", dumpHelp, &Dump{output: output}},
 		{"version", "Show the version", "Shows the version of this program.", &Version{output: output}},
 	}
--- /dev/null
+++ b/cmd/order.go
@@ -0,0 +1,110 @@
+package cmd
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/jsonhttp"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const orderHelp = `Places an order that runs at most once and prints the body of the answer.
+Without --order-id or --order-number it asks for an id first. The id is printed
+before the order is sent: repeat the command with it and a higher --attempt
+after an unknown or not_run outcome.
+
+Examples:
+  baobabdrum order --host-address 127.0.0.1:8080 --body '{"hinges":40}' orders /place
+  baobabdrum order --host-address 127.0.0.1:8080 --order-number rose-belle-17 orders /place`
+
+// Order places an order.
+type Order struct {
+	schema.ClientFlags
+
+	// Method is the HTTP method.
+	Method string `long:"method" default:"POST" description:"HTTP method"`
+	// Body is sent with the order.
+	Body string `long:"body" description:"body of the request"`
+	// OrderID repeats an earlier order.
+	OrderID string `long:"order-id" description:"id of the order; asked for if neither it nor a number is given"`
+	// OrderNumber is the caller's own number.
+	OrderNumber string `long:"order-number" description:"own number of the order, 1 to 128 printable characters"`
+	// Attempt counts the earlier requests.
+	Attempt int `long:"attempt" default:"-1" description:"number of requests sent for this order before; -1 for not known"`
+	// Args are the service and the path.
+	Args struct {
+		Service string `positional-arg-name:"SERVICE" required:"true"`
+		Path    string `positional-arg-name:"PATH" default:"/"`
+	} `positional-args:"true"`
+
+	output Output
+}
+
+// Execute asks for an id if there is none, and places the order.
+func (c *Order) Execute([]string) error {
+	host, err := client(c.ClientFlags)
+	if err != nil {
+		return err
+	}
+	if c.OrderID == "" && c.OrderNumber == "" {
+		if host, err = c.ask(host); err != nil {
+			return err
+		}
+	}
+	path := "/order/" + c.Args.Service + "/" + strings.TrimPrefix(c.Args.Path, "/")
+	body, err := host.Exchange(c.Method, path, []byte(c.Body), c.headers(host.Timeout)...)
+	if err != nil {
+		return unsettled(err)
+	}
+	_, err = c.output.Results.Write(body)
+
+	return err
+}
+
+// ask gets an order id and returns a client of the host that may run it.
+func (c *Order) ask(host *jsonhttp.Client) (*jsonhttp.Client, error) {
+	answer, err := jsonhttp.Get[schema.AskAnswer](host, "/ask/"+c.Args.Service)
+	if err != nil {
+		return nil, err
+	}
+	c.OrderID, c.Attempt = answer.OrderID, 0
+	fmt.Fprintf(c.output.Messages, "order_id=%s\n", c.OrderID)
+	if len(answer.Addresses) > 0 {
+		host = jsonhttp.NewClient(answer.Addresses[0], host.Token, host.Timeout)
+	}
+
+	return host, nil
+}
+
+// unsettled returns the error of an order: without a response it may have run.
+func unsettled(err error) error {
+	var status *jsonhttp.StatusError
+	if errors.As(err, &status) {
+		return err
+	}
+
+	return &OutcomeError{Code: ExitUnknown, Message: "unknown: the order may have run: " + err.Error()}
+}
+
+// headers returns what identifies the order.
+func (c *Order) headers(timeout time.Duration) []jsonhttp.Header {
+	headers := []jsonhttp.Header{
+		{Name: backendhttp.HeaderDeadline, Value: strconv.FormatInt(timeout.Milliseconds(), 10)},
+	}
+	if c.Attempt >= 0 {
+		headers = append(headers, jsonhttp.Header{Name: backendhttp.HeaderOrderAttempt, Value: strconv.Itoa(c.Attempt)})
+	}
+	for name, value := range map[string]string{
+		backendhttp.HeaderOrderID: c.OrderID, backendhttp.HeaderOrderNumber: c.OrderNumber,
+	} {
+		if value != "" {
+			headers = append(headers, jsonhttp.Header{Name: name, Value: value})
+		}
+	}
+
+	return headers
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -50,6 +50,8 @@
 	Rest *ring.Ring[Chunk]
 	// Forwarded says that another entry host answered.
 	Forwarded bool
+	// Outcome is what another entry host stated, or nil.
+	Outcome caller.Outcome
 }
 
 // Chunk is a part of a large body.
@@ -84,6 +86,11 @@
 	Depth int
 	// OrderID is the id of a forwarded order, or empty.
 	OrderID string
+	// OrderAttempt is the number of requests that the caller sent for a forwarded
+	// order before.
+	OrderAttempt int
+	// OrderFirst says that the caller vouches that it sent none.
+	OrderFirst bool
 	// Context ends when the attempt is given up.
 	Context context.Context //nolint:containedctx // one context for each attempt, made by the duty and read by a sender
 
@@ -204,6 +211,9 @@
 	Reply *ring.Ring[[]schema.CellDump]
 }
 
+func (OrderCall) input() {}
+func (OrderAsk) input()  {}
+func (Claimed) input()   {}
 func (Ask) input()       {}
 func (Call) input()      {}
 func (Cancel) input()    {}
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -22,6 +22,12 @@
 	call    caller.Call
 	reply   *ring.Ring[Reply]
 	forward *Attempt
+	// order is set for a caller's request for an order.
+	order *caller.OrderRequest
+	// run is set for the run of an order.
+	run *run
+	// streams is the run whose large answer the request receives, or 0.
+	streams caller.CallID
 }
 
 // Duty is the state of the dispatch duty.
@@ -34,6 +40,8 @@
 	Router *caller.Router
 	// Pool decides how placed calls are run.
 	Pool *backend.Pool
+	// Orders holds the orders of this incarnation.
+	Orders *Orders
 	// Log receives broken invariants.
 	Log *logrus.Entry
 
@@ -51,6 +59,7 @@
 		Attempts:  attempts,
 		Router:    router,
 		Pool:      pool,
+		Orders:    NewOrders(caller.NewOrderBook("", 0, 0, time.Now()), nil, nil),
 		Log:       log,
 		calls:     map[caller.CallID]*pending{},
 		questions: map[caller.CallID]*ring.Ring[AskReply]{},
@@ -70,6 +79,7 @@
 			if d.Pool.Busy() {
 				d.backend(now, backend.Ticked{})
 			}
+			d.tickOrders(now)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -78,9 +88,21 @@
 
 // Step carries out one input.
 func (d *Duty) Step(now time.Time, input Input) {
+	d.step(now, input)
+	d.settleRuns(now)
+}
+
+// step carries out one input except for what follows from it for orders.
+func (d *Duty) step(now time.Time, input Input) {
 	switch input := input.(type) {
 	case Ask:
 		d.ask(now, input)
+	case OrderCall:
+		d.orderCalled(now, input)
+	case OrderAsk:
+		_ = input.Reply.Offer(d.orderStatus(now, input.Order)) // the ring has room by contract
+	case Claimed:
+		d.claimed(now, input)
 	case Call:
 		d.calls[input.Call.ID] = &pending{request: input.Request, call: input.Call, reply: input.Reply}
 		d.caller(now, caller.Called{Call: input.Call})
@@ -184,8 +206,12 @@
 		Depth:    call.call.Depth,
 	})
 	d.attempts[action.Attempt] = attempt
+	if d.Attempts.Offer(attempt) != nil {
+		return false
+	}
+	d.noteSent(call)
 
-	return d.Attempts.Offer(attempt) == nil
+	return true
 }
 
 // forward sends a call to another entry host.
@@ -204,7 +230,10 @@
 	})
 	if err := d.Attempts.Offer(call.forward); err != nil {
 		d.finish(action.Call.ID, Finished{Outcome: caller.NotRun{Reason: caller.ReasonOverloaded}})
+
+		return
 	}
+	d.noteSent(call)
 }
 
 // cancel gives up a call whose caller went away.
@@ -218,6 +247,11 @@
 
 		return
 	}
+	if call.order != nil {
+		d.orderLeft(now, call)
+
+		return
+	}
 	d.backend(now, backend.CallCancelled{Call: id})
 }
 
@@ -236,7 +270,7 @@
 // ended ends an attempt and what depends on it.
 func (d *Duty) ended(now time.Time, input Ended) {
 	if input.Attempt.Forward {
-		d.finish(input.Attempt.Call, Finished{Outcome: backend.OutcomeOf(input.Result), Answer: input.Answer})
+		d.finish(input.Attempt.Call, d.forwarded(input))
 
 		return
 	}
@@ -259,6 +293,12 @@
 // its attempt ends, so that it can still be cancelled.
 func (d *Duty) begin(id caller.CallID, answer *Answer) {
 	call, ok := d.calls[id]
+	if ok && call.run != nil {
+		call.run.begun = answer
+		d.note(runBegun{run: id, answer: answer})
+
+		return
+	}
 	if !ok || call.reply == nil {
 		return
 	}
@@ -273,6 +313,11 @@
 		return
 	}
 	delete(d.calls, id)
+	if call.run != nil {
+		d.note(runFinished{run: id, of: call.run, finished: finished})
+
+		return
+	}
 	if call.reply != nil {
 		_ = call.reply.Offer(finished) // the ring has room by contract
 	}
--- /dev/null
+++ b/host/claims.go
@@ -0,0 +1,141 @@
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/ring"
+)
+
+const (
+	// claimInterval is the time for which claims are gathered into a transaction.
+	claimInterval = 50 * time.Millisecond
+	// claimBatch bounds the claims of one transaction.
+	claimBatch = 64
+	// claimTimeout bounds one exchange with the platform about claims.
+	claimTimeout = 300 * time.Millisecond
+	// claimRing is the number of claims that wait for a transaction.
+	claimRing = 1024
+)
+
+// addOrders lets the dispatch duty issue ids and run orders of this incarnation.
+func (h *Host) addOrders(calls *dispatch.Duty) {
+	calls.Router.Incarnation = h.Self.Incarnation
+	calls.Router.Random = rand.Reader
+	book := caller.NewOrderBook(h.Self.Incarnation, h.Settings.OrderLifetime, h.Settings.OrderCapacity, time.Now())
+	calls.Orders = dispatch.NewOrders(book, h.claims, rand.Reader)
+}
+
+// newClaims returns the duty that claims order numbers.
+func (h *Host) newClaims() *claims {
+	return &claims{
+		taken:    h.claims,
+		settled:  h.dispatch,
+		platform: platformhttp.New(h.Settings.PlatformAddress, claimTimeout),
+		log:      h.Log,
+	}
+}
+
+// claims is the duty that claims callers' own order numbers.
+type claims struct {
+	taken    *ring.Ring[dispatch.Claim]
+	settled  *ring.Ring[dispatch.Input]
+	platform *platformhttp.Client
+	log      *logrus.Entry
+	circuit  platform.Circuit
+}
+
+// run claims batches until the context ends.
+func (c *claims) run(ctx context.Context) error {
+	for {
+		first, err := c.taken.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if c.circuit.Open(time.Now()) {
+			if err := c.settle(ctx, first, platform.ClaimUnsettled{}); err != nil {
+				return err
+			}
+
+			continue
+		}
+		batch, err := c.gather(ctx, first)
+		if err != nil {
+			return err
+		}
+		if err := c.claim(ctx, batch); err != nil {
+			return err
+		}
+	}
+}
+
+// gather waits for the interval and returns the claims that arrived.
+func (c *claims) gather(ctx context.Context, first dispatch.Claim) ([]dispatch.Claim, error) {
+	timer := time.NewTimer(claimInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	batch := []dispatch.Claim{first}
+	for len(batch) < claimBatch {
+		claim, ok := c.taken.Poll()
+		if !ok {
+			break
+		}
+		batch = append(batch, claim)
+	}
+
+	return batch, nil
+}
+
+// claim writes a batch until each claim of it is settled.
+func (c *claims) claim(ctx context.Context, batch []dispatch.Claim) error {
+	wanted := make([]platform.Claim, 0, len(batch))
+	byToken := map[string]dispatch.Claim{}
+	for _, claim := range batch {
+		wanted = append(wanted, claim.Claim)
+		byToken[claim.Token] = claim
+	}
+	decisions, actions := platform.NewClaims(wanted)
+	for len(actions) > 0 {
+		action := actions[0]
+		actions = actions[1:]
+		switch action := action.(type) {
+		case platform.WriteClaims:
+			actions = append(actions, decisions.Step(c.write(action))...)
+		case platform.SettleClaim:
+			if err := c.settle(ctx, byToken[action.Claim.Token], action.Result); err != nil {
+				return err
+			}
+		}
+	}
+
+	return nil
+}
+
+// write sends a transaction and returns what came of it.
+func (c *claims) write(action platform.WriteClaims) platform.Event {
+	result, err := c.platform.Write(action.Transaction)
+	if err != nil {
+		c.circuit.Fail(time.Now())
+		c.log.WithFields(logrus.Fields{"event": "claims_failed", "claims": len(action.Transaction.Rows)}).Warn(err)
+
+		return platform.Failed{Cause: err}
+	}
+
+	return platform.Replied{Result: result}
+}
+
+// settle tells the dispatch duty what became of a claim.
+func (c *claims) settle(ctx context.Context, claim dispatch.Claim, result platform.ClaimResult) error {
+	return c.settled.Put(ctx, dispatch.Claimed{Claim: claim, Result: result})
+}
--- a/host/dump.go
+++ b/host/dump.go
@@ -49,6 +49,7 @@
 	return []schema.RingDump{
 		describe(h.dispatch), describe(h.attempts), describe(h.peers), describe(h.exchanges),
 		describe(h.requests), describe(h.configurations), describe(h.changes), describe(h.dumps),
+		describe(h.claims),
 	}
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -55,6 +55,7 @@
 	configurations *ring.Ring[configurationInput]
 	changes        *ring.Ring[operatorhttp.ChangeRequest]
 	dumps          *ring.Ring[operatorhttp.DumpRequest]
+	claims         *ring.Ring[dispatch.Claim]
 	platform       *platformhttp.Client
 	seed           uint64
 }
@@ -93,7 +94,7 @@
 		Self: schema.Host{
 			Name:            settings.Name,
 			DataCentre:      settings.DataCentre,
-			Incarnation:     ulid.Make().String(),
+			Incarnation:     ulid.MustNew(ulid.Now(), crand.Reader).String(), // two hosts never share one
 			CallerAddress:   settings.CallerAddress,
 			PeerAddress:     settings.PeerAddress,
 			OperatorAddress: settings.OperatorAddress,
@@ -107,6 +108,7 @@
 		configurations: ring.New[configurationInput]("configuration", controlRing),
 		changes:        ring.New[operatorhttp.ChangeRequest]("operator", controlRing),
 		dumps:          ring.New[operatorhttp.DumpRequest]("dump", controlRing),
+		claims:         ring.New[dispatch.Claim]("claims", claimRing),
 		platform:       platformhttp.New(settings.PlatformAddress, platformTimeout),
 		seed:           seed,
 	}
@@ -162,7 +164,10 @@
 	duties := group.New(ctx)
 	router := caller.NewRouter(h.Self.Name, h.Settings.AnswerKeep)
 	pool := backend.NewPool(h.Settings.QueueLength)
-	duties.Go("dispatch", dispatch.New(h.dispatch, h.attempts, router, pool, h.Log).Run)
+	calls := dispatch.New(h.dispatch, h.attempts, router, pool, h.Log)
+	h.addOrders(calls)
+	duties.Go("dispatch", calls.Run)
+	duties.Go("claims", h.newClaims().run)
 	connections := backendhttp.NewConnections(addressConnections)
 	for range h.Settings.Senders {
 		sender := &backendhttp.Sender{Attempts: h.attempts, Reports: h.dispatch, Connections: connections}
--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -81,9 +81,17 @@
 	return out, eris.Wrapf(json.Unmarshal(raw, &out), "decoding the response of %s", path)
 }
 
+// Header is a header field of a request.
+type Header struct {
+	// Name is the field's name.
+	Name string
+	// Value is the field's value.
+	Value string
+}
+
 // Exchange sends a body and returns the body of a response with status 200.
 // Another status is returned as a *StatusError.
-func (c *Client) Exchange(method, path string, body []byte) ([]byte, error) {
+func (c *Client) Exchange(method, path string, body []byte, headers ...Header) ([]byte, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -93,6 +101,9 @@
 	if c.Token != "" {
 		request.Header.Set(fasthttp.HeaderAuthorization, bearer+c.Token)
 	}
+	for _, header := range headers {
+		request.Header.Set(header.Name, header.Value)
+	}
 	request.SetBodyRaw(body)
 	if err := c.http.DoTimeout(request, response, c.Timeout); err != nil {
 		return nil, eris.Wrapf(err, "%s %s%s", method, c.Address, path)
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -5484,6 +5484,184 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *OrderStatus) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "address":
+			z.Address, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "order_id":
+			z.OrderID, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "OrderID")
+				return
+			}
+		case "reason":
+			z.Reason, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "state":
+			z.State, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *OrderStatus) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "address"
+	err = en.Append(0x84, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Address)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	// write "order_id"
+	err = en.Append(0xa8, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x5f, 0x69, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.OrderID)
+	if err != nil {
+		err = msgp.WrapError(err, "OrderID")
+		return
+	}
+	// write "reason"
+	err = en.Append(0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Reason)
+	if err != nil {
+		err = msgp.WrapError(err, "Reason")
+		return
+	}
+	// write "state"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.State)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *OrderStatus) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "address"
+	o = append(o, 0x84, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = msgp.AppendString(o, z.Address)
+	// string "order_id"
+	o = append(o, 0xa8, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x5f, 0x69, 0x64)
+	o = msgp.AppendString(o, z.OrderID)
+	// string "reason"
+	o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Reason)
+	// string "state"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	o = msgp.AppendString(o, z.State)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OrderStatus) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "address":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "order_id":
+			z.OrderID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OrderID")
+				return
+			}
+		case "reason":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "state":
+			z.State, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *OrderStatus) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 9 + msgp.StringPrefixSize + len(z.OrderID) + 7 + msgp.StringPrefixSize + len(z.Reason) + 6 + msgp.StringPrefixSize + len(z.State)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Override) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -364,6 +364,22 @@
 	Started int `json:"started" msg:"started"`
 }
 
+// OrderStatus says what an entry host knows about an order.
+type OrderStatus struct {
+	// Address is the ip:port of the host that knows, or empty.
+	Address string `json:"address" msg:"address"`
+
+	// OrderID identifies the order.
+	OrderID string `json:"order_id" msg:"order_id"`
+
+	// Reason says why an order ended without an answer that is held, or is empty.
+	Reason string `json:"reason" msg:"reason"`
+
+	// State is unseen, claimed, sent, answered, unknown, refused, or elsewhere when
+	// another host knows.
+	State string `json:"state" msg:"state"`
+}
+
 // Override is an operator's change of a data centre's state that may not be in the
 // configuration yet.
 type Override struct {
