Prove that orders run at most once through real hosts

Cause: the path from the front to the backend servers had no test.

Ruled out: stating the outcome of a malformed request that names an order as not_run; an earlier request may have run that order, so it is unknown.

Change: a porcupine check of each order as an at-most-once object over three in-process hosts, the platform and six backend server stand-ins, with cut, shed and late answers, outages, lost replies, and hosts restarted every 300 ms; the stand-ins' run records are the witness.

--- /dev/null
+++ b/callerhttp/order_test.go
@@ -0,0 +1,156 @@
+package callerhttp_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/callerhttp"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/group"
+	"github.com/baobabdrum/baobabdrum/ring"
+)
+
+const orderText = "01JEAAAAAAAAAAAAAAAAAAAAAA-01JEV5XQ8R9W3N4K5M6P7Q8R9S"
+
+// listen opens a socket on a free port of this package's tests.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	for port := 21900; port < 22000; port++ {
+		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err == nil {
+			return listener
+		}
+	}
+	t.Fatal("no port is free")
+
+	return nil
+}
+
+// serveOrders runs a front end whose orders end as reply says, and returns its
+// address and the orders that arrived.
+func serveOrders(t *testing.T, reply dispatch.Finished) (string, *ring.Ring[dispatch.OrderCall]) {
+	t.Helper()
+	inputs := ring.New[dispatch.Input]("dispatch", 1)
+	seen := ring.New[dispatch.OrderCall]("seen", 1)
+	listener := listen(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	duties := group.New(ctx)
+	duties.Go("front", func(ctx context.Context) error {
+		return callerhttp.New(inputs, time.Second, 1<<20).Run(ctx, listener)
+	})
+	duties.Go("dispatch", func(ctx context.Context) error {
+		for {
+			input, err := inputs.Take(ctx)
+			if err != nil {
+				return err
+			}
+			if order, ok := input.(dispatch.OrderCall); ok {
+				_ = seen.Offer(order)
+				_ = order.Reply.Offer(reply)
+			}
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, duties.Wait())
+	})
+
+	return listener.Addr().String(), seen
+}
+
+func TestOrderRequests(t *testing.T) {
+	answered := dispatch.Finished{Outcome: caller.Answered{}, Answer: &dispatch.Answer{Status: http.StatusCreated, Body: []byte("done"), Length: 4}}
+
+	for name, test := range map[string]struct {
+		method  string
+		headers map[string]string
+		reply   dispatch.Finished
+		status  int
+		outcome string
+		reason  string
+		first   bool
+		attempt int
+	}{
+		"answered": {
+			headers: map[string]string{backendhttp.HeaderOrderID: orderText}, reply: answered,
+			status: http.StatusCreated, outcome: "answered",
+		},
+		"the first attempt is stated": {
+			headers: map[string]string{backendhttp.HeaderOrderID: orderText, backendhttp.HeaderOrderAttempt: "0"}, reply: answered,
+			status: http.StatusCreated, outcome: "answered", first: true,
+		},
+		"a later attempt of an own number": {
+			headers: map[string]string{backendhttp.HeaderOrderNumber: "rose belle/17", backendhttp.HeaderOrderAttempt: "3"}, reply: answered,
+			status: http.StatusCreated, outcome: "answered", attempt: 3,
+		},
+		"answered before, answer not held": {
+			headers: map[string]string{backendhttp.HeaderOrderID: orderText},
+			reply:   dispatch.Finished{Outcome: caller.Answered{Reason: caller.ReasonAnswerNotKept}},
+			status:  http.StatusGone, outcome: "answered", reason: "answer_not_kept",
+		},
+		"unknown": {
+			headers: map[string]string{backendhttp.HeaderOrderID: orderText},
+			reply:   dispatch.Finished{Outcome: caller.Unknown{Reason: caller.ReasonExpired}},
+			status:  http.StatusBadGateway, outcome: "unknown", reason: "expired",
+		},
+		"neither id nor number": {
+			status: http.StatusBadRequest, outcome: "not_run", reason: "invalid",
+		},
+		"malformed id": {
+			headers: map[string]string{backendhttp.HeaderOrderID: orderText[1:]},
+			status:  http.StatusBadRequest, outcome: "not_run", reason: "invalid",
+		},
+		"malformed deadline of an order that may have run": {
+			headers: map[string]string{backendhttp.HeaderOrderID: orderText, backendhttp.HeaderDeadline: "soon"},
+			status:  http.StatusBadRequest, outcome: "unknown", reason: "invalid",
+		},
+		"number too long": {
+			headers: map[string]string{backendhttp.HeaderOrderNumber: strings.Repeat("9", 129)},
+			status:  http.StatusBadRequest, outcome: "not_run", reason: "invalid",
+		},
+		"number with a control character": {
+			headers: map[string]string{backendhttp.HeaderOrderNumber: "a\tb"},
+			status:  http.StatusBadRequest, outcome: "not_run", reason: "invalid",
+		},
+		"a safe method": {
+			method: http.MethodGet, headers: map[string]string{backendhttp.HeaderOrderID: orderText},
+			status: http.StatusMethodNotAllowed, outcome: "not_run", reason: "invalid",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, seen := serveOrders(t, test.reply)
+			var request fasthttp.Request
+			var response fasthttp.Response
+			request.Header.SetMethod(http.MethodPost)
+			if test.method != "" {
+				request.Header.SetMethod(test.method)
+			}
+			request.SetRequestURI("http://" + address + "/order/orders/place?n=1")
+			for header, value := range test.headers {
+				request.Header.Set(header, value)
+			}
+			assert.NilError(t, fasthttp.Do(&request, &response))
+			assert.Equal(t, response.StatusCode(), test.status)
+			assert.Equal(t, string(response.Header.Peek(callerhttp.HeaderOutcome)), test.outcome)
+			assert.Equal(t, string(response.Header.Peek(callerhttp.HeaderReason)), test.reason)
+			if order, ok := seen.Poll(); ok {
+				assert.Equal(t, order.Order.First, test.first)
+				assert.Equal(t, order.Order.Attempt, test.attempt)
+				assert.Equal(t, order.Number, test.headers[backendhttp.HeaderOrderNumber])
+				assert.Equal(t, order.Request.Target, "/place?n=1")
+			} else {
+				assert.Equal(t, test.status/100, 4)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/host/orders_test.go
@@ -0,0 +1,474 @@
+package host_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/iter"
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/host"
+	"github.com/baobabdrum/baobabdrum/jsonhttp"
+	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/standin"
+)
+
+const (
+	testOrders   = 120
+	cellServers  = 2
+	testService  = "orders"
+	requestLimit = 2 * time.Second
+)
+
+// nextPort is the next port to try for a listener of a test.
+var nextPort atomic.Int32
+
+// freeAddress returns a loopback address that no one listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for range 900 {
+		address := fmt.Sprintf("127.0.0.1:%d", 21000+nextPort.Add(1))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			assert.NilError(t, listener.Close())
+
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+
+	return ""
+}
+
+// deployment is three hosts with their stand-ins in this process.
+type deployment struct {
+	platform string
+	control  string
+	callers  []string
+	servers  []string
+	controls []string
+	stops    []context.CancelFunc
+	hosts    []*conc.WaitGroup
+	settings []schema.HostSettings
+	running  conc.WaitGroup
+}
+
+// deploy starts the stand-ins and the hosts and waits until every host answers.
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{platform: freeAddress(t), control: freeAddress(t)}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		d.stop()
+		cancel()
+		d.running.Wait()
+	})
+	d.running.Go(func() {
+		_ = standin.RunPlatform(ctx, schema.PlatformSettings{Address: d.platform, ControlAddress: d.control})
+	})
+	for i, dataCentre := range []string{"north", "centre", "south"} {
+		for range cellServers {
+			d.addServer(ctx, t)
+		}
+		d.settings = append(d.settings, schema.HostSettings{
+			Name: "host-" + dataCentre, DataCentre: dataCentre,
+			CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t),
+			PlatformAddress: d.platform, ConfiguredHosts: 3, CallTimeout: requestLimit, AnswerKeep: time.Second,
+			OrderLifetime: time.Minute, OrderCapacity: 10000, Senders: 32, DispatchRing: 1024, QueueLength: 128,
+			BodyLimit: 1 << 20, DigestInterval: 20 * time.Millisecond, PlatformInterval: 50 * time.Millisecond,
+		})
+		d.callers = append(d.callers, d.settings[i].CallerAddress)
+		d.stops = append(d.stops, nil)
+		d.hosts = append(d.hosts, &conc.WaitGroup{})
+	}
+	d.declare(t)
+	for i := range d.settings {
+		d.start(t, i)
+	}
+	for _, address := range d.callers {
+		eventually(t, func() bool {
+			answer, err := jsonhttp.Get[schema.AskAnswer](jsonhttp.NewClient(address, "", requestLimit), "/ask/"+testService)
+
+			return err == nil && len(answer.Addresses) == 3
+		})
+	}
+
+	return d
+}
+
+func (d *deployment) addServer(ctx context.Context, t *testing.T) {
+	t.Helper()
+	settings := schema.BackendSettings{
+		Address: freeAddress(t), ControlAddress: freeAddress(t), Slots: 4, ServiceTime: 2 * time.Millisecond,
+		ShiftInterval: time.Second, Seed: 1 + len(d.servers),
+	}
+	d.servers = append(d.servers, settings.Address)
+	d.controls = append(d.controls, settings.ControlAddress)
+	d.running.Go(func() { _ = standin.RunBackend(ctx, settings) })
+}
+
+// declare writes the configuration and the list of hosts.
+func (d *deployment) declare(t *testing.T) {
+	t.Helper()
+	configuration := schema.Configuration{ChangeID: "test", Services: []schema.Service{{Name: testService}}}
+	list := schema.HostList{}
+	for i, settings := range d.settings {
+		configuration.DataCentres = append(configuration.DataCentres, schema.DataCentre{
+			Name: settings.DataCentre, State: schema.DataCentreStateIn,
+		})
+		for _, server := range d.servers[cellServers*i : cellServers*(i+1)] {
+			configuration.BackendServers = append(configuration.BackendServers, schema.BackendServer{
+				Service: testService, DataCentre: settings.DataCentre, Address: server, Slots: 4, Connections: 240,
+			})
+		}
+		list.Hosts = append(list.Hosts, schema.ListedHost{
+			Name: settings.Name, PeerAddress: settings.PeerAddress, State: schema.HostStateLive,
+		})
+	}
+	transaction, err := platform.Encode(configuration, 0)
+	assert.NilError(t, err)
+	eventually(t, func() bool {
+		_, err := platformhttp.New(d.platform, requestLimit).Write(transaction)
+
+		return err == nil && inject(d.control, "/hosts", list)
+	})
+}
+
+// start runs a host until its stop function is called.
+func (d *deployment) start(t *testing.T, at int) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stops[at] = cancel
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	started := host.New(d.settings[at], logrus.NewEntry(logger))
+	d.hosts[at].Go(func() {
+		if err := started.Run(ctx); err != nil {
+			t.Errorf("host %d: %v", at, err)
+		}
+	})
+}
+
+// restart replaces a host by a new incarnation.
+func (d *deployment) restart(t *testing.T, at int) {
+	t.Helper()
+	d.stops[at]()
+	d.hosts[at].Wait()
+	d.start(t, at)
+}
+
+// stop stops all hosts.
+func (d *deployment) stop() {
+	for at, stop := range d.stops {
+		if stop != nil {
+			stop()
+			d.hosts[at].Wait()
+		}
+	}
+}
+
+// runs returns how often each order ran at the backend servers.
+func (d *deployment) runs(t *testing.T) map[string]int {
+	t.Helper()
+	counts := map[string]int{}
+	for _, control := range d.controls {
+		record, err := jsonhttp.Get[schema.RunRecord](jsonhttp.NewClient(control, "", requestLimit), "/runs")
+		assert.NilError(t, err)
+		for _, run := range record.Orders {
+			counts[run.Order]++
+		}
+	}
+
+	return counts
+}
+
+// inject posts a message to a control address.
+func inject(control, path string, message any) bool {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return false
+	}
+	_, err = jsonhttp.NewClient(control, "", requestLimit).Exchange(http.MethodPost, path, body)
+
+	return err == nil
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 500 {
+		if condition() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("the condition did not come to hold in 10 s")
+}
+
+// orderInput is one request for an order, or the reading of the run records.
+type orderInput struct {
+	order   string
+	attempt int
+	witness bool
+}
+
+// orderOutput is what the request heard, or how often the order ran.
+type orderOutput struct {
+	outcome string
+	reason  string
+	ran     int
+}
+
+// orderObject is the state of an at-most-once object.
+type orderObject struct {
+	ran     bool
+	refused int
+}
+
+// orderModel says which outcomes an order may give.
+var orderModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{orderObject{refused: -1}} },
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byOrder := map[string][]porcupine.Operation{}
+		for _, operation := range history {
+			order := operation.Input.(orderInput).order
+			byOrder[order] = append(byOrder[order], operation)
+		}
+		parts := make([][]porcupine.Operation, 0, len(byOrder))
+		for _, part := range byOrder {
+			parts = append(parts, part)
+		}
+
+		return parts
+	},
+	Step: func(state, input, output any) []any {
+		return stepOrder(state.(orderObject), input.(orderInput), output.(orderOutput))
+	},
+}).ToModel()
+
+// stepOrder returns the states that may follow.
+func stepOrder(state orderObject, input orderInput, output orderOutput) []any {
+	if input.witness {
+		if output.ran > 1 || (output.ran == 1) != state.ran {
+			return nil
+		}
+
+		return []any{state}
+	}
+	after := state
+	after.ran = state.ran || input.attempt > state.refused
+	switch output.outcome {
+	case backendhttp.OutcomeAnswered:
+		if !after.ran {
+			return nil
+		}
+
+		return []any{after}
+	case backendhttp.OutcomeNotRun:
+		if state.ran {
+			return nil
+		}
+		state.refused = max(state.refused, input.attempt)
+
+		return []any{state}
+	default:
+		return []any{state, after}
+	}
+}
+
+// customer places one order, concurrently or one request after the other.
+type customer struct {
+	deployment *deployment
+	order      string
+	random     *rand.Rand
+	id         string
+	history    []porcupine.Operation
+}
+
+func newCustomer(d *deployment, at int) *customer {
+	random := rand.New(rand.NewPCG(uint64(at), 9)) //nolint:gosec // the choice of hosts is no secret
+
+	return &customer{deployment: d, order: fmt.Sprintf("order-%d", at), random: random}
+}
+
+// place sends requests for the order until it is answered or given up.
+func (c *customer) place() {
+	switch c.random.IntN(4) {
+	case 0:
+		c.sequence(0)
+	case 1:
+		if c.ask() {
+			c.sequence(0)
+		}
+	case 2:
+		c.crowd()
+	default:
+		if c.ask() {
+			c.crowd()
+		}
+	}
+}
+
+// ask gets an order id; without one the order has a number.
+func (c *customer) ask() bool {
+	answer, err := jsonhttp.Get[schema.AskAnswer](c.client(), "/ask/"+testService)
+	c.id = answer.OrderID
+
+	return err == nil
+}
+
+// sequence sends one request at a time and states how many came before.
+func (c *customer) sequence(first int) {
+	for attempt := first; attempt < first+4; attempt++ {
+		operation := c.send(c.client(), attempt, true)
+		c.history = append(c.history, operation)
+		if operation.Output.(orderOutput).outcome == backendhttp.OutcomeAnswered {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// crowd sends three requests at once and then some in sequence.
+func (c *customer) crowd() {
+	clients := []*jsonhttp.Client{c.client(), c.client(), c.client()}
+	c.history = append(c.history, iter.Map(clients, func(client **jsonhttp.Client) porcupine.Operation {
+		return c.send(*client, 0, false)
+	})...)
+	c.sequence(3)
+}
+
+// client returns a client of one of the hosts.
+func (c *customer) client() *jsonhttp.Client {
+	callers := c.deployment.callers
+
+	return jsonhttp.NewClient(callers[c.random.IntN(len(callers))], "", requestLimit)
+}
+
+// send sends one request and returns what came of it.
+func (c *customer) send(client *jsonhttp.Client, attempt int, stated bool) porcupine.Operation {
+	headers := []jsonhttp.Header{{Name: standin.HeaderOrder, Value: c.order}, {Name: backendhttp.HeaderDeadline, Value: "1000"}}
+	if stated {
+		headers = append(headers, jsonhttp.Header{Name: backendhttp.HeaderOrderAttempt, Value: strconv.Itoa(attempt)})
+	}
+	if c.id == "" {
+		headers = append(headers, jsonhttp.Header{Name: backendhttp.HeaderOrderNumber, Value: "number " + c.order})
+	} else {
+		headers = append(headers, jsonhttp.Header{Name: backendhttp.HeaderOrderID, Value: c.id})
+	}
+	operation := porcupine.Operation{Input: orderInput{order: c.order, attempt: attempt}, Call: time.Now().UnixNano()}
+	_, err := client.Exchange(http.MethodPost, "/order/"+testService+"/place", []byte(c.order), headers...)
+	operation.Output, operation.Return = heard(err), time.Now().UnixNano()
+
+	return operation
+}
+
+// heard returns the outcome that a response states.
+func heard(err error) orderOutput {
+	var status *jsonhttp.StatusError
+	var failure schema.Failure
+	switch {
+	case err == nil:
+		return orderOutput{outcome: backendhttp.OutcomeAnswered}
+	case errors.As(err, &status) && json.Unmarshal(status.Body, &failure) == nil && failure.Outcome != "":
+		return orderOutput{outcome: failure.Outcome, reason: failure.Reason}
+	default:
+		return orderOutput{outcome: backendhttp.OutcomeUnknown, reason: "transport"}
+	}
+}
+
+// disturb injects faults until the context ends.
+func (d *deployment) disturb(ctx context.Context, random *rand.Rand) {
+	kinds := []string{"cut", "shed", "cut", "late"}
+	for at := 0; ctx.Err() == nil; at++ {
+		fault := schema.BackendFault{Kind: kinds[at%len(kinds)], ForMs: 200, Value: 1200}
+		for server, control := range d.controls {
+			if fault.Kind == "shed" || server%len(kinds) == at%len(kinds) {
+				inject(control, "/fault", fault)
+			}
+		}
+		inject(d.control, "/fault", schema.PlatformFault{
+			Kind: []string{"outage", "lost_reply", "slow"}[random.IntN(3)], ForMs: 100 * (random.IntN(10) / 9), DelayMs: 350,
+		})
+		time.Sleep(150 * time.Millisecond)
+	}
+}
+
+func TestOrdersAreAtMostOnceObjects(t *testing.T) {
+	d := deploy(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var disturbing conc.WaitGroup
+	restarts := 0
+	disturbing.Go(func() { d.disturb(ctx, rand.New(rand.NewPCG(5, 5))) }) //nolint:gosec // the choice of faults is no secret
+	disturbing.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(300 * time.Millisecond)
+			d.restart(t, restarts%3)
+			restarts++
+		}
+	})
+	customers := make([]*customer, testOrders)
+	for i := range customers {
+		customers[i] = newCustomer(d, i)
+	}
+	iter.Iterator[*customer]{MaxGoroutines: 12}.ForEach(customers, func(c **customer) { (*c).place() })
+	cancel()
+	disturbing.Wait()
+	time.Sleep(requestLimit) // no run starts after its deadline
+
+	history := d.history(t, customers)
+	t.Logf("%d restarts", restarts)
+	result, info := porcupine.CheckOperationsVerbose(orderModel, history, 30*time.Second)
+	if result != porcupine.Ok {
+		t.Logf("%+v", info.PartialLinearizationsOperations())
+		for _, operation := range history {
+			t.Logf("%+v", operation)
+		}
+	}
+	assert.Equal(t, result, porcupine.Ok)
+}
+
+// history joins the customers' histories and the evidence of the backend
+// servers. A request with an unknown outcome may take effect until that is read.
+func (d *deployment) history(t *testing.T, customers []*customer) []porcupine.Operation {
+	t.Helper()
+	var history []porcupine.Operation
+	counts := map[orderOutput]int{}
+	runs, read := d.runs(t), time.Now().UnixNano()
+	for i, customer := range customers {
+		for _, operation := range customer.history {
+			output := operation.Output.(orderOutput)
+			counts[output]++
+			if output.outcome == backendhttp.OutcomeUnknown {
+				operation.Return = read - 1
+			}
+			operation.ClientId = i
+			history = append(history, operation)
+		}
+		history = append(history, porcupine.Operation{
+			ClientId: i, Input: orderInput{order: customer.order, witness: true},
+			Output: orderOutput{ran: runs[customer.order]}, Call: read, Return: read + 1,
+		})
+	}
+	t.Logf("outcomes: %+v", counts)
+	assert.Assert(t, len(counts) > 1)
+
+	return history
+}
