--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -858,6 +858,134 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *CallInterval) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "calls":
+			z.Calls, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "from_ms":
+			z.FromMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "FromMs")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z CallInterval) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "calls"
+	err = en.Append(0x82, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	// write "from_ms"
+	err = en.Append(0xa7, 0x66, 0x72, 0x6f, 0x6d, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.FromMs)
+	if err != nil {
+		err = msgp.WrapError(err, "FromMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z CallInterval) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "calls"
+	o = append(o, 0x82, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	o = msgp.AppendInt(o, z.Calls)
+	// string "from_ms"
+	o = append(o, 0xa7, 0x66, 0x72, 0x6f, 0x6d, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.FromMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CallInterval) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "calls":
+			z.Calls, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "from_ms":
+			z.FromMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FromMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CallInterval) Msgsize() (s int) {
+	s = 1 + 6 + msgp.IntSize + 8 + msgp.IntSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *CellDump) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -4673,7 +4801,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *LoadPhase) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4690,22 +4818,34 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "in_flight":
-			z.InFlight, err = dc.ReadInt()
+		case "answered":
+			z.Answered, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "InFlight")
+				err = msgp.WrapError(err, "Answered")
 				return
 			}
-		case "leaving":
-			z.Leaving, err = dc.ReadBool()
+		case "latency":
+			err = z.Latency.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
+				err = msgp.WrapError(err, "Latency")
 				return
 			}
-		case "slots":
-			z.Slots, err = dc.ReadInt()
+		case "not_run":
+			z.NotRun, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Slots")
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "phase":
+			z.Phase, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Phase")
+				return
+			}
+		case "unknown":
+			z.Unknown, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
 				return
 			}
 		default:
@@ -4720,59 +4860,89 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "in_flight"
-	err = en.Append(0x83, 0xa9, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
+func (z *LoadPhase) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "answered"
+	err = en.Append(0x85, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.InFlight)
+	err = en.WriteInt(z.Answered)
 	if err != nil {
-		err = msgp.WrapError(err, "InFlight")
+		err = msgp.WrapError(err, "Answered")
 		return
 	}
-	// write "leaving"
-	err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+	// write "latency"
+	err = en.Append(0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Leaving)
+	err = z.Latency.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
+		err = msgp.WrapError(err, "Latency")
 		return
 	}
-	// write "slots"
-	err = en.Append(0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+	// write "not_run"
+	err = en.Append(0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Slots)
+	err = en.WriteInt(z.NotRun)
 	if err != nil {
-		err = msgp.WrapError(err, "Slots")
+		err = msgp.WrapError(err, "NotRun")
+		return
+	}
+	// write "phase"
+	err = en.Append(0xa5, 0x70, 0x68, 0x61, 0x73, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Phase)
+	if err != nil {
+		err = msgp.WrapError(err, "Phase")
+		return
+	}
+	// write "unknown"
+	err = en.Append(0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Unknown)
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *LoadPhase) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "in_flight"
-	o = append(o, 0x83, 0xa9, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
-	o = msgp.AppendInt(o, z.InFlight)
-	// string "leaving"
-	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
-	o = msgp.AppendBool(o, z.Leaving)
-	// string "slots"
-	o = append(o, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
-	o = msgp.AppendInt(o, z.Slots)
+	// map header, size 5
+	// string "answered"
+	o = append(o, 0x85, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Answered)
+	// string "latency"
+	o = append(o, 0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
+	o, err = z.Latency.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Latency")
+		return
+	}
+	// string "not_run"
+	o = append(o, 0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	o = msgp.AppendInt(o, z.NotRun)
+	// string "phase"
+	o = append(o, 0xa5, 0x70, 0x68, 0x61, 0x73, 0x65)
+	o = msgp.AppendString(o, z.Phase)
+	// string "unknown"
+	o = append(o, 0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendInt(o, z.Unknown)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *LoadReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *LoadPhase) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4789,22 +4959,34 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "in_flight":
-			z.InFlight, bts, err = msgp.ReadIntBytes(bts)
+		case "answered":
+			z.Answered, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "InFlight")
+				err = msgp.WrapError(err, "Answered")
 				return
 			}
-		case "leaving":
-			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+		case "latency":
+			bts, err = z.Latency.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
+				err = msgp.WrapError(err, "Latency")
 				return
 			}
-		case "slots":
-			z.Slots, bts, err = msgp.ReadIntBytes(bts)
+		case "not_run":
+			z.NotRun, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Slots")
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "phase":
+			z.Phase, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Phase")
+				return
+			}
+		case "unknown":
+			z.Unknown, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
 				return
 			}
 		default:
@@ -4820,13 +5002,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z LoadReport) Msgsize() (s int) {
-	s = 1 + 10 + msgp.IntSize + 8 + msgp.BoolSize + 6 + msgp.IntSize
+func (z *LoadPhase) Msgsize() (s int) {
+	s = 1 + 9 + msgp.IntSize + 8 + z.Latency.Msgsize() + 8 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Phase) + 8 + msgp.IntSize
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *LoadReportService) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4843,26 +5025,185 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "answered":
-			z.Answered, err = dc.ReadInt()
+		case "in_flight":
+			z.InFlight, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Answered")
+				err = msgp.WrapError(err, "InFlight")
 				return
 			}
-		case "latency":
-			err = z.Latency.DecodeMsg(dc)
+		case "leaving":
+			z.Leaving, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Latency")
+				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-		case "misdirected":
-			z.Misdirected, err = dc.ReadInt()
+		case "slots":
+			z.Slots, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Misdirected")
+				err = msgp.WrapError(err, "Slots")
 				return
 			}
-		case "not_run":
-			z.NotRun, err = dc.ReadInt()
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "in_flight"
+	err = en.Append(0x83, 0xa9, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.InFlight)
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	// write "leaving"
+	err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Leaving)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	// write "slots"
+	err = en.Append(0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Slots)
+	if err != nil {
+		err = msgp.WrapError(err, "Slots")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "in_flight"
+	o = append(o, 0x83, 0xa9, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
+	o = msgp.AppendInt(o, z.InFlight)
+	// string "leaving"
+	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+	o = msgp.AppendBool(o, z.Leaving)
+	// string "slots"
+	o = append(o, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+	o = msgp.AppendInt(o, z.Slots)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "in_flight":
+			z.InFlight, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "InFlight")
+				return
+			}
+		case "leaving":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "slots":
+			z.Slots, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slots")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z LoadReport) Msgsize() (s int) {
+	s = 1 + 10 + msgp.IntSize + 8 + msgp.BoolSize + 6 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LoadReportService) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answered":
+			z.Answered, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Answered")
+				return
+			}
+		case "failed":
+			z.Failed, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
+		case "latency":
+			err = z.Latency.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Latency")
+				return
+			}
+		case "misdirected":
+			z.Misdirected, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Misdirected")
+				return
+			}
+		case "not_run":
+			z.NotRun, err = dc.ReadInt()
 			if err != nil {
 				err = msgp.WrapError(err, "NotRun")
 				return
@@ -4898,9 +5239,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *LoadReportService) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 8
 	// write "answered"
-	err = en.Append(0x87, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	err = en.Append(0x88, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
 	if err != nil {
 		return
 	}
@@ -4909,6 +5250,16 @@
 		err = msgp.WrapError(err, "Answered")
 		return
 	}
+	// write "failed"
+	err = en.Append(0xa6, 0x66, 0x61, 0x69, 0x6c, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Failed)
+	if err != nil {
+		err = msgp.WrapError(err, "Failed")
+		return
+	}
 	// write "latency"
 	err = en.Append(0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
 	if err != nil {
@@ -4975,10 +5326,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LoadReportService) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "answered"
-	o = append(o, 0x87, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = append(o, 0x88, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
 	o = msgp.AppendInt(o, z.Answered)
+	// string "failed"
+	o = append(o, 0xa6, 0x66, 0x61, 0x69, 0x6c, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Failed)
 	// string "latency"
 	o = append(o, 0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
 	o, err = z.Latency.MarshalMsg(o)
@@ -5028,6 +5382,12 @@
 				err = msgp.WrapError(err, "Answered")
 				return
 			}
+		case "failed":
+			z.Failed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
 		case "latency":
 			bts, err = z.Latency.UnmarshalMsg(bts)
 			if err != nil {
@@ -5078,7 +5438,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LoadReportService) Msgsize() (s int) {
-	s = 1 + 9 + msgp.IntSize + 8 + z.Latency.Msgsize() + 12 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.IntSize
+	s = 1 + 9 + msgp.IntSize + 7 + msgp.IntSize + 8 + z.Latency.Msgsize() + 12 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.IntSize
 	return
 }
 
@@ -5112,41 +5472,79 @@
 				err = msgp.WrapError(err, "LateStarts")
 				return
 			}
-		case "orders_not_run":
+		case "orders_answered":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "OrdersNotRun")
+				err = msgp.WrapError(err, "OrdersAnswered")
 				return
 			}
-			if cap(z.OrdersNotRun) >= int(zb0002) {
-				z.OrdersNotRun = (z.OrdersNotRun)[:zb0002]
+			if cap(z.OrdersAnswered) >= int(zb0002) {
+				z.OrdersAnswered = (z.OrdersAnswered)[:zb0002]
 			} else {
-				z.OrdersNotRun = make([]string, zb0002)
+				z.OrdersAnswered = make([]string, zb0002)
 			}
-			for za0001 := range z.OrdersNotRun {
-				z.OrdersNotRun[za0001], err = dc.ReadString()
+			for za0001 := range z.OrdersAnswered {
+				z.OrdersAnswered[za0001], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "OrdersNotRun", za0001)
+					err = msgp.WrapError(err, "OrdersAnswered", za0001)
 					return
 				}
 			}
-		case "orders_unknown":
+		case "orders_not_run":
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersNotRun")
+				return
+			}
+			if cap(z.OrdersNotRun) >= int(zb0003) {
+				z.OrdersNotRun = (z.OrdersNotRun)[:zb0003]
+			} else {
+				z.OrdersNotRun = make([]string, zb0003)
+			}
+			for za0002 := range z.OrdersNotRun {
+				z.OrdersNotRun[za0002], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "OrdersNotRun", za0002)
+					return
+				}
+			}
+		case "orders_unknown":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "OrdersUnknown")
 				return
 			}
-			if cap(z.OrdersUnknown) >= int(zb0003) {
-				z.OrdersUnknown = (z.OrdersUnknown)[:zb0003]
+			if cap(z.OrdersUnknown) >= int(zb0004) {
+				z.OrdersUnknown = (z.OrdersUnknown)[:zb0004]
+			} else {
+				z.OrdersUnknown = make([]string, zb0004)
+			}
+			for za0003 := range z.OrdersUnknown {
+				z.OrdersUnknown[za0003], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "OrdersUnknown", za0003)
+					return
+				}
+			}
+		case "phases":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Phases")
+				return
+			}
+			if cap(z.Phases) >= int(zb0005) {
+				z.Phases = (z.Phases)[:zb0005]
 			} else {
-				z.OrdersUnknown = make([]string, zb0003)
+				z.Phases = make([]LoadPhase, zb0005)
 			}
-			for za0002 := range z.OrdersUnknown {
-				z.OrdersUnknown[za0002], err = dc.ReadString()
+			for za0004 := range z.Phases {
+				err = z.Phases[za0004].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "OrdersUnknown", za0002)
+					err = msgp.WrapError(err, "Phases", za0004)
 					return
 				}
 			}
@@ -5163,21 +5561,21 @@
 				return
 			}
 		case "services":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Services")
 				return
 			}
-			if cap(z.Services) >= int(zb0004) {
-				z.Services = (z.Services)[:zb0004]
+			if cap(z.Services) >= int(zb0006) {
+				z.Services = (z.Services)[:zb0006]
 			} else {
-				z.Services = make([]LoadReportService, zb0004)
+				z.Services = make([]LoadReportService, zb0006)
 			}
-			for za0003 := range z.Services {
-				err = z.Services[za0003].DecodeMsg(dc)
+			for za0005 := range z.Services {
+				err = z.Services[za0005].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Services", za0003)
+					err = msgp.WrapError(err, "Services", za0005)
 					return
 				}
 			}
@@ -5200,9 +5598,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *LoadRun) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
+	// map header, size 10
 	// write "duration_ms"
-	err = en.Append(0x88, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
+	err = en.Append(0x8a, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
 	if err != nil {
 		return
 	}
@@ -5221,6 +5619,23 @@
 		err = msgp.WrapError(err, "LateStarts")
 		return
 	}
+	// write "orders_answered"
+	err = en.Append(0xaf, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.OrdersAnswered)))
+	if err != nil {
+		err = msgp.WrapError(err, "OrdersAnswered")
+		return
+	}
+	for za0001 := range z.OrdersAnswered {
+		err = en.WriteString(z.OrdersAnswered[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "OrdersAnswered", za0001)
+			return
+		}
+	}
 	// write "orders_not_run"
 	err = en.Append(0xae, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
 	if err != nil {
@@ -5231,10 +5646,10 @@
 		err = msgp.WrapError(err, "OrdersNotRun")
 		return
 	}
-	for za0001 := range z.OrdersNotRun {
-		err = en.WriteString(z.OrdersNotRun[za0001])
+	for za0002 := range z.OrdersNotRun {
+		err = en.WriteString(z.OrdersNotRun[za0002])
 		if err != nil {
-			err = msgp.WrapError(err, "OrdersNotRun", za0001)
+			err = msgp.WrapError(err, "OrdersNotRun", za0002)
 			return
 		}
 	}
@@ -5248,10 +5663,27 @@
 		err = msgp.WrapError(err, "OrdersUnknown")
 		return
 	}
-	for za0002 := range z.OrdersUnknown {
-		err = en.WriteString(z.OrdersUnknown[za0002])
+	for za0003 := range z.OrdersUnknown {
+		err = en.WriteString(z.OrdersUnknown[za0003])
+		if err != nil {
+			err = msgp.WrapError(err, "OrdersUnknown", za0003)
+			return
+		}
+	}
+	// write "phases"
+	err = en.Append(0xa6, 0x70, 0x68, 0x61, 0x73, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Phases)))
+	if err != nil {
+		err = msgp.WrapError(err, "Phases")
+		return
+	}
+	for za0004 := range z.Phases {
+		err = z.Phases[za0004].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "OrdersUnknown", za0002)
+			err = msgp.WrapError(err, "Phases", za0004)
 			return
 		}
 	}
@@ -5285,10 +5717,10 @@
 		err = msgp.WrapError(err, "Services")
 		return
 	}
-	for za0003 := range z.Services {
-		err = z.Services[za0003].EncodeMsg(en)
+	for za0005 := range z.Services {
+		err = z.Services[za0005].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0003)
+			err = msgp.WrapError(err, "Services", za0005)
 			return
 		}
 	}
@@ -5308,24 +5740,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LoadRun) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 10
 	// string "duration_ms"
-	o = append(o, 0x88, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
+	o = append(o, 0x8a, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt(o, z.DurationMs)
 	// string "late_starts"
 	o = append(o, 0xab, 0x6c, 0x61, 0x74, 0x65, 0x5f, 0x73, 0x74, 0x61, 0x72, 0x74, 0x73)
 	o = msgp.AppendInt(o, z.LateStarts)
+	// string "orders_answered"
+	o = append(o, 0xaf, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.OrdersAnswered)))
+	for za0001 := range z.OrdersAnswered {
+		o = msgp.AppendString(o, z.OrdersAnswered[za0001])
+	}
 	// string "orders_not_run"
 	o = append(o, 0xae, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.OrdersNotRun)))
-	for za0001 := range z.OrdersNotRun {
-		o = msgp.AppendString(o, z.OrdersNotRun[za0001])
+	for za0002 := range z.OrdersNotRun {
+		o = msgp.AppendString(o, z.OrdersNotRun[za0002])
 	}
 	// string "orders_unknown"
 	o = append(o, 0xae, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.OrdersUnknown)))
-	for za0002 := range z.OrdersUnknown {
-		o = msgp.AppendString(o, z.OrdersUnknown[za0002])
+	for za0003 := range z.OrdersUnknown {
+		o = msgp.AppendString(o, z.OrdersUnknown[za0003])
+	}
+	// string "phases"
+	o = append(o, 0xa6, 0x70, 0x68, 0x61, 0x73, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Phases)))
+	for za0004 := range z.Phases {
+		o, err = z.Phases[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Phases", za0004)
+			return
+		}
 	}
 	// string "rate"
 	o = append(o, 0xa4, 0x72, 0x61, 0x74, 0x65)
@@ -5336,10 +5784,10 @@
 	// string "services"
 	o = append(o, 0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
-	for za0003 := range z.Services {
-		o, err = z.Services[za0003].MarshalMsg(o)
+	for za0005 := range z.Services {
+		o, err = z.Services[za0005].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0003)
+			err = msgp.WrapError(err, "Services", za0005)
 			return
 		}
 	}
@@ -5379,77 +5827,115 @@
 				err = msgp.WrapError(err, "LateStarts")
 				return
 			}
-		case "orders_not_run":
+		case "orders_answered":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "OrdersNotRun")
+				err = msgp.WrapError(err, "OrdersAnswered")
 				return
 			}
-			if cap(z.OrdersNotRun) >= int(zb0002) {
-				z.OrdersNotRun = (z.OrdersNotRun)[:zb0002]
+			if cap(z.OrdersAnswered) >= int(zb0002) {
+				z.OrdersAnswered = (z.OrdersAnswered)[:zb0002]
 			} else {
-				z.OrdersNotRun = make([]string, zb0002)
+				z.OrdersAnswered = make([]string, zb0002)
 			}
-			for za0001 := range z.OrdersNotRun {
-				z.OrdersNotRun[za0001], bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.OrdersAnswered {
+				z.OrdersAnswered[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "OrdersNotRun", za0001)
+					err = msgp.WrapError(err, "OrdersAnswered", za0001)
 					return
 				}
 			}
-		case "orders_unknown":
+		case "orders_not_run":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "OrdersUnknown")
+				err = msgp.WrapError(err, "OrdersNotRun")
 				return
 			}
-			if cap(z.OrdersUnknown) >= int(zb0003) {
-				z.OrdersUnknown = (z.OrdersUnknown)[:zb0003]
+			if cap(z.OrdersNotRun) >= int(zb0003) {
+				z.OrdersNotRun = (z.OrdersNotRun)[:zb0003]
 			} else {
-				z.OrdersUnknown = make([]string, zb0003)
+				z.OrdersNotRun = make([]string, zb0003)
 			}
-			for za0002 := range z.OrdersUnknown {
-				z.OrdersUnknown[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0002 := range z.OrdersNotRun {
+				z.OrdersNotRun[za0002], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "OrdersUnknown", za0002)
+					err = msgp.WrapError(err, "OrdersNotRun", za0002)
 					return
 				}
 			}
-		case "rate":
-			z.Rate, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Rate")
-				return
-			}
-		case "seed":
-			z.Seed, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Seed")
-				return
-			}
-		case "services":
+		case "orders_unknown":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Services")
+				err = msgp.WrapError(err, "OrdersUnknown")
 				return
 			}
-			if cap(z.Services) >= int(zb0004) {
-				z.Services = (z.Services)[:zb0004]
+			if cap(z.OrdersUnknown) >= int(zb0004) {
+				z.OrdersUnknown = (z.OrdersUnknown)[:zb0004]
 			} else {
-				z.Services = make([]LoadReportService, zb0004)
+				z.OrdersUnknown = make([]string, zb0004)
 			}
-			for za0003 := range z.Services {
-				bts, err = z.Services[za0003].UnmarshalMsg(bts)
+			for za0003 := range z.OrdersUnknown {
+				z.OrdersUnknown[za0003], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Services", za0003)
+					err = msgp.WrapError(err, "OrdersUnknown", za0003)
 					return
 				}
 			}
-		case "started":
-			z.Started, bts, err = msgp.ReadIntBytes(bts)
+		case "phases":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Phases")
+				return
+			}
+			if cap(z.Phases) >= int(zb0005) {
+				z.Phases = (z.Phases)[:zb0005]
+			} else {
+				z.Phases = make([]LoadPhase, zb0005)
+			}
+			for za0004 := range z.Phases {
+				bts, err = z.Phases[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Phases", za0004)
+					return
+				}
+			}
+		case "rate":
+			z.Rate, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rate")
+				return
+			}
+		case "seed":
+			z.Seed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Seed")
+				return
+			}
+		case "services":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Services")
+				return
+			}
+			if cap(z.Services) >= int(zb0006) {
+				z.Services = (z.Services)[:zb0006]
+			} else {
+				z.Services = make([]LoadReportService, zb0006)
+			}
+			for za0005 := range z.Services {
+				bts, err = z.Services[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Services", za0005)
+					return
+				}
+			}
+		case "started":
+			z.Started, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Started")
 				return
@@ -5468,17 +5954,25 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LoadRun) Msgsize() (s int) {
-	s = 1 + 12 + msgp.IntSize + 12 + msgp.IntSize + 15 + msgp.ArrayHeaderSize
-	for za0001 := range z.OrdersNotRun {
-		s += msgp.StringPrefixSize + len(z.OrdersNotRun[za0001])
+	s = 1 + 12 + msgp.IntSize + 12 + msgp.IntSize + 16 + msgp.ArrayHeaderSize
+	for za0001 := range z.OrdersAnswered {
+		s += msgp.StringPrefixSize + len(z.OrdersAnswered[za0001])
 	}
 	s += 15 + msgp.ArrayHeaderSize
-	for za0002 := range z.OrdersUnknown {
-		s += msgp.StringPrefixSize + len(z.OrdersUnknown[za0002])
+	for za0002 := range z.OrdersNotRun {
+		s += msgp.StringPrefixSize + len(z.OrdersNotRun[za0002])
+	}
+	s += 15 + msgp.ArrayHeaderSize
+	for za0003 := range z.OrdersUnknown {
+		s += msgp.StringPrefixSize + len(z.OrdersUnknown[za0003])
+	}
+	s += 7 + msgp.ArrayHeaderSize
+	for za0004 := range z.Phases {
+		s += z.Phases[za0004].Msgsize()
 	}
 	s += 5 + msgp.IntSize + 5 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
-	for za0003 := range z.Services {
-		s += z.Services[za0003].Msgsize()
+	for za0005 := range z.Services {
+		s += z.Services[za0005].Msgsize()
 	}
 	s += 8 + msgp.IntSize
 	return
@@ -6465,12 +6959,96 @@
 				err = msgp.WrapError(err, "Calls")
 				return
 			}
+		case "cancelled":
+			z.Cancelled, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Cancelled")
+				return
+			}
+		case "connections_refused":
+			z.ConnectionsRefused, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "ConnectionsRefused")
+				return
+			}
+		case "expired":
+			z.Expired, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Expired")
+				return
+			}
+		case "fell_over":
+			z.FellOver, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "FellOver")
+				return
+			}
+		case "in_flight":
+			z.InFlight, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "InFlight")
+				return
+			}
+		case "intervals":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Intervals")
+				return
+			}
+			if cap(z.Intervals) >= int(zb0002) {
+				z.Intervals = (z.Intervals)[:zb0002]
+			} else {
+				z.Intervals = make([]CallInterval, zb0002)
+			}
+			for za0001 := range z.Intervals {
+				var zb0003 uint32
+				zb0003, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Intervals", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Intervals", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "calls":
+						z.Intervals[za0001].Calls, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Intervals", za0001, "Calls")
+							return
+						}
+					case "from_ms":
+						z.Intervals[za0001].FromMs, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Intervals", za0001, "FromMs")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Intervals", za0001)
+							return
+						}
+					}
+				}
+			}
 		case "last_call_at_ms":
 			z.LastCallAtMs, err = dc.ReadInt()
 			if err != nil {
 				err = msgp.WrapError(err, "LastCallAtMs")
 				return
 			}
+		case "most_connections":
+			z.MostConnections, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "MostConnections")
+				return
+			}
 		case "most_in_flight":
 			z.MostInFlight, err = dc.ReadInt()
 			if err != nil {
@@ -6478,54 +7056,54 @@
 				return
 			}
 		case "orders":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Orders")
 				return
 			}
-			if cap(z.Orders) >= int(zb0002) {
-				z.Orders = (z.Orders)[:zb0002]
+			if cap(z.Orders) >= int(zb0004) {
+				z.Orders = (z.Orders)[:zb0004]
 			} else {
-				z.Orders = make([]Run, zb0002)
+				z.Orders = make([]Run, zb0004)
 			}
-			for za0001 := range z.Orders {
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
+			for za0002 := range z.Orders {
+				var zb0005 uint32
+				zb0005, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Orders", za0001)
+					err = msgp.WrapError(err, "Orders", za0002)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+				for zb0005 > 0 {
+					zb0005--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "Orders", za0001)
+						err = msgp.WrapError(err, "Orders", za0002)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "at_ms":
-						z.Orders[za0001].AtMs, err = dc.ReadInt()
+						z.Orders[za0002].AtMs, err = dc.ReadInt()
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001, "AtMs")
+							err = msgp.WrapError(err, "Orders", za0002, "AtMs")
 							return
 						}
 					case "order":
-						z.Orders[za0001].Order, err = dc.ReadString()
+						z.Orders[za0002].Order, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001, "Order")
+							err = msgp.WrapError(err, "Orders", za0002, "Order")
 							return
 						}
 					case "path":
-						z.Orders[za0001].Path, err = dc.ReadString()
+						z.Orders[za0002].Path, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001, "Path")
+							err = msgp.WrapError(err, "Orders", za0002, "Path")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001)
+							err = msgp.WrapError(err, "Orders", za0002)
 							return
 						}
 					}
@@ -6556,9 +7134,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *RunRecord) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 14
 	// write "address"
-	err = en.Append(0x87, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	err = en.Append(0x8e, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	if err != nil {
 		return
 	}
@@ -6577,6 +7155,89 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	// write "cancelled"
+	err = en.Append(0xa9, 0x63, 0x61, 0x6e, 0x63, 0x65, 0x6c, 0x6c, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Cancelled)
+	if err != nil {
+		err = msgp.WrapError(err, "Cancelled")
+		return
+	}
+	// write "connections_refused"
+	err = en.Append(0xb3, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x72, 0x65, 0x66, 0x75, 0x73, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.ConnectionsRefused)
+	if err != nil {
+		err = msgp.WrapError(err, "ConnectionsRefused")
+		return
+	}
+	// write "expired"
+	err = en.Append(0xa7, 0x65, 0x78, 0x70, 0x69, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Expired)
+	if err != nil {
+		err = msgp.WrapError(err, "Expired")
+		return
+	}
+	// write "fell_over"
+	err = en.Append(0xa9, 0x66, 0x65, 0x6c, 0x6c, 0x5f, 0x6f, 0x76, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.FellOver)
+	if err != nil {
+		err = msgp.WrapError(err, "FellOver")
+		return
+	}
+	// write "in_flight"
+	err = en.Append(0xa9, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.InFlight)
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	// write "intervals"
+	err = en.Append(0xa9, 0x69, 0x6e, 0x74, 0x65, 0x72, 0x76, 0x61, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Intervals)))
+	if err != nil {
+		err = msgp.WrapError(err, "Intervals")
+		return
+	}
+	for za0001 := range z.Intervals {
+		// map header, size 2
+		// write "calls"
+		err = en.Append(0x82, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Intervals[za0001].Calls)
+		if err != nil {
+			err = msgp.WrapError(err, "Intervals", za0001, "Calls")
+			return
+		}
+		// write "from_ms"
+		err = en.Append(0xa7, 0x66, 0x72, 0x6f, 0x6d, 0x5f, 0x6d, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Intervals[za0001].FromMs)
+		if err != nil {
+			err = msgp.WrapError(err, "Intervals", za0001, "FromMs")
+			return
+		}
+	}
 	// write "last_call_at_ms"
 	err = en.Append(0xaf, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x5f, 0x61, 0x74, 0x5f, 0x6d, 0x73)
 	if err != nil {
@@ -6587,6 +7248,16 @@
 		err = msgp.WrapError(err, "LastCallAtMs")
 		return
 	}
+	// write "most_connections"
+	err = en.Append(0xb0, 0x6d, 0x6f, 0x73, 0x74, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.MostConnections)
+	if err != nil {
+		err = msgp.WrapError(err, "MostConnections")
+		return
+	}
 	// write "most_in_flight"
 	err = en.Append(0xae, 0x6d, 0x6f, 0x73, 0x74, 0x5f, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
 	if err != nil {
@@ -6607,16 +7278,16 @@
 		err = msgp.WrapError(err, "Orders")
 		return
 	}
-	for za0001 := range z.Orders {
+	for za0002 := range z.Orders {
 		// map header, size 3
 		// write "at_ms"
 		err = en.Append(0x83, 0xa5, 0x61, 0x74, 0x5f, 0x6d, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteInt(z.Orders[za0001].AtMs)
+		err = en.WriteInt(z.Orders[za0002].AtMs)
 		if err != nil {
-			err = msgp.WrapError(err, "Orders", za0001, "AtMs")
+			err = msgp.WrapError(err, "Orders", za0002, "AtMs")
 			return
 		}
 		// write "order"
@@ -6624,9 +7295,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Orders[za0001].Order)
+		err = en.WriteString(z.Orders[za0002].Order)
 		if err != nil {
-			err = msgp.WrapError(err, "Orders", za0001, "Order")
+			err = msgp.WrapError(err, "Orders", za0002, "Order")
 			return
 		}
 		// write "path"
@@ -6634,9 +7305,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Orders[za0001].Path)
+		err = en.WriteString(z.Orders[za0002].Path)
 		if err != nil {
-			err = msgp.WrapError(err, "Orders", za0001, "Path")
+			err = msgp.WrapError(err, "Orders", za0002, "Path")
 			return
 		}
 	}
@@ -6666,33 +7337,63 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 14
 	// string "address"
-	o = append(o, 0x87, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = append(o, 0x8e, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.Address)
 	// string "calls"
 	o = append(o, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
 	o = msgp.AppendInt(o, z.Calls)
+	// string "cancelled"
+	o = append(o, 0xa9, 0x63, 0x61, 0x6e, 0x63, 0x65, 0x6c, 0x6c, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Cancelled)
+	// string "connections_refused"
+	o = append(o, 0xb3, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x72, 0x65, 0x66, 0x75, 0x73, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.ConnectionsRefused)
+	// string "expired"
+	o = append(o, 0xa7, 0x65, 0x78, 0x70, 0x69, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Expired)
+	// string "fell_over"
+	o = append(o, 0xa9, 0x66, 0x65, 0x6c, 0x6c, 0x5f, 0x6f, 0x76, 0x65, 0x72)
+	o = msgp.AppendInt(o, z.FellOver)
+	// string "in_flight"
+	o = append(o, 0xa9, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
+	o = msgp.AppendInt(o, z.InFlight)
+	// string "intervals"
+	o = append(o, 0xa9, 0x69, 0x6e, 0x74, 0x65, 0x72, 0x76, 0x61, 0x6c, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Intervals)))
+	for za0001 := range z.Intervals {
+		// map header, size 2
+		// string "calls"
+		o = append(o, 0x82, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+		o = msgp.AppendInt(o, z.Intervals[za0001].Calls)
+		// string "from_ms"
+		o = append(o, 0xa7, 0x66, 0x72, 0x6f, 0x6d, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt(o, z.Intervals[za0001].FromMs)
+	}
 	// string "last_call_at_ms"
 	o = append(o, 0xaf, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x5f, 0x61, 0x74, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt(o, z.LastCallAtMs)
+	// string "most_connections"
+	o = append(o, 0xb0, 0x6d, 0x6f, 0x73, 0x74, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.MostConnections)
 	// string "most_in_flight"
 	o = append(o, 0xae, 0x6d, 0x6f, 0x73, 0x74, 0x5f, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
 	o = msgp.AppendInt(o, z.MostInFlight)
 	// string "orders"
 	o = append(o, 0xa6, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Orders)))
-	for za0001 := range z.Orders {
+	for za0002 := range z.Orders {
 		// map header, size 3
 		// string "at_ms"
 		o = append(o, 0x83, 0xa5, 0x61, 0x74, 0x5f, 0x6d, 0x73)
-		o = msgp.AppendInt(o, z.Orders[za0001].AtMs)
+		o = msgp.AppendInt(o, z.Orders[za0002].AtMs)
 		// string "order"
 		o = append(o, 0xa5, 0x6f, 0x72, 0x64, 0x65, 0x72)
-		o = msgp.AppendString(o, z.Orders[za0001].Order)
+		o = msgp.AppendString(o, z.Orders[za0002].Order)
 		// string "path"
 		o = append(o, 0xa4, 0x70, 0x61, 0x74, 0x68)
-		o = msgp.AppendString(o, z.Orders[za0001].Path)
+		o = msgp.AppendString(o, z.Orders[za0002].Path)
 	}
 	// string "probes"
 	o = append(o, 0xa6, 0x70, 0x72, 0x6f, 0x62, 0x65, 0x73)
@@ -6733,12 +7434,96 @@
 				err = msgp.WrapError(err, "Calls")
 				return
 			}
+		case "cancelled":
+			z.Cancelled, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cancelled")
+				return
+			}
+		case "connections_refused":
+			z.ConnectionsRefused, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConnectionsRefused")
+				return
+			}
+		case "expired":
+			z.Expired, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Expired")
+				return
+			}
+		case "fell_over":
+			z.FellOver, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FellOver")
+				return
+			}
+		case "in_flight":
+			z.InFlight, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "InFlight")
+				return
+			}
+		case "intervals":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Intervals")
+				return
+			}
+			if cap(z.Intervals) >= int(zb0002) {
+				z.Intervals = (z.Intervals)[:zb0002]
+			} else {
+				z.Intervals = make([]CallInterval, zb0002)
+			}
+			for za0001 := range z.Intervals {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Intervals", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Intervals", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "calls":
+						z.Intervals[za0001].Calls, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Intervals", za0001, "Calls")
+							return
+						}
+					case "from_ms":
+						z.Intervals[za0001].FromMs, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Intervals", za0001, "FromMs")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Intervals", za0001)
+							return
+						}
+					}
+				}
+			}
 		case "last_call_at_ms":
 			z.LastCallAtMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "LastCallAtMs")
 				return
 			}
+		case "most_connections":
+			z.MostConnections, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MostConnections")
+				return
+			}
 		case "most_in_flight":
 			z.MostInFlight, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -6746,54 +7531,54 @@
 				return
 			}
 		case "orders":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Orders")
 				return
 			}
-			if cap(z.Orders) >= int(zb0002) {
-				z.Orders = (z.Orders)[:zb0002]
+			if cap(z.Orders) >= int(zb0004) {
+				z.Orders = (z.Orders)[:zb0004]
 			} else {
-				z.Orders = make([]Run, zb0002)
+				z.Orders = make([]Run, zb0004)
 			}
-			for za0001 := range z.Orders {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0002 := range z.Orders {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Orders", za0001)
+					err = msgp.WrapError(err, "Orders", za0002)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Orders", za0001)
+						err = msgp.WrapError(err, "Orders", za0002)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "at_ms":
-						z.Orders[za0001].AtMs, bts, err = msgp.ReadIntBytes(bts)
+						z.Orders[za0002].AtMs, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001, "AtMs")
+							err = msgp.WrapError(err, "Orders", za0002, "AtMs")
 							return
 						}
 					case "order":
-						z.Orders[za0001].Order, bts, err = msgp.ReadStringBytes(bts)
+						z.Orders[za0002].Order, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001, "Order")
+							err = msgp.WrapError(err, "Orders", za0002, "Order")
 							return
 						}
 					case "path":
-						z.Orders[za0001].Path, bts, err = msgp.ReadStringBytes(bts)
+						z.Orders[za0002].Path, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001, "Path")
+							err = msgp.WrapError(err, "Orders", za0002, "Path")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001)
+							err = msgp.WrapError(err, "Orders", za0002)
 							return
 						}
 					}
@@ -6825,9 +7610,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunRecord) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.IntSize + 16 + msgp.IntSize + 15 + msgp.IntSize + 7 + msgp.ArrayHeaderSize
-	for za0001 := range z.Orders {
-		s += 1 + 6 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Orders[za0001].Order) + 5 + msgp.StringPrefixSize + len(z.Orders[za0001].Path)
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.IntSize + 10 + msgp.IntSize + 20 + msgp.IntSize + 8 + msgp.IntSize + 10 + msgp.IntSize + 10 + msgp.IntSize + 10 + msgp.ArrayHeaderSize + (len(z.Intervals) * (15 + msgp.IntSize + msgp.IntSize)) + 16 + msgp.IntSize + 17 + msgp.IntSize + 15 + msgp.IntSize + 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Orders {
+		s += 1 + 6 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Orders[za0002].Order) + 5 + msgp.StringPrefixSize + len(z.Orders[za0002].Path)
 	}
 	s += 7 + msgp.IntSize + 5 + msgp.IntSize
 	return
@@ -7302,3 +8087,481 @@
 	}
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *Verdict) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answered":
+			z.Answered, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Answered")
+				return
+			}
+		case "answered_but_not_run":
+			z.AnsweredButNotRun, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "AnsweredButNotRun")
+				return
+			}
+		case "calls_after_out":
+			z.CallsAfterOut, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "CallsAfterOut")
+				return
+			}
+		case "failed":
+			z.Failed, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
+		case "last_call_after_out_ms":
+			z.LastCallAfterOutMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "LastCallAfterOutMs")
+				return
+			}
+		case "lost":
+			z.Lost, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Lost")
+				return
+			}
+		case "misdirected":
+			z.Misdirected, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Misdirected")
+				return
+			}
+		case "not_run":
+			z.NotRun, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "not_run_but_run":
+			z.NotRunButRun, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "NotRunButRun")
+				return
+			}
+		case "orders":
+			z.Orders, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Orders")
+				return
+			}
+		case "orders_twice":
+			z.OrdersTwice, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersTwice")
+				return
+			}
+		case "orders_unknown":
+			z.OrdersUnknown, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersUnknown")
+				return
+			}
+		case "over_connections":
+			z.OverConnections, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OverConnections")
+				return
+			}
+		case "over_slots":
+			z.OverSlots, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OverSlots")
+				return
+			}
+		case "started":
+			z.Started, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Started")
+				return
+			}
+		case "unknown":
+			z.Unknown, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Verdict) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 16
+	// write "answered"
+	err = en.Append(0xde, 0x0, 0x10, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Answered)
+	if err != nil {
+		err = msgp.WrapError(err, "Answered")
+		return
+	}
+	// write "answered_but_not_run"
+	err = en.Append(0xb4, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64, 0x5f, 0x62, 0x75, 0x74, 0x5f, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.AnsweredButNotRun)
+	if err != nil {
+		err = msgp.WrapError(err, "AnsweredButNotRun")
+		return
+	}
+	// write "calls_after_out"
+	err = en.Append(0xaf, 0x63, 0x61, 0x6c, 0x6c, 0x73, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72, 0x5f, 0x6f, 0x75, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.CallsAfterOut)
+	if err != nil {
+		err = msgp.WrapError(err, "CallsAfterOut")
+		return
+	}
+	// write "failed"
+	err = en.Append(0xa6, 0x66, 0x61, 0x69, 0x6c, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Failed)
+	if err != nil {
+		err = msgp.WrapError(err, "Failed")
+		return
+	}
+	// write "last_call_after_out_ms"
+	err = en.Append(0xb6, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72, 0x5f, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.LastCallAfterOutMs)
+	if err != nil {
+		err = msgp.WrapError(err, "LastCallAfterOutMs")
+		return
+	}
+	// write "lost"
+	err = en.Append(0xa4, 0x6c, 0x6f, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Lost)
+	if err != nil {
+		err = msgp.WrapError(err, "Lost")
+		return
+	}
+	// write "misdirected"
+	err = en.Append(0xab, 0x6d, 0x69, 0x73, 0x64, 0x69, 0x72, 0x65, 0x63, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Misdirected)
+	if err != nil {
+		err = msgp.WrapError(err, "Misdirected")
+		return
+	}
+	// write "not_run"
+	err = en.Append(0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.NotRun)
+	if err != nil {
+		err = msgp.WrapError(err, "NotRun")
+		return
+	}
+	// write "not_run_but_run"
+	err = en.Append(0xaf, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e, 0x5f, 0x62, 0x75, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.NotRunButRun)
+	if err != nil {
+		err = msgp.WrapError(err, "NotRunButRun")
+		return
+	}
+	// write "orders"
+	err = en.Append(0xa6, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Orders)
+	if err != nil {
+		err = msgp.WrapError(err, "Orders")
+		return
+	}
+	// write "orders_twice"
+	err = en.Append(0xac, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x74, 0x77, 0x69, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OrdersTwice)
+	if err != nil {
+		err = msgp.WrapError(err, "OrdersTwice")
+		return
+	}
+	// write "orders_unknown"
+	err = en.Append(0xae, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OrdersUnknown)
+	if err != nil {
+		err = msgp.WrapError(err, "OrdersUnknown")
+		return
+	}
+	// write "over_connections"
+	err = en.Append(0xb0, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OverConnections)
+	if err != nil {
+		err = msgp.WrapError(err, "OverConnections")
+		return
+	}
+	// write "over_slots"
+	err = en.Append(0xaa, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OverSlots)
+	if err != nil {
+		err = msgp.WrapError(err, "OverSlots")
+		return
+	}
+	// write "started"
+	err = en.Append(0xa7, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Started)
+	if err != nil {
+		err = msgp.WrapError(err, "Started")
+		return
+	}
+	// write "unknown"
+	err = en.Append(0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Unknown)
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Verdict) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 16
+	// string "answered"
+	o = append(o, 0xde, 0x0, 0x10, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Answered)
+	// string "answered_but_not_run"
+	o = append(o, 0xb4, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64, 0x5f, 0x62, 0x75, 0x74, 0x5f, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	o = msgp.AppendInt(o, z.AnsweredButNotRun)
+	// string "calls_after_out"
+	o = append(o, 0xaf, 0x63, 0x61, 0x6c, 0x6c, 0x73, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72, 0x5f, 0x6f, 0x75, 0x74)
+	o = msgp.AppendInt(o, z.CallsAfterOut)
+	// string "failed"
+	o = append(o, 0xa6, 0x66, 0x61, 0x69, 0x6c, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Failed)
+	// string "last_call_after_out_ms"
+	o = append(o, 0xb6, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72, 0x5f, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.LastCallAfterOutMs)
+	// string "lost"
+	o = append(o, 0xa4, 0x6c, 0x6f, 0x73, 0x74)
+	o = msgp.AppendInt(o, z.Lost)
+	// string "misdirected"
+	o = append(o, 0xab, 0x6d, 0x69, 0x73, 0x64, 0x69, 0x72, 0x65, 0x63, 0x74, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Misdirected)
+	// string "not_run"
+	o = append(o, 0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	o = msgp.AppendInt(o, z.NotRun)
+	// string "not_run_but_run"
+	o = append(o, 0xaf, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e, 0x5f, 0x62, 0x75, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	o = msgp.AppendInt(o, z.NotRunButRun)
+	// string "orders"
+	o = append(o, 0xa6, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73)
+	o = msgp.AppendInt(o, z.Orders)
+	// string "orders_twice"
+	o = append(o, 0xac, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x74, 0x77, 0x69, 0x63, 0x65)
+	o = msgp.AppendInt(o, z.OrdersTwice)
+	// string "orders_unknown"
+	o = append(o, 0xae, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendInt(o, z.OrdersUnknown)
+	// string "over_connections"
+	o = append(o, 0xb0, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.OverConnections)
+	// string "over_slots"
+	o = append(o, 0xaa, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+	o = msgp.AppendInt(o, z.OverSlots)
+	// string "started"
+	o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Started)
+	// string "unknown"
+	o = append(o, 0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendInt(o, z.Unknown)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Verdict) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answered":
+			z.Answered, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Answered")
+				return
+			}
+		case "answered_but_not_run":
+			z.AnsweredButNotRun, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AnsweredButNotRun")
+				return
+			}
+		case "calls_after_out":
+			z.CallsAfterOut, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CallsAfterOut")
+				return
+			}
+		case "failed":
+			z.Failed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
+		case "last_call_after_out_ms":
+			z.LastCallAfterOutMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LastCallAfterOutMs")
+				return
+			}
+		case "lost":
+			z.Lost, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lost")
+				return
+			}
+		case "misdirected":
+			z.Misdirected, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Misdirected")
+				return
+			}
+		case "not_run":
+			z.NotRun, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "not_run_but_run":
+			z.NotRunButRun, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NotRunButRun")
+				return
+			}
+		case "orders":
+			z.Orders, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Orders")
+				return
+			}
+		case "orders_twice":
+			z.OrdersTwice, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersTwice")
+				return
+			}
+		case "orders_unknown":
+			z.OrdersUnknown, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersUnknown")
+				return
+			}
+		case "over_connections":
+			z.OverConnections, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OverConnections")
+				return
+			}
+		case "over_slots":
+			z.OverSlots, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OverSlots")
+				return
+			}
+		case "started":
+			z.Started, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Started")
+				return
+			}
+		case "unknown":
+			z.Unknown, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Verdict) Msgsize() (s int) {
+	s = 3 + 9 + msgp.IntSize + 21 + msgp.IntSize + 16 + msgp.IntSize + 7 + msgp.IntSize + 23 + msgp.IntSize + 5 + msgp.IntSize + 12 + msgp.IntSize + 8 + msgp.IntSize + 16 + msgp.IntSize + 7 + msgp.IntSize + 13 + msgp.IntSize + 15 + msgp.IntSize + 17 + msgp.IntSize + 11 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.IntSize
+	return
+}
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -25,10 +25,11 @@
 	// ForMs is how long the fault lasts in milliseconds; 0 ends it.
 	ForMs int `json:"for_ms" msg:"for_ms"`
 
-	// Kind is freeze, shed, cold, drain, cut, late, lie or fail_fast.
+	// Kind is freeze, shed, cold, drain, cut, late, straggle, lie or fail_fast.
 	Kind string `json:"kind" msg:"kind"`
 
-	// Value is the delay in milliseconds of late answers, or the load in a lie.
+	// Value is the delay in milliseconds of late answers, the factor of a straggler,
+	// or the load in a lie.
 	Value int `json:"value" msg:"value"`
 }
 
@@ -75,6 +76,16 @@
 	Slots int `json:"slots" msg:"slots"`
 }
 
+// CallInterval counts the calls that a backend server stand-in started within 100
+// ms.
+type CallInterval struct {
+	// Calls is the number of calls that started.
+	Calls int `json:"calls" msg:"calls"`
+
+	// FromMs is the beginning in Unix milliseconds.
+	FromMs int `json:"from_ms" msg:"from_ms"`
+}
+
 // CellDump is the dispatch duty's view of one cell.
 type CellDump struct {
 	// BackendServers are sorted by address.
@@ -300,6 +311,24 @@
 	State HostState `json:"state" msg:"state"`
 }
 
+// LoadPhase sums up the calls that were due before, during or after a fault.
+type LoadPhase struct {
+	// Answered counts calls with a whole answer.
+	Answered int `json:"answered" msg:"answered"`
+
+	// Latency corresponds to the JSON schema field "latency".
+	Latency Latency `json:"latency" msg:"latency"`
+
+	// NotRun counts calls that were refused after all retries.
+	NotRun int `json:"not_run" msg:"not_run"`
+
+	// Phase is before, during or after.
+	Phase string `json:"phase" msg:"phase"`
+
+	// Unknown counts calls that may have run.
+	Unknown int `json:"unknown" msg:"unknown"`
+}
+
 // LoadReport is what a backend server says about its load; it lags and may be
 // wrong.
 type LoadReport struct {
@@ -318,6 +347,10 @@
 	// Answered counts calls with a whole answer.
 	Answered int `json:"answered" msg:"answered"`
 
+	// Failed counts those among the answered whose status says that the backend
+	// server failed.
+	Failed int `json:"failed" msg:"failed"`
+
 	// Latency corresponds to the JSON schema field "latency".
 	Latency Latency `json:"latency" msg:"latency"`
 
@@ -345,12 +378,19 @@
 	// LateStarts counts calls that had no free caller in time.
 	LateStarts int `json:"late_starts" msg:"late_starts"`
 
+	// OrdersAnswered are the orders with a whole answer.
+	OrdersAnswered []string `json:"orders_answered" msg:"orders_answered"`
+
 	// OrdersNotRun are the orders told not_run.
 	OrdersNotRun []string `json:"orders_not_run" msg:"orders_not_run"`
 
 	// OrdersUnknown are the orders told unknown.
 	OrdersUnknown []string `json:"orders_unknown" msg:"orders_unknown"`
 
+	// Phases are those before, during and after a fault; none when no fault was
+	// announced.
+	Phases []LoadPhase `json:"phases" msg:"phases"`
+
 	// Rate is the wanted number of calls a second.
 	Rate int `json:"rate" msg:"rate"`
 
@@ -449,9 +489,32 @@
 	// Calls is the number of calls that it ran.
 	Calls int `json:"calls" msg:"calls"`
 
+	// Cancelled is the number of calls whose connection was closed before the answer
+	// was sent.
+	Cancelled int `json:"cancelled" msg:"cancelled"`
+
+	// ConnectionsRefused is the number of connections above the limit.
+	ConnectionsRefused int `json:"connections_refused" msg:"connections_refused"`
+
+	// Expired is the number of calls that were given up at their deadline.
+	Expired int `json:"expired" msg:"expired"`
+
+	// FellOver is the number of times that it failed under a load too large for a
+	// cold start.
+	FellOver int `json:"fell_over" msg:"fell_over"`
+
+	// InFlight is the number of calls that run now.
+	InFlight int `json:"in_flight" msg:"in_flight"`
+
+	// Intervals are those in which calls started
+	Intervals []CallInterval `json:"intervals" msg:"intervals"`
+
 	// LastCallAtMs is the start of the newest call in Unix milliseconds.
 	LastCallAtMs int `json:"last_call_at_ms" msg:"last_call_at_ms"`
 
+	// MostConnections is the largest number of connections at once.
+	MostConnections int `json:"most_connections" msg:"most_connections"`
+
 	// MostInFlight is the largest number of calls at once.
 	MostInFlight int `json:"most_in_flight" msg:"most_in_flight"`
 
@@ -494,3 +557,58 @@
 	// Rows are in the order of the transaction.
 	Rows []Row `json:"rows" msg:"rows"`
 }
+
+// Verdict compares what callers were told with what backend servers ran.
+type Verdict struct {
+	// Answered counts calls with a whole answer.
+	Answered int `json:"answered" msg:"answered"`
+
+	// AnsweredButNotRun counts the orders told answered that did not run.
+	AnsweredButNotRun int `json:"answered_but_not_run" msg:"answered_but_not_run"`
+
+	// CallsAfterOut counts calls that reached the data centre later than permitted
+	// after it left.
+	CallsAfterOut int `json:"calls_after_out" msg:"calls_after_out"`
+
+	// Failed counts those among the answered whose status says that the backend
+	// server failed.
+	Failed int `json:"failed" msg:"failed"`
+
+	// LastCallAfterOutMs is the time from the data centre's leaving to the last call
+	// that reached it while it was out.
+	LastCallAfterOutMs int `json:"last_call_after_out_ms" msg:"last_call_after_out_ms"`
+
+	// Lost counts calls without any outcome.
+	Lost int `json:"lost" msg:"lost"`
+
+	// Misdirected counts answers that belong to another request.
+	Misdirected int `json:"misdirected" msg:"misdirected"`
+
+	// NotRun counts calls that were refused after all retries.
+	NotRun int `json:"not_run" msg:"not_run"`
+
+	// NotRunButRun counts the orders told not_run that ran.
+	NotRunButRun int `json:"not_run_but_run" msg:"not_run_but_run"`
+
+	// Orders counts the orders that ran.
+	Orders int `json:"orders" msg:"orders"`
+
+	// OrdersTwice counts the orders that ran more than once.
+	OrdersTwice int `json:"orders_twice" msg:"orders_twice"`
+
+	// OrdersUnknown counts the orders told unknown.
+	OrdersUnknown int `json:"orders_unknown" msg:"orders_unknown"`
+
+	// OverConnections counts the connections above a backend server's limit.
+	OverConnections int `json:"over_connections" msg:"over_connections"`
+
+	// OverSlots counts the backend servers that were asked to run more than they
+	// declare.
+	OverSlots int `json:"over_slots" msg:"over_slots"`
+
+	// Started counts the calls that callers started.
+	Started int `json:"started" msg:"started"`
+
+	// Unknown counts calls that may have run.
+	Unknown int `json:"unknown" msg:"unknown"`
+}
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -167,6 +167,10 @@
 	ServiceTime    string `long:"service-time" env:"BAOBABDRUM_BACKEND_SERVICE_TIME" default:"5ms" value-name:"duration" description:"mean duration of a call at normal speed (0s to 1m)"`
 	ShiftInterval  string `long:"shift-interval" env:"BAOBABDRUM_BACKEND_SHIFT_INTERVAL" default:"50ms" value-name:"duration" description:"mean time between changes of speed (1ms to 1h)"`
 	Shifting       string `long:"shifting" env:"BAOBABDRUM_BACKEND_SHIFTING" default:"false" value-name:"boolean" description:"whether the speed shifts between normal, 3 times slower and 10 times slower"`
+	Connections    string `long:"connections" env:"BAOBABDRUM_BACKEND_CONNECTIONS" default:"240" value-name:"integer" description:"connections accepted at once; further connections are closed, in connections (1 to 65535)"`
+	ConnectTime    string `long:"connect-time" env:"BAOBABDRUM_BACKEND_CONNECT_TIME" default:"1ms" value-name:"duration" description:"time that a new connection takes to open (0s to 1s)"`
+	ColdStart      string `long:"cold-start" env:"BAOBABDRUM_BACKEND_COLD_START" default:"0s" value-name:"duration" description:"how long the server is cold after its start (0s to 1h)"`
+	ReportLag      string `long:"report-lag" env:"BAOBABDRUM_BACKEND_REPORT_LAG" default:"100ms" value-name:"duration" description:"how old a load report may be (0s to 1m)"`
 	ProbeTime      string `long:"probe-time" env:"BAOBABDRUM_BACKEND_PROBE_TIME" default:"0s" value-name:"duration" description:"duration of a probe (0s to 1s)"`
 	Seed           string `long:"seed" env:"BAOBABDRUM_BACKEND_SEED" default:"1" value-name:"integer" description:"seed of the speed changes and service times (1 to 9223372036854775807)"`
 }
@@ -185,6 +189,14 @@
 	ShiftInterval time.Duration
 	// Shifting is set by --shifting: whether the speed shifts between normal, 3 times slower and 10 times slower.
 	Shifting bool
+	// Connections is set by --connections: connections accepted at once; further connections are closed, in connections (1 to 65535).
+	Connections int
+	// ConnectTime is set by --connect-time: time that a new connection takes to open (0s to 1s).
+	ConnectTime time.Duration
+	// ColdStart is set by --cold-start: how long the server is cold after its start (0s to 1h).
+	ColdStart time.Duration
+	// ReportLag is set by --report-lag: how old a load report may be (0s to 1m).
+	ReportLag time.Duration
 	// ProbeTime is set by --probe-time: duration of a probe (0s to 1s).
 	ProbeTime time.Duration
 	// Seed is set by --seed: seed of the speed changes and service times (1 to 9223372036854775807).
@@ -201,6 +213,10 @@
 		ServiceTime:    c.duration("service-time", f.ServiceTime, "0s", "1m"),
 		ShiftInterval:  c.duration("shift-interval", f.ShiftInterval, "1ms", "1h"),
 		Shifting:       c.boolean("shifting", f.Shifting),
+		Connections:    c.integer("connections", f.Connections, "1", "65535"),
+		ConnectTime:    c.duration("connect-time", f.ConnectTime, "0s", "1s"),
+		ColdStart:      c.duration("cold-start", f.ColdStart, "0s", "1h"),
+		ReportLag:      c.duration("report-lag", f.ReportLag, "0s", "1m"),
 		ProbeTime:      c.duration("probe-time", f.ProbeTime, "0s", "1s"),
 		Seed:           c.integer("seed", f.Seed, "1", "9223372036854775807"),
 	}
@@ -211,9 +227,14 @@
 // LoadFlags holds the raw settings of the caller stand-in.
 type LoadFlags struct {
 	HostAddresses string `long:"host-addresses" env:"BAOBABDRUM_LOAD_HOST_ADDRESSES" default:"127.0.0.1:8080" value-name:"addresses" description:"IPs and ports of entry hosts, separated by commas"`
-	Services      string `long:"services" env:"BAOBABDRUM_LOAD_SERVICES" default:"catalogue" value-name:"names" description:"services to call, separated by commas"`
+	Services      string `long:"services" env:"BAOBABDRUM_LOAD_SERVICES" default:"catalogue" value-name:"names" description:"services for idempotent calls, separated by commas"`
+	OrderServices string `long:"order-services" env:"BAOBABDRUM_LOAD_ORDER_SERVICES" default:"orders" value-name:"names" description:"services for orders, separated by commas"`
 	Rate          string `long:"rate" env:"BAOBABDRUM_LOAD_RATE" default:"200" value-name:"integer" description:"calls started in a second, whether or not earlier ones have ended, in calls/s (1 to 1000000)"`
 	OrderPercent  string `long:"order-percent" env:"BAOBABDRUM_LOAD_ORDER_PERCENT" default:"0" value-name:"integer" description:"share of calls that are orders with an id of their own, in % (0 to 100)"`
+	PackPercent   string `long:"pack-percent" env:"BAOBABDRUM_LOAD_PACK_PERCENT" default:"0" value-name:"integer" description:"share of idempotent calls whose answer is large, in % (0 to 100)"`
+	PackBytes     string `long:"pack-bytes" env:"BAOBABDRUM_LOAD_PACK_BYTES" default:"1048576" value-name:"integer" description:"size of a large answer, in bytes (1 to 67108864)"`
+	FaultAfter    string `long:"fault-after" env:"BAOBABDRUM_LOAD_FAULT_AFTER" default:"0s" value-name:"duration" description:"time from the start until a fault is injected, for the report; 0 reports no phases (0s to 24h)"`
+	FaultFor      string `long:"fault-for" env:"BAOBABDRUM_LOAD_FAULT_FOR" default:"0s" value-name:"duration" description:"how long the fault lasts, for the report (0s to 24h)"`
 	Duration      string `long:"duration" env:"BAOBABDRUM_LOAD_DURATION" default:"10s" value-name:"duration" description:"length of the run (10ms to 24h)"`
 	Deadline      string `long:"deadline" env:"BAOBABDRUM_LOAD_DEADLINE" default:"5s" value-name:"duration" description:"deadline stated with each call (1ms to 10m)"`
 	Callers       string `long:"callers" env:"BAOBABDRUM_LOAD_CALLERS" default:"64" value-name:"integer" description:"concurrent callers, in callers (1 to 100000)"`
@@ -226,12 +247,22 @@
 type LoadSettings struct {
 	// HostAddresses is set by --host-addresses: IPs and ports of entry hosts, separated by commas.
 	HostAddresses []string
-	// Services is set by --services: services to call, separated by commas.
+	// Services is set by --services: services for idempotent calls, separated by commas.
 	Services []string
+	// OrderServices is set by --order-services: services for orders, separated by commas.
+	OrderServices []string
 	// Rate is set by --rate: calls started in a second, whether or not earlier ones have ended, in calls/s (1 to 1000000).
 	Rate int
 	// OrderPercent is set by --order-percent: share of calls that are orders with an id of their own, in % (0 to 100).
 	OrderPercent int
+	// PackPercent is set by --pack-percent: share of idempotent calls whose answer is large, in % (0 to 100).
+	PackPercent int
+	// PackBytes is set by --pack-bytes: size of a large answer, in bytes (1 to 67108864).
+	PackBytes int
+	// FaultAfter is set by --fault-after: time from the start until a fault is injected, for the report; 0 reports no phases (0s to 24h).
+	FaultAfter time.Duration
+	// FaultFor is set by --fault-for: how long the fault lasts, for the report (0s to 24h).
+	FaultFor time.Duration
 	// Duration is set by --duration: length of the run (10ms to 24h).
 	Duration time.Duration
 	// Deadline is set by --deadline: deadline stated with each call (1ms to 10m).
@@ -252,8 +283,13 @@
 	settings := LoadSettings{
 		HostAddresses: c.addresses("host-addresses", f.HostAddresses),
 		Services:      c.names("services", f.Services),
+		OrderServices: c.names("order-services", f.OrderServices),
 		Rate:          c.integer("rate", f.Rate, "1", "1000000"),
 		OrderPercent:  c.integer("order-percent", f.OrderPercent, "0", "100"),
+		PackPercent:   c.integer("pack-percent", f.PackPercent, "0", "100"),
+		PackBytes:     c.integer("pack-bytes", f.PackBytes, "1", "67108864"),
+		FaultAfter:    c.duration("fault-after", f.FaultAfter, "0s", "24h"),
+		FaultFor:      c.duration("fault-for", f.FaultFor, "0s", "24h"),
 		Duration:      c.duration("duration", f.Duration, "10ms", "24h"),
 		Deadline:      c.duration("deadline", f.Deadline, "1ms", "10m"),
 		Callers:       c.integer("callers", f.Callers, "1", "100000"),
@@ -264,3 +300,48 @@
 
 	return settings, c.faults
 }
+
+// VerdictFlags holds the raw settings of the comparison of what callers were told with what backend servers ran.
+type VerdictFlags struct {
+	Load          string `long:"load" env:"BAOBABDRUM_VERDICT_LOAD" default:"load.json" value-name:"text" description:"file with the report of the load run"`
+	Records       string `long:"records" env:"BAOBABDRUM_VERDICT_RECORDS" default:"records" value-name:"text" description:"directory with the run records of the backend servers, one JSON file each"`
+	Sheet         string `long:"sheet" env:"BAOBABDRUM_VERDICT_SHEET" default:"" value-name:"text" description:"sheet that declares the backend servers; empty when no data centre left"`
+	OutDataCentre string `long:"out-data-centre" env:"BAOBABDRUM_VERDICT_OUT_DATA_CENTRE" default:"" value-name:"text" description:"data centre that left; empty for none"`
+	OutAtMs       string `long:"out-at-ms" env:"BAOBABDRUM_VERDICT_OUT_AT_MS" default:"0" value-name:"integer" description:"time of its leaving in Unix milliseconds (0 to 9223372036854775807)"`
+	InAtMs        string `long:"in-at-ms" env:"BAOBABDRUM_VERDICT_IN_AT_MS" default:"0" value-name:"integer" description:"time of its return in Unix milliseconds; 0 when it did not return (0 to 9223372036854775807)"`
+	Permitted     string `long:"permitted" env:"BAOBABDRUM_VERDICT_PERMITTED" default:"6s" value-name:"duration" description:"how long after its leaving calls may still reach it (0s to 1h)"`
+}
+
+// VerdictSettings holds the checked settings of the comparison of what callers were told with what backend servers ran.
+type VerdictSettings struct {
+	// Load is set by --load: file with the report of the load run.
+	Load string
+	// Records is set by --records: directory with the run records of the backend servers, one JSON file each.
+	Records string
+	// Sheet is set by --sheet: sheet that declares the backend servers; empty when no data centre left.
+	Sheet string
+	// OutDataCentre is set by --out-data-centre: data centre that left; empty for none.
+	OutDataCentre string
+	// OutAtMs is set by --out-at-ms: time of its leaving in Unix milliseconds (0 to 9223372036854775807).
+	OutAtMs int
+	// InAtMs is set by --in-at-ms: time of its return in Unix milliseconds; 0 when it did not return (0 to 9223372036854775807).
+	InAtMs int
+	// Permitted is set by --permitted: how long after its leaving calls may still reach it (0s to 1h).
+	Permitted time.Duration
+}
+
+// Check returns the typed settings and a fault for each value that is rejected.
+func (f VerdictFlags) Check() (VerdictSettings, []Fault) {
+	c := checker{}
+	settings := VerdictSettings{
+		Load:          c.text("load", f.Load),
+		Records:       c.text("records", f.Records),
+		Sheet:         c.text("sheet", f.Sheet),
+		OutDataCentre: c.text("out-data-centre", f.OutDataCentre),
+		OutAtMs:       c.integer("out-at-ms", f.OutAtMs, "0", "9223372036854775807"),
+		InAtMs:        c.integer("in-at-ms", f.InAtMs, "0", "9223372036854775807"),
+		Permitted:     c.duration("permitted", f.Permitted, "0s", "1h"),
+	}
+
+	return settings, c.faults
+}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -2,39 +2,33 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
 
-	"github.com/baobabdrum/baobabdrum/backendhttp"
 	"github.com/baobabdrum/baobabdrum/group"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
-// HeaderEcho carries back the header field by which a caller recognises the
-// answer to its own request.
-const HeaderEcho = "Echo"
-
-// HeaderOrder carries an order to the backend server.
-const HeaderOrder = "Order"
+// askTimeout bounds the wait for the server's duty.
+const askTimeout = time.Second
 
 // admission says whether a call may run and how long it takes.
 type admission struct {
 	shed  bool
 	fault schema.BackendFault
+	falls int
 	took  time.Duration
 }
 
 // serverRequest is what the server's duty takes from its ring.
 type serverRequest struct {
-	use   func(s *Server, now time.Time) admission
-	reply *ring.Ring[admission]
+	use   func(s *Server, now time.Time) any
+	reply *ring.Ring[any]
 }
 
 // Backend serves calls, probes, load reports and the control address.
@@ -46,18 +40,20 @@
 
 // RunBackend runs a backend server stand-in until the context ends.
 func RunBackend(ctx context.Context, settings schema.BackendSettings) error {
-	seed := uint64(settings.Seed) //nolint:gosec // checked to be positive
+	seed := uint64(settings.Seed)               //nolint:gosec // checked to be positive
+	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // a simulation
 	backend := &Backend{
 		settings: settings,
 		requests: ring.New[serverRequest]("server", 65536),
-		server:   NewServer(settings, rand.New(rand.NewPCG(seed, seed))), //nolint:gosec // a simulation
+		server:   NewServer(time.Now(), settings, random),
 	}
 	duties := group.New(ctx)
 	duties.Go("server", backend.runServer)
-	err := serve(duties, map[string]*fiber.App{
-		settings.Address: backend.front(), settings.ControlAddress: backend.control(),
-	})
-	if err != nil {
+	if err := serve(duties, map[string]*fiber.App{settings.ControlAddress: backend.control()}); err != nil {
+		return err
+	}
+	limited := func(inner net.Listener) net.Listener { return &limitedListener{Listener: inner, backend: backend} }
+	if err := serveLimited(duties, settings.Address, backend.front(), limited); err != nil {
 		return err
 	}
 
@@ -76,13 +72,33 @@
 }
 
 // ask gives a request to the server's duty and waits for the reply.
-func (b *Backend) ask(use func(s *Server, now time.Time) admission) (admission, error) {
-	reply := ring.New[admission]("reply", 1)
-	if err := b.requests.Offer(serverRequest{use: use, reply: reply}); err != nil {
-		return admission{}, err
+func ask[Out any](b *Backend, use func(s *Server, now time.Time) Out) (Out, error) {
+	var none Out
+	reply := ring.New[any]("reply", 1)
+	request := serverRequest{use: func(s *Server, now time.Time) any { return use(s, now) }, reply: reply}
+	if err := b.requests.Offer(request); err != nil {
+		return none, err
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	out, err := reply.Take(ctx)
+	if err != nil {
+		return none, err
+	}
+
+	return out.(Out), nil
+}
+
+// tell gives a request without a reply to the server's duty and waits until it
+// was carried out.
+func tell(b *Backend, use func(s *Server, now time.Time)) error {
+	_, err := ask(b, func(s *Server, now time.Time) bool {
+		use(s, now)
 
-	return reply.Take(context.Background())
+		return true
+	})
+
+	return err
 }
 
 // front serves calls, probes and load reports.
@@ -95,51 +111,10 @@
 	return front
 }
 
-// call runs a call.
-func (b *Backend) call(c fiber.Ctx) error {
-	run := schema.Run{Order: strings.Clone(c.Get(HeaderOrder)), Path: strings.Clone(c.Path())}
-	admitted, err := b.ask(func(s *Server, now time.Time) admission { return s.Admit(now, run) })
-	if err != nil {
-		return err
-	}
-	if admitted.shed {
-		c.Set(backendhttp.HeaderShed, "1")
-
-		return c.SendStatus(http.StatusServiceUnavailable)
-	}
-	time.Sleep(admitted.took)
-	if _, err := b.ask(func(s *Server, _ time.Time) admission { return s.Finish() }); err != nil {
-		return err
-	}
-	if admitted.fault.Kind == faultFailFast {
-		return c.SendStatus(http.StatusInternalServerError)
-	}
-	c.Set(HeaderEcho, c.Get(HeaderEcho))
-
-	return b.answer(c, admitted.fault.Kind == faultCut)
-}
-
-// answer sends a small body, or a large one for /pack/BYTES, whole or cut.
-func (*Backend) answer(c fiber.Ctx, cut bool) error {
-	size := 64
-	if raw, ok := strings.CutPrefix(c.Path(), "/pack/"); ok {
-		if parsed, err := strconv.Atoi(raw); err == nil {
-			size = parsed
-		}
-	}
-	sent := size
-	if cut {
-		sent = size / 2
-	}
-	c.Response().SetBodyStream(&pattern{left: sent}, size)
-
-	return nil
-}
-
 // probe answers a health probe.
 func (b *Backend) probe(c fiber.Ctx) error {
 	time.Sleep(b.settings.ProbeTime)
-	if _, err := b.ask(func(s *Server, _ time.Time) admission { return s.Probed() }); err != nil {
+	if err := tell(b, func(s *Server, _ time.Time) { s.Probed() }); err != nil {
 		return err
 	}
 
@@ -148,12 +123,7 @@
 
 // load answers with a load report.
 func (b *Backend) load(c fiber.Ctx) error {
-	var report schema.LoadReport
-	_, err := b.ask(func(s *Server, now time.Time) admission {
-		report = s.Report(now)
-
-		return admission{}
-	})
+	report, err := ask(b, func(s *Server, now time.Time) schema.LoadReport { return s.Report(now) })
 	if err != nil {
 		return err
 	}
@@ -169,19 +139,14 @@
 		if err != nil {
 			return err
 		}
-		if _, err := b.ask(func(s *Server, now time.Time) admission { return s.Inject(now, fault) }); err != nil {
+		if err := tell(b, func(s *Server, now time.Time) { s.Inject(now, fault) }); err != nil {
 			return err
 		}
 
 		return c.SendStatus(http.StatusOK)
 	})
 	control.Get("/runs", func(c fiber.Ctx) error {
-		var record schema.RunRecord
-		_, err := b.ask(func(s *Server, _ time.Time) admission {
-			record = s.Record()
-
-			return admission{}
-		})
+		record, err := ask(b, func(s *Server, _ time.Time) schema.RunRecord { return s.Record() })
 		if err != nil {
 			return err
 		}
@@ -191,22 +156,3 @@
 
 	return control
 }
-
-// pattern is a body of a known pattern.
-type pattern struct {
-	left int
-}
-
-// Read fills the buffer.
-func (p *pattern) Read(buffer []byte) (int, error) {
-	if p.left == 0 {
-		return 0, io.EOF
-	}
-	count := min(len(buffer), p.left)
-	for i := range buffer[:count] {
-		buffer[i] = 'x'
-	}
-	p.left -= count
-
-	return count, nil
-}
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,6 +23,15 @@
 	callTries = 3
 	// retryPause is the time before a caller tries again.
 	retryPause = 20 * time.Millisecond
+	// callerAskTimeout bounds a question to one host.
+	callerAskTimeout = 500 * time.Millisecond
+)
+
+// The words for outcomes in header fields and reports.
+const (
+	outcomeAnswered = "answered"
+	outcomeNotRun   = "not_run"
+	outcomeUnknown  = "unknown"
 )
 
 // kept is an answer to "which host" that is still kept.
@@ -30,24 +42,29 @@
 
 // Caller is one caller. It asks which hosts to use, keeps the answer and calls.
 type Caller struct {
-	settings      schema.LoadSettings
-	client        *fasthttp.Client
-	number        int
-	answers       map[string]kept
-	tallies       map[string]*Tally
-	ordersUnknown []string
-	ordersNotRun  []string
+	settings    schema.LoadSettings
+	client      *fasthttp.Client
+	number      int
+	answers     map[string]kept
+	tallies     map[string]*Tally
+	phases      map[phase]*Tally
+	asked       int
+	ordersEnded map[string][]string
 }
 
 // NewCaller returns a caller that knows only the configured addresses.
 func NewCaller(settings schema.LoadSettings, client *fasthttp.Client, number int) *Caller {
 	caller := &Caller{
 		settings: settings, client: client, number: number,
-		answers: map[string]kept{}, tallies: map[string]*Tally{},
+		answers: map[string]kept{}, tallies: map[string]*Tally{}, phases: map[phase]*Tally{},
+		asked: number, ordersEnded: map[string][]string{},
 	}
-	for _, service := range settings.Services {
+	for _, service := range slices.Concat(settings.Services, settings.OrderServices) {
 		caller.tallies[service] = NewTally(service)
 	}
+	for _, phase := range phases {
+		caller.phases[phase] = NewTally(string(phase))
+	}
 
 	return caller
 }
@@ -63,7 +80,7 @@
 	}
 }
 
-// call makes one call, with retries if it was not run.
+// call makes one call, with retries if it was not run or is idempotent.
 func (c *Caller) call(call scheduled) {
 	tally := c.tallies[call.service]
 	deadline := call.at.Add(c.settings.Deadline)
@@ -77,17 +94,11 @@
 		tally.report.Retried++
 		time.Sleep(retryPause)
 	}
-	switch {
-	case result.misdirected:
-		tally.report.Misdirected++
-	case result.outcome == "answered":
-		tally.Answered(time.Since(call.at))
-	case result.outcome == "not_run":
-		tally.report.NotRun++
-		c.ordersNotRun = appendOrder(c.ordersNotRun, call, c.settings.Seed)
-	default:
-		tally.report.Unknown++
-		c.ordersUnknown = appendOrder(c.ordersUnknown, call, c.settings.Seed)
+	took := time.Since(call.at)
+	tally.Count(result, took)
+	c.phases[call.phase].Count(result, took)
+	if call.order {
+		c.ordersEnded[result.outcome] = append(c.ordersEnded[result.outcome], orderName(call, c.settings.Seed))
 	}
 }
 
@@ -95,11 +106,12 @@
 type exchange struct {
 	outcome     string
 	misdirected bool
+	failed      bool
 }
 
 // mayRetry reports whether the call may be made again.
 func (e exchange) mayRetry(order bool) bool {
-	return e.outcome == "not_run" || !order && e.outcome != "answered"
+	return e.outcome == outcomeNotRun || !order && e.outcome == outcomeUnknown
 }
 
 // try makes one request.
@@ -109,27 +121,52 @@
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	path := "/call/" + call.service + "/item"
+	echo := strconv.Itoa(call.number) + "-" + strconv.Itoa(try)
+	c.encode(request, call, address)
+	request.Header.Set(HeaderEcho, echo)
+	request.Header.Set(backendhttp.HeaderDeadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
+	if err := c.client.DoDeadline(request, response, deadline); err != nil {
+		return exchange{outcome: failureOutcome(err)}
+	}
+	result := exchange{
+		outcome: string(response.Header.Peek(callerhttp.HeaderOutcome)),
+		failed:  response.StatusCode() >= fasthttp.StatusInternalServerError,
+	}
 	if c.settings.Direct {
-		path = "/item"
+		result.outcome = outcomeAnswered
+	}
+	if result.outcome == outcomeAnswered {
+		result.misdirected = string(response.Header.Peek(HeaderEcho)) != echo || !result.failed && !call.whole(len(response.Body()))
+	}
+
+	return result
+}
+
+// encode fills the request.
+func (c *Caller) encode(request *fasthttp.Request, call scheduled, address string) {
+	path := "/item"
+	if call.packBytes > 0 {
+		path = packPath + strconv.Itoa(call.packBytes)
+	}
+	if !c.settings.Direct {
+		path = "/call/" + call.service + path
 	}
 	request.SetRequestURI("http://" + address + path)
 	if call.order {
 		request.Header.SetMethod(fasthttp.MethodPost)
 		request.Header.Set(HeaderOrder, orderName(call, c.settings.Seed))
 	}
-	echo := strconv.Itoa(call.number) + "-" + strconv.Itoa(try)
-	request.Header.Set(HeaderEcho, echo)
-	request.Header.Set(backendhttp.HeaderDeadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
-	if err := c.client.DoDeadline(request, response, deadline); err != nil {
-		return exchange{outcome: "unknown"}
-	}
-	outcome := string(response.Header.Peek(callerhttp.HeaderOutcome))
-	if c.settings.Direct && response.StatusCode() == fasthttp.StatusOK {
-		outcome = "answered"
+}
+
+// failureOutcome returns how a request without a response ended. A request
+// without a connection was not run.
+func failureOutcome(err error) string {
+	var network *net.OpError
+	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &network) && network.Op == "dial" {
+		return outcomeNotRun
 	}
 
-	return exchange{outcome: outcome, misdirected: outcome == "answered" && string(response.Header.Peek(HeaderEcho)) != echo}
+	return outcomeUnknown
 }
 
 // addresses returns the hosts to use, from a kept answer or by asking.
@@ -141,11 +178,11 @@
 	if ok && time.Now().Before(answer.until) {
 		return answer.addresses
 	}
-	for i := range c.settings.HostAddresses {
-		address := c.settings.HostAddresses[(c.number+i)%len(c.settings.HostAddresses)]
-		status, body, err := c.client.GetTimeout(nil, "http://"+address+"/ask/"+service, time.Second)
-		var asked schema.AskAnswer
-		if err != nil || status != fasthttp.StatusOK || json.Unmarshal(body, &asked) != nil {
+	for range c.settings.HostAddresses {
+		asked, ok := c.ask(service)
+		if !ok {
+			c.asked++
+
 			continue
 		}
 		until := time.Now().Add(time.Duration(asked.KeepMs) * time.Millisecond)
@@ -157,16 +194,17 @@
 	return c.settings.HostAddresses
 }
 
+// ask asks the host that answered last which hosts to use.
+func (c *Caller) ask(service string) (schema.AskAnswer, bool) {
+	address := c.settings.HostAddresses[c.asked%len(c.settings.HostAddresses)]
+	status, body, err := c.client.GetTimeout(nil, "http://"+address+"/ask/"+service, callerAskTimeout)
+	var asked schema.AskAnswer
+	ok := err == nil && status == fasthttp.StatusOK && json.Unmarshal(body, &asked) == nil && len(asked.Addresses) > 0
+
+	return asked, ok
+}
+
 // orderName returns the name of an order, unique in the run and its seed.
 func orderName(call scheduled, seed int) string {
 	return fmt.Sprintf("order-%d-%d", seed, call.number)
 }
-
-// appendOrder adds the call's name if it is an order.
-func appendOrder(list []string, call scheduled, seed int) []string {
-	if !call.order {
-		return list
-	}
-
-	return append(list, orderName(call, seed))
-}
--- a/standin/load.go
+++ b/standin/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -16,12 +17,36 @@
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
+// phase is the time before, during or after an announced fault.
+type phase string
+
+// The phases of a run.
+const (
+	phaseBefore phase = "before"
+	phaseDuring phase = "during"
+	phaseAfter  phase = "after"
+)
+
+// phases lists the phases in their order.
+var phases = []phase{phaseBefore, phaseDuring, phaseAfter}
+
 // scheduled is a call that is due.
 type scheduled struct {
-	at      time.Time
-	service string
-	order   bool
-	number  int
+	at        time.Time
+	phase     phase
+	service   string
+	order     bool
+	packBytes int
+	number    int
+}
+
+// whole reports whether a body of this size is the whole answer.
+func (s scheduled) whole(size int) bool {
+	if s.packBytes > 0 {
+		return size == s.packBytes
+	}
+
+	return size == answerSize
 }
 
 // RunLoad starts calls at a fixed rate, whether or not earlier ones have ended,
@@ -48,7 +73,7 @@
 	end()
 	running.Wait()
 	run.DurationMs = int(time.Since(began).Milliseconds())
-	collect(&run, callers)
+	collect(&run, settings, callers)
 
 	return report(run, settings.Report)
 }
@@ -57,21 +82,19 @@
 func schedule(ctx context.Context, settings schema.LoadSettings, due *ring.Ring[scheduled]) schema.LoadRun {
 	seed := uint64(settings.Seed)               //nolint:gosec // checked to be positive
 	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // a simulation
-	run := schema.LoadRun{Seed: settings.Seed, Rate: settings.Rate, OrdersUnknown: []string{}, OrdersNotRun: []string{}}
-	end := time.Now().Add(settings.Duration)
-	next := time.Now()
-	for ctx.Err() == nil && next.Before(end) {
+	run := schema.LoadRun{Seed: settings.Seed, Rate: settings.Rate}
+	began := time.Now()
+	next := began
+	for ctx.Err() == nil && next.Before(began.Add(settings.Duration)) {
 		time.Sleep(time.Until(next))
 		run.Started++
-		call := scheduled{
-			at:      next,
-			service: settings.Services[random.IntN(len(settings.Services))],
-			order:   random.IntN(100) < settings.OrderPercent,
-			number:  run.Started,
-		}
+		call := draw(settings, random)
+		call.at, call.number, call.phase = next, run.Started, phaseAt(settings, next.Sub(began))
 		if due.Offer(call) != nil {
 			run.LateStarts++
-			_ = due.Put(ctx, call) // a call that is not put is not counted as answered
+			if due.Put(ctx, call) != nil {
+				run.Started--
+			}
 		}
 		next = next.Add(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(settings.Rate)))
 	}
@@ -79,30 +102,65 @@
 	return run
 }
 
+// draw chooses what a call wants.
+func draw(settings schema.LoadSettings, random *rand.Rand) scheduled {
+	if random.IntN(100) < settings.OrderPercent {
+		return scheduled{order: true, service: settings.OrderServices[random.IntN(len(settings.OrderServices))]}
+	}
+	call := scheduled{service: settings.Services[random.IntN(len(settings.Services))]}
+	if random.IntN(100) < settings.PackPercent {
+		call.packBytes = settings.PackBytes
+	}
+
+	return call
+}
+
+// phaseAt returns the phase at a time since the start.
+func phaseAt(settings schema.LoadSettings, since time.Duration) phase {
+	switch {
+	case since < settings.FaultAfter:
+		return phaseBefore
+	case since < settings.FaultAfter+settings.FaultFor:
+		return phaseDuring
+	default:
+		return phaseAfter
+	}
+}
+
 // collect adds up what the callers saw.
-func collect(run *schema.LoadRun, callers []*Caller) {
-	byService := map[string]*Tally{}
+func collect(run *schema.LoadRun, settings schema.LoadSettings, callers []*Caller) {
+	byService, byPhase, orders := map[string]*Tally{}, map[phase]*Tally{}, map[string][]string{}
 	for _, caller := range callers {
-		run.OrdersNotRun = append(run.OrdersNotRun, caller.ordersNotRun...)
-		run.OrdersUnknown = append(run.OrdersUnknown, caller.ordersUnknown...)
-		for service, tally := range caller.tallies {
-			if byService[service] == nil {
-				byService[service] = NewTally(service)
-			}
-			byService[service].Add(tally)
+		merge(byService, caller.tallies)
+		merge(byPhase, caller.phases)
+		for outcome, names := range caller.ordersEnded {
+			orders[outcome] = append(orders[outcome], names...)
 		}
 	}
-	run.Services = []schema.LoadReportService{}
-	for _, tally := range byService {
-		run.Services = append(run.Services, tally.Report())
+	run.OrdersAnswered = append([]string{}, orders[outcomeAnswered]...)
+	run.OrdersNotRun = append([]string{}, orders[outcomeNotRun]...)
+	run.OrdersUnknown = append([]string{}, orders[outcomeUnknown]...)
+	run.Services, run.Phases = []schema.LoadReportService{}, []schema.LoadPhase{}
+	for _, service := range slices.Sorted(maps.Keys(byService)) {
+		if tally := byService[service]; tally.Total() > 0 {
+			run.Services = append(run.Services, tally.Report())
+		}
 	}
-	slices.SortFunc(run.Services, func(a, b schema.LoadReportService) int {
-		if a.Service < b.Service {
-			return -1
+	for _, phase := range phases {
+		if settings.FaultAfter > 0 {
+			run.Phases = append(run.Phases, byPhase[phase].Phase())
 		}
+	}
+}
 
-		return 1
-	})
+// merge adds the tallies of one caller to those of all.
+func merge[Key comparable](into, tallies map[Key]*Tally) {
+	for key, tally := range tallies {
+		if into[key] == nil {
+			into[key] = NewTally(tally.report.Service)
+		}
+		into[key].Add(tally)
+	}
 }
 
 // report prints a table and writes the JSON file if one is wanted.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -25,6 +25,8 @@
 type tableRequest struct {
 	use   func(t *Table, now time.Time) any
 	reply *ring.Ring[tableReply]
+	// control says that no fault concerns the request.
+	control bool
 }
 
 // tableReply is the result with the fault that was in effect.
@@ -67,7 +69,7 @@
 		now := time.Now()
 		fault := p.table.Fault(now)
 		reply := tableReply{fault: fault}
-		if fault.Kind != faultOutage {
+		if request.control || fault.Kind != faultOutage {
 			reply.result = request.use(p.table, now)
 		}
 		_ = request.reply.Offer(reply) // the ring has room by contract
@@ -99,7 +101,7 @@
 
 // serve uses the table and suffers the fault in effect.
 func (p *Platform) serve(c fiber.Ctx, write bool, use func(t *Table, now time.Time) any) error {
-	reply, err := p.ask(use)
+	reply, err := p.ask(tableRequest{use: use})
 	if err != nil {
 		return err
 	}
@@ -116,13 +118,15 @@
 }
 
 // ask gives a request to the table's duty and waits for the reply.
-func (p *Platform) ask(use func(t *Table, now time.Time) any) (tableReply, error) {
-	reply := ring.New[tableReply]("reply", 1)
-	if err := p.requests.Offer(tableRequest{use: use, reply: reply}); err != nil {
+func (p *Platform) ask(request tableRequest) (tableReply, error) {
+	request.reply = ring.New[tableReply]("reply", 1)
+	if err := p.requests.Offer(request); err != nil {
 		return tableReply{}, err
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
 
-	return reply.Take(context.Background())
+	return request.reply.Take(ctx)
 }
 
 // control serves the control address.
@@ -155,7 +159,7 @@
 
 		return nil
 	}
-	if _, err := p.ask(changed); err != nil {
+	if _, err := p.ask(tableRequest{use: changed, control: true}); err != nil {
 		return err
 	}
 
--- a/standin/server.go
+++ b/standin/server.go
@@ -16,87 +16,165 @@
 	faultDrain    = "drain"
 	faultCut      = "cut"
 	faultLate     = "late"
+	faultStraggle = "straggle"
 	faultLie      = "lie"
 	faultFailFast = "fail_fast"
 )
 
-// coldSlots is the number of calls that a cold backend server runs at once.
-const coldSlots = 1
+const (
+	// coldSlots is the number of calls that a cold server runs at normal speed.
+	coldSlots = 1
+	// coldLimit is the number of calls at which a cold server still answers.
+	coldLimit = 2
+	// coldFactor stretches the calls of a cold server beyond coldSlots.
+	coldFactor = 3
+	// fallTime is how long a cold server that fell over answers nothing.
+	fallTime = 500 * time.Millisecond
+	// intervalLength is the length of a schema.CallInterval.
+	intervalLength = 100 * time.Millisecond
+)
 
 // speeds are the factors by which the service time is stretched, each as likely
 // as it stands here often.
 var speeds = []int{1, 1, 1, 1, 1, 1, 1, 3, 3, 10}
 
+// ending is how a call ended at the server: completed, cancelled, expired or
+// failed.
+//
+//sumtype:decl
+type ending interface{ ending() }
+
+// completed says that the answer was sent.
+type completed struct{}
+
+// cancelled says that the connection was closed before the answer was sent.
+type cancelled struct{}
+
+// expired says that the deadline passed.
+type expired struct{}
+
+// failed says that the server fell over while the call ran.
+type failed struct{}
+
+func (completed) ending() {}
+func (cancelled) ending() {}
+func (expired) ending()   {}
+func (failed) ending()    {}
+
 // Server is the state of a backend server stand-in. One duty owns it.
 type Server struct {
-	settings schema.BackendSettings
-	random   *rand.Rand
-	inFlight int
-	factor   int
-	shiftAt  time.Time
-	fault    schema.BackendFault
-	until    time.Time
-	record   schema.RunRecord
-}
-
-// NewServer returns an idle server at normal speed.
-func NewServer(settings schema.BackendSettings, random *rand.Rand) *Server {
+	settings    schema.BackendSettings
+	random      *rand.Rand
+	inFlight    int
+	connections int
+	factor      int
+	shiftAt     time.Time
+	coldUntil   time.Time
+	fallenUntil time.Time
+	fault       schema.BackendFault
+	until       time.Time
+	report      schema.LoadReport
+	reportedAt  time.Time
+	record      schema.RunRecord
+}
+
+// NewServer returns an idle server at normal speed, cold if the settings say so.
+func NewServer(now time.Time, settings schema.BackendSettings, random *rand.Rand) *Server {
 	return &Server{
-		settings: settings, random: random, factor: 1,
-		record: schema.RunRecord{Address: settings.Address, Orders: []schema.Run{}},
+		settings: settings, random: random, factor: 1, coldUntil: now.Add(settings.ColdStart),
+		record: schema.RunRecord{Address: settings.Address, Intervals: []schema.CallInterval{}, Orders: []schema.Run{}},
 	}
 }
 
 // Admit starts a call or sheds it.
 func (s *Server) Admit(now time.Time, run schema.Run) admission {
 	fault := s.active(now)
-	slots := s.settings.Slots
-	if fault.Kind == faultCold {
-		slots = coldSlots
-	}
-	if s.inFlight >= slots || fault.Kind == faultShed || fault.Kind == faultDrain {
+	if s.inFlight >= s.settings.Slots || fault.Kind == faultShed || fault.Kind == faultDrain {
 		s.record.Shed++
 
 		return admission{shed: true}
 	}
 	s.inFlight++
+	s.note(now, run)
+	if s.cold(now) && s.inFlight > coldLimit && !now.Before(s.fallenUntil) {
+		s.fallenUntil = now.Add(fallTime)
+		s.record.FellOver++
+	}
+
+	return admission{fault: fault, falls: s.record.FellOver, took: s.duration(now, fault)}
+}
+
+// note records the start of a call.
+func (s *Server) note(now time.Time, run schema.Run) {
 	s.record.Calls++
 	s.record.LastCallAtMs = int(now.UnixMilli())
 	s.record.MostInFlight = max(s.record.MostInFlight, s.inFlight)
+	from := int(now.Truncate(intervalLength).UnixMilli())
+	if last := len(s.record.Intervals) - 1; last < 0 || s.record.Intervals[last].FromMs != from {
+		s.record.Intervals = append(s.record.Intervals, schema.CallInterval{FromMs: from})
+	}
+	s.record.Intervals[len(s.record.Intervals)-1].Calls++
 	if run.Order != "" {
 		run.AtMs = int(now.UnixMilli())
 		s.record.Orders = append(s.record.Orders, run)
 	}
+}
 
-	return admission{fault: fault, took: s.duration(now, fault)}
+// Fallen reports whether the server fell over since the call was admitted.
+func (s *Server) Fallen(now time.Time, call admission) bool {
+	return s.record.FellOver > call.falls || now.Before(s.fallenUntil)
 }
 
-// Finish ends a call.
-func (s *Server) Finish() admission {
+// Finish ends a call and frees its slot.
+func (s *Server) Finish(how ending) {
 	s.inFlight--
+	switch how.(type) {
+	case cancelled:
+		s.record.Cancelled++
+	case expired:
+		s.record.Expired++
+	case completed, failed:
+	}
+}
 
-	return admission{}
+// Connect reports whether another connection is accepted, and counts it.
+func (s *Server) Connect() bool {
+	if s.connections >= s.settings.Connections {
+		s.record.ConnectionsRefused++
+
+		return false
+	}
+	s.connections++
+	s.record.MostConnections = max(s.record.MostConnections, s.connections)
+
+	return true
+}
+
+// Disconnect counts an accepted connection as closed.
+func (s *Server) Disconnect() {
+	s.connections--
 }
 
 // Probed counts a probe.
-func (s *Server) Probed() admission {
+func (s *Server) Probed() {
 	s.record.Probes++
-
-	return admission{}
 }
 
 // Inject starts a fault, which replaces the present one.
-func (s *Server) Inject(now time.Time, fault schema.BackendFault) admission {
+func (s *Server) Inject(now time.Time, fault schema.BackendFault) {
 	s.fault = fault
 	s.until = now.Add(time.Duration(fault.ForMs) * time.Millisecond)
-
-	return admission{}
 }
 
-// Report returns what the server says about its load.
+// Report returns what the server says about its load, as old as the settings
+// permit and wrong during a lie.
 func (s *Server) Report(now time.Time) schema.LoadReport {
 	fault := s.active(now)
-	report := schema.LoadReport{InFlight: s.inFlight, Slots: s.settings.Slots, Leaving: fault.Kind == faultDrain}
+	if s.reportedAt.IsZero() || now.Sub(s.reportedAt) >= s.settings.ReportLag {
+		s.report = schema.LoadReport{InFlight: s.inFlight, Slots: s.settings.Slots, Leaving: fault.Kind == faultDrain}
+		s.reportedAt = now
+	}
+	report := s.report
 	if fault.Kind == faultLie {
 		report.InFlight = fault.Value
 	}
@@ -107,6 +185,8 @@
 // Record returns the evidence of what ran.
 func (s *Server) Record() schema.RunRecord {
 	record := s.record
+	record.InFlight = s.inFlight
+	record.Intervals = slices.Clone(record.Intervals)
 	record.Orders = slices.Clone(record.Orders)
 
 	return record
@@ -121,9 +201,16 @@
 	return schema.BackendFault{}
 }
 
+// cold reports whether the server carries only a little work, after its start
+// or because it turned cold.
+func (s *Server) cold(now time.Time) bool {
+	return now.Before(s.coldUntil) || s.active(now).Kind == faultCold
+}
+
 // duration draws how long a call takes at the present speed.
 func (s *Server) duration(now time.Time, fault schema.BackendFault) time.Duration {
 	s.shift(now)
+	factor := s.factor
 	switch fault.Kind {
 	case faultFreeze:
 		return s.until.Sub(now)
@@ -131,8 +218,13 @@
 		return time.Duration(fault.Value) * time.Millisecond
 	case faultFailFast:
 		return 0
+	case faultStraggle:
+		factor = fault.Value
+	}
+	if s.cold(now) && s.inFlight > coldSlots {
+		factor *= coldFactor
 	}
-	mean := float64(s.settings.ServiceTime) * float64(s.factor)
+	mean := float64(s.settings.ServiceTime) * float64(factor)
 
 	return time.Duration(mean * (0.5 + 0.5*s.random.ExpFloat64()))
 }
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/jessevdk/go-flags"
@@ -53,6 +54,9 @@
 	}
 }
 
+// shutdownTimeout bounds how long calls in flight may hold up a stop.
+const shutdownTimeout = time.Second
+
 // app returns an HTTP application that answers failures as text.
 func app() *fiber.App {
 	return fiber.New(fiber.Config{AppName: "standin", BodyLimit: 64 << 20})
@@ -61,18 +65,31 @@
 // serve adds duties that serve the applications on the addresses.
 func serve(duties *group.Group, apps map[string]*fiber.App) error {
 	for address, app := range apps {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return eris.Wrapf(err, "listening on %s", address)
+		unlimited := func(listener net.Listener) net.Listener { return listener }
+		if err := serveLimited(duties, address, app, unlimited); err != nil {
+			return err
 		}
-		duties.Go("front "+address, func(ctx context.Context) error {
-			return app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true, GracefulContext: ctx})
-		})
 	}
 
 	return nil
 }
 
+// serveLimited adds a duty that serves an application on connections that the
+// limit lets pass.
+func serveLimited(duties *group.Group, address string, app *fiber.App, limit func(inner net.Listener) net.Listener) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listening on %s", address)
+	}
+	duties.Go("front "+address, func(ctx context.Context) error {
+		return app.Listener(limit(listener), fiber.ListenConfig{
+			DisableStartupMessage: true, GracefulContext: ctx, ShutdownTimeout: shutdownTimeout,
+		})
+	})
+
+	return nil
+}
+
 // respond writes a message as JSON.
 func respond(c fiber.Ctx, status int, message any) error {
 	body, err := json.Marshal(message)
--- a/standin/tally.go
+++ b/standin/tally.go
@@ -19,13 +19,13 @@
 	latencyDigits  = 3
 )
 
-// Tally counts how the calls of one service ended.
+// Tally counts how the calls of one service or phase ended.
 type Tally struct {
 	report    schema.LoadReportService
 	latencies *hdrhistogram.Histogram
 }
 
-// NewTally returns a tally without calls.
+// NewTally returns a tally without calls of a service or phase.
 func NewTally(service string) *Tally {
 	return &Tally{
 		report:    schema.LoadReportService{Service: service},
@@ -33,15 +33,39 @@
 	}
 }
 
-// Answered counts a whole answer that took as long.
-func (t *Tally) Answered(took time.Duration) {
+// Count counts a call that ended so after the given time. An outcome that is no
+// known word counts as unknown.
+func (t *Tally) Count(result exchange, took time.Duration) {
+	switch {
+	case result.misdirected:
+		t.report.Misdirected++
+	case result.outcome == outcomeAnswered:
+		t.answered(result, took)
+	case result.outcome == outcomeNotRun:
+		t.report.NotRun++
+	default:
+		t.report.Unknown++
+	}
+}
+
+// answered counts a whole answer.
+func (t *Tally) answered(result exchange, took time.Duration) {
 	t.report.Answered++
+	if result.failed {
+		t.report.Failed++
+	}
 	_ = t.latencies.RecordValue(max(took.Microseconds(), lowestLatency)) // longer ones than the range are counted as answered only
 }
 
+// Total returns the number of calls.
+func (t *Tally) Total() int {
+	return t.report.Answered + t.report.NotRun + t.report.Unknown + t.report.Misdirected
+}
+
 // Add adds another tally of the same service.
 func (t *Tally) Add(other *Tally) {
 	t.report.Answered += other.report.Answered
+	t.report.Failed += other.report.Failed
 	t.report.NotRun += other.report.NotRun
 	t.report.Unknown += other.report.Unknown
 	t.report.Misdirected += other.report.Misdirected
@@ -52,27 +76,46 @@
 // Report returns the sums with the latencies.
 func (t *Tally) Report() schema.LoadReportService {
 	report := t.report
-	report.Latency = schema.Latency{
+	report.Latency = t.latency()
+
+	return report
+}
+
+// Phase returns the sums with the latencies of a phase.
+func (t *Tally) Phase() schema.LoadPhase {
+	return schema.LoadPhase{
+		Phase: t.report.Service, Answered: t.report.Answered, NotRun: t.report.NotRun,
+		Unknown: t.report.Unknown, Latency: t.latency(),
+	}
+}
+
+// latency summarises the durations.
+func (t *Tally) latency() schema.Latency {
+	return schema.Latency{
 		P50Us:  int(t.latencies.ValueAtQuantile(50)),
 		P99Us:  int(t.latencies.ValueAtQuantile(99)),
 		P999Us: int(t.latencies.ValueAtQuantile(99.9)),
 		MaxUs:  int(t.latencies.Max()),
 	}
-
-	return report
 }
 
 // printTable writes a readable table.
 func printTable(out io.Writer, run schema.LoadRun) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "service\tanswered\tnot_run\tunknown\tmisdirected\tretried\tp50_ms\tp99_ms\tp99.9_ms\tmax_ms\t")
+	fmt.Fprintln(table, "service\tanswered\tfailed\tnot_run\tunknown\tmisdirected\tretried\tp50_ms\tp99_ms\tp99.9_ms\tmax_ms\t")
 	for _, s := range run.Services {
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t\n", s.Service,
-			s.Answered, s.NotRun, s.Unknown, s.Misdirected, s.Retried,
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t\n", s.Service,
+			s.Answered, s.Failed, s.NotRun, s.Unknown, s.Misdirected, s.Retried,
 			milliseconds(s.Latency.P50Us), milliseconds(s.Latency.P99Us),
 			milliseconds(s.Latency.P999Us), milliseconds(s.Latency.MaxUs))
 	}
 
+	for _, p := range run.Phases {
+		fmt.Fprintf(table, "%s\t%d\t\t%d\t%d\t\t\t%.2f\t%.2f\t%.2f\t%.2f\t\n", p.Phase, p.Answered, p.NotRun, p.Unknown,
+			milliseconds(p.Latency.P50Us), milliseconds(p.Latency.P99Us),
+			milliseconds(p.Latency.P999Us), milliseconds(p.Latency.MaxUs))
+	}
+
 	return eris.Wrap(table.Flush(), "printing the table")
 }
 
