--- a/Makefile
+++ b/Makefile
@@ -49,3 +49,17 @@
 # slopes prints the figures of docs/CAPACITY.md.
 slopes: build
 	bin/standin-slopes
+
+.PHONY: demo faults soak
+
+# demo runs both example deployments with a data centre that leaves and returns.
+demo: build
+	scripts/demo.sh
+
+# faults runs the failure cases, or one: make faults CASE=kill_owner SEED=1
+faults: build
+	scripts/faults.sh $(CASE)
+
+# soak runs seeded choices of the failure cases: make soak SEED=1 MINUTES=10
+soak: build
+	scripts/soak.sh
--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,187 @@
+# Functions that start and stop the processes of one deployment on this machine.
+# Sourced by the other scripts, after `set -euo pipefail` and from the root of
+# the repository. BASE_PORT moves all ports; the examples use 24000 to 24999.
+
+BASE_PORT=${BASE_PORT:-24000}
+EXAMPLES_PORT=24000
+
+# The process ids that this script started, by name.
+declare -A pids=()
+
+# start NAME COMMAND...: starts a process with its log in $out/NAME.log.
+start() {
+  local name=$1
+  shift
+  "$@" >>"$out/$name.log" 2>&1 &
+  pids[$name]=$!
+}
+
+# signal NAME SIGNAL: sends a signal to a process.
+signal() { kill -s "$2" "${pids[$1]}"; }
+
+# finish NAME: waits until a process has ended, and returns its exit code.
+finish() {
+  local pid=${pids[$1]} code=0
+  unset "pids[$1]"
+  wait "$pid" || code=$?
+  return "$code"
+}
+
+# stop_all: stops every process that is left, by its id.
+stop_all() {
+  local pid
+  for pid in "${pids[@]}"; do
+    kill -s CONT "$pid" 2>/dev/null || true
+    kill "$pid" 2>/dev/null || true
+  done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  pids=()
+}
+
+# retry SECONDS COMMAND...: runs a command until it succeeds.
+retry() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    if ((SECONDS >= end)); then
+      echo "gave up: $*" >&2
+      return 1
+    fi
+    sleep 0.05
+  done
+}
+
+# now_ms: prints the time in Unix milliseconds.
+now_ms() { date +%s%3N; }
+
+# port OFFSET: prints an address of the deployment.
+port() { echo "127.0.0.1:$((first_port + $1))"; }
+
+# move_ports FILE: prints a file with its ports moved to BASE_PORT.
+move_ports() {
+  awk -v by=$((BASE_PORT - EXAMPLES_PORT)) '{
+    line = $0; moved = ""
+    while (match(line, /127\.0\.0\.1:[0-9]+/)) {
+      address = substr(line, RSTART, RLENGTH); split(address, parts, ":")
+      moved = moved substr(line, 1, RSTART - 1) parts[1] ":" parts[2] + by
+      line = substr(line, RSTART + RLENGTH)
+    }
+    print moved line
+  }' "$1"
+}
+
+# use_deployment NAME: reads a deployment of examples/. It sets hosts, servers
+# (addresses), sheet and the offsets of their ports.
+use_deployment() {
+  deployment=$1
+  out=${OUT:-out/$deployment}
+  rm -rf "$out"
+  mkdir -p "$out/records"
+  case $deployment in
+    mauritius) first_port=$BASE_PORT idempotent=catalogue,workshop order_services=orders probe_time=0s connections=240 ;;
+    casablanca) first_port=$((BASE_PORT + 500)) idempotent=inventaire,expedition order_services=commandes probe_time=6ms connections=220 ;;
+    *) echo "no such deployment: $deployment" >&2 && return 2 ;;
+  esac
+  sheet=$out/sheet.csv
+  move_ports "examples/$deployment/sheet.csv" >"$sheet"
+  hosts=() host_data_centres=()
+  local file offset
+  # In the order of their ports.
+  while read -r file; do
+    hosts+=("$(basename "$file" .env)")
+    move_ports "$file" >"$out/$(basename "$file")"
+  done < <(grep -H '^BAOBABDRUM_CALLER_ADDRESS=' "examples/$deployment"/hosts/*.env | sort -t: -k3 -n | cut -d: -f1)
+  mapfile -t servers < <(awk -F, '$1 == "backend_server" { print $5 }' "$sheet")
+  mapfile -t data_centres < <(awk -F, '$1 == "data_centre" { print $2 }' "$sheet")
+}
+
+# caller_address I, peer_address I, operator_address I: addresses of a host.
+caller_address() { port $((10 + $1)); }
+peer_address() { port $((30 + $1)); }
+operator_address() { port $((50 + $1)); }
+
+# caller_addresses: prints all hosts' addresses for callers.
+caller_addresses() {
+  local i list=()
+  for i in "${!hosts[@]}"; do list+=("$(caller_address "$i")"); done
+  (IFS=, && echo "${list[*]}")
+}
+
+# control_address ADDRESS: prints the control address of a backend server.
+control_address() { echo "127.0.0.1:$((${1#*:} + 100))"; }
+
+start_platform() { start platform bin/standin-platform --address "$(port 0)" --control-address "$(port 1)"; }
+
+# start_host I: starts an entry host with its settings.
+start_host() {
+  # shellcheck disable=SC2046 # one word for each setting
+  start "${hosts[$1]}" env $(cat "$out/${hosts[$1]}.env") ${HOST_SETTINGS:-} bin/baobabdrum host
+}
+
+start_servers() {
+  local i=0 address
+  for address in "${servers[@]}"; do
+    i=$((i + 1))
+    start "server-${address#*:}" bin/standin-backend --address "$address" --control-address "$(control_address "$address")" \
+      --connections "$connections" --probe-time "$probe_time" --seed "$i" ${SERVER_SETTINGS:-}
+  done
+}
+
+# list_hosts [LEAVING]: tells the platform which hosts live, and which one leaves.
+list_hosts() {
+  local i state list=()
+  for i in "${!hosts[@]}"; do
+    state=live
+    if [[ ${hosts[$i]} == "${1:-}" ]]; then state=leaving; fi
+    list+=("{\"name\":\"${hosts[$i]}\",\"peer_address\":\"$(peer_address "$i")\",\"state\":\"$state\"}")
+  done
+  (IFS=, && curl -sSf -X POST -d "{\"hosts\":[${list[*]}]}" "http://$(port 1)/hosts")
+}
+
+apply_sheet() { bin/baobabdrum sheet apply --host-address "$(operator_address "${2:-0}")" "${1:-$sheet}"; }
+
+wait_ready() { retry 20 curl -sf "http://$(operator_address "$1")/ready"; }
+
+# start_deployment: starts everything, applies the sheet and waits until every
+# host takes calls.
+start_deployment() {
+  local i
+  start_platform
+  retry 10 list_hosts
+  start_servers
+  for i in "${!hosts[@]}"; do start_host "$i"; done
+  for i in "${!hosts[@]}"; do retry 10 curl -s "http://$(operator_address "$i")/live"; done
+  apply_sheet >"$out/apply.json"
+  for i in "${!hosts[@]}"; do wait_ready "$i"; done
+  sleep "${SETTLE:-1}"
+}
+
+# platform_fault KIND MILLISECONDS [DELAY]: injects a fault of the platform.
+platform_fault() {
+  curl -sSf -X POST -d "{\"kind\":\"$1\",\"for_ms\":$2,\"delay_ms\":${3:-0}}" "http://$(port 1)/fault" >/dev/null
+}
+
+# server_fault ADDRESS KIND MILLISECONDS [VALUE]: injects a fault of a backend
+# server.
+server_fault() {
+  curl -sSf -X POST -d "{\"kind\":\"$2\",\"for_ms\":$3,\"value\":${4:-0}}" "http://$(control_address "$1")/fault" >/dev/null
+}
+
+# set_data_centre NAME STATE [HOST]: takes a data centre out or in.
+set_data_centre() {
+  bin/baobabdrum data-centre --host-address "$(operator_address "${3:-0}")" "$1" "$2" >>"$out/data_centre.log" 2>&1
+}
+
+# start_load ARGUMENTS...: starts the callers.
+start_load() {
+  start load bin/standin-load --host-addresses "$(caller_addresses)" --services "$idempotent" \
+    --order-services "$order_services" --report "$out/load.json" "$@"
+}
+
+# read_records: reads what every backend server ran into $out/records.
+read_records() {
+  local address
+  for address in "${servers[@]}"; do
+    curl -sSf "http://$(control_address "$address")/runs" >"$out/records/${address#*:}.json"
+  done
+}
