--- /dev/null
+++ b/scripts/faults.sh
@@ -0,0 +1,295 @@
+#!/usr/bin/env bash
+# Runs failure cases under load, with real signals and the stand-ins' control
+# addresses. Usage: scripts/faults.sh [CASE]; without a case it runs them all.
+# Settings: SEED (of every choice), RATE (calls a second), BASE_PORT, DEPLOYMENT.
+#
+# Each case prints one line. The exit code is 1 if a case broke what must always
+# hold; whether it did is judged by standin-verdict and by the case's own checks.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/lib.sh
+trap stop_all EXIT
+SEED=${SEED:-1}
+RATE=${RATE:-300}
+RANDOM=$SEED
+
+# Times of a case in seconds; a case may set others before the load starts.
+before=4
+during=8
+after=6
+
+# check TEXT COMMAND...: adds the text to the broken checks if the command fails.
+check() {
+  local text=$1
+  shift
+  "$@" || broken+=("$text")
+}
+
+# pick COUNT: sets picked to a seeded choice from 0 to COUNT - 1.
+pick() { picked=$((RANDOM % $1)); }
+
+# owner SERVICE: prints the number of the host that owns a cell of the service.
+owner() {
+  local address i
+  address=$(bin/baobabdrum ask --host-address "$(caller_address "${2:-0}")" "$1" | jq -r '.addresses[0]')
+  for i in "${!hosts[@]}"; do
+    if [[ $(caller_address "$i") == "$address" ]]; then echo "$i"; fi
+  done
+}
+
+# version HOST: prints the configuration version in force at a host.
+version() {
+  bin/baobabdrum sheet show --host-address "$(operator_address "$1")" | jq .version
+}
+
+# same_version LEAST: succeeds if every host uses the same version, LEAST or newer.
+same_version() {
+  local i first now
+  first=$(version 0)
+  for i in "${!hosts[@]}"; do
+    now=$(version "$i")
+    [[ $now == "$first" ]] && ((now >= $1)) || return 1
+  done
+}
+
+# sheet_with_out DATA_CENTRE: prints the sheet with the data centre out.
+sheet_with_out() { sed "s/^data_centre,$1,\(.*\),in,/data_centre,$1,\1,out,/" "$sheet"; }
+
+# replace HOST: stops a host gracefully and starts another in its place.
+replace() {
+  local name=${hosts[$1]}
+  signal "$name" TERM
+  finish "$name" || broken+=("$name exited with $?")
+  start_host "$1"
+  wait_ready "$1"
+}
+
+case_nothing() { sleep "$during"; }
+
+case_kill_owner() {
+  local victim
+  victim=$(owner "${idempotent%%,*}")
+  signal "${hosts[$victim]}" KILL
+  finish "${hosts[$victim]}" || true
+  sleep "$during"
+  start_host "$victim"
+}
+
+# The order owner is killed, so that orders are in flight when it dies.
+case_kill_order_owner() {
+  local victim
+  victim=$(owner "$order_services")
+  signal "${hosts[$victim]}" KILL
+  finish "${hosts[$victim]}" || true
+  sleep "$during"
+  start_host "$victim"
+}
+
+case_freeze_owner() {
+  local victim
+  victim=$(owner "${idempotent%%,*}")
+  signal "${hosts[$victim]}" STOP
+  sleep 8
+  signal "${hosts[$victim]}" CONT
+}
+
+case_freeze_order_owner() {
+  local victim
+  victim=$(owner "$order_services")
+  signal "${hosts[$victim]}" STOP
+  sleep 8
+  signal "${hosts[$victim]}" CONT
+}
+
+prepare_platform_away() { during=30; }
+case_platform_away() {
+  platform_fault outage 30000
+  sleep 30
+}
+
+# Every host is replaced while the platform is away: none has a configuration
+# until the platform is back.
+prepare_platform_away_at_start() { during=16; }
+case_platform_away_at_start() {
+  local i
+  platform_fault outage 10000
+  for i in "${!hosts[@]}"; do signal "${hosts[$i]}" KILL; done
+  for i in "${!hosts[@]}"; do finish "${hosts[$i]}" || true; done
+  for i in "${!hosts[@]}"; do start_host "$i"; done
+  sleep 10
+  for i in "${!hosts[@]}"; do wait_ready "$i"; done
+  check versions retry 6 same_version 1
+}
+
+prepare_platform_slow() { during=12; }
+case_platform_slow() {
+  platform_fault slow 12000 2000
+  sleep 12
+}
+
+case_sheet_reply_lost() {
+  local code=0
+  sheet_with_out "${data_centres[2]}" >"$out/changed.csv"
+  platform_fault lost_reply 3000
+  apply_sheet "$out/changed.csv" >>"$out/apply.json" 2>&1 || code=$?
+  check "apply exited with $code" test "$code" = 0 -o "$code" = 4
+  sleep 3
+  apply_sheet "$out/changed.csv" >"$out/again.json" || broken+=("apply again failed")
+  check versions retry 6 same_version 2
+  sleep 2
+}
+
+# Two planners apply different sheets at different hosts at once: one is
+# accepted, or one after the other; never a mixture.
+case_two_planners() {
+  local code=0
+  sheet_with_out "${data_centres[1]}" >"$out/first.csv"
+  sheet_with_out "${data_centres[2]}" >"$out/second.csv"
+  start planner-1 bin/baobabdrum sheet apply --host-address "$(operator_address 1)" "$out/first.csv"
+  start planner-2 bin/baobabdrum sheet apply --host-address "$(operator_address 2)" "$out/second.csv"
+  local accepted=0
+  for planner in planner-1 planner-2; do
+    code=0
+    finish "$planner" || code=$?
+    check "$planner exited with $code" test "$code" = 0 -o "$code" = 5
+    if ((code == 0)); then accepted=$((accepted + 1)); fi
+  done
+  check "no planner was accepted" test "$accepted" -ge 1
+  check versions retry 6 same_version $((1 + accepted))
+  sleep 3
+}
+
+case_data_centre_out() {
+  pick "${#data_centres[@]}"
+  left=${data_centres[$picked]}
+  out_at=$(now_ms)
+  check "data-centre out" set_data_centre "$left" out
+  sleep "$during"
+  in_at=$(now_ms)
+  check "data-centre in" set_data_centre "$left" in
+}
+
+prepare_data_centre_out_in_outage() { during=14; }
+case_data_centre_out_in_outage() {
+  platform_fault outage 14000
+  sleep 1
+  pick "${#data_centres[@]}"
+  left=${data_centres[$picked]}
+  out_at=$(now_ms)
+  check "data-centre out" set_data_centre "$left" out
+  sleep 13
+}
+
+prepare_rolling_replacement() { during=90; }
+case_rolling_replacement() {
+  local i
+  for i in "${!hosts[@]}"; do replace "$i"; done
+}
+
+# Two at once: an owner dies while the platform is away.
+prepare_kill_owner_in_outage() { during=10; }
+case_kill_owner_in_outage() {
+  platform_fault outage 10000
+  case_kill_owner
+}
+
+# Two at once: one owner freezes and another dies.
+case_freeze_and_kill() {
+  local frozen victim
+  frozen=$(owner "$order_services")
+  signal "${hosts[$frozen]}" STOP
+  victim=$(owner "${idempotent%%,*}" $(((frozen + 1) % ${#hosts[@]})))
+  if [[ -n $victim && $victim != "$frozen" ]]; then
+    signal "${hosts[$victim]}" KILL
+    finish "${hosts[$victim]}" || true
+  fi
+  sleep 8
+  signal "${hosts[$frozen]}" CONT
+}
+
+# A caller is killed in the middle of a large answer: no slot stays taken.
+case_caller_killed_mid_pack() {
+  local i
+  for i in 1 2 3 4 5 6 7 8; do
+    start "pack-$i" curl -s --limit-rate 256k -o /dev/null "http://$(caller_address "$i")/call/${idempotent%%,*}/pack/67108864"
+  done
+  sleep 3
+  read_records
+  check "no pack was in flight" test "$(jq -s 'map(.in_flight) | add' "$out"/records/*.json)" -ge 8
+  for i in 1 2 3 4 5 6 7 8; do
+    signal "pack-$i" KILL
+    finish "pack-$i" || true
+  done
+}
+
+# A backend server turns cold, cuts its answers, fails fast, straggles, lies
+# about its load and drains, each for a second.
+case_server_faults() {
+  local kind
+  for kind in cold cut fail_fast straggle lie drain shed late; do
+    pick "${#servers[@]}"
+    server_fault "${servers[$picked]}" "$kind" 1000 10
+    sleep 1
+  done
+}
+
+# idle: succeeds if no host and no backend server runs a call.
+idle() {
+  local i
+  for i in "${!hosts[@]}"; do
+    if bin/baobabdrum dump --host-address "$(operator_address "$i")" | grep -q '"in_flight": [1-9]'; then return 1; fi
+  done
+  read_records
+  test "$(jq -s 'map(.in_flight) | add' "$out"/records/*.json)" = 0
+}
+
+# p99 PHASE: prints the 99th percentile of a phase in milliseconds.
+p99() {
+  jq ".phases[] | select(.phase == \"$1\") | .latency.p99_us / 1000" "$out/load.json"
+}
+
+# field NAME: prints a count of the verdict.
+field() { jq ".$1" "$out/verdict.json"; }
+
+# run_case NAME: runs a case and prints its line. It returns 1 if it broke.
+run_case() {
+  broken=() left="" out_at=0 in_at=0 before=4 during=8 after=6
+  OUT=out/faults/$1
+  use_deployment "${DEPLOYMENT:-mauritius}"
+  if declare -F "prepare_$1" >/dev/null; then "prepare_$1"; fi
+  start_deployment
+  local began=$SECONDS
+  start_load --rate "$RATE" --order-percent 20 --seed "$SEED" --duration $((before + during + after))s \
+    --fault-after "${before}s" --fault-for "${during}s"
+  sleep "$before"
+  "case_$1"
+  check "load run" finish load
+  check "slots still taken" retry 5 idle
+  read_records
+  local arguments=()
+  if [[ -n $left ]]; then arguments=(--sheet "$sheet" --out-data-centre "$left" --out-at-ms "$out_at" --in-at-ms "$in_at"); fi
+  bin/standin-verdict --load "$out/load.json" --records "$out/records" "${arguments[@]}" \
+    >"$out/verdict.json" 2>"$out/verdict.log" || broken+=("$(cat "$out/verdict.log")")
+  if grep -l event=invariant_broken "$out"/*.log >/dev/null; then broken+=("invariant broken"); fi
+  stop_all
+  echo "case=$1 seed=$SEED started=$(field started) orders=$(field orders) orders_twice=$(field orders_twice)" \
+    "not_run_but_run=$(field not_run_but_run) misdirected=$(field misdirected) lost=$(field lost)" \
+    "not_run=$(field not_run) unknown=$(field unknown) orders_unknown=$(field orders_unknown)" \
+    "calls_after_out=$(field calls_after_out) last_call_after_out_ms=$(field last_call_after_out_ms)" \
+    "p99_ms_before/during/after=$(p99 before)/$(p99 during)/$(p99 after) seconds=$((SECONDS - began))" \
+    "result=$([[ ${#broken[@]} == 0 ]] && echo passed || echo FAILED)${broken[*]:+ broken=\"$(IFS=';' && echo "${broken[*]}")\"}"
+  ((${#broken[@]} == 0))
+}
+
+# cases lists the names of all cases.
+cases() { declare -F | sed -n 's/^declare -f case_//p'; }
+
+if [[ ${1:-} == --list ]]; then
+  cases
+  exit 0
+fi
+code=0
+for name in ${1:-$(cases)}; do
+  run_case "$name" || code=1
+done
+exit "$code"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -23,7 +23,7 @@
 finish() {
   local pid=${pids[$1]} code=0
   unset "pids[$1]"
-  wait "$pid" || code=$?
+  { wait "$pid"; } 2>/dev/null || code=$?
   return "$code"
 }
 
