--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 slopes: build
 	bin/standin-slopes
 
-.PHONY: demo faults soak
+.PHONY: demo faults soak docs-check
 
 # demo runs both example deployments with a data centre that leaves and returns.
 demo: build
@@ -63,3 +63,7 @@
 # soak runs seeded choices of the failure cases: make soak SEED=1 MINUTES=10
 soak: build
 	scripts/soak.sh
+
+# docs-check runs the commands of the users' pages as written.
+docs-check: build
+	scripts/docs-check.sh
--- /dev/null
+++ b/scripts/docs-check.sh
@@ -0,0 +1,50 @@
+#!/usr/bin/env bash
+# Runs the commands of the pages as written, against one example deployment on
+# this machine. A block that starts with ```sh must succeed; the words after sh
+# say otherwise: `exit=N` expects that exit code, `background` leaves the
+# command running. Blocks that start with ```bash are not run.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/lib.sh
+trap stop_all EXIT
+PAGES=${PAGES:-examples/README.md docs/CALLERS.md docs/OPERATORS.md}
+
+# blocks PAGE: writes each sh block of a page to $out/blocks, named in order.
+blocks() {
+  awk -v stem="$out/blocks/$(echo "$1" | tr / -)" '
+    /^```sh( |$)/ { file = sprintf("%s-%02d.sh", stem, ++count); print "#" substr($0, 6) >file; next }
+    /^```/ { file = "" }
+    file != "" { print >file }
+  ' "$1"
+}
+
+# run_block FILE: runs a block and compares its exit code.
+run_block() {
+  local wanted=0 code=0 words
+  words=$(head -1 "$1")
+  if [[ $words =~ exit=([0-9]+) ]]; then wanted=${BASH_REMATCH[1]}; fi
+  move_ports "$1" >"$1.moved"
+  if [[ $words == *background* ]]; then
+    start "$(basename "$1" .sh)" bash -euo pipefail "$1.moved"
+    sleep 2
+    return 0
+  fi
+  timeout 60 bash -euo pipefail "$1.moved" >"$1.log" 2>&1 || code=$?
+  ((code == wanted)) || { echo "$1: exit code $code instead of $wanted" && sed 's/^/    /' "$1.moved" "$1.log" && return 1; }
+}
+
+use_deployment mauritius
+mkdir -p "$out/blocks"
+for page in $PAGES; do blocks "$page"; done
+# The last host is left to a page that starts it.
+spare=$((${#hosts[@]} - 1))
+spare_name=${hosts[$spare]}
+unset "hosts[$spare]"
+start_deployment
+failed=0 ran=0
+for file in "$out"/blocks/*.sh; do
+  ran=$((ran + 1))
+  run_block "$file" || failed=$((failed + 1))
+done
+echo "docs-check: $ran blocks ran, $failed failed (spare host $spare_name); blocks not run: $(cat $PAGES README.md | grep -c '^```bash')"
+((failed == 0))
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -51,6 +51,15 @@
   done
 }
 
+# all_running: fails if a process that was started has ended, such as one whose
+# port another process holds.
+all_running() {
+  local name
+  for name in "${!pids[@]}"; do
+    kill -0 "${pids[$name]}" 2>/dev/null || { echo "$name ended: $(tail -1 "$out/$name.log")" >&2 && return 1; }
+  done
+}
+
 # now_ms: prints the time in Unix milliseconds.
 now_ms() { date +%s%3N; }
 
@@ -149,8 +158,10 @@
   start_platform
   retry 10 list_hosts
   start_servers
+  all_running
   for i in "${!hosts[@]}"; do start_host "$i"; done
   for i in "${!hosts[@]}"; do retry 10 curl -s "http://$(operator_address "$i")/live"; done
+  all_running
   apply_sheet >"$out/apply.json"
   for i in "${!hosts[@]}"; do wait_ready "$i"; done
   sleep "${SETTLE:-1}"
--- /dev/null
+++ b/standin/caller_test.go
@@ -0,0 +1,74 @@
+package standin
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+func TestCallerRetries(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		outcome string
+		order   bool
+		want    bool
+	}{
+		"a call that was not run":     {outcome: outcomeNotRun, want: true},
+		"a call that may have run":    {outcome: outcomeUnknown, want: true},
+		"no call that was answered":   {outcome: outcomeAnswered},
+		"an order that was not run":   {outcome: outcomeNotRun, order: true, want: true},
+		"no order that may have run":  {outcome: outcomeUnknown, order: true},
+		"no order that was answered":  {outcome: outcomeAnswered, order: true},
+		"no order without an outcome": {order: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			assert.Equal(t, exchange{outcome: test.outcome}.mayRetry(test.order), test.want)
+		})
+	}
+}
+
+func TestCallerFailureOutcome(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		err  error
+		want string
+	}{
+		"a refused connection":       {err: &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, want: outcomeNotRun},
+		"a connection not opened":    {err: fasthttp.ErrDialTimeout, want: outcomeNotRun},
+		"a connection that broke":    {err: &net.OpError{Op: "read", Err: syscall.ECONNRESET}, want: outcomeUnknown},
+		"a response that came late":  {err: fasthttp.ErrTimeout, want: outcomeUnknown},
+		"a connection that is ended": {err: fasthttp.ErrConnectionClosed, want: outcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			assert.Equal(t, failureOutcome(test.err), test.want)
+		})
+	}
+}
+
+func TestPhaseAt(t *testing.T) {
+	t.Parallel()
+	settings := schema.LoadSettings{FaultAfter: 2 * time.Second, FaultFor: 3 * time.Second}
+	for name, test := range map[string]struct {
+		since time.Duration
+		want  phase
+	}{
+		"before the fault":     {since: 2*time.Second - 1, want: phaseBefore},
+		"from its injection":   {since: 2 * time.Second, want: phaseDuring},
+		"from the end of it":   {since: 5 * time.Second, want: phaseAfter},
+		"until the run's end":  {since: time.Hour, want: phaseAfter},
+		"at once at the start": {since: 0, want: phaseBefore},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			assert.Equal(t, phaseAt(settings, test.since), test.want)
+		})
+	}
+}
