Start the thin set-up with the functions of the other scripts

Cause: scripts/thin.sh started and stopped processes in its own way and on fixed ports. Change: it uses scripts/lib.sh; its sheet uses the ports of the examples.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -79,8 +79,8 @@
   }' "$1"
 }
 
-# use_deployment NAME: reads a deployment of examples/. It sets hosts, servers
-# (addresses), sheet and the offsets of their ports.
+# use_deployment NAME [SHEET]: reads a deployment of examples/. It sets hosts,
+# servers (addresses), sheet and the first of their ports.
 use_deployment() {
   deployment=$1
   out=${OUT:-out/$deployment}
@@ -92,9 +92,9 @@
     *) echo "no such deployment: $deployment" >&2 && return 2 ;;
   esac
   sheet=$out/sheet.csv
-  move_ports "examples/$deployment/sheet.csv" >"$sheet"
-  hosts=() host_data_centres=()
-  local file offset
+  move_ports "examples/$deployment/${2:-sheet.csv}" >"$sheet"
+  hosts=()
+  local file
   # In the order of their ports.
   while read -r file; do
     hosts+=("$(basename "$file" .env)")
