Judge probes, cold starts, leaving servers and reverted versions

Change: the verdict compares each backend server's probes with the sheet, counts calls after a single server left and servers that fell over; stand-in servers can restart; cases cold_start and server_leaving; every case checks that no host's version reverts.

--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -7121,6 +7121,12 @@
 				err = msgp.WrapError(err, "Shed")
 				return
 			}
+		case "up_ms":
+			z.UpMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "UpMs")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -7134,9 +7140,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *RunRecord) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 14
+	// map header, size 15
 	// write "address"
-	err = en.Append(0x8e, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	err = en.Append(0x8f, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	if err != nil {
 		return
 	}
@@ -7331,15 +7337,25 @@
 		err = msgp.WrapError(err, "Shed")
 		return
 	}
+	// write "up_ms"
+	err = en.Append(0xa5, 0x75, 0x70, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.UpMs)
+	if err != nil {
+		err = msgp.WrapError(err, "UpMs")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *RunRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 15
 	// string "address"
-	o = append(o, 0x8e, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = append(o, 0x8f, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.Address)
 	// string "calls"
 	o = append(o, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
@@ -7401,6 +7417,9 @@
 	// string "shed"
 	o = append(o, 0xa4, 0x73, 0x68, 0x65, 0x64)
 	o = msgp.AppendInt(o, z.Shed)
+	// string "up_ms"
+	o = append(o, 0xa5, 0x75, 0x70, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.UpMs)
 	return
 }
 
@@ -7596,6 +7615,12 @@
 				err = msgp.WrapError(err, "Shed")
 				return
 			}
+		case "up_ms":
+			z.UpMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UpMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -7614,7 +7639,7 @@
 	for za0002 := range z.Orders {
 		s += 1 + 6 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Orders[za0002].Order) + 5 + msgp.StringPrefixSize + len(z.Orders[za0002].Path)
 	}
-	s += 7 + msgp.IntSize + 5 + msgp.IntSize
+	s += 7 + msgp.IntSize + 5 + msgp.IntSize + 6 + msgp.IntSize
 	return
 }
 
@@ -8130,6 +8155,12 @@
 				err = msgp.WrapError(err, "Failed")
 				return
 			}
+		case "fell_over":
+			z.FellOver, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "FellOver")
+				return
+			}
 		case "last_call_after_out_ms":
 			z.LastCallAfterOutMs, err = dc.ReadInt()
 			if err != nil {
@@ -8184,10 +8215,22 @@
 				err = msgp.WrapError(err, "OverConnections")
 				return
 			}
-		case "over_slots":
-			z.OverSlots, err = dc.ReadInt()
+		case "over_probes":
+			z.OverProbes, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OverProbes")
+				return
+			}
+		case "probes":
+			z.Probes, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Probes")
+				return
+			}
+		case "shed":
+			z.Shed, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "OverSlots")
+				err = msgp.WrapError(err, "Shed")
 				return
 			}
 		case "started":
@@ -8215,9 +8258,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Verdict) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 16
+	// map header, size 19
 	// write "answered"
-	err = en.Append(0xde, 0x0, 0x10, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	err = en.Append(0xde, 0x0, 0x13, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
 	if err != nil {
 		return
 	}
@@ -8256,6 +8299,16 @@
 		err = msgp.WrapError(err, "Failed")
 		return
 	}
+	// write "fell_over"
+	err = en.Append(0xa9, 0x66, 0x65, 0x6c, 0x6c, 0x5f, 0x6f, 0x76, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.FellOver)
+	if err != nil {
+		err = msgp.WrapError(err, "FellOver")
+		return
+	}
 	// write "last_call_after_out_ms"
 	err = en.Append(0xb6, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72, 0x5f, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
 	if err != nil {
@@ -8346,14 +8399,34 @@
 		err = msgp.WrapError(err, "OverConnections")
 		return
 	}
-	// write "over_slots"
-	err = en.Append(0xaa, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+	// write "over_probes"
+	err = en.Append(0xab, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x70, 0x72, 0x6f, 0x62, 0x65, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.OverSlots)
+	err = en.WriteInt(z.OverProbes)
 	if err != nil {
-		err = msgp.WrapError(err, "OverSlots")
+		err = msgp.WrapError(err, "OverProbes")
+		return
+	}
+	// write "probes"
+	err = en.Append(0xa6, 0x70, 0x72, 0x6f, 0x62, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Probes)
+	if err != nil {
+		err = msgp.WrapError(err, "Probes")
+		return
+	}
+	// write "shed"
+	err = en.Append(0xa4, 0x73, 0x68, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Shed)
+	if err != nil {
+		err = msgp.WrapError(err, "Shed")
 		return
 	}
 	// write "started"
@@ -8382,9 +8455,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Verdict) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
+	// map header, size 19
 	// string "answered"
-	o = append(o, 0xde, 0x0, 0x10, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = append(o, 0xde, 0x0, 0x13, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
 	o = msgp.AppendInt(o, z.Answered)
 	// string "answered_but_not_run"
 	o = append(o, 0xb4, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64, 0x5f, 0x62, 0x75, 0x74, 0x5f, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
@@ -8395,6 +8468,9 @@
 	// string "failed"
 	o = append(o, 0xa6, 0x66, 0x61, 0x69, 0x6c, 0x65, 0x64)
 	o = msgp.AppendInt(o, z.Failed)
+	// string "fell_over"
+	o = append(o, 0xa9, 0x66, 0x65, 0x6c, 0x6c, 0x5f, 0x6f, 0x76, 0x65, 0x72)
+	o = msgp.AppendInt(o, z.FellOver)
 	// string "last_call_after_out_ms"
 	o = append(o, 0xb6, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72, 0x5f, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt(o, z.LastCallAfterOutMs)
@@ -8422,9 +8498,15 @@
 	// string "over_connections"
 	o = append(o, 0xb0, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
 	o = msgp.AppendInt(o, z.OverConnections)
-	// string "over_slots"
-	o = append(o, 0xaa, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x73, 0x6c, 0x6f, 0x74, 0x73)
-	o = msgp.AppendInt(o, z.OverSlots)
+	// string "over_probes"
+	o = append(o, 0xab, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x70, 0x72, 0x6f, 0x62, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.OverProbes)
+	// string "probes"
+	o = append(o, 0xa6, 0x70, 0x72, 0x6f, 0x62, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.Probes)
+	// string "shed"
+	o = append(o, 0xa4, 0x73, 0x68, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Shed)
 	// string "started"
 	o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64)
 	o = msgp.AppendInt(o, z.Started)
@@ -8476,6 +8558,12 @@
 				err = msgp.WrapError(err, "Failed")
 				return
 			}
+		case "fell_over":
+			z.FellOver, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FellOver")
+				return
+			}
 		case "last_call_after_out_ms":
 			z.LastCallAfterOutMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -8530,10 +8618,22 @@
 				err = msgp.WrapError(err, "OverConnections")
 				return
 			}
-		case "over_slots":
-			z.OverSlots, bts, err = msgp.ReadIntBytes(bts)
+		case "over_probes":
+			z.OverProbes, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "OverSlots")
+				err = msgp.WrapError(err, "OverProbes")
+				return
+			}
+		case "probes":
+			z.Probes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Probes")
+				return
+			}
+		case "shed":
+			z.Shed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Shed")
 				return
 			}
 		case "started":
@@ -8562,6 +8662,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Verdict) Msgsize() (s int) {
-	s = 3 + 9 + msgp.IntSize + 21 + msgp.IntSize + 16 + msgp.IntSize + 7 + msgp.IntSize + 23 + msgp.IntSize + 5 + msgp.IntSize + 12 + msgp.IntSize + 8 + msgp.IntSize + 16 + msgp.IntSize + 7 + msgp.IntSize + 13 + msgp.IntSize + 15 + msgp.IntSize + 17 + msgp.IntSize + 11 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.IntSize
+	s = 3 + 9 + msgp.IntSize + 21 + msgp.IntSize + 16 + msgp.IntSize + 7 + msgp.IntSize + 10 + msgp.IntSize + 23 + msgp.IntSize + 5 + msgp.IntSize + 12 + msgp.IntSize + 8 + msgp.IntSize + 16 + msgp.IntSize + 7 + msgp.IntSize + 13 + msgp.IntSize + 15 + msgp.IntSize + 17 + msgp.IntSize + 12 + msgp.IntSize + 7 + msgp.IntSize + 5 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.IntSize
 	return
 }
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -25,7 +25,8 @@
 	// ForMs is how long the fault lasts in milliseconds; 0 ends it.
 	ForMs int `json:"for_ms" msg:"for_ms"`
 
-	// Kind is freeze, shed, cold, drain, cut, late, straggle, lie or fail_fast.
+	// Kind is freeze, restart, shed, cold, drain, cut, late, straggle, lie or
+	// fail_fast.
 	Kind string `json:"kind" msg:"kind"`
 
 	// Value is the delay in milliseconds of late answers, the factor of a straggler,
@@ -526,6 +527,9 @@
 
 	// Shed is the number of calls that it refused.
 	Shed int `json:"shed" msg:"shed"`
+
+	// UpMs is the time since its start in milliseconds.
+	UpMs int `json:"up_ms" msg:"up_ms"`
 }
 
 // Service is a named set of interchangeable backend servers.
@@ -566,16 +570,18 @@
 	// AnsweredButNotRun counts the orders told answered that did not run.
 	AnsweredButNotRun int `json:"answered_but_not_run" msg:"answered_but_not_run"`
 
-	// CallsAfterOut counts calls that reached the data centre later than permitted
-	// after it left.
+	// CallsAfterOut counts calls that reached what left later than permitted.
 	CallsAfterOut int `json:"calls_after_out" msg:"calls_after_out"`
 
 	// Failed counts those among the answered whose status says that the backend
 	// server failed.
 	Failed int `json:"failed" msg:"failed"`
 
-	// LastCallAfterOutMs is the time from the data centre's leaving to the last call
-	// that reached it while it was out.
+	// FellOver counts how often cold backend servers fell over.
+	FellOver int `json:"fell_over" msg:"fell_over"`
+
+	// LastCallAfterOutMs is the time from the leaving to the last call that arrived
+	// before the return.
 	LastCallAfterOutMs int `json:"last_call_after_out_ms" msg:"last_call_after_out_ms"`
 
 	// Lost counts calls without any outcome.
@@ -602,9 +608,14 @@
 	// OverConnections counts the connections above a backend server's limit.
 	OverConnections int `json:"over_connections" msg:"over_connections"`
 
-	// OverSlots counts the backend servers that were asked to run more than they
-	// declare.
-	OverSlots int `json:"over_slots" msg:"over_slots"`
+	// OverProbes counts the backend servers that were probed more often than agreed.
+	OverProbes int `json:"over_probes" msg:"over_probes"`
+
+	// Probes counts the probes of all backend servers.
+	Probes int `json:"probes" msg:"probes"`
+
+	// Shed counts the calls that backend servers refused.
+	Shed int `json:"shed" msg:"shed"`
 
 	// Started counts the calls that callers started.
 	Started int `json:"started" msg:"started"`
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -305,11 +305,12 @@
 type VerdictFlags struct {
 	Load          string `long:"load" env:"BAOBABDRUM_VERDICT_LOAD" default:"load.json" value-name:"text" description:"file with the report of the load run"`
 	Records       string `long:"records" env:"BAOBABDRUM_VERDICT_RECORDS" default:"records" value-name:"text" description:"directory with the run records of the backend servers, one JSON file each"`
-	Sheet         string `long:"sheet" env:"BAOBABDRUM_VERDICT_SHEET" default:"" value-name:"text" description:"sheet that declares the backend servers; empty when no data centre left"`
+	Sheet         string `long:"sheet" env:"BAOBABDRUM_VERDICT_SHEET" default:"" value-name:"text" description:"sheet that declares the backend servers and the agreed probes; empty to judge neither probes nor a leaving"`
 	OutDataCentre string `long:"out-data-centre" env:"BAOBABDRUM_VERDICT_OUT_DATA_CENTRE" default:"" value-name:"text" description:"data centre that left; empty for none"`
-	OutAtMs       string `long:"out-at-ms" env:"BAOBABDRUM_VERDICT_OUT_AT_MS" default:"0" value-name:"integer" description:"time of its leaving in Unix milliseconds (0 to 9223372036854775807)"`
-	InAtMs        string `long:"in-at-ms" env:"BAOBABDRUM_VERDICT_IN_AT_MS" default:"0" value-name:"integer" description:"time of its return in Unix milliseconds; 0 when it did not return (0 to 9223372036854775807)"`
-	Permitted     string `long:"permitted" env:"BAOBABDRUM_VERDICT_PERMITTED" default:"6s" value-name:"duration" description:"how long after its leaving calls may still reach it (0s to 1h)"`
+	OutAddress    string `long:"out-address" env:"BAOBABDRUM_VERDICT_OUT_ADDRESS" default:"" value-name:"text" description:"address of a backend server that left; empty for none"`
+	OutAtMs       string `long:"out-at-ms" env:"BAOBABDRUM_VERDICT_OUT_AT_MS" default:"0" value-name:"integer" description:"time of the leaving in Unix milliseconds (0 to 9223372036854775807)"`
+	InAtMs        string `long:"in-at-ms" env:"BAOBABDRUM_VERDICT_IN_AT_MS" default:"0" value-name:"integer" description:"time of the return in Unix milliseconds; 0 when there was none (0 to 9223372036854775807)"`
+	Permitted     string `long:"permitted" env:"BAOBABDRUM_VERDICT_PERMITTED" default:"6s" value-name:"duration" description:"how long after the leaving calls may still arrive (0s to 1h)"`
 }
 
 // VerdictSettings holds the checked settings of the comparison of what callers were told with what backend servers ran.
@@ -318,15 +319,17 @@
 	Load string
 	// Records is set by --records: directory with the run records of the backend servers, one JSON file each.
 	Records string
-	// Sheet is set by --sheet: sheet that declares the backend servers; empty when no data centre left.
+	// Sheet is set by --sheet: sheet that declares the backend servers and the agreed probes; empty to judge neither probes nor a leaving.
 	Sheet string
 	// OutDataCentre is set by --out-data-centre: data centre that left; empty for none.
 	OutDataCentre string
-	// OutAtMs is set by --out-at-ms: time of its leaving in Unix milliseconds (0 to 9223372036854775807).
+	// OutAddress is set by --out-address: address of a backend server that left; empty for none.
+	OutAddress string
+	// OutAtMs is set by --out-at-ms: time of the leaving in Unix milliseconds (0 to 9223372036854775807).
 	OutAtMs int
-	// InAtMs is set by --in-at-ms: time of its return in Unix milliseconds; 0 when it did not return (0 to 9223372036854775807).
+	// InAtMs is set by --in-at-ms: time of the return in Unix milliseconds; 0 when there was none (0 to 9223372036854775807).
 	InAtMs int
-	// Permitted is set by --permitted: how long after its leaving calls may still reach it (0s to 1h).
+	// Permitted is set by --permitted: how long after the leaving calls may still arrive (0s to 1h).
 	Permitted time.Duration
 }
 
@@ -338,6 +341,7 @@
 		Records:       c.text("records", f.Records),
 		Sheet:         c.text("sheet", f.Sheet),
 		OutDataCentre: c.text("out-data-centre", f.OutDataCentre),
+		OutAddress:    c.text("out-address", f.OutAddress),
 		OutAtMs:       c.integer("out-at-ms", f.OutAtMs, "0", "9223372036854775807"),
 		InAtMs:        c.integer("in-at-ms", f.InAtMs, "0", "9223372036854775807"),
 		Permitted:     c.duration("permitted", f.Permitted, "0s", "1h"),
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -42,6 +42,15 @@
   bin/baobabdrum sheet show --host-address "$(operator_address "$1")" | jq .version
 }
 
+# in_force LEAST: checks that every host uses the same version, LEAST or newer,
+# within 6 s, and sets in_force_ms to the time that it took.
+in_force() {
+  local began
+  began=$(now_ms)
+  check "version $1 not in force everywhere after 6 s" retry 6 same_version "$1"
+  in_force_ms=$(($(now_ms) - began))
+}
+
 # same_version LEAST: succeeds if every host uses the same version, LEAST or newer.
 same_version() {
   local i first now
@@ -118,7 +127,7 @@
   for i in "${!hosts[@]}"; do start_host "$i"; done
   sleep 10
   for i in "${!hosts[@]}"; do wait_ready "$i"; done
-  check versions retry 6 same_version 1
+  in_force 1
 }
 
 prepare_platform_slow() { during=12; }
@@ -135,7 +144,7 @@
   check "apply exited with $code" test "$code" = 0 -o "$code" = 4
   sleep 3
   apply_sheet "$out/changed.csv" >"$out/again.json" || broken+=("apply again failed")
-  check versions retry 6 same_version 2
+  in_force 2
   sleep 2
 }
 
@@ -155,7 +164,7 @@
     if ((code == 0)); then accepted=$((accepted + 1)); fi
   done
   check "no planner was accepted" test "$accepted" -ge 1
-  check versions retry 6 same_version $((1 + accepted))
+  in_force $((1 + accepted))
   sleep 3
 }
 
@@ -180,7 +189,31 @@
   sleep 13
 }
 
-prepare_rolling_replacement() { during=90; }
+# A backend server leaves by the sheet.
+case_server_leaving() {
+  pick "${#servers[@]}"
+  left_address=${servers[$picked]}
+  sed "s/^\(backend_server,.*,$left_address,.*\),in,/\1,leaving,/" "$sheet" >"$out/changed.csv"
+  out_at=$(now_ms)
+  check "sheet apply" apply_sheet "$out/changed.csv" >>"$out/apply.json" 2>&1
+  in_force 2
+  sleep "$during"
+}
+
+# Every backend server is cold when the load starts, and some restart under it.
+prepare_cold_start() { SERVER_SETTINGS="--cold-start 8s" settle=0; }
+case_cold_start() {
+  local i
+  for i in 1 2 3; do
+    pick "${#servers[@]}"
+    server_fault "${servers[$picked]}" restart 1000
+    sleep 2
+  done
+  read_records
+  check "a cold backend server fell over" test "$(jq -s 'map(.fell_over) | add' "$out"/records/*.json)" = 0
+}
+
+prepare_rolling_replacement() { during=120 none_cut=1; }
 case_rolling_replacement() {
   local i
   for i in "${!hosts[@]}"; do replace "$i"; done
@@ -222,13 +255,15 @@
   done
 }
 
-# A backend server turns cold, cuts its answers, fails fast, straggles, lies
-# about its load and drains, each for a second.
+# Eight backend servers at a time turn cold, cut their answers, fail fast,
+# straggle, lie about their load, drain, shed and answer late, for a second each.
 case_server_faults() {
-  local kind
+  local kind i
   for kind in cold cut fail_fast straggle lie drain shed late; do
-    pick "${#servers[@]}"
-    server_fault "${servers[$picked]}" "$kind" 1000 10
+    for i in 1 2 3 4 5 6 7 8; do
+      pick "${#servers[@]}"
+      server_fault "${servers[$picked]}" "$kind" 1000 10
+    done
     sleep 1
   done
 }
@@ -243,6 +278,18 @@
   test "$(jq -s 'map(.in_flight) | add' "$out"/records/*.json)" = 0
 }
 
+# versions_grow: succeeds if in every run of a host's process each configuration
+# in force has a version no smaller than the one before.
+versions_grow() {
+  grep -hE 'event=(host_started|configuration_in_force)' "$out"/*.log | awk '
+    { match($0, / host=[^ ]*/); host = substr($0, RSTART, RLENGTH) }
+    /event=host_started/ { last[host] = 0; next }
+    { match($0, / version=[0-9]+/); version = substr($0, RSTART + 9, RLENGTH - 9) + 0
+      if (version < last[host]) reverted = 1
+      last[host] = version }
+    END { exit reverted }'
+}
+
 # p99 PHASE: prints the 99th percentile of a phase in milliseconds.
 p99() {
   jq ".phases[] | select(.phase == \"$1\") | .latency.p99_us / 1000" "$out/load.json"
@@ -253,28 +300,31 @@
 
 # run_case NAME: runs a case and prints its line. It returns 1 if it broke.
 run_case() {
-  broken=() left="" out_at=0 in_at=0 before=4 during=8 after=6
+  broken=() left="" left_address="" out_at=0 in_at=0 before=4 during=8 after=6 none_cut="" in_force_ms="" settle=1
+  SERVER_SETTINGS=""
   OUT=out/faults/$1
   use_deployment "${DEPLOYMENT:-mauritius}"
   if declare -F "prepare_$1" >/dev/null; then "prepare_$1"; fi
-  start_deployment
+  SETTLE=$settle start_deployment
   local began=$SECONDS
-  start_load --rate "$RATE" --order-percent 20 --seed "$SEED" --duration $((before + during + after))s \
+  start_load --rate "$RATE" --order-percent 20 --pack-percent 1 --seed "$SEED" --duration $((before + during + after))s \
     --fault-after "${before}s" --fault-for "${during}s"
   sleep "$before"
   "case_$1"
   check "load run" finish load
   check "slots still taken" retry 5 idle
   read_records
-  local arguments=()
-  if [[ -n $left ]]; then arguments=(--sheet "$sheet" --out-data-centre "$left" --out-at-ms "$out_at" --in-at-ms "$in_at"); fi
-  bin/standin-verdict --load "$out/load.json" --records "$out/records" "${arguments[@]}" \
+  bin/standin-verdict --load "$out/load.json" --records "$out/records" --sheet "$sheet" --out-data-centre "$left" \
+    --out-address "$left_address" --out-at-ms "$out_at" --in-at-ms "$in_at" \
     >"$out/verdict.json" 2>"$out/verdict.log" || broken+=("$(cat "$out/verdict.log")")
+  if [[ -n $none_cut ]]; then check "calls were cut" test "$(field unknown)" = 0; fi
+  check "a version reverted" versions_grow
   if grep -l event=invariant_broken "$out"/*.log >/dev/null; then broken+=("invariant broken"); fi
   stop_all
   echo "case=$1 seed=$SEED started=$(field started) orders=$(field orders) orders_twice=$(field orders_twice)" \
     "not_run_but_run=$(field not_run_but_run) misdirected=$(field misdirected) lost=$(field lost)" \
     "not_run=$(field not_run) unknown=$(field unknown) orders_unknown=$(field orders_unknown)" \
+    "shed=$(field shed) fell_over=$(field fell_over) probes=$(field probes) over_probes=$(field over_probes) in_force_ms=${in_force_ms:--}" \
     "calls_after_out=$(field calls_after_out) last_call_after_out_ms=$(field last_call_after_out_ms)" \
     "p99_ms_before/during/after=$(p99 before)/$(p99 during)/$(p99 after) seconds=$((SECONDS - began))" \
     "result=$([[ ${#broken[@]} == 0 ]] && echo passed || echo FAILED)${broken[*]:+ broken=\"$(IFS=';' && echo "${broken[*]}")\"}"
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -19,10 +19,11 @@
 
 // admission says whether a call may run and how long it takes.
 type admission struct {
-	shed  bool
-	fault schema.BackendFault
-	falls int
-	took  time.Duration
+	shed     bool
+	down     bool
+	fault    schema.BackendFault
+	failures int
+	took     time.Duration
 }
 
 // serverRequest is what the server's duty takes from its ring.
@@ -146,7 +147,7 @@
 		return c.SendStatus(http.StatusOK)
 	})
 	control.Get("/runs", func(c fiber.Ctx) error {
-		record, err := ask(b, func(s *Server, _ time.Time) schema.RunRecord { return s.Record() })
+		record, err := ask(b, func(s *Server, now time.Time) schema.RunRecord { return s.Record(now) })
 		if err != nil {
 			return err
 		}
--- a/standin/call.go
+++ b/standin/call.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		return err
 	}
+	if admitted.down {
+		return c.Drop()
+	}
 	c.Set(HeaderEcho, c.Get(HeaderEcho))
 	if admitted.shed {
 		c.Set(backendhttp.HeaderShed, "1")
@@ -71,8 +74,8 @@
 			return cancelled{}
 		}
 	}
-	fallen, err := ask(b, func(s *Server, now time.Time) bool { return s.Fallen(now, admitted) })
-	if fallen || err != nil {
+	broken, err := ask(b, func(s *Server, now time.Time) bool { return s.Failed(now, admitted) })
+	if broken || err != nil {
 		return failed{}
 	}
 
--- a/standin/call_test.go
+++ b/standin/call_test.go
@@ -50,7 +50,7 @@
 
 // record reads what the server ran.
 func record(b *Backend) schema.RunRecord {
-	record, _ := ask(b, func(s *Server, _ time.Time) schema.RunRecord { return s.Record() })
+	record, _ := ask(b, func(s *Server, now time.Time) schema.RunRecord { return s.Record(now) })
 
 	return record
 }
--- a/standin/server.go
+++ b/standin/server.go
@@ -11,6 +11,7 @@
 // Kinds of faults of a backend server.
 const (
 	faultFreeze   = "freeze"
+	faultRestart  = "restart"
 	faultShed     = "shed"
 	faultCold     = "cold"
 	faultDrain    = "drain"
@@ -53,7 +54,7 @@
 // expired says that the deadline passed.
 type expired struct{}
 
-// failed says that the server fell over while the call ran.
+// failed says that the server fell over or restarted while the call ran.
 type failed struct{}
 
 func (completed) ending() {}
@@ -70,7 +71,9 @@
 	factor      int
 	shiftAt     time.Time
 	coldUntil   time.Time
+	started     time.Time
 	fallenUntil time.Time
+	failures    int
 	fault       schema.BackendFault
 	until       time.Time
 	report      schema.LoadReport
@@ -81,14 +84,17 @@
 // NewServer returns an idle server at normal speed, cold if the settings say so.
 func NewServer(now time.Time, settings schema.BackendSettings, random *rand.Rand) *Server {
 	return &Server{
-		settings: settings, random: random, factor: 1, coldUntil: now.Add(settings.ColdStart),
+		settings: settings, random: random, factor: 1, started: now, coldUntil: now.Add(settings.ColdStart),
 		record: schema.RunRecord{Address: settings.Address, Intervals: []schema.CallInterval{}, Orders: []schema.Run{}},
 	}
 }
 
-// Admit starts a call or sheds it.
+// Admit starts a call or sheds it. A server that restarts does neither.
 func (s *Server) Admit(now time.Time, run schema.Run) admission {
 	fault := s.active(now)
+	if fault.Kind == faultRestart {
+		return admission{down: true}
+	}
 	if s.inFlight >= s.settings.Slots || fault.Kind == faultShed || fault.Kind == faultDrain {
 		s.record.Shed++
 
@@ -97,11 +103,11 @@
 	s.inFlight++
 	s.note(now, run)
 	if s.cold(now) && s.inFlight > coldLimit && !now.Before(s.fallenUntil) {
-		s.fallenUntil = now.Add(fallTime)
+		s.fail(now.Add(fallTime))
 		s.record.FellOver++
 	}
 
-	return admission{fault: fault, falls: s.record.FellOver, took: s.duration(now, fault)}
+	return admission{fault: fault, failures: s.failures, took: s.duration(now, fault)}
 }
 
 // note records the start of a call.
@@ -120,9 +126,16 @@
 	}
 }
 
-// Fallen reports whether the server fell over since the call was admitted.
-func (s *Server) Fallen(now time.Time, call admission) bool {
-	return s.record.FellOver > call.falls || now.Before(s.fallenUntil)
+// fail breaks every call that runs or starts before the given time.
+func (s *Server) fail(until time.Time) {
+	s.failures++
+	s.fallenUntil = until
+}
+
+// Failed reports whether the server fell over or restarted since the call was
+// admitted.
+func (s *Server) Failed(now time.Time, call admission) bool {
+	return s.failures > call.failures || now.Before(s.fallenUntil)
 }
 
 // Finish ends a call and frees its slot.
@@ -164,6 +177,10 @@
 func (s *Server) Inject(now time.Time, fault schema.BackendFault) {
 	s.fault = fault
 	s.until = now.Add(time.Duration(fault.ForMs) * time.Millisecond)
+	if fault.Kind == faultRestart {
+		s.fail(s.until)
+		s.coldUntil = s.until.Add(s.settings.ColdStart)
+	}
 }
 
 // Report returns what the server says about its load, as old as the settings
@@ -183,8 +200,9 @@
 }
 
 // Record returns the evidence of what ran.
-func (s *Server) Record() schema.RunRecord {
+func (s *Server) Record(now time.Time) schema.RunRecord {
 	record := s.record
+	record.UpMs = int(now.Sub(s.started).Milliseconds())
 	record.InFlight = s.inFlight
 	record.Intervals = slices.Clone(record.Intervals)
 	record.Orders = slices.Clone(record.Orders)
--- a/standin/server_test.go
+++ b/standin/server_test.go
@@ -40,6 +40,7 @@
 		"a little while cold":          {settings: schema.BackendSettings{ColdStart: time.Second}, calls: 2, ran: 2},
 		"and falls over when cold":     {settings: schema.BackendSettings{ColdStart: time.Second}, calls: 4, ran: 4, fellOver: 1},
 		"and falls over once cold":     {fault: schema.BackendFault{Kind: "cold", ForMs: 100}, calls: 4, ran: 4, fellOver: 1},
+		"nothing while it restarts":    {fault: schema.BackendFault{Kind: "restart", ForMs: 100}, calls: 2},
 		"all its slots once warmed up": {settings: schema.BackendSettings{ColdStart: time.Second}, at: time.Second, calls: 4, ran: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -49,7 +50,7 @@
 			for range test.calls {
 				server.Admit(start.Add(test.at), schema.Run{})
 			}
-			record := server.Record()
+			record := server.Record(start)
 			assert.Equal(t, record.Calls, test.ran)
 			assert.Equal(t, record.Shed, test.shed)
 			assert.Equal(t, record.FellOver, test.fellOver)
@@ -58,13 +59,27 @@
 	}
 }
 
+func TestServerRestarts(t *testing.T) {
+	t.Parallel()
+	server := newServer(schema.BackendSettings{ColdStart: time.Second})
+	server.Inject(start.Add(time.Minute), schema.BackendFault{Kind: "restart", ForMs: 100})
+	for range 4 {
+		server.Admit(start.Add(time.Minute+200*time.Millisecond), schema.Run{})
+	}
+	assert.Equal(t, server.Record(start).FellOver, 1)
+	server = newServer(schema.BackendSettings{})
+	admitted := server.Admit(start, schema.Run{})
+	server.Inject(start, schema.BackendFault{Kind: "restart", ForMs: 100})
+	assert.Assert(t, server.Failed(start.Add(time.Second), admitted))
+}
+
 func TestServerRecordsRuns(t *testing.T) {
 	t.Parallel()
 	server := newServer(schema.BackendSettings{})
 	server.Admit(start, schema.Run{Order: "order-1", Path: "/item"})
 	server.Admit(start.Add(50*time.Millisecond), schema.Run{Path: "/item"})
 	server.Admit(start.Add(150*time.Millisecond), schema.Run{Order: "order-1", Path: "/item"})
-	record := server.Record()
+	record := server.Record(start)
 	assert.DeepEqual(t, record.Orders, []schema.Run{
 		{Order: "order-1", AtMs: 1_000_000, Path: "/item"}, {Order: "order-1", AtMs: 1_000_150, Path: "/item"},
 	})
@@ -108,6 +123,6 @@
 	assert.Assert(t, !server.Connect())
 	server.Disconnect()
 	assert.Assert(t, server.Connect())
-	assert.Equal(t, server.Record().ConnectionsRefused, 1)
-	assert.Equal(t, server.Record().MostConnections, 1)
+	assert.Equal(t, server.Record(start).ConnectionsRefused, 1)
+	assert.Equal(t, server.Record(start).MostConnections, 1)
 }
--- a/standin/verdict.go
+++ b/standin/verdict.go
@@ -24,19 +24,22 @@
 func (e *BrokenError) Error() string {
 	v := e.Verdict
 
-	return fmt.Sprintf("broken: lost=%d misdirected=%d orders_twice=%d not_run_but_run=%d answered_but_not_run=%d over_connections=%d calls_after_out=%d",
-		v.Lost, v.Misdirected, v.OrdersTwice, v.NotRunButRun, v.AnsweredButNotRun, v.OverConnections, v.CallsAfterOut)
+	return fmt.Sprintf("broken: lost=%d misdirected=%d orders_twice=%d not_run_but_run=%d answered_but_not_run=%d over_connections=%d over_probes=%d calls_after_out=%d",
+		v.Lost, v.Misdirected, v.OrdersTwice, v.NotRunButRun, v.AnsweredButNotRun, v.OverConnections, v.OverProbes, v.CallsAfterOut)
 }
 
-// Departure is the time for which a data centre was out.
-type Departure struct {
-	// Addresses are the data centre's backend servers.
-	Addresses map[string]bool
-	// OutAtMs is the time of its leaving in Unix milliseconds.
+// Agreement is what the operators declared and did.
+type Agreement struct {
+	// ProbeRateMilli is the agreed number of probes in 1000 s by the backend
+	// server's address. Others are not judged.
+	ProbeRateMilli map[string]int
+	// Left holds the addresses of the backend servers that left.
+	Left map[string]bool
+	// OutAtMs is the time of their leaving in Unix milliseconds.
 	OutAtMs int
-	// InAtMs is the time of its return in Unix milliseconds, or 0.
+	// InAtMs is the time of their return in Unix milliseconds, or 0.
 	InAtMs int
-	// Permitted is how long calls may still reach it.
+	// Permitted is how long calls may still arrive after the leaving.
 	Permitted time.Duration
 }
 
@@ -59,11 +62,11 @@
 		}
 		records = append(records, record)
 	}
-	departure, err := readDeparture(settings)
+	agreement, err := readAgreement(settings)
 	if err != nil {
 		return err
 	}
-	verdict := Judge(run, records, departure)
+	verdict := Judge(run, records, agreement)
 	if err := json.NewEncoder(os.Stdout).Encode(verdict); err != nil {
 		return eris.Wrap(err, "printing the verdict")
 	}
@@ -74,33 +77,42 @@
 	return nil
 }
 
-// readDeparture reads which backend servers left.
-func readDeparture(settings schema.VerdictSettings) (Departure, error) {
-	departure := Departure{
-		Addresses: map[string]bool{}, OutAtMs: settings.OutAtMs, InAtMs: settings.InAtMs, Permitted: settings.Permitted,
+// readAgreement reads which backend servers left and what was agreed.
+func readAgreement(settings schema.VerdictSettings) (Agreement, error) {
+	agreement := Agreement{
+		ProbeRateMilli: map[string]int{}, Left: map[string]bool{},
+		OutAtMs: settings.OutAtMs, InAtMs: settings.InAtMs, Permitted: settings.Permitted,
 	}
-	if settings.OutDataCentre == "" {
-		return departure, nil
+	if settings.OutAddress != "" {
+		agreement.Left[settings.OutAddress] = true
+	}
+	if settings.Sheet == "" {
+		return agreement, nil
 	}
 	data, err := os.ReadFile(settings.Sheet)
 	if err != nil {
-		return departure, eris.Wrap(err, "reading the sheet")
+		return agreement, eris.Wrap(err, "reading the sheet")
 	}
 	configuration, err := sheet.Parse(settings.Sheet, data)
 	if err != nil {
-		return departure, err
+		return agreement, err
+	}
+	rates := map[string]int{}
+	for _, service := range configuration.Services {
+		rates[service.Name] = service.ProbeRateMilli
 	}
 	for _, server := range configuration.BackendServers {
+		agreement.ProbeRateMilli[server.Address] = rates[server.Service]
 		if server.DataCentre == settings.OutDataCentre {
-			departure.Addresses[server.Address] = true
+			agreement.Left[server.Address] = true
 		}
 	}
 
-	return departure, nil
+	return agreement, nil
 }
 
 // Judge compares what callers were told with what backend servers ran.
-func Judge(run schema.LoadRun, records []schema.RunRecord, departure Departure) schema.Verdict {
+func Judge(run schema.LoadRun, records []schema.RunRecord, agreement Agreement) schema.Verdict {
 	verdict := schema.Verdict{Started: run.Started, OrdersUnknown: len(run.OrdersUnknown)}
 	for _, service := range run.Services {
 		verdict.Answered += service.Answered
@@ -113,11 +125,14 @@
 	judgeOrders(&verdict, run, records)
 	for _, record := range records {
 		verdict.OverConnections += record.ConnectionsRefused
-		if record.Shed > 0 {
-			verdict.OverSlots++
+		verdict.Shed += record.Shed
+		verdict.FellOver += record.FellOver
+		verdict.Probes += record.Probes
+		if rate, ok := agreement.ProbeRateMilli[record.Address]; ok && record.Probes > agreedProbes(rate, record.UpMs) {
+			verdict.OverProbes++
 		}
-		if departure.Addresses[record.Address] {
-			judgeDeparture(&verdict, record, departure)
+		if agreement.Left[record.Address] {
+			judgeLeaving(&verdict, record, agreement)
 		}
 	}
 
@@ -150,17 +165,24 @@
 	}
 }
 
-// judgeDeparture counts the calls that reached a backend server while its data
-// centre was out.
-func judgeDeparture(verdict *schema.Verdict, record schema.RunRecord, departure Departure) {
+// agreedProbes returns the number of probes that a backend server may receive
+// in a time, the first one at its start.
+func agreedProbes(rateMilli, upMs int) int {
+	const agreedMs = 1_000_000
+
+	return 1 + rateMilli*upMs/agreedMs
+}
+
+// judgeLeaving counts the calls that reached a backend server that had left.
+func judgeLeaving(verdict *schema.Verdict, record schema.RunRecord, agreement Agreement) {
 	for _, interval := range record.Intervals {
-		after := interval.FromMs - departure.OutAtMs
+		after := interval.FromMs - agreement.OutAtMs
 		ends := interval.FromMs + int(intervalLength.Milliseconds())
-		if after < 0 || departure.InAtMs > 0 && ends > departure.InAtMs {
+		if after < 0 || agreement.InAtMs > 0 && ends > agreement.InAtMs {
 			continue
 		}
 		verdict.LastCallAfterOutMs = max(verdict.LastCallAfterOutMs, after)
-		if after > int(departure.Permitted.Milliseconds()) {
+		if after > int(agreement.Permitted.Milliseconds()) {
 			verdict.CallsAfterOut += interval.Calls
 		}
 	}
@@ -168,7 +190,7 @@
 
 // Broken reports whether the run broke what must always hold.
 func Broken(v schema.Verdict) bool {
-	return v.Lost != 0 || v.Misdirected+v.OrdersTwice+v.NotRunButRun+v.AnsweredButNotRun+v.OverConnections+v.CallsAfterOut > 0
+	return v.Lost != 0 || v.Misdirected+v.OrdersTwice+v.NotRunButRun+v.AnsweredButNotRun+v.OverConnections+v.OverProbes+v.CallsAfterOut > 0
 }
 
 // readJSON reads a message from a file.
--- a/standin/verdict_test.go
+++ b/standin/verdict_test.go
@@ -55,18 +55,26 @@
 			run:  schema.LoadRun{Started: 1, Services: []schema.LoadReportService{{Misdirected: 1}}},
 			want: schema.Verdict{Started: 1, Misdirected: 1}, broken: true,
 		},
-		"calls soon after the data centre left":      {records: []schema.RunRecord{called(15_000)}, want: schema.Verdict{LastCallAfterOutMs: 5000}},
-		"calls long after the data centre left":      {records: []schema.RunRecord{called(17_000)}, want: schema.Verdict{LastCallAfterOutMs: 7000, CallsAfterOut: 2}, broken: true},
-		"calls after the data centre came in again":  {records: []schema.RunRecord{called(20_000)}},
-		"calls before the data centre left":          {records: []schema.RunRecord{called(9_000)}},
+		"calls soon after the data centre left":     {records: []schema.RunRecord{called(15_000)}, want: schema.Verdict{LastCallAfterOutMs: 5000}},
+		"calls long after the data centre left":     {records: []schema.RunRecord{called(17_000)}, want: schema.Verdict{LastCallAfterOutMs: 7000, CallsAfterOut: 2}, broken: true},
+		"calls after the data centre came in again": {records: []schema.RunRecord{called(20_000)}},
+		"calls before the data centre left":         {records: []schema.RunRecord{called(9_000)}},
+		"as many probes as agreed": {
+			records: []schema.RunRecord{{Address: "127.0.0.1:9000", Probes: 6, UpMs: 10_000}}, want: schema.Verdict{Probes: 6},
+		},
+		"more probes than agreed": {
+			records: []schema.RunRecord{{Address: "127.0.0.1:9000", Probes: 7, UpMs: 10_000}},
+			want:    schema.Verdict{Probes: 7, OverProbes: 1}, broken: true,
+		},
 		"connections above a backend server's limit": {records: []schema.RunRecord{{ConnectionsRefused: 1}}, want: schema.Verdict{OverConnections: 1}, broken: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			departure := standin.Departure{
-				Addresses: map[string]bool{"127.0.0.1:9000": true}, OutAtMs: 10_000, InAtMs: 20_000, Permitted: 6 * time.Second,
+			agreement := standin.Agreement{
+				ProbeRateMilli: map[string]int{"127.0.0.1:9000": 500}, Left: map[string]bool{"127.0.0.1:9000": true},
+				OutAtMs: 10_000, InAtMs: 20_000, Permitted: 6 * time.Second,
 			}
-			verdict := standin.Judge(test.run, test.records, departure)
+			verdict := standin.Judge(test.run, test.records, agreement)
 			assert.DeepEqual(t, verdict, test.want)
 			assert.Equal(t, standin.Broken(verdict), test.broken)
 		})
