--- a/caller/events.go
+++ b/caller/events.go
@@ -33,7 +33,15 @@
 	Hosts []schema.Host
 }
 
+// Suspended says whether this host must refuse every call because it was
+// frozen or is cut off.
+type Suspended struct {
+	// On says that it must.
+	On bool
+}
+
 func (Asked) event()                {}
+func (Suspended) event()            {}
 func (Called) event()               {}
 func (ConfigurationChanged) event() {}
 func (HostsChanged) event()         {}
--- a/caller/router.go
+++ b/caller/router.go
@@ -33,6 +33,7 @@
 	configuration schema.Configuration
 	hosts         []schema.Host
 	routes        map[string][]*route
+	suspended     bool
 }
 
 // NewRouter returns a router without configuration and hosts: it refuses every
@@ -51,6 +52,8 @@
 	case ConfigurationChanged:
 		r.configuration = event.Configuration
 		r.reroute()
+	case Suspended:
+		r.suspended = event.On
 	case HostsChanged:
 		r.hosts = event.Hosts
 		r.reroute()
@@ -145,7 +148,7 @@
 
 // usable returns the routes of a service, or the reason why there are none.
 func (r *Router) usable(service string) ([]*route, Reason) {
-	if r.configuration.Version == 0 || len(r.hosts) == 0 {
+	if r.suspended || r.configuration.Version == 0 || len(r.hosts) == 0 {
 		return nil, ReasonNotReady
 	}
 	if routes := r.routes[service]; len(routes) > 0 {
@@ -168,7 +171,7 @@
 
 // owns reports whether this host owns the route's cell.
 func (r *Router) owns(route *route) bool {
-	return len(route.ranked) > 0 && route.ranked[0].Name == r.Self
+	return !r.suspended && len(route.ranked) > 0 && route.ranked[0].Name == r.Self
 }
 
 // others returns addresses of other live hosts.
--- a/callerhttp/callerhttp.go
+++ b/callerhttp/callerhttp.go
@@ -24,7 +24,8 @@
 const (
 	// idleTimeout closes a caller's connection that was not used for as long.
 	idleTimeout = time.Minute
-	// shutdownTimeout bounds how long requests in flight may hold up a stop.
+	// shutdownTimeout bounds how long requests in flight may hold up a stop after
+	// the deadline of calls that state none.
 	shutdownTimeout = 10 * time.Second
 )
 
@@ -56,11 +57,17 @@
 	return front
 }
 
-// Run serves callers until the context ends.
+// Run serves callers until the context ends, and then until no request is in
+// flight.
 func (f *Front) Run(ctx context.Context, listener net.Listener) error {
-	return f.app.Listener(listener, fiber.ListenConfig{
-		DisableStartupMessage: true,
-		GracefulContext:       ctx,
-		ShutdownTimeout:       shutdownTimeout,
+	finished := ring.New[error]("shutdown", 1)
+	stop := context.AfterFunc(ctx, func() {
+		_ = finished.Offer(f.app.ShutdownWithTimeout(f.CallTimeout + shutdownTimeout)) // the ring has room
 	})
+	if err := f.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}); stop() {
+		return err
+	}
+	err, _ := finished.Take(context.Background()) // shutting down is bounded
+
+	return err
 }
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os/signal"
 	"syscall"
 
@@ -81,6 +82,7 @@
 		{"host", "Run an entry host", hostHelp, &Host{output: output}},
 		{"sheet", "Check, apply or show the morning sheet", sheetHelp, newSheet(output)},
 		{"data-centre", "Take a data centre out or in", dataCentreHelp, &DataCentre{output: output}},
+		{"stop", "Stop an entry host as planned", stopHelp, &Stop{output: output}},
 		{"ask", "Ask which hosts to use for a service", askHelp, &Ask{output: output}},
 		{"call", "Call a service", callHelp, &Call{output: output}},
 		{"dump", "Show the state of an entry host", dumpHelp, &Dump{output: output}},
@@ -136,7 +138,7 @@
 	switch {
 	case failure.Reason == "invalid":
 		return ExitInvalid
-	case failure.Reason == "conflict", failure.Reason == "outdated":
+	case status.Status == http.StatusConflict:
 		return ExitConflict
 	case failure.Outcome == "unknown":
 		return ExitUnknown
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -7,7 +7,7 @@
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
-const hostHelp = `Runs an entry host until it is interrupted.
+const hostHelp = `Runs an entry host until it is interrupted, which starts a planned stop.
 
 Example:
   baobabdrum host --name mu-north-1 --data-centre mu-north --caller-address 127.0.0.1:8080`
--- a/cmd/sheet.go
+++ b/cmd/sheet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 
@@ -18,6 +19,7 @@
 Examples:
   baobabdrum sheet check examples/mauritius/sheet.csv
   baobabdrum sheet apply --host-address 127.0.0.1:8082 examples/mauritius/sheet.csv
+  baobabdrum sheet apply --base-version 12 --host-address 127.0.0.1:8082 examples/mauritius/sheet.csv
   baobabdrum sheet show --host-address 127.0.0.1:8082`
 
 // Sheet groups the commands for the morning sheet.
@@ -73,6 +75,7 @@
 // SheetApply puts a sheet in force.
 type SheetApply struct {
 	schema.ClientFlags
+	schema.ApplyFlags
 
 	// Args names the file.
 	Args SheetFile `positional-args:"true"`
@@ -93,7 +96,12 @@
 	if _, err := sheet.Parse(c.Args.File, data); err != nil {
 		return err
 	}
-	raw, err := host.Exchange(http.MethodPost, operatorhttp.PathSheet, data)
+	settings, faults := c.ApplyFlags.Check()
+	if err := invalid("settings", faults); err != nil {
+		return err
+	}
+	path := fmt.Sprintf("%s?%s=%d", operatorhttp.PathSheet, operatorhttp.QueryBaseVersion, settings.BaseVersion)
+	raw, err := host.Exchange(http.MethodPost, path, data)
 	if err != nil {
 		return err
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -192,6 +192,19 @@
 	Hosts []schema.Host
 }
 
+// Isolate says whether this host must refuse calls because it was frozen or is
+// cut off.
+type Isolate struct {
+	// Isolated says that it must.
+	Isolated bool
+}
+
+// Confirm says that at a time this host was neither frozen nor isolated.
+type Confirm struct {
+	// At is the time.
+	At time.Time
+}
+
 // Shares says how many hosts' shares of the probe budget this host may spend.
 type Shares struct {
 	// Held is the number of shares, its own among them.
@@ -211,6 +224,8 @@
 func (Ended) input()     {}
 func (Configure) input() {}
 func (Hosts) input()     {}
+func (Isolate) input()   {}
+func (Confirm) input()   {}
 func (Shares) input()    {}
 func (Dump) input()      {}
 
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -16,6 +16,11 @@
 // tickInterval is the time between checks of deadlines while calls wait or run.
 const tickInterval = 5 * time.Millisecond
 
+// FrozenAfter is the gap between two inputs or ticks after which the duty knows
+// that it was frozen. It then places no call until the membership, whose bound
+// is smaller, confirms that this host is not isolated.
+const FrozenAfter = time.Second
+
 // pending is a call that has no reply yet or whose answer is being delivered.
 type pending struct {
 	request *Request
@@ -42,6 +47,9 @@
 	questions     map[caller.CallID]*ring.Ring[AskReply]
 	attempts      map[backend.AttemptID]*Attempt
 	answer        *Answer
+	isolated      bool
+	seenAt        time.Time
+	thawedAt      time.Time
 }
 
 // New returns a duty that has no configuration yet.
@@ -66,7 +74,9 @@
 		select {
 		case input := <-d.Inputs.Items():
 			d.Step(time.Now(), input)
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := time.Now()
+			d.notice(now)
 			if d.Pool.Busy() {
 				d.backend(now, backend.Ticked{})
 			}
@@ -76,8 +86,33 @@
 	}
 }
 
+// suspend makes the router refuse calls while this host is isolated or frozen.
+func (d *Duty) suspend(now time.Time) {
+	d.caller(now, caller.Suspended{On: d.isolated || !d.thawedAt.IsZero()})
+	d.adoptCells(now)
+}
+
+// notice notices that the duty was frozen.
+func (d *Duty) notice(now time.Time) {
+	frozen := !d.seenAt.IsZero() && now.Sub(d.seenAt) > FrozenAfter
+	d.seenAt = now
+	if frozen {
+		d.thawedAt = now
+		d.suspend(now)
+	}
+}
+
+// confirm resumes after a freeze.
+func (d *Duty) confirm(now, at time.Time) {
+	if !d.thawedAt.IsZero() && at.After(d.thawedAt) {
+		d.thawedAt = time.Time{}
+		d.suspend(now)
+	}
+}
+
 // Step carries out one input.
 func (d *Duty) Step(now time.Time, input Input) {
+	d.notice(now)
 	switch input := input.(type) {
 	case Ask:
 		d.ask(now, input)
@@ -97,6 +132,11 @@
 	case Hosts:
 		d.caller(now, caller.HostsChanged{Hosts: input.Hosts})
 		d.adoptCells(now)
+	case Isolate:
+		d.isolated = input.Isolated
+		d.suspend(now)
+	case Confirm:
+		d.confirm(now, input.At)
 	case Shares:
 		d.backend(now, backend.SharesChanged{Held: input.Held})
 	case Dump:
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/peer"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
@@ -16,23 +17,28 @@
 //sumtype:decl
 type configurationInput interface{ configurationInput() }
 
-// configurationRead brings a configuration from the platform or from a peer.
-type configurationRead struct {
-	configuration schema.Configuration
-	source        string
+// configurationEvent brings an event of the register.
+type configurationEvent struct {
+	event operator.Event
 }
 
-// configurationAsked asks for the configuration in force.
+// configurationAsked asks for the configuration in force without overrides.
 type configurationAsked struct {
 	reply *ring.Ring[schema.Configuration]
 }
 
-func (configurationRead) configurationInput()  {}
+// registerAsked asks for the configuration and the overrides in force.
+type registerAsked struct {
+	reply *ring.Ring[operator.Register]
+}
+
+func (configurationEvent) configurationInput() {}
 func (configurationAsked) configurationInput() {}
+func (registerAsked) configurationInput()      {}
 
-// runConfiguration owns the configuration in force, whose version only grows.
+// runConfiguration owns the configuration and the overrides in force.
 func (h *Host) runConfiguration(ctx context.Context) error {
-	var inForce schema.Configuration
+	register := operator.NewRegister()
 	for {
 		input, err := h.configurations.Take(ctx)
 		if err != nil {
@@ -40,31 +46,55 @@
 		}
 		switch input := input.(type) {
 		case configurationAsked:
-			_ = input.reply.Offer(inForce) // the ring has room by contract
-		case configurationRead:
-			if input.configuration.Version <= inForce.Version {
-				continue
+			_ = input.reply.Offer(register.Configuration) // the ring has room by contract
+		case registerAsked:
+			_ = input.reply.Offer(*register) // the ring has room by contract
+		case configurationEvent:
+			if err := h.carryOutRegister(ctx, register.Step(input.event)); err != nil {
+				return err
 			}
-			inForce = input.configuration
-			if err := h.putInForce(ctx, inForce, input.source); err != nil {
+		}
+	}
+}
+
+// carryOutRegister carries out the register's actions.
+func (h *Host) carryOutRegister(ctx context.Context, actions []operator.Action) error {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case operator.PutInForce:
+			if err := h.putInForce(ctx, action); err != nil {
 				return err
 			}
+		case operator.Violation:
+			h.Log.WithFields(logrus.Fields{"event": "invariant_broken", "invariant": action.Invariant}).Error(action.Detail)
 		}
 	}
+
+	return nil
 }
 
 // putInForce tells the duties that use the configuration.
-func (h *Host) putInForce(ctx context.Context, configuration schema.Configuration, source string) error {
+func (h *Host) putInForce(ctx context.Context, action operator.PutInForce) error {
 	h.Log.WithFields(logrus.Fields{
-		"event": "configuration_in_force", "version": configuration.Version,
-		"change_id": configuration.ChangeID, "source": source,
+		"event": "configuration_in_force", "version": action.Configuration.Version,
+		"change_id": action.Configuration.ChangeID, "source": action.Source, "overrides": len(action.Overrides),
 	}).Info("using another configuration")
-	if err := h.dispatch.Put(ctx, dispatch.Configure{Configuration: configuration}); err != nil {
+	effective := operator.Overridden(action.Configuration, action.Overrides)
+	if err := h.dispatch.Put(ctx, dispatch.Configure{Configuration: effective}); err != nil {
 		return err
 	}
-	if err := h.peers.Put(ctx, peerEvent{peer.ConfigurationInForce{Version: configuration.Version}}); err != nil {
+	if err := h.stops.Put(ctx, plannedStops{stops: effective.PlannedStops}); err != nil {
 		return err
 	}
 
-	return h.peers.Put(ctx, peerEvent{peer.StateChanged{State: schema.HostStateLive}})
+	return h.peers.Put(ctx, peerEvent{peer.ConfigurationInForce{
+		Version: action.Configuration.Version, Overrides: action.Overrides,
+	}})
+}
+
+// inForce asks the configuration duty for its register.
+func (h *Host) inForce(ctx context.Context) operator.Register {
+	return askDuty(ctx, h.configurations, func(reply *ring.Ring[operator.Register]) configurationInput {
+		return registerAsked{reply: reply}
+	})
 }
--- a/host/dump.go
+++ b/host/dump.go
@@ -29,14 +29,16 @@
 	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
 	defer cancel()
 	dump := schema.Dump{Host: h.Self, Overrides: []schema.Override{}, Rings: h.rings()}
-	dump.Configuration = askDuty(ctx, h.configurations, func(reply *ring.Ring[schema.Configuration]) configurationInput {
-		return configurationAsked{reply: reply}
-	})
+	register := h.inForce(ctx)
+	dump.Configuration = register.Configuration
+	if register.Overrides != nil {
+		dump.Overrides = register.Overrides
+	}
 	view := askDuty(ctx, h.peers, func(reply *ring.Ring[peersView]) peerInput { return peersAsked{reply: reply} })
 	if view.self.Name != "" {
 		dump.Host = view.self
 	}
-	dump.Hosts = view.live
+	dump.Hosts, dump.SharesHeld, dump.Isolated = view.live, view.shares, view.isolated
 	dump.Cells = askDuty(ctx, h.dispatch, func(reply *ring.Ring[[]schema.CellDump]) dispatch.Input {
 		return dispatch.Dump{Reply: reply}
 	})
@@ -49,6 +51,7 @@
 	return []schema.RingDump{
 		describe(h.dispatch), describe(h.attempts), describe(h.peers), describe(h.exchanges),
 		describe(h.requests), describe(h.configurations), describe(h.changes), describe(h.dumps),
+		describe(h.fetches), describe(h.keeps), describe(h.stops), describe(h.stopRequests),
 	}
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -7,6 +7,7 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
+	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -50,10 +51,14 @@
 	dispatch       *ring.Ring[dispatch.Input]
 	attempts       *ring.Ring[*dispatch.Attempt]
 	peers          *ring.Ring[peerInput]
-	exchanges      *ring.Ring[peer.Action]
+	exchanges      *ring.Ring[peer.Exchange]
+	fetches        *ring.Ring[peer.FetchConfiguration]
 	requests       *ring.Ring[peerrpc.Request]
 	configurations *ring.Ring[configurationInput]
 	changes        *ring.Ring[operatorhttp.ChangeRequest]
+	keeps          *ring.Ring[keepRequest]
+	stops          *ring.Ring[plannedStops]
+	stopRequests   *ring.Ring[operatorhttp.StopRequest]
 	dumps          *ring.Ring[operatorhttp.DumpRequest]
 	platform       *platformhttp.Client
 	seed           uint64
@@ -102,10 +107,14 @@
 		dispatch:       ring.New[dispatch.Input]("dispatch", settings.DispatchRing),
 		attempts:       ring.New[*dispatch.Attempt]("senders", settings.Senders),
 		peers:          ring.New[peerInput]("peers", controlRing),
-		exchanges:      ring.New[peer.Action]("exchanges", controlRing),
+		exchanges:      ring.New[peer.Exchange]("exchanges", exchangeRing),
+		fetches:        ring.New[peer.FetchConfiguration]("fetches", exchangeRing),
 		requests:       ring.New[peerrpc.Request]("peer_requests", controlRing),
 		configurations: ring.New[configurationInput]("configuration", controlRing),
 		changes:        ring.New[operatorhttp.ChangeRequest]("operator", controlRing),
+		keeps:          ring.New[keepRequest]("keeper", controlRing),
+		stops:          ring.New[plannedStops]("stop", controlRing),
+		stopRequests:   ring.New[operatorhttp.StopRequest]("stop_requests", controlRing),
 		dumps:          ring.New[operatorhttp.DumpRequest]("dump", controlRing),
 		platform:       platformhttp.New(settings.PlatformAddress, platformTimeout),
 		seed:           seed,
@@ -148,8 +157,9 @@
 	}
 }
 
-// Run runs the host until the context ends or a duty fails.
-func (h *Host) Run(ctx context.Context) error {
+// Run runs the host until a planned stop is finished or a duty fails. The end
+// of the context starts a planned stop.
+func (h *Host) Run(interrupted context.Context) error {
 	open, err := h.listen()
 	if err != nil {
 		return err
@@ -159,7 +169,9 @@
 		"event": "host_started", "incarnation": h.Self.Incarnation, "caller_address": h.Settings.CallerAddress,
 	}).Info("listening")
 
-	duties := group.New(ctx)
+	duties := group.New(context.WithoutCancel(interrupted))
+	closing, closeFront := context.WithCancel(context.WithoutCancel(interrupted))
+	defer closeFront()
 	router := caller.NewRouter(h.Self.Name, h.Settings.AnswerKeep)
 	pool := backend.NewPool(h.Settings.QueueLength)
 	duties.Go("dispatch", dispatch.New(h.dispatch, h.attempts, router, pool, h.Log).Run)
@@ -171,6 +183,9 @@
 	duties.Go("configuration", h.runConfiguration)
 	duties.Go("peers", h.runPeers)
 	duties.Go("exchanges", h.runExchanges)
+	duties.Go("fetches", h.runFetches)
+	duties.Go("keeper", h.runKeeper)
+	duties.Go("stop", func(ctx context.Context) error { return h.runStop(ctx, interrupted, closeFront) })
 	duties.Go("platform", h.runPlatform)
 	duties.Go("operator", h.runOperator)
 	duties.Go("dump", h.runDump)
@@ -178,11 +193,19 @@
 		return peerrpc.Serve(ctx, open.peer, h.Settings.Token, h.requests)
 	})
 	duties.Go("caller front", func(ctx context.Context) error {
-		return callerhttp.New(h.dispatch, h.Settings.CallTimeout, h.Settings.BodyLimit).Run(ctx, open.caller)
+		front := callerhttp.New(h.dispatch, h.Settings.CallTimeout, h.Settings.BodyLimit)
+
+		return runFront(ctx, closing, open.caller, front.Run)
 	})
 	duties.Go("operator front", func(ctx context.Context) error {
-		return operatorhttp.New(h.changes, h.dumps, h.Settings.Token).Run(ctx, open.operator)
+		return operatorhttp.New(h.changes, h.dumps, h.stopRequests, h.Settings.Token).Run(ctx, open.operator)
 	})
 
-	return duties.Wait()
+	var stopped *StoppedError
+	if err := duties.Wait(); !errors.As(err, &stopped) {
+		return err
+	}
+	h.Log.WithField("event", "host_stopped").Info("the planned stop is finished")
+
+	return nil
 }
--- /dev/null
+++ b/host/keeper.go
@@ -0,0 +1,196 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/operator"
+	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// keepInterval is the time between looks for overrides that are not kept.
+	keepInterval = time.Second
+	// keepTries bounds how often a data centre's change is applied again after
+	// a conflict.
+	keepTries = 8
+	// keepDelay is the mean time for which hosts leave the keeping of an
+	// override to the host that took it from the operator.
+	keepDelay = 4 * time.Second
+)
+
+// keeper keeps changes in the platform's table.
+type keeper struct {
+	host    *Host
+	circuit *platform.Circuit
+	random  *rand.Rand
+	due     map[string]time.Time
+}
+
+// runKeeper keeps operators' changes and retries overrides that are not kept.
+func (h *Host) runKeeper(ctx context.Context) error {
+	k := &keeper{
+		host:    h,
+		circuit: platform.NewCircuit(h.seed + 1),
+		random:  rand.New(rand.NewPCG(h.seed, 2)), //nolint:gosec // the spreading of retries is no secret
+		due:     map[string]time.Time{},
+	}
+	ticker := time.NewTicker(keepInterval)
+	defer ticker.Stop()
+	for {
+		var err error
+		select {
+		case request := <-h.keeps.Items():
+			err = k.serve(ctx, request)
+		case now := <-ticker.C:
+			err = k.retry(ctx, now)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// serve keeps a change and replies. A data centre's change that cannot be kept
+// yet stays in force and is retried.
+func (k *keeper) serve(ctx context.Context, request keepRequest) error {
+	result, failure := k.keep(ctx, request.change, request.id)
+	_, override := request.change.(operator.SetDataCentre)
+	if failure != nil && override && pending(failure) {
+		k.due[request.id] = time.Now()
+		result, failure = schema.ChangeResult{State: stateInForce, ChangeID: request.id}, nil
+	}
+	k.host.replyChange(request.reply, result, failure)
+
+	return ctx.Err()
+}
+
+// pending reports whether a failure leaves hope that a retry succeeds.
+func pending(failure error) bool {
+	var unknown *operator.UnknownDataCentreError
+
+	return !errors.As(failure, &unknown)
+}
+
+// retry keeps the overrides that are due.
+func (k *keeper) retry(ctx context.Context, now time.Time) error {
+	overrides := k.host.inForce(ctx).Overrides
+	due := map[string]time.Time{}
+	for _, override := range overrides {
+		at, known := k.due[override.ChangeID]
+		if !known {
+			at = now.Add(keepDelay/2 + time.Duration(k.random.Int64N(int64(keepDelay))))
+		}
+		due[override.ChangeID] = at
+		if now.Before(at) {
+			continue
+		}
+		change := operator.SetDataCentre{Name: override.DataCentre, State: override.State}
+		result, failure := k.keep(ctx, change, override.ChangeID)
+		if failure == nil {
+			k.host.replyChange(nil, result, nil)
+		} else {
+			k.host.Log.WithField("event", "override_not_kept").WithField("change_id", override.ChangeID).Debug(failure)
+		}
+	}
+	k.due = due
+
+	return ctx.Err()
+}
+
+// keep applies a change to the configuration in the platform's table. A data
+// centre's change is applied again after a conflict; a sheet is not.
+func (k *keeper) keep(ctx context.Context, change operator.Change, id string) (schema.ChangeResult, error) {
+	var failure error
+	for range keepTries {
+		result, err := k.try(ctx, change, id)
+		var conflict *platform.ConflictError
+		_, sheet := change.(operator.ReplaceSheet)
+		if sheet || !errors.As(err, &conflict) {
+			return result, err
+		}
+		failure = err
+	}
+
+	return schema.ChangeResult{ChangeID: id}, failure
+}
+
+// try reads the configuration, applies the change and writes the result once.
+func (k *keeper) try(ctx context.Context, change operator.Change, id string) (schema.ChangeResult, error) {
+	failed := schema.ChangeResult{ChangeID: id}
+	current, err := k.read()
+	if err != nil {
+		return failed, err
+	}
+	register := k.host.inForce(ctx)
+	if current.Version < register.Configuration.Version {
+		return failed, &operator.RegressedError{Found: current.Version, InForce: register.Configuration.Version}
+	}
+	applied, err := operator.Apply(current, change, id, register.Overrides)
+	if err != nil {
+		return failed, err
+	}
+	result := schema.ChangeResult{State: stateUnchanged, Version: current.Version, ChangeID: current.ChangeID}
+	if applied.Changed {
+		version, err := k.write(applied.Configuration, current.Version)
+		if err != nil {
+			return failed, err
+		}
+		result = schema.ChangeResult{State: stateAccepted, Version: version, ChangeID: id}
+		if version != current.Version+1 {
+			return result, nil
+		}
+		applied.Configuration.Version = version
+	}
+	if applied.Configuration.Version == 0 {
+		return result, nil
+	}
+	read := operator.ConfigurationRead{Configuration: applied.Configuration, Source: "operator"}
+
+	return result, k.host.configurations.Put(ctx, configurationEvent{read})
+}
+
+// read reads the configuration from the platform's table.
+func (k *keeper) read() (schema.Configuration, error) {
+	if !k.circuit.Allow(time.Now()) {
+		return schema.Configuration{}, &platform.UnavailableError{}
+	}
+	row, err := k.host.platform.Read(platform.KeyConfiguration)
+	if err != nil {
+		k.circuit.Failed(time.Now())
+
+		return schema.Configuration{}, &platform.UnavailableError{Cause: err}
+	}
+	k.circuit.Succeeded()
+
+	return platform.Decode(row)
+}
+
+// write writes the configuration and returns the version that holds it.
+func (k *keeper) write(next schema.Configuration, base int) (int, error) {
+	transaction, err := platform.Encode(next, base)
+	if err != nil {
+		return 0, err
+	}
+	writer, action := platform.NewWriter(transaction)
+	for {
+		switch wanted := action.(type) {
+		case platform.Write:
+			result, err := k.host.platform.Write(wanted.Transaction)
+			if err != nil {
+				action = writer.Step(platform.Failed{Cause: err})
+			} else {
+				action = writer.Step(platform.Replied{Result: result})
+			}
+		case platform.Accept:
+			return wanted.Version, nil
+		case platform.Reject:
+			return 0, wanted.Err
+		}
+	}
+}
--- a/host/operator.go
+++ b/host/operator.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"github.com/oklog/ulid/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/operatorhttp"
-	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -16,74 +18,82 @@
 const (
 	stateAccepted  = "accepted"
 	stateUnchanged = "unchanged"
+	stateInForce   = "in_force_not_yet_kept"
 )
 
-// runOperator carries out operators' changes one at a time.
+// keepRequest asks the keeper duty to keep a change.
+type keepRequest struct {
+	change operator.Change
+	id     string
+	reply  *ring.Ring[operatorhttp.ChangeReply]
+}
+
+// runOperator takes operators' changes. It puts data centres out and in at
+// once and leaves the platform's part to the keeper duty.
 func (h *Host) runOperator(ctx context.Context) error {
 	for {
 		request, err := h.changes.Take(ctx)
 		if err != nil {
 			return err
 		}
-		result, failure := h.change(ctx, request.Change)
-		fields := logrus.Fields{"event": "change", "state": result.State, "version": result.Version, "change_id": result.ChangeID}
+		var failure error
+		switch change := request.Change.(type) {
+		case operator.SetDataCentre:
+			failure = h.override(ctx, change, request.Reply)
+		case operator.ReplaceSheet:
+			at := operator.ChangeTime(time.Now(), h.inForce(ctx).Configuration, nil)
+			failure = h.keeps.Offer(keepRequest{change: change, id: changeID(at), reply: request.Reply})
+		}
 		if failure != nil {
-			h.Log.WithFields(fields).Warn(failure)
-		} else {
-			h.Log.WithFields(fields).Info("an operator changed the configuration")
+			h.replyChange(request.Reply, schema.ChangeResult{}, failure)
 		}
-		_ = request.Reply.Offer(operatorhttp.ChangeReply{Result: result, Err: failure}) // it has room by contract
 	}
 }
 
-// change applies a change to the platform's configuration and keeps it there.
-func (h *Host) change(ctx context.Context, change operator.Change) (schema.ChangeResult, error) {
-	row, err := h.platform.Read(platform.KeyConfiguration)
-	if err != nil {
-		return schema.ChangeResult{}, err
+// override puts a change of a data centre in force and asks for it to be kept.
+func (h *Host) override(ctx context.Context, change operator.SetDataCentre, reply *ring.Ring[operatorhttp.ChangeReply]) error {
+	register, now := h.inForce(ctx), time.Now()
+	declared := func(d schema.DataCentre) bool { return d.Name == change.Name }
+	if !slices.ContainsFunc(register.Configuration.DataCentres, declared) {
+		return &operator.UnknownDataCentreError{Name: change.Name}
 	}
-	current, err := platform.Decode(row)
-	if err != nil {
-		return schema.ChangeResult{}, err
+	if err := operator.CheckCollision(now, register.Configuration, register.Overrides, change); err != nil {
+		return err
 	}
-	next, changed, err := operator.Apply(current, change)
-	if err != nil {
-		return schema.ChangeResult{}, err
+	override := schema.Override{
+		DataCentre:  change.Name,
+		State:       change.State,
+		ChangeID:    changeID(operator.ChangeTime(now, register.Configuration, register.Overrides)),
+		BaseVersion: register.Configuration.Version,
 	}
-	if !changed {
-		return schema.ChangeResult{State: stateUnchanged, Version: current.Version, ChangeID: current.ChangeID}, nil
+	heard := operator.OverridesHeard{Overrides: []schema.Override{override}}
+	if err := h.configurations.Put(ctx, configurationEvent{heard}); err != nil {
+		return err
 	}
-	next.ChangeID = ulid.Make().String()
-	version, err := h.keep(next, current.Version)
-	if err != nil {
-		return schema.ChangeResult{ChangeID: next.ChangeID}, err
+	request := keepRequest{change: change, id: override.ChangeID, reply: reply}
+	if h.keeps.Depth() > 0 || h.keeps.Offer(request) != nil {
+		h.replyChange(reply, schema.ChangeResult{State: stateInForce, ChangeID: override.ChangeID}, nil)
 	}
-	next.Version = version
-	result := schema.ChangeResult{State: stateAccepted, Version: version, ChangeID: next.ChangeID}
 
-	return result, h.configurations.Put(ctx, configurationRead{configuration: next, source: "operator"})
+	return nil
 }
 
-// keep writes the configuration and returns the version that holds it.
-func (h *Host) keep(next schema.Configuration, base int) (int, error) {
-	transaction, err := platform.Encode(next, base)
-	if err != nil {
-		return 0, err
+// replyChange logs what became of a change and tells the operator.
+func (h *Host) replyChange(reply *ring.Ring[operatorhttp.ChangeReply], result schema.ChangeResult, failure error) {
+	entry := h.Log.WithFields(logrus.Fields{
+		"event": "change", "state": result.State, "version": result.Version, "change_id": result.ChangeID,
+	})
+	if failure != nil {
+		entry.Warn(failure)
+	} else {
+		entry.Info("an operator changed the configuration")
 	}
-	writer, action := platform.NewWriter(transaction)
-	for {
-		switch wanted := action.(type) {
-		case platform.Write:
-			result, err := h.platform.Write(wanted.Transaction)
-			if err != nil {
-				action = writer.Step(platform.Failed{Cause: err})
-			} else {
-				action = writer.Step(platform.Replied{Result: result})
-			}
-		case platform.Accept:
-			return wanted.Version, nil
-		case platform.Reject:
-			return 0, wanted.Err
-		}
+	if reply != nil {
+		_ = reply.Offer(operatorhttp.ChangeReply{Result: result, Err: failure}) // it has room by contract
 	}
 }
+
+// changeID returns a new change id of the time.
+func changeID(at time.Time) string {
+	return ulid.MustNewDefault(at).String()
+}
--- a/host/peers.go
+++ b/host/peers.go
@@ -7,12 +7,23 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/peer"
 	"github.com/baobabdrum/baobabdrum/peerrpc"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
+const (
+	// exchangeRing is the capacity of the ring of exchanges; further exchanges
+	// are skipped.
+	exchangeRing = 2
+	// exchangeTimeout bounds one exchange of digests.
+	exchangeTimeout = 300 * time.Millisecond
+	// fetchTimeout bounds one fetch of the configuration from a peer.
+	fetchTimeout = 2 * time.Second
+)
+
 // peerInput is what the peers duty takes from its ring.
 //
 //sumtype:decl
@@ -28,10 +39,12 @@
 	reply *ring.Ring[peersView]
 }
 
-// peersView is this host's record and the live hosts.
+// peersView is what the membership knows.
 type peersView struct {
-	self schema.Host
-	live []schema.Host
+	self     schema.Host
+	live     []schema.Host
+	shares   int
+	isolated bool
 }
 
 func (peerEvent) peerInput()  {}
@@ -39,107 +52,148 @@
 
 // runPeers owns the membership.
 func (h *Host) runPeers(ctx context.Context) error {
-	membership := peer.NewMembership(h.Self, h.seed)
+	membership := peer.NewMembership(time.Now(), h.Self, h.Settings.DigestInterval, h.seed)
 	ticker := time.NewTicker(h.Settings.DigestInterval)
 	defer ticker.Stop()
 	for {
-		var event peer.Event
+		var err error
 		select {
 		case input := <-h.peers.Items():
-			switch input := input.(type) {
-			case peerEvent:
-				event = input.event
-			case peersAsked:
-				_ = input.reply.Offer(peersView{self: membership.Self, live: membership.Live()}) // it has room by contract
-
-				continue
-			}
+			err = h.takePeerInput(ctx, membership, input)
 		case request := <-h.requests.Items():
-			var err error
-			if event, err = h.servePeer(ctx, membership, request); err != nil {
-				return err
-			}
+			err = h.servePeer(ctx, membership, request)
 		case <-ticker.C:
-			event = peer.Ticked{}
+			err = h.stepPeers(ctx, membership, peer.Ticked{})
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if err := h.carryOut(ctx, membership.Step(time.Now(), event)); err != nil {
+		if err != nil {
 			return err
 		}
 	}
 }
 
-// servePeer answers another host and returns the event that it brought.
-func (h *Host) servePeer(ctx context.Context, membership *peer.Membership, request peerrpc.Request) (peer.Event, error) {
+// takePeerInput carries out one input of the ring.
+func (h *Host) takePeerInput(ctx context.Context, membership *peer.Membership, input peerInput) error {
+	switch input := input.(type) {
+	case peerEvent:
+		return h.stepPeers(ctx, membership, input.event)
+	case peersAsked:
+		_ = input.reply.Offer(peersView{ // it has room by contract
+			self: membership.Self, live: membership.Live(), shares: membership.Shares(), isolated: membership.Isolated,
+		})
+	}
+
+	return nil
+}
+
+// servePeer answers another host.
+func (h *Host) servePeer(ctx context.Context, membership *peer.Membership, request peerrpc.Request) error {
 	switch request := request.(type) {
 	case peerrpc.DigestRequest:
-		_ = request.Reply.Offer(membership.Digest()) // the ring has room by contract
-
-		return peer.DigestHeard{Digest: request.Digest}, nil
+		if err := h.stepPeers(ctx, membership, peer.DigestHeard{Digest: request.Digest}); err != nil {
+			return err
+		}
+		_ = request.Reply.Offer(membership.Answer(time.Now())) // the ring has room by contract
 	case peerrpc.ConfigurationRequest:
-		return nil, h.configurations.Put(ctx, configurationAsked{reply: request.Reply})
-	default:
-		return nil, nil //nolint:nilnil // no event came with the request
+		// A full ring leaves the peer without a reply, and it asks again.
+		if err := h.configurations.Offer(configurationAsked{reply: request.Reply}); err != nil {
+			h.Log.WithField("event", "configuration_not_served").Warn(err)
+		}
 	}
+
+	return nil
 }
 
-// carryOut carries out the membership's actions.
-func (h *Host) carryOut(ctx context.Context, actions []peer.Action) error {
-	for _, action := range actions {
-		switch action := action.(type) {
-		case peer.LiveChanged:
-			h.Log.WithFields(logrus.Fields{"event": "hosts_changed", "live": len(action.Hosts)}).Info("other hosts are live")
-			if err := h.dispatch.Put(ctx, dispatch.Hosts{Hosts: action.Hosts}); err != nil {
-				return err
-			}
-		case peer.Exchange, peer.FetchConfiguration:
-			if err := h.exchanges.Offer(action); err != nil {
-				h.Log.WithField("event", "exchange_skipped").Warn(err)
-			}
+// stepPeers steps the membership and carries out its actions.
+func (h *Host) stepPeers(ctx context.Context, membership *peer.Membership, event peer.Event) error {
+	for _, action := range membership.Step(time.Now(), event) {
+		if err := h.carryOutPeers(ctx, action); err != nil {
+			return err
 		}
 	}
 
 	return nil
 }
 
-// runExchanges sends what the membership wants sent, one exchange at a time.
+// carryOutPeers carries out one action of the membership.
+func (h *Host) carryOutPeers(ctx context.Context, action peer.Action) error {
+	switch action := action.(type) {
+	case peer.LiveChanged:
+		h.Log.WithFields(logrus.Fields{"event": "hosts_changed", "live": len(action.Hosts)}).Info("other hosts are live")
+
+		return h.dispatch.Put(ctx, dispatch.Hosts{Hosts: action.Hosts})
+	case peer.IsolationChanged:
+		h.Log.WithFields(logrus.Fields{"event": "isolation_changed", "isolated": action.Isolated}).Warn("frozen or cut off")
+
+		return h.dispatch.Put(ctx, dispatch.Isolate{Isolated: action.Isolated})
+	case peer.SharesChanged:
+		return h.dispatch.Put(ctx, dispatch.Shares{Held: action.Held})
+	case peer.Confirmed:
+		_ = h.dispatch.Offer(dispatch.Confirm{At: time.Now()}) // the next one follows at the next tick
+	case peer.Exchange:
+		h.offerOr("exchange_skipped", h.exchanges.Offer(action))
+	case peer.FetchConfiguration:
+		h.offerOr("fetch_skipped", h.fetches.Offer(action))
+	case peer.OverridesHeard:
+		heard := operator.OverridesHeard{Overrides: action.Overrides}
+		h.offerOr("overrides_skipped", h.configurations.Offer(configurationEvent{heard}))
+	case peer.Violation:
+		h.Log.WithFields(logrus.Fields{"event": "invariant_broken", "invariant": action.Invariant}).Error(action.Detail)
+	}
+
+	return nil
+}
+
+// offerOr logs an offer that found no room. What is offered so comes again with
+// a later digest.
+func (h *Host) offerOr(event string, err error) {
+	if err != nil {
+		h.Log.WithField("event", event).Debug(err)
+	}
+}
+
+// runExchanges exchanges digests with other hosts, one at a time.
 func (h *Host) runExchanges(ctx context.Context) error {
+	client := peerrpc.NewClient(h.Settings.Token, exchangeTimeout)
+	defer client.Close()
 	for {
-		action, err := h.exchanges.Take(ctx)
+		wanted, err := h.exchanges.Take(ctx)
 		if err != nil {
 			return err
 		}
-		input, err := h.exchange(ctx, action)
-		if err != nil {
+		var heard schema.Digest
+		var event peer.Event = peer.ExchangeFailed{Address: wanted.Address}
+		if err := peerrpc.Call(ctx, client, wanted.Address, peerrpc.MethodExchange, &wanted.Digest, &heard); err != nil {
 			h.Log.WithField("event", "exchange_failed").Debug(err)
-
-			continue
+		} else {
+			event = peer.DigestHeard{Digest: heard, Asked: wanted.Asked}
 		}
-		if err := input(); err != nil {
+		if err := h.peers.Put(ctx, peerEvent{event}); err != nil {
 			return err
 		}
 	}
 }
 
-// exchange sends one message and returns what to do with the response.
-func (h *Host) exchange(ctx context.Context, action peer.Action) (func() error, error) {
-	switch action := action.(type) {
-	case peer.Exchange:
-		var heard schema.Digest
-		err := peerrpc.Call(ctx, action.Address, h.Settings.Token, peerrpc.MethodExchange, &action.Digest, &heard)
-
-		return func() error { return h.peers.Put(ctx, peerEvent{peer.DigestHeard{Digest: heard}}) }, err
-	case peer.FetchConfiguration:
+// runFetches fetches newer configurations from other hosts, one at a time.
+func (h *Host) runFetches(ctx context.Context) error {
+	client := peerrpc.NewClient(h.Settings.Token, fetchTimeout)
+	defer client.Close()
+	for {
+		wanted, err := h.fetches.Take(ctx)
+		if err != nil {
+			return err
+		}
 		var read schema.Configuration
-		request := schema.ConfigurationRequest{Above: action.Above}
-		err := peerrpc.Call(ctx, action.Address, h.Settings.Token, peerrpc.MethodConfiguration, &request, &read)
+		request := schema.ConfigurationRequest{Above: wanted.Above}
+		if err := peerrpc.Call(ctx, client, wanted.Address, peerrpc.MethodConfiguration, &request, &read); err != nil {
+			h.Log.WithField("event", "fetch_failed").Debug(err)
 
-		return func() error {
-			return h.configurations.Put(ctx, configurationRead{configuration: read, source: action.Address})
-		}, err
-	case peer.LiveChanged:
+			continue
+		}
+		event := operator.ConfigurationRead{Configuration: read, Source: wanted.Address}
+		if err := h.configurations.Put(ctx, configurationEvent{event}); err != nil {
+			return err
+		}
 	}
-
-	return func() error { return nil }, nil
 }
--- a/host/platform.go
+++ b/host/platform.go
@@ -2,55 +2,180 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/peer"
 	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/schema"
 )
 
-// runPlatform reads the configuration and the list of hosts at an interval.
+const (
+	// restoreDelay is how long a host without a configuration waits for a peer
+	// before it reads the object store.
+	restoreDelay = 2 * time.Second
+	// snapshotDelay is the longest wait, for each listed host, before a host
+	// checks that the configuration in force has a snapshot.
+	snapshotDelay = 100 * time.Millisecond
+	// circuitCheck is the time between checks of an open circuit.
+	circuitCheck = 100 * time.Millisecond
+)
+
+// reader reads the platform for one host.
+type reader struct {
+	host    *Host
+	circuit *platform.Circuit
+	random  *rand.Rand
+	started time.Time
+	list    schema.HostList
+	saved   int
+	saveAt  time.Time
+	pending int
+}
+
+// runPlatform reads the configuration and the list of hosts at an interval that
+// the number of hosts stretches.
 func (h *Host) runPlatform(ctx context.Context) error {
-	ticker := time.NewTicker(h.Settings.PlatformInterval)
-	defer ticker.Stop()
+	r := &reader{
+		host:    h,
+		circuit: platform.NewCircuit(h.seed),
+		random:  rand.New(rand.NewPCG(h.seed, 3)), //nolint:gosec // jitter is no secret
+		started: time.Now(),
+		list:    schema.HostList{Hosts: []schema.ListedHost{}},
+	}
 	for {
-		if err := h.readPlatform(ctx); err != nil {
-			return err
+		wait := circuitCheck
+		if r.circuit.Allow(time.Now()) {
+			if err := r.read(ctx); err != nil {
+				return err
+			}
+			wait = platform.Interval(h.Settings.PlatformInterval, len(r.list.Hosts), r.random)
 		}
 		select {
-		case <-ticker.C:
+		case <-time.After(wait):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-// readPlatform reads once. A platform that does not answer is logged and costs
+// read reads once. A platform that does not answer opens the circuit and costs
 // nothing else.
-func (h *Host) readPlatform(ctx context.Context) error {
-	list, err := h.platform.Hosts()
+func (r *reader) read(ctx context.Context) error {
+	failure, err := r.readTable(ctx)
 	if err != nil {
-		h.Log.WithField("event", "platform_unavailable").Warn(err)
+		return err
+	}
+	if failure == nil {
+		r.circuit.Succeeded()
 
 		return nil
 	}
-	if err := h.peers.Put(ctx, peerEvent{peer.ListRead{List: list}}); err != nil {
-		return err
+	r.circuit.Failed(time.Now())
+	r.host.Log.WithField("event", "platform_unavailable").WithField("circuit", r.circuit.State).Warn(failure)
+
+	return r.restore(ctx)
+}
+
+// readTable reads the list of hosts and the version of the configuration, and
+// the configuration itself only if it is newer than the one in force. It
+// returns the platform's failure and an error if the duty has to end.
+func (r *reader) readTable(ctx context.Context) (failure, err error) {
+	asked := time.Now()
+	list, failure := r.host.platform.Hosts()
+	if failure != nil {
+		return failure, nil
 	}
-	row, err := h.platform.Read(platform.KeyConfiguration)
-	if err != nil {
-		h.Log.WithField("event", "platform_unavailable").Warn(err)
+	r.list = list
+	row, failure := r.host.platform.Version(platform.KeyConfiguration)
+	if failure != nil {
+		return failure, nil
+	}
+	if err := r.host.peers.Put(ctx, peerEvent{peer.ListRead{List: list, Asked: asked}}); err != nil {
+		return nil, err
+	}
+	inForce := r.host.inForce(ctx).Configuration
+	if row.Version <= inForce.Version {
+		return r.save(inForce), nil
+	}
+	if row, failure = r.host.platform.Read(platform.KeyConfiguration); failure != nil {
+		return failure, nil
+	}
+	configuration, failure := platform.Decode(row)
+	if failure != nil {
+		return failure, nil
+	}
+
+	return nil, r.adopt(ctx, configuration, "platform")
+}
+
+// adopt offers a configuration to the register.
+func (r *reader) adopt(ctx context.Context, configuration schema.Configuration, source string) error {
+	read := operator.ConfigurationRead{Configuration: configuration, Source: source}
+
+	return r.host.configurations.Put(ctx, configurationEvent{read})
+}
 
+// save makes sure, after a random delay, that the object store holds the
+// configuration in force. The first host to look writes it for all.
+func (r *reader) save(inForce schema.Configuration) error {
+	if inForce.Version == r.saved {
+		return nil
+	}
+	now := time.Now()
+	if inForce.Version != r.pending {
+		most := snapshotDelay * time.Duration(len(r.list.Hosts)+1)
+		r.pending, r.saveAt = inForce.Version, now.Add(time.Duration(r.random.Int64N(int64(most))))
+	}
+	if now.Before(r.saveAt) {
 		return nil
 	}
-	configuration, err := platform.Decode(row)
+	key := platform.SnapshotKey(inForce.Version)
+	present, err := r.host.platform.ReadObject(key)
 	if err != nil {
-		h.Log.WithField("event", "configuration_invalid").Error(err)
+		return err
+	}
+	if held, err := platform.DecodeSnapshot(present); err != nil || held.Version < inForce.Version {
+		snapshot, err := platform.EncodeSnapshot(inForce, r.list.Hosts)
+		if err != nil {
+			return err
+		}
+		if err := r.host.platform.WriteObject(key, snapshot); err != nil {
+			return err
+		}
+	}
+	r.saved = inForce.Version
 
+	return nil
+}
+
+// restore reads the object store if the host has no configuration while the
+// table is away. The hosts in the snapshot are asked too.
+func (r *reader) restore(ctx context.Context) error {
+	if time.Since(r.started) < restoreDelay || r.host.inForce(ctx).Configuration.Version > 0 {
 		return nil
 	}
-	if configuration.Version == 0 {
-		return nil
+	for _, key := range platform.SnapshotKeys() {
+		snapshot, err := r.host.platform.ReadObject(key)
+		if err != nil {
+			r.host.Log.WithField("event", "snapshot_unavailable").Warn(err)
+
+			continue
+		}
+		configuration, err := platform.DecodeSnapshot(snapshot)
+		if err != nil {
+			r.host.Log.WithField("event", "snapshot_invalid").Error(err)
+
+			continue
+		}
+		if err := r.host.peers.Put(ctx, peerEvent{peer.SeedsRead{Hosts: snapshot.Hosts}}); err != nil {
+			return err
+		}
+		if err := r.adopt(ctx, configuration, "object store"); err != nil {
+			return err
+		}
 	}
 
-	return h.configurations.Put(ctx, configurationRead{configuration: configuration, source: "platform"})
+	return nil
 }
--- /dev/null
+++ b/operator/apply.go
@@ -0,0 +1,150 @@
+package operator
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// recentChanges bounds the evidence of kept changes in a configuration.
+const recentChanges = 64
+
+// Applied is the result of a change that was not rejected.
+type Applied struct {
+	// Configuration is the configuration after the change.
+	Configuration schema.Configuration
+	// Changed is false when the configuration is as before.
+	Changed bool
+}
+
+// Apply applies a change with an id to the configuration that the platform
+// holds. A change whose id is among the recent changes changes nothing.
+// Overrides are those in force.
+func Apply(current schema.Configuration, change Change, id string, overrides []schema.Override) (Applied, error) {
+	if platform.Contains(current, id) {
+		return Applied{Configuration: current}, nil
+	}
+	switch change := change.(type) {
+	case ReplaceSheet:
+		return applySheet(current, change, id, overrides)
+	case SetDataCentre:
+		return applyDataCentre(current, change, id)
+	}
+
+	return Applied{Configuration: current}, nil
+}
+
+// applySheet replaces what a sheet declares.
+func applySheet(current schema.Configuration, change ReplaceSheet, id string, overrides []schema.Override) (Applied, error) {
+	if change.Configuration.Day < current.Day {
+		return Applied{}, &OutdatedError{Day: change.Configuration.Day, InForce: current.Day}
+	}
+	checksum := sheetChecksum(change.Configuration)
+	if sheets := sheetsOf(current); len(sheets) > 0 && sheets[len(sheets)-1].SheetChecksum == checksum {
+		return Applied{Configuration: current}, nil
+	}
+	if change.BaseVersion != 0 && change.BaseVersion != current.Version {
+		return Applied{}, &platform.ConflictError{ChangeID: id, Accepted: current.ChangeID, Version: current.Version}
+	}
+	if err := checkEarlier(current, change, checksum); err != nil {
+		return Applied{}, err
+	}
+	next := change.Configuration
+	next.DataCentres = slices.Clone(next.DataCentres)
+	for i, declared := range next.DataCentres {
+		if err := checkOverride(declared, overrides); err != nil {
+			return Applied{}, err
+		}
+		next.DataCentres[i].ChangeID = decidedBy(current, declared, id)
+	}
+
+	return Applied{Configuration: stamp(current, next, schema.ChangeRecord{ChangeID: id, SheetChecksum: checksum}), Changed: true}, nil
+}
+
+// applyDataCentre sets the state of a data centre.
+func applyDataCentre(current schema.Configuration, change SetDataCentre, id string) (Applied, error) {
+	at := slices.IndexFunc(current.DataCentres, func(d schema.DataCentre) bool { return d.Name == change.Name })
+	if at < 0 {
+		return Applied{}, &UnknownDataCentreError{Name: change.Name}
+	}
+	declared := current.DataCentres[at]
+	if outranks(declared, id, change.State) {
+		return Applied{Configuration: current}, nil
+	}
+	next := current
+	next.DataCentres = slices.Clone(current.DataCentres)
+	next.DataCentres[at].State, next.DataCentres[at].ChangeID = change.State, id
+
+	return Applied{Configuration: stamp(current, next, schema.ChangeRecord{ChangeID: id}), Changed: true}, nil
+}
+
+// stamp adds the evidence of the change.
+func stamp(current, next schema.Configuration, record schema.ChangeRecord) schema.Configuration {
+	recent := append(slices.Clone(current.RecentChanges), record)
+	if len(recent) > recentChanges {
+		recent = recent[len(recent)-recentChanges:]
+	}
+	next.RecentChanges = recent
+	next.Version, next.ChangeID = current.Version, record.ChangeID
+
+	return next
+}
+
+// sheetChecksum returns the checksum of what a sheet declares.
+func sheetChecksum(declared schema.Configuration) string {
+	declared.Version, declared.ChangeID, declared.RecentChanges = 0, "", nil
+	raw, _ := json.Marshal(declared) //nolint:errchkjson // plain strings and numbers always encode
+
+	return strconv.FormatUint(xxhash.Sum64(raw), 16)
+}
+
+// sheetsOf returns the records of kept sheets, the newest last.
+func sheetsOf(current schema.Configuration) []schema.ChangeRecord {
+	return slices.DeleteFunc(slices.Clone(current.RecentChanges), func(r schema.ChangeRecord) bool {
+		return r.SheetChecksum == ""
+	})
+}
+
+// checkEarlier rejects a sheet that was replaced by another one, unless the
+// planner names the version in force.
+func checkEarlier(current schema.Configuration, change ReplaceSheet, checksum string) error {
+	if change.BaseVersion != 0 {
+		return nil
+	}
+	for _, record := range sheetsOf(current) {
+		if record.SheetChecksum == checksum {
+			return &SupersededError{ChangeID: record.ChangeID, InForce: current.ChangeID}
+		}
+	}
+
+	return nil
+}
+
+// checkOverride rejects a sheet that takes in a data centre that an operator
+// took out by a change that is not kept yet.
+func checkOverride(declared schema.DataCentre, overrides []schema.Override) error {
+	for _, override := range overrides {
+		if override.DataCentre == declared.Name && override.State != declared.State {
+			return &NotKeptError{DataCentre: declared.Name, ChangeID: override.ChangeID}
+		}
+	}
+
+	return nil
+}
+
+// decidedBy returns the change that decided the declared state: an earlier one
+// if the state is as before.
+func decidedBy(current schema.Configuration, declared schema.DataCentre, id string) string {
+	for _, before := range current.DataCentres {
+		if before.Name == declared.Name && before.State == declared.State {
+			return before.ChangeID
+		}
+	}
+
+	return id
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -5,7 +5,7 @@
 
 import (
 	"fmt"
-	"slices"
+	"time"
 
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -19,6 +19,8 @@
 type ReplaceSheet struct {
 	// Configuration is what the sheet declares.
 	Configuration schema.Configuration
+	// BaseVersion is the version that the sheet was planned on; 0 accepts any.
+	BaseVersion int
 }
 
 // SetDataCentre takes a data centre out or in.
@@ -56,33 +58,58 @@
 	return fmt.Sprintf("data centre %q is not declared", e.Name)
 }
 
-// Apply returns the configuration after the change and whether it differs.
-func Apply(current schema.Configuration, change Change) (schema.Configuration, bool, error) {
-	next := current
-	switch change := change.(type) {
-	case ReplaceSheet:
-		if change.Configuration.Day < current.Day {
-			return current, false, &OutdatedError{Day: change.Configuration.Day, InForce: current.Day}
-		}
-		next = change.Configuration
-	case SetDataCentre:
-		at := slices.IndexFunc(current.DataCentres, func(d schema.DataCentre) bool { return d.Name == change.Name })
-		if at < 0 {
-			return current, false, &UnknownDataCentreError{Name: change.Name}
-		}
-		next.DataCentres = slices.Clone(current.DataCentres)
-		next.DataCentres[at].State = change.State
-	}
-	next.Version, next.ChangeID = current.Version, current.ChangeID
-
-	return next, !equal(current, next), nil
+// NotKeptError reports a data centre whose latest decision is not kept yet.
+type NotKeptError struct {
+	// DataCentre names the data centre.
+	DataCentre string
+	// ChangeID identifies the override that is in force but not kept.
+	ChangeID string
 }
 
-// equal reports whether two configurations declare the same.
-func equal(a, b schema.Configuration) bool {
-	return a.Day == b.Day &&
-		slices.Equal(a.Services, b.Services) &&
-		slices.Equal(a.DataCentres, b.DataCentres) &&
-		slices.Equal(a.BackendServers, b.BackendServers) &&
-		slices.Equal(a.PlannedStops, b.PlannedStops)
+// Error names the data centre and the change.
+func (e *NotKeptError) Error() string {
+	return fmt.Sprintf("data centre %s is out by change %s, which is not kept yet; apply the sheet again once it is", e.DataCentre, e.ChangeID)
+}
+
+// CollisionError reports a data centre that was taken out so recently that
+// taking it in collides with it.
+type CollisionError struct {
+	// DataCentre names the data centre.
+	DataCentre string
+	// ChangeID identifies the change that took it out.
+	ChangeID string
+	// RetryAfter is how long an operator should wait before taking it in.
+	RetryAfter time.Duration
+}
+
+// Error names the data centre, the change and the wait.
+func (e *CollisionError) Error() string {
+	return fmt.Sprintf("data centre %s was just taken out by change %s; take it in after %v", e.DataCentre, e.ChangeID, e.RetryAfter)
+}
+
+// SupersededError reports a sheet that was accepted before and replaced since.
+type SupersededError struct {
+	// ChangeID identifies the change that kept the sheet.
+	ChangeID string
+	// InForce identifies the newest change.
+	InForce string
+}
+
+// Error names both changes.
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("the sheet was accepted as change %s and replaced since; the newest change is %s", e.ChangeID, e.InForce)
+}
+
+// RegressedError reports a table whose configuration is older than the one in
+// force.
+type RegressedError struct {
+	// Found is the version in the table.
+	Found int
+	// InForce is the version in force at the host.
+	InForce int
+}
+
+// Error names both versions.
+func (e *RegressedError) Error() string {
+	return fmt.Sprintf("the platform holds version %d, which is older than version %d in force", e.Found, e.InForce)
 }
--- a/operatorhttp/operatorhttp.go
+++ b/operatorhttp/operatorhttp.go
@@ -8,6 +8,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,6 +31,10 @@
 	PathConfiguration = "/configuration"
 	// PathDataCentre precedes a data centre's name and state.
 	PathDataCentre = "/data_centre"
+	// PathStop starts a planned stop of the host.
+	PathStop = "/stop"
+	// QueryBaseVersion names the version that a sheet was planned on.
+	QueryBaseVersion = "base_version"
 	// PathDump returns the state of the host.
 	PathDump = "/dump"
 )
@@ -62,20 +68,30 @@
 	Reply *ring.Ring[schema.Dump]
 }
 
+// StopRequest asks the stop duty for a planned stop.
+type StopRequest struct {
+	// Reply receives one reply; it must have room.
+	Reply *ring.Ring[schema.StopResult]
+}
+
 // Front serves operators.
 type Front struct {
 	// Changes is the ring of the operator duty.
 	Changes *ring.Ring[ChangeRequest]
 	// Dumps is the ring of the dump duty.
 	Dumps *ring.Ring[DumpRequest]
+	// Stops is the ring of the stop duty.
+	Stops *ring.Ring[StopRequest]
 
 	app *fiber.App
 }
 
 // New returns a front end that accepts requests with the token, or all requests
 // if the token is empty.
-func New(changes *ring.Ring[ChangeRequest], dumps *ring.Ring[DumpRequest], token string) *Front {
-	front := &Front{Changes: changes, Dumps: dumps}
+func New(
+	changes *ring.Ring[ChangeRequest], dumps *ring.Ring[DumpRequest], stops *ring.Ring[StopRequest], token string,
+) *Front {
+	front := &Front{Changes: changes, Dumps: dumps, Stops: stops}
 	front.app = fiber.New(fiber.Config{AppName: "baobabdrum operator", BodyLimit: sheetLimit, ErrorHandler: refuse})
 	front.app.Get("/live", func(c fiber.Ctx) error { return c.SendString("live\n") })
 	front.app.Get("/ready", front.ready)
@@ -88,6 +104,7 @@
 	front.app.Get(PathDump, front.dump)
 	front.app.Get(PathConfiguration, front.configuration)
 	front.app.Post(PathSheet, front.sheet)
+	front.app.Post(PathStop, front.stop)
 	front.app.Post(PathDataCentre, jsonhttp.Handle(front.dataCentre))
 
 	return front
@@ -104,7 +121,40 @@
 	if err != nil {
 		return err
 	}
-	result, err := f.change(operator.ReplaceSheet{Configuration: configuration})
+	base, err := baseVersion(c)
+	if err != nil {
+		return err
+	}
+	result, err := f.change(operator.ReplaceSheet{Configuration: configuration, BaseVersion: base})
+	if err != nil {
+		return err
+	}
+
+	return c.JSON(result)
+}
+
+// baseVersion reads the version that a sheet was planned on.
+func baseVersion(c fiber.Ctx) (int, error) {
+	raw := c.Query(QueryBaseVersion, "0")
+	base, err := strconv.Atoi(raw)
+	if err != nil || base < 0 {
+		return 0, &schema.InvalidError{Input: "query", Faults: []schema.Fault{
+			{Place: QueryBaseVersion, Value: strings.Clone(raw), Problem: "must be a whole number from 0"},
+		}}
+	}
+
+	return base, nil
+}
+
+// stop starts a planned stop.
+func (f *Front) stop(c fiber.Ctx) error {
+	reply := ring.New[schema.StopResult]("stop", 1)
+	if err := f.Stops.Offer(StopRequest{Reply: reply}); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+	defer cancel()
+	result, err := reply.Take(ctx)
 	if err != nil {
 		return err
 	}
@@ -184,37 +234,98 @@
 	return c.SendString(string(dump.Host.State) + "\n")
 }
 
+// refusal is the HTTP status, the reason and the outcome of a failure.
+type refusal struct {
+	status  int
+	reason  string
+	outcome string
+}
+
+// The outcomes of a change that was not accepted.
+const (
+	outcomeNotRun  = "not_run"
+	outcomeUnknown = "unknown"
+)
+
 // refuse answers with the failure as JSON.
 func refuse(c fiber.Ctx, err error) error {
-	failure := schema.Failure{Outcome: "not_run", Detail: err.Error(), Addresses: []string{}, Faults: []schema.Fault{}}
-	status := http.StatusInternalServerError
+	failure := schema.Failure{Detail: err.Error(), Addresses: []string{}, Faults: []schema.Fault{}}
+	var invalid *schema.InvalidError
+	if errors.As(err, &invalid) {
+		failure.Faults = invalid.Faults
+	}
+	described := describe(err)
+	failure.Outcome, failure.Reason = described.outcome, described.reason
+
+	return c.Status(described.status).JSON(failure)
+}
+
+// describe chooses the status and the reason of a failure.
+func describe(err error) refusal {
 	var (
-		invalid   *schema.InvalidError
-		conflict  *platform.ConflictError
-		unsettled *platform.UnsettledError
-		outdated  *operator.OutdatedError
-		unknown   *operator.UnknownDataCentreError
-		full      *ring.FullError
-		refused   *fiber.Error
+		invalid *schema.InvalidError
+		unknown *operator.UnknownDataCentreError
+		refused *fiber.Error
 	)
 	switch {
 	case errors.As(err, &invalid):
-		status, failure.Reason, failure.Faults = http.StatusBadRequest, "invalid", invalid.Faults
+		return refusal{http.StatusBadRequest, "invalid", outcomeNotRun}
+	case errors.As(err, &unknown):
+		return refusal{http.StatusNotFound, "unknown_data_centre", outcomeNotRun}
+	case errors.As(err, &refused):
+		return refusal{refused.Code, "refused", outcomeNotRun}
+	}
+	if reason := collision(err); reason != "" {
+		return refusal{http.StatusConflict, reason, outcomeNotRun}
+	}
+
+	return describePlatform(err)
+}
+
+// collision returns the reason of a change that collides with another one, or
+// nothing.
+func collision(err error) string {
+	var (
+		conflict   *platform.ConflictError
+		outdated   *operator.OutdatedError
+		superseded *operator.SupersededError
+		collided   *operator.CollisionError
+		notKept    *operator.NotKeptError
+	)
+	switch {
 	case errors.As(err, &conflict):
-		status, failure.Reason = http.StatusConflict, "conflict"
+		return "conflict"
 	case errors.As(err, &outdated):
-		status, failure.Reason = http.StatusConflict, "outdated"
-	case errors.As(err, &unknown):
-		status, failure.Reason = http.StatusNotFound, "unknown_data_centre"
+		return "outdated"
+	case errors.As(err, &superseded):
+		return "superseded"
+	case errors.As(err, &collided):
+		return "collision"
+	case errors.As(err, &notKept):
+		return "override_not_kept"
+	default:
+		return ""
+	}
+}
+
+// describePlatform describes a failure of the platform or of this host.
+func describePlatform(err error) refusal {
+	var (
+		unsettled   *platform.UnsettledError
+		unavailable *platform.UnavailableError
+		regressed   *operator.RegressedError
+		full        *ring.FullError
+	)
+	switch {
 	case errors.As(err, &unsettled):
-		status, failure.Reason, failure.Outcome = http.StatusBadGateway, "unsettled", "unknown"
+		return refusal{http.StatusBadGateway, "unsettled", outcomeUnknown}
+	case errors.As(err, &unavailable):
+		return refusal{http.StatusServiceUnavailable, "platform_unavailable", outcomeNotRun}
+	case errors.As(err, &regressed):
+		return refusal{http.StatusBadGateway, "platform_regressed", outcomeNotRun}
 	case errors.As(err, &full):
-		status, failure.Reason = http.StatusServiceUnavailable, "overloaded"
-	case errors.As(err, &refused):
-		status, failure.Reason = refused.Code, "refused"
+		return refusal{http.StatusServiceUnavailable, "overloaded", outcomeNotRun}
 	default:
-		failure.Reason, failure.Outcome = "failed", "unknown"
+		return refusal{http.StatusInternalServerError, "failed", outcomeUnknown}
 	}
-
-	return c.Status(status).JSON(failure)
 }
--- /dev/null
+++ b/peer/record.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// record is what is known about another host.
+type record struct {
+	// host is the newest record that the host announced.
+	host schema.Host
+	// counter is the newest heartbeat heard, at least that of the record.
+	counter int
+	// heardAt is when the counter last grew.
+	heardAt time.Time
+	// dead says that another host found it dead at this counter.
+	dead bool
+	// sends counts the digests with this record since it changed.
+	sends int
+	// sentAt orders records by when they were last sent.
+	sentAt uint64
+	// beatSentAt orders records by when their heartbeat was last sent.
+	beatSentAt uint64
+	// beatSent is the counter that was last sent.
+	beatSent int
+}
+
+// newRecord returns the record of a host heard of for the first time.
+func newRecord(now time.Time, host schema.Host) *record {
+	return &record{host: host, counter: host.Heartbeat, heardAt: now, dead: host.State == schema.HostStateDead}
+}
+
+// hash identifies the host and its incarnation in 32 bits.
+func hash(host schema.Host) int {
+	return int(xxhash.Sum64String(host.Name+"\x00"+host.Incarnation) & math.MaxUint32)
+}
+
+// beat adopts a newer counter.
+func (r *record) beat(now time.Time, counter int) {
+	if counter <= r.counter {
+		return
+	}
+	if r.dead {
+		r.sends = 0
+	}
+	r.counter, r.heardAt, r.dead = counter, now, false
+}
+
+// hear adopts what a newer record of the host says.
+func (r *record) hear(now time.Time, host schema.Host) {
+	switch order := cmp.Compare(host.Incarnation, r.host.Incarnation); {
+	case order > 0:
+		*r = *newRecord(now, host)
+
+		return
+	case order < 0:
+		return
+	}
+	if host.State == schema.HostStateDead {
+		if host.Heartbeat >= r.counter && !r.dead {
+			r.dead, r.sends = true, 0
+		}
+
+		return
+	}
+	if host.Heartbeat > r.host.Heartbeat {
+		if host.State != r.host.State {
+			r.sends = 0
+		}
+		r.host = host
+	}
+	r.beat(now, host.Heartbeat)
+}
+
+// announced returns the record as it is passed on.
+func (r *record) announced() schema.Host {
+	host := r.host
+	if r.dead {
+		host.State, host.Heartbeat = schema.HostStateDead, r.counter
+	}
+
+	return host
+}
+
+// alive reports whether the host is live and was heard within the bound.
+func (r *record) alive(now time.Time, bound time.Duration) bool {
+	return r.host.State == schema.HostStateLive && !r.dead && now.Sub(r.heardAt) < bound
+}
+
+// sortedRecords returns the records with the key, smallest first, names last so
+// that the order does not depend on the map's.
+func sortedRecords(records map[string]*record, key func(r *record) (first int, second uint64)) []*record {
+	list := make([]*record, 0, len(records))
+	for _, r := range records {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *record) int {
+		a1, a2 := key(a)
+		b1, b2 := key(b)
+
+		return cmp.Or(cmp.Compare(a1, b1), cmp.Compare(a2, b2), cmp.Compare(a.host.Name, b.host.Name))
+	})
+
+	return list
+}
--- /dev/null
+++ b/peerrpc/client.go
@@ -0,0 +1,108 @@
+package peerrpc
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// clientConnections bounds the connections that a client keeps open.
+const clientConnections = 64
+
+// connection is an open connection to another host.
+type connection struct {
+	conn net.Conn
+	rpc  *rpc.Client
+	used time.Time
+}
+
+// Client calls other hosts and keeps connections open between calls. One duty
+// owns it.
+type Client struct {
+	// Token is sent when a connection opens.
+	Token string
+	// Timeout bounds each call.
+	Timeout time.Duration
+
+	open map[string]*connection
+}
+
+// NewClient returns a client without connections.
+func NewClient(token string, timeout time.Duration) *Client {
+	return &Client{Token: token, Timeout: timeout, open: map[string]*connection{}}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	for address := range c.open {
+		c.drop(address)
+	}
+}
+
+// Call sends a request to a host and reads the response into out. The
+// connection is closed after a failure.
+func Call[In, Out any](ctx context.Context, client *Client, address, method string, in *In, out *Out) error {
+	open, err := client.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	if err := open.conn.SetDeadline(time.Now().Add(client.Timeout)); err != nil {
+		client.drop(address)
+
+		return eris.Wrapf(err, "bounding the exchange with peer %s", address)
+	}
+	if err := open.rpc.Call(serviceName+"."+method, in, out); err != nil {
+		client.drop(address)
+
+		return eris.Wrapf(err, "calling %s of peer %s", method, address)
+	}
+
+	return eris.Wrapf(open.conn.SetDeadline(time.Time{}), "releasing the connection to peer %s", address)
+}
+
+// connect returns the open connection to a host or opens one.
+func (c *Client) connect(ctx context.Context, address string) (*connection, error) {
+	if open, ok := c.open[address]; ok {
+		open.used = time.Now()
+
+		return open, nil
+	}
+	if len(c.open) >= clientConnections {
+		c.drop(c.oldest())
+	}
+	dialer := net.Dialer{Timeout: c.Timeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connecting to peer %s", address)
+	}
+	open := &connection{conn: conn, rpc: rpc.NewClientWithCodec(newCodec(conn, c.Token)), used: time.Now()}
+	c.open[address] = open
+
+	return open, nil
+}
+
+// oldest returns the address whose connection was unused for longest.
+func (c *Client) oldest() string {
+	var (
+		oldest string
+		used   = time.Now()
+	)
+	for address, open := range c.open {
+		if oldest == "" || open.used.Before(used) {
+			oldest, used = address, open.used
+		}
+	}
+
+	return oldest
+}
+
+// drop closes the connection to a host.
+func (c *Client) drop(address string) {
+	if open, ok := c.open[address]; ok {
+		_ = open.rpc.Close() // the connection is given up in any case
+		delete(c.open, address)
+	}
+}
--- a/peerrpc/codec.go
+++ b/peerrpc/codec.go
@@ -1,6 +1,7 @@
 package peerrpc
 
 import (
+	"crypto/subtle"
 	"fmt"
 	"io"
 	"net/rpc"
@@ -28,9 +29,19 @@
 	return fmt.Sprintf("no codec for messages of type %T", e.Body)
 }
 
+const (
+	// maxElements bounds the elements of one list in a message.
+	maxElements = 1 << 20
+	// maxString bounds one text in a message in bytes.
+	maxString = 1 << 16
+	// maxDepth bounds how deep a message is nested.
+	maxDepth = 32
+)
+
 // codec reads and writes net/rpc's messages with MessagePack.
 type codec struct {
 	token string
+	told  bool
 	conn  io.ReadWriteCloser
 	in    *msgp.Reader
 	out   *msgp.Writer
@@ -38,30 +49,53 @@
 
 // newCodec returns a codec over the connection.
 func newCodec(conn io.ReadWriteCloser, token string) *codec {
-	return &codec{token: token, conn: conn, in: msgp.NewReader(conn), out: msgp.NewWriter(conn)}
+	in := msgp.NewReader(conn)
+	in.SetMaxElements(maxElements)
+	in.SetMaxStringLength(maxString)
+	in.SetMaxRecursionDepth(maxDepth)
+
+	return &codec{token: token, conn: conn, in: in, out: msgp.NewWriter(conn)}
 }
 
-// WriteRequest writes the token, the method, the sequence number and the body.
+// WriteRequest writes the method, the sequence number and the body, and before
+// the first request the token.
 func (c *codec) WriteRequest(request *rpc.Request, body any) error {
-	if err := c.out.WriteString(c.token); err != nil {
-		return eris.Wrap(err, "writing a token")
+	if !c.told {
+		if err := c.out.WriteString(c.token); err != nil {
+			return eris.Wrap(err, "writing a token")
+		}
+		c.told = true
 	}
 
 	return c.write(request.ServiceMethod, request.Seq, "", body)
 }
 
-// ReadRequestHeader reads a request up to its body and checks the token.
-func (c *codec) ReadRequestHeader(request *rpc.Request) error {
+// ReadRequestHeader reads a request up to its body and checks the token before
+// the first one.
+func (c *codec) ReadRequestHeader(request *rpc.Request) (err error) {
+	if err := c.checkToken(); err != nil {
+		return err
+	}
+	request.ServiceMethod, request.Seq, _, err = c.readHeader()
+
+	return err
+}
+
+// checkToken reads the token that opens a connection.
+func (c *codec) checkToken() error {
+	if c.told {
+		return nil
+	}
 	token, err := c.in.ReadString()
 	if err != nil {
 		return err //nolint:wrapcheck // net/rpc compares it with io.EOF
 	}
-	if token != c.token {
+	if subtle.ConstantTimeCompare([]byte(token), []byte(c.token)) != 1 {
 		return &TokenError{}
 	}
-	request.ServiceMethod, request.Seq, _, err = c.readHeader()
+	c.told = true
 
-	return err
+	return nil
 }
 
 // ReadRequestBody reads the body; nil discards it.
--- a/peerrpc/peerrpc.go
+++ b/peerrpc/peerrpc.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// exchangeTimeout bounds one exchange with another host.
-	exchangeTimeout = time.Second
+	// serveTimeout bounds the wait for a duty's reply to another host.
+	serveTimeout = time.Second
 	// serviceName is the name under which net/rpc finds the methods.
 	serviceName = "Peer"
 )
@@ -65,7 +65,7 @@
 
 // serve offers a request to a duty and waits for its reply.
 func serve[Out any](requests *ring.Ring[Request], request Request, reply *ring.Ring[Out], out *Out) error {
-	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
 	defer cancel()
 	if err := requests.Offer(request); err != nil {
 		return err
@@ -95,22 +95,6 @@
 	}
 }
 
-// Call sends a request to a host and reads the response into out.
-func Call[In, Out any](ctx context.Context, address, token, method string, in *In, out *Out) error {
-	dialer := net.Dialer{Timeout: exchangeTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return eris.Wrapf(err, "connecting to peer %s", address)
-	}
-	if err := conn.SetDeadline(time.Now().Add(exchangeTimeout)); err != nil {
-		return eris.Wrapf(err, "bounding the exchange with peer %s", address)
-	}
-	client := rpc.NewClientWithCodec(newCodec(conn, token))
-	defer client.Close()
-
-	return eris.Wrapf(client.Call(serviceName+"."+method, in, out), "calling %s of peer %s", method, address)
-}
-
 // Methods that hosts call on each other.
 const (
 	// MethodExchange trades digests.
--- a/platformhttp/platformhttp.go
+++ b/platformhttp/platformhttp.go
@@ -16,6 +16,10 @@
 	PathRows = "/rows/"
 	// PathTransaction accepts a schema.Transaction.
 	PathTransaction = "/transaction"
+	// PathVersions precedes the key of a row that is returned without its value.
+	PathVersions = "/versions/"
+	// PathObjects precedes the key of an object.
+	PathObjects = "/objects/"
 	// PathHosts returns a schema.HostList.
 	PathHosts = "/hosts"
 )
@@ -35,6 +39,23 @@
 	return jsonhttp.Get[schema.Row](c.client, PathRows+key)
 }
 
+// Version returns a row without its value.
+func (c *Client) Version(key string) (schema.Row, error) {
+	return jsonhttp.Get[schema.Row](c.client, PathVersions+key)
+}
+
+// ReadObject returns the snapshot in the object store.
+func (c *Client) ReadObject(key string) (schema.Snapshot, error) {
+	return jsonhttp.Get[schema.Snapshot](c.client, PathObjects+key)
+}
+
+// WriteObject replaces the snapshot in the object store.
+func (c *Client) WriteObject(key string, snapshot schema.Snapshot) error {
+	_, err := jsonhttp.Post[schema.Snapshot, schema.Snapshot](c.client, PathObjects+key, snapshot)
+
+	return err
+}
+
 // Write commits the transaction if each row still has its stated version. After
 // an error the transaction may have been committed or not.
 func (c *Client) Write(transaction schema.Transaction) (schema.TransactionResult, error) {
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zf88ce922limitArrays = 1048576
+	zf88ce922limitMaps   = 64
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *AskAnswer) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -31,6 +41,10 @@
 				err = msgp.WrapError(err, "Addresses")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Addresses) >= int(zb0002) {
 				z.Addresses = (z.Addresses)[:zb0002]
 			} else {
@@ -176,6 +190,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -191,6 +209,10 @@
 				err = msgp.WrapError(err, "Addresses")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Addresses) >= int(zb0002) {
 				z.Addresses = (z.Addresses)[:zb0002]
 			} else {
@@ -259,6 +281,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -358,6 +384,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -412,6 +442,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -568,6 +602,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -640,6 +678,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -796,6 +838,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -868,6 +914,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -883,6 +933,10 @@
 				err = msgp.WrapError(err, "BackendServers")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.BackendServers) >= int(zb0002) {
 				z.BackendServers = (z.BackendServers)[:zb0002]
 			} else {
@@ -1032,6 +1086,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1047,6 +1105,10 @@
 				err = msgp.WrapError(err, "BackendServers")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.BackendServers) >= int(zb0002) {
 				z.BackendServers = (z.BackendServers)[:zb0002]
 			} else {
@@ -1105,6 +1167,142 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ChangeRecord) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "change_id":
+			z.ChangeID, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "ChangeID")
+				return
+			}
+		case "sheet_checksum":
+			z.SheetChecksum, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "SheetChecksum")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ChangeRecord) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "change_id"
+	err = en.Append(0x82, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ChangeID)
+	if err != nil {
+		err = msgp.WrapError(err, "ChangeID")
+		return
+	}
+	// write "sheet_checksum"
+	err = en.Append(0xae, 0x73, 0x68, 0x65, 0x65, 0x74, 0x5f, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x73, 0x75, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.SheetChecksum)
+	if err != nil {
+		err = msgp.WrapError(err, "SheetChecksum")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ChangeRecord) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "change_id"
+	o = append(o, 0x82, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
+	o = msgp.AppendString(o, z.ChangeID)
+	// string "sheet_checksum"
+	o = append(o, 0xae, 0x73, 0x68, 0x65, 0x65, 0x74, 0x5f, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x73, 0x75, 0x6d)
+	o = msgp.AppendString(o, z.SheetChecksum)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ChangeRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "change_id":
+			z.ChangeID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ChangeID")
+				return
+			}
+		case "sheet_checksum":
+			z.SheetChecksum, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SheetChecksum")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ChangeRecord) Msgsize() (s int) {
+	s = 1 + 10 + msgp.StringPrefixSize + len(z.ChangeID) + 15 + msgp.StringPrefixSize + len(z.SheetChecksum)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *ChangeResult) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -1115,6 +1313,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1214,6 +1416,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1268,6 +1474,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1283,6 +1493,10 @@
 				err = msgp.WrapError(err, "BackendServers")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.BackendServers) >= int(zb0002) {
 				z.BackendServers = (z.BackendServers)[:zb0002]
 			} else {
@@ -1308,100 +1522,135 @@
 				err = msgp.WrapError(err, "DataCentres")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.DataCentres) >= int(zb0003) {
 				z.DataCentres = (z.DataCentres)[:zb0003]
 			} else {
 				z.DataCentres = make([]DataCentre, zb0003)
 			}
 			for za0002 := range z.DataCentres {
-				var zb0004 uint32
-				zb0004, err = dc.ReadMapHeader()
+				err = z.DataCentres[za0002].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "DataCentres", za0002)
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
+			}
+		case "day":
+			z.Day, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Day")
+				return
+			}
+		case "planned_stops":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "PlannedStops")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.PlannedStops) >= int(zb0004) {
+				z.PlannedStops = (z.PlannedStops)[:zb0004]
+			} else {
+				z.PlannedStops = make([]PlannedStop, zb0004)
+			}
+			for za0003 := range z.PlannedStops {
+				var zb0005 uint32
+				zb0005, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "PlannedStops", za0003)
+					return
+				}
+				if zb0005 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "DataCentres", za0002)
+						err = msgp.WrapError(err, "PlannedStops", za0003)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "name":
-						z.DataCentres[za0002].Name, err = dc.ReadString()
+					case "at_ms":
+						z.PlannedStops[za0003].AtMs, err = dc.ReadInt()
 						if err != nil {
-							err = msgp.WrapError(err, "DataCentres", za0002, "Name")
+							err = msgp.WrapError(err, "PlannedStops", za0003, "AtMs")
 							return
 						}
-					case "state":
-						{
-							var zb0005 string
-							zb0005, err = dc.ReadString()
-							if err != nil {
-								err = msgp.WrapError(err, "DataCentres", za0002, "State")
-								return
-							}
-							z.DataCentres[za0002].State = DataCentreState(zb0005)
+					case "host":
+						z.PlannedStops[za0003].Host, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "PlannedStops", za0003, "Host")
+							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "DataCentres", za0002)
+							err = msgp.WrapError(err, "PlannedStops", za0003)
 							return
 						}
 					}
 				}
 			}
-		case "day":
-			z.Day, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Day")
-				return
-			}
-		case "planned_stops":
+		case "recent_changes":
 			var zb0006 uint32
 			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "PlannedStops")
+				err = msgp.WrapError(err, "RecentChanges")
 				return
 			}
-			if cap(z.PlannedStops) >= int(zb0006) {
-				z.PlannedStops = (z.PlannedStops)[:zb0006]
+			if zb0006 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.RecentChanges) >= int(zb0006) {
+				z.RecentChanges = (z.RecentChanges)[:zb0006]
 			} else {
-				z.PlannedStops = make([]PlannedStop, zb0006)
+				z.RecentChanges = make([]ChangeRecord, zb0006)
 			}
-			for za0003 := range z.PlannedStops {
+			for za0004 := range z.RecentChanges {
 				var zb0007 uint32
 				zb0007, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "PlannedStops", za0003)
+					err = msgp.WrapError(err, "RecentChanges", za0004)
+					return
+				}
+				if zb0007 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
 					return
 				}
 				for zb0007 > 0 {
 					zb0007--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "PlannedStops", za0003)
+						err = msgp.WrapError(err, "RecentChanges", za0004)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "at_ms":
-						z.PlannedStops[za0003].AtMs, err = dc.ReadInt()
+					case "change_id":
+						z.RecentChanges[za0004].ChangeID, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "PlannedStops", za0003, "AtMs")
+							err = msgp.WrapError(err, "RecentChanges", za0004, "ChangeID")
 							return
 						}
-					case "host":
-						z.PlannedStops[za0003].Host, err = dc.ReadString()
+					case "sheet_checksum":
+						z.RecentChanges[za0004].SheetChecksum, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "PlannedStops", za0003, "Host")
+							err = msgp.WrapError(err, "RecentChanges", za0004, "SheetChecksum")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "PlannedStops", za0003)
+							err = msgp.WrapError(err, "RecentChanges", za0004)
 							return
 						}
 					}
@@ -1414,48 +1663,56 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0008 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0008) {
 				z.Services = (z.Services)[:zb0008]
 			} else {
 				z.Services = make([]Service, zb0008)
 			}
-			for za0004 := range z.Services {
+			for za0005 := range z.Services {
 				var zb0009 uint32
 				zb0009, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Services", za0004)
+					err = msgp.WrapError(err, "Services", za0005)
+					return
+				}
+				if zb0009 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
 					return
 				}
 				for zb0009 > 0 {
 					zb0009--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "Services", za0004)
+						err = msgp.WrapError(err, "Services", za0005)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "idempotent":
-						z.Services[za0004].Idempotent, err = dc.ReadBool()
+						z.Services[za0005].Idempotent, err = dc.ReadBool()
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004, "Idempotent")
+							err = msgp.WrapError(err, "Services", za0005, "Idempotent")
 							return
 						}
 					case "name":
-						z.Services[za0004].Name, err = dc.ReadString()
+						z.Services[za0005].Name, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004, "Name")
+							err = msgp.WrapError(err, "Services", za0005, "Name")
 							return
 						}
 					case "probe_rate_milli":
-						z.Services[za0004].ProbeRateMilli, err = dc.ReadInt()
+						z.Services[za0005].ProbeRateMilli, err = dc.ReadInt()
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004, "ProbeRateMilli")
+							err = msgp.WrapError(err, "Services", za0005, "ProbeRateMilli")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004)
+							err = msgp.WrapError(err, "Services", za0005)
 							return
 						}
 					}
@@ -1480,9 +1737,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Configuration) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 8
 	// write "backend_servers"
-	err = en.Append(0x87, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
+	err = en.Append(0x88, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
 	if err != nil {
 		return
 	}
@@ -1519,25 +1776,9 @@
 		return
 	}
 	for za0002 := range z.DataCentres {
-		// map header, size 2
-		// write "name"
-		err = en.Append(0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.DataCentres[za0002].Name)
-		if err != nil {
-			err = msgp.WrapError(err, "DataCentres", za0002, "Name")
-			return
-		}
-		// write "state"
-		err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(string(z.DataCentres[za0002].State))
+		err = z.DataCentres[za0002].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "DataCentres", za0002, "State")
+			err = msgp.WrapError(err, "DataCentres", za0002)
 			return
 		}
 	}
@@ -1584,50 +1825,83 @@
 			return
 		}
 	}
-	// write "services"
-	err = en.Append(0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
+	// write "recent_changes"
+	err = en.Append(0xae, 0x72, 0x65, 0x63, 0x65, 0x6e, 0x74, 0x5f, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Services)))
+	err = en.WriteArrayHeader(uint32(len(z.RecentChanges)))
 	if err != nil {
-		err = msgp.WrapError(err, "Services")
+		err = msgp.WrapError(err, "RecentChanges")
 		return
 	}
-	for za0004 := range z.Services {
-		// map header, size 3
-		// write "idempotent"
-		err = en.Append(0x83, 0xaa, 0x69, 0x64, 0x65, 0x6d, 0x70, 0x6f, 0x74, 0x65, 0x6e, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.Services[za0004].Idempotent)
-		if err != nil {
-			err = msgp.WrapError(err, "Services", za0004, "Idempotent")
-			return
-		}
-		// write "name"
-		err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	for za0004 := range z.RecentChanges {
+		// map header, size 2
+		// write "change_id"
+		err = en.Append(0x82, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Services[za0004].Name)
+		err = en.WriteString(z.RecentChanges[za0004].ChangeID)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0004, "Name")
+			err = msgp.WrapError(err, "RecentChanges", za0004, "ChangeID")
 			return
 		}
-		// write "probe_rate_milli"
-		err = en.Append(0xb0, 0x70, 0x72, 0x6f, 0x62, 0x65, 0x5f, 0x72, 0x61, 0x74, 0x65, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69)
+		// write "sheet_checksum"
+		err = en.Append(0xae, 0x73, 0x68, 0x65, 0x65, 0x74, 0x5f, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x73, 0x75, 0x6d)
 		if err != nil {
 			return
 		}
-		err = en.WriteInt(z.Services[za0004].ProbeRateMilli)
+		err = en.WriteString(z.RecentChanges[za0004].SheetChecksum)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0004, "ProbeRateMilli")
+			err = msgp.WrapError(err, "RecentChanges", za0004, "SheetChecksum")
 			return
 		}
 	}
-	// write "version"
+	// write "services"
+	err = en.Append(0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Services)))
+	if err != nil {
+		err = msgp.WrapError(err, "Services")
+		return
+	}
+	for za0005 := range z.Services {
+		// map header, size 3
+		// write "idempotent"
+		err = en.Append(0x83, 0xaa, 0x69, 0x64, 0x65, 0x6d, 0x70, 0x6f, 0x74, 0x65, 0x6e, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Services[za0005].Idempotent)
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0005, "Idempotent")
+			return
+		}
+		// write "name"
+		err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Services[za0005].Name)
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0005, "Name")
+			return
+		}
+		// write "probe_rate_milli"
+		err = en.Append(0xb0, 0x70, 0x72, 0x6f, 0x62, 0x65, 0x5f, 0x72, 0x61, 0x74, 0x65, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Services[za0005].ProbeRateMilli)
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0005, "ProbeRateMilli")
+			return
+		}
+	}
+	// write "version"
 	err = en.Append(0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
@@ -1643,9 +1917,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Configuration) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "backend_servers"
-	o = append(o, 0x87, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
+	o = append(o, 0x88, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.BackendServers)))
 	for za0001 := range z.BackendServers {
 		o, err = z.BackendServers[za0001].MarshalMsg(o)
@@ -1661,13 +1935,11 @@
 	o = append(o, 0xac, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.DataCentres)))
 	for za0002 := range z.DataCentres {
-		// map header, size 2
-		// string "name"
-		o = append(o, 0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
-		o = msgp.AppendString(o, z.DataCentres[za0002].Name)
-		// string "state"
-		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-		o = msgp.AppendString(o, string(z.DataCentres[za0002].State))
+		o, err = z.DataCentres[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "DataCentres", za0002)
+			return
+		}
 	}
 	// string "day"
 	o = append(o, 0xa3, 0x64, 0x61, 0x79)
@@ -1684,20 +1956,32 @@
 		o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
 		o = msgp.AppendString(o, z.PlannedStops[za0003].Host)
 	}
+	// string "recent_changes"
+	o = append(o, 0xae, 0x72, 0x65, 0x63, 0x65, 0x6e, 0x74, 0x5f, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.RecentChanges)))
+	for za0004 := range z.RecentChanges {
+		// map header, size 2
+		// string "change_id"
+		o = append(o, 0x82, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
+		o = msgp.AppendString(o, z.RecentChanges[za0004].ChangeID)
+		// string "sheet_checksum"
+		o = append(o, 0xae, 0x73, 0x68, 0x65, 0x65, 0x74, 0x5f, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x73, 0x75, 0x6d)
+		o = msgp.AppendString(o, z.RecentChanges[za0004].SheetChecksum)
+	}
 	// string "services"
 	o = append(o, 0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
-	for za0004 := range z.Services {
+	for za0005 := range z.Services {
 		// map header, size 3
 		// string "idempotent"
 		o = append(o, 0x83, 0xaa, 0x69, 0x64, 0x65, 0x6d, 0x70, 0x6f, 0x74, 0x65, 0x6e, 0x74)
-		o = msgp.AppendBool(o, z.Services[za0004].Idempotent)
+		o = msgp.AppendBool(o, z.Services[za0005].Idempotent)
 		// string "name"
 		o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
-		o = msgp.AppendString(o, z.Services[za0004].Name)
+		o = msgp.AppendString(o, z.Services[za0005].Name)
 		// string "probe_rate_milli"
 		o = append(o, 0xb0, 0x70, 0x72, 0x6f, 0x62, 0x65, 0x5f, 0x72, 0x61, 0x74, 0x65, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69)
-		o = msgp.AppendInt(o, z.Services[za0004].ProbeRateMilli)
+		o = msgp.AppendInt(o, z.Services[za0005].ProbeRateMilli)
 	}
 	// string "version"
 	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
@@ -1715,6 +1999,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1730,6 +2018,10 @@
 				err = msgp.WrapError(err, "BackendServers")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.BackendServers) >= int(zb0002) {
 				z.BackendServers = (z.BackendServers)[:zb0002]
 			} else {
@@ -1755,100 +2047,135 @@
 				err = msgp.WrapError(err, "DataCentres")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.DataCentres) >= int(zb0003) {
 				z.DataCentres = (z.DataCentres)[:zb0003]
 			} else {
 				z.DataCentres = make([]DataCentre, zb0003)
 			}
 			for za0002 := range z.DataCentres {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.DataCentres[za0002].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "DataCentres", za0002)
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
+			}
+		case "day":
+			z.Day, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Day")
+				return
+			}
+		case "planned_stops":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PlannedStops")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.PlannedStops) >= int(zb0004) {
+				z.PlannedStops = (z.PlannedStops)[:zb0004]
+			} else {
+				z.PlannedStops = make([]PlannedStop, zb0004)
+			}
+			for za0003 := range z.PlannedStops {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "PlannedStops", za0003)
+					return
+				}
+				if zb0005 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "DataCentres", za0002)
+						err = msgp.WrapError(err, "PlannedStops", za0003)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "name":
-						z.DataCentres[za0002].Name, bts, err = msgp.ReadStringBytes(bts)
+					case "at_ms":
+						z.PlannedStops[za0003].AtMs, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "DataCentres", za0002, "Name")
+							err = msgp.WrapError(err, "PlannedStops", za0003, "AtMs")
 							return
 						}
-					case "state":
-						{
-							var zb0005 string
-							zb0005, bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "DataCentres", za0002, "State")
-								return
-							}
-							z.DataCentres[za0002].State = DataCentreState(zb0005)
+					case "host":
+						z.PlannedStops[za0003].Host, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "PlannedStops", za0003, "Host")
+							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "DataCentres", za0002)
+							err = msgp.WrapError(err, "PlannedStops", za0003)
 							return
 						}
 					}
 				}
 			}
-		case "day":
-			z.Day, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Day")
-				return
-			}
-		case "planned_stops":
+		case "recent_changes":
 			var zb0006 uint32
 			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "PlannedStops")
+				err = msgp.WrapError(err, "RecentChanges")
+				return
+			}
+			if zb0006 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.PlannedStops) >= int(zb0006) {
-				z.PlannedStops = (z.PlannedStops)[:zb0006]
+			if cap(z.RecentChanges) >= int(zb0006) {
+				z.RecentChanges = (z.RecentChanges)[:zb0006]
 			} else {
-				z.PlannedStops = make([]PlannedStop, zb0006)
+				z.RecentChanges = make([]ChangeRecord, zb0006)
 			}
-			for za0003 := range z.PlannedStops {
+			for za0004 := range z.RecentChanges {
 				var zb0007 uint32
 				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "PlannedStops", za0003)
+					err = msgp.WrapError(err, "RecentChanges", za0004)
+					return
+				}
+				if zb0007 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
 					return
 				}
 				for zb0007 > 0 {
 					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "PlannedStops", za0003)
+						err = msgp.WrapError(err, "RecentChanges", za0004)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "at_ms":
-						z.PlannedStops[za0003].AtMs, bts, err = msgp.ReadIntBytes(bts)
+					case "change_id":
+						z.RecentChanges[za0004].ChangeID, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "PlannedStops", za0003, "AtMs")
+							err = msgp.WrapError(err, "RecentChanges", za0004, "ChangeID")
 							return
 						}
-					case "host":
-						z.PlannedStops[za0003].Host, bts, err = msgp.ReadStringBytes(bts)
+					case "sheet_checksum":
+						z.RecentChanges[za0004].SheetChecksum, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "PlannedStops", za0003, "Host")
+							err = msgp.WrapError(err, "RecentChanges", za0004, "SheetChecksum")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "PlannedStops", za0003)
+							err = msgp.WrapError(err, "RecentChanges", za0004)
 							return
 						}
 					}
@@ -1861,48 +2188,56 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0008 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0008) {
 				z.Services = (z.Services)[:zb0008]
 			} else {
 				z.Services = make([]Service, zb0008)
 			}
-			for za0004 := range z.Services {
+			for za0005 := range z.Services {
 				var zb0009 uint32
 				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Services", za0004)
+					err = msgp.WrapError(err, "Services", za0005)
+					return
+				}
+				if zb0009 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
 					return
 				}
 				for zb0009 > 0 {
 					zb0009--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Services", za0004)
+						err = msgp.WrapError(err, "Services", za0005)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "idempotent":
-						z.Services[za0004].Idempotent, bts, err = msgp.ReadBoolBytes(bts)
+						z.Services[za0005].Idempotent, bts, err = msgp.ReadBoolBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004, "Idempotent")
+							err = msgp.WrapError(err, "Services", za0005, "Idempotent")
 							return
 						}
 					case "name":
-						z.Services[za0004].Name, bts, err = msgp.ReadStringBytes(bts)
+						z.Services[za0005].Name, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004, "Name")
+							err = msgp.WrapError(err, "Services", za0005, "Name")
 							return
 						}
 					case "probe_rate_milli":
-						z.Services[za0004].ProbeRateMilli, bts, err = msgp.ReadIntBytes(bts)
+						z.Services[za0005].ProbeRateMilli, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004, "ProbeRateMilli")
+							err = msgp.WrapError(err, "Services", za0005, "ProbeRateMilli")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004)
+							err = msgp.WrapError(err, "Services", za0005)
 							return
 						}
 					}
@@ -1934,15 +2269,19 @@
 	}
 	s += 10 + msgp.StringPrefixSize + len(z.ChangeID) + 13 + msgp.ArrayHeaderSize
 	for za0002 := range z.DataCentres {
-		s += 1 + 5 + msgp.StringPrefixSize + len(z.DataCentres[za0002].Name) + 6 + msgp.StringPrefixSize + len(string(z.DataCentres[za0002].State))
+		s += z.DataCentres[za0002].Msgsize()
 	}
 	s += 4 + msgp.StringPrefixSize + len(z.Day) + 14 + msgp.ArrayHeaderSize
 	for za0003 := range z.PlannedStops {
 		s += 1 + 6 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.PlannedStops[za0003].Host)
 	}
+	s += 15 + msgp.ArrayHeaderSize
+	for za0004 := range z.RecentChanges {
+		s += 1 + 10 + msgp.StringPrefixSize + len(z.RecentChanges[za0004].ChangeID) + 15 + msgp.StringPrefixSize + len(z.RecentChanges[za0004].SheetChecksum)
+	}
 	s += 9 + msgp.ArrayHeaderSize
-	for za0004 := range z.Services {
-		s += 1 + 11 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Services[za0004].Name) + 17 + msgp.IntSize
+	for za0005 := range z.Services {
+		s += 1 + 11 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Services[za0005].Name) + 17 + msgp.IntSize
 	}
 	s += 8 + msgp.IntSize
 	return
@@ -1958,6 +2297,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2019,6 +2362,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2061,6 +2408,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2069,6 +2420,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "change_id":
+			z.ChangeID, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "ChangeID")
+				return
+			}
 		case "name":
 			z.Name, err = dc.ReadString()
 			if err != nil {
@@ -2098,9 +2455,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z DataCentre) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
+	// write "change_id"
+	err = en.Append(0x83, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ChangeID)
+	if err != nil {
+		err = msgp.WrapError(err, "ChangeID")
+		return
+	}
 	// write "name"
-	err = en.Append(0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
 	if err != nil {
 		return
 	}
@@ -2125,9 +2492,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z DataCentre) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
+	// string "change_id"
+	o = append(o, 0x83, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
+	o = msgp.AppendString(o, z.ChangeID)
 	// string "name"
-	o = append(o, 0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
 	o = msgp.AppendString(o, z.Name)
 	// string "state"
 	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
@@ -2145,6 +2515,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2153,6 +2527,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "change_id":
+			z.ChangeID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ChangeID")
+				return
+			}
 		case "name":
 			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -2183,7 +2563,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z DataCentre) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.StringPrefixSize + len(string(z.State))
+	s = 1 + 10 + msgp.StringPrefixSize + len(z.ChangeID) + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.StringPrefixSize + len(string(z.State))
 	return
 }
 
@@ -2241,271 +2621,371 @@
 
 // DecodeMsg implements msgp.Decodable
 func (z *Digest) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "configuration_version":
-			z.ConfigurationVersion, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "ConfigurationVersion")
-				return
-			}
-		case "hosts":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Hosts")
-				return
-			}
-			if cap(z.Hosts) >= int(zb0002) {
-				z.Hosts = (z.Hosts)[:zb0002]
-			} else {
-				z.Hosts = make([]Host, zb0002)
-			}
-			for za0001 := range z.Hosts {
-				err = z.Hosts[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Hosts", za0001)
-					return
-				}
-			}
-		case "overrides":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Overrides")
-				return
-			}
-			if cap(z.Overrides) >= int(zb0003) {
-				z.Overrides = (z.Overrides)[:zb0003]
-			} else {
-				z.Overrides = make([]Override, zb0003)
-			}
-			for za0002 := range z.Overrides {
-				err = z.Overrides[za0002].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Overrides", za0002)
-					return
-				}
-			}
-		case "sender":
-			err = z.Sender.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Sender")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
 	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Digest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "configuration_version"
-	err = en.Append(0x84, 0xb5, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	if err != nil {
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
-	err = en.WriteInt(z.ConfigurationVersion)
+	z.ConfigurationVersion, err = dc.ReadInt()
 	if err != nil {
 		err = msgp.WrapError(err, "ConfigurationVersion")
 		return
 	}
-	// write "hosts"
-	err = en.Append(0xa5, 0x68, 0x6f, 0x73, 0x74, 0x73)
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
+		err = msgp.WrapError(err, "Heartbeats")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Hosts)))
-	if err != nil {
-		err = msgp.WrapError(err, "Hosts")
+	if zb0002 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	for za0001 := range z.Hosts {
-		err = z.Hosts[za0001].EncodeMsg(en)
+	if cap(z.Heartbeats) >= int(zb0002) {
+		z.Heartbeats = (z.Heartbeats)[:zb0002]
+	} else {
+		z.Heartbeats = make([]Heartbeat, zb0002)
+	}
+	for za0001 := range z.Heartbeats {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
 		if err != nil {
-			err = msgp.WrapError(err, "Hosts", za0001)
+			err = msgp.WrapError(err, "Heartbeats", za0001)
+			return
+		}
+		if zb0003 > zf88ce922limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Heartbeats[za0001].Counter, err = dc.ReadInt()
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "Counter")
+			return
+		}
+		z.Heartbeats[za0001].HostHash, err = dc.ReadInt()
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "HostHash")
 			return
 		}
 	}
-	// write "overrides"
-	err = en.Append(0xa9, 0x6f, 0x76, 0x65, 0x72, 0x72, 0x69, 0x64, 0x65, 0x73)
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
 	if err != nil {
+		err = msgp.WrapError(err, "Hosts")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Overrides)))
+	if zb0004 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Hosts) >= int(zb0004) {
+		z.Hosts = (z.Hosts)[:zb0004]
+	} else {
+		z.Hosts = make([]Host, zb0004)
+	}
+	for za0002 := range z.Hosts {
+		err = z.Hosts[za0002].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Hosts", za0002)
+			return
+		}
+	}
+	z.LendsForMs, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "LendsForMs")
+		return
+	}
+	var zb0005 uint32
+	zb0005, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Overrides")
 		return
 	}
-	for za0002 := range z.Overrides {
-		err = z.Overrides[za0002].EncodeMsg(en)
+	if zb0005 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Overrides) >= int(zb0005) {
+		z.Overrides = (z.Overrides)[:zb0005]
+	} else {
+		z.Overrides = make([]Override, zb0005)
+	}
+	for za0003 := range z.Overrides {
+		err = z.Overrides[za0003].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Overrides", za0003)
+			return
+		}
+	}
+	err = z.Sender.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Sender")
+		return
+	}
+	z.ViewHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "ViewHash")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Digest) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 7
+	err = en.Append(0x97)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.ConfigurationVersion)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigurationVersion")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Heartbeats)))
+	if err != nil {
+		err = msgp.WrapError(err, "Heartbeats")
+		return
+	}
+	for za0001 := range z.Heartbeats {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Heartbeats[za0001].Counter)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "Counter")
+			return
+		}
+		err = en.WriteInt(z.Heartbeats[za0001].HostHash)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "HostHash")
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Hosts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Hosts")
+		return
+	}
+	for za0002 := range z.Hosts {
+		err = z.Hosts[za0002].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Overrides", za0002)
+			err = msgp.WrapError(err, "Hosts", za0002)
 			return
 		}
 	}
-	// write "sender"
-	err = en.Append(0xa6, 0x73, 0x65, 0x6e, 0x64, 0x65, 0x72)
+	err = en.WriteInt(z.LendsForMs)
+	if err != nil {
+		err = msgp.WrapError(err, "LendsForMs")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Overrides)))
 	if err != nil {
+		err = msgp.WrapError(err, "Overrides")
 		return
 	}
+	for za0003 := range z.Overrides {
+		err = z.Overrides[za0003].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Overrides", za0003)
+			return
+		}
+	}
 	err = z.Sender.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Sender")
 		return
 	}
+	err = en.WriteInt(z.ViewHash)
+	if err != nil {
+		err = msgp.WrapError(err, "ViewHash")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Digest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "configuration_version"
-	o = append(o, 0x84, 0xb5, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendInt(o, z.ConfigurationVersion)
-	// string "hosts"
-	o = append(o, 0xa5, 0x68, 0x6f, 0x73, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Heartbeats)))
+	for za0001 := range z.Heartbeats {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendInt(o, z.Heartbeats[za0001].Counter)
+		o = msgp.AppendInt(o, z.Heartbeats[za0001].HostHash)
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Hosts)))
-	for za0001 := range z.Hosts {
-		o, err = z.Hosts[za0001].MarshalMsg(o)
+	for za0002 := range z.Hosts {
+		o, err = z.Hosts[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Hosts", za0001)
+			err = msgp.WrapError(err, "Hosts", za0002)
 			return
 		}
 	}
-	// string "overrides"
-	o = append(o, 0xa9, 0x6f, 0x76, 0x65, 0x72, 0x72, 0x69, 0x64, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.LendsForMs)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Overrides)))
-	for za0002 := range z.Overrides {
-		o, err = z.Overrides[za0002].MarshalMsg(o)
+	for za0003 := range z.Overrides {
+		o, err = z.Overrides[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Overrides", za0002)
+			err = msgp.WrapError(err, "Overrides", za0003)
 			return
 		}
 	}
-	// string "sender"
-	o = append(o, 0xa6, 0x73, 0x65, 0x6e, 0x64, 0x65, 0x72)
 	o, err = z.Sender.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Sender")
 		return
 	}
+	o = msgp.AppendInt(o, z.ViewHash)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Digest) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.ConfigurationVersion, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigurationVersion")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Heartbeats")
+		return
+	}
+	if zb0002 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Heartbeats) >= int(zb0002) {
+		z.Heartbeats = (z.Heartbeats)[:zb0002]
+	} else {
+		z.Heartbeats = make([]Heartbeat, zb0002)
+	}
+	for za0001 := range z.Heartbeats {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Heartbeats", za0001)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "configuration_version":
-			z.ConfigurationVersion, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ConfigurationVersion")
-				return
-			}
-		case "hosts":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Hosts")
-				return
-			}
-			if cap(z.Hosts) >= int(zb0002) {
-				z.Hosts = (z.Hosts)[:zb0002]
-			} else {
-				z.Hosts = make([]Host, zb0002)
-			}
-			for za0001 := range z.Hosts {
-				bts, err = z.Hosts[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Hosts", za0001)
-					return
-				}
-			}
-		case "overrides":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Overrides")
-				return
-			}
-			if cap(z.Overrides) >= int(zb0003) {
-				z.Overrides = (z.Overrides)[:zb0003]
-			} else {
-				z.Overrides = make([]Override, zb0003)
-			}
-			for za0002 := range z.Overrides {
-				bts, err = z.Overrides[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Overrides", za0002)
-					return
-				}
-			}
-		case "sender":
-			bts, err = z.Sender.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Sender")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Heartbeats[za0001].Counter, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "Counter")
+			return
+		}
+		z.Heartbeats[za0001].HostHash, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "HostHash")
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Hosts")
+		return
+	}
+	if zb0004 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Hosts) >= int(zb0004) {
+		z.Hosts = (z.Hosts)[:zb0004]
+	} else {
+		z.Hosts = make([]Host, zb0004)
+	}
+	for za0002 := range z.Hosts {
+		bts, err = z.Hosts[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Hosts", za0002)
+			return
+		}
+	}
+	z.LendsForMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LendsForMs")
+		return
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Overrides")
+		return
+	}
+	if zb0005 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Overrides) >= int(zb0005) {
+		z.Overrides = (z.Overrides)[:zb0005]
+	} else {
+		z.Overrides = make([]Override, zb0005)
+	}
+	for za0003 := range z.Overrides {
+		bts, err = z.Overrides[za0003].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Overrides", za0003)
+			return
 		}
 	}
+	bts, err = z.Sender.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sender")
+		return
+	}
+	z.ViewHash, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ViewHash")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Digest) Msgsize() (s int) {
-	s = 1 + 22 + msgp.IntSize + 6 + msgp.ArrayHeaderSize
-	for za0001 := range z.Hosts {
-		s += z.Hosts[za0001].Msgsize()
+	s = 1 + msgp.IntSize + msgp.ArrayHeaderSize + (len(z.Heartbeats) * (19 + msgp.IntSize + msgp.IntSize)) + msgp.ArrayHeaderSize
+	for za0002 := range z.Hosts {
+		s += z.Hosts[za0002].Msgsize()
 	}
-	s += 10 + msgp.ArrayHeaderSize
-	for za0002 := range z.Overrides {
-		s += z.Overrides[za0002].Msgsize()
+	s += msgp.IntSize + msgp.ArrayHeaderSize
+	for za0003 := range z.Overrides {
+		s += z.Overrides[za0003].Msgsize()
 	}
-	s += 7 + z.Sender.Msgsize()
+	s += z.Sender.Msgsize() + msgp.IntSize
 	return
 }
 
@@ -2519,6 +2999,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2534,6 +3018,10 @@
 				err = msgp.WrapError(err, "Cells")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cells) >= int(zb0002) {
 				z.Cells = (z.Cells)[:zb0002]
 			} else {
@@ -2565,6 +3053,10 @@
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Hosts) >= int(zb0003) {
 				z.Hosts = (z.Hosts)[:zb0003]
 			} else {
@@ -2577,6 +3069,12 @@
 					return
 				}
 			}
+		case "isolated":
+			z.Isolated, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Isolated")
+				return
+			}
 		case "overrides":
 			var zb0004 uint32
 			zb0004, err = dc.ReadArrayHeader()
@@ -2584,6 +3082,10 @@
 				err = msgp.WrapError(err, "Overrides")
 				return
 			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Overrides) >= int(zb0004) {
 				z.Overrides = (z.Overrides)[:zb0004]
 			} else {
@@ -2603,6 +3105,10 @@
 				err = msgp.WrapError(err, "Rings")
 				return
 			}
+			if zb0005 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Rings) >= int(zb0005) {
 				z.Rings = (z.Rings)[:zb0005]
 			} else {
@@ -2615,6 +3121,10 @@
 					err = msgp.WrapError(err, "Rings", za0004)
 					return
 				}
+				if zb0006 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0006 > 0 {
 					zb0006--
 					field, err = dc.ReadMapKeyPtr()
@@ -2650,6 +3160,12 @@
 					}
 				}
 			}
+		case "shares_held":
+			z.SharesHeld, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "SharesHeld")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2663,9 +3179,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Dump) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 8
 	// write "cells"
-	err = en.Append(0x86, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
+	err = en.Append(0x88, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
 	if err != nil {
 		return
 	}
@@ -2718,6 +3234,16 @@
 			return
 		}
 	}
+	// write "isolated"
+	err = en.Append(0xa8, 0x69, 0x73, 0x6f, 0x6c, 0x61, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Isolated)
+	if err != nil {
+		err = msgp.WrapError(err, "Isolated")
+		return
+	}
 	// write "overrides"
 	err = en.Append(0xa9, 0x6f, 0x76, 0x65, 0x72, 0x72, 0x69, 0x64, 0x65, 0x73)
 	if err != nil {
@@ -2778,15 +3304,25 @@
 			return
 		}
 	}
+	// write "shares_held"
+	err = en.Append(0xab, 0x73, 0x68, 0x61, 0x72, 0x65, 0x73, 0x5f, 0x68, 0x65, 0x6c, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.SharesHeld)
+	if err != nil {
+		err = msgp.WrapError(err, "SharesHeld")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Dump) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 8
 	// string "cells"
-	o = append(o, 0x86, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
+	o = append(o, 0x88, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Cells)))
 	for za0001 := range z.Cells {
 		o, err = z.Cells[za0001].MarshalMsg(o)
@@ -2819,6 +3355,9 @@
 			return
 		}
 	}
+	// string "isolated"
+	o = append(o, 0xa8, 0x69, 0x73, 0x6f, 0x6c, 0x61, 0x74, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Isolated)
 	// string "overrides"
 	o = append(o, 0xa9, 0x6f, 0x76, 0x65, 0x72, 0x72, 0x69, 0x64, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Overrides)))
@@ -2844,6 +3383,9 @@
 		o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
 		o = msgp.AppendString(o, z.Rings[za0004].Name)
 	}
+	// string "shares_held"
+	o = append(o, 0xab, 0x73, 0x68, 0x61, 0x72, 0x65, 0x73, 0x5f, 0x68, 0x65, 0x6c, 0x64)
+	o = msgp.AppendInt(o, z.SharesHeld)
 	return
 }
 
@@ -2857,6 +3399,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2872,6 +3418,10 @@
 				err = msgp.WrapError(err, "Cells")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cells) >= int(zb0002) {
 				z.Cells = (z.Cells)[:zb0002]
 			} else {
@@ -2903,6 +3453,10 @@
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Hosts) >= int(zb0003) {
 				z.Hosts = (z.Hosts)[:zb0003]
 			} else {
@@ -2915,6 +3469,12 @@
 					return
 				}
 			}
+		case "isolated":
+			z.Isolated, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Isolated")
+				return
+			}
 		case "overrides":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -2922,6 +3482,10 @@
 				err = msgp.WrapError(err, "Overrides")
 				return
 			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Overrides) >= int(zb0004) {
 				z.Overrides = (z.Overrides)[:zb0004]
 			} else {
@@ -2941,6 +3505,10 @@
 				err = msgp.WrapError(err, "Rings")
 				return
 			}
+			if zb0005 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Rings) >= int(zb0005) {
 				z.Rings = (z.Rings)[:zb0005]
 			} else {
@@ -2953,6 +3521,10 @@
 					err = msgp.WrapError(err, "Rings", za0004)
 					return
 				}
+				if zb0006 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0006 > 0 {
 					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2988,6 +3560,12 @@
 					}
 				}
 			}
+		case "shares_held":
+			z.SharesHeld, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SharesHeld")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3010,7 +3588,7 @@
 	for za0002 := range z.Hosts {
 		s += z.Hosts[za0002].Msgsize()
 	}
-	s += 10 + msgp.ArrayHeaderSize
+	s += 9 + msgp.BoolSize + 10 + msgp.ArrayHeaderSize
 	for za0003 := range z.Overrides {
 		s += z.Overrides[za0003].Msgsize()
 	}
@@ -3018,6 +3596,7 @@
 	for za0004 := range z.Rings {
 		s += 1 + 9 + msgp.IntSize + 6 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Rings[za0004].Name)
 	}
+	s += 12 + msgp.IntSize
 	return
 }
 
@@ -3031,6 +3610,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3046,6 +3629,10 @@
 				err = msgp.WrapError(err, "Addresses")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Addresses) >= int(zb0002) {
 				z.Addresses = (z.Addresses)[:zb0002]
 			} else {
@@ -3071,6 +3658,10 @@
 				err = msgp.WrapError(err, "Faults")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Faults) >= int(zb0003) {
 				z.Faults = (z.Faults)[:zb0003]
 			} else {
@@ -3083,6 +3674,10 @@
 					err = msgp.WrapError(err, "Faults", za0002)
 					return
 				}
+				if zb0004 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -3284,6 +3879,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3299,6 +3898,10 @@
 				err = msgp.WrapError(err, "Addresses")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Addresses) >= int(zb0002) {
 				z.Addresses = (z.Addresses)[:zb0002]
 			} else {
@@ -3324,6 +3927,10 @@
 				err = msgp.WrapError(err, "Faults")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Faults) >= int(zb0003) {
 				z.Faults = (z.Faults)[:zb0003]
 			} else {
@@ -3336,6 +3943,10 @@
 					err = msgp.WrapError(err, "Faults", za0002)
 					return
 				}
+				if zb0004 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3419,6 +4030,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3518,6 +4133,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3572,6 +4191,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3690,6 +4313,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3741,162 +4368,199 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Host) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
+func (z *Heartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "caller_address":
-			z.CallerAddress, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "CallerAddress")
-				return
-			}
-		case "data_centre":
-			z.DataCentre, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
-		case "heartbeat":
-			z.Heartbeat, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Heartbeat")
-				return
-			}
-		case "incarnation":
-			z.Incarnation, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Incarnation")
-				return
-			}
-		case "name":
-			z.Name, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "operator_address":
-			z.OperatorAddress, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "OperatorAddress")
-				return
-			}
-		case "peer_address":
-			z.PeerAddress, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "PeerAddress")
-				return
-			}
-		case "state":
-			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
-				}
-				z.State = HostState(zb0002)
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Counter, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Counter")
+		return
+	}
+	z.HostHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "HostHash")
+		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Host) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
-	// write "caller_address"
-	err = en.Append(0x88, 0xae, 0x63, 0x61, 0x6c, 0x6c, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+func (z Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.CallerAddress)
+	err = en.WriteInt(z.Counter)
 	if err != nil {
-		err = msgp.WrapError(err, "CallerAddress")
+		err = msgp.WrapError(err, "Counter")
 		return
 	}
-	// write "data_centre"
-	err = en.Append(0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
+	err = en.WriteInt(z.HostHash)
 	if err != nil {
+		err = msgp.WrapError(err, "HostHash")
 		return
 	}
-	err = en.WriteString(z.DataCentre)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt(o, z.Counter)
+	o = msgp.AppendInt(o, z.HostHash)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Heartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "DataCentre")
+		err = msgp.WrapError(err)
 		return
 	}
-	// write "heartbeat"
-	err = en.Append(0xa9, 0x68, 0x65, 0x61, 0x72, 0x74, 0x62, 0x65, 0x61, 0x74)
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Counter, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
+		err = msgp.WrapError(err, "Counter")
 		return
 	}
-	err = en.WriteInt(z.Heartbeat)
+	z.HostHash, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Heartbeat")
+		err = msgp.WrapError(err, "HostHash")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Heartbeat) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Host) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
-	// write "incarnation"
-	err = en.Append(0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	z.CallerAddress, err = dc.ReadString()
 	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
 		return
 	}
-	err = en.WriteString(z.Incarnation)
+	z.DataCentre, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
+		err = msgp.WrapError(err, "DataCentre")
 		return
 	}
-	// write "name"
-	err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	z.Heartbeat, err = dc.ReadInt()
 	if err != nil {
+		err = msgp.WrapError(err, "Heartbeat")
 		return
 	}
-	err = en.WriteString(z.Name)
+	z.Incarnation, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Name")
+		err = msgp.WrapError(err, "Incarnation")
 		return
 	}
-	// write "operator_address"
-	err = en.Append(0xb0, 0x6f, 0x70, 0x65, 0x72, 0x61, 0x74, 0x6f, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	z.Name, err = dc.ReadString()
 	if err != nil {
+		err = msgp.WrapError(err, "Name")
 		return
 	}
-	err = en.WriteString(z.OperatorAddress)
+	z.OperatorAddress, err = dc.ReadString()
 	if err != nil {
 		err = msgp.WrapError(err, "OperatorAddress")
 		return
 	}
-	// write "peer_address"
-	err = en.Append(0xac, 0x70, 0x65, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	z.PeerAddress, err = dc.ReadString()
 	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
 		return
 	}
-	err = en.WriteString(z.PeerAddress)
+	{
+		var zb0002 string
+		zb0002, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "State")
+			return
+		}
+		z.State = HostState(zb0002)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Host) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
-		err = msgp.WrapError(err, "PeerAddress")
 		return
 	}
-	// write "state"
-	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	err = en.WriteString(z.CallerAddress)
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
+	err = en.WriteString(z.DataCentre)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	err = en.WriteInt(z.Heartbeat)
+	if err != nil {
+		err = msgp.WrapError(err, "Heartbeat")
+		return
+	}
+	err = en.WriteString(z.Incarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	err = en.WriteString(z.OperatorAddress)
+	if err != nil {
+		err = msgp.WrapError(err, "OperatorAddress")
+		return
+	}
+	err = en.WriteString(z.PeerAddress)
 	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
 		return
 	}
 	err = en.WriteString(string(z.State))
@@ -3910,111 +4574,74 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Host) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
-	// string "caller_address"
-	o = append(o, 0x88, 0xae, 0x63, 0x61, 0x6c, 0x6c, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendString(o, z.CallerAddress)
-	// string "data_centre"
-	o = append(o, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
 	o = msgp.AppendString(o, z.DataCentre)
-	// string "heartbeat"
-	o = append(o, 0xa9, 0x68, 0x65, 0x61, 0x72, 0x74, 0x62, 0x65, 0x61, 0x74)
 	o = msgp.AppendInt(o, z.Heartbeat)
-	// string "incarnation"
-	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendString(o, z.Incarnation)
-	// string "name"
-	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
 	o = msgp.AppendString(o, z.Name)
-	// string "operator_address"
-	o = append(o, 0xb0, 0x6f, 0x70, 0x65, 0x72, 0x61, 0x74, 0x6f, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.OperatorAddress)
-	// string "peer_address"
-	o = append(o, 0xac, 0x70, 0x65, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.PeerAddress)
-	// string "state"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 	o = msgp.AppendString(o, string(z.State))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Host) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+		return
+	}
+	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
+	z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	z.Heartbeat, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Heartbeat")
+		return
+	}
+	z.Incarnation, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.Name, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.OperatorAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OperatorAddress")
+		return
+	}
+	z.PeerAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
+		return
+	}
+	{
+		var zb0002 string
+		zb0002, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "State")
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "caller_address":
-			z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "CallerAddress")
-				return
-			}
-		case "data_centre":
-			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
-		case "heartbeat":
-			z.Heartbeat, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Heartbeat")
-				return
-			}
-		case "incarnation":
-			z.Incarnation, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Incarnation")
-				return
-			}
-		case "name":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "operator_address":
-			z.OperatorAddress, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "OperatorAddress")
-				return
-			}
-		case "peer_address":
-			z.PeerAddress, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "PeerAddress")
-				return
-			}
-		case "state":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
-				}
-				z.State = HostState(zb0002)
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+		z.State = HostState(zb0002)
 	}
 	o = bts
 	return
@@ -4022,7 +4649,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Host) Msgsize() (s int) {
-	s = 1 + 15 + msgp.StringPrefixSize + len(z.CallerAddress) + 12 + msgp.StringPrefixSize + len(z.DataCentre) + 10 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Name) + 17 + msgp.StringPrefixSize + len(z.OperatorAddress) + 13 + msgp.StringPrefixSize + len(z.PeerAddress) + 6 + msgp.StringPrefixSize + len(string(z.State))
+	s = 1 + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.StringPrefixSize + len(z.DataCentre) + msgp.IntSize + msgp.StringPrefixSize + len(z.Incarnation) + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.OperatorAddress) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.StringPrefixSize + len(string(z.State))
 	return
 }
 
@@ -4036,6 +4663,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4051,6 +4682,10 @@
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Hosts) >= int(zb0002) {
 				z.Hosts = (z.Hosts)[:zb0002]
 			} else {
@@ -4063,6 +4698,10 @@
 					err = msgp.WrapError(err, "Hosts", za0001)
 					return
 				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -4194,6 +4833,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4209,6 +4852,10 @@
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Hosts) >= int(zb0002) {
 				z.Hosts = (z.Hosts)[:zb0002]
 			} else {
@@ -4221,6 +4868,10 @@
 					err = msgp.WrapError(err, "Hosts", za0001)
 					return
 				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4343,6 +4994,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4461,6 +5116,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4521,6 +5180,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4624,6 +5287,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4682,6 +5349,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4781,6 +5452,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4835,6 +5510,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5014,6 +5693,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5092,6 +5775,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5119,6 +5806,10 @@
 				err = msgp.WrapError(err, "OrdersNotRun")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.OrdersNotRun) >= int(zb0002) {
 				z.OrdersNotRun = (z.OrdersNotRun)[:zb0002]
 			} else {
@@ -5138,6 +5829,10 @@
 				err = msgp.WrapError(err, "OrdersUnknown")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.OrdersUnknown) >= int(zb0003) {
 				z.OrdersUnknown = (z.OrdersUnknown)[:zb0003]
 			} else {
@@ -5169,6 +5864,10 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0004) {
 				z.Services = (z.Services)[:zb0004]
 			} else {
@@ -5359,6 +6058,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5386,6 +6089,10 @@
 				err = msgp.WrapError(err, "OrdersNotRun")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.OrdersNotRun) >= int(zb0002) {
 				z.OrdersNotRun = (z.OrdersNotRun)[:zb0002]
 			} else {
@@ -5405,6 +6112,10 @@
 				err = msgp.WrapError(err, "OrdersUnknown")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.OrdersUnknown) >= int(zb0003) {
 				z.OrdersUnknown = (z.OrdersUnknown)[:zb0003]
 			} else {
@@ -5436,6 +6147,10 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0004) {
 				z.Services = (z.Services)[:zb0004]
 			} else {
@@ -5486,66 +6201,51 @@
 
 // DecodeMsg implements msgp.Decodable
 func (z *Override) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.BaseVersion, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "BaseVersion")
+		return
+	}
+	z.ChangeID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ChangeID")
+		return
+	}
+	z.DataCentre, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	{
+		var zb0002 string
+		zb0002, err = dc.ReadString()
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "State")
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "base_version":
-			z.BaseVersion, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "BaseVersion")
-				return
-			}
-		case "change_id":
-			z.ChangeID, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "ChangeID")
-				return
-			}
-		case "data_centre":
-			z.DataCentre, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
-		case "state":
-			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
-				}
-				z.State = DataCentreState(zb0002)
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+		z.State = DataCentreState(zb0002)
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Override) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "base_version"
-	err = en.Append(0x84, 0xac, 0x62, 0x61, 0x73, 0x65, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -5554,31 +6254,16 @@
 		err = msgp.WrapError(err, "BaseVersion")
 		return
 	}
-	// write "change_id"
-	err = en.Append(0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
-	if err != nil {
-		return
-	}
 	err = en.WriteString(z.ChangeID)
 	if err != nil {
 		err = msgp.WrapError(err, "ChangeID")
 		return
 	}
-	// write "data_centre"
-	err = en.Append(0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
-	if err != nil {
-		return
-	}
 	err = en.WriteString(z.DataCentre)
 	if err != nil {
 		err = msgp.WrapError(err, "DataCentre")
 		return
 	}
-	// write "state"
-	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-	if err != nil {
-		return
-	}
 	err = en.WriteString(string(z.State))
 	if err != nil {
 		err = msgp.WrapError(err, "State")
@@ -5590,75 +6275,50 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Override) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "base_version"
-	o = append(o, 0x84, 0xac, 0x62, 0x61, 0x73, 0x65, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendInt(o, z.BaseVersion)
-	// string "change_id"
-	o = append(o, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
 	o = msgp.AppendString(o, z.ChangeID)
-	// string "data_centre"
-	o = append(o, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
 	o = msgp.AppendString(o, z.DataCentre)
-	// string "state"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 	o = msgp.AppendString(o, string(z.State))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Override) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.BaseVersion, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "BaseVersion")
+		return
+	}
+	z.ChangeID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ChangeID")
+		return
+	}
+	z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	{
+		var zb0002 string
+		zb0002, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "State")
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "base_version":
-			z.BaseVersion, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "BaseVersion")
-				return
-			}
-		case "change_id":
-			z.ChangeID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ChangeID")
-				return
-			}
-		case "data_centre":
-			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
-		case "state":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
-				}
-				z.State = DataCentreState(zb0002)
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+		z.State = DataCentreState(zb0002)
 	}
 	o = bts
 	return
@@ -5666,7 +6326,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Override) Msgsize() (s int) {
-	s = 1 + 13 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.ChangeID) + 12 + msgp.StringPrefixSize + len(z.DataCentre) + 6 + msgp.StringPrefixSize + len(string(z.State))
+	s = 1 + msgp.IntSize + msgp.StringPrefixSize + len(z.ChangeID) + msgp.StringPrefixSize + len(z.DataCentre) + msgp.StringPrefixSize + len(string(z.State))
 	return
 }
 
@@ -5680,6 +6340,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5760,6 +6424,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5808,6 +6476,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5907,6 +6579,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5961,6 +6637,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6060,6 +6740,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6114,6 +6798,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6232,6 +6920,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6292,6 +6984,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6391,6 +7087,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6445,6 +7145,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6484,6 +7188,10 @@
 				err = msgp.WrapError(err, "Orders")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Orders) >= int(zb0002) {
 				z.Orders = (z.Orders)[:zb0002]
 			} else {
@@ -6496,6 +7204,10 @@
 					err = msgp.WrapError(err, "Orders", za0001)
 					return
 				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -6713,6 +7425,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6752,6 +7468,10 @@
 				err = msgp.WrapError(err, "Orders")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Orders) >= int(zb0002) {
 				z.Orders = (z.Orders)[:zb0002]
 			} else {
@@ -6764,6 +7484,10 @@
 					err = msgp.WrapError(err, "Orders", za0001)
 					return
 				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6843,6 +7567,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6942,6 +7670,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6987,7 +7719,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Transaction) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Snapshot) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -6996,7 +7728,393 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "checksum":
+			z.Checksum, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Checksum")
+				return
+			}
+		case "hosts":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Hosts")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Hosts) >= int(zb0002) {
+				z.Hosts = (z.Hosts)[:zb0002]
+			} else {
+				z.Hosts = make([]ListedHost, zb0002)
+			}
+			for za0001 := range z.Hosts {
+				err = z.Hosts[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Hosts", za0001)
+					return
+				}
+			}
+		case "value":
+			z.Value, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Snapshot) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "checksum"
+	err = en.Append(0x83, 0xa8, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x73, 0x75, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Checksum)
+	if err != nil {
+		err = msgp.WrapError(err, "Checksum")
+		return
+	}
+	// write "hosts"
+	err = en.Append(0xa5, 0x68, 0x6f, 0x73, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Hosts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Hosts")
+		return
+	}
+	for za0001 := range z.Hosts {
+		err = z.Hosts[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Hosts", za0001)
+			return
+		}
+	}
+	// write "value"
+	err = en.Append(0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Value)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Snapshot) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "checksum"
+	o = append(o, 0x83, 0xa8, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x73, 0x75, 0x6d)
+	o = msgp.AppendString(o, z.Checksum)
+	// string "hosts"
+	o = append(o, 0xa5, 0x68, 0x6f, 0x73, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Hosts)))
+	for za0001 := range z.Hosts {
+		o, err = z.Hosts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Hosts", za0001)
+			return
+		}
+	}
+	// string "value"
+	o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
+	o = msgp.AppendString(o, z.Value)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Snapshot) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "checksum":
+			z.Checksum, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Checksum")
+				return
+			}
+		case "hosts":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hosts")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Hosts) >= int(zb0002) {
+				z.Hosts = (z.Hosts)[:zb0002]
+			} else {
+				z.Hosts = make([]ListedHost, zb0002)
+			}
+			for za0001 := range z.Hosts {
+				bts, err = z.Hosts[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Hosts", za0001)
+					return
+				}
+			}
+		case "value":
+			z.Value, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Snapshot) Msgsize() (s int) {
+	s = 1 + 9 + msgp.StringPrefixSize + len(z.Checksum) + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Hosts {
+		s += z.Hosts[za0001].Msgsize()
+	}
+	s += 6 + msgp.StringPrefixSize + len(z.Value)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StopResult) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "host":
+			z.Host, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "state":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = HostState(zb0002)
+			}
+		case "wait_ms":
+			z.WaitMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z StopResult) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "host"
+	err = en.Append(0x83, 0xa4, 0x68, 0x6f, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Host)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	// write "state"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.State))
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	// write "wait_ms"
+	err = en.Append(0xa7, 0x77, 0x61, 0x69, 0x74, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.WaitMs)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StopResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "host"
+	o = append(o, 0x83, 0xa4, 0x68, 0x6f, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Host)
+	// string "state"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	o = msgp.AppendString(o, string(z.State))
+	// string "wait_ms"
+	o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.WaitMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StopResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "host":
+			z.Host, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "state":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = HostState(zb0002)
+			}
+		case "wait_ms":
+			z.WaitMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StopResult) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Host) + 6 + msgp.StringPrefixSize + len(string(z.State)) + 8 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Transaction) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
 		if err != nil {
@@ -7011,6 +8129,10 @@
 				err = msgp.WrapError(err, "Rows")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Rows) >= int(zb0002) {
 				z.Rows = (z.Rows)[:zb0002]
 			} else {
@@ -7084,6 +8206,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7099,6 +8225,10 @@
 				err = msgp.WrapError(err, "Rows")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Rows) >= int(zb0002) {
 				z.Rows = (z.Rows)[:zb0002]
 			} else {
@@ -7142,6 +8272,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -7163,6 +8297,10 @@
 				err = msgp.WrapError(err, "Rows")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Rows) >= int(zb0002) {
 				z.Rows = (z.Rows)[:zb0002]
 			} else {
@@ -7249,6 +8387,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7270,6 +8412,10 @@
 				err = msgp.WrapError(err, "Rows")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Rows) >= int(zb0002) {
 				z.Rows = (z.Rows)[:zb0002]
 			} else {
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -93,6 +93,16 @@
 	Service string `json:"service" msg:"service"`
 }
 
+// ChangeRecord is the evidence that a change was kept.
+type ChangeRecord struct {
+	// ChangeID identifies the change.
+	ChangeID string `json:"change_id" msg:"change_id"`
+
+	// SheetChecksum is the xxhash of what the sheet declares; empty for other
+	// changes.
+	SheetChecksum string `json:"sheet_checksum" msg:"sheet_checksum"`
+}
+
 // ChangeResult answers an operator's change.
 type ChangeResult struct {
 	// ChangeID identifies the change.
@@ -124,6 +134,9 @@
 	// PlannedStops are sorted by host.
 	PlannedStops []PlannedStop `json:"planned_stops" msg:"planned_stops"`
 
+	// RecentChanges are the last changes that were kept, the newest last.
+	RecentChanges []ChangeRecord `json:"recent_changes" msg:"recent_changes"`
+
 	// Services are sorted by name.
 	Services []Service `json:"services" msg:"services"`
 
@@ -139,6 +152,9 @@
 
 // DataCentre is a declared data centre and its state.
 type DataCentre struct {
+	// ChangeID identifies the change that decided the state.
+	ChangeID string `json:"change_id" msg:"change_id"`
+
 	// Name is unique in a configuration.
 	Name string `json:"name" msg:"name"`
 
@@ -156,14 +172,24 @@
 	// ConfigurationVersion is the sender's version in force.
 	ConfigurationVersion int `json:"configuration_version" msg:"configuration_version"`
 
+	// Heartbeats are those of hosts whose records are not repeated.
+	Heartbeats []Heartbeat `json:"heartbeats" msg:"heartbeats"`
+
 	// Hosts are records that the sender learnt most recently.
 	Hosts []Host `json:"hosts" msg:"hosts"`
 
+	// LendsForMs is how long the receiver may use the sender's shares of the probe
+	// budget in milliseconds; 0 lends nothing.
+	LendsForMs int `json:"lends_for_ms" msg:"lends_for_ms"`
+
 	// Overrides are those in force at the sender.
 	Overrides []Override `json:"overrides" msg:"overrides"`
 
 	// Sender corresponds to the JSON schema field "sender".
 	Sender Host `json:"sender" msg:"sender"`
+
+	// ViewHash identifies the live hosts and the configuration version in 32 bits.
+	ViewHash int `json:"view_hash" msg:"view_hash"`
 }
 
 // Dump is the state of an entry host on request.
@@ -180,11 +206,18 @@
 	// Hosts are the live hosts in this host's view.
 	Hosts []Host `json:"hosts" msg:"hosts"`
 
+	// Isolated says that the host refuses calls because it was frozen or is cut off.
+	Isolated bool `json:"isolated" msg:"isolated"`
+
 	// Overrides are those in force.
 	Overrides []Override `json:"overrides" msg:"overrides"`
 
 	// Rings are the bounded rings between duties.
 	Rings []RingDump `json:"rings" msg:"rings"`
+
+	// SharesHeld is the number of hosts' shares of the probe budget that this host
+	// may spend.
+	SharesHeld int `json:"shares_held" msg:"shares_held"`
 }
 
 // Failure is the body of every response that is not a backend server's answer.
@@ -233,6 +266,15 @@
 	Service string `json:"service" msg:"service"`
 }
 
+// Heartbeat says how far a host's counter has come without repeating its record.
+type Heartbeat struct {
+	// Counter is the host's heartbeat.
+	Counter int `json:"counter" msg:"counter"`
+
+	// HostHash identifies the host's name and incarnation in 32 bits.
+	HostHash int `json:"host_hash" msg:"host_hash"`
+}
+
 // Host is what one entry host announces about itself.
 type Host struct {
 	// CallerAddress is the ip:port for callers.
@@ -269,6 +311,7 @@
 
 type HostState string
 
+const HostStateDead HostState = "dead"
 const HostStateJoining HostState = "joining"
 const HostStateLeaving HostState = "leaving"
 const HostStateLive HostState = "live"
@@ -478,6 +521,31 @@
 	ProbeRateMilli int `json:"probe_rate_milli" msg:"probe_rate_milli"`
 }
 
+// Snapshot is a copy of an accepted configuration in the platform's object store.
+type Snapshot struct {
+	// Checksum is the xxhash of the value in hexadecimal digits.
+	Checksum string `json:"checksum" msg:"checksum"`
+
+	// Hosts is the list of hosts last read from the platform.
+	Hosts []ListedHost `json:"hosts" msg:"hosts"`
+
+	// Value is the configuration as JSON.
+	Value string `json:"value" msg:"value"`
+}
+
+// StopResult answers a planned stop.
+type StopResult struct {
+	// Host is the stopping host's name.
+	Host string `json:"host" msg:"host"`
+
+	// State corresponds to the JSON schema field "state".
+	State HostState `json:"state" msg:"state"`
+
+	// WaitMs is how long the host still forwards calls before it exits in
+	// milliseconds.
+	WaitMs int `json:"wait_ms" msg:"wait_ms"`
+}
+
 // Transaction writes all of its rows or none; each row carries the version that it
 // replaces.
 type Transaction struct {
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -130,6 +130,27 @@
 	return settings, c.faults
 }
 
+// ApplyFlags holds the raw settings of the application of a sheet.
+type ApplyFlags struct {
+	BaseVersion string `long:"base-version" env:"BAOBABDRUM_BASE_VERSION" default:"0" value-name:"integer" description:"configuration version that the sheet was planned on; another version in force is a conflict; 0 accepts the current one (0 to 9223372036854775807)"`
+}
+
+// ApplySettings holds the checked settings of the application of a sheet.
+type ApplySettings struct {
+	// BaseVersion is set by --base-version: configuration version that the sheet was planned on; another version in force is a conflict; 0 accepts the current one (0 to 9223372036854775807).
+	BaseVersion int
+}
+
+// Check returns the typed settings and a fault for each value that is rejected.
+func (f ApplyFlags) Check() (ApplySettings, []Fault) {
+	c := checker{}
+	settings := ApplySettings{
+		BaseVersion: c.integer("base-version", f.BaseVersion, "0", "9223372036854775807"),
+	}
+
+	return settings, c.faults
+}
+
 // PlatformFlags holds the raw settings of the platform stand-in.
 type PlatformFlags struct {
 	Address        string `long:"address" env:"BAOBABDRUM_PLATFORM_ADDRESS" default:"127.0.0.1:8090" value-name:"address" description:"IP and port of the table service, the object store and the host list"`
--- a/slopes/decisions.go
+++ b/slopes/decisions.go
@@ -127,10 +127,13 @@
 	})
 }
 
+// digestInterval is the time between exchanges.
+const digestInterval = 250 * time.Millisecond
+
 // membership returns a view of that many hosts.
 func membership(count int) *peer.Membership {
 	list := hosts(count)
-	m := peer.NewMembership(list[0], seed)
+	m := peer.NewMembership(time.Time{}, list[0], digestInterval, seed)
 	for _, host := range list[1:] {
 		m.Step(time.Time{}, peer.DigestHeard{Digest: schema.Digest{Sender: host}})
 	}
@@ -140,7 +143,9 @@
 
 // digestBytes returns the encoded size of a digest.
 func digestBytes(count int) float64 {
-	digest := membership(count).Digest()
+	m := membership(count)
+	_ = m.Digest() // greets the hosts heard for the first time
+	digest := m.Digest()
 	raw, err := digest.MarshalMsg(nil)
 	if err != nil {
 		panic(err) // plain structs of strings and numbers always encode
--- /dev/null
+++ b/standin/objects.go
@@ -0,0 +1,51 @@
+package standin
+
+import (
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// ReadObject returns an object; an absent one is empty.
+func (t *Table) ReadObject(key string) schema.Snapshot {
+	return t.objects[key]
+}
+
+// WriteObject replaces an object and returns it.
+func (t *Table) WriteObject(key string, object schema.Snapshot) schema.Snapshot {
+	t.objects[key] = object
+
+	return object
+}
+
+// serveObjects serves the object store and the versions of rows.
+func (p *Platform) serveObjects(front *fiber.App) {
+	front.Get(platformhttp.PathVersions+"*", func(c fiber.Ctx) error {
+		key := strings.Clone(c.Params("*"))
+
+		return p.serve(c, false, func(t *Table, _ time.Time) any {
+			row := t.Read(key)
+			row.Value = ""
+
+			return row
+		})
+	})
+	front.Get(platformhttp.PathObjects+"*", func(c fiber.Ctx) error {
+		key := strings.Clone(c.Params("*"))
+
+		return p.serve(c, false, func(t *Table, _ time.Time) any { return t.ReadObject(key) })
+	})
+	front.Post(platformhttp.PathObjects+"*", func(c fiber.Ctx) error {
+		key := strings.Clone(c.Params("*"))
+		object, err := accept[schema.Snapshot](c)
+		if err != nil {
+			return err
+		}
+
+		return p.serve(c, true, func(t *Table, _ time.Time) any { return t.WriteObject(key, object) })
+	})
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -85,6 +85,7 @@
 	front.Get(platformhttp.PathHosts, func(c fiber.Ctx) error {
 		return p.serve(c, false, func(t *Table, now time.Time) any { return t.Hosts(now) })
 	})
+	p.serveObjects(front)
 	front.Post(platformhttp.PathTransaction, func(c fiber.Ctx) error {
 		transaction, err := accept[schema.Transaction](c)
 		if err != nil {
--- a/standin/table.go
+++ b/standin/table.go
@@ -13,6 +13,7 @@
 	Lag time.Duration
 
 	rows    map[string]schema.Row
+	objects map[string]schema.Snapshot
 	fault   schema.PlatformFault
 	until   time.Time
 	pending []listChange
@@ -27,7 +28,10 @@
 
 // NewTable returns an empty table.
 func NewTable(lag time.Duration) *Table {
-	return &Table{Lag: lag, rows: map[string]schema.Row{}, listed: schema.HostList{Hosts: []schema.ListedHost{}}}
+	return &Table{
+		Lag: lag, rows: map[string]schema.Row{}, objects: map[string]schema.Snapshot{},
+		listed: schema.HostList{Hosts: []schema.ListedHost{}},
+	}
 }
 
 // Read returns a row; version 0 means that it does not exist.
