Measure the slopes of orders

Cause: CAPACITY.md has to say what an order remembered costs. Ruled out: rebuilding a full book inside the timed step; it doubles the figure. Change: bytes and time for each order at 10,000, 30,000 and 100,000 orders.

--- a/slopes/decisions.go
+++ b/slopes/decisions.go
@@ -28,6 +28,8 @@
 	serverSizes = []int{1000, 3000, 10000}
 	// hostSizes are numbers of entry hosts.
 	hostSizes = []int{hostsToday, 100, 300}
+	// orderSizes are numbers of orders remembered.
+	orderSizes = []int{10000, 30000, 100000}
 )
 
 // Measure takes all measurements.
@@ -49,6 +51,10 @@
 		}),
 		measure("digest by hosts", "bytes", hostSizes, digestBytes),
 		measure("hearing a digest by hosts", "ns", hostSizes, digestTime),
+		measure("order book state by orders", "bytes", orderSizes, func(size int) float64 {
+			return heapBytes(func() any { return orderBook(size) })
+		}),
+		measure("decisions of an order by orders", "ns", orderSizes, orderTime),
 	}
 }
 
