--- a/backend/backend.go
+++ b/backend/backend.go
@@ -5,11 +5,7 @@
 // package to change placement, limits, retries and the cold-start ramp.
 package backend
 
-import (
-	"time"
-
-	"github.com/baobabdrum/baobabdrum/caller"
-)
+import "github.com/baobabdrum/baobabdrum/caller"
 
 // AttemptID identifies one attempt to run a call within one process.
 type AttemptID uint64
@@ -33,6 +29,8 @@
 type Unsent struct {
 	// Cause says why.
 	Cause error
+	// Local says that the backend server had no part in it.
+	Local bool
 }
 
 // Cut says that the call left and no whole answer arrived.
@@ -73,126 +71,3 @@
 
 	return caller.Unknown{}
 }
-
-// Event is what the pool reacts to.
-//
-//sumtype:decl
-type Event interface{ event() }
-
-// CallPlaced says that a call belongs to a cell of this host.
-type CallPlaced struct {
-	// Call is the call.
-	Call caller.Call
-	// Cell is the cell.
-	Cell caller.Cell
-}
-
-// CallCancelled says that the caller went away.
-type CallCancelled struct {
-	// Call identifies the call.
-	Call caller.CallID
-}
-
-// AttemptAnswering says that the head of an answer arrived and its body is too
-// large to wait for.
-type AttemptAnswering struct {
-	// Attempt identifies the attempt.
-	Attempt AttemptID
-}
-
-// AttemptEnded says how an attempt ended.
-type AttemptEnded struct {
-	// Attempt identifies the attempt.
-	Attempt AttemptID
-	// Result says how.
-	Result Result
-}
-
-// CellsChanged says which cells this host owns and which backend servers they
-// have.
-type CellsChanged struct {
-	// Cells are all cells that this host owns.
-	Cells map[caller.Cell][]Declared
-}
-
-// Declared is a backend server as the configuration declares it.
-type Declared struct {
-	// Address is its ip:port.
-	Address string
-	// Slots is the number of calls that it runs at once.
-	Slots int
-	// Leaving excludes it from new work.
-	Leaving bool
-}
-
-// SharesChanged says how many hosts' shares of the probe budget this host may
-// spend on its cells, its own among them.
-type SharesChanged struct {
-	// Held is the number of shares.
-	Held int
-}
-
-// Ticked says that time passed.
-type Ticked struct{}
-
-func (CallPlaced) event()       {}
-func (CallCancelled) event()    {}
-func (AttemptAnswering) event() {}
-func (AttemptEnded) event()     {}
-func (CellsChanged) event()     {}
-func (SharesChanged) event()    {}
-func (Ticked) event()           {}
-
-// Action is what the pool wants done.
-//
-//sumtype:decl
-type Action interface{ action() }
-
-// StartAttempt sends a call to a backend server.
-type StartAttempt struct {
-	// Attempt identifies the attempt.
-	Attempt AttemptID
-	// Call identifies the call.
-	Call caller.CallID
-	// Address is the backend server's ip:port.
-	Address string
-	// Deadline is when the attempt must have ended.
-	Deadline time.Time
-}
-
-// CancelAttempt gives up an attempt, which still ends with an AttemptEnded.
-type CancelAttempt struct {
-	// Attempt identifies the attempt.
-	Attempt AttemptID
-}
-
-// DeliverAnswer starts to give an attempt's large answer to the caller. EndCall
-// follows when the attempt ends.
-type DeliverAnswer struct {
-	// Call identifies the call.
-	Call caller.CallID
-	// Attempt identifies the attempt.
-	Attempt AttemptID
-}
-
-// EndCall ends a call. It is the last action for the call.
-type EndCall struct {
-	// Call identifies the call.
-	Call caller.CallID
-	// Attempt identifies the attempt that answered, or is 0.
-	Attempt AttemptID
-	// Outcome says how the call ended.
-	Outcome caller.Outcome
-}
-
-// Violation reports a broken invariant.
-type Violation struct {
-	// Violation names the invariant.
-	caller.Violation
-}
-
-func (StartAttempt) action()  {}
-func (CancelAttempt) action() {}
-func (DeliverAnswer) action() {}
-func (EndCall) action()       {}
-func (Violation) action()     {}
--- /dev/null
+++ b/backend/calls.go
@@ -0,0 +1,173 @@
+package backend
+
+import (
+	"container/list"
+	"slices"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/caller"
+)
+
+// placedCall is a call from its placement to its end.
+type placedCall struct {
+	call      caller.Call
+	cell      caller.Cell
+	attempts  []AttemptID
+	tried     []string
+	delivered bool
+	// mayHaveRun says that an earlier attempt left and was not answered.
+	mayHaveRun bool
+	// started is when the first attempt began.
+	started time.Time
+	// failure is the outcome of the last attempt that was retried.
+	failure caller.Outcome
+
+	waiting      *list.Element
+	waitingSince time.Time
+	retried      bool
+
+	due   time.Time
+	timer int
+}
+
+// place starts a call, queues it or ends it at once.
+func (p *Pool) place(now time.Time, event CallPlaced) {
+	placed := &placedCall{call: event.Call, cell: event.Cell}
+	if _, known := p.calls[event.Call.ID]; known {
+		p.violatedf("one_call", "call %d was placed twice", event.Call.ID)
+
+		return
+	}
+	p.calls[event.Call.ID] = placed
+	p.timers.add(placed, event.Call.Deadline)
+	cell, owned := p.Cells[event.Cell]
+	switch {
+	case !owned:
+		p.end(placed, 0, caller.NotRun{Reason: caller.ReasonMisdirected})
+	case !cell.Serving():
+		p.end(placed, 0, caller.NotRun{Reason: caller.ReasonNoBackendServer})
+	case !now.Before(event.Call.Deadline):
+		p.end(placed, 0, caller.NotRun{Reason: caller.ReasonDeadline})
+	default:
+		p.enqueue(now, cell, placed)
+	}
+}
+
+// enqueue starts or queues a call. A call that would wait for too long, and the
+// one that a full queue drops, are not run.
+func (p *Pool) enqueue(now time.Time, cell *CellState, placed *placedCall) {
+	cell.Budget.Earn()
+	dropped := cell.Queue.Push(now, placed)
+	p.dispatch(now, cell)
+	if dropped != nil {
+		p.end(dropped, 0, caller.NotRun{Reason: caller.ReasonOverloaded})
+	}
+	if placed.waiting != nil && p.late(placed, now.Add(cell.wait(now, placed)), cell.Latency.Median) {
+		p.end(placed, 0, caller.NotRun{Reason: caller.ReasonDeadline})
+	}
+}
+
+// late reports whether a call that starts at the given time and takes as long as
+// stated misses its deadline.
+func (*Pool) late(placed *placedCall, start time.Time, takes time.Duration) bool {
+	return start.Add(takes).After(placed.call.Deadline)
+}
+
+// dispatch starts waiting calls while backend servers are free.
+func (p *Pool) dispatch(now time.Time, cell *CellState) {
+	if !cell.Serving() {
+		for _, placed := range cell.Queue.All() {
+			p.end(placed, 0, caller.NotRun{Reason: caller.ReasonNoBackendServer})
+		}
+
+		return
+	}
+	p.dispatchRetried(now, cell)
+	cell.Latency.Refresh(now)
+	for cell.Queue.fresh > 0 {
+		server := choose(p.Options.Policy, now, cell, cell.free(now, nil), p.random)
+		if server == nil {
+			return
+		}
+		placed, overdue := cell.Queue.Pop(now)
+		switch {
+		case overdue:
+			p.end(placed, 0, caller.NotRun{Reason: caller.ReasonOverloaded})
+		case p.late(placed, now, cell.Latency.Fast):
+			p.end(placed, 0, caller.NotRun{Reason: caller.ReasonDeadline})
+		default:
+			p.start(now, placed, server)
+		}
+	}
+}
+
+// dispatchRetried starts the retried calls that a backend server is free for.
+func (p *Pool) dispatchRetried(now time.Time, cell *CellState) {
+	for _, placed := range cell.Queue.Retried() {
+		if !cell.untried(now, placed.tried) {
+			p.end(placed, 0, placed.failure)
+
+			continue
+		}
+		if server := choose(p.Options.Policy, now, cell, cell.free(now, placed.tried), p.random); server != nil {
+			cell.Queue.Remove(placed)
+			p.start(now, placed, server)
+		}
+	}
+}
+
+// retry queues the call again if a backend server is left to try and the budget
+// allows it, and ends it otherwise. Another attempt that still runs may answer.
+func (p *Pool) retry(now time.Time, placed *placedCall, outcome caller.Outcome) {
+	if len(placed.attempts) > 0 {
+		return
+	}
+	cell, owned := p.Cells[placed.cell]
+	switch {
+	case !owned:
+		p.end(placed, 0, caller.NotRun{Reason: caller.ReasonMisdirected})
+	case !now.Before(placed.call.Deadline), !cell.untried(now, placed.tried), !cell.Budget.Retry(now):
+		p.end(placed, 0, outcome)
+	default:
+		placed.failure = outcome
+		cell.Queue.PushRetried(now, placed)
+	}
+}
+
+// cancel gives up a call whose caller went away.
+func (p *Pool) cancel(id caller.CallID) {
+	if placed, ok := p.calls[id]; ok {
+		p.end(placed, 0, caller.NotRun{Reason: caller.ReasonCancelled})
+	}
+}
+
+// end ends a call once and gives up its attempts. A call that may have run never
+// ends as not run.
+func (p *Pool) end(placed *placedCall, by AttemptID, outcome caller.Outcome) {
+	if _, open := p.calls[placed.call.ID]; !open {
+		p.violatedf("one_outcome", "call %d ended twice", placed.call.ID)
+
+		return
+	}
+	notRun, refused := outcome.(caller.NotRun)
+	if refused && (placed.mayHaveRun || len(placed.attempts) > 0) {
+		outcome = caller.Unknown{Reason: notRun.Reason}
+	}
+	delete(p.calls, placed.call.ID)
+	p.timers.remove(placed)
+	if cell, owned := p.Cells[placed.cell]; owned {
+		cell.Queue.Remove(placed)
+	}
+	p.giveUp(placed, 0)
+	p.actions = append(p.actions, EndCall{Call: placed.call.ID, Attempt: by, Outcome: outcome})
+}
+
+// giveUp cancels the running attempts of a call but one.
+func (p *Pool) giveUp(placed *placedCall, but AttemptID) {
+	for _, id := range slices.Clone(placed.attempts) {
+		if id != but && !p.attempts[id].cancelled {
+			p.attempts[id].cancelled = true
+			p.actions = append(p.actions, CancelAttempt{Attempt: id})
+		}
+	}
+}
--- /dev/null
+++ b/backend/choice_test.go
@@ -0,0 +1,98 @@
+package backend_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+)
+
+// except runs calls quickly but on one backend server.
+func except(address string, took time.Duration, result backend.Result) func(string) (time.Duration, backend.Result) {
+	return func(chosen string) (time.Duration, backend.Result) {
+		if chosen == address {
+			return took, result
+		}
+
+		return quick(chosen)
+	}
+}
+
+func TestErrorsNeverLookFast(t *testing.T) {
+	tests := map[string]backend.Result{
+		"error status":       backend.Whole{Status: 500},
+		"shed":               backend.Shed{},
+		"refused connection": backend.Unsent{},
+		"cut answer":         backend.Cut{},
+	}
+	for name, result := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, backend.Options{QueueLength: 16})
+			d.declare(4, "a", "b", "c")
+			d.serve(60, quick)
+			before := d.count("a")
+			d.serve(600, except("a", time.Microsecond, result))
+			assert.Assert(t, d.count("a")-before <= 12, "%d of 600 calls went to it", d.count("a")-before)
+		})
+	}
+}
+
+func TestSlowServerIsTriedAgain(t *testing.T) {
+	d := newDriver(t, backend.Options{QueueLength: 16})
+	d.declare(4, "a", "b")
+	d.serve(60, except("a", 100*time.Millisecond, answered))
+	before := d.count("a")
+	d.serve(2000, quick)
+	assert.Assert(t, d.count("a")-before >= 200, "only %d of 2000 calls went to it", d.count("a")-before)
+}
+
+func TestEjectionIsBounded(t *testing.T) {
+	tests := map[string]struct {
+		servers, want int
+	}{
+		"the only one is never ejected": {servers: 1, want: 0},
+		"one of two":                    {servers: 2, want: 1},
+		"one of three":                  {servers: 3, want: 1},
+		"a third of twenty":             {servers: 20, want: 6},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, backend.Options{QueueLength: 16})
+			addresses := make([]string, 0, test.servers)
+			for index := range test.servers {
+				addresses = append(addresses, fmt.Sprint(index))
+			}
+			d.declare(4, addresses...)
+			d.serve(400, func(string) (time.Duration, backend.Result) {
+				return time.Microsecond, backend.Whole{Status: 500}
+			})
+			ejected := 0
+			for _, address := range addresses {
+				if d.server(address).Ejected(d.now) {
+					ejected++
+				}
+			}
+			assert.Equal(t, ejected, test.want)
+		})
+	}
+}
+
+func TestEjectedServerReturnsByRamp(t *testing.T) {
+	d := newDriver(t, backend.Options{QueueLength: 16})
+	d.declare(4, "a", "b")
+	d.serve(60, quick)
+	for !d.server("a").Ejected(d.now) {
+		d.serve(10, except("a", time.Microsecond, backend.Whole{Status: 500}))
+	}
+	until := d.server("a").EjectedUntil
+	assert.Assert(t, until.Sub(d.now) <= time.Second)
+	before := d.count("a")
+	d.serve(10, quick)
+	assert.Equal(t, d.count("a"), before)
+	d.now = until
+	assert.Assert(t, d.server("a").Usable(d.now))
+	assert.Equal(t, d.server("a").Limit(), 1)
+}
--- /dev/null
+++ b/backend/hedge_test.go
@@ -0,0 +1,123 @@
+package backend_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/caller"
+)
+
+func TestHedgeOfSlowCall(t *testing.T) {
+	tests := map[string]struct {
+		warm    int
+		options backend.Options
+		call    caller.Call
+		prepare func(d *driver)
+		wait    time.Duration
+		want    bool
+	}{
+		"slower than the percentile":  {warm: 100, call: caller.Call{Idempotent: true}, wait: 6 * time.Millisecond, want: true},
+		"not slower yet":              {warm: 100, call: caller.Call{Idempotent: true}, wait: 4 * time.Millisecond},
+		"not idempotent":              {warm: 100, wait: 100 * time.Millisecond},
+		"too few answers to know":     {warm: 10, call: caller.Call{Idempotent: true}, wait: 100 * time.Millisecond},
+		"budget not earned":           {warm: 30, call: caller.Call{Idempotent: true}, wait: 100 * time.Millisecond},
+		"switched off":                {warm: 100, options: backend.Options{WithoutHedge: true}, call: caller.Call{Idempotent: true}, wait: 100 * time.Millisecond},
+		"nested calls are hedged too": {warm: 100, call: caller.Call{Idempotent: true, Depth: 3}, wait: 6 * time.Millisecond, want: true},
+		"no other slot is free": {
+			warm: 100, call: caller.Call{Idempotent: true}, wait: 100 * time.Millisecond,
+			prepare: func(d *driver) {
+				for range 7 {
+					d.placeCall(caller.Call{Deadline: d.now.Add(time.Second)})
+				}
+			},
+		},
+		"the answer has begun": {
+			warm: 100, call: caller.Call{Idempotent: true}, wait: 100 * time.Millisecond,
+			prepare: func(d *driver) {
+				d.step(backend.AttemptAnswering{Attempt: d.started[len(d.started)-1].Attempt})
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			test.options.QueueLength = 16
+			d := newDriver(t, test.options)
+			d.declare(4, "a", "b")
+			d.serve(test.warm, quick)
+			test.call.Deadline = d.now.Add(time.Second)
+			d.placeCall(test.call)
+			if test.prepare != nil {
+				test.prepare(d)
+			}
+			d.tick(test.wait)
+			assert.Equal(t, d.started[len(d.started)-1].Hedge, test.want)
+		})
+	}
+}
+
+func TestFirstAnswerWins(t *testing.T) {
+	tests := map[string]struct {
+		first, second         int
+		firstEnds, secondEnds backend.Result
+		want                  caller.Outcome
+		cancelled             bool
+	}{
+		"the first attempt":              {0, 1, answered, backend.Cancelled{}, caller.Answered{}, true},
+		"the hedge":                      {1, 0, answered, backend.Cancelled{}, caller.Answered{}, true},
+		"both":                           {1, 0, answered, answered, caller.Answered{}, true},
+		"the hedge after a shed":         {0, 1, backend.Shed{}, answered, caller.Answered{}, false},
+		"the first after a cut hedge":    {1, 0, backend.Cut{}, answered, caller.Answered{}, false},
+		"none, when one may have run":    {0, 1, backend.TimedOut{}, backend.TimedOut{}, caller.Unknown{Reason: caller.ReasonDeadline}, false},
+		"none, when one was cut at last": {0, 1, backend.Shed{}, backend.Cut{}, caller.Unknown{Reason: caller.ReasonCut}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, backend.Options{QueueLength: 16})
+			d.declare(4, "a", "b")
+			d.serve(100, quick)
+			d.place()
+			d.tick(10 * time.Millisecond)
+			pair := len(d.started) - 2
+			assert.Assert(t, d.started[pair+1].Hedge)
+			assert.Assert(t, d.started[pair].Address != d.started[pair+1].Address)
+			d.end(pair+test.first, time.Millisecond, test.firstEnds)
+			if test.cancelled {
+				assert.Assert(t, cmp.DeepEqual(d.cancels, []backend.AttemptID{d.started[pair+test.second].Attempt}))
+			}
+			d.end(pair+test.second, time.Millisecond, test.secondEnds)
+			assert.DeepEqual(t, d.outcomes[d.lastCall], test.want)
+			assert.Equal(t, d.server("a").InFlight+d.server("b").InFlight, 0)
+		})
+	}
+}
+
+func TestRetryOfCutAnswerByDepth(t *testing.T) {
+	tests := map[string]struct {
+		call   caller.Call
+		result backend.Result
+		want   bool
+	}{
+		"outermost and idempotent": {call: caller.Call{Idempotent: true}, result: backend.Cut{}, want: true},
+		"nested and idempotent":    {call: caller.Call{Idempotent: true, Depth: 1}, result: backend.Cut{}},
+		"not idempotent":           {result: backend.Cut{}},
+		"shed moves on when nested": {
+			call: caller.Call{Idempotent: true, Depth: 16}, result: backend.Shed{}, want: true,
+		},
+		"shed moves on when not idempotent": {result: backend.Shed{}, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, backend.Options{QueueLength: 16})
+			d.declare(4, "a", "b")
+			test.call.Deadline = d.now.Add(time.Second)
+			d.placeCall(test.call)
+			d.end(0, time.Millisecond, test.result)
+			assert.Equal(t, len(d.started) == 2, test.want)
+			assert.Equal(t, len(d.outcomes) == 0, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/backend/policy.go
@@ -0,0 +1,91 @@
+package backend
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Policy chooses among free backend servers: LowestLatency, Random, RoundRobin,
+// TwoChoicesInFlight or TwoChoicesLatency.
+//
+//sumtype:decl
+type Policy interface{ policy() }
+
+// LowestLatency takes the backend server with the lowest expected latency.
+type LowestLatency struct{}
+
+// Random takes any backend server.
+type Random struct{}
+
+// RoundRobin takes the backend servers in turns.
+type RoundRobin struct{}
+
+// TwoChoicesInFlight takes, of two random backend servers, the one with fewer
+// attempts in flight.
+type TwoChoicesInFlight struct{}
+
+// TwoChoicesLatency takes, of two random backend servers, the one with the
+// lower expected latency.
+type TwoChoicesLatency struct{}
+
+func (LowestLatency) policy()      {}
+func (Random) policy()             {}
+func (RoundRobin) policy()         {}
+func (TwoChoicesInFlight) policy() {}
+func (TwoChoicesLatency) policy()  {}
+
+// choose returns one of the free backend servers, or nil if there is none.
+func choose(policy Policy, now time.Time, cell *CellState, free []*Server, random *rand.Rand) *Server {
+	if len(free) == 0 {
+		return nil
+	}
+	switch policy.(type) {
+	case LowestLatency:
+		return lowest(now, free)
+	case Random:
+		return free[random.IntN(len(free))]
+	case RoundRobin:
+		cell.turn++
+
+		return free[cell.turn%len(free)]
+	case TwoChoicesInFlight:
+		a, b := two(free, random)
+		if b.InFlight < a.InFlight {
+			return b
+		}
+
+		return a
+	case TwoChoicesLatency:
+		a, b := two(free, random)
+
+		return lowest(now, []*Server{a, b})
+	}
+
+	return nil
+}
+
+// two returns two random backend servers, the same one twice if there is only
+// one.
+func two(free []*Server, random *rand.Rand) (a, b *Server) {
+	first := random.IntN(len(free))
+	second := first
+	if len(free) > 1 {
+		second = (first + 1 + random.IntN(len(free)-1)) % len(free)
+	}
+
+	return free[first], free[second]
+}
+
+// lowest returns the backend server with the lowest expected latency, of equals
+// the one whose latency is the least recently confirmed.
+func lowest(now time.Time, free []*Server) *Server {
+	best, least := free[0], free[0].Expected(now)
+	for _, server := range free[1:] {
+		expected := server.Expected(now)
+		if expected < least || expected == least && server.ObservedAt.Before(best.ObservedAt) {
+			best, least = server, expected
+		}
+	}
+
+	return best
+}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -1,60 +1,60 @@
 package backend
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/caller"
 )
 
-// placedCall is a call from its placement to its end.
-type placedCall struct {
-	call      caller.Call
-	cell      *CellState
-	attempts  []AttemptID
-	tried     []string
-	delivered bool
-	// mayHaveRun says that an earlier attempt left and was not answered.
-	mayHaveRun bool
-}
-
-// attempt is one run of a call on a backend server.
-type attempt struct {
-	call    caller.CallID
-	server  *Server
-	started time.Time
-}
-
 // Pool holds all cells that this host owns.
 type Pool struct {
-	// QueueLength bounds the calls that wait in one cell.
-	QueueLength int
+	// Options are what the pool was made with.
+	Options Options
 	// Shares is the number of hosts' shares of the probe budget that may be spent.
 	Shares int
 	// Cells are the cells that this host owns.
 	Cells map[caller.Cell]*CellState
 
+	order       []*CellState
+	servers     map[string]*Server
 	calls       map[caller.CallID]*placedCall
 	attempts    map[AttemptID]*attempt
+	timers      timers
+	random      *rand.Rand
 	lastAttempt AttemptID
+	probedAt    time.Time
 	actions     []Action
 }
 
 // NewPool returns a pool without cells.
-func NewPool(queueLength int) *Pool {
+func NewPool(options Options) *Pool {
+	options.Hosts = max(options.Hosts, 1)
+	if options.Policy == nil {
+		options.Policy = LowestLatency{}
+	}
+	if options.Discipline == nil {
+		options.Discipline = FirstIn{}
+	}
+
 	return &Pool{
-		QueueLength: queueLength,
-		Shares:      1,
-		Cells:       map[caller.Cell]*CellState{},
-		calls:       map[caller.CallID]*placedCall{},
-		attempts:    map[AttemptID]*attempt{},
+		Options:  options,
+		Shares:   1,
+		Cells:    map[caller.Cell]*CellState{},
+		servers:  map[string]*Server{},
+		calls:    map[caller.CallID]*placedCall{},
+		attempts: map[AttemptID]*attempt{},
+		random:   rand.New(rand.NewPCG(options.Seed, options.Seed)), //nolint:gosec // placement needs no secrets
 	}
 }
 
-// Busy reports whether calls wait or run, so that time matters.
+// Busy reports whether calls wait or run, or backend servers may need probes, so
+// that time matters.
 func (p *Pool) Busy() bool {
-	return len(p.calls) > 0
+	return len(p.calls) > 0 || len(p.Cells) > 0
 }
 
 // Step reacts to one event. The actions are valid until the next step.
@@ -72,191 +72,113 @@
 	case CellsChanged:
 		p.change(now, event.Cells)
 	case SharesChanged:
-		p.Shares = event.Held
+		p.earnProbes(now)
+		p.Shares = max(event.Held, 0)
+	case ProbeEnded:
+		p.probed(now, event)
 	case Ticked:
-		p.expire(now)
+		p.tick(now)
 	}
 
 	return p.actions
 }
 
-// place starts a call or queues it.
-func (p *Pool) place(now time.Time, event CallPlaced) {
-	cell, ok := p.Cells[event.Cell]
-	if !ok {
-		p.end(event.Call.ID, 0, caller.NotRun{Reason: caller.ReasonMisdirected})
+// tick ends calls past their deadline, hedges slow ones, starts what waits for
+// backend servers whose ejection ended, and probes.
+func (p *Pool) tick(now time.Time) {
+	for placed := p.timers.next(now); placed != nil; placed = p.timers.next(now) {
+		if now.Before(placed.call.Deadline) {
+			p.hedge(now, placed)
 
-		return
+			continue
+		}
+		p.end(placed, 0, caller.NotRun{Reason: caller.ReasonDeadline})
 	}
-	if len(cell.Queue) >= p.QueueLength {
-		p.end(event.Call.ID, 0, caller.NotRun{Reason: caller.ReasonOverloaded})
-
-		return
+	for _, cell := range p.order {
+		if cell.Queue.Len() > 0 {
+			p.dispatch(now, cell)
+		}
 	}
-	p.calls[event.Call.ID] = &placedCall{call: event.Call, cell: cell}
-	cell.Queue = append(cell.Queue, event.Call.ID)
-	p.dispatch(now, cell)
+	p.probe(now)
 }
 
-// dispatch starts queued calls while backend servers are free.
-func (p *Pool) dispatch(now time.Time, cell *CellState) {
-	for len(cell.Queue) > 0 {
-		placed := p.calls[cell.Queue[0]]
-		server := cell.choose(placed.tried)
-		if server == nil {
-			return
+// change adopts the cells that this host owns. Calls that wait in a lost cell
+// are not run; those in flight finish.
+func (p *Pool) change(now time.Time, cells map[caller.Cell][]Declared) {
+	p.earnProbes(now)
+	for _, cell := range p.order {
+		if _, kept := cells[cell.Cell]; !kept {
+			p.lose(cell)
 		}
-		cell.Queue = cell.Queue[1:]
-		p.start(now, placed, server)
 	}
-}
-
-// start begins one attempt.
-func (p *Pool) start(now time.Time, placed *placedCall, server *Server) {
-	p.lastAttempt++
-	id := p.lastAttempt
-	p.attempts[id] = &attempt{call: placed.call.ID, server: server, started: now}
-	placed.attempts = append(placed.attempts, id)
-	placed.tried = append(placed.tried, server.Address)
-	server.InFlight++
-	if server.InFlight > server.Slots {
-		p.violatedf("slots", "backend server %s has %d attempts for %d slots", server.Address, server.InFlight, server.Slots)
+	p.declare(now, cells)
+	p.order = p.order[:0]
+	for _, cell := range p.Cells {
+		p.order = append(p.order, cell)
 	}
-	p.actions = append(p.actions, StartAttempt{
-		Attempt: id, Call: placed.call.ID, Address: server.Address, Deadline: placed.call.Deadline,
+	slices.SortFunc(p.order, func(a, b *CellState) int {
+		return cmp.Or(cmp.Compare(a.Cell.Service, b.Cell.Service), cmp.Compare(a.Cell.DataCentre, b.Cell.DataCentre))
 	})
-}
-
-// answering gives a large answer to its caller unless the call has ended.
-func (p *Pool) answering(id AttemptID) {
-	running, ok := p.attempts[id]
-	if !ok {
-		return
-	}
-	placed, ok := p.calls[running.call]
-	if !ok || placed.delivered {
-		p.actions = append(p.actions, CancelAttempt{Attempt: id})
-
-		return
+	for _, cell := range p.order {
+		cell.readmit(now)
+		p.dispatch(now, cell)
 	}
-	placed.delivered = true
-	p.actions = append(p.actions, DeliverAnswer{Call: placed.call.ID, Attempt: id})
 }
 
-// ended frees the attempt's slot and ends or retries its call.
-func (p *Pool) ended(now time.Time, event AttemptEnded) {
-	running, ok := p.attempts[event.Attempt]
-	if !ok {
-		return
-	}
-	delete(p.attempts, event.Attempt)
-	running.server.InFlight--
-	running.server.observe(event.Result, now.Sub(running.started))
-	if placed, ok := p.calls[running.call]; ok {
-		placed.attempts = slices.DeleteFunc(placed.attempts, func(id AttemptID) bool { return id == event.Attempt })
-		p.settle(now, placed, event)
-		p.dispatch(now, placed.cell)
-
-		return
-	}
-	for _, cell := range p.Cells {
-		if slices.Contains(cell.Servers, running.server) {
-			p.dispatch(now, cell)
-		}
+// lose gives up a cell.
+func (p *Pool) lose(cell *CellState) {
+	delete(p.Cells, cell.Cell)
+	for _, placed := range cell.Queue.All() {
+		p.end(placed, 0, caller.NotRun{Reason: caller.ReasonMisdirected})
 	}
 }
 
-// settle ends or retries the call of an attempt that ended.
-func (p *Pool) settle(now time.Time, placed *placedCall, event AttemptEnded) {
-	outcome := OutcomeOf(event.Result)
-	switch event.Result.(type) {
-	case Whole:
-		p.end(placed.call.ID, event.Attempt, outcome)
-	case Shed, Unsent:
-		p.retry(now, placed, outcome)
-	case Cut:
-		placed.mayHaveRun = true
-		if placed.call.Idempotent && !placed.delivered {
-			p.retry(now, placed, outcome)
-
-			return
+// declare adopts the declared backend servers. Those that are gone are
+// remembered until their attempts have ended.
+func (p *Pool) declare(now time.Time, cells map[caller.Cell][]Declared) {
+	owned := map[string]bool{}
+	for key, declared := range cells {
+		cell, ok := p.Cells[key]
+		if !ok {
+			cell = NewCellState(now, key, p.Options)
+			p.Cells[key] = cell
+		}
+		cell.Servers = cell.Servers[:0]
+		for _, entry := range declared {
+			if owned[entry.Address] {
+				continue
+			}
+			owned[entry.Address] = true
+			cell.Servers = append(cell.Servers, p.server(key, entry))
 		}
-		p.end(placed.call.ID, 0, outcome)
-	case TimedOut, Cancelled:
-		p.end(placed.call.ID, 0, outcome)
-	}
-}
-
-// retry queues the call again at the front if a backend server is left to try,
-// and ends it otherwise.
-func (p *Pool) retry(now time.Time, placed *placedCall, outcome caller.Outcome) {
-	untried := func(server *Server) bool {
-		return !server.Leaving && !slices.Contains(placed.tried, server.Address)
 	}
-	if !now.Before(placed.call.Deadline) || !slices.ContainsFunc(placed.cell.Servers, untried) {
-		p.end(placed.call.ID, 0, outcome)
-
-		return
+	for address, server := range p.servers {
+		if !owned[address] {
+			server.Owned = false
+			p.forget(server)
+		}
 	}
-	placed.cell.Queue = slices.Insert(placed.cell.Queue, 0, placed.call.ID)
 }
 
-// cancel gives up a call whose caller went away.
-func (p *Pool) cancel(id caller.CallID) {
-	if _, ok := p.calls[id]; !ok {
-		return
+// server returns the backend server with the declared state.
+func (p *Pool) server(cell caller.Cell, declared Declared) *Server {
+	server, ok := p.servers[declared.Address]
+	if !ok {
+		server = NewServer(declared.Address)
+		p.servers[declared.Address] = server
 	}
-	p.end(id, 0, caller.NotRun{Reason: caller.ReasonCancelled})
-}
-
-// expire ends the calls whose deadline has passed.
-func (p *Pool) expire(now time.Time) {
-	for id, placed := range p.calls {
-		if now.Before(placed.call.Deadline) {
-			continue
-		}
-		p.end(id, 0, caller.NotRun{Reason: caller.ReasonDeadline})
+	server.declare(cell, declared)
+	if p.Options.WithoutRamp {
+		server.Allowance = float64(declared.Slots)
 	}
-}
 
-// end ends a call once and gives up its other attempts. A call that may have
-// run never ends as not run.
-func (p *Pool) end(id caller.CallID, by AttemptID, outcome caller.Outcome) {
-	if placed, ok := p.calls[id]; ok {
-		notRun, refused := outcome.(caller.NotRun)
-		if refused && (placed.mayHaveRun || len(placed.attempts) > 0) {
-			outcome = caller.Unknown{Reason: notRun.Reason}
-		}
-		delete(p.calls, id)
-		queue := placed.cell.Queue
-		placed.cell.Queue = slices.DeleteFunc(queue, func(queued caller.CallID) bool { return queued == id })
-		for _, attempt := range placed.attempts {
-			p.actions = append(p.actions, CancelAttempt{Attempt: attempt})
-		}
-	}
-	p.actions = append(p.actions, EndCall{Call: id, Attempt: by, Outcome: outcome})
+	return server
 }
 
-// change adopts the cells that this host owns. Calls that wait in a lost cell
-// are not run; those in flight finish.
-func (p *Pool) change(now time.Time, cells map[caller.Cell][]Declared) {
-	for key, cell := range p.Cells {
-		if _, kept := cells[key]; kept {
-			continue
-		}
-		delete(p.Cells, key)
-		for _, id := range slices.Clone(cell.Queue) {
-			p.end(id, 0, caller.NotRun{Reason: caller.ReasonMisdirected})
-		}
-	}
-	for key, declared := range cells {
-		cell, ok := p.Cells[key]
-		if !ok {
-			cell = &CellState{Cell: key}
-			p.Cells[key] = cell
-		}
-		cell.declare(declared)
-		p.dispatch(now, cell)
+// forget removes a backend server that is not owned and has nothing in flight.
+func (p *Pool) forget(server *Server) {
+	if !server.Owned && server.InFlight == 0 && !server.Probes.Running {
+		delete(p.servers, server.Address)
 	}
 }
 
--- /dev/null
+++ b/backend/queue_test.go
@@ -0,0 +1,107 @@
+package backend_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/caller"
+)
+
+// placeFor places calls of one caller with the given time left.
+func (d *driver) placeFor(name string, calls int, left time.Duration) {
+	d.t.Helper()
+	for range calls {
+		d.placeCall(caller.Call{Caller: name, Idempotent: true, Deadline: d.now.Add(left)})
+	}
+}
+
+func TestQueueServesCallersInTurns(t *testing.T) {
+	tests := map[string]struct {
+		discipline backend.Discipline
+		place      func(d *driver)
+		// started are the first calls in the order of their start.
+		started []caller.CallID
+		// dropped are the calls that are told not_run.
+		dropped []caller.CallID
+	}{
+		"one caller's calls in order": {
+			place: func(d *driver) { d.placeFor("moka", 4, time.Second) }, started: []caller.CallID{1, 2, 3, 4},
+		},
+		"one caller's newest call first": {
+			discipline: backend.LastIn{},
+			place:      func(d *driver) { d.placeFor("moka", 4, time.Second) }, started: []caller.CallID{1, 4, 3, 2},
+		},
+		"a flood does not starve another caller": {
+			place: func(d *driver) {
+				d.placeFor("moka", 10, time.Second)
+				d.placeFor("rose-belle", 2, time.Second)
+			},
+			started: []caller.CallID{1, 2, 11, 3, 12, 4},
+		},
+		"a flood fills the queue at its own cost": {
+			place: func(d *driver) {
+				d.placeFor("moka", 17, time.Second)
+				d.placeFor("rose-belle", 2, time.Second)
+			},
+			started: []caller.CallID{1, 2, 18, 3, 19, 4}, dropped: []caller.CallID{16, 17},
+		},
+		"a full queue refuses more of the flood": {
+			place:   func(d *driver) { d.placeFor("moka", 19, time.Second) },
+			started: []caller.CallID{1, 2, 3}, dropped: []caller.CallID{18, 19},
+		},
+		"calls that waited for too long in a standing queue are dropped": {
+			discipline: backend.ControlledDelay{Interval: 20 * time.Millisecond, Target: 10 * time.Millisecond},
+			place:      func(d *driver) { d.placeFor("moka", 9, time.Second) },
+			started:    []caller.CallID{1, 2, 3, 4, 5}, dropped: []caller.CallID{6, 7, 8, 9},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, backend.Options{QueueLength: 16, Discipline: test.discipline})
+			d.declare(1, "a")
+			test.place(d)
+			var started []caller.CallID
+			for index := 0; index < len(d.started) && index < len(test.started); index++ {
+				started = append(started, d.started[index].Call)
+				d.end(index, 5*time.Millisecond, answered)
+			}
+			assert.DeepEqual(t, started, test.started)
+			for _, id := range test.dropped {
+				assert.DeepEqual(t, d.outcomes[id], caller.NotRun{Reason: caller.ReasonOverloaded})
+			}
+		})
+	}
+}
+
+func TestCallThatCannotMakeItsDeadline(t *testing.T) {
+	tests := map[string]struct {
+		waiting int
+		left    time.Duration
+		refused bool
+	}{
+		"enough time":                          {waiting: 4, left: 100 * time.Millisecond},
+		"too many calls wait":                  {waiting: 15, left: 50 * time.Millisecond, refused: true},
+		"less time than any answer takes":      {left: 3 * time.Millisecond, refused: true},
+		"just enough time when nothing waits":  {left: 6 * time.Millisecond},
+		"just too little when one call waits":  {waiting: 1, left: 6 * time.Millisecond, refused: true},
+		"no time left":                         {left: 0, refused: true},
+		"a long queue and a deadline far away": {waiting: 15, left: time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, backend.Options{QueueLength: 16})
+			d.declare(1, "a")
+			d.serve(40, quick)
+			d.placeFor("moka", test.waiting, time.Second)
+			d.placeFor("moka", 1, test.left)
+			outcome, refused := d.outcomes[d.lastCall]
+			assert.Equal(t, refused, test.refused)
+			if refused {
+				assert.DeepEqual(t, outcome, caller.NotRun{Reason: caller.ReasonDeadline})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/backend/ramp_test.go
@@ -0,0 +1,86 @@
+package backend_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+)
+
+func TestRampFollowsAnswers(t *testing.T) {
+	after := func(took time.Duration, result backend.Result) func(d *driver) {
+		return func(d *driver) {
+			d.serve(40, quick)
+			d.place()
+			d.end(len(d.started)-1, took, result)
+		}
+	}
+	tests := map[string]struct {
+		run  func(d *driver)
+		want int
+	}{
+		"a new backend server runs one attempt": {run: func(*driver) {}, want: 1},
+		"two good answers admit a second":       {run: func(d *driver) { d.serve(2, quick) }, want: 2},
+		"good answers open all slots":           {run: func(d *driver) { d.serve(6, quick) }, want: 4},
+		"good answers open no more than slots":  {run: func(d *driver) { d.serve(60, quick) }, want: 4},
+		"a shed call halves":                    {run: after(time.Millisecond, backend.Shed{}), want: 2},
+		"a time-out halves":                     {run: after(time.Second, backend.TimedOut{}), want: 2},
+		"a cut answer halves":                   {run: after(time.Millisecond, backend.Cut{}), want: 2},
+		"a refused connection halves":           {run: after(time.Millisecond, backend.Unsent{}), want: 2},
+		"an error status halves":                {run: after(time.Millisecond, backend.Whole{Status: 503}), want: 2},
+		"a latency jump halves":                 {run: after(50*time.Millisecond, answered), want: 2},
+		"a slower answer does not halve":        {run: after(30*time.Millisecond, answered), want: 4},
+		"a full ring of this host does not halve": {
+			run: after(0, backend.Unsent{Local: true}), want: 4,
+		},
+		"a backend server that returns is cold": {
+			run: func(d *driver) {
+				d.serve(40, quick)
+				d.declare(4)
+				d.declare(4, "a")
+			},
+			want: 1,
+		},
+		"a declaration that changes nothing keeps the ramp": {
+			run: func(d *driver) {
+				d.serve(40, quick)
+				d.declare(4, "a")
+			},
+			want: 4,
+		},
+		"fewer slots lower the limit at once": {
+			run: func(d *driver) {
+				d.serve(40, quick)
+				d.declare(2, "a")
+			},
+			want: 2,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, backend.Options{QueueLength: 16})
+			d.declare(4, "a")
+			test.run(d)
+			assert.Equal(t, d.server("a").Limit(), test.want)
+		})
+	}
+}
+
+func TestWarmServerThatTurnsColdIsFoundByItsAnswers(t *testing.T) {
+	d := newDriver(t, backend.Options{QueueLength: 16})
+	d.declare(4, "a", "b", "c")
+	d.serve(60, quick)
+	before := d.count("b")
+	d.serve(300, func(address string) (time.Duration, backend.Result) {
+		if address == "b" {
+			return time.Millisecond, backend.Shed{}
+		}
+
+		return quick(address)
+	})
+	assert.Assert(t, d.count("b")-before <= 10, "%d of 300 calls went to a cold backend server", d.count("b")-before)
+	assert.Equal(t, d.server("b").Limit(), 1)
+	assert.Equal(t, len(d.outcomes), 360)
+}
--- a/backend/server.go
+++ b/backend/server.go
@@ -2,7 +2,11 @@
 
 import (
 	"math"
+	"net/http"
+	"slices"
 	"time"
+
+	"github.com/baobabdrum/baobabdrum/caller"
 )
 
 const (
@@ -12,22 +16,64 @@
 	allowanceGrowth = 0.5
 	// latencyWeight is the share of the newest answer in the smoothed latency.
 	latencyWeight = 0.2
+	// latencyMemory is the time in which an unconfirmed latency falls to 37%, so
+	// that a slow backend server is tried again.
+	latencyMemory = time.Second
+	// latencyJump is the ratio of an answer's duration to the expected one that
+	// counts as a sign of a cold or overloaded backend server.
+	latencyJump = 8
+	// errorLatency is the ratio of the latency that an error counts as, at least,
+	// to the cell's median.
+	errorLatency = 10
+	// ejectAfter is the number of errors in a row that eject a backend server.
+	ejectAfter = 3
+	// ejectFor is the length of the first ejection; each further one without a
+	// good answer in between is twice as long.
+	ejectFor = time.Second
+	// ejectLongest bounds the length of an ejection.
+	ejectLongest = 30 * time.Second
 )
 
-// Server is what a cell knows about one backend server.
+// Server is what a pool knows about one backend server.
 type Server struct {
 	Declared
+	// Cell is the cell that it belongs to.
+	Cell caller.Cell
+	// Owned says that the configuration in force declares it in a cell that this
+	// host owns.
+	Owned bool
 	// InFlight is the number of attempts that this host runs on it.
 	InFlight int
 	// Allowance is the number of attempts that the cold-start ramp permits.
 	Allowance float64
 	// Latency is the smoothed duration of attempts.
 	Latency time.Duration
+	// ObservedAt is when the latency was last confirmed.
+	ObservedAt time.Time
+	// EjectedUntil is when it may receive work again.
+	EjectedUntil time.Time
+	// Errors is the number of errors since the last good answer.
+	Errors int
+	// Ejections is the number of ejections since the last good answer.
+	Ejections int
+	// Probes is the state of its probes.
+	Probes Probes
+
+	running []*attempt
 }
 
 // NewServer returns a backend server that is treated as cold.
-func NewServer(declared Declared) *Server {
-	return &Server{Declared: declared, Allowance: coldAllowance}
+func NewServer(address string) *Server {
+	return &Server{Declared: Declared{Address: address}, Allowance: coldAllowance}
+}
+
+// declare adopts the declared state. A backend server that returns is cold.
+func (s *Server) declare(cell caller.Cell, declared Declared) {
+	if !s.Owned || s.Leaving && !declared.Leaving {
+		s.Allowance, s.Latency, s.ObservedAt = coldAllowance, 0, time.Time{}
+		s.EjectedUntil, s.Errors, s.Ejections = time.Time{}, 0, 0
+	}
+	s.Cell, s.Declared, s.Owned = cell, declared, true
 }
 
 // Limit returns the number of attempts that may be in flight.
@@ -35,29 +81,117 @@
 	return min(s.Slots, int(s.Allowance))
 }
 
+// Serving reports whether the configuration lets it receive work.
+func (s *Server) Serving() bool {
+	return s.Owned && !s.Leaving && s.Slots > 0
+}
+
+// Ejected reports whether it receives no work for a bounded time.
+func (s *Server) Ejected(now time.Time) bool {
+	return now.Before(s.EjectedUntil)
+}
+
+// Usable reports whether it may receive work when it has a free slot.
+func (s *Server) Usable(now time.Time) bool {
+	return s.Serving() && !s.Ejected(now)
+}
+
 // Free reports whether another attempt may start.
-func (s *Server) Free() bool {
-	return !s.Leaving && s.InFlight < s.Limit()
+func (s *Server) Free(now time.Time) bool {
+	return s.InFlight < s.Limit() && s.Usable(now)
+}
+
+// Expected returns the latency to expect of the next attempt. An unconfirmed
+// latency counts less and less; an attempt that runs for longer counts at once.
+func (s *Server) Expected(now time.Time) time.Duration {
+	expected := time.Duration(float64(s.Latency) * s.confidence(now))
+	if len(s.running) > 0 {
+		expected = max(expected, now.Sub(s.running[0].started))
+	}
+
+	return expected
+}
+
+// begin adds an attempt.
+func (s *Server) begin(running *attempt) {
+	s.InFlight++
+	s.running = append(s.running, running)
+}
+
+// finish removes an attempt.
+func (s *Server) finish(running *attempt) {
+	s.InFlight--
+	s.running = slices.DeleteFunc(s.running, func(other *attempt) bool { return other == running })
 }
 
-// observe updates latency and allowance by an attempt that took the given time.
-func (s *Server) observe(result Result, took time.Duration) {
-	switch result.(type) {
+// observe updates latency, allowance and errors by an attempt that took the
+// given time. The median is the cell's.
+func (s *Server) observe(now time.Time, result Result, took, median time.Duration) {
+	switch result := result.(type) {
 	case Whole:
-		s.smooth(took)
-		s.Allowance = math.Min(s.Allowance+allowanceGrowth, float64(s.Slots))
-	case Shed, Unsent, Cut, TimedOut:
-		s.Allowance = math.Max(s.Allowance/2, coldAllowance)
+		if result.Status >= http.StatusInternalServerError {
+			s.failed(now, took, median)
+
+			return
+		}
+		s.answered(now, took, median)
+	case Shed, Cut, TimedOut:
+		s.failed(now, took, median)
+	case Unsent:
+		if !result.Local {
+			s.failed(now, took, median)
+		}
 	case Cancelled:
+		if took > s.Latency {
+			s.smooth(now, took)
+		}
 	}
 }
 
-// smooth mixes a new latency into the smoothed one.
-func (s *Server) smooth(took time.Duration) {
-	if s.Latency == 0 {
-		s.Latency = took
-
-		return
+// answered notes a good answer.
+func (s *Server) answered(now time.Time, took, median time.Duration) {
+	usual := max(s.Latency, median)
+	if usual > 0 && took > latencyJump*usual {
+		s.halve()
+	} else {
+		s.Allowance = math.Min(s.Allowance+allowanceGrowth, float64(max(s.Slots, coldAllowance)))
 	}
-	s.Latency += time.Duration(latencyWeight * float64(took-s.Latency))
+	s.Errors, s.Ejections = 0, 0
+	s.smooth(now, took)
+}
+
+// failed notes an error, which counts as a slow answer however fast it came.
+func (s *Server) failed(now time.Time, took, median time.Duration) {
+	s.halve()
+	s.Errors++
+	s.smooth(now, max(took, errorLatency*median, s.Latency))
+}
+
+// halve halves the allowance.
+func (s *Server) halve() {
+	s.Allowance = math.Max(s.Allowance/2, coldAllowance)
+}
+
+// eject keeps work away for a bounded time. The backend server is cold then.
+func (s *Server) eject(now time.Time) {
+	s.EjectedUntil = now.Add(min(ejectFor<<min(s.Ejections, 5), ejectLongest))
+	s.Ejections++
+	s.Errors = 0
+	s.Allowance = coldAllowance
+}
+
+// smooth mixes a new latency into the smoothed one, with the more weight the
+// longer the smoothed one was not confirmed.
+func (s *Server) smooth(now time.Time, took time.Duration) {
+	weight := 1 - (1-latencyWeight)*s.confidence(now)
+	s.Latency += time.Duration(weight * float64(took-s.Latency))
+	s.ObservedAt = now
+}
+
+// confidence returns the weight of the smoothed latency, which falls from 1 to 0
+// with its age.
+func (s *Server) confidence(now time.Time) float64 {
+	age := max(now.Sub(s.ObservedAt), 0)
+
+	return math.Exp(-age.Seconds() / latencyMemory.Seconds())
 }
--- /dev/null
+++ b/backendhttp/prober.go
@@ -0,0 +1,62 @@
+package backendhttp
+
+import (
+	"context"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/ring"
+)
+
+// healthPath is where a backend server answers probes.
+const healthPath = "/health"
+
+// Prober is a duty that runs one probe at a time.
+type Prober struct {
+	// Probes is the ring that the duty takes from.
+	Probes *ring.Ring[dispatch.Probe]
+	// Reports is the ring of the dispatch duty.
+	Reports *ring.Ring[dispatch.Input]
+	// Connections are shared with the senders.
+	Connections *Connections
+}
+
+// Run takes probes until the context ends.
+func (p *Prober) Run(ctx context.Context) error {
+	for {
+		probe, err := p.Probes.Take(ctx)
+		if err != nil {
+			return err
+		}
+		report := dispatch.Probed{Address: probe.Address, Healthy: p.healthy(probe)}
+		if err := p.Reports.Put(ctx, report); err != nil {
+			return err
+		}
+	}
+}
+
+// healthy reports whether the backend server answered well in time. A backend
+// server whose connections are all in use counts as healthy.
+func (p *Prober) healthy(probe dispatch.Probe) bool {
+	connection, err := p.Connections.Acquire(probe.Address)
+	if err != nil {
+		return true
+	}
+	defer p.Connections.Release(probe.Address, connection)
+	connection.reset()
+
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(healthPath)
+	request.Header.SetHost(probe.Address)
+	if err := connection.client.DoTimeout(request, response, probe.Timeout); err != nil {
+		return false
+	}
+	if err := response.CloseBodyStream(); err != nil {
+		return false
+	}
+
+	return response.StatusCode() == fasthttp.StatusOK
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -102,6 +102,14 @@
 	a.cancel()
 }
 
+// Probe asks a backend server for its health, taken by a prober.
+type Probe struct {
+	// Address is the backend server's ip:port.
+	Address string
+	// Timeout bounds the probe.
+	Timeout time.Duration
+}
+
 // Reply is what the front end gets for a call: Begun or Finished. A call has
 // exactly one reply.
 //
@@ -198,6 +206,14 @@
 	Held int
 }
 
+// Probed says how a probe ended.
+type Probed struct {
+	// Address is the backend server's ip:port.
+	Address string
+	// Healthy says that the backend server answered well in time.
+	Healthy bool
+}
+
 // Dump asks for the state of the duty.
 type Dump struct {
 	// Reply receives one reply; it must have room.
@@ -212,6 +228,7 @@
 func (Configure) input() {}
 func (Hosts) input()     {}
 func (Shares) input()    {}
+func (Probed) input()    {}
 func (Dump) input()      {}
 
 // lastCall is the newest call id of this process.
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -30,6 +30,8 @@
 	Inputs *ring.Ring[Input]
 	// Attempts is the ring that the senders take from.
 	Attempts *ring.Ring[*Attempt]
+	// Probes is the ring that the probers take from.
+	Probes *ring.Ring[Probe]
 	// Router decides where calls are placed.
 	Router *caller.Router
 	// Pool decides how placed calls are run.
@@ -45,10 +47,11 @@
 }
 
 // New returns a duty that has no configuration yet.
-func New(inputs *ring.Ring[Input], attempts *ring.Ring[*Attempt], router *caller.Router, pool *backend.Pool, log *logrus.Entry) *Duty {
+func New(inputs *ring.Ring[Input], attempts *ring.Ring[*Attempt], probes *ring.Ring[Probe], router *caller.Router, pool *backend.Pool, log *logrus.Entry) *Duty {
 	return &Duty{
 		Inputs:    inputs,
 		Attempts:  attempts,
+		Probes:    probes,
 		Router:    router,
 		Pool:      pool,
 		Log:       log,
@@ -99,8 +102,10 @@
 		d.adoptCells(now)
 	case Shares:
 		d.backend(now, backend.SharesChanged{Held: input.Held})
+	case Probed:
+		d.backend(now, backend.ProbeEnded{Address: input.Address, Healthy: input.Healthy})
 	case Dump:
-		_ = input.Reply.Offer(d.dump()) // the ring has room by contract
+		_ = input.Reply.Offer(d.dump(now)) // the ring has room by contract
 	}
 }
 
@@ -148,6 +153,7 @@
 // backend steps the pool and carries out its actions.
 func (d *Duty) backend(now time.Time, event backend.Event) {
 	var unsent []backend.AttemptID
+	var unprobed []string
 	for _, action := range d.Pool.Step(now, event) {
 		switch action := action.(type) {
 		case backend.StartAttempt:
@@ -160,12 +166,19 @@
 			d.begin(action.Call, d.answer)
 		case backend.EndCall:
 			d.endCall(action)
+		case backend.StartProbe:
+			if d.Probes.Offer(Probe{Address: action.Address, Timeout: action.Timeout}) != nil {
+				unprobed = append(unprobed, action.Address)
+			}
 		case backend.Violation:
 			d.violated(action.Violation)
 		}
 	}
+	for _, address := range unprobed {
+		d.backend(now, backend.ProbeEnded{Address: address, Healthy: true}) // nothing was learned
+	}
 	for _, id := range unsent {
-		d.ended(now, Ended{Attempt: d.attempts[id], Result: backend.Unsent{Cause: &ring.FullError{
+		d.ended(now, Ended{Attempt: d.attempts[id], Result: backend.Unsent{Local: true, Cause: &ring.FullError{
 			Ring: d.Attempts.Name, Capacity: d.Attempts.Capacity(),
 		}}})
 	}
@@ -280,6 +293,10 @@
 
 // adoptCells tells the pool which cells this host owns.
 func (d *Duty) adoptCells(now time.Time) {
+	rates := map[string]int{}
+	for _, service := range d.configuration.Services {
+		rates[service.Name] = service.ProbeRateMilli
+	}
 	cells := map[caller.Cell][]backend.Declared{}
 	for _, cell := range d.Router.Owned() {
 		cells[cell] = nil
@@ -288,7 +305,7 @@
 		cell := caller.Cell{Service: server.Service, DataCentre: server.DataCentre}
 		if _, owned := cells[cell]; owned {
 			cells[cell] = append(cells[cell], backend.Declared{
-				Address: server.Address, Slots: server.Slots, Leaving: server.Leaving,
+				Address: server.Address, Slots: server.Slots, Leaving: server.Leaving, ProbeRateMilli: rates[server.Service],
 			})
 		}
 	}
@@ -296,7 +313,7 @@
 }
 
 // dump describes every routable cell and the state of the owned ones.
-func (d *Duty) dump() []schema.CellDump {
+func (d *Duty) dump(now time.Time) []schema.CellDump {
 	dumps := []schema.CellDump{}
 	for _, service := range d.configuration.Services {
 		for _, dataCentre := range d.configuration.DataCentres {
@@ -308,8 +325,8 @@
 			dump := schema.CellDump{Service: cell.Service, DataCentre: cell.DataCentre, Owner: owner}
 			dump.BackendServers = []schema.BackendServerDump{}
 			if state, ok := d.Pool.Cells[cell]; ok {
-				dump.Queued = len(state.Queue)
-				dump.BackendServers = dumpServers(state.Servers)
+				dump.Queued = state.Queue.Len()
+				dump.BackendServers = dumpServers(now, state.Servers)
 			}
 			dumps = append(dumps, dump)
 		}
@@ -319,7 +336,7 @@
 }
 
 // dumpServers describes backend servers in the order of their addresses.
-func dumpServers(servers []*backend.Server) []schema.BackendServerDump {
+func dumpServers(now time.Time, servers []*backend.Server) []schema.BackendServerDump {
 	dumps := make([]schema.BackendServerDump, 0, len(servers))
 	for _, server := range servers {
 		dumps = append(dumps, schema.BackendServerDump{
@@ -328,6 +345,7 @@
 			InFlight:  server.InFlight,
 			Allowance: server.Allowance,
 			LatencyUs: int(server.Latency.Microseconds()),
+			Ejected:   server.Ejected(now),
 		})
 	}
 	slices.SortFunc(dumps, func(a, b schema.BackendServerDump) int {
--- a/host/dump.go
+++ b/host/dump.go
@@ -47,7 +47,7 @@
 // rings describes the rings between duties.
 func (h *Host) rings() []schema.RingDump {
 	return []schema.RingDump{
-		describe(h.dispatch), describe(h.attempts), describe(h.peers), describe(h.exchanges),
+		describe(h.dispatch), describe(h.attempts), describe(h.probes), describe(h.peers), describe(h.exchanges),
 		describe(h.requests), describe(h.configurations), describe(h.changes), describe(h.dumps),
 	}
 }
--- a/host/host.go
+++ b/host/host.go
@@ -36,6 +36,9 @@
 	platformTimeout = 2 * time.Second
 	// addressConnections bounds this host's connections to one address.
 	addressConnections = 64
+	// probers is the number of prober duties, each of which runs one probe at a
+	// time.
+	probers = 4
 )
 
 // Host is an entry host with its rings.
@@ -49,6 +52,7 @@
 
 	dispatch       *ring.Ring[dispatch.Input]
 	attempts       *ring.Ring[*dispatch.Attempt]
+	probes         *ring.Ring[dispatch.Probe]
 	peers          *ring.Ring[peerInput]
 	exchanges      *ring.Ring[peer.Action]
 	requests       *ring.Ring[peerrpc.Request]
@@ -101,6 +105,7 @@
 		},
 		dispatch:       ring.New[dispatch.Input]("dispatch", settings.DispatchRing),
 		attempts:       ring.New[*dispatch.Attempt]("senders", settings.Senders),
+		probes:         ring.New[dispatch.Probe]("probers", controlRing),
 		peers:          ring.New[peerInput]("peers", controlRing),
 		exchanges:      ring.New[peer.Action]("exchanges", controlRing),
 		requests:       ring.New[peerrpc.Request]("peer_requests", controlRing),
@@ -161,13 +166,18 @@
 
 	duties := group.New(ctx)
 	router := caller.NewRouter(h.Self.Name, h.Settings.AnswerKeep)
-	pool := backend.NewPool(h.Settings.QueueLength)
-	duties.Go("dispatch", dispatch.New(h.dispatch, h.attempts, router, pool, h.Log).Run)
+	pool := backend.NewPool(backend.Options{
+		QueueLength: h.Settings.QueueLength, Hosts: h.Settings.ConfiguredHosts, Seed: h.seed,
+	})
+	duties.Go("dispatch", dispatch.New(h.dispatch, h.attempts, h.probes, router, pool, h.Log).Run)
 	connections := backendhttp.NewConnections(addressConnections)
 	for range h.Settings.Senders {
 		sender := &backendhttp.Sender{Attempts: h.attempts, Reports: h.dispatch, Connections: connections}
 		duties.Go("sender", sender.Run)
 	}
+	for range probers {
+		duties.Go("prober", (&backendhttp.Prober{Probes: h.probes, Reports: h.dispatch, Connections: connections}).Run)
+	}
 	duties.Go("configuration", h.runConfiguration)
 	duties.Go("peers", h.runPeers)
 	duties.Go("exchanges", h.runExchanges)
