--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zf88ce922limitArrays = 1048576
+	zf88ce922limitMaps   = 64
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *AskAnswer) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -31,6 +41,10 @@
 				err = msgp.WrapError(err, "Addresses")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Addresses) >= int(zb0002) {
 				z.Addresses = (z.Addresses)[:zb0002]
 			} else {
@@ -176,6 +190,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -191,6 +209,10 @@
 				err = msgp.WrapError(err, "Addresses")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Addresses) >= int(zb0002) {
 				z.Addresses = (z.Addresses)[:zb0002]
 			} else {
@@ -259,6 +281,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -358,6 +384,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -412,6 +442,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -568,6 +602,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -640,6 +678,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -796,6 +838,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -858,6 +904,142 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *CallInterval) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "calls":
+			z.Calls, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "from_ms":
+			z.FromMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "FromMs")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z CallInterval) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "calls"
+	err = en.Append(0x82, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	// write "from_ms"
+	err = en.Append(0xa7, 0x66, 0x72, 0x6f, 0x6d, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.FromMs)
+	if err != nil {
+		err = msgp.WrapError(err, "FromMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z CallInterval) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "calls"
+	o = append(o, 0x82, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	o = msgp.AppendInt(o, z.Calls)
+	// string "from_ms"
+	o = append(o, 0xa7, 0x66, 0x72, 0x6f, 0x6d, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.FromMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CallInterval) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "calls":
+			z.Calls, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "from_ms":
+			z.FromMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FromMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CallInterval) Msgsize() (s int) {
+	s = 1 + 6 + msgp.IntSize + 8 + msgp.IntSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *CellDump) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -868,6 +1050,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -883,6 +1069,10 @@
 				err = msgp.WrapError(err, "BackendServers")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.BackendServers) >= int(zb0002) {
 				z.BackendServers = (z.BackendServers)[:zb0002]
 			} else {
@@ -1032,6 +1222,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1047,6 +1241,10 @@
 				err = msgp.WrapError(err, "BackendServers")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.BackendServers) >= int(zb0002) {
 				z.BackendServers = (z.BackendServers)[:zb0002]
 			} else {
@@ -1105,6 +1303,142 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ChangeRecord) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "change_id":
+			z.ChangeID, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "ChangeID")
+				return
+			}
+		case "sheet_checksum":
+			z.SheetChecksum, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "SheetChecksum")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ChangeRecord) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "change_id"
+	err = en.Append(0x82, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ChangeID)
+	if err != nil {
+		err = msgp.WrapError(err, "ChangeID")
+		return
+	}
+	// write "sheet_checksum"
+	err = en.Append(0xae, 0x73, 0x68, 0x65, 0x65, 0x74, 0x5f, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x73, 0x75, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.SheetChecksum)
+	if err != nil {
+		err = msgp.WrapError(err, "SheetChecksum")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ChangeRecord) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "change_id"
+	o = append(o, 0x82, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
+	o = msgp.AppendString(o, z.ChangeID)
+	// string "sheet_checksum"
+	o = append(o, 0xae, 0x73, 0x68, 0x65, 0x65, 0x74, 0x5f, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x73, 0x75, 0x6d)
+	o = msgp.AppendString(o, z.SheetChecksum)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ChangeRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "change_id":
+			z.ChangeID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ChangeID")
+				return
+			}
+		case "sheet_checksum":
+			z.SheetChecksum, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SheetChecksum")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ChangeRecord) Msgsize() (s int) {
+	s = 1 + 10 + msgp.StringPrefixSize + len(z.ChangeID) + 15 + msgp.StringPrefixSize + len(z.SheetChecksum)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *ChangeResult) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -1115,6 +1449,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1214,6 +1552,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1268,6 +1610,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1283,6 +1629,10 @@
 				err = msgp.WrapError(err, "BackendServers")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.BackendServers) >= int(zb0002) {
 				z.BackendServers = (z.BackendServers)[:zb0002]
 			} else {
@@ -1308,100 +1658,135 @@
 				err = msgp.WrapError(err, "DataCentres")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.DataCentres) >= int(zb0003) {
 				z.DataCentres = (z.DataCentres)[:zb0003]
 			} else {
 				z.DataCentres = make([]DataCentre, zb0003)
 			}
 			for za0002 := range z.DataCentres {
-				var zb0004 uint32
-				zb0004, err = dc.ReadMapHeader()
+				err = z.DataCentres[za0002].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "DataCentres", za0002)
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
+			}
+		case "day":
+			z.Day, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Day")
+				return
+			}
+		case "planned_stops":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "PlannedStops")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.PlannedStops) >= int(zb0004) {
+				z.PlannedStops = (z.PlannedStops)[:zb0004]
+			} else {
+				z.PlannedStops = make([]PlannedStop, zb0004)
+			}
+			for za0003 := range z.PlannedStops {
+				var zb0005 uint32
+				zb0005, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "PlannedStops", za0003)
+					return
+				}
+				if zb0005 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "DataCentres", za0002)
+						err = msgp.WrapError(err, "PlannedStops", za0003)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "name":
-						z.DataCentres[za0002].Name, err = dc.ReadString()
+					case "at_ms":
+						z.PlannedStops[za0003].AtMs, err = dc.ReadInt()
 						if err != nil {
-							err = msgp.WrapError(err, "DataCentres", za0002, "Name")
+							err = msgp.WrapError(err, "PlannedStops", za0003, "AtMs")
 							return
 						}
-					case "state":
-						{
-							var zb0005 string
-							zb0005, err = dc.ReadString()
-							if err != nil {
-								err = msgp.WrapError(err, "DataCentres", za0002, "State")
-								return
-							}
-							z.DataCentres[za0002].State = DataCentreState(zb0005)
+					case "host":
+						z.PlannedStops[za0003].Host, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "PlannedStops", za0003, "Host")
+							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "DataCentres", za0002)
+							err = msgp.WrapError(err, "PlannedStops", za0003)
 							return
 						}
 					}
 				}
 			}
-		case "day":
-			z.Day, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Day")
-				return
-			}
-		case "planned_stops":
+		case "recent_changes":
 			var zb0006 uint32
 			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "PlannedStops")
+				err = msgp.WrapError(err, "RecentChanges")
+				return
+			}
+			if zb0006 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.PlannedStops) >= int(zb0006) {
-				z.PlannedStops = (z.PlannedStops)[:zb0006]
+			if cap(z.RecentChanges) >= int(zb0006) {
+				z.RecentChanges = (z.RecentChanges)[:zb0006]
 			} else {
-				z.PlannedStops = make([]PlannedStop, zb0006)
+				z.RecentChanges = make([]ChangeRecord, zb0006)
 			}
-			for za0003 := range z.PlannedStops {
+			for za0004 := range z.RecentChanges {
 				var zb0007 uint32
 				zb0007, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "PlannedStops", za0003)
+					err = msgp.WrapError(err, "RecentChanges", za0004)
+					return
+				}
+				if zb0007 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
 					return
 				}
 				for zb0007 > 0 {
 					zb0007--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "PlannedStops", za0003)
+						err = msgp.WrapError(err, "RecentChanges", za0004)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "at_ms":
-						z.PlannedStops[za0003].AtMs, err = dc.ReadInt()
+					case "change_id":
+						z.RecentChanges[za0004].ChangeID, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "PlannedStops", za0003, "AtMs")
+							err = msgp.WrapError(err, "RecentChanges", za0004, "ChangeID")
 							return
 						}
-					case "host":
-						z.PlannedStops[za0003].Host, err = dc.ReadString()
+					case "sheet_checksum":
+						z.RecentChanges[za0004].SheetChecksum, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "PlannedStops", za0003, "Host")
+							err = msgp.WrapError(err, "RecentChanges", za0004, "SheetChecksum")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "PlannedStops", za0003)
+							err = msgp.WrapError(err, "RecentChanges", za0004)
 							return
 						}
 					}
@@ -1414,48 +1799,56 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0008 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0008) {
 				z.Services = (z.Services)[:zb0008]
 			} else {
 				z.Services = make([]Service, zb0008)
 			}
-			for za0004 := range z.Services {
+			for za0005 := range z.Services {
 				var zb0009 uint32
 				zb0009, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Services", za0004)
+					err = msgp.WrapError(err, "Services", za0005)
+					return
+				}
+				if zb0009 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
 					return
 				}
 				for zb0009 > 0 {
 					zb0009--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "Services", za0004)
+						err = msgp.WrapError(err, "Services", za0005)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "idempotent":
-						z.Services[za0004].Idempotent, err = dc.ReadBool()
+						z.Services[za0005].Idempotent, err = dc.ReadBool()
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004, "Idempotent")
+							err = msgp.WrapError(err, "Services", za0005, "Idempotent")
 							return
 						}
 					case "name":
-						z.Services[za0004].Name, err = dc.ReadString()
+						z.Services[za0005].Name, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004, "Name")
+							err = msgp.WrapError(err, "Services", za0005, "Name")
 							return
 						}
 					case "probe_rate_milli":
-						z.Services[za0004].ProbeRateMilli, err = dc.ReadInt()
+						z.Services[za0005].ProbeRateMilli, err = dc.ReadInt()
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004, "ProbeRateMilli")
+							err = msgp.WrapError(err, "Services", za0005, "ProbeRateMilli")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004)
+							err = msgp.WrapError(err, "Services", za0005)
 							return
 						}
 					}
@@ -1480,9 +1873,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Configuration) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 8
 	// write "backend_servers"
-	err = en.Append(0x87, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
+	err = en.Append(0x88, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
 	if err != nil {
 		return
 	}
@@ -1519,25 +1912,9 @@
 		return
 	}
 	for za0002 := range z.DataCentres {
-		// map header, size 2
-		// write "name"
-		err = en.Append(0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+		err = z.DataCentres[za0002].EncodeMsg(en)
 		if err != nil {
-			return
-		}
-		err = en.WriteString(z.DataCentres[za0002].Name)
-		if err != nil {
-			err = msgp.WrapError(err, "DataCentres", za0002, "Name")
-			return
-		}
-		// write "state"
-		err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(string(z.DataCentres[za0002].State))
-		if err != nil {
-			err = msgp.WrapError(err, "DataCentres", za0002, "State")
+			err = msgp.WrapError(err, "DataCentres", za0002)
 			return
 		}
 	}
@@ -1584,6 +1961,39 @@
 			return
 		}
 	}
+	// write "recent_changes"
+	err = en.Append(0xae, 0x72, 0x65, 0x63, 0x65, 0x6e, 0x74, 0x5f, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.RecentChanges)))
+	if err != nil {
+		err = msgp.WrapError(err, "RecentChanges")
+		return
+	}
+	for za0004 := range z.RecentChanges {
+		// map header, size 2
+		// write "change_id"
+		err = en.Append(0x82, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.RecentChanges[za0004].ChangeID)
+		if err != nil {
+			err = msgp.WrapError(err, "RecentChanges", za0004, "ChangeID")
+			return
+		}
+		// write "sheet_checksum"
+		err = en.Append(0xae, 0x73, 0x68, 0x65, 0x65, 0x74, 0x5f, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x73, 0x75, 0x6d)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.RecentChanges[za0004].SheetChecksum)
+		if err != nil {
+			err = msgp.WrapError(err, "RecentChanges", za0004, "SheetChecksum")
+			return
+		}
+	}
 	// write "services"
 	err = en.Append(0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
 	if err != nil {
@@ -1594,16 +2004,16 @@
 		err = msgp.WrapError(err, "Services")
 		return
 	}
-	for za0004 := range z.Services {
+	for za0005 := range z.Services {
 		// map header, size 3
 		// write "idempotent"
 		err = en.Append(0x83, 0xaa, 0x69, 0x64, 0x65, 0x6d, 0x70, 0x6f, 0x74, 0x65, 0x6e, 0x74)
 		if err != nil {
 			return
 		}
-		err = en.WriteBool(z.Services[za0004].Idempotent)
+		err = en.WriteBool(z.Services[za0005].Idempotent)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0004, "Idempotent")
+			err = msgp.WrapError(err, "Services", za0005, "Idempotent")
 			return
 		}
 		// write "name"
@@ -1611,9 +2021,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Services[za0004].Name)
+		err = en.WriteString(z.Services[za0005].Name)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0004, "Name")
+			err = msgp.WrapError(err, "Services", za0005, "Name")
 			return
 		}
 		// write "probe_rate_milli"
@@ -1621,9 +2031,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteInt(z.Services[za0004].ProbeRateMilli)
+		err = en.WriteInt(z.Services[za0005].ProbeRateMilli)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0004, "ProbeRateMilli")
+			err = msgp.WrapError(err, "Services", za0005, "ProbeRateMilli")
 			return
 		}
 	}
@@ -1643,9 +2053,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Configuration) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "backend_servers"
-	o = append(o, 0x87, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
+	o = append(o, 0x88, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.BackendServers)))
 	for za0001 := range z.BackendServers {
 		o, err = z.BackendServers[za0001].MarshalMsg(o)
@@ -1661,13 +2071,11 @@
 	o = append(o, 0xac, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.DataCentres)))
 	for za0002 := range z.DataCentres {
-		// map header, size 2
-		// string "name"
-		o = append(o, 0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
-		o = msgp.AppendString(o, z.DataCentres[za0002].Name)
-		// string "state"
-		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-		o = msgp.AppendString(o, string(z.DataCentres[za0002].State))
+		o, err = z.DataCentres[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "DataCentres", za0002)
+			return
+		}
 	}
 	// string "day"
 	o = append(o, 0xa3, 0x64, 0x61, 0x79)
@@ -1684,20 +2092,32 @@
 		o = append(o, 0xa4, 0x68, 0x6f, 0x73, 0x74)
 		o = msgp.AppendString(o, z.PlannedStops[za0003].Host)
 	}
+	// string "recent_changes"
+	o = append(o, 0xae, 0x72, 0x65, 0x63, 0x65, 0x6e, 0x74, 0x5f, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.RecentChanges)))
+	for za0004 := range z.RecentChanges {
+		// map header, size 2
+		// string "change_id"
+		o = append(o, 0x82, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
+		o = msgp.AppendString(o, z.RecentChanges[za0004].ChangeID)
+		// string "sheet_checksum"
+		o = append(o, 0xae, 0x73, 0x68, 0x65, 0x65, 0x74, 0x5f, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x73, 0x75, 0x6d)
+		o = msgp.AppendString(o, z.RecentChanges[za0004].SheetChecksum)
+	}
 	// string "services"
 	o = append(o, 0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
-	for za0004 := range z.Services {
+	for za0005 := range z.Services {
 		// map header, size 3
 		// string "idempotent"
 		o = append(o, 0x83, 0xaa, 0x69, 0x64, 0x65, 0x6d, 0x70, 0x6f, 0x74, 0x65, 0x6e, 0x74)
-		o = msgp.AppendBool(o, z.Services[za0004].Idempotent)
+		o = msgp.AppendBool(o, z.Services[za0005].Idempotent)
 		// string "name"
 		o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
-		o = msgp.AppendString(o, z.Services[za0004].Name)
+		o = msgp.AppendString(o, z.Services[za0005].Name)
 		// string "probe_rate_milli"
 		o = append(o, 0xb0, 0x70, 0x72, 0x6f, 0x62, 0x65, 0x5f, 0x72, 0x61, 0x74, 0x65, 0x5f, 0x6d, 0x69, 0x6c, 0x6c, 0x69)
-		o = msgp.AppendInt(o, z.Services[za0004].ProbeRateMilli)
+		o = msgp.AppendInt(o, z.Services[za0005].ProbeRateMilli)
 	}
 	// string "version"
 	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
@@ -1715,6 +2135,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1730,6 +2154,10 @@
 				err = msgp.WrapError(err, "BackendServers")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.BackendServers) >= int(zb0002) {
 				z.BackendServers = (z.BackendServers)[:zb0002]
 			} else {
@@ -1755,100 +2183,135 @@
 				err = msgp.WrapError(err, "DataCentres")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.DataCentres) >= int(zb0003) {
 				z.DataCentres = (z.DataCentres)[:zb0003]
 			} else {
 				z.DataCentres = make([]DataCentre, zb0003)
 			}
 			for za0002 := range z.DataCentres {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.DataCentres[za0002].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "DataCentres", za0002)
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
+			}
+		case "day":
+			z.Day, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Day")
+				return
+			}
+		case "planned_stops":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PlannedStops")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.PlannedStops) >= int(zb0004) {
+				z.PlannedStops = (z.PlannedStops)[:zb0004]
+			} else {
+				z.PlannedStops = make([]PlannedStop, zb0004)
+			}
+			for za0003 := range z.PlannedStops {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "PlannedStops", za0003)
+					return
+				}
+				if zb0005 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "DataCentres", za0002)
+						err = msgp.WrapError(err, "PlannedStops", za0003)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "name":
-						z.DataCentres[za0002].Name, bts, err = msgp.ReadStringBytes(bts)
+					case "at_ms":
+						z.PlannedStops[za0003].AtMs, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "DataCentres", za0002, "Name")
+							err = msgp.WrapError(err, "PlannedStops", za0003, "AtMs")
 							return
 						}
-					case "state":
-						{
-							var zb0005 string
-							zb0005, bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "DataCentres", za0002, "State")
-								return
-							}
-							z.DataCentres[za0002].State = DataCentreState(zb0005)
+					case "host":
+						z.PlannedStops[za0003].Host, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "PlannedStops", za0003, "Host")
+							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "DataCentres", za0002)
+							err = msgp.WrapError(err, "PlannedStops", za0003)
 							return
 						}
 					}
 				}
 			}
-		case "day":
-			z.Day, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Day")
-				return
-			}
-		case "planned_stops":
+		case "recent_changes":
 			var zb0006 uint32
 			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "PlannedStops")
+				err = msgp.WrapError(err, "RecentChanges")
 				return
 			}
-			if cap(z.PlannedStops) >= int(zb0006) {
-				z.PlannedStops = (z.PlannedStops)[:zb0006]
+			if zb0006 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.RecentChanges) >= int(zb0006) {
+				z.RecentChanges = (z.RecentChanges)[:zb0006]
 			} else {
-				z.PlannedStops = make([]PlannedStop, zb0006)
+				z.RecentChanges = make([]ChangeRecord, zb0006)
 			}
-			for za0003 := range z.PlannedStops {
+			for za0004 := range z.RecentChanges {
 				var zb0007 uint32
 				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "PlannedStops", za0003)
+					err = msgp.WrapError(err, "RecentChanges", za0004)
+					return
+				}
+				if zb0007 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
 					return
 				}
 				for zb0007 > 0 {
 					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "PlannedStops", za0003)
+						err = msgp.WrapError(err, "RecentChanges", za0004)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "at_ms":
-						z.PlannedStops[za0003].AtMs, bts, err = msgp.ReadIntBytes(bts)
+					case "change_id":
+						z.RecentChanges[za0004].ChangeID, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "PlannedStops", za0003, "AtMs")
+							err = msgp.WrapError(err, "RecentChanges", za0004, "ChangeID")
 							return
 						}
-					case "host":
-						z.PlannedStops[za0003].Host, bts, err = msgp.ReadStringBytes(bts)
+					case "sheet_checksum":
+						z.RecentChanges[za0004].SheetChecksum, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "PlannedStops", za0003, "Host")
+							err = msgp.WrapError(err, "RecentChanges", za0004, "SheetChecksum")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "PlannedStops", za0003)
+							err = msgp.WrapError(err, "RecentChanges", za0004)
 							return
 						}
 					}
@@ -1861,48 +2324,56 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0008 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0008) {
 				z.Services = (z.Services)[:zb0008]
 			} else {
 				z.Services = make([]Service, zb0008)
 			}
-			for za0004 := range z.Services {
+			for za0005 := range z.Services {
 				var zb0009 uint32
 				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Services", za0004)
+					err = msgp.WrapError(err, "Services", za0005)
+					return
+				}
+				if zb0009 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
 					return
 				}
 				for zb0009 > 0 {
 					zb0009--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Services", za0004)
+						err = msgp.WrapError(err, "Services", za0005)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "idempotent":
-						z.Services[za0004].Idempotent, bts, err = msgp.ReadBoolBytes(bts)
+						z.Services[za0005].Idempotent, bts, err = msgp.ReadBoolBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004, "Idempotent")
+							err = msgp.WrapError(err, "Services", za0005, "Idempotent")
 							return
 						}
 					case "name":
-						z.Services[za0004].Name, bts, err = msgp.ReadStringBytes(bts)
+						z.Services[za0005].Name, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004, "Name")
+							err = msgp.WrapError(err, "Services", za0005, "Name")
 							return
 						}
 					case "probe_rate_milli":
-						z.Services[za0004].ProbeRateMilli, bts, err = msgp.ReadIntBytes(bts)
+						z.Services[za0005].ProbeRateMilli, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004, "ProbeRateMilli")
+							err = msgp.WrapError(err, "Services", za0005, "ProbeRateMilli")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Services", za0004)
+							err = msgp.WrapError(err, "Services", za0005)
 							return
 						}
 					}
@@ -1934,15 +2405,19 @@
 	}
 	s += 10 + msgp.StringPrefixSize + len(z.ChangeID) + 13 + msgp.ArrayHeaderSize
 	for za0002 := range z.DataCentres {
-		s += 1 + 5 + msgp.StringPrefixSize + len(z.DataCentres[za0002].Name) + 6 + msgp.StringPrefixSize + len(string(z.DataCentres[za0002].State))
+		s += z.DataCentres[za0002].Msgsize()
 	}
 	s += 4 + msgp.StringPrefixSize + len(z.Day) + 14 + msgp.ArrayHeaderSize
 	for za0003 := range z.PlannedStops {
 		s += 1 + 6 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.PlannedStops[za0003].Host)
 	}
+	s += 15 + msgp.ArrayHeaderSize
+	for za0004 := range z.RecentChanges {
+		s += 1 + 10 + msgp.StringPrefixSize + len(z.RecentChanges[za0004].ChangeID) + 15 + msgp.StringPrefixSize + len(z.RecentChanges[za0004].SheetChecksum)
+	}
 	s += 9 + msgp.ArrayHeaderSize
-	for za0004 := range z.Services {
-		s += 1 + 11 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Services[za0004].Name) + 17 + msgp.IntSize
+	for za0005 := range z.Services {
+		s += 1 + 11 + msgp.BoolSize + 5 + msgp.StringPrefixSize + len(z.Services[za0005].Name) + 17 + msgp.IntSize
 	}
 	s += 8 + msgp.IntSize
 	return
@@ -1958,6 +2433,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2019,6 +2498,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2061,6 +2544,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2069,6 +2556,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "change_id":
+			z.ChangeID, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "ChangeID")
+				return
+			}
 		case "name":
 			z.Name, err = dc.ReadString()
 			if err != nil {
@@ -2098,9 +2591,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z DataCentre) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
+	// write "change_id"
+	err = en.Append(0x83, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ChangeID)
+	if err != nil {
+		err = msgp.WrapError(err, "ChangeID")
+		return
+	}
 	// write "name"
-	err = en.Append(0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
 	if err != nil {
 		return
 	}
@@ -2125,9 +2628,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z DataCentre) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
+	// string "change_id"
+	o = append(o, 0x83, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
+	o = msgp.AppendString(o, z.ChangeID)
 	// string "name"
-	o = append(o, 0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
 	o = msgp.AppendString(o, z.Name)
 	// string "state"
 	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
@@ -2145,6 +2651,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2153,6 +2663,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "change_id":
+			z.ChangeID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ChangeID")
+				return
+			}
 		case "name":
 			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -2183,7 +2699,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z DataCentre) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.StringPrefixSize + len(string(z.State))
+	s = 1 + 10 + msgp.StringPrefixSize + len(z.ChangeID) + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.StringPrefixSize + len(string(z.State))
 	return
 }
 
@@ -2241,88 +2757,132 @@
 
 // DecodeMsg implements msgp.Decodable
 func (z *Digest) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "configuration_version":
-			z.ConfigurationVersion, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "ConfigurationVersion")
-				return
-			}
-		case "hosts":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Hosts")
-				return
-			}
-			if cap(z.Hosts) >= int(zb0002) {
-				z.Hosts = (z.Hosts)[:zb0002]
-			} else {
-				z.Hosts = make([]Host, zb0002)
-			}
-			for za0001 := range z.Hosts {
-				err = z.Hosts[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Hosts", za0001)
-					return
-				}
-			}
-		case "overrides":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Overrides")
-				return
-			}
-			if cap(z.Overrides) >= int(zb0003) {
-				z.Overrides = (z.Overrides)[:zb0003]
-			} else {
-				z.Overrides = make([]Override, zb0003)
-			}
-			for za0002 := range z.Overrides {
-				err = z.Overrides[za0002].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Overrides", za0002)
-					return
-				}
-			}
-		case "sender":
-			err = z.Sender.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "Sender")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.ConfigurationVersion, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigurationVersion")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Heartbeats")
+		return
+	}
+	if zb0002 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Heartbeats) >= int(zb0002) {
+		z.Heartbeats = (z.Heartbeats)[:zb0002]
+	} else {
+		z.Heartbeats = make([]Heartbeat, zb0002)
+	}
+	for za0001 := range z.Heartbeats {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001)
+			return
+		}
+		if zb0003 > zf88ce922limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Heartbeats[za0001].Counter, err = dc.ReadInt()
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "Counter")
+			return
+		}
+		z.Heartbeats[za0001].HostHash, err = dc.ReadInt()
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "HostHash")
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Hosts")
+		return
+	}
+	if zb0004 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Hosts) >= int(zb0004) {
+		z.Hosts = (z.Hosts)[:zb0004]
+	} else {
+		z.Hosts = make([]Host, zb0004)
+	}
+	for za0002 := range z.Hosts {
+		err = z.Hosts[za0002].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Hosts", za0002)
+			return
+		}
+	}
+	z.LendsForMs, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "LendsForMs")
+		return
+	}
+	var zb0005 uint32
+	zb0005, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Overrides")
+		return
+	}
+	if zb0005 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Overrides) >= int(zb0005) {
+		z.Overrides = (z.Overrides)[:zb0005]
+	} else {
+		z.Overrides = make([]Override, zb0005)
+	}
+	for za0003 := range z.Overrides {
+		err = z.Overrides[za0003].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Overrides", za0003)
+			return
 		}
 	}
+	err = z.Sender.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Sender")
+		return
+	}
+	z.ViewHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "ViewHash")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Digest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "configuration_version"
-	err = en.Append(0x84, 0xb5, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -2331,26 +2891,43 @@
 		err = msgp.WrapError(err, "ConfigurationVersion")
 		return
 	}
-	// write "hosts"
-	err = en.Append(0xa5, 0x68, 0x6f, 0x73, 0x74, 0x73)
+	err = en.WriteArrayHeader(uint32(len(z.Heartbeats)))
 	if err != nil {
+		err = msgp.WrapError(err, "Heartbeats")
 		return
 	}
+	for za0001 := range z.Heartbeats {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Heartbeats[za0001].Counter)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "Counter")
+			return
+		}
+		err = en.WriteInt(z.Heartbeats[za0001].HostHash)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "HostHash")
+			return
+		}
+	}
 	err = en.WriteArrayHeader(uint32(len(z.Hosts)))
 	if err != nil {
 		err = msgp.WrapError(err, "Hosts")
 		return
 	}
-	for za0001 := range z.Hosts {
-		err = z.Hosts[za0001].EncodeMsg(en)
+	for za0002 := range z.Hosts {
+		err = z.Hosts[za0002].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Hosts", za0001)
+			err = msgp.WrapError(err, "Hosts", za0002)
 			return
 		}
 	}
-	// write "overrides"
-	err = en.Append(0xa9, 0x6f, 0x76, 0x65, 0x72, 0x72, 0x69, 0x64, 0x65, 0x73)
+	err = en.WriteInt(z.LendsForMs)
 	if err != nil {
+		err = msgp.WrapError(err, "LendsForMs")
 		return
 	}
 	err = en.WriteArrayHeader(uint32(len(z.Overrides)))
@@ -2358,21 +2935,21 @@
 		err = msgp.WrapError(err, "Overrides")
 		return
 	}
-	for za0002 := range z.Overrides {
-		err = z.Overrides[za0002].EncodeMsg(en)
+	for za0003 := range z.Overrides {
+		err = z.Overrides[za0003].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Overrides", za0002)
+			err = msgp.WrapError(err, "Overrides", za0003)
 			return
 		}
 	}
-	// write "sender"
-	err = en.Append(0xa6, 0x73, 0x65, 0x6e, 0x64, 0x65, 0x72)
+	err = z.Sender.EncodeMsg(en)
 	if err != nil {
+		err = msgp.WrapError(err, "Sender")
 		return
 	}
-	err = z.Sender.EncodeMsg(en)
+	err = en.WriteInt(z.ViewHash)
 	if err != nil {
-		err = msgp.WrapError(err, "Sender")
+		err = msgp.WrapError(err, "ViewHash")
 		return
 	}
 	return
@@ -2381,166 +2958,213 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Digest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "configuration_version"
-	o = append(o, 0x84, 0xb5, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendInt(o, z.ConfigurationVersion)
-	// string "hosts"
-	o = append(o, 0xa5, 0x68, 0x6f, 0x73, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Heartbeats)))
+	for za0001 := range z.Heartbeats {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendInt(o, z.Heartbeats[za0001].Counter)
+		o = msgp.AppendInt(o, z.Heartbeats[za0001].HostHash)
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Hosts)))
-	for za0001 := range z.Hosts {
-		o, err = z.Hosts[za0001].MarshalMsg(o)
+	for za0002 := range z.Hosts {
+		o, err = z.Hosts[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Hosts", za0001)
+			err = msgp.WrapError(err, "Hosts", za0002)
 			return
 		}
 	}
-	// string "overrides"
-	o = append(o, 0xa9, 0x6f, 0x76, 0x65, 0x72, 0x72, 0x69, 0x64, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.LendsForMs)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Overrides)))
-	for za0002 := range z.Overrides {
-		o, err = z.Overrides[za0002].MarshalMsg(o)
+	for za0003 := range z.Overrides {
+		o, err = z.Overrides[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Overrides", za0002)
+			err = msgp.WrapError(err, "Overrides", za0003)
 			return
 		}
 	}
-	// string "sender"
-	o = append(o, 0xa6, 0x73, 0x65, 0x6e, 0x64, 0x65, 0x72)
 	o, err = z.Sender.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Sender")
 		return
 	}
+	o = msgp.AppendInt(o, z.ViewHash)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Digest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.ConfigurationVersion, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigurationVersion")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Heartbeats")
+		return
+	}
+	if zb0002 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Heartbeats) >= int(zb0002) {
+		z.Heartbeats = (z.Heartbeats)[:zb0002]
+	} else {
+		z.Heartbeats = make([]Heartbeat, zb0002)
+	}
+	for za0001 := range z.Heartbeats {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Heartbeats[za0001].Counter, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "Counter")
+			return
+		}
+		z.Heartbeats[za0001].HostHash, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "HostHash")
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Hosts")
+		return
+	}
+	if zb0004 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Hosts) >= int(zb0004) {
+		z.Hosts = (z.Hosts)[:zb0004]
+	} else {
+		z.Hosts = make([]Host, zb0004)
+	}
+	for za0002 := range z.Hosts {
+		bts, err = z.Hosts[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Hosts", za0002)
+			return
+		}
+	}
+	z.LendsForMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LendsForMs")
+		return
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Overrides")
+		return
+	}
+	if zb0005 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Overrides) >= int(zb0005) {
+		z.Overrides = (z.Overrides)[:zb0005]
+	} else {
+		z.Overrides = make([]Override, zb0005)
+	}
+	for za0003 := range z.Overrides {
+		bts, err = z.Overrides[za0003].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Overrides", za0003)
+			return
+		}
+	}
+	bts, err = z.Sender.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sender")
+		return
+	}
+	z.ViewHash, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ViewHash")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Digest) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.ArrayHeaderSize + (len(z.Heartbeats) * (19 + msgp.IntSize + msgp.IntSize)) + msgp.ArrayHeaderSize
+	for za0002 := range z.Hosts {
+		s += z.Hosts[za0002].Msgsize()
+	}
+	s += msgp.IntSize + msgp.ArrayHeaderSize
+	for za0003 := range z.Overrides {
+		s += z.Overrides[za0003].Msgsize()
+	}
+	s += z.Sender.Msgsize() + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Dump) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+		field, err = dc.ReadMapKeyPtr()
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "configuration_version":
-			z.ConfigurationVersion, bts, err = msgp.ReadIntBytes(bts)
+		case "cells":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "ConfigurationVersion")
+				err = msgp.WrapError(err, "Cells")
 				return
 			}
-		case "hosts":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Hosts")
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Hosts) >= int(zb0002) {
-				z.Hosts = (z.Hosts)[:zb0002]
+			if cap(z.Cells) >= int(zb0002) {
+				z.Cells = (z.Cells)[:zb0002]
 			} else {
-				z.Hosts = make([]Host, zb0002)
+				z.Cells = make([]CellDump, zb0002)
 			}
-			for za0001 := range z.Hosts {
-				bts, err = z.Hosts[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Hosts", za0001)
-					return
-				}
-			}
-		case "overrides":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Overrides")
-				return
-			}
-			if cap(z.Overrides) >= int(zb0003) {
-				z.Overrides = (z.Overrides)[:zb0003]
-			} else {
-				z.Overrides = make([]Override, zb0003)
-			}
-			for za0002 := range z.Overrides {
-				bts, err = z.Overrides[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Overrides", za0002)
-					return
-				}
-			}
-		case "sender":
-			bts, err = z.Sender.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Sender")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Digest) Msgsize() (s int) {
-	s = 1 + 22 + msgp.IntSize + 6 + msgp.ArrayHeaderSize
-	for za0001 := range z.Hosts {
-		s += z.Hosts[za0001].Msgsize()
-	}
-	s += 10 + msgp.ArrayHeaderSize
-	for za0002 := range z.Overrides {
-		s += z.Overrides[za0002].Msgsize()
-	}
-	s += 7 + z.Sender.Msgsize()
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Dump) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "cells":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Cells")
-				return
-			}
-			if cap(z.Cells) >= int(zb0002) {
-				z.Cells = (z.Cells)[:zb0002]
-			} else {
-				z.Cells = make([]CellDump, zb0002)
-			}
-			for za0001 := range z.Cells {
-				err = z.Cells[za0001].DecodeMsg(dc)
+			for za0001 := range z.Cells {
+				err = z.Cells[za0001].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Cells", za0001)
 					return
@@ -2565,6 +3189,10 @@
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Hosts) >= int(zb0003) {
 				z.Hosts = (z.Hosts)[:zb0003]
 			} else {
@@ -2577,6 +3205,12 @@
 					return
 				}
 			}
+		case "isolated":
+			z.Isolated, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Isolated")
+				return
+			}
 		case "overrides":
 			var zb0004 uint32
 			zb0004, err = dc.ReadArrayHeader()
@@ -2584,6 +3218,10 @@
 				err = msgp.WrapError(err, "Overrides")
 				return
 			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Overrides) >= int(zb0004) {
 				z.Overrides = (z.Overrides)[:zb0004]
 			} else {
@@ -2603,6 +3241,10 @@
 				err = msgp.WrapError(err, "Rings")
 				return
 			}
+			if zb0005 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Rings) >= int(zb0005) {
 				z.Rings = (z.Rings)[:zb0005]
 			} else {
@@ -2615,6 +3257,10 @@
 					err = msgp.WrapError(err, "Rings", za0004)
 					return
 				}
+				if zb0006 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0006 > 0 {
 					zb0006--
 					field, err = dc.ReadMapKeyPtr()
@@ -2650,6 +3296,12 @@
 					}
 				}
 			}
+		case "shares_held":
+			z.SharesHeld, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "SharesHeld")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2663,9 +3315,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Dump) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 8
 	// write "cells"
-	err = en.Append(0x86, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
+	err = en.Append(0x88, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
 	if err != nil {
 		return
 	}
@@ -2718,6 +3370,16 @@
 			return
 		}
 	}
+	// write "isolated"
+	err = en.Append(0xa8, 0x69, 0x73, 0x6f, 0x6c, 0x61, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Isolated)
+	if err != nil {
+		err = msgp.WrapError(err, "Isolated")
+		return
+	}
 	// write "overrides"
 	err = en.Append(0xa9, 0x6f, 0x76, 0x65, 0x72, 0x72, 0x69, 0x64, 0x65, 0x73)
 	if err != nil {
@@ -2778,15 +3440,25 @@
 			return
 		}
 	}
+	// write "shares_held"
+	err = en.Append(0xab, 0x73, 0x68, 0x61, 0x72, 0x65, 0x73, 0x5f, 0x68, 0x65, 0x6c, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.SharesHeld)
+	if err != nil {
+		err = msgp.WrapError(err, "SharesHeld")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Dump) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 8
 	// string "cells"
-	o = append(o, 0x86, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
+	o = append(o, 0x88, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Cells)))
 	for za0001 := range z.Cells {
 		o, err = z.Cells[za0001].MarshalMsg(o)
@@ -2819,6 +3491,9 @@
 			return
 		}
 	}
+	// string "isolated"
+	o = append(o, 0xa8, 0x69, 0x73, 0x6f, 0x6c, 0x61, 0x74, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Isolated)
 	// string "overrides"
 	o = append(o, 0xa9, 0x6f, 0x76, 0x65, 0x72, 0x72, 0x69, 0x64, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Overrides)))
@@ -2844,6 +3519,9 @@
 		o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
 		o = msgp.AppendString(o, z.Rings[za0004].Name)
 	}
+	// string "shares_held"
+	o = append(o, 0xab, 0x73, 0x68, 0x61, 0x72, 0x65, 0x73, 0x5f, 0x68, 0x65, 0x6c, 0x64)
+	o = msgp.AppendInt(o, z.SharesHeld)
 	return
 }
 
@@ -2857,6 +3535,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2872,6 +3554,10 @@
 				err = msgp.WrapError(err, "Cells")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cells) >= int(zb0002) {
 				z.Cells = (z.Cells)[:zb0002]
 			} else {
@@ -2903,6 +3589,10 @@
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Hosts) >= int(zb0003) {
 				z.Hosts = (z.Hosts)[:zb0003]
 			} else {
@@ -2915,6 +3605,12 @@
 					return
 				}
 			}
+		case "isolated":
+			z.Isolated, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Isolated")
+				return
+			}
 		case "overrides":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -2922,6 +3618,10 @@
 				err = msgp.WrapError(err, "Overrides")
 				return
 			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Overrides) >= int(zb0004) {
 				z.Overrides = (z.Overrides)[:zb0004]
 			} else {
@@ -2941,6 +3641,10 @@
 				err = msgp.WrapError(err, "Rings")
 				return
 			}
+			if zb0005 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Rings) >= int(zb0005) {
 				z.Rings = (z.Rings)[:zb0005]
 			} else {
@@ -2953,6 +3657,10 @@
 					err = msgp.WrapError(err, "Rings", za0004)
 					return
 				}
+				if zb0006 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0006 > 0 {
 					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2988,6 +3696,12 @@
 					}
 				}
 			}
+		case "shares_held":
+			z.SharesHeld, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SharesHeld")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3010,7 +3724,7 @@
 	for za0002 := range z.Hosts {
 		s += z.Hosts[za0002].Msgsize()
 	}
-	s += 10 + msgp.ArrayHeaderSize
+	s += 9 + msgp.BoolSize + 10 + msgp.ArrayHeaderSize
 	for za0003 := range z.Overrides {
 		s += z.Overrides[za0003].Msgsize()
 	}
@@ -3018,6 +3732,7 @@
 	for za0004 := range z.Rings {
 		s += 1 + 9 + msgp.IntSize + 6 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Rings[za0004].Name)
 	}
+	s += 12 + msgp.IntSize
 	return
 }
 
@@ -3031,6 +3746,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3046,6 +3765,10 @@
 				err = msgp.WrapError(err, "Addresses")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Addresses) >= int(zb0002) {
 				z.Addresses = (z.Addresses)[:zb0002]
 			} else {
@@ -3071,6 +3794,10 @@
 				err = msgp.WrapError(err, "Faults")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Faults) >= int(zb0003) {
 				z.Faults = (z.Faults)[:zb0003]
 			} else {
@@ -3083,6 +3810,10 @@
 					err = msgp.WrapError(err, "Faults", za0002)
 					return
 				}
+				if zb0004 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
@@ -3284,6 +4015,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3299,6 +4034,10 @@
 				err = msgp.WrapError(err, "Addresses")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Addresses) >= int(zb0002) {
 				z.Addresses = (z.Addresses)[:zb0002]
 			} else {
@@ -3324,6 +4063,10 @@
 				err = msgp.WrapError(err, "Faults")
 				return
 			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Faults) >= int(zb0003) {
 				z.Faults = (z.Faults)[:zb0003]
 			} else {
@@ -3336,6 +4079,10 @@
 					err = msgp.WrapError(err, "Faults", za0002)
 					return
 				}
+				if zb0004 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3419,6 +4166,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3518,6 +4269,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3572,6 +4327,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -3690,6 +4449,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -3741,162 +4504,199 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Host) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
+func (z *Heartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "caller_address":
-			z.CallerAddress, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "CallerAddress")
-				return
-			}
-		case "data_centre":
-			z.DataCentre, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
-		case "heartbeat":
-			z.Heartbeat, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Heartbeat")
-				return
-			}
-		case "incarnation":
-			z.Incarnation, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Incarnation")
-				return
-			}
-		case "name":
-			z.Name, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "operator_address":
-			z.OperatorAddress, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "OperatorAddress")
-				return
-			}
-		case "peer_address":
-			z.PeerAddress, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "PeerAddress")
-				return
-			}
-		case "state":
-			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
-				}
-				z.State = HostState(zb0002)
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Counter, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Counter")
+		return
+	}
+	z.HostHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "HostHash")
+		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Host) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
-	// write "caller_address"
-	err = en.Append(0x88, 0xae, 0x63, 0x61, 0x6c, 0x6c, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+func (z Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.CallerAddress)
+	err = en.WriteInt(z.Counter)
 	if err != nil {
-		err = msgp.WrapError(err, "CallerAddress")
+		err = msgp.WrapError(err, "Counter")
 		return
 	}
-	// write "data_centre"
-	err = en.Append(0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
+	err = en.WriteInt(z.HostHash)
 	if err != nil {
+		err = msgp.WrapError(err, "HostHash")
 		return
 	}
-	err = en.WriteString(z.DataCentre)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt(o, z.Counter)
+	o = msgp.AppendInt(o, z.HostHash)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Heartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "DataCentre")
+		err = msgp.WrapError(err)
 		return
 	}
-	// write "heartbeat"
-	err = en.Append(0xa9, 0x68, 0x65, 0x61, 0x72, 0x74, 0x62, 0x65, 0x61, 0x74)
-	if err != nil {
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
-	err = en.WriteInt(z.Heartbeat)
+	z.Counter, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Heartbeat")
+		err = msgp.WrapError(err, "Counter")
 		return
 	}
-	// write "incarnation"
-	err = en.Append(0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	z.HostHash, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
+		err = msgp.WrapError(err, "HostHash")
 		return
 	}
-	err = en.WriteString(z.Incarnation)
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Heartbeat) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Host) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
+		err = msgp.WrapError(err)
 		return
 	}
-	// write "name"
-	err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
-	if err != nil {
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	err = en.WriteString(z.Name)
-	if err != nil {
-		err = msgp.WrapError(err, "Name")
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
-	// write "operator_address"
-	err = en.Append(0xb0, 0x6f, 0x70, 0x65, 0x72, 0x61, 0x74, 0x6f, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	z.CallerAddress, err = dc.ReadString()
 	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
 		return
 	}
-	err = en.WriteString(z.OperatorAddress)
+	z.DataCentre, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "OperatorAddress")
+		err = msgp.WrapError(err, "DataCentre")
 		return
 	}
-	// write "peer_address"
-	err = en.Append(0xac, 0x70, 0x65, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	z.Heartbeat, err = dc.ReadInt()
 	if err != nil {
+		err = msgp.WrapError(err, "Heartbeat")
 		return
 	}
-	err = en.WriteString(z.PeerAddress)
+	z.Incarnation, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.Name, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.OperatorAddress, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "OperatorAddress")
+		return
+	}
+	z.PeerAddress, err = dc.ReadString()
 	if err != nil {
 		err = msgp.WrapError(err, "PeerAddress")
 		return
 	}
-	// write "state"
-	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	{
+		var zb0002 string
+		zb0002, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "State")
+			return
+		}
+		z.State = HostState(zb0002)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Host) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 8
+	err = en.Append(0x98)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.CallerAddress)
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
+	err = en.WriteString(z.DataCentre)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	err = en.WriteInt(z.Heartbeat)
+	if err != nil {
+		err = msgp.WrapError(err, "Heartbeat")
+		return
+	}
+	err = en.WriteString(z.Incarnation)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	err = en.WriteString(z.OperatorAddress)
+	if err != nil {
+		err = msgp.WrapError(err, "OperatorAddress")
+		return
+	}
+	err = en.WriteString(z.PeerAddress)
 	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
 		return
 	}
 	err = en.WriteString(string(z.State))
@@ -3910,111 +4710,74 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Host) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
-	// string "caller_address"
-	o = append(o, 0x88, 0xae, 0x63, 0x61, 0x6c, 0x6c, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendString(o, z.CallerAddress)
-	// string "data_centre"
-	o = append(o, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
 	o = msgp.AppendString(o, z.DataCentre)
-	// string "heartbeat"
-	o = append(o, 0xa9, 0x68, 0x65, 0x61, 0x72, 0x74, 0x62, 0x65, 0x61, 0x74)
 	o = msgp.AppendInt(o, z.Heartbeat)
-	// string "incarnation"
-	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendString(o, z.Incarnation)
-	// string "name"
-	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
 	o = msgp.AppendString(o, z.Name)
-	// string "operator_address"
-	o = append(o, 0xb0, 0x6f, 0x70, 0x65, 0x72, 0x61, 0x74, 0x6f, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.OperatorAddress)
-	// string "peer_address"
-	o = append(o, 0xac, 0x70, 0x65, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.PeerAddress)
-	// string "state"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 	o = msgp.AppendString(o, string(z.State))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Host) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+		return
+	}
+	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
+	z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	z.Heartbeat, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Heartbeat")
+		return
+	}
+	z.Incarnation, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.Name, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.OperatorAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OperatorAddress")
+		return
+	}
+	z.PeerAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
+		return
+	}
+	{
+		var zb0002 string
+		zb0002, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "State")
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "caller_address":
-			z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "CallerAddress")
-				return
-			}
-		case "data_centre":
-			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
-		case "heartbeat":
-			z.Heartbeat, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Heartbeat")
-				return
-			}
-		case "incarnation":
-			z.Incarnation, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Incarnation")
-				return
-			}
-		case "name":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "operator_address":
-			z.OperatorAddress, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "OperatorAddress")
-				return
-			}
-		case "peer_address":
-			z.PeerAddress, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "PeerAddress")
-				return
-			}
-		case "state":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
-				}
-				z.State = HostState(zb0002)
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+		z.State = HostState(zb0002)
 	}
 	o = bts
 	return
@@ -4022,7 +4785,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Host) Msgsize() (s int) {
-	s = 1 + 15 + msgp.StringPrefixSize + len(z.CallerAddress) + 12 + msgp.StringPrefixSize + len(z.DataCentre) + 10 + msgp.IntSize + 12 + msgp.StringPrefixSize + len(z.Incarnation) + 5 + msgp.StringPrefixSize + len(z.Name) + 17 + msgp.StringPrefixSize + len(z.OperatorAddress) + 13 + msgp.StringPrefixSize + len(z.PeerAddress) + 6 + msgp.StringPrefixSize + len(string(z.State))
+	s = 1 + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.StringPrefixSize + len(z.DataCentre) + msgp.IntSize + msgp.StringPrefixSize + len(z.Incarnation) + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.OperatorAddress) + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.StringPrefixSize + len(string(z.State))
 	return
 }
 
@@ -4036,6 +4799,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4051,6 +4818,10 @@
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Hosts) >= int(zb0002) {
 				z.Hosts = (z.Hosts)[:zb0002]
 			} else {
@@ -4063,6 +4834,10 @@
 					err = msgp.WrapError(err, "Hosts", za0001)
 					return
 				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -4194,6 +4969,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4209,6 +4988,10 @@
 				err = msgp.WrapError(err, "Hosts")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Hosts) >= int(zb0002) {
 				z.Hosts = (z.Hosts)[:zb0002]
 			} else {
@@ -4221,6 +5004,10 @@
 					err = msgp.WrapError(err, "Hosts", za0001)
 					return
 				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4343,6 +5130,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4461,6 +5252,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4521,6 +5316,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4624,6 +5423,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4673,7 +5476,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *LoadPhase) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4682,6 +5485,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4690,22 +5497,34 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "in_flight":
-			z.InFlight, err = dc.ReadInt()
+		case "answered":
+			z.Answered, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "InFlight")
+				err = msgp.WrapError(err, "Answered")
 				return
 			}
-		case "leaving":
-			z.Leaving, err = dc.ReadBool()
+		case "latency":
+			err = z.Latency.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Leaving")
+				err = msgp.WrapError(err, "Latency")
 				return
 			}
-		case "slots":
-			z.Slots, err = dc.ReadInt()
+		case "not_run":
+			z.NotRun, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Slots")
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "phase":
+			z.Phase, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Phase")
+				return
+			}
+		case "unknown":
+			z.Unknown, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
 				return
 			}
 		default:
@@ -4720,45 +5539,248 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "in_flight"
-	err = en.Append(0x83, 0xa9, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
+func (z *LoadPhase) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "answered"
+	err = en.Append(0x85, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.InFlight)
+	err = en.WriteInt(z.Answered)
 	if err != nil {
-		err = msgp.WrapError(err, "InFlight")
+		err = msgp.WrapError(err, "Answered")
 		return
 	}
-	// write "leaving"
-	err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+	// write "latency"
+	err = en.Append(0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Leaving)
+	err = z.Latency.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
+		err = msgp.WrapError(err, "Latency")
 		return
 	}
-	// write "slots"
-	err = en.Append(0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+	// write "not_run"
+	err = en.Append(0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Slots)
+	err = en.WriteInt(z.NotRun)
 	if err != nil {
-		err = msgp.WrapError(err, "Slots")
+		err = msgp.WrapError(err, "NotRun")
+		return
+	}
+	// write "phase"
+	err = en.Append(0xa5, 0x70, 0x68, 0x61, 0x73, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Phase)
+	if err != nil {
+		err = msgp.WrapError(err, "Phase")
+		return
+	}
+	// write "unknown"
+	err = en.Append(0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Unknown)
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *LoadPhase) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
+	// string "answered"
+	o = append(o, 0x85, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Answered)
+	// string "latency"
+	o = append(o, 0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
+	o, err = z.Latency.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Latency")
+		return
+	}
+	// string "not_run"
+	o = append(o, 0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	o = msgp.AppendInt(o, z.NotRun)
+	// string "phase"
+	o = append(o, 0xa5, 0x70, 0x68, 0x61, 0x73, 0x65)
+	o = msgp.AppendString(o, z.Phase)
+	// string "unknown"
+	o = append(o, 0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendInt(o, z.Unknown)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadPhase) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answered":
+			z.Answered, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Answered")
+				return
+			}
+		case "latency":
+			bts, err = z.Latency.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Latency")
+				return
+			}
+		case "not_run":
+			z.NotRun, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "phase":
+			z.Phase, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Phase")
+				return
+			}
+		case "unknown":
+			z.Unknown, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadPhase) Msgsize() (s int) {
+	s = 1 + 9 + msgp.IntSize + 8 + z.Latency.Msgsize() + 8 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Phase) + 8 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "in_flight":
+			z.InFlight, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "InFlight")
+				return
+			}
+		case "leaving":
+			z.Leaving, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "slots":
+			z.Slots, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Slots")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "in_flight"
+	err = en.Append(0x83, 0xa9, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.InFlight)
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	// write "leaving"
+	err = en.Append(0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Leaving)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	// write "slots"
+	err = en.Append(0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Slots)
+	if err != nil {
+		err = msgp.WrapError(err, "Slots")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
 	// string "in_flight"
 	o = append(o, 0x83, 0xa9, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
 	o = msgp.AppendInt(o, z.InFlight)
@@ -4781,6 +5803,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -4835,6 +5861,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -4849,6 +5879,12 @@
 				err = msgp.WrapError(err, "Answered")
 				return
 			}
+		case "failed":
+			z.Failed, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
 		case "latency":
 			err = z.Latency.DecodeMsg(dc)
 			if err != nil {
@@ -4898,9 +5934,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *LoadReportService) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 8
 	// write "answered"
-	err = en.Append(0x87, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	err = en.Append(0x88, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
 	if err != nil {
 		return
 	}
@@ -4909,6 +5945,16 @@
 		err = msgp.WrapError(err, "Answered")
 		return
 	}
+	// write "failed"
+	err = en.Append(0xa6, 0x66, 0x61, 0x69, 0x6c, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Failed)
+	if err != nil {
+		err = msgp.WrapError(err, "Failed")
+		return
+	}
 	// write "latency"
 	err = en.Append(0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
 	if err != nil {
@@ -4975,10 +6021,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LoadReportService) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "answered"
-	o = append(o, 0x87, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = append(o, 0x88, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
 	o = msgp.AppendInt(o, z.Answered)
+	// string "failed"
+	o = append(o, 0xa6, 0x66, 0x61, 0x69, 0x6c, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Failed)
 	// string "latency"
 	o = append(o, 0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
 	o, err = z.Latency.MarshalMsg(o)
@@ -5014,6 +6063,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5028,6 +6081,12 @@
 				err = msgp.WrapError(err, "Answered")
 				return
 			}
+		case "failed":
+			z.Failed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
 		case "latency":
 			bts, err = z.Latency.UnmarshalMsg(bts)
 			if err != nil {
@@ -5078,7 +6137,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LoadReportService) Msgsize() (s int) {
-	s = 1 + 9 + msgp.IntSize + 8 + z.Latency.Msgsize() + 12 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.IntSize
+	s = 1 + 9 + msgp.IntSize + 7 + msgp.IntSize + 8 + z.Latency.Msgsize() + 12 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.IntSize
 	return
 }
 
@@ -5092,6 +6151,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5112,41 +6175,95 @@
 				err = msgp.WrapError(err, "LateStarts")
 				return
 			}
-		case "orders_not_run":
+		case "orders_answered":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "OrdersNotRun")
+				err = msgp.WrapError(err, "OrdersAnswered")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.OrdersNotRun) >= int(zb0002) {
-				z.OrdersNotRun = (z.OrdersNotRun)[:zb0002]
+			if cap(z.OrdersAnswered) >= int(zb0002) {
+				z.OrdersAnswered = (z.OrdersAnswered)[:zb0002]
 			} else {
-				z.OrdersNotRun = make([]string, zb0002)
+				z.OrdersAnswered = make([]string, zb0002)
 			}
-			for za0001 := range z.OrdersNotRun {
-				z.OrdersNotRun[za0001], err = dc.ReadString()
+			for za0001 := range z.OrdersAnswered {
+				z.OrdersAnswered[za0001], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "OrdersNotRun", za0001)
+					err = msgp.WrapError(err, "OrdersAnswered", za0001)
 					return
 				}
 			}
-		case "orders_unknown":
+		case "orders_not_run":
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersNotRun")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.OrdersNotRun) >= int(zb0003) {
+				z.OrdersNotRun = (z.OrdersNotRun)[:zb0003]
+			} else {
+				z.OrdersNotRun = make([]string, zb0003)
+			}
+			for za0002 := range z.OrdersNotRun {
+				z.OrdersNotRun[za0002], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "OrdersNotRun", za0002)
+					return
+				}
+			}
+		case "orders_unknown":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "OrdersUnknown")
 				return
 			}
-			if cap(z.OrdersUnknown) >= int(zb0003) {
-				z.OrdersUnknown = (z.OrdersUnknown)[:zb0003]
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.OrdersUnknown) >= int(zb0004) {
+				z.OrdersUnknown = (z.OrdersUnknown)[:zb0004]
+			} else {
+				z.OrdersUnknown = make([]string, zb0004)
+			}
+			for za0003 := range z.OrdersUnknown {
+				z.OrdersUnknown[za0003], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "OrdersUnknown", za0003)
+					return
+				}
+			}
+		case "phases":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Phases")
+				return
+			}
+			if zb0005 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Phases) >= int(zb0005) {
+				z.Phases = (z.Phases)[:zb0005]
 			} else {
-				z.OrdersUnknown = make([]string, zb0003)
+				z.Phases = make([]LoadPhase, zb0005)
 			}
-			for za0002 := range z.OrdersUnknown {
-				z.OrdersUnknown[za0002], err = dc.ReadString()
+			for za0004 := range z.Phases {
+				err = z.Phases[za0004].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "OrdersUnknown", za0002)
+					err = msgp.WrapError(err, "Phases", za0004)
 					return
 				}
 			}
@@ -5163,21 +6280,25 @@
 				return
 			}
 		case "services":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Services")
 				return
 			}
-			if cap(z.Services) >= int(zb0004) {
-				z.Services = (z.Services)[:zb0004]
+			if zb0006 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Services) >= int(zb0006) {
+				z.Services = (z.Services)[:zb0006]
 			} else {
-				z.Services = make([]LoadReportService, zb0004)
+				z.Services = make([]LoadReportService, zb0006)
 			}
-			for za0003 := range z.Services {
-				err = z.Services[za0003].DecodeMsg(dc)
+			for za0005 := range z.Services {
+				err = z.Services[za0005].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Services", za0003)
+					err = msgp.WrapError(err, "Services", za0005)
 					return
 				}
 			}
@@ -5200,9 +6321,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *LoadRun) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
+	// map header, size 10
 	// write "duration_ms"
-	err = en.Append(0x88, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
+	err = en.Append(0x8a, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
 	if err != nil {
 		return
 	}
@@ -5221,6 +6342,23 @@
 		err = msgp.WrapError(err, "LateStarts")
 		return
 	}
+	// write "orders_answered"
+	err = en.Append(0xaf, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.OrdersAnswered)))
+	if err != nil {
+		err = msgp.WrapError(err, "OrdersAnswered")
+		return
+	}
+	for za0001 := range z.OrdersAnswered {
+		err = en.WriteString(z.OrdersAnswered[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "OrdersAnswered", za0001)
+			return
+		}
+	}
 	// write "orders_not_run"
 	err = en.Append(0xae, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
 	if err != nil {
@@ -5231,10 +6369,10 @@
 		err = msgp.WrapError(err, "OrdersNotRun")
 		return
 	}
-	for za0001 := range z.OrdersNotRun {
-		err = en.WriteString(z.OrdersNotRun[za0001])
+	for za0002 := range z.OrdersNotRun {
+		err = en.WriteString(z.OrdersNotRun[za0002])
 		if err != nil {
-			err = msgp.WrapError(err, "OrdersNotRun", za0001)
+			err = msgp.WrapError(err, "OrdersNotRun", za0002)
 			return
 		}
 	}
@@ -5248,10 +6386,27 @@
 		err = msgp.WrapError(err, "OrdersUnknown")
 		return
 	}
-	for za0002 := range z.OrdersUnknown {
-		err = en.WriteString(z.OrdersUnknown[za0002])
+	for za0003 := range z.OrdersUnknown {
+		err = en.WriteString(z.OrdersUnknown[za0003])
+		if err != nil {
+			err = msgp.WrapError(err, "OrdersUnknown", za0003)
+			return
+		}
+	}
+	// write "phases"
+	err = en.Append(0xa6, 0x70, 0x68, 0x61, 0x73, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Phases)))
+	if err != nil {
+		err = msgp.WrapError(err, "Phases")
+		return
+	}
+	for za0004 := range z.Phases {
+		err = z.Phases[za0004].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "OrdersUnknown", za0002)
+			err = msgp.WrapError(err, "Phases", za0004)
 			return
 		}
 	}
@@ -5285,10 +6440,10 @@
 		err = msgp.WrapError(err, "Services")
 		return
 	}
-	for za0003 := range z.Services {
-		err = z.Services[za0003].EncodeMsg(en)
+	for za0005 := range z.Services {
+		err = z.Services[za0005].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0003)
+			err = msgp.WrapError(err, "Services", za0005)
 			return
 		}
 	}
@@ -5308,24 +6463,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LoadRun) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 10
 	// string "duration_ms"
-	o = append(o, 0x88, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
+	o = append(o, 0x8a, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt(o, z.DurationMs)
 	// string "late_starts"
 	o = append(o, 0xab, 0x6c, 0x61, 0x74, 0x65, 0x5f, 0x73, 0x74, 0x61, 0x72, 0x74, 0x73)
 	o = msgp.AppendInt(o, z.LateStarts)
+	// string "orders_answered"
+	o = append(o, 0xaf, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.OrdersAnswered)))
+	for za0001 := range z.OrdersAnswered {
+		o = msgp.AppendString(o, z.OrdersAnswered[za0001])
+	}
 	// string "orders_not_run"
 	o = append(o, 0xae, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.OrdersNotRun)))
-	for za0001 := range z.OrdersNotRun {
-		o = msgp.AppendString(o, z.OrdersNotRun[za0001])
+	for za0002 := range z.OrdersNotRun {
+		o = msgp.AppendString(o, z.OrdersNotRun[za0002])
 	}
 	// string "orders_unknown"
 	o = append(o, 0xae, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.OrdersUnknown)))
-	for za0002 := range z.OrdersUnknown {
-		o = msgp.AppendString(o, z.OrdersUnknown[za0002])
+	for za0003 := range z.OrdersUnknown {
+		o = msgp.AppendString(o, z.OrdersUnknown[za0003])
+	}
+	// string "phases"
+	o = append(o, 0xa6, 0x70, 0x68, 0x61, 0x73, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Phases)))
+	for za0004 := range z.Phases {
+		o, err = z.Phases[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Phases", za0004)
+			return
+		}
 	}
 	// string "rate"
 	o = append(o, 0xa4, 0x72, 0x61, 0x74, 0x65)
@@ -5336,10 +6507,10 @@
 	// string "services"
 	o = append(o, 0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
-	for za0003 := range z.Services {
-		o, err = z.Services[za0003].MarshalMsg(o)
+	for za0005 := range z.Services {
+		o, err = z.Services[za0005].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0003)
+			err = msgp.WrapError(err, "Services", za0005)
 			return
 		}
 	}
@@ -5359,6 +6530,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5379,41 +6554,95 @@
 				err = msgp.WrapError(err, "LateStarts")
 				return
 			}
-		case "orders_not_run":
+		case "orders_answered":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "OrdersNotRun")
+				err = msgp.WrapError(err, "OrdersAnswered")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.OrdersNotRun) >= int(zb0002) {
-				z.OrdersNotRun = (z.OrdersNotRun)[:zb0002]
+			if cap(z.OrdersAnswered) >= int(zb0002) {
+				z.OrdersAnswered = (z.OrdersAnswered)[:zb0002]
 			} else {
-				z.OrdersNotRun = make([]string, zb0002)
+				z.OrdersAnswered = make([]string, zb0002)
 			}
-			for za0001 := range z.OrdersNotRun {
-				z.OrdersNotRun[za0001], bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.OrdersAnswered {
+				z.OrdersAnswered[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "OrdersNotRun", za0001)
+					err = msgp.WrapError(err, "OrdersAnswered", za0001)
 					return
 				}
 			}
-		case "orders_unknown":
+		case "orders_not_run":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersNotRun")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.OrdersNotRun) >= int(zb0003) {
+				z.OrdersNotRun = (z.OrdersNotRun)[:zb0003]
+			} else {
+				z.OrdersNotRun = make([]string, zb0003)
+			}
+			for za0002 := range z.OrdersNotRun {
+				z.OrdersNotRun[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "OrdersNotRun", za0002)
+					return
+				}
+			}
+		case "orders_unknown":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "OrdersUnknown")
 				return
 			}
-			if cap(z.OrdersUnknown) >= int(zb0003) {
-				z.OrdersUnknown = (z.OrdersUnknown)[:zb0003]
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.OrdersUnknown) >= int(zb0004) {
+				z.OrdersUnknown = (z.OrdersUnknown)[:zb0004]
+			} else {
+				z.OrdersUnknown = make([]string, zb0004)
+			}
+			for za0003 := range z.OrdersUnknown {
+				z.OrdersUnknown[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "OrdersUnknown", za0003)
+					return
+				}
+			}
+		case "phases":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Phases")
+				return
+			}
+			if zb0005 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Phases) >= int(zb0005) {
+				z.Phases = (z.Phases)[:zb0005]
 			} else {
-				z.OrdersUnknown = make([]string, zb0003)
+				z.Phases = make([]LoadPhase, zb0005)
 			}
-			for za0002 := range z.OrdersUnknown {
-				z.OrdersUnknown[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0004 := range z.Phases {
+				bts, err = z.Phases[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "OrdersUnknown", za0002)
+					err = msgp.WrapError(err, "Phases", za0004)
 					return
 				}
 			}
@@ -5430,21 +6659,25 @@
 				return
 			}
 		case "services":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Services")
 				return
 			}
-			if cap(z.Services) >= int(zb0004) {
-				z.Services = (z.Services)[:zb0004]
+			if zb0006 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Services) >= int(zb0006) {
+				z.Services = (z.Services)[:zb0006]
 			} else {
-				z.Services = make([]LoadReportService, zb0004)
+				z.Services = make([]LoadReportService, zb0006)
 			}
-			for za0003 := range z.Services {
-				bts, err = z.Services[za0003].UnmarshalMsg(bts)
+			for za0005 := range z.Services {
+				bts, err = z.Services[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Services", za0003)
+					err = msgp.WrapError(err, "Services", za0005)
 					return
 				}
 			}
@@ -5468,17 +6701,25 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LoadRun) Msgsize() (s int) {
-	s = 1 + 12 + msgp.IntSize + 12 + msgp.IntSize + 15 + msgp.ArrayHeaderSize
-	for za0001 := range z.OrdersNotRun {
-		s += msgp.StringPrefixSize + len(z.OrdersNotRun[za0001])
+	s = 1 + 12 + msgp.IntSize + 12 + msgp.IntSize + 16 + msgp.ArrayHeaderSize
+	for za0001 := range z.OrdersAnswered {
+		s += msgp.StringPrefixSize + len(z.OrdersAnswered[za0001])
+	}
+	s += 15 + msgp.ArrayHeaderSize
+	for za0002 := range z.OrdersNotRun {
+		s += msgp.StringPrefixSize + len(z.OrdersNotRun[za0002])
 	}
 	s += 15 + msgp.ArrayHeaderSize
-	for za0002 := range z.OrdersUnknown {
-		s += msgp.StringPrefixSize + len(z.OrdersUnknown[za0002])
+	for za0003 := range z.OrdersUnknown {
+		s += msgp.StringPrefixSize + len(z.OrdersUnknown[za0003])
+	}
+	s += 7 + msgp.ArrayHeaderSize
+	for za0004 := range z.Phases {
+		s += z.Phases[za0004].Msgsize()
 	}
 	s += 5 + msgp.IntSize + 5 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
-	for za0003 := range z.Services {
-		s += z.Services[za0003].Msgsize()
+	for za0005 := range z.Services {
+		s += z.Services[za0005].Msgsize()
 	}
 	s += 8 + msgp.IntSize
 	return
@@ -5486,66 +6727,51 @@
 
 // DecodeMsg implements msgp.Decodable
 func (z *Override) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.BaseVersion, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "BaseVersion")
+		return
+	}
+	z.ChangeID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ChangeID")
+		return
+	}
+	z.DataCentre, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	{
+		var zb0002 string
+		zb0002, err = dc.ReadString()
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "State")
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "base_version":
-			z.BaseVersion, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "BaseVersion")
-				return
-			}
-		case "change_id":
-			z.ChangeID, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "ChangeID")
-				return
-			}
-		case "data_centre":
-			z.DataCentre, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
-		case "state":
-			{
-				var zb0002 string
-				zb0002, err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
-				}
-				z.State = DataCentreState(zb0002)
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+		z.State = DataCentreState(zb0002)
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Override) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "base_version"
-	err = en.Append(0x84, 0xac, 0x62, 0x61, 0x73, 0x65, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -5554,31 +6780,16 @@
 		err = msgp.WrapError(err, "BaseVersion")
 		return
 	}
-	// write "change_id"
-	err = en.Append(0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
-	if err != nil {
-		return
-	}
 	err = en.WriteString(z.ChangeID)
 	if err != nil {
 		err = msgp.WrapError(err, "ChangeID")
 		return
 	}
-	// write "data_centre"
-	err = en.Append(0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
-	if err != nil {
-		return
-	}
 	err = en.WriteString(z.DataCentre)
 	if err != nil {
 		err = msgp.WrapError(err, "DataCentre")
 		return
 	}
-	// write "state"
-	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-	if err != nil {
-		return
-	}
 	err = en.WriteString(string(z.State))
 	if err != nil {
 		err = msgp.WrapError(err, "State")
@@ -5590,75 +6801,50 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Override) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "base_version"
-	o = append(o, 0x84, 0xac, 0x62, 0x61, 0x73, 0x65, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendInt(o, z.BaseVersion)
-	// string "change_id"
-	o = append(o, 0xa9, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x5f, 0x69, 0x64)
 	o = msgp.AppendString(o, z.ChangeID)
-	// string "data_centre"
-	o = append(o, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
 	o = msgp.AppendString(o, z.DataCentre)
-	// string "state"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 	o = msgp.AppendString(o, string(z.State))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Override) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.BaseVersion, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "BaseVersion")
+		return
+	}
+	z.ChangeID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ChangeID")
+		return
+	}
+	z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	{
+		var zb0002 string
+		zb0002, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "State")
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "base_version":
-			z.BaseVersion, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "BaseVersion")
-				return
-			}
-		case "change_id":
-			z.ChangeID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ChangeID")
-				return
-			}
-		case "data_centre":
-			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
-		case "state":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "State")
-					return
-				}
-				z.State = DataCentreState(zb0002)
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+		z.State = DataCentreState(zb0002)
 	}
 	o = bts
 	return
@@ -5666,7 +6852,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Override) Msgsize() (s int) {
-	s = 1 + 13 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.ChangeID) + 12 + msgp.StringPrefixSize + len(z.DataCentre) + 6 + msgp.StringPrefixSize + len(string(z.State))
+	s = 1 + msgp.IntSize + msgp.StringPrefixSize + len(z.ChangeID) + msgp.StringPrefixSize + len(z.DataCentre) + msgp.StringPrefixSize + len(string(z.State))
 	return
 }
 
@@ -5680,6 +6866,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5760,6 +6950,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5808,6 +7002,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -5907,6 +7105,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -5961,6 +7163,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6060,6 +7266,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6114,6 +7324,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6232,6 +7446,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6292,6 +7510,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6391,6 +7613,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6445,6 +7671,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6465,100 +7695,200 @@
 				err = msgp.WrapError(err, "Calls")
 				return
 			}
-		case "last_call_at_ms":
-			z.LastCallAtMs, err = dc.ReadInt()
+		case "cancelled":
+			z.Cancelled, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "LastCallAtMs")
+				err = msgp.WrapError(err, "Cancelled")
 				return
 			}
-		case "most_in_flight":
-			z.MostInFlight, err = dc.ReadInt()
+		case "connections_refused":
+			z.ConnectionsRefused, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "MostInFlight")
+				err = msgp.WrapError(err, "ConnectionsRefused")
 				return
 			}
-		case "orders":
+		case "expired":
+			z.Expired, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Expired")
+				return
+			}
+		case "fell_over":
+			z.FellOver, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "FellOver")
+				return
+			}
+		case "in_flight":
+			z.InFlight, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "InFlight")
+				return
+			}
+		case "intervals":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Orders")
+				err = msgp.WrapError(err, "Intervals")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Orders) >= int(zb0002) {
-				z.Orders = (z.Orders)[:zb0002]
+			if cap(z.Intervals) >= int(zb0002) {
+				z.Intervals = (z.Intervals)[:zb0002]
 			} else {
-				z.Orders = make([]Run, zb0002)
+				z.Intervals = make([]CallInterval, zb0002)
 			}
-			for za0001 := range z.Orders {
+			for za0001 := range z.Intervals {
 				var zb0003 uint32
 				zb0003, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Orders", za0001)
+					err = msgp.WrapError(err, "Intervals", za0001)
+					return
+				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
 					return
 				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "Orders", za0001)
+						err = msgp.WrapError(err, "Intervals", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "at_ms":
-						z.Orders[za0001].AtMs, err = dc.ReadInt()
-						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001, "AtMs")
-							return
-						}
-					case "order":
-						z.Orders[za0001].Order, err = dc.ReadString()
+					case "calls":
+						z.Intervals[za0001].Calls, err = dc.ReadInt()
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001, "Order")
+							err = msgp.WrapError(err, "Intervals", za0001, "Calls")
 							return
 						}
-					case "path":
-						z.Orders[za0001].Path, err = dc.ReadString()
+					case "from_ms":
+						z.Intervals[za0001].FromMs, err = dc.ReadInt()
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001, "Path")
+							err = msgp.WrapError(err, "Intervals", za0001, "FromMs")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001)
+							err = msgp.WrapError(err, "Intervals", za0001)
 							return
 						}
 					}
 				}
 			}
-		case "probes":
-			z.Probes, err = dc.ReadInt()
+		case "last_call_at_ms":
+			z.LastCallAtMs, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Probes")
+				err = msgp.WrapError(err, "LastCallAtMs")
 				return
 			}
-		case "shed":
-			z.Shed, err = dc.ReadInt()
+		case "most_connections":
+			z.MostConnections, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Shed")
+				err = msgp.WrapError(err, "MostConnections")
 				return
 			}
-		default:
-			err = dc.Skip()
+		case "most_in_flight":
+			z.MostInFlight, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "MostInFlight")
 				return
 			}
-		}
-	}
+		case "orders":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Orders")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Orders) >= int(zb0004) {
+				z.Orders = (z.Orders)[:zb0004]
+			} else {
+				z.Orders = make([]Run, zb0004)
+			}
+			for za0002 := range z.Orders {
+				var zb0005 uint32
+				zb0005, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Orders", za0002)
+					return
+				}
+				if zb0005 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Orders", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "at_ms":
+						z.Orders[za0002].AtMs, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Orders", za0002, "AtMs")
+							return
+						}
+					case "order":
+						z.Orders[za0002].Order, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Orders", za0002, "Order")
+							return
+						}
+					case "path":
+						z.Orders[za0002].Path, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Orders", za0002, "Path")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Orders", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "probes":
+			z.Probes, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Probes")
+				return
+			}
+		case "shed":
+			z.Shed, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Shed")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *RunRecord) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 14
 	// write "address"
-	err = en.Append(0x87, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	err = en.Append(0x8e, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	if err != nil {
 		return
 	}
@@ -6577,6 +7907,89 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	// write "cancelled"
+	err = en.Append(0xa9, 0x63, 0x61, 0x6e, 0x63, 0x65, 0x6c, 0x6c, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Cancelled)
+	if err != nil {
+		err = msgp.WrapError(err, "Cancelled")
+		return
+	}
+	// write "connections_refused"
+	err = en.Append(0xb3, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x72, 0x65, 0x66, 0x75, 0x73, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.ConnectionsRefused)
+	if err != nil {
+		err = msgp.WrapError(err, "ConnectionsRefused")
+		return
+	}
+	// write "expired"
+	err = en.Append(0xa7, 0x65, 0x78, 0x70, 0x69, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Expired)
+	if err != nil {
+		err = msgp.WrapError(err, "Expired")
+		return
+	}
+	// write "fell_over"
+	err = en.Append(0xa9, 0x66, 0x65, 0x6c, 0x6c, 0x5f, 0x6f, 0x76, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.FellOver)
+	if err != nil {
+		err = msgp.WrapError(err, "FellOver")
+		return
+	}
+	// write "in_flight"
+	err = en.Append(0xa9, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.InFlight)
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	// write "intervals"
+	err = en.Append(0xa9, 0x69, 0x6e, 0x74, 0x65, 0x72, 0x76, 0x61, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Intervals)))
+	if err != nil {
+		err = msgp.WrapError(err, "Intervals")
+		return
+	}
+	for za0001 := range z.Intervals {
+		// map header, size 2
+		// write "calls"
+		err = en.Append(0x82, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Intervals[za0001].Calls)
+		if err != nil {
+			err = msgp.WrapError(err, "Intervals", za0001, "Calls")
+			return
+		}
+		// write "from_ms"
+		err = en.Append(0xa7, 0x66, 0x72, 0x6f, 0x6d, 0x5f, 0x6d, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Intervals[za0001].FromMs)
+		if err != nil {
+			err = msgp.WrapError(err, "Intervals", za0001, "FromMs")
+			return
+		}
+	}
 	// write "last_call_at_ms"
 	err = en.Append(0xaf, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x5f, 0x61, 0x74, 0x5f, 0x6d, 0x73)
 	if err != nil {
@@ -6587,6 +8000,16 @@
 		err = msgp.WrapError(err, "LastCallAtMs")
 		return
 	}
+	// write "most_connections"
+	err = en.Append(0xb0, 0x6d, 0x6f, 0x73, 0x74, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.MostConnections)
+	if err != nil {
+		err = msgp.WrapError(err, "MostConnections")
+		return
+	}
 	// write "most_in_flight"
 	err = en.Append(0xae, 0x6d, 0x6f, 0x73, 0x74, 0x5f, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
 	if err != nil {
@@ -6607,16 +8030,16 @@
 		err = msgp.WrapError(err, "Orders")
 		return
 	}
-	for za0001 := range z.Orders {
+	for za0002 := range z.Orders {
 		// map header, size 3
 		// write "at_ms"
 		err = en.Append(0x83, 0xa5, 0x61, 0x74, 0x5f, 0x6d, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteInt(z.Orders[za0001].AtMs)
+		err = en.WriteInt(z.Orders[za0002].AtMs)
 		if err != nil {
-			err = msgp.WrapError(err, "Orders", za0001, "AtMs")
+			err = msgp.WrapError(err, "Orders", za0002, "AtMs")
 			return
 		}
 		// write "order"
@@ -6624,9 +8047,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Orders[za0001].Order)
+		err = en.WriteString(z.Orders[za0002].Order)
 		if err != nil {
-			err = msgp.WrapError(err, "Orders", za0001, "Order")
+			err = msgp.WrapError(err, "Orders", za0002, "Order")
 			return
 		}
 		// write "path"
@@ -6634,9 +8057,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Orders[za0001].Path)
+		err = en.WriteString(z.Orders[za0002].Path)
 		if err != nil {
-			err = msgp.WrapError(err, "Orders", za0001, "Path")
+			err = msgp.WrapError(err, "Orders", za0002, "Path")
 			return
 		}
 	}
@@ -6666,33 +8089,63 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 14
 	// string "address"
-	o = append(o, 0x87, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = append(o, 0x8e, 0xa7, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
 	o = msgp.AppendString(o, z.Address)
 	// string "calls"
 	o = append(o, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
 	o = msgp.AppendInt(o, z.Calls)
+	// string "cancelled"
+	o = append(o, 0xa9, 0x63, 0x61, 0x6e, 0x63, 0x65, 0x6c, 0x6c, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Cancelled)
+	// string "connections_refused"
+	o = append(o, 0xb3, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x72, 0x65, 0x66, 0x75, 0x73, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.ConnectionsRefused)
+	// string "expired"
+	o = append(o, 0xa7, 0x65, 0x78, 0x70, 0x69, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Expired)
+	// string "fell_over"
+	o = append(o, 0xa9, 0x66, 0x65, 0x6c, 0x6c, 0x5f, 0x6f, 0x76, 0x65, 0x72)
+	o = msgp.AppendInt(o, z.FellOver)
+	// string "in_flight"
+	o = append(o, 0xa9, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
+	o = msgp.AppendInt(o, z.InFlight)
+	// string "intervals"
+	o = append(o, 0xa9, 0x69, 0x6e, 0x74, 0x65, 0x72, 0x76, 0x61, 0x6c, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Intervals)))
+	for za0001 := range z.Intervals {
+		// map header, size 2
+		// string "calls"
+		o = append(o, 0x82, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+		o = msgp.AppendInt(o, z.Intervals[za0001].Calls)
+		// string "from_ms"
+		o = append(o, 0xa7, 0x66, 0x72, 0x6f, 0x6d, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt(o, z.Intervals[za0001].FromMs)
+	}
 	// string "last_call_at_ms"
 	o = append(o, 0xaf, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x5f, 0x61, 0x74, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt(o, z.LastCallAtMs)
+	// string "most_connections"
+	o = append(o, 0xb0, 0x6d, 0x6f, 0x73, 0x74, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.MostConnections)
 	// string "most_in_flight"
 	o = append(o, 0xae, 0x6d, 0x6f, 0x73, 0x74, 0x5f, 0x69, 0x6e, 0x5f, 0x66, 0x6c, 0x69, 0x67, 0x68, 0x74)
 	o = msgp.AppendInt(o, z.MostInFlight)
 	// string "orders"
 	o = append(o, 0xa6, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Orders)))
-	for za0001 := range z.Orders {
+	for za0002 := range z.Orders {
 		// map header, size 3
 		// string "at_ms"
 		o = append(o, 0x83, 0xa5, 0x61, 0x74, 0x5f, 0x6d, 0x73)
-		o = msgp.AppendInt(o, z.Orders[za0001].AtMs)
+		o = msgp.AppendInt(o, z.Orders[za0002].AtMs)
 		// string "order"
 		o = append(o, 0xa5, 0x6f, 0x72, 0x64, 0x65, 0x72)
-		o = msgp.AppendString(o, z.Orders[za0001].Order)
+		o = msgp.AppendString(o, z.Orders[za0002].Order)
 		// string "path"
 		o = append(o, 0xa4, 0x70, 0x61, 0x74, 0x68)
-		o = msgp.AppendString(o, z.Orders[za0001].Path)
+		o = msgp.AppendString(o, z.Orders[za0002].Path)
 	}
 	// string "probes"
 	o = append(o, 0xa6, 0x70, 0x72, 0x6f, 0x62, 0x65, 0x73)
@@ -6713,6 +8166,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6733,12 +8190,104 @@
 				err = msgp.WrapError(err, "Calls")
 				return
 			}
+		case "cancelled":
+			z.Cancelled, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cancelled")
+				return
+			}
+		case "connections_refused":
+			z.ConnectionsRefused, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConnectionsRefused")
+				return
+			}
+		case "expired":
+			z.Expired, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Expired")
+				return
+			}
+		case "fell_over":
+			z.FellOver, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FellOver")
+				return
+			}
+		case "in_flight":
+			z.InFlight, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "InFlight")
+				return
+			}
+		case "intervals":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Intervals")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Intervals) >= int(zb0002) {
+				z.Intervals = (z.Intervals)[:zb0002]
+			} else {
+				z.Intervals = make([]CallInterval, zb0002)
+			}
+			for za0001 := range z.Intervals {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Intervals", za0001)
+					return
+				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Intervals", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "calls":
+						z.Intervals[za0001].Calls, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Intervals", za0001, "Calls")
+							return
+						}
+					case "from_ms":
+						z.Intervals[za0001].FromMs, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Intervals", za0001, "FromMs")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Intervals", za0001)
+							return
+						}
+					}
+				}
+			}
 		case "last_call_at_ms":
 			z.LastCallAtMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "LastCallAtMs")
 				return
 			}
+		case "most_connections":
+			z.MostConnections, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MostConnections")
+				return
+			}
 		case "most_in_flight":
 			z.MostInFlight, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -6746,54 +8295,62 @@
 				return
 			}
 		case "orders":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Orders")
 				return
 			}
-			if cap(z.Orders) >= int(zb0002) {
-				z.Orders = (z.Orders)[:zb0002]
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Orders) >= int(zb0004) {
+				z.Orders = (z.Orders)[:zb0004]
 			} else {
-				z.Orders = make([]Run, zb0002)
+				z.Orders = make([]Run, zb0004)
 			}
-			for za0001 := range z.Orders {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0002 := range z.Orders {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Orders", za0001)
+					err = msgp.WrapError(err, "Orders", za0002)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+				if zb0005 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Orders", za0001)
+						err = msgp.WrapError(err, "Orders", za0002)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "at_ms":
-						z.Orders[za0001].AtMs, bts, err = msgp.ReadIntBytes(bts)
+						z.Orders[za0002].AtMs, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001, "AtMs")
+							err = msgp.WrapError(err, "Orders", za0002, "AtMs")
 							return
 						}
 					case "order":
-						z.Orders[za0001].Order, bts, err = msgp.ReadStringBytes(bts)
+						z.Orders[za0002].Order, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001, "Order")
+							err = msgp.WrapError(err, "Orders", za0002, "Order")
 							return
 						}
 					case "path":
-						z.Orders[za0001].Path, bts, err = msgp.ReadStringBytes(bts)
+						z.Orders[za0002].Path, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001, "Path")
+							err = msgp.WrapError(err, "Orders", za0002, "Path")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Orders", za0001)
+							err = msgp.WrapError(err, "Orders", za0002)
 							return
 						}
 					}
@@ -6825,9 +8382,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunRecord) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.IntSize + 16 + msgp.IntSize + 15 + msgp.IntSize + 7 + msgp.ArrayHeaderSize
-	for za0001 := range z.Orders {
-		s += 1 + 6 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Orders[za0001].Order) + 5 + msgp.StringPrefixSize + len(z.Orders[za0001].Path)
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.IntSize + 10 + msgp.IntSize + 20 + msgp.IntSize + 8 + msgp.IntSize + 10 + msgp.IntSize + 10 + msgp.IntSize + 10 + msgp.ArrayHeaderSize + (len(z.Intervals) * (15 + msgp.IntSize + msgp.IntSize)) + 16 + msgp.IntSize + 17 + msgp.IntSize + 15 + msgp.IntSize + 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Orders {
+		s += 1 + 6 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Orders[za0002].Order) + 5 + msgp.StringPrefixSize + len(z.Orders[za0002].Path)
 	}
 	s += 7 + msgp.IntSize + 5 + msgp.IntSize
 	return
@@ -6843,6 +8400,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -6942,6 +8503,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -6987,7 +8552,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Transaction) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Snapshot) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -6996,6 +8561,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -7004,25 +8573,41 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "rows":
+		case "checksum":
+			z.Checksum, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Checksum")
+				return
+			}
+		case "hosts":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Rows")
+				err = msgp.WrapError(err, "Hosts")
 				return
 			}
-			if cap(z.Rows) >= int(zb0002) {
-				z.Rows = (z.Rows)[:zb0002]
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Hosts) >= int(zb0002) {
+				z.Hosts = (z.Hosts)[:zb0002]
 			} else {
-				z.Rows = make([]Row, zb0002)
+				z.Hosts = make([]ListedHost, zb0002)
 			}
-			for za0001 := range z.Rows {
-				err = z.Rows[za0001].DecodeMsg(dc)
+			for za0001 := range z.Hosts {
+				err = z.Hosts[za0001].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Rows", za0001)
+					err = msgp.WrapError(err, "Hosts", za0001)
 					return
 				}
 			}
+		case "value":
+			z.Value, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -7035,47 +8620,73 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Transaction) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "rows"
-	err = en.Append(0x81, 0xa4, 0x72, 0x6f, 0x77, 0x73)
+func (z *Snapshot) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "checksum"
+	err = en.Append(0x83, 0xa8, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x73, 0x75, 0x6d)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Rows)))
+	err = en.WriteString(z.Checksum)
 	if err != nil {
-		err = msgp.WrapError(err, "Rows")
+		err = msgp.WrapError(err, "Checksum")
 		return
 	}
-	for za0001 := range z.Rows {
-		err = z.Rows[za0001].EncodeMsg(en)
+	// write "hosts"
+	err = en.Append(0xa5, 0x68, 0x6f, 0x73, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Hosts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Hosts")
+		return
+	}
+	for za0001 := range z.Hosts {
+		err = z.Hosts[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Rows", za0001)
+			err = msgp.WrapError(err, "Hosts", za0001)
 			return
 		}
 	}
-	return
+	// write "value"
+	err = en.Append(0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Value)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Transaction) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Snapshot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "rows"
-	o = append(o, 0x81, 0xa4, 0x72, 0x6f, 0x77, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
-	for za0001 := range z.Rows {
-		o, err = z.Rows[za0001].MarshalMsg(o)
+	// map header, size 3
+	// string "checksum"
+	o = append(o, 0x83, 0xa8, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x73, 0x75, 0x6d)
+	o = msgp.AppendString(o, z.Checksum)
+	// string "hosts"
+	o = append(o, 0xa5, 0x68, 0x6f, 0x73, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Hosts)))
+	for za0001 := range z.Hosts {
+		o, err = z.Hosts[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Rows", za0001)
+			err = msgp.WrapError(err, "Hosts", za0001)
 			return
 		}
 	}
+	// string "value"
+	o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
+	o = msgp.AppendString(o, z.Value)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Transaction) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Snapshot) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -7084,6 +8695,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7092,25 +8707,41 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "rows":
+		case "checksum":
+			z.Checksum, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Checksum")
+				return
+			}
+		case "hosts":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Rows")
+				err = msgp.WrapError(err, "Hosts")
 				return
 			}
-			if cap(z.Rows) >= int(zb0002) {
-				z.Rows = (z.Rows)[:zb0002]
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Hosts) >= int(zb0002) {
+				z.Hosts = (z.Hosts)[:zb0002]
 			} else {
-				z.Rows = make([]Row, zb0002)
+				z.Hosts = make([]ListedHost, zb0002)
 			}
-			for za0001 := range z.Rows {
-				bts, err = z.Rows[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Hosts {
+				bts, err = z.Hosts[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Rows", za0001)
+					err = msgp.WrapError(err, "Hosts", za0001)
 					return
 				}
 			}
+		case "value":
+			z.Value, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -7124,16 +8755,17 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Transaction) Msgsize() (s int) {
-	s = 1 + 5 + msgp.ArrayHeaderSize
-	for za0001 := range z.Rows {
-		s += z.Rows[za0001].Msgsize()
+func (z *Snapshot) Msgsize() (s int) {
+	s = 1 + 9 + msgp.StringPrefixSize + len(z.Checksum) + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Hosts {
+		s += z.Hosts[za0001].Msgsize()
 	}
+	s += 6 + msgp.StringPrefixSize + len(z.Value)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *TransactionResult) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *StopResult) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -7142,6 +8774,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -7150,12 +8786,175 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "committed":
-			z.Committed, err = dc.ReadBool()
+		case "host":
+			z.Host, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Committed")
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "state":
+			{
+				var zb0002 string
+				zb0002, err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = HostState(zb0002)
+			}
+		case "wait_ms":
+			z.WaitMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z StopResult) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "host"
+	err = en.Append(0x83, 0xa4, 0x68, 0x6f, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Host)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	// write "state"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(string(z.State))
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	// write "wait_ms"
+	err = en.Append(0xa7, 0x77, 0x61, 0x69, 0x74, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.WaitMs)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StopResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "host"
+	o = append(o, 0x83, 0xa4, 0x68, 0x6f, 0x73, 0x74)
+	o = msgp.AppendString(o, z.Host)
+	// string "state"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	o = msgp.AppendString(o, string(z.State))
+	// string "wait_ms"
+	o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.WaitMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StopResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "host":
+			z.Host, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		case "state":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = HostState(zb0002)
+			}
+		case "wait_ms":
+			z.WaitMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
 				return
 			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StopResult) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Host) + 6 + msgp.StringPrefixSize + len(string(z.State)) + 8 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Transaction) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
 		case "rows":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -7163,6 +8962,10 @@
 				err = msgp.WrapError(err, "Rows")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Rows) >= int(zb0002) {
 				z.Rows = (z.Rows)[:zb0002]
 			} else {
@@ -7187,20 +8990,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *TransactionResult) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "committed"
-	err = en.Append(0x82, 0xa9, 0x63, 0x6f, 0x6d, 0x6d, 0x69, 0x74, 0x74, 0x65, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Committed)
-	if err != nil {
-		err = msgp.WrapError(err, "Committed")
-		return
-	}
+func (z *Transaction) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
 	// write "rows"
-	err = en.Append(0xa4, 0x72, 0x6f, 0x77, 0x73)
+	err = en.Append(0x81, 0xa4, 0x72, 0x6f, 0x77, 0x73)
 	if err != nil {
 		return
 	}
@@ -7220,14 +9013,11 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *TransactionResult) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Transaction) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "committed"
-	o = append(o, 0x82, 0xa9, 0x63, 0x6f, 0x6d, 0x6d, 0x69, 0x74, 0x74, 0x65, 0x64)
-	o = msgp.AppendBool(o, z.Committed)
+	// map header, size 1
 	// string "rows"
-	o = append(o, 0xa4, 0x72, 0x6f, 0x77, 0x73)
+	o = append(o, 0x81, 0xa4, 0x72, 0x6f, 0x77, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
 	for za0001 := range z.Rows {
 		o, err = z.Rows[za0001].MarshalMsg(o)
@@ -7240,7 +9030,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TransactionResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Transaction) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -7249,6 +9039,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -7257,12 +9051,6 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "committed":
-			z.Committed, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Committed")
-				return
-			}
 		case "rows":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -7270,6 +9058,10 @@
 				err = msgp.WrapError(err, "Rows")
 				return
 			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Rows) >= int(zb0002) {
 				z.Rows = (z.Rows)[:zb0002]
 			} else {
@@ -7295,10 +9087,683 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *TransactionResult) Msgsize() (s int) {
-	s = 1 + 10 + msgp.BoolSize + 5 + msgp.ArrayHeaderSize
+func (z *Transaction) Msgsize() (s int) {
+	s = 1 + 5 + msgp.ArrayHeaderSize
 	for za0001 := range z.Rows {
 		s += z.Rows[za0001].Msgsize()
 	}
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *TransactionResult) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "committed":
+			z.Committed, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Committed")
+				return
+			}
+		case "rows":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Rows")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Rows) >= int(zb0002) {
+				z.Rows = (z.Rows)[:zb0002]
+			} else {
+				z.Rows = make([]Row, zb0002)
+			}
+			for za0001 := range z.Rows {
+				err = z.Rows[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Rows", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *TransactionResult) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "committed"
+	err = en.Append(0x82, 0xa9, 0x63, 0x6f, 0x6d, 0x6d, 0x69, 0x74, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Committed)
+	if err != nil {
+		err = msgp.WrapError(err, "Committed")
+		return
+	}
+	// write "rows"
+	err = en.Append(0xa4, 0x72, 0x6f, 0x77, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Rows)))
+	if err != nil {
+		err = msgp.WrapError(err, "Rows")
+		return
+	}
+	for za0001 := range z.Rows {
+		err = z.Rows[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Rows", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TransactionResult) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "committed"
+	o = append(o, 0x82, 0xa9, 0x63, 0x6f, 0x6d, 0x6d, 0x69, 0x74, 0x74, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Committed)
+	// string "rows"
+	o = append(o, 0xa4, 0x72, 0x6f, 0x77, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
+	for za0001 := range z.Rows {
+		o, err = z.Rows[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Rows", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TransactionResult) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "committed":
+			z.Committed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Committed")
+				return
+			}
+		case "rows":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rows")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Rows) >= int(zb0002) {
+				z.Rows = (z.Rows)[:zb0002]
+			} else {
+				z.Rows = make([]Row, zb0002)
+			}
+			for za0001 := range z.Rows {
+				bts, err = z.Rows[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rows", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TransactionResult) Msgsize() (s int) {
+	s = 1 + 10 + msgp.BoolSize + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.Rows {
+		s += z.Rows[za0001].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Verdict) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answered":
+			z.Answered, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Answered")
+				return
+			}
+		case "answered_but_not_run":
+			z.AnsweredButNotRun, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "AnsweredButNotRun")
+				return
+			}
+		case "calls_after_out":
+			z.CallsAfterOut, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "CallsAfterOut")
+				return
+			}
+		case "failed":
+			z.Failed, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
+		case "last_call_after_out_ms":
+			z.LastCallAfterOutMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "LastCallAfterOutMs")
+				return
+			}
+		case "lost":
+			z.Lost, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Lost")
+				return
+			}
+		case "misdirected":
+			z.Misdirected, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Misdirected")
+				return
+			}
+		case "not_run":
+			z.NotRun, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "not_run_but_run":
+			z.NotRunButRun, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "NotRunButRun")
+				return
+			}
+		case "orders":
+			z.Orders, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Orders")
+				return
+			}
+		case "orders_twice":
+			z.OrdersTwice, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersTwice")
+				return
+			}
+		case "orders_unknown":
+			z.OrdersUnknown, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersUnknown")
+				return
+			}
+		case "over_connections":
+			z.OverConnections, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OverConnections")
+				return
+			}
+		case "over_slots":
+			z.OverSlots, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OverSlots")
+				return
+			}
+		case "started":
+			z.Started, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Started")
+				return
+			}
+		case "unknown":
+			z.Unknown, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Verdict) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 16
+	// write "answered"
+	err = en.Append(0xde, 0x0, 0x10, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Answered)
+	if err != nil {
+		err = msgp.WrapError(err, "Answered")
+		return
+	}
+	// write "answered_but_not_run"
+	err = en.Append(0xb4, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64, 0x5f, 0x62, 0x75, 0x74, 0x5f, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.AnsweredButNotRun)
+	if err != nil {
+		err = msgp.WrapError(err, "AnsweredButNotRun")
+		return
+	}
+	// write "calls_after_out"
+	err = en.Append(0xaf, 0x63, 0x61, 0x6c, 0x6c, 0x73, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72, 0x5f, 0x6f, 0x75, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.CallsAfterOut)
+	if err != nil {
+		err = msgp.WrapError(err, "CallsAfterOut")
+		return
+	}
+	// write "failed"
+	err = en.Append(0xa6, 0x66, 0x61, 0x69, 0x6c, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Failed)
+	if err != nil {
+		err = msgp.WrapError(err, "Failed")
+		return
+	}
+	// write "last_call_after_out_ms"
+	err = en.Append(0xb6, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72, 0x5f, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.LastCallAfterOutMs)
+	if err != nil {
+		err = msgp.WrapError(err, "LastCallAfterOutMs")
+		return
+	}
+	// write "lost"
+	err = en.Append(0xa4, 0x6c, 0x6f, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Lost)
+	if err != nil {
+		err = msgp.WrapError(err, "Lost")
+		return
+	}
+	// write "misdirected"
+	err = en.Append(0xab, 0x6d, 0x69, 0x73, 0x64, 0x69, 0x72, 0x65, 0x63, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Misdirected)
+	if err != nil {
+		err = msgp.WrapError(err, "Misdirected")
+		return
+	}
+	// write "not_run"
+	err = en.Append(0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.NotRun)
+	if err != nil {
+		err = msgp.WrapError(err, "NotRun")
+		return
+	}
+	// write "not_run_but_run"
+	err = en.Append(0xaf, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e, 0x5f, 0x62, 0x75, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.NotRunButRun)
+	if err != nil {
+		err = msgp.WrapError(err, "NotRunButRun")
+		return
+	}
+	// write "orders"
+	err = en.Append(0xa6, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Orders)
+	if err != nil {
+		err = msgp.WrapError(err, "Orders")
+		return
+	}
+	// write "orders_twice"
+	err = en.Append(0xac, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x74, 0x77, 0x69, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OrdersTwice)
+	if err != nil {
+		err = msgp.WrapError(err, "OrdersTwice")
+		return
+	}
+	// write "orders_unknown"
+	err = en.Append(0xae, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OrdersUnknown)
+	if err != nil {
+		err = msgp.WrapError(err, "OrdersUnknown")
+		return
+	}
+	// write "over_connections"
+	err = en.Append(0xb0, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OverConnections)
+	if err != nil {
+		err = msgp.WrapError(err, "OverConnections")
+		return
+	}
+	// write "over_slots"
+	err = en.Append(0xaa, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OverSlots)
+	if err != nil {
+		err = msgp.WrapError(err, "OverSlots")
+		return
+	}
+	// write "started"
+	err = en.Append(0xa7, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Started)
+	if err != nil {
+		err = msgp.WrapError(err, "Started")
+		return
+	}
+	// write "unknown"
+	err = en.Append(0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Unknown)
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Verdict) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 16
+	// string "answered"
+	o = append(o, 0xde, 0x0, 0x10, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Answered)
+	// string "answered_but_not_run"
+	o = append(o, 0xb4, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64, 0x5f, 0x62, 0x75, 0x74, 0x5f, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	o = msgp.AppendInt(o, z.AnsweredButNotRun)
+	// string "calls_after_out"
+	o = append(o, 0xaf, 0x63, 0x61, 0x6c, 0x6c, 0x73, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72, 0x5f, 0x6f, 0x75, 0x74)
+	o = msgp.AppendInt(o, z.CallsAfterOut)
+	// string "failed"
+	o = append(o, 0xa6, 0x66, 0x61, 0x69, 0x6c, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Failed)
+	// string "last_call_after_out_ms"
+	o = append(o, 0xb6, 0x6c, 0x61, 0x73, 0x74, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72, 0x5f, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.LastCallAfterOutMs)
+	// string "lost"
+	o = append(o, 0xa4, 0x6c, 0x6f, 0x73, 0x74)
+	o = msgp.AppendInt(o, z.Lost)
+	// string "misdirected"
+	o = append(o, 0xab, 0x6d, 0x69, 0x73, 0x64, 0x69, 0x72, 0x65, 0x63, 0x74, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Misdirected)
+	// string "not_run"
+	o = append(o, 0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	o = msgp.AppendInt(o, z.NotRun)
+	// string "not_run_but_run"
+	o = append(o, 0xaf, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e, 0x5f, 0x62, 0x75, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	o = msgp.AppendInt(o, z.NotRunButRun)
+	// string "orders"
+	o = append(o, 0xa6, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73)
+	o = msgp.AppendInt(o, z.Orders)
+	// string "orders_twice"
+	o = append(o, 0xac, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x74, 0x77, 0x69, 0x63, 0x65)
+	o = msgp.AppendInt(o, z.OrdersTwice)
+	// string "orders_unknown"
+	o = append(o, 0xae, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendInt(o, z.OrdersUnknown)
+	// string "over_connections"
+	o = append(o, 0xb0, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.OverConnections)
+	// string "over_slots"
+	o = append(o, 0xaa, 0x6f, 0x76, 0x65, 0x72, 0x5f, 0x73, 0x6c, 0x6f, 0x74, 0x73)
+	o = msgp.AppendInt(o, z.OverSlots)
+	// string "started"
+	o = append(o, 0xa7, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Started)
+	// string "unknown"
+	o = append(o, 0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendInt(o, z.Unknown)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Verdict) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answered":
+			z.Answered, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Answered")
+				return
+			}
+		case "answered_but_not_run":
+			z.AnsweredButNotRun, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AnsweredButNotRun")
+				return
+			}
+		case "calls_after_out":
+			z.CallsAfterOut, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CallsAfterOut")
+				return
+			}
+		case "failed":
+			z.Failed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
+		case "last_call_after_out_ms":
+			z.LastCallAfterOutMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LastCallAfterOutMs")
+				return
+			}
+		case "lost":
+			z.Lost, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lost")
+				return
+			}
+		case "misdirected":
+			z.Misdirected, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Misdirected")
+				return
+			}
+		case "not_run":
+			z.NotRun, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "not_run_but_run":
+			z.NotRunButRun, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NotRunButRun")
+				return
+			}
+		case "orders":
+			z.Orders, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Orders")
+				return
+			}
+		case "orders_twice":
+			z.OrdersTwice, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersTwice")
+				return
+			}
+		case "orders_unknown":
+			z.OrdersUnknown, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersUnknown")
+				return
+			}
+		case "over_connections":
+			z.OverConnections, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OverConnections")
+				return
+			}
+		case "over_slots":
+			z.OverSlots, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OverSlots")
+				return
+			}
+		case "started":
+			z.Started, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Started")
+				return
+			}
+		case "unknown":
+			z.Unknown, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Verdict) Msgsize() (s int) {
+	s = 3 + 9 + msgp.IntSize + 21 + msgp.IntSize + 16 + msgp.IntSize + 7 + msgp.IntSize + 23 + msgp.IntSize + 5 + msgp.IntSize + 12 + msgp.IntSize + 8 + msgp.IntSize + 16 + msgp.IntSize + 7 + msgp.IntSize + 13 + msgp.IntSize + 15 + msgp.IntSize + 17 + msgp.IntSize + 11 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.IntSize
+	return
+}
