--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -102,6 +102,14 @@
 	a.cancel()
 }
 
+// Probe asks a backend server for its health, taken by a prober.
+type Probe struct {
+	// Address is the backend server's ip:port.
+	Address string
+	// Timeout bounds the probe.
+	Timeout time.Duration
+}
+
 // Reply is what the front end gets for a call: Begun or Finished. A call has
 // exactly one reply.
 //
@@ -192,12 +200,33 @@
 	Hosts []schema.Host
 }
 
+// Isolate says whether this host must refuse calls because it was frozen or is
+// cut off.
+type Isolate struct {
+	// Isolated says that it must.
+	Isolated bool
+}
+
+// Confirm says that at a time this host was neither frozen nor isolated.
+type Confirm struct {
+	// At is the time.
+	At time.Time
+}
+
 // Shares says how many hosts' shares of the probe budget this host may spend.
 type Shares struct {
 	// Held is the number of shares, its own among them.
 	Held int
 }
 
+// Probed says how a probe ended.
+type Probed struct {
+	// Address is the backend server's ip:port.
+	Address string
+	// Healthy says that the backend server answered well in time.
+	Healthy bool
+}
+
 // Dump asks for the state of the duty.
 type Dump struct {
 	// Reply receives one reply; it must have room.
@@ -211,7 +240,10 @@
 func (Ended) input()     {}
 func (Configure) input() {}
 func (Hosts) input()     {}
+func (Isolate) input()   {}
+func (Confirm) input()   {}
 func (Shares) input()    {}
+func (Probed) input()    {}
 func (Dump) input()      {}
 
 // lastCall is the newest call id of this process.
--- a/slopes/decisions.go
+++ b/slopes/decisions.go
@@ -28,6 +28,8 @@
 	serverSizes = []int{1000, 3000, 10000}
 	// hostSizes are numbers of entry hosts.
 	hostSizes = []int{hostsToday, 100, 300}
+	// orderSizes are numbers of orders remembered.
+	orderSizes = []int{10000, 30000, 100000}
 )
 
 // Measure takes all measurements.
@@ -49,6 +51,10 @@
 		}),
 		measure("digest by hosts", "bytes", hostSizes, digestBytes),
 		measure("hearing a digest by hosts", "ns", hostSizes, digestTime),
+		measure("order book state by orders", "bytes", orderSizes, func(size int) float64 {
+			return heapBytes(func() any { return orderBook(size) })
+		}),
+		measure("decisions of an order by orders", "ns", orderSizes, orderTime),
 	}
 }
 
@@ -127,10 +133,13 @@
 	})
 }
 
+// digestInterval is the time between exchanges.
+const digestInterval = 250 * time.Millisecond
+
 // membership returns a view of that many hosts.
 func membership(count int) *peer.Membership {
 	list := hosts(count)
-	m := peer.NewMembership(list[0], seed)
+	m := peer.NewMembership(time.Time{}, list[0], digestInterval, seed)
 	for _, host := range list[1:] {
 		m.Step(time.Time{}, peer.DigestHeard{Digest: schema.Digest{Sender: host}})
 	}
@@ -140,7 +149,9 @@
 
 // digestBytes returns the encoded size of a digest.
 func digestBytes(count int) float64 {
-	digest := membership(count).Digest()
+	m := membership(count)
+	_ = m.Digest() // greets the hosts heard for the first time
+	digest := m.Digest()
 	raw, err := digest.MarshalMsg(nil)
 	if err != nil {
 		panic(err) // plain structs of strings and numbers always encode
