--- a/host/dump.go
+++ b/host/dump.go
@@ -52,6 +52,7 @@
 		describe(h.dispatch), describe(h.attempts), describe(h.probes), describe(h.peers), describe(h.exchanges),
 		describe(h.requests), describe(h.configurations), describe(h.changes), describe(h.dumps),
 		describe(h.fetches), describe(h.keeps), describe(h.stops), describe(h.stopRequests),
+		describe(h.claims),
 	}
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -64,6 +64,7 @@
 	stops          *ring.Ring[plannedStops]
 	stopRequests   *ring.Ring[operatorhttp.StopRequest]
 	dumps          *ring.Ring[operatorhttp.DumpRequest]
+	claims         *ring.Ring[dispatch.Claim]
 	platform       *platformhttp.Client
 	seed           uint64
 }
@@ -102,7 +103,7 @@
 		Self: schema.Host{
 			Name:            settings.Name,
 			DataCentre:      settings.DataCentre,
-			Incarnation:     ulid.Make().String(),
+			Incarnation:     ulid.MustNew(ulid.Now(), crand.Reader).String(), // two hosts never share one
 			CallerAddress:   settings.CallerAddress,
 			PeerAddress:     settings.PeerAddress,
 			OperatorAddress: settings.OperatorAddress,
@@ -121,6 +122,7 @@
 		stops:          ring.New[plannedStops]("stop", controlRing),
 		stopRequests:   ring.New[operatorhttp.StopRequest]("stop_requests", controlRing),
 		dumps:          ring.New[operatorhttp.DumpRequest]("dump", controlRing),
+		claims:         ring.New[dispatch.Claim]("claims", claimRing),
 		platform:       platformhttp.New(settings.PlatformAddress, platformTimeout),
 		seed:           seed,
 	}
@@ -181,7 +183,10 @@
 	pool := backend.NewPool(backend.Options{
 		QueueLength: h.Settings.QueueLength, Hosts: h.Settings.ConfiguredHosts, Seed: h.seed,
 	})
-	duties.Go("dispatch", dispatch.New(h.dispatch, h.attempts, h.probes, router, pool, h.Log).Run)
+	calls := dispatch.New(h.dispatch, h.attempts, h.probes, router, pool, h.Log)
+	h.addOrders(calls)
+	duties.Go("dispatch", calls.Run)
+	duties.Go("claims", h.newClaims().run)
 	connections := backendhttp.NewConnections(addressConnections)
 	for range h.Settings.Senders {
 		sender := &backendhttp.Sender{Attempts: h.attempts, Reports: h.dispatch, Connections: connections}
