--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -50,6 +50,8 @@
 	Rest *ring.Ring[Chunk]
 	// Forwarded says that another entry host answered.
 	Forwarded bool
+	// Outcome is what another entry host stated, or nil.
+	Outcome caller.Outcome
 }
 
 // Chunk is a part of a large body.
@@ -84,6 +86,11 @@
 	Depth int
 	// OrderID is the id of a forwarded order, or empty.
 	OrderID string
+	// OrderAttempt is the number of requests that the caller sent for a forwarded
+	// order before.
+	OrderAttempt int
+	// OrderFirst says that the caller vouches that it sent none.
+	OrderFirst bool
 	// Context ends when the attempt is given up.
 	Context context.Context //nolint:containedctx // one context for each attempt, made by the duty and read by a sender
 
@@ -146,6 +153,14 @@
 //sumtype:decl
 type Input interface{ input() }
 
+// Control is an input that concerns the host rather than one call.
+//
+//sumtype:decl
+type Control interface {
+	Input
+	control()
+}
+
 // Ask is a caller's question.
 type Ask struct {
 	// Service names the service.
@@ -233,11 +248,21 @@
 	Reply *ring.Ring[[]schema.CellDump]
 }
 
-func (Ask) input()       {}
-func (Call) input()      {}
-func (Cancel) input()    {}
-func (Answering) input() {}
-func (Ended) input()     {}
+func (OrderCall) input()   {}
+func (OrderAsk) input()    {}
+func (Claimed) input()     {}
+func (Ask) input()         {}
+func (Call) input()        {}
+func (Cancel) input()      {}
+func (Answering) input()   {}
+func (Ended) input()       {}
+func (Configure) control() {}
+func (Hosts) control()     {}
+func (Isolate) control()   {}
+func (Confirm) control()   {}
+func (Shares) control()    {}
+func (Dump) control()      {}
+
 func (Configure) input() {}
 func (Hosts) input()     {}
 func (Isolate) input()   {}
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -27,6 +27,12 @@
 	call    caller.Call
 	reply   *ring.Ring[Reply]
 	forward *Attempt
+	// order is set for a caller's request for an order.
+	order *caller.OrderRequest
+	// run is set for the run of an order.
+	run *run
+	// streams is the run whose large answer the request receives, or 0.
+	streams caller.CallID
 }
 
 // Duty is the state of the dispatch duty.
@@ -41,6 +47,8 @@
 	Router *caller.Router
 	// Pool decides how placed calls are run.
 	Pool *backend.Pool
+	// Orders holds the orders of this incarnation.
+	Orders *Orders
 	// Log receives broken invariants.
 	Log *logrus.Entry
 
@@ -62,6 +70,7 @@
 		Probes:    probes,
 		Router:    router,
 		Pool:      pool,
+		Orders:    NewOrders(caller.NewOrderBook("", 0, 0, time.Now()), nil, nil),
 		Log:       log,
 		calls:     map[caller.CallID]*pending{},
 		questions: map[caller.CallID]*ring.Ring[AskReply]{},
@@ -83,6 +92,7 @@
 			if d.Pool.Busy() {
 				d.backend(now, backend.Ticked{})
 			}
+			d.tickOrders(now)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -116,9 +126,21 @@
 // Step carries out one input.
 func (d *Duty) Step(now time.Time, input Input) {
 	d.notice(now)
+	d.step(now, input)
+	d.settleRuns(now)
+}
+
+// step carries out one input except for what follows from it for orders.
+func (d *Duty) step(now time.Time, input Input) {
 	switch input := input.(type) {
 	case Ask:
 		d.ask(now, input)
+	case OrderCall:
+		d.orderCalled(now, input)
+	case OrderAsk:
+		_ = input.Reply.Offer(d.orderStatus(now, input.Order)) // the ring has room by contract
+	case Claimed:
+		d.claimed(now, input)
 	case Call:
 		d.calls[input.Call.ID] = &pending{request: input.Request, call: input.Call, reply: input.Reply}
 		d.caller(now, caller.Called{Call: input.Call})
@@ -128,6 +150,16 @@
 		d.answering(now, input)
 	case Ended:
 		d.ended(now, input)
+	case Probed:
+		d.backend(now, backend.ProbeEnded{Address: input.Address, Healthy: input.Healthy})
+	case Control:
+		d.control(now, input)
+	}
+}
+
+// control carries out an input that concerns the host.
+func (d *Duty) control(now time.Time, input Control) {
+	switch input := input.(type) {
 	case Configure:
 		d.configuration = input.Configuration
 		d.caller(now, caller.ConfigurationChanged{Configuration: input.Configuration})
@@ -142,8 +174,6 @@
 		d.confirm(now, input.At)
 	case Shares:
 		d.backend(now, backend.SharesChanged{Held: input.Held})
-	case Probed:
-		d.backend(now, backend.ProbeEnded{Address: input.Address, Healthy: input.Healthy})
 	case Dump:
 		_ = input.Reply.Offer(d.dump(now)) // the ring has room by contract
 	}
@@ -237,8 +267,12 @@
 		Depth:    call.call.Depth,
 	})
 	d.attempts[action.Attempt] = attempt
+	if d.Attempts.Offer(attempt) != nil {
+		return false
+	}
+	d.noteSent(call)
 
-	return d.Attempts.Offer(attempt) == nil
+	return true
 }
 
 // forward sends a call to another entry host.
@@ -257,7 +291,10 @@
 	})
 	if err := d.Attempts.Offer(call.forward); err != nil {
 		d.finish(action.Call.ID, Finished{Outcome: caller.NotRun{Reason: caller.ReasonOverloaded}})
+
+		return
 	}
+	d.noteSent(call)
 }
 
 // cancel gives up a call whose caller went away.
@@ -271,6 +308,11 @@
 
 		return
 	}
+	if call.order != nil {
+		d.orderLeft(now, call)
+
+		return
+	}
 	d.backend(now, backend.CallCancelled{Call: id})
 }
 
@@ -289,7 +331,7 @@
 // ended ends an attempt and what depends on it.
 func (d *Duty) ended(now time.Time, input Ended) {
 	if input.Attempt.Forward {
-		d.finish(input.Attempt.Call, Finished{Outcome: backend.OutcomeOf(input.Result), Answer: input.Answer})
+		d.finish(input.Attempt.Call, d.forwarded(input))
 
 		return
 	}
@@ -312,6 +354,12 @@
 // its attempt ends, so that it can still be cancelled.
 func (d *Duty) begin(id caller.CallID, answer *Answer) {
 	call, ok := d.calls[id]
+	if ok && call.run != nil {
+		call.run.begun = answer
+		d.note(runBegun{run: id, answer: answer})
+
+		return
+	}
 	if !ok || call.reply == nil {
 		return
 	}
@@ -326,6 +374,11 @@
 		return
 	}
 	delete(d.calls, id)
+	if call.run != nil {
+		d.note(runFinished{run: id, of: call.run, finished: finished})
+
+		return
+	}
 	if call.reply != nil {
 		_ = call.reply.Offer(finished) // the ring has room by contract
 	}
