Place orders by the product's order path in the caller stand-in

Cause: orders were POST calls without an id, which nothing kept from running twice when they were repeated. Change: three of four orders ask for an order id, the others carry a number of their own; both are repeated after unknown with the same id or number, and after not_run with the same or a fresh one. Each repeat carries the same name, by which the backend servers' records tell how often the order ran, so the verdict judges every repeat. The test that an unknown order is not repeated is replaced: repeating it is what must be safe, and is judged by orders_twice in every run. Phases report the latency of idempotent calls, because a number of one's own waits for a batched claim.

--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -355,7 +355,8 @@
 	State HostState `json:"state" msg:"state"`
 }
 
-// LoadPhase sums up the calls that were due before, during or after a fault.
+// LoadPhase sums up the calls that were due before, during or after a fault. Its
+// latency is that of the idempotent calls.
 type LoadPhase struct {
 	// Answered counts calls with a whole answer.
 	Answered int `json:"answered" msg:"answered"`
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -247,21 +247,22 @@
 
 // LoadFlags holds the raw settings of the caller stand-in.
 type LoadFlags struct {
-	HostAddresses string `long:"host-addresses" env:"BAOBABDRUM_LOAD_HOST_ADDRESSES" default:"127.0.0.1:8080" value-name:"addresses" description:"IPs and ports of entry hosts, separated by commas"`
-	Services      string `long:"services" env:"BAOBABDRUM_LOAD_SERVICES" default:"catalogue" value-name:"names" description:"services for idempotent calls, separated by commas"`
-	OrderServices string `long:"order-services" env:"BAOBABDRUM_LOAD_ORDER_SERVICES" default:"orders" value-name:"names" description:"services for orders, separated by commas"`
-	Rate          string `long:"rate" env:"BAOBABDRUM_LOAD_RATE" default:"200" value-name:"integer" description:"calls started in a second, whether or not earlier ones have ended, in calls/s (1 to 1000000)"`
-	OrderPercent  string `long:"order-percent" env:"BAOBABDRUM_LOAD_ORDER_PERCENT" default:"0" value-name:"integer" description:"share of calls that are orders with an id of their own, in % (0 to 100)"`
-	PackPercent   string `long:"pack-percent" env:"BAOBABDRUM_LOAD_PACK_PERCENT" default:"0" value-name:"integer" description:"share of idempotent calls whose answer is large, in % (0 to 100)"`
-	PackBytes     string `long:"pack-bytes" env:"BAOBABDRUM_LOAD_PACK_BYTES" default:"1048576" value-name:"integer" description:"size of a large answer, in bytes (1 to 67108864)"`
-	FaultAfter    string `long:"fault-after" env:"BAOBABDRUM_LOAD_FAULT_AFTER" default:"0s" value-name:"duration" description:"time from the start until a fault is injected, for the report; 0 reports no phases (0s to 24h)"`
-	FaultFor      string `long:"fault-for" env:"BAOBABDRUM_LOAD_FAULT_FOR" default:"0s" value-name:"duration" description:"how long the fault lasts, for the report (0s to 24h)"`
-	Duration      string `long:"duration" env:"BAOBABDRUM_LOAD_DURATION" default:"10s" value-name:"duration" description:"length of the run (10ms to 24h)"`
-	Deadline      string `long:"deadline" env:"BAOBABDRUM_LOAD_DEADLINE" default:"5s" value-name:"duration" description:"deadline stated with each call (1ms to 10m)"`
-	Callers       string `long:"callers" env:"BAOBABDRUM_LOAD_CALLERS" default:"64" value-name:"integer" description:"concurrent callers, in callers (1 to 100000)"`
-	Direct        string `long:"direct" env:"BAOBABDRUM_LOAD_DIRECT" default:"false" value-name:"boolean" description:"whether the addresses are backend servers, called without an entry host, as a baseline"`
-	Report        string `long:"report" env:"BAOBABDRUM_LOAD_REPORT" default:"" value-name:"text" description:"file for the JSON report; empty for none"`
-	Seed          string `long:"seed" env:"BAOBABDRUM_LOAD_SEED" default:"1" value-name:"integer" description:"seed of the choice of services and pauses (1 to 9223372036854775807)"`
+	HostAddresses      string `long:"host-addresses" env:"BAOBABDRUM_LOAD_HOST_ADDRESSES" default:"127.0.0.1:8080" value-name:"addresses" description:"IPs and ports of entry hosts, separated by commas"`
+	Services           string `long:"services" env:"BAOBABDRUM_LOAD_SERVICES" default:"catalogue" value-name:"names" description:"services for idempotent calls, separated by commas"`
+	OrderServices      string `long:"order-services" env:"BAOBABDRUM_LOAD_ORDER_SERVICES" default:"orders" value-name:"names" description:"services for orders, separated by commas"`
+	Rate               string `long:"rate" env:"BAOBABDRUM_LOAD_RATE" default:"200" value-name:"integer" description:"calls started in a second, whether or not earlier ones have ended, in calls/s (1 to 1000000)"`
+	OrderPercent       string `long:"order-percent" env:"BAOBABDRUM_LOAD_ORDER_PERCENT" default:"0" value-name:"integer" description:"share of calls that are orders, in % (0 to 100)"`
+	OrderNumberPercent string `long:"order-number-percent" env:"BAOBABDRUM_LOAD_ORDER_NUMBER_PERCENT" default:"25" value-name:"integer" description:"share of orders with a number of the caller's own instead of an order id, in % (0 to 100)"`
+	PackPercent        string `long:"pack-percent" env:"BAOBABDRUM_LOAD_PACK_PERCENT" default:"0" value-name:"integer" description:"share of idempotent calls whose answer is large, in % (0 to 100)"`
+	PackBytes          string `long:"pack-bytes" env:"BAOBABDRUM_LOAD_PACK_BYTES" default:"1048576" value-name:"integer" description:"size of a large answer, in bytes (1 to 67108864)"`
+	FaultAfter         string `long:"fault-after" env:"BAOBABDRUM_LOAD_FAULT_AFTER" default:"0s" value-name:"duration" description:"time from the start until a fault is injected, for the report; 0 reports no phases (0s to 24h)"`
+	FaultFor           string `long:"fault-for" env:"BAOBABDRUM_LOAD_FAULT_FOR" default:"0s" value-name:"duration" description:"how long the fault lasts, for the report (0s to 24h)"`
+	Duration           string `long:"duration" env:"BAOBABDRUM_LOAD_DURATION" default:"10s" value-name:"duration" description:"length of the run (10ms to 24h)"`
+	Deadline           string `long:"deadline" env:"BAOBABDRUM_LOAD_DEADLINE" default:"5s" value-name:"duration" description:"deadline stated with each call (1ms to 10m)"`
+	Callers            string `long:"callers" env:"BAOBABDRUM_LOAD_CALLERS" default:"64" value-name:"integer" description:"concurrent callers, in callers (1 to 100000)"`
+	Direct             string `long:"direct" env:"BAOBABDRUM_LOAD_DIRECT" default:"false" value-name:"boolean" description:"whether the addresses are backend servers, called without an entry host, as a baseline"`
+	Report             string `long:"report" env:"BAOBABDRUM_LOAD_REPORT" default:"" value-name:"text" description:"file for the JSON report; empty for none"`
+	Seed               string `long:"seed" env:"BAOBABDRUM_LOAD_SEED" default:"1" value-name:"integer" description:"seed of the choice of services and pauses (1 to 9223372036854775807)"`
 }
 
 // LoadSettings holds the checked settings of the caller stand-in.
@@ -274,8 +275,10 @@
 	OrderServices []string
 	// Rate is set by --rate: calls started in a second, whether or not earlier ones have ended, in calls/s (1 to 1000000).
 	Rate int
-	// OrderPercent is set by --order-percent: share of calls that are orders with an id of their own, in % (0 to 100).
+	// OrderPercent is set by --order-percent: share of calls that are orders, in % (0 to 100).
 	OrderPercent int
+	// OrderNumberPercent is set by --order-number-percent: share of orders with a number of the caller's own instead of an order id, in % (0 to 100).
+	OrderNumberPercent int
 	// PackPercent is set by --pack-percent: share of idempotent calls whose answer is large, in % (0 to 100).
 	PackPercent int
 	// PackBytes is set by --pack-bytes: size of a large answer, in bytes (1 to 67108864).
@@ -302,21 +305,22 @@
 func (f LoadFlags) Check() (LoadSettings, []Fault) {
 	c := checker{}
 	settings := LoadSettings{
-		HostAddresses: c.addresses("host-addresses", f.HostAddresses),
-		Services:      c.names("services", f.Services),
-		OrderServices: c.names("order-services", f.OrderServices),
-		Rate:          c.integer("rate", f.Rate, "1", "1000000"),
-		OrderPercent:  c.integer("order-percent", f.OrderPercent, "0", "100"),
-		PackPercent:   c.integer("pack-percent", f.PackPercent, "0", "100"),
-		PackBytes:     c.integer("pack-bytes", f.PackBytes, "1", "67108864"),
-		FaultAfter:    c.duration("fault-after", f.FaultAfter, "0s", "24h"),
-		FaultFor:      c.duration("fault-for", f.FaultFor, "0s", "24h"),
-		Duration:      c.duration("duration", f.Duration, "10ms", "24h"),
-		Deadline:      c.duration("deadline", f.Deadline, "1ms", "10m"),
-		Callers:       c.integer("callers", f.Callers, "1", "100000"),
-		Direct:        c.boolean("direct", f.Direct),
-		Report:        c.text("report", f.Report),
-		Seed:          c.integer("seed", f.Seed, "1", "9223372036854775807"),
+		HostAddresses:      c.addresses("host-addresses", f.HostAddresses),
+		Services:           c.names("services", f.Services),
+		OrderServices:      c.names("order-services", f.OrderServices),
+		Rate:               c.integer("rate", f.Rate, "1", "1000000"),
+		OrderPercent:       c.integer("order-percent", f.OrderPercent, "0", "100"),
+		OrderNumberPercent: c.integer("order-number-percent", f.OrderNumberPercent, "0", "100"),
+		PackPercent:        c.integer("pack-percent", f.PackPercent, "0", "100"),
+		PackBytes:          c.integer("pack-bytes", f.PackBytes, "1", "67108864"),
+		FaultAfter:         c.duration("fault-after", f.FaultAfter, "0s", "24h"),
+		FaultFor:           c.duration("fault-for", f.FaultFor, "0s", "24h"),
+		Duration:           c.duration("duration", f.Duration, "10ms", "24h"),
+		Deadline:           c.duration("deadline", f.Deadline, "1ms", "10m"),
+		Callers:            c.integer("callers", f.Callers, "1", "100000"),
+		Direct:             c.boolean("direct", f.Direct),
+		Report:             c.text("report", f.Report),
+		Seed:               c.integer("seed", f.Seed, "1", "9223372036854775807"),
 	}
 
 	return settings, c.faults
--- /dev/null
+++ b/standin/order.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+)
+
+// orderIdentity is what keeps an order from running twice when it is repeated.
+type orderIdentity struct {
+	// name is the stand-ins' own name of the order, the evidence of its runs.
+	name string
+	// id is an order id that a host issued, or empty.
+	id string
+	// number is the caller's own number, or empty.
+	number string
+	// attempt counts the earlier requests with the id or the number.
+	attempt int
+	// uncertain says that an earlier request may have run.
+	uncertain bool
+}
+
+// identify gives an order its id or number and returns the addresses to use,
+// none if no host could be asked.
+func (c *Caller) identify(call scheduled, identity *orderIdentity) []string {
+	switch call.content.(type) {
+	case item, pack:
+	case numberedOrder:
+		identity.number = identity.name
+	case order:
+		if identity.id == "" && !c.settings.Direct {
+			return c.issue(call.service, identity)
+		}
+	}
+
+	return c.addresses(call.service)
+}
+
+// issue asks for an order id and returns the addresses that came with it.
+func (c *Caller) issue(service string, identity *orderIdentity) []string {
+	for range c.settings.HostAddresses {
+		if asked, ok := c.ask(service); ok && asked.OrderID != "" {
+			identity.id, identity.attempt = asked.OrderID, 0
+
+			return asked.Addresses
+		}
+		c.asked++
+	}
+
+	return nil
+}
+
+// encode adds the identity to a request.
+func (i *orderIdentity) encode(request *fasthttp.Request) {
+	if i.name == "" {
+		return
+	}
+	request.Header.Set(HeaderOrder, i.name)
+	request.Header.Set(backendhttp.HeaderOrderAttempt, strconv.Itoa(i.attempt))
+	if i.id != "" {
+		request.Header.Set(backendhttp.HeaderOrderID, i.id)
+	}
+	if i.number != "" {
+		request.Header.Set(backendhttp.HeaderOrderNumber, i.number)
+	}
+}
+
+// repeat prepares another request. An order that may have run keeps its id; one
+// that was not run for certain may get another.
+func (i *orderIdentity) repeat(result exchange, renew bool) {
+	i.attempt++
+	if result.outcome == outcomeUnknown {
+		i.uncertain = true
+	}
+	if renew && !i.uncertain {
+		i.id = ""
+	}
+}
+
+// failureOutcome returns how a request without a response ended. An order that
+// may have run before still may have.
+func (i *orderIdentity) failureOutcome(err error) string {
+	if i.uncertain {
+		return outcomeUnknown
+	}
+
+	return failureOutcome(err)
+}
