Move waiting calls when their cell goes to another host or leaves

Cause: a call that waited in a cell whose data centre left, or that another host took over, was told not_run (misdirected) and had to be called again. Ruled out: leaving it to callers' retries (a stall of a retry pause at the dock); moving calls in flight (they finish where they run). Change: dispatch routes such a call again, at most twice, so it is placed in another cell, forwarded once, or refused with the true reason. Conclusion: a departure costs waiting calls no round trip to the caller.

--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -13,6 +13,9 @@
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
+// maxMoves bounds how often a waiting call is routed again.
+const maxMoves = 2
+
 // tickInterval is the time between checks of deadlines while calls wait or run.
 const tickInterval = 5 * time.Millisecond
 
@@ -33,6 +36,8 @@
 	run *run
 	// streams is the run whose large answer the request receives, or 0.
 	streams caller.CallID
+	// moves counts how often the call was routed again.
+	moves int
 }
 
 // Duty is the state of the dispatch duty.
@@ -224,6 +229,7 @@
 func (d *Duty) backend(now time.Time, event backend.Event) {
 	var unsent []backend.AttemptID
 	var unprobed []string
+	var moved []caller.Call
 	for _, action := range d.Pool.Step(now, event) {
 		switch action := action.(type) {
 		case backend.StartAttempt:
@@ -235,6 +241,11 @@
 		case backend.DeliverAnswer:
 			d.begin(action.Call, d.answer)
 		case backend.EndCall:
+			if d.moves(action) {
+				moved = append(moved, d.calls[action.Call].call)
+
+				continue
+			}
 			d.endCall(action)
 		case backend.StartProbe:
 			if d.Probes.Offer(Probe{Address: action.Address, Timeout: action.Timeout}) != nil {
@@ -247,6 +258,9 @@
 	for _, address := range unprobed {
 		d.backend(now, backend.ProbeEnded{Address: address, Healthy: true}) // nothing was learned
 	}
+	for _, call := range moved {
+		d.caller(now, caller.Called{Call: call})
+	}
 	for _, id := range unsent {
 		d.ended(now, Ended{Attempt: d.attempts[id], Result: backend.Unsent{Local: true, Cause: &ring.FullError{
 			Ring: d.Attempts.Name, Capacity: d.Attempts.Capacity(),
@@ -341,6 +355,19 @@
 	delete(d.attempts, input.Attempt.ID)
 }
 
+// moves reports whether a call that waited in a cell of another host now is
+// routed again instead of being refused.
+func (d *Duty) moves(action backend.EndCall) bool {
+	refused, ok := action.Outcome.(caller.NotRun)
+	call := d.calls[action.Call]
+	if !ok || refused.Reason != caller.ReasonMisdirected || call == nil || call.moves >= maxMoves {
+		return false
+	}
+	call.moves++
+
+	return true
+}
+
 // endCall replies with the outcome that the pool decided.
 func (d *Duty) endCall(action backend.EndCall) {
 	finished := Finished{Outcome: action.Outcome}
--- /dev/null
+++ b/dispatch/duty_test.go
@@ -0,0 +1,94 @@
+package dispatch_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// began is the time of the first step.
+var began = time.Unix(1_700_000_000, 0)
+
+// newDuty returns the duty of the only live host.
+func newDuty() *dispatch.Duty {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	duty := dispatch.New(
+		ring.New[dispatch.Input]("dispatch", 16), ring.New[*dispatch.Attempt]("senders", 16),
+		ring.New[dispatch.Probe]("probers", 16), caller.NewRouter("host-1", time.Second),
+		backend.NewPool(backend.Options{QueueLength: 16, Hosts: 1, Seed: 1}), logrus.NewEntry(log),
+	)
+	duty.Step(began, dispatch.Hosts{Hosts: []schema.Host{{Name: "host-1", DataCentre: "north", CallerAddress: "127.0.0.1:1"}}})
+
+	return duty
+}
+
+// declare returns a configuration of one service with a backend server of one
+// slot in each data centre.
+func declare(version int, north, south schema.DataCentreState) schema.Configuration {
+	return schema.Configuration{
+		Version:     version,
+		Services:    []schema.Service{{Name: "catalogue"}},
+		DataCentres: []schema.DataCentre{{Name: "north", State: north}, {Name: "south", State: south}},
+		BackendServers: []schema.BackendServer{
+			{Service: "catalogue", DataCentre: "north", Address: "127.0.0.1:10", Slots: 1, Connections: 1},
+			{Service: "catalogue", DataCentre: "south", Address: "127.0.0.1:20", Slots: 1, Connections: 1},
+		},
+	}
+}
+
+// call offers a call and returns its reply ring.
+func call(duty *dispatch.Duty) *ring.Ring[dispatch.Reply] {
+	reply := ring.New[dispatch.Reply]("reply", 1)
+	duty.Step(began, dispatch.Call{
+		Call:    caller.Call{ID: dispatch.NextCall(), Service: "catalogue", Deadline: began.Add(time.Minute)},
+		Request: &dispatch.Request{Method: "POST", Target: "/"},
+		Reply:   reply,
+	})
+
+	return reply
+}
+
+func TestWaitingCallsWhenADataCentreLeaves(t *testing.T) {
+	tests := map[string]struct {
+		south    schema.DataCentreState
+		attempts []string
+		outcome  caller.Outcome
+	}{
+		"move to a data centre that is in": {
+			south: schema.DataCentreStateIn, attempts: []string{"127.0.0.1:10", "127.0.0.1:20"},
+		},
+		"are not run when none is in": {
+			south: schema.DataCentreStateOut, attempts: []string{"127.0.0.1:10"},
+			outcome: caller.NotRun{Reason: caller.ReasonNoBackendServer},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			duty := newDuty()
+			duty.Step(began, dispatch.Configure{Configuration: declare(1, schema.DataCentreStateIn, schema.DataCentreStateOut)})
+			call(duty)
+			waiting := call(duty)
+			duty.Step(began, dispatch.Configure{Configuration: declare(2, schema.DataCentreStateOut, test.south)})
+			for _, address := range test.attempts {
+				attempt, ok := duty.Attempts.Poll()
+				assert.Assert(t, ok, "no attempt at %s", address)
+				assert.Equal(t, attempt.Address, address)
+			}
+			_, ok := duty.Attempts.Poll()
+			assert.Assert(t, !ok, "an attempt too many")
+			reply, _ := waiting.Poll()
+			finished, _ := reply.(dispatch.Finished)
+			assert.DeepEqual(t, finished.Outcome, test.outcome)
+		})
+	}
+}
