--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,7 +13,7 @@
   use_deployment "$1"
   left=${data_centres[1]}
   echo "== $deployment: ${#hosts[@]} entry hosts, ${#servers[@]} backend servers; $left leaves after 1 s and returns after 8.5 s"
-  start_deployment
+  start_deployment || { stop_all && return 1; }
   start_load --rate "${RATE:-400}" --order-percent 10 --pack-percent 1 --duration 10s --fault-after 1s --fault-for 7500ms
   sleep 1
   out_at=$(now_ms)
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -305,7 +305,7 @@
   OUT=out/faults/$1
   use_deployment "${DEPLOYMENT:-mauritius}"
   if declare -F "prepare_$1" >/dev/null; then "prepare_$1"; fi
-  SETTLE=$settle start_deployment
+  SETTLE=$settle start_deployment || { stop_all && echo "case=$1 seed=$SEED result=NOT_STARTED" && return 1; }
   local began=$SECONDS
   start_load --rate "$RATE" --order-percent 20 --pack-percent 1 --seed "$SEED" --duration $((before + during + after))s \
     --fault-after "${before}s" --fault-for "${during}s"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -152,18 +152,17 @@
 wait_ready() { retry 20 curl -sf "http://$(operator_address "$1")/ready"; }
 
 # start_deployment: starts everything, applies the sheet and waits until every
-# host takes calls.
+# host takes calls. Callers check its exit code: within `||` errexit is off.
 start_deployment() {
   local i
   start_platform
-  retry 10 list_hosts
+  retry 10 list_hosts || return 1
   start_servers
-  all_running
   for i in "${!hosts[@]}"; do start_host "$i"; done
-  for i in "${!hosts[@]}"; do retry 10 curl -s "http://$(operator_address "$i")/live"; done
-  all_running
-  apply_sheet >"$out/apply.json"
-  for i in "${!hosts[@]}"; do wait_ready "$i"; done
+  for i in "${!hosts[@]}"; do retry 10 curl -s "http://$(operator_address "$i")/live" || return 1; done
+  all_running || return 1
+  apply_sheet >"$out/apply.json" || return 1
+  for i in "${!hosts[@]}"; do wait_ready "$i" || return 1; done
   sleep "${SETTLE:-1}"
 }
 
