Never take another request's answer from a kept connection

Cause: fasthttp's HostClient hands a kept-alive connection out without looking at it. A new test table against a fake TCP server failed before this change in 8 of its 55 cases, among them a doubled answer that arrived while the connection was idle and became the next request's answer, and connections closed while idle that were reported as Cut although no request had to leave. A shed answer whose body was cut was reported as Cut, and a switched protocol as Whole.

Ruled out: a check on top of HostClient. It discards its read buffer between requests and has no hook before a kept connection is used.

Change: a Connection owns its socket and buffers and uses fasthttp only to encode requests and decode answers. Before each request it looks at the socket (package tcp) and replaces one that is closed or on which bytes wait. Unsent is said only when the socket took no byte. An answer that is delimited by the close is Cut, since its end cannot be told from a cut. The rest of a large answer is given up at the deadline also for forwarded calls.

After: go test -race ./backendhttp ./tcp passes. Not covered: a server that sends a second answer only after the next request has left cannot be told apart in HTTP/1.1.

--- a/backendhttp/backendhttp.go
+++ b/backendhttp/backendhttp.go
@@ -31,6 +31,9 @@
 	chunkSize = 32 << 10
 	// chunkRing is the number of parts that wait for the caller.
 	chunkRing = 8
+	// readSize is the size in bytes of the first buffer for a body of unknown
+	// length.
+	readSize = 4 << 10
 )
 
 // hopByHop are header fields that concern one connection only.
--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -1,110 +1,147 @@
 package backendhttp
 
 import (
+	"bufio"
+	"context"
 	"net"
-	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = time.Second
-	// idleTimeout closes a connection that was not used for as long.
-	idleTimeout = 30 * time.Second
+	// headSize is the longest head of an answer in bytes.
+	headSize = 16 << 10
+	// writeSize is the size in bytes of the buffer for requests.
+	writeSize = 4 << 10
 )
 
-// observedConn is a network connection that remembers what happened to it.
-type observedConn struct {
-	net.Conn
-	wrote atomic.Bool
-	ended atomic.Bool
+// UnframedError reports an answer whose end cannot be told from a cut, because
+// it states neither a length nor chunks, or that switches the protocol.
+type UnframedError struct {
+	// Status is the answer's HTTP status.
+	Status int
 }
 
-// Write remembers that bytes may have left.
-func (c *observedConn) Write(data []byte) (int, error) {
-	c.wrote.Store(true)
-
-	return c.Conn.Write(data)
+// Error says what is missing.
+func (*UnframedError) Error() string {
+	return "the answer states neither its length nor chunks"
 }
 
-// Read remembers that the other side ended the connection or failed.
-func (c *observedConn) Read(data []byte) (int, error) {
-	count, err := c.Conn.Read(data)
-	if err != nil {
-		c.ended.Store(true)
-	}
-
-	return count, err
-}
-
-// Connection is one connection to a backend server or an entry host, opened
-// when it is first used. One sender uses it at a time.
+// Connection is one connection to a backend server or an entry host. One duty
+// uses it at a time. It counts the bytes that left, so that the sender knows
+// whether a request may have run.
 type Connection struct {
-	client fasthttp.HostClient
-	conn   atomic.Pointer[observedConn]
+	// Address is the ip:port.
+	Address string
+
+	conn   net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	sent   int
+	home   *pool
 }
 
 // NewConnection returns a connection that is not open yet.
 func NewConnection(address string) *Connection {
-	connection := &Connection{}
-	connection.client = fasthttp.HostClient{
-		Addr:                      address,
-		MaxConns:                  1,
-		MaxIdleConnDuration:       idleTimeout,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                neverRetry,
-		StreamResponseBody:        true,
-		NoDefaultUserAgentHeader:  true,
-		DisablePathNormalizing:    true,
-		Dial:                      connection.dial,
+	return &Connection{Address: address}
+}
+
+// Open makes the connection ready for a request and returns when it is open. A
+// connection that the other side closed, or on which bytes wait that belong to
+// no request, is replaced. The deadline then holds for the next exchange.
+func (c *Connection) Open(ctx context.Context, deadline time.Time) error {
+	c.sent = 0
+	if c.conn != nil {
+		if c.conn.SetDeadline(deadline) == nil && c.usable() {
+			return nil
+		}
+		c.Close()
+	}
+	dialer := net.Dialer{Timeout: dialTimeout, Deadline: deadline}
+	conn, err := dialer.DialContext(ctx, "tcp", c.Address)
+	if err != nil {
+		return eris.Wrapf(err, "connecting to %s", c.Address)
 	}
+	c.conn = conn
+	if c.reader == nil {
+		c.reader, c.writer = bufio.NewReaderSize(conn, headSize), bufio.NewWriterSize(c, writeSize)
+	}
+	c.reader.Reset(conn)
+	c.writer.Reset(c)
 
-	return connection
+	return eris.Wrapf(conn.SetDeadline(deadline), "connecting to %s", c.Address)
 }
 
-// neverRetry leaves every retry to the decisions.
-func neverRetry(*fasthttp.Request, int, error) (bool, bool) {
-	return false, false
+// usable reports whether a request may be sent on the open connection.
+func (c *Connection) usable() bool {
+	return c.reader.Buffered() == 0 && tcp.Peek(c.conn) == tcp.Quiet
 }
 
-// dial opens the network connection.
-func (c *Connection) dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
-	if err != nil {
-		return nil, err
+// Check closes the connection if it can't be used any more and reports whether
+// it is open.
+func (c *Connection) Check() bool {
+	if c.conn == nil {
+		return false
+	}
+	if c.conn.SetDeadline(time.Time{}) != nil || !c.usable() {
+		c.Close()
 	}
-	observed := &observedConn{Conn: conn}
-	c.conn.Store(observed)
 
-	return observed, nil
+	return c.conn != nil
 }
 
-// reset forgets what an earlier attempt did.
-func (c *Connection) reset() {
-	if conn := c.conn.Load(); conn != nil {
-		conn.wrote.Store(false)
-	}
+// Write sends bytes and counts those that left.
+func (c *Connection) Write(data []byte) (int, error) {
+	count, err := c.conn.Write(data)
+	c.sent += count
+
+	return count, err //nolint:wrapcheck // the sender wraps it with the address
 }
 
-// wrote reports whether bytes of the current attempt may have left.
-func (c *Connection) wrote() bool {
-	conn := c.conn.Load()
+// Exchange sends a request and reads the head of the answer. Unless the answer
+// has no body, it follows as a stream, which must be read to its end before the
+// next exchange.
+func (c *Connection) Exchange(request *fasthttp.Request, response *fasthttp.Response) error {
+	if err := request.Write(c.writer); err != nil {
+		return err
+	}
+	if err := c.writer.Flush(); err != nil {
+		return err
+	}
+	response.StreamBody = true
+	response.SkipBody = request.Header.IsHead()
+	if err := response.ReadLimitBody(c.reader, 0); err != nil {
+		return err
+	}
+	unframed := response.Header.ContentLength() < -1 && response.BodyStream() != nil
+	if unframed || response.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		return &UnframedError{Status: response.StatusCode()}
+	}
 
-	return conn != nil && conn.wrote.Load()
+	return nil
 }
 
-// ended reports whether the other side ended the connection.
-func (c *Connection) ended() bool {
-	conn := c.conn.Load()
+// Sent returns the number of bytes of the current request that left.
+func (c *Connection) Sent() int {
+	return c.sent
+}
 
-	return conn == nil || conn.ended.Load()
+// Abort closes the socket while another goroutine uses the connection, whose
+// exchange then fails.
+func (c *Connection) Abort() {
+	_ = c.conn.Close() // the exchange ends whether or not closing fails
 }
 
-// abort closes the network connection, which ends the current attempt.
-func (c *Connection) abort() {
-	if conn := c.conn.Load(); conn != nil {
-		_ = conn.Close() // the attempt ends whether or not closing fails
+// Close closes the connection, which may be opened again.
+func (c *Connection) Close() {
+	if c.conn != nil {
+		_ = c.conn.Close() // nothing depends on it any more
+		c.conn = nil
 	}
 }
--- a/backendhttp/connections.go
+++ b/backendhttp/connections.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"github.com/baobabdrum/baobabdrum/ring"
 )
@@ -20,49 +21,132 @@
 	return fmt.Sprintf("all %d connections to %s are in use", e.Limit, e.Address)
 }
 
-// Connections holds a bounded number of connections to each address. The map is
-// shared by the senders; each connection is used by one of them at a time.
+// Connections holds a bounded number of connections to each address. It is the
+// one structure that senders share beside their rings: a lookup from address to
+// two rings, whose items one duty owns from Acquire to Release.
 type Connections struct {
-	// Limit bounds the connections to each address.
+	// Limit bounds the connections to each address that has no limit of its own.
 	Limit int
 
-	idle sync.Map // address to *ring.Ring[*Connection]
+	pools sync.Map // address to *pool
+}
+
+// pool is the connections to one address. Each connection is in idle if it is
+// open, in places if it is not, or taken by a duty.
+type pool struct {
+	limit   int
+	idle    *ring.Ring[*Connection]
+	places  *ring.Ring[*Connection]
+	retired atomic.Bool
+}
+
+// newPool returns a pool that has opened none of its connections.
+func newPool(address string, limit int) *pool {
+	made := &pool{
+		limit:  limit,
+		idle:   ring.New[*Connection]("idle connections", limit),
+		places: ring.New[*Connection]("connections", limit),
+	}
+	for range limit {
+		connection := NewConnection(address)
+		connection.home = made
+		_ = made.places.Offer(connection) // it has room for all connections
+	}
+
+	return made
+}
+
+// release makes a connection available again.
+func (p *pool) release(connection *Connection) {
+	if connection.conn == nil {
+		_ = p.places.Offer(connection) // it has room for all connections
+
+		return
+	}
+	_ = p.idle.Offer(connection) // it has room for all connections
+	if p.retired.Load() {
+		p.closeIdle()
+	}
+}
+
+// retire closes the idle connections, and the others once they are released.
+func (p *pool) retire() {
+	p.retired.Store(true)
+	p.closeIdle()
+}
+
+// closeIdle closes the idle connections.
+func (p *pool) closeIdle() {
+	for connection, ok := p.idle.Poll(); ok; connection, ok = p.idle.Poll() {
+		connection.Close()
+		_ = p.places.Offer(connection) // it has room for all connections
+	}
 }
 
 // NewConnections returns a set that opens at most limit connections to each
-// address.
+// address that is not declared.
 func NewConnections(limit int) *Connections {
 	return &Connections{Limit: limit}
 }
 
-// Acquire returns an idle connection or a *LimitError.
+// Declare bounds the connections to an address. When the bound changes, the
+// connections in use under the old one are closed as they are released.
+func (c *Connections) Declare(address string, limit int) {
+	if c.pool(address).limit == limit {
+		return
+	}
+	if old, ok := c.pools.Swap(address, newPool(address, limit)); ok {
+		old.(*pool).retire()
+	}
+}
+
+// Forget closes the idle connections to an address. Those in use are closed
+// when they are released.
+func (c *Connections) Forget(address string) {
+	if old, ok := c.pools.LoadAndDelete(address); ok {
+		old.(*pool).retire()
+	}
+}
+
+// Close closes all idle connections. Those in use are closed when they are
+// released.
+func (c *Connections) Close() {
+	c.pools.Range(func(address, _ any) bool {
+		c.Forget(address.(string))
+
+		return true
+	})
+}
+
+// Acquire returns a connection, an open one if there is any, or a *LimitError.
 func (c *Connections) Acquire(address string) (*Connection, error) {
-	connection, ok := c.ring(address).Poll()
-	if !ok {
-		return nil, &LimitError{Address: address, Limit: c.Limit}
+	from := c.pool(address)
+	if connection, ok := from.idle.Poll(); ok {
+		return connection, nil
 	}
-	if connection == nil {
-		return NewConnection(address), nil
+	if connection, ok := from.places.Poll(); ok {
+		return connection, nil
 	}
 
-	return connection, nil
+	return nil, &LimitError{Address: address, Limit: from.limit}
 }
 
 // Release makes the connection available again.
-func (c *Connections) Release(address string, connection *Connection) {
-	_ = c.ring(address).Offer(connection) // it has room for all connections
+func (*Connections) Release(connection *Connection) {
+	connection.home.release(connection)
 }
 
-// ring returns the idle connections to an address.
-func (c *Connections) ring(address string) *ring.Ring[*Connection] {
-	if idle, ok := c.idle.Load(address); ok {
-		return idle.(*ring.Ring[*Connection])
-	}
-	created := ring.New[*Connection]("connections", c.Limit)
-	for range c.Limit {
-		_ = created.Offer(nil) // a place for a connection that is made when it is needed
+// Idle returns the number of open connections to an address that no duty uses.
+func (c *Connections) Idle(address string) int {
+	return c.pool(address).idle.Depth()
+}
+
+// pool returns the connections to an address.
+func (c *Connections) pool(address string) *pool {
+	if found, ok := c.pools.Load(address); ok {
+		return found.(*pool)
 	}
-	idle, _ := c.idle.LoadOrStore(address, created)
+	made, _ := c.pools.LoadOrStore(address, newPool(address, c.Limit))
 
-	return idle.(*ring.Ring[*Connection])
+	return made.(*pool)
 }
--- /dev/null
+++ b/backendhttp/fake_test.go
@@ -0,0 +1,176 @@
+package backendhttp_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/group"
+	"github.com/baobabdrum/baobabdrum/ring"
+)
+
+// settle is the time after which what was sent on the loopback has arrived.
+const settle = 30 * time.Millisecond
+
+// wire serves one accepted connection of the fake backend server.
+type wire func(conn *net.TCPConn, requests *bufio.Reader)
+
+// listen starts a fake backend server that serves the nth connection with the
+// nth wire and returns its address.
+func listen(t *testing.T, wires ...wire) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	duties := group.New(t.Context())
+	duties.Go("fake server", func(ctx context.Context) error {
+		for _, serve := range wires {
+			conn, err := listener.Accept()
+			if err != nil {
+				return err
+			}
+			duties.Go("fake connection", func(ctx context.Context) error {
+				defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+				serve(conn.(*net.TCPConn), bufio.NewReader(conn))
+				<-ctx.Done()
+
+				return nil
+			})
+		}
+		<-ctx.Done()
+
+		return nil
+	})
+	t.Cleanup(func() {
+		assert.Check(t, listener.Close())
+		assert.Check(t, duties.Wait())
+	})
+
+	return listener.Addr().String()
+}
+
+// receive reads one request and returns its path, or nothing at the end.
+func receive(requests *bufio.Reader) string {
+	request, err := http.ReadRequest(requests)
+	if err != nil {
+		return ""
+	}
+
+	return request.URL.Path
+}
+
+// say writes raw bytes.
+func say(conn *net.TCPConn, raw string) {
+	_, _ = conn.Write([]byte(raw)) // the other side may have gone
+}
+
+// reset closes the connection with a reset.
+func reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// sender is a running sender duty with its rings.
+type sender struct {
+	attempts    *ring.Ring[*dispatch.Attempt]
+	reports     *ring.Ring[dispatch.Input]
+	connections *backendhttp.Connections
+	address     string
+}
+
+// newSender runs a sender for the address.
+func newSender(t *testing.T, address string) *sender {
+	t.Helper()
+	s := &sender{
+		attempts:    ring.New[*dispatch.Attempt]("senders", 1),
+		reports:     ring.New[dispatch.Input]("dispatch", 1),
+		connections: backendhttp.NewConnections(1),
+		address:     address,
+	}
+	duties := group.New(t.Context())
+	duty := &backendhttp.Sender{Attempts: s.attempts, Reports: s.reports, Connections: s.connections}
+	duties.Go("sender", duty.Run)
+	t.Cleanup(func() {
+		assert.Check(t, duties.Wait())
+		s.connections.Close()
+	})
+
+	return s
+}
+
+// start offers a request and returns its attempt.
+func (s *sender) start(t *testing.T, method, target string, timeout time.Duration) *dispatch.Attempt {
+	t.Helper()
+	attempt := dispatch.NewAttempt(dispatch.Attempt{
+		Address:  s.address,
+		Request:  &dispatch.Request{Method: method, Target: target},
+		Deadline: time.Now().Add(timeout),
+	})
+	assert.NilError(t, s.attempts.Put(t.Context(), attempt))
+
+	return attempt
+}
+
+// received is how an attempt ended and the body that was reported.
+type received struct {
+	result backend.Result
+	body   string
+	// whole says that the body was reported as complete.
+	whole bool
+}
+
+// wait returns how the attempt ended.
+func (s *sender) wait(t *testing.T) received {
+	t.Helper()
+	var got received
+	for {
+		report, err := s.reports.Take(t.Context())
+		assert.NilError(t, err)
+		if answering, ok := report.(dispatch.Answering); ok {
+			got.body, got.whole = join(t, answering.Answer)
+
+			continue
+		}
+		ended, ok := report.(dispatch.Ended)
+		assert.Assert(t, ok, "unexpected report %T", report)
+		got.result = ended.Result
+		if ended.Answer != nil {
+			got.body, got.whole = string(ended.Answer.Body), true
+		}
+
+		return got
+	}
+}
+
+// join reads a large body and reports whether it is whole.
+func join(t *testing.T, answer *dispatch.Answer) (body string, whole bool) {
+	t.Helper()
+	body = string(answer.Body)
+	for {
+		chunk, err := answer.Rest.Take(t.Context())
+		assert.NilError(t, err)
+		body += string(chunk.Data)
+		if chunk.Last || chunk.Err != nil {
+			return body, chunk.Last
+		}
+	}
+}
+
+// cancelled returns an attempt that was given up before a sender took it.
+func cancelled(address string) *dispatch.Attempt {
+	attempt := dispatch.NewAttempt(dispatch.Attempt{
+		Address:  address,
+		Request:  &dispatch.Request{Method: http.MethodPost, Target: "/"},
+		Deadline: time.Now().Add(time.Second),
+	})
+	attempt.Cancel()
+
+	return attempt
+}
--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"io"
-	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,17 +17,6 @@
 	"github.com/baobabdrum/baobabdrum/ring"
 )
 
-// CutError reports a body that ended before its end.
-type CutError struct {
-	// Address is the ip:port that sent it.
-	Address string
-}
-
-// Error names the address.
-func (e *CutError) Error() string {
-	return "the answer of " + e.Address + " ended before its end"
-}
-
 // Sender is a duty that runs one attempt at a time.
 type Sender struct {
 	// Attempts is the ring that the duty takes from.
@@ -51,7 +40,8 @@
 	}
 }
 
-// send runs an attempt and returns how it ended.
+// send runs an attempt and returns how it ended. Only a connection whose answer
+// was read to its end is kept open.
 func (s *Sender) send(ctx context.Context, attempt *dispatch.Attempt) dispatch.Ended {
 	if attempt.Context.Err() != nil || !time.Now().Before(attempt.Deadline) {
 		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Cause: context.DeadlineExceeded}}
@@ -60,20 +50,36 @@
 	if err != nil {
 		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Cause: err}}
 	}
-	defer s.Connections.Release(attempt.Address, connection)
-	connection.reset()
-	defer abortOnCancel(attempt.Context, connection)()
+	defer s.Connections.Release(connection)
+	if err := connection.Open(attempt.Context, attempt.Deadline); err != nil {
+		connection.Close()
 
+		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Cause: err}}
+	}
+	ended, reusable := s.exchange(ctx, attempt, connection)
+	if !reusable {
+		connection.Close()
+	}
+
+	return ended
+}
+
+// exchange sends the request and receives the answer. It reports whether the
+// connection may be used again.
+func (s *Sender) exchange(ctx context.Context, attempt *dispatch.Attempt, connection *Connection) (dispatch.Ended, bool) {
+	settle := abortOnCancel(attempt.Context, connection)
+	defer settle()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	encode(request, attempt)
-	if err := connection.client.DoDeadline(request, response, attempt.Deadline); err != nil {
-		return dispatch.Ended{Attempt: attempt, Result: failure(attempt, connection, err)}
+	if err := connection.Exchange(request, response); err != nil {
+		return dispatch.Ended{Attempt: attempt, Result: failure(attempt, connection, err)}, false
 	}
-	defer response.CloseBodyStream() //nolint:errcheck // the connection is closed if this fails
+	ended := s.receive(ctx, attempt, connection, response)
+	_, whole := ended.Result.(backend.Whole)
 
-	return s.receive(ctx, attempt, connection, response)
+	return ended, whole && !response.ConnectionClose()
 }
 
 // abortOnCancel aborts the connection when the context ends. The returned
@@ -82,7 +88,7 @@
 func abortOnCancel(ctx context.Context, connection *Connection) func() {
 	aborted := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
-		connection.abort()
+		connection.Abort()
 		close(aborted)
 	})
 
@@ -96,19 +102,20 @@
 // receive reads the body, in parts if it is large.
 func (s *Sender) receive(ctx context.Context, attempt *dispatch.Attempt, connection *Connection, response *fasthttp.Response) dispatch.Ended {
 	answer := decode(attempt, response)
-	body := &body{stream: response.BodyStream(), connection: connection, length: answer.Length, address: attempt.Address}
-	if response.SkipBody || body.stream == nil {
-		answer.Body = append([]byte(nil), response.Body()...)
-
-		return whole(attempt, answer)
+	if shed(answer) {
+		return dispatch.Ended{Attempt: attempt, Result: backend.Shed{}}
 	}
-	first, err := body.read(wholeBody)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return dispatch.Ended{Attempt: attempt, Result: failure(attempt, connection, err)}
+	if response.BodyStream() == nil {
+		return dispatch.Ended{Attempt: attempt, Result: backend.Whole{Status: answer.Status}, Answer: answer}
 	}
+	body := &body{stream: response.BodyStream(), left: answer.Length}
+	first, err := body.read(wholeBody)
 	answer.Body = first
 	if errors.Is(err, io.EOF) {
-		return whole(attempt, answer)
+		return dispatch.Ended{Attempt: attempt, Result: backend.Whole{Status: answer.Status}, Answer: answer}
+	}
+	if err != nil {
+		return dispatch.Ended{Attempt: attempt, Result: failure(attempt, connection, err)}
 	}
 	answer.Rest = ring.New[dispatch.Chunk]("answer", chunkRing)
 	if err := s.Reports.Put(ctx, dispatch.Answering{Attempt: attempt, Answer: answer}); err != nil {
@@ -118,21 +125,21 @@
 	return s.stream(attempt, connection, body, answer)
 }
 
-// stream passes the rest of a large body on.
+// stream passes the rest of a large body on. A caller that does not take it
+// holds the attempt up until the deadline at most.
 func (*Sender) stream(attempt *dispatch.Attempt, connection *Connection, body *body, answer *dispatch.Answer) dispatch.Ended {
+	ctx, cancel := context.WithDeadline(attempt.Context, attempt.Deadline)
+	defer cancel()
 	for {
 		data, err := body.read(chunkSize)
-		last := errors.Is(err, io.EOF)
-		chunk := dispatch.Chunk{Data: data, Last: last}
-		if err != nil && !last {
+		chunk := dispatch.Chunk{Data: data, Last: errors.Is(err, io.EOF)}
+		if !chunk.Last {
 			chunk.Err = err
 		}
-		if put := answer.Rest.Put(attempt.Context, chunk); put != nil {
-			connection.abort()
-
-			return dispatch.Ended{Attempt: attempt, Result: backend.Cancelled{}}
+		if answer.Rest.Put(ctx, chunk) != nil {
+			return dispatch.Ended{Attempt: attempt, Result: failure(attempt, connection, ctx.Err())}
 		}
-		if last {
+		if chunk.Last {
 			return dispatch.Ended{Attempt: attempt, Result: backend.Whole{Status: answer.Status}}
 		}
 		if err != nil {
@@ -141,25 +148,15 @@
 	}
 }
 
-// whole reports an answer whose body is complete.
-func whole(attempt *dispatch.Attempt, answer *dispatch.Answer) dispatch.Ended {
-	if shed(answer) {
-		return dispatch.Ended{Attempt: attempt, Result: backend.Shed{}}
-	}
-
-	return dispatch.Ended{Attempt: attempt, Result: backend.Whole{Status: answer.Status}, Answer: answer}
-}
-
 // failure says how an attempt with an error ended.
 func failure(attempt *dispatch.Attempt, connection *Connection, err error) backend.Result {
 	cause := eris.Wrapf(err, "sending to %s", attempt.Address)
-	var timeout net.Error
 	switch {
-	case !connection.wrote():
+	case connection.Sent() == 0:
 		return backend.Unsent{Cause: cause}
 	case attempt.Context.Err() != nil:
 		return backend.Cancelled{}
-	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &timeout) && timeout.Timeout():
+	case !time.Now().Before(attempt.Deadline):
 		return backend.TimedOut{}
 	default:
 		return backend.Cut{Cause: cause}
@@ -174,7 +171,7 @@
 	for _, header := range attempt.Request.Headers {
 		request.Header.Add(header.Name, header.Value)
 	}
-	request.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(attempt.Deadline).Milliseconds(), 10))
+	request.Header.Set(HeaderDeadline, strconv.FormatInt(max(time.Until(attempt.Deadline).Milliseconds(), 1), 10))
 	if attempt.Depth > 0 {
 		request.Header.Set(HeaderDepth, strconv.Itoa(attempt.Depth))
 	}
@@ -213,35 +210,32 @@
 	return answer
 }
 
-// body reads a response's body and tells its end from a cut.
+// body reads a response's body in parts.
 type body struct {
-	stream     io.Reader
-	connection *Connection
-	length     int
-	taken      int
-	address    string
+	stream io.Reader
+	// left is the number of bytes that follow, or negative if it is unknown.
+	left int
 }
 
 // read returns up to limit bytes. It returns io.EOF with the last bytes of a
-// whole body and a *CutError if the body was cut.
+// whole body and another error if the body was cut.
 func (b *body) read(limit int) ([]byte, error) {
-	if b.length >= 0 {
-		limit = min(limit, b.length-b.taken)
-	}
-	data := make([]byte, limit)
-	count, err := io.ReadFull(b.stream, data)
-	b.taken += count
-	data = data[:count]
-	switch {
-	case b.length >= 0 && b.taken == b.length:
-		return data, io.EOF
-	case err == nil:
-		return data, nil
-	case !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-		return data, err
-	case b.length == -1 && !b.connection.ended():
-		return data, io.EOF
-	default:
-		return data, &CutError{Address: b.address}
+	capacity := min(limit, readSize)
+	if b.left >= 0 {
+		capacity = min(limit, b.left)
+	}
+	data := make([]byte, 0, capacity)
+	for len(data) < limit {
+		if len(data) == cap(data) {
+			data = slices.Grow(data, readSize)
+		}
+		count, err := b.stream.Read(data[len(data):min(cap(data), limit)])
+		data = data[:len(data)+count]
+		b.left -= count
+		if err != nil {
+			return data, err
+		}
 	}
+
+	return data, nil
 }
--- /dev/null
+++ b/backendhttp/sender_test.go
@@ -0,0 +1,234 @@
+package backendhttp_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+)
+
+const (
+	okHead  = "HTTP/1.1 200 OK\r\n"
+	chunked = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+	// longBody is larger than what a sender collects before it reports.
+	longBody = 200_000
+)
+
+// sized returns an answer with a stated length.
+func sized(body string) string {
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", okHead, len(body), body)
+}
+
+func TestSenderReportsWhatArrived(t *testing.T) {
+	long := strings.Repeat("x", longBody)
+	tests := map[string]struct {
+		method string
+		raw    string
+		end    func(conn *net.TCPConn)
+		want   string
+		body   string
+	}{
+		"sized":                        {raw: sized("stock"), want: "Whole", body: "stock"},
+		"sized and closed":             {raw: sized("stock"), end: closeConn, want: "Whole", body: "stock"},
+		"empty":                        {raw: sized(""), want: "Whole"},
+		"sized long":                   {raw: sized(long), want: "Whole", body: long},
+		"chunked":                      {raw: chunked + "5\r\nstock\r\n0\r\n\r\n", want: "Whole", body: "stock"},
+		"chunked and closed":           {raw: chunked + "5\r\nstock\r\n0\r\n\r\n", end: closeConn, want: "Whole", body: "stock"},
+		"chunked long":                 {raw: chunked + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", longBody, long), want: "Whole", body: long},
+		"sized cut":                    {raw: sized("stock")[:len(sized("stock"))-1], end: closeConn, want: "Cut"},
+		"sized cut after the head":     {raw: okHead + "Content-Length: 5\r\n\r\n", end: closeConn, want: "Cut"},
+		"sized long cut":               {raw: sized(long)[:longBody], end: closeConn, want: "Cut"},
+		"sized long reset":             {raw: sized(long)[:longBody], end: resetLate, want: "Cut"},
+		"chunked cut at a boundary":    {raw: chunked + "5\r\nstock\r\n", end: closeConn, want: "Cut"},
+		"chunked cut before the CRLF":  {raw: chunked + "5\r\nstock", end: closeConn, want: "Cut"},
+		"chunked cut in a size":        {raw: chunked + "5\r\nstock\r\n1", end: closeConn, want: "Cut"},
+		"chunked cut in the last":      {raw: chunked + "5\r\nstock\r\n0\r\n", end: closeConn, want: "Cut"},
+		"chunked long cut":             {raw: chunked + fmt.Sprintf("%x\r\n%s\r\n", longBody, long), end: closeConn, want: "Cut"},
+		"chunked with a garbage size":  {raw: chunked + "zz\r\nstock\r\n0\r\n\r\n", want: "Cut"},
+		"delimited by the close":       {raw: okHead + "Connection: close\r\n\r\nstock", end: closeConn, want: "Cut"},
+		"delimited by the close, long": {raw: okHead + "Connection: close\r\n\r\n" + long, end: closeConn, want: "Cut"},
+		"delimited by a reset":         {raw: okHead + "Connection: close\r\n\r\nstock", end: resetLate, want: "Cut"},
+		"closed before the head":       {end: closeConn, want: "Cut"},
+		"reset before the head":        {end: reset, want: "Cut"},
+		"cut head":                     {raw: "HTTP/1.1 200 OK\r\nContent-Le", end: closeConn, want: "Cut"},
+		"garbage head":                 {raw: "\x16\x03\x01 not HTTP\r\n\r\n", want: "Cut"},
+		"garbage length":               {raw: okHead + "Content-Length: five\r\n\r\nstock", want: "Cut"},
+		"two lengths":                  {raw: okHead + "Content-Length: 5\r\nContent-Length: 3\r\n\r\nstock", want: "Cut"},
+		"length and chunks":            {raw: okHead + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstock\r\n0\r\n\r\n", want: "Whole", body: "stock"},
+		"interim":                      {raw: "HTTP/1.1 103 Early Hints\r\n\r\n" + sized("stock"), want: "Whole", body: "stock"},
+		"interim only":                 {raw: "HTTP/1.1 100 Continue\r\n\r\n", end: closeConn, want: "Cut"},
+		"switched protocol":            {raw: "HTTP/1.1 101 Switching Protocols\r\n\r\n", want: "Cut"},
+		"late":                         {raw: okHead + "Content-Length: 5\r\n", want: "TimedOut"},
+		"late body":                    {raw: okHead + "Content-Length: 5\r\n\r\nsto", want: "TimedOut"},
+		"HEAD":                         {method: http.MethodHead, raw: okHead + "Content-Length: 5\r\n\r\n", want: "Whole"},
+		"HEAD chunked":                 {method: http.MethodHead, raw: chunked, want: "Whole"},
+		"no content":                   {raw: "HTTP/1.1 204 No Content\r\n\r\n", want: "Whole"},
+		"not modified":                 {raw: "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", want: "Whole"},
+		"shed":                         {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nContent-Length: 0\r\n\r\n", want: "Shed"},
+		"shed cut":                     {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nContent-Length: 9\r\n\r\n", end: closeConn, want: "Shed"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			method := test.method
+			if method == "" {
+				method = http.MethodGet
+			}
+			s := newSender(t, listen(t, func(conn *net.TCPConn, requests *bufio.Reader) {
+				receive(requests)
+				say(conn, test.raw)
+				if test.end != nil {
+					test.end(conn)
+				}
+			}))
+			s.start(t, method, "/", 500*time.Millisecond)
+			got := s.wait(t)
+			assert.Equal(t, kind(got.result), test.want)
+			assert.Equal(t, got.whole, test.want == "Whole")
+			if got.whole {
+				assert.Assert(t, got.body == test.body, "%d bytes", len(got.body))
+			}
+		})
+	}
+}
+
+func TestSenderNeverTakesAnotherAnswer(t *testing.T) {
+	answered := func(conn *net.TCPConn, requests *bufio.Reader) {
+		for path := receive(requests); path != ""; path = receive(requests) {
+			say(conn, sized(path))
+		}
+	}
+	after := func(extra func(conn *net.TCPConn)) wire {
+		return func(conn *net.TCPConn, requests *bufio.Reader) {
+			say(conn, sized(receive(requests)))
+			extra(conn)
+			answered(conn, requests)
+		}
+	}
+	tests := map[string]struct {
+		first wire
+		// gone is what the first call's result is when it has no answer.
+		gone string
+		// cancel gives the first call up.
+		cancel bool
+	}{
+		"kept alive": {first: answered},
+		"doubled at once": {first: func(conn *net.TCPConn, requests *bufio.Reader) {
+			path := receive(requests)
+			say(conn, sized(path)+sized(path))
+			answered(conn, requests)
+		}},
+		"doubled and cut at once": {first: func(conn *net.TCPConn, requests *bufio.Reader) {
+			path := receive(requests)
+			say(conn, sized(path)+"HTTP/1.1 200 OK\r\nContent-Le")
+			time.Sleep(2 * settle)
+			answered(conn, requests)
+		}},
+		"doubled while idle":     {first: after(func(conn *net.TCPConn) { time.Sleep(settle / 3); say(conn, sized("/another")) })},
+		"bytes while idle":       {first: after(func(conn *net.TCPConn) { time.Sleep(settle / 3); say(conn, "x") })},
+		"doubled and closed":     {first: after(func(conn *net.TCPConn) { say(conn, sized("/another")); closeConn(conn) })},
+		"closed while idle":      {first: after(closeConn)},
+		"reset while idle":       {first: after(reset)},
+		"half closed while idle": {first: after(func(conn *net.TCPConn) { _ = conn.CloseWrite() })},
+		"timed out, then late":   {gone: "TimedOut", first: late(6 * settle)},
+		"cancelled, then late":   {gone: "Cancelled", cancel: true, first: late(6 * settle)},
+		"body of a HEAD answer":  {first: after(func(conn *net.TCPConn) { say(conn, "stock") })},
+		"announced its own close": {first: func(conn *net.TCPConn, requests *bufio.Reader) {
+			receive(requests)
+			say(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\n/one")
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSender(t, listen(t, test.first, answered))
+			first := s.start(t, http.MethodPost, "/one", 4*settle)
+			if test.cancel {
+				time.Sleep(settle)
+				first.Cancel()
+			}
+			got := s.wait(t)
+			if test.gone != "" {
+				assert.Equal(t, kind(got.result), test.gone)
+			} else {
+				assert.Equal(t, got.body, "/one")
+			}
+			time.Sleep(settle)
+			for _, path := range []string{"/two", "/three"} {
+				s.start(t, http.MethodPost, path, time.Second)
+				got = s.wait(t)
+				assert.Equal(t, kind(got.result), "Whole")
+				assert.Equal(t, got.body, path)
+			}
+		})
+	}
+}
+
+func TestSenderSaysUnsentOnlyWhenNoByteLeft(t *testing.T) {
+	refusing, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	refused := refusing.Addr().String()
+	assert.NilError(t, refusing.Close())
+	silent := listen(t, func(*net.TCPConn, *bufio.Reader) {})
+
+	tests := map[string]struct {
+		address string
+		timeout time.Duration
+		cancel  bool
+		want    string
+	}{
+		"refused":                 {address: refused, timeout: time.Second, want: "Unsent"},
+		"past its deadline":       {address: silent, timeout: -time.Second, want: "Unsent"},
+		"cancelled before":        {address: silent, timeout: time.Second, cancel: true, want: "Unsent"},
+		"accepted but unanswered": {address: silent, timeout: settle, want: "TimedOut"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSender(t, test.address)
+			if test.cancel {
+				attempt := cancelled(test.address)
+				assert.NilError(t, s.attempts.Put(t.Context(), attempt))
+			} else {
+				s.start(t, http.MethodPost, "/", test.timeout)
+			}
+			assert.Equal(t, kind(s.wait(t).result), test.want)
+		})
+	}
+}
+
+// closeConn closes the connection after what was sent.
+func closeConn(conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	time.Sleep(settle)
+	_ = conn.Close()
+}
+
+// resetLate resets the connection after what was sent has arrived.
+func resetLate(conn *net.TCPConn) {
+	time.Sleep(settle)
+	reset(conn)
+}
+
+// late answers the first request after the delay, then serves the rest.
+func late(delay time.Duration) wire {
+	return func(conn *net.TCPConn, requests *bufio.Reader) {
+		path := receive(requests)
+		time.Sleep(delay)
+		say(conn, sized(path))
+		for path = receive(requests); path != ""; path = receive(requests) {
+			say(conn, sized(path))
+		}
+	}
+}
+
+// kind returns the name of a result's type.
+func kind(result backend.Result) string {
+	return strings.TrimPrefix(fmt.Sprintf("%T", result), "backend.")
+}
--- a/host/host.go
+++ b/host/host.go
@@ -164,6 +164,7 @@
 	pool := backend.NewPool(h.Settings.QueueLength)
 	duties.Go("dispatch", dispatch.New(h.dispatch, h.attempts, router, pool, h.Log).Run)
 	connections := backendhttp.NewConnections(addressConnections)
+	defer connections.Close()
 	for range h.Settings.Senders {
 		sender := &backendhttp.Sender{Attempts: h.attempts, Reports: h.dispatch, Connections: connections}
 		duties.Go("sender", sender.Run)
--- /dev/null
+++ b/tcp/tcp.go
@@ -0,0 +1,63 @@
+// Package tcp looks at a TCP connection without reading from it. Change this
+// package to learn more about a connection before it is used or given up.
+package tcp
+
+import (
+	"net"
+	"syscall"
+)
+
+// State is what waits on a connection.
+type State int
+
+const (
+	// Quiet says that the connection is open and nothing waits to be read.
+	Quiet State = iota
+	// Readable says that bytes wait to be read.
+	Readable
+	// Closed says that the other side closed the connection, or only its sending
+	// side, or that the connection failed.
+	Closed
+)
+
+// Peek returns the state of a connection at once and reads nothing from it. A
+// connection that is no socket counts as quiet; one whose read deadline has
+// passed counts as closed.
+func Peek(conn net.Conn) State {
+	system, ok := conn.(syscall.Conn)
+	if !ok {
+		return Quiet
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return Closed
+	}
+	state := Closed
+	peek := func(descriptor uintptr) bool {
+		state = peekDescriptor(int(descriptor))
+
+		return true
+	}
+	if raw.Read(peek) != nil {
+		return Closed
+	}
+
+	return state
+}
+
+// peekDescriptor returns the state of a socket.
+func peekDescriptor(descriptor int) State {
+	var buffer [1]byte
+	for {
+		count, _, err := syscall.Recvfrom(descriptor, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EINTR:
+		case err == syscall.EAGAIN:
+			return Quiet
+		case err != nil || count == 0:
+			return Closed
+		default:
+			return Readable
+		}
+	}
+}
--- /dev/null
+++ b/tcp/tcp_test.go
@@ -0,0 +1,65 @@
+package tcp_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/baobabdrum/baobabdrum/tcp"
+)
+
+func TestPeek(t *testing.T) {
+	tests := map[string]struct {
+		act  func(t *testing.T, near, far *net.TCPConn)
+		want tcp.State
+	}{
+		"open": {act: func(*testing.T, *net.TCPConn, *net.TCPConn) {}, want: tcp.Quiet},
+		"bytes wait": {act: func(t *testing.T, _, far *net.TCPConn) {
+			_, err := far.Write([]byte("x"))
+			assert.NilError(t, err)
+		}, want: tcp.Readable},
+		"closed": {act: func(t *testing.T, _, far *net.TCPConn) { assert.NilError(t, far.Close()) }, want: tcp.Closed},
+		"half closed": {act: func(t *testing.T, _, far *net.TCPConn) {
+			assert.NilError(t, far.CloseWrite())
+		}, want: tcp.Closed},
+		"reset": {act: func(t *testing.T, _, far *net.TCPConn) {
+			assert.NilError(t, far.SetLinger(0))
+			assert.NilError(t, far.Close())
+		}, want: tcp.Closed},
+		"closed here": {act: func(t *testing.T, near, _ *net.TCPConn) { assert.NilError(t, near.Close()) }, want: tcp.Closed},
+		"past its read deadline": {act: func(t *testing.T, near, _ *net.TCPConn) {
+			assert.NilError(t, near.SetReadDeadline(time.Now().Add(-time.Second)))
+		}, want: tcp.Closed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			near, far := pair(t)
+			test.act(t, near, far)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if state := tcp.Peek(near); state != test.want {
+					return poll.Continue("state %d, want %d", state, test.want)
+				}
+
+				return poll.Success()
+			}, poll.WithTimeout(time.Second), poll.WithDelay(time.Millisecond))
+		})
+	}
+}
+
+// pair returns both ends of a connection.
+func pair(t *testing.T) (near, far *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	dialled, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _, _ = dialled.Close(), accepted.Close() })
+
+	return dialled.(*net.TCPConn), accepted.(*net.TCPConn)
+}
