Bound what a caller that stalls or leaves can hold

It runs the front, the dispatch duty and the senders over real sockets: cut answers by raw bytes, slots freed when callers leave queued, in flight and mid-pack, a caller that stalls, and a 64 MiB answer with a bounded heap. goleak checks the package; it ignores two goroutines of fasthttp, one that lives as long as the process and one that ends by itself up to 10 s after its server.

--- a/callerhttp/call.go
+++ b/callerhttp/call.go
@@ -35,7 +35,7 @@
 	}
 	switch reply := f.wait(c, call.ID, reply).(type) {
 	case dispatch.Begun:
-		return f.stream(c, call.ID, reply.Answer)
+		return f.stream(c, call, reply.Answer)
 	case dispatch.Finished:
 		return finish(c, reply)
 	default:
--- /dev/null
+++ b/callerhttp/gone_test.go
@@ -0,0 +1,184 @@
+package callerhttp_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// packSize is the size of a large answer in bytes.
+	packSize = 64 << 20
+	// heapGrowth bounds the heap growth in bytes while a pack is passed on.
+	heapGrowth = 8 << 20
+	// shortDeadline is a deadline in milliseconds as a header field.
+	shortDeadline = "Baobabdrum-Deadline-Ms: 400\r\n"
+)
+
+// hold answers nothing until the host gives up.
+func hold(_ context.Context, _ *http.Request, conn *net.TCPConn) {
+	_, _ = conn.Read(make([]byte, 1))
+	_ = conn.Close()
+}
+
+// pack answers with a large body.
+func pack(_ context.Context, _ *http.Request, conn *net.TCPConn) {
+	say(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", packSize))
+	part := make([]byte, 64<<10)
+	for sent := 0; sent < packSize; sent += len(part) {
+		if _, err := conn.Write(part); err != nil {
+			return
+		}
+	}
+}
+
+func TestSlotIsFreed(t *testing.T) {
+	readSome := func(t *testing.T, conn *net.TCPConn) {
+		_, err := io.ReadFull(conn, make([]byte, 1<<20))
+		assert.NilError(t, err)
+		assert.NilError(t, conn.Close())
+	}
+	leave := func(t *testing.T, conn *net.TCPConn) { assert.NilError(t, conn.Close()) }
+	abort := func(t *testing.T, conn *net.TCPConn) {
+		assert.NilError(t, conn.SetLinger(0))
+		assert.NilError(t, conn.Close())
+	}
+	stay := func(*testing.T, *net.TCPConn) {}
+	tests := map[string]struct {
+		serve   func(ctx context.Context, request *http.Request, conn *net.TCPConn)
+		headers string
+		act     func(t *testing.T, conn *net.TCPConn)
+		forward bool
+	}{
+		"caller closes in flight":           {serve: hold, act: leave},
+		"caller resets in flight":           {serve: hold, act: abort},
+		"caller closes mid-pack":            {serve: pack, act: readSome},
+		"deadline in flight":                {serve: hold, headers: shortDeadline, act: stay},
+		"caller stalls mid-pack":            {serve: pack, headers: shortDeadline, act: stay},
+		"forwarded, caller closes":          {serve: hold, act: leave, forward: true},
+		"forwarded, caller closes mid-pack": {serve: pack, act: readSome, forward: true},
+		"forwarded, deadline":               {serve: hold, headers: shortDeadline, act: stay, forward: true},
+		"forwarded, caller stalls mid-pack": {serve: pack, headers: shortDeadline, act: stay, forward: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, test.serve)
+			s := newStack(t, schema.BackendServer{Address: server.address, Slots: 1})
+			if test.forward {
+				assert.NilError(t, s.inputs.Offer(dispatch.Hosts{Hosts: []schema.Host{
+					{Name: "host-2", DataCentre: "mu-north", CallerAddress: server.address, State: schema.HostStateLive},
+				}}))
+			}
+			conn := s.connect(t, http.MethodPost, "/call/catalogue/pack", test.headers+"Content-Length: 0\r\n")
+			if !test.forward {
+				s.waitFor(t, 1, 0)
+			}
+			test.act(t, conn)
+			server.waitEnded(t)
+			if !test.forward {
+				s.waitFor(t, 0, 0)
+			}
+		})
+	}
+}
+
+func TestStalledCallerNeverReadsAWholeAnswer(t *testing.T) {
+	server := newFakeServer(t, pack)
+	s := newStack(t, schema.BackendServer{Address: server.address, Slots: 1})
+	conn := s.connect(t, http.MethodGet, "/call/catalogue/pack", shortDeadline)
+	server.waitEnded(t)
+	s.waitFor(t, 0, 0)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	count, err := io.Copy(io.Discard, response.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	assert.Assert(t, count < packSize)
+}
+
+func TestConnectionIsKeptAfterAPack(t *testing.T) {
+	server := newFakeServer(t, pack)
+	s := newStack(t, schema.BackendServer{Address: server.address, Slots: 1})
+	conn := s.connect(t, http.MethodGet, "/call/catalogue/pack", shortDeadline)
+	requests := bufio.NewReader(conn)
+	for range 2 {
+		response, err := http.ReadResponse(requests, nil)
+		assert.NilError(t, err)
+		count, err := io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, count, int64(packSize))
+		assert.NilError(t, response.Body.Close())
+		time.Sleep(500 * time.Millisecond) // past the first deadline
+		_, err = io.WriteString(conn, "GET /call/catalogue/pack HTTP/1.1\r\nHost: test\r\n\r\n")
+		assert.NilError(t, err)
+	}
+}
+
+func TestQueuedCallLeavesTheQueue(t *testing.T) {
+	tests := map[string]struct {
+		headers string
+		act     func(t *testing.T, conn *net.TCPConn)
+	}{
+		"caller closes": {act: func(t *testing.T, conn *net.TCPConn) { assert.NilError(t, conn.Close()) }},
+		"deadline": {headers: shortDeadline, act: func(t *testing.T, conn *net.TCPConn) {
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, response.Header.Get("Baobabdrum-Outcome"), "not_run")
+			assert.Equal(t, response.Header.Get("Baobabdrum-Reason"), "deadline")
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, hold)
+			s := newStack(t, schema.BackendServer{Address: server.address, Slots: 1})
+			s.connect(t, http.MethodPost, "/call/catalogue/first", "Content-Length: 0\r\n")
+			s.waitFor(t, 1, 0)
+			conn := s.connect(t, http.MethodPost, "/call/catalogue/second", test.headers+"Content-Length: 0\r\n")
+			s.waitFor(t, 1, 1)
+			test.act(t, conn)
+			s.waitFor(t, 1, 0)
+		})
+	}
+}
+
+func TestPackStreamsInBoundedMemory(t *testing.T) {
+	server := newFakeServer(t, pack)
+	s := newStack(t, schema.BackendServer{Address: server.address, Slots: 1})
+	before := heap()
+	conn := s.connect(t, http.MethodGet, "/call/catalogue/pack", "")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var read, largest int64
+	for read < packSize {
+		count, err := io.CopyN(io.Discard, response.Body, packSize/16)
+		assert.NilError(t, err)
+		read += count
+		time.Sleep(10 * time.Millisecond)
+		largest = max(largest, heap()-before)
+	}
+	t.Logf("heap grew by %d KiB for a pack of %d KiB", largest>>10, packSize>>10)
+	assert.Assert(t, largest < heapGrowth, "the heap grew by %d bytes", largest)
+	s.waitFor(t, 0, 0)
+}
+
+// heap returns the bytes in use after a collection.
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+
+	return int64(stats.HeapAlloc) //nolint:gosec // a heap is far smaller
+}
--- /dev/null
+++ b/callerhttp/stack_test.go
@@ -0,0 +1,206 @@
+package callerhttp_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/callerhttp"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/group"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// testSenders is the number of sender duties of a stack.
+	testSenders = 8
+	// testTimeout bounds each wait of a test.
+	testTimeout = 5 * time.Second
+	// bodyLimit is the largest request body in bytes.
+	bodyLimit = 1 << 20
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, ignored()...)
+}
+
+// ignored lists goroutines of fasthttp that live as long as the process or end
+// by themselves up to 10 s after a server.
+func ignored() []goleak.Option {
+	return []goleak.Option{
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+	}
+}
+
+// stack is the path from the caller front to the backend side in one process.
+type stack struct {
+	address string
+	inputs  *ring.Ring[dispatch.Input]
+}
+
+// newStack runs a dispatch duty, senders and a caller front that place calls of
+// service catalogue on the backend server.
+func newStack(t *testing.T, backendServer schema.BackendServer) *stack {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &stack{address: listener.Addr().String(), inputs: ring.New[dispatch.Input]("dispatch", 1024)}
+	attempts := ring.New[*dispatch.Attempt]("senders", testSenders)
+	connections := backendhttp.NewConnections(testSenders)
+	ctx, stop := context.WithCancel(context.Background())
+	duties := group.New(ctx)
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	duty := dispatch.New(s.inputs, attempts, caller.NewRouter("host-1", time.Second), backend.NewPool(16), log.WithField("test", t.Name()))
+	duties.Go("dispatch", duty.Run)
+	for range testSenders {
+		duties.Go("sender", (&backendhttp.Sender{Attempts: attempts, Reports: s.inputs, Connections: connections}).Run)
+	}
+	duties.Go("caller front", func(ctx context.Context) error {
+		return callerhttp.New(s.inputs, testTimeout, bodyLimit).Run(ctx, listener)
+	})
+	t.Cleanup(func() {
+		stop()
+		assert.Check(t, duties.Wait())
+		connections.Close()
+	})
+	s.configure(t, backendServer)
+
+	return s
+}
+
+// configure puts a configuration with one backend server in force.
+func (s *stack) configure(t *testing.T, backendServer schema.BackendServer) {
+	t.Helper()
+	backendServer.Service, backendServer.DataCentre, backendServer.Connections = "catalogue", "mu-north", testSenders
+	assert.NilError(t, s.inputs.Offer(dispatch.Hosts{Hosts: []schema.Host{
+		{Name: "host-1", DataCentre: "mu-north", CallerAddress: s.address, State: schema.HostStateLive},
+	}}))
+	assert.NilError(t, s.inputs.Offer(dispatch.Configure{Configuration: schema.Configuration{
+		Version:        1,
+		Services:       []schema.Service{{Name: "catalogue", Idempotent: true}},
+		DataCentres:    []schema.DataCentre{{Name: "mu-north", State: schema.DataCentreStateIn}},
+		BackendServers: []schema.BackendServer{backendServer},
+	}}))
+}
+
+// cell returns the dump of the only cell.
+func (s *stack) cell(t *testing.T) schema.CellDump {
+	t.Helper()
+	reply := ring.New[[]schema.CellDump]("dump", 1)
+	assert.NilError(t, s.inputs.Put(t.Context(), dispatch.Dump{Reply: reply}))
+	cells, err := reply.Take(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(cells), 1)
+
+	return cells[0]
+}
+
+// waitFor waits until the cell has as many calls in flight and queued.
+func (s *stack) waitFor(t *testing.T, inFlight, queued int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		cell := s.cell(t)
+		if cell.BackendServers[0].InFlight != inFlight || cell.Queued != queued {
+			return poll.Continue("%d in flight, %d queued, want %d and %d", cell.BackendServers[0].InFlight, cell.Queued, inFlight, queued)
+		}
+
+		return poll.Success()
+	}, poll.WithTimeout(testTimeout), poll.WithDelay(2*time.Millisecond))
+}
+
+// connect opens a caller's connection and sends a request.
+func (s *stack) connect(t *testing.T, method, path, headers string) *net.TCPConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(2*testTimeout)))
+	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: test\r\n%s\r\n", method, path, headers)
+	assert.NilError(t, err)
+
+	return conn.(*net.TCPConn)
+}
+
+// fakeServer is a backend server that serves each connection by a function.
+type fakeServer struct {
+	address string
+	// ended receives an item when the host ends a connection.
+	ended *ring.Ring[error]
+}
+
+// newFakeServer serves each request by writing raw bytes.
+func newFakeServer(t *testing.T, serve func(ctx context.Context, request *http.Request, conn *net.TCPConn)) *fakeServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &fakeServer{address: listener.Addr().String(), ended: ring.New[error]("ended", 64)}
+	ctx, stop := context.WithCancel(context.Background())
+	duties := group.New(ctx)
+	duties.Go("fake server", func(ctx context.Context) error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return err
+			}
+			duties.Go("fake connection", func(context.Context) error {
+				server.connection(ctx, conn.(*net.TCPConn), serve)
+				<-ctx.Done()
+
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() {
+		stop()
+		assert.Check(t, listener.Close())
+		assert.Check(t, duties.Wait())
+	})
+
+	return server
+}
+
+// connection serves the requests of one connection and reports its end.
+func (f *fakeServer) connection(ctx context.Context, conn *net.TCPConn, serve func(ctx context.Context, request *http.Request, conn *net.TCPConn)) {
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	requests := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(requests)
+		if err != nil {
+			_ = f.ended.Offer(err)
+
+			return
+		}
+		serve(ctx, request, conn)
+	}
+}
+
+// waitEnded waits until the host ends a connection.
+func (f *fakeServer) waitEnded(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	_, err := f.ended.Take(ctx)
+	assert.NilError(t, err, "the connection to the backend server is still open")
+}
+
+// say writes raw bytes to the host.
+func say(conn io.Writer, raw string) {
+	_, _ = io.WriteString(conn, raw) // the host may have gone
+}
--- a/callerhttp/stream.go
+++ b/callerhttp/stream.go
@@ -3,39 +3,48 @@
 import (
 	"context"
 	"io"
+	"net"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/rotisserie/eris"
 
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/dispatch"
 	"github.com/baobabdrum/baobabdrum/ring"
 )
 
-// stallTimeout bounds the wait for the next part of a large answer.
-const stallTimeout = time.Minute
+// cancelTimeout bounds the wait for room in the ring of the dispatch duty.
+const cancelTimeout = time.Second
 
-// StalledError reports that the next part of a large answer did not arrive.
+// StalledError reports that the next part of a large answer did not arrive
+// before the deadline.
 type StalledError struct{}
 
 // Error says what happened.
 func (*StalledError) Error() string {
-	return "the rest of the answer did not arrive"
+	return "the rest of the answer did not arrive before the deadline"
 }
 
-// stream answers with a large body as its parts arrive. If a part is missing,
-// the caller's connection is closed before the body's end.
-func (f *Front) stream(c fiber.Ctx, id caller.CallID, answer *dispatch.Answer) error {
+// stream answers with a large body as its parts arrive. If a part is missing or
+// the caller does not take the body before the deadline, the caller's
+// connection is closed before the body's end.
+func (f *Front) stream(c fiber.Ctx, call caller.Call, answer *dispatch.Answer) error {
 	head(c, answer)
-	c.Response().SetBodyStream(&reader{id: id, inputs: f.Inputs, rest: answer.Rest, data: answer.Body}, answer.Length)
+	conn := c.RequestCtx().Conn()
+	if err := conn.SetWriteDeadline(call.Deadline); err != nil {
+		return eris.Wrap(err, "bounding the time to answer")
+	}
+	c.Response().SetBodyStream(&reader{call: call, inputs: f.Inputs, conn: conn, rest: answer.Rest, data: answer.Body}, answer.Length)
 
 	return nil
 }
 
 // reader reads a large body from its ring.
 type reader struct {
-	id     caller.CallID
+	call   caller.Call
 	inputs *ring.Ring[dispatch.Input]
+	conn   net.Conn
 	rest   *ring.Ring[dispatch.Chunk]
 	data   []byte
 	last   bool
@@ -61,7 +70,7 @@
 
 // next takes the next part.
 func (r *reader) next() {
-	ctx, cancel := context.WithTimeout(context.Background(), stallTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), r.call.Deadline)
 	defer cancel()
 	chunk, err := r.rest.Take(ctx)
 	if err != nil {
@@ -75,10 +84,10 @@
 // Close gives up the call unless the body was read to its end.
 func (r *reader) Close() error {
 	if r.last && len(r.data) == 0 {
-		return nil
+		return r.conn.SetWriteDeadline(time.Time{})
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), stallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 
-	return r.inputs.Put(ctx, dispatch.Cancel{Call: r.id})
+	return r.inputs.Put(ctx, dispatch.Cancel{Call: r.call.ID})
 }
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -62,6 +62,7 @@
 func (d *Duty) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer d.cancelAttempts()
 	for {
 		select {
 		case input := <-d.Inputs.Items():
@@ -76,6 +77,18 @@
 	}
 }
 
+// cancelAttempts gives up all attempts, so that the senders can stop.
+func (d *Duty) cancelAttempts() {
+	for _, attempt := range d.attempts {
+		attempt.Cancel()
+	}
+	for _, call := range d.calls {
+		if call.forward != nil {
+			call.forward.Cancel()
+		}
+	}
+}
+
 // Step carries out one input.
 func (d *Duty) Step(now time.Time, input Input) {
 	switch input := input.(type) {
