--- a/caller/router.go
+++ b/caller/router.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"io"
 	"slices"
 	"time"
 
@@ -29,10 +30,15 @@
 	Self string
 	// Keep is how long callers may keep an answer.
 	Keep time.Duration
+	// Incarnation is this host's incarnation.
+	Incarnation string
+	// Random is drawn from for order ids; without it none are issued.
+	Random io.Reader
 
 	configuration schema.Configuration
 	hosts         []schema.Host
 	routes        map[string][]*route
+	suspended     bool
 }
 
 // NewRouter returns a router without configuration and hosts: it refuses every
@@ -42,15 +48,17 @@
 }
 
 // Step reacts to one event.
-func (r *Router) Step(_ time.Time, event Event) []Action {
+func (r *Router) Step(now time.Time, event Event) []Action {
 	switch event := event.(type) {
 	case Asked:
-		return []Action{r.ask(event)}
+		return []Action{r.ask(now, event)}
 	case Called:
 		return []Action{r.call(event.Call)}
 	case ConfigurationChanged:
 		r.configuration = event.Configuration
 		r.reroute()
+	case Suspended:
+		r.suspended = event.On
 	case HostsChanged:
 		r.hosts = event.Hosts
 		r.reroute()
@@ -97,29 +105,33 @@
 			slots[Cell{Service: server.Service, DataCentre: server.DataCentre}] += server.Slots
 		}
 	}
+	ranker := NewRanker(r.hosts)
 	r.routes = map[string][]*route{}
 	for _, service := range r.configuration.Services {
 		for _, dataCentre := range r.configuration.DataCentres {
 			cell := Cell{Service: service.Name, DataCentre: dataCentre.Name}
 			if slots[cell] > 0 {
 				r.routes[service.Name] = append(r.routes[service.Name],
-					&route{cell: cell, slots: slots[cell], ranked: Rank(cell, r.hosts)})
+					&route{cell: cell, slots: slots[cell], ranked: ranker.Rank(cell, answerAddresses)})
 			}
 		}
 	}
 }
 
 // ask answers which hosts to use for a service.
-func (r *Router) ask(question Asked) Action {
+func (r *Router) ask(now time.Time, question Asked) Action {
 	routes, reason := r.usable(question.Service)
 	if reason != "" {
 		return Refuse{ID: question.ID, Outcome: NotRun{Reason: reason, Addresses: r.others()}}
 	}
 
+	chosen := choose(routes)
+
 	return AnswerAsk{ID: question.ID, Answer: schema.AskAnswer{
 		Service:              question.Service,
-		Addresses:            addresses(choose(routes), routes),
+		Addresses:            addresses(chosen, routes),
 		KeepMs:               int(r.Keep.Milliseconds()),
+		OrderID:              r.issue(now, chosen.ranked[0]),
 		ConfigurationVersion: r.configuration.Version,
 	}}
 }
@@ -145,7 +157,7 @@
 
 // usable returns the routes of a service, or the reason why there are none.
 func (r *Router) usable(service string) ([]*route, Reason) {
-	if r.configuration.Version == 0 || len(r.hosts) == 0 {
+	if r.suspended || r.configuration.Version == 0 || len(r.hosts) == 0 {
 		return nil, ReasonNotReady
 	}
 	if routes := r.routes[service]; len(routes) > 0 {
@@ -168,7 +180,7 @@
 
 // owns reports whether this host owns the route's cell.
 func (r *Router) owns(route *route) bool {
-	return len(route.ranked) > 0 && route.ranked[0].Name == r.Self
+	return !r.suspended && len(route.ranked) > 0 && route.ranked[0].Name == r.Self
 }
 
 // others returns addresses of other live hosts.
--- a/callerhttp/callerhttp.go
+++ b/callerhttp/callerhttp.go
@@ -10,21 +10,23 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/baobabdrum/baobabdrum/backendhttp"
 	"github.com/baobabdrum/baobabdrum/dispatch"
 	"github.com/baobabdrum/baobabdrum/ring"
 )
 
 const (
 	// HeaderOutcome carries answered, not_run or unknown.
-	HeaderOutcome = "Baobabdrum-Outcome"
+	HeaderOutcome = backendhttp.HeaderOutcome
 	// HeaderReason carries the reason of not_run and unknown.
-	HeaderReason = "Baobabdrum-Reason"
+	HeaderReason = backendhttp.HeaderReason
 )
 
 const (
 	// idleTimeout closes a caller's connection that was not used for as long.
 	idleTimeout = time.Minute
-	// shutdownTimeout bounds how long requests in flight may hold up a stop.
+	// shutdownTimeout bounds how long requests in flight may hold up a stop after
+	// the deadline of calls that state none.
 	shutdownTimeout = 10 * time.Second
 )
 
@@ -52,15 +54,23 @@
 	})
 	front.app.Get("/ask/:service", front.ask)
 	front.app.All("/call/:service/*", front.call)
+	front.app.Add(orderMethods, "/order/:service/*", front.order)
+	front.app.Get("/order/:id", front.orderStatus)
 
 	return front
 }
 
-// Run serves callers until the context ends.
+// Run serves callers until the context ends, and then until no request is in
+// flight.
 func (f *Front) Run(ctx context.Context, listener net.Listener) error {
-	return f.app.Listener(listener, fiber.ListenConfig{
-		DisableStartupMessage: true,
-		GracefulContext:       ctx,
-		ShutdownTimeout:       shutdownTimeout,
+	finished := ring.New[error]("shutdown", 1)
+	stop := context.AfterFunc(ctx, func() {
+		_ = finished.Offer(f.app.ShutdownWithTimeout(f.CallTimeout + shutdownTimeout)) // the ring has room
 	})
+	if err := f.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}); stop() {
+		return err
+	}
+	err, _ := finished.Take(context.Background()) // shutting down is bounded
+
+	return err
 }
--- a/callerhttp/stack_test.go
+++ b/callerhttp/stack_test.go
@@ -66,7 +66,9 @@
 	duties := group.New(ctx)
 	log := logrus.New()
 	log.SetOutput(t.Output())
-	duty := dispatch.New(s.inputs, attempts, caller.NewRouter("host-1", time.Second), backend.NewPool(16), log.WithField("test", t.Name()))
+	probes := ring.New[dispatch.Probe]("probers", 1)
+	pool := backend.NewPool(backend.Options{QueueLength: 16, Hosts: 1, Seed: 1})
+	duty := dispatch.New(s.inputs, attempts, probes, caller.NewRouter("host-1", time.Second), pool, log.WithField("test", t.Name()))
 	duties.Go("dispatch", duty.Run)
 	for range testSenders {
 		duties.Go("sender", (&backendhttp.Sender{Attempts: attempts, Reports: s.inputs, Connections: connections}).Run)
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -25,10 +25,11 @@
 	// ForMs is how long the fault lasts in milliseconds; 0 ends it.
 	ForMs int `json:"for_ms" msg:"for_ms"`
 
-	// Kind is freeze, shed, cold, drain, cut, late, lie or fail_fast.
+	// Kind is freeze, shed, cold, drain, cut, late, straggle, lie or fail_fast.
 	Kind string `json:"kind" msg:"kind"`
 
-	// Value is the delay in milliseconds of late answers, or the load in a lie.
+	// Value is the delay in milliseconds of late answers, the factor of a straggler,
+	// or the load in a lie.
 	Value int `json:"value" msg:"value"`
 }
 
@@ -75,6 +76,16 @@
 	Slots int `json:"slots" msg:"slots"`
 }
 
+// CallInterval counts the calls that a backend server stand-in started within 100
+// ms.
+type CallInterval struct {
+	// Calls is the number of calls that started.
+	Calls int `json:"calls" msg:"calls"`
+
+	// FromMs is the beginning in Unix milliseconds.
+	FromMs int `json:"from_ms" msg:"from_ms"`
+}
+
 // CellDump is the dispatch duty's view of one cell.
 type CellDump struct {
 	// BackendServers are sorted by address.
@@ -93,6 +104,16 @@
 	Service string `json:"service" msg:"service"`
 }
 
+// ChangeRecord is the evidence that a change was kept.
+type ChangeRecord struct {
+	// ChangeID identifies the change.
+	ChangeID string `json:"change_id" msg:"change_id"`
+
+	// SheetChecksum is the xxhash of what the sheet declares; empty for other
+	// changes.
+	SheetChecksum string `json:"sheet_checksum" msg:"sheet_checksum"`
+}
+
 // ChangeResult answers an operator's change.
 type ChangeResult struct {
 	// ChangeID identifies the change.
@@ -124,6 +145,9 @@
 	// PlannedStops are sorted by host.
 	PlannedStops []PlannedStop `json:"planned_stops" msg:"planned_stops"`
 
+	// RecentChanges are the last changes that were kept, the newest last.
+	RecentChanges []ChangeRecord `json:"recent_changes" msg:"recent_changes"`
+
 	// Services are sorted by name.
 	Services []Service `json:"services" msg:"services"`
 
@@ -139,6 +163,9 @@
 
 // DataCentre is a declared data centre and its state.
 type DataCentre struct {
+	// ChangeID identifies the change that decided the state.
+	ChangeID string `json:"change_id" msg:"change_id"`
+
 	// Name is unique in a configuration.
 	Name string `json:"name" msg:"name"`
 
@@ -156,14 +183,24 @@
 	// ConfigurationVersion is the sender's version in force.
 	ConfigurationVersion int `json:"configuration_version" msg:"configuration_version"`
 
+	// Heartbeats are those of hosts whose records are not repeated.
+	Heartbeats []Heartbeat `json:"heartbeats" msg:"heartbeats"`
+
 	// Hosts are records that the sender learnt most recently.
 	Hosts []Host `json:"hosts" msg:"hosts"`
 
+	// LendsForMs is how long the receiver may use the sender's shares of the probe
+	// budget in milliseconds; 0 lends nothing.
+	LendsForMs int `json:"lends_for_ms" msg:"lends_for_ms"`
+
 	// Overrides are those in force at the sender.
 	Overrides []Override `json:"overrides" msg:"overrides"`
 
 	// Sender corresponds to the JSON schema field "sender".
 	Sender Host `json:"sender" msg:"sender"`
+
+	// ViewHash identifies the live hosts and the configuration version in 32 bits.
+	ViewHash int `json:"view_hash" msg:"view_hash"`
 }
 
 // Dump is the state of an entry host on request.
@@ -180,11 +217,18 @@
 	// Hosts are the live hosts in this host's view.
 	Hosts []Host `json:"hosts" msg:"hosts"`
 
+	// Isolated says that the host refuses calls because it was frozen or is cut off.
+	Isolated bool `json:"isolated" msg:"isolated"`
+
 	// Overrides are those in force.
 	Overrides []Override `json:"overrides" msg:"overrides"`
 
 	// Rings are the bounded rings between duties.
 	Rings []RingDump `json:"rings" msg:"rings"`
+
+	// SharesHeld is the number of hosts' shares of the probe budget that this host
+	// may spend.
+	SharesHeld int `json:"shares_held" msg:"shares_held"`
 }
 
 // Failure is the body of every response that is not a backend server's answer.
@@ -233,6 +277,15 @@
 	Service string `json:"service" msg:"service"`
 }
 
+// Heartbeat says how far a host's counter has come without repeating its record.
+type Heartbeat struct {
+	// Counter is the host's heartbeat.
+	Counter int `json:"counter" msg:"counter"`
+
+	// HostHash identifies the host's name and incarnation in 32 bits.
+	HostHash int `json:"host_hash" msg:"host_hash"`
+}
+
 // Host is what one entry host announces about itself.
 type Host struct {
 	// CallerAddress is the ip:port for callers.
@@ -269,6 +322,7 @@
 
 type HostState string
 
+const HostStateDead HostState = "dead"
 const HostStateJoining HostState = "joining"
 const HostStateLeaving HostState = "leaving"
 const HostStateLive HostState = "live"
@@ -300,6 +354,24 @@
 	State HostState `json:"state" msg:"state"`
 }
 
+// LoadPhase sums up the calls that were due before, during or after a fault.
+type LoadPhase struct {
+	// Answered counts calls with a whole answer.
+	Answered int `json:"answered" msg:"answered"`
+
+	// Latency corresponds to the JSON schema field "latency".
+	Latency Latency `json:"latency" msg:"latency"`
+
+	// NotRun counts calls that were refused after all retries.
+	NotRun int `json:"not_run" msg:"not_run"`
+
+	// Phase is before, during or after.
+	Phase string `json:"phase" msg:"phase"`
+
+	// Unknown counts calls that may have run.
+	Unknown int `json:"unknown" msg:"unknown"`
+}
+
 // LoadReport is what a backend server says about its load; it lags and may be
 // wrong.
 type LoadReport struct {
@@ -318,6 +390,10 @@
 	// Answered counts calls with a whole answer.
 	Answered int `json:"answered" msg:"answered"`
 
+	// Failed counts those among the answered whose status says that the backend
+	// server failed.
+	Failed int `json:"failed" msg:"failed"`
+
 	// Latency corresponds to the JSON schema field "latency".
 	Latency Latency `json:"latency" msg:"latency"`
 
@@ -345,12 +421,19 @@
 	// LateStarts counts calls that had no free caller in time.
 	LateStarts int `json:"late_starts" msg:"late_starts"`
 
+	// OrdersAnswered are the orders with a whole answer.
+	OrdersAnswered []string `json:"orders_answered" msg:"orders_answered"`
+
 	// OrdersNotRun are the orders told not_run.
 	OrdersNotRun []string `json:"orders_not_run" msg:"orders_not_run"`
 
 	// OrdersUnknown are the orders told unknown.
 	OrdersUnknown []string `json:"orders_unknown" msg:"orders_unknown"`
 
+	// Phases are those before, during and after a fault; none when no fault was
+	// announced.
+	Phases []LoadPhase `json:"phases" msg:"phases"`
+
 	// Rate is the wanted number of calls a second.
 	Rate int `json:"rate" msg:"rate"`
 
@@ -364,6 +447,22 @@
 	Started int `json:"started" msg:"started"`
 }
 
+// OrderStatus says what an entry host knows about an order.
+type OrderStatus struct {
+	// Address is the ip:port of the host that knows, or empty.
+	Address string `json:"address" msg:"address"`
+
+	// OrderID identifies the order.
+	OrderID string `json:"order_id" msg:"order_id"`
+
+	// Reason says why an order ended without an answer that is held, or is empty.
+	Reason string `json:"reason" msg:"reason"`
+
+	// State is unseen, claimed, sent, answered, unknown, refused, or elsewhere when
+	// another host knows.
+	State string `json:"state" msg:"state"`
+}
+
 // Override is an operator's change of a data centre's state that may not be in the
 // configuration yet.
 type Override struct {
@@ -449,9 +548,32 @@
 	// Calls is the number of calls that it ran.
 	Calls int `json:"calls" msg:"calls"`
 
+	// Cancelled is the number of calls whose connection was closed before the answer
+	// was sent.
+	Cancelled int `json:"cancelled" msg:"cancelled"`
+
+	// ConnectionsRefused is the number of connections above the limit.
+	ConnectionsRefused int `json:"connections_refused" msg:"connections_refused"`
+
+	// Expired is the number of calls that were given up at their deadline.
+	Expired int `json:"expired" msg:"expired"`
+
+	// FellOver is the number of times that it failed under a load too large for a
+	// cold start.
+	FellOver int `json:"fell_over" msg:"fell_over"`
+
+	// InFlight is the number of calls that run now.
+	InFlight int `json:"in_flight" msg:"in_flight"`
+
+	// Intervals are those in which calls started
+	Intervals []CallInterval `json:"intervals" msg:"intervals"`
+
 	// LastCallAtMs is the start of the newest call in Unix milliseconds.
 	LastCallAtMs int `json:"last_call_at_ms" msg:"last_call_at_ms"`
 
+	// MostConnections is the largest number of connections at once.
+	MostConnections int `json:"most_connections" msg:"most_connections"`
+
 	// MostInFlight is the largest number of calls at once.
 	MostInFlight int `json:"most_in_flight" msg:"most_in_flight"`
 
@@ -478,6 +600,31 @@
 	ProbeRateMilli int `json:"probe_rate_milli" msg:"probe_rate_milli"`
 }
 
+// Snapshot is a copy of an accepted configuration in the platform's object store.
+type Snapshot struct {
+	// Checksum is the xxhash of the value in hexadecimal digits.
+	Checksum string `json:"checksum" msg:"checksum"`
+
+	// Hosts is the list of hosts last read from the platform.
+	Hosts []ListedHost `json:"hosts" msg:"hosts"`
+
+	// Value is the configuration as JSON.
+	Value string `json:"value" msg:"value"`
+}
+
+// StopResult answers a planned stop.
+type StopResult struct {
+	// Host is the stopping host's name.
+	Host string `json:"host" msg:"host"`
+
+	// State corresponds to the JSON schema field "state".
+	State HostState `json:"state" msg:"state"`
+
+	// WaitMs is how long the host still forwards calls before it exits in
+	// milliseconds.
+	WaitMs int `json:"wait_ms" msg:"wait_ms"`
+}
+
 // Transaction writes all of its rows or none; each row carries the version that it
 // replaces.
 type Transaction struct {
@@ -494,3 +641,58 @@
 	// Rows are in the order of the transaction.
 	Rows []Row `json:"rows" msg:"rows"`
 }
+
+// Verdict compares what callers were told with what backend servers ran.
+type Verdict struct {
+	// Answered counts calls with a whole answer.
+	Answered int `json:"answered" msg:"answered"`
+
+	// AnsweredButNotRun counts the orders told answered that did not run.
+	AnsweredButNotRun int `json:"answered_but_not_run" msg:"answered_but_not_run"`
+
+	// CallsAfterOut counts calls that reached the data centre later than permitted
+	// after it left.
+	CallsAfterOut int `json:"calls_after_out" msg:"calls_after_out"`
+
+	// Failed counts those among the answered whose status says that the backend
+	// server failed.
+	Failed int `json:"failed" msg:"failed"`
+
+	// LastCallAfterOutMs is the time from the data centre's leaving to the last call
+	// that reached it while it was out.
+	LastCallAfterOutMs int `json:"last_call_after_out_ms" msg:"last_call_after_out_ms"`
+
+	// Lost counts calls without any outcome.
+	Lost int `json:"lost" msg:"lost"`
+
+	// Misdirected counts answers that belong to another request.
+	Misdirected int `json:"misdirected" msg:"misdirected"`
+
+	// NotRun counts calls that were refused after all retries.
+	NotRun int `json:"not_run" msg:"not_run"`
+
+	// NotRunButRun counts the orders told not_run that ran.
+	NotRunButRun int `json:"not_run_but_run" msg:"not_run_but_run"`
+
+	// Orders counts the orders that ran.
+	Orders int `json:"orders" msg:"orders"`
+
+	// OrdersTwice counts the orders that ran more than once.
+	OrdersTwice int `json:"orders_twice" msg:"orders_twice"`
+
+	// OrdersUnknown counts the orders told unknown.
+	OrdersUnknown int `json:"orders_unknown" msg:"orders_unknown"`
+
+	// OverConnections counts the connections above a backend server's limit.
+	OverConnections int `json:"over_connections" msg:"over_connections"`
+
+	// OverSlots counts the backend servers that were asked to run more than they
+	// declare.
+	OverSlots int `json:"over_slots" msg:"over_slots"`
+
+	// Started counts the calls that callers started.
+	Started int `json:"started" msg:"started"`
+
+	// Unknown counts calls that may have run.
+	Unknown int `json:"unknown" msg:"unknown"`
+}
