--- a/callerhttp/order.go
+++ b/callerhttp/order.go
@@ -44,7 +44,7 @@
 	}
 	switch reply := f.wait(c, input.Order.Call.ID, input.Reply).(type) {
 	case dispatch.Begun:
-		return f.stream(c, input.Order.Call.ID, reply.Answer)
+		return f.stream(c, input.Order.Call, reply.Answer)
 	case dispatch.Finished:
 		if reply.Answer == nil {
 			return fail(c, reply.Outcome, orderNotAnswered)
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -87,6 +87,7 @@
 func (d *Duty) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer d.cancelAttempts()
 	for {
 		select {
 		case input := <-d.Inputs.Items():
@@ -104,6 +105,18 @@
 	}
 }
 
+// cancelAttempts gives up all attempts, so that the senders can stop.
+func (d *Duty) cancelAttempts() {
+	for _, attempt := range d.attempts {
+		attempt.Cancel()
+	}
+	for _, call := range d.calls {
+		if call.forward != nil {
+			call.forward.Cancel()
+		}
+	}
+}
+
 // suspend makes the router refuse calls while this host is isolated or frozen.
 func (d *Duty) suspend(now time.Time) {
 	d.caller(now, caller.Suspended{On: d.isolated || !d.thawedAt.IsZero()})
--- a/host/host.go
+++ b/host/host.go
@@ -188,6 +188,7 @@
 	duties.Go("dispatch", calls.Run)
 	duties.Go("claims", h.newClaims().run)
 	connections := backendhttp.NewConnections(addressConnections)
+	defer connections.Close()
 	for range h.Settings.Senders {
 		sender := &backendhttp.Sender{Attempts: h.attempts, Reports: h.dispatch, Connections: connections}
 		duties.Go("sender", sender.Run)
