--- a/host/claims.go
+++ b/host/claims.go
@@ -40,6 +40,7 @@
 		settled:  h.dispatch,
 		platform: platformhttp.New(h.Settings.PlatformAddress, claimTimeout),
 		log:      h.Log,
+		circuit:  platform.NewCircuit(h.seed + 2),
 	}
 }
 
@@ -49,7 +50,7 @@
 	settled  *ring.Ring[dispatch.Input]
 	platform *platformhttp.Client
 	log      *logrus.Entry
-	circuit  platform.Circuit
+	circuit  *platform.Circuit
 }
 
 // run claims batches until the context ends.
@@ -59,7 +60,7 @@
 		if err != nil {
 			return err
 		}
-		if c.circuit.Open(time.Now()) {
+		if !c.circuit.Allow(time.Now()) {
 			if err := c.settle(ctx, first, platform.ClaimUnsettled{}); err != nil {
 				return err
 			}
@@ -126,12 +127,14 @@
 func (c *claims) write(action platform.WriteClaims) platform.Event {
 	result, err := c.platform.Write(action.Transaction)
 	if err != nil {
-		c.circuit.Fail(time.Now())
+		c.circuit.Failed(time.Now())
 		c.log.WithFields(logrus.Fields{"event": "claims_failed", "claims": len(action.Transaction.Rows)}).Warn(err)
 
 		return platform.Failed{Cause: err}
 	}
 
+	c.circuit.Succeeded()
+
 	return platform.Replied{Result: result}
 }
 
--- a/standin/load.go
+++ b/standin/load.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,14 +18,81 @@
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
+// phase is the time before, during or after an announced fault.
+type phase string
+
+// The phases of a run.
+const (
+	phaseBefore phase = "before"
+	phaseDuring phase = "during"
+	phaseAfter  phase = "after"
+)
+
+// phases lists the phases in their order.
+var phases = []phase{phaseBefore, phaseDuring, phaseAfter}
+
+// content is what a call wants: item, pack, order or numberedOrder.
+//
+//sumtype:decl
+type content interface{ content() }
+
+// item wants a small answer and is idempotent.
+type item struct{}
+
+// pack wants a large answer and is idempotent.
+type pack struct {
+	bytes int
+}
+
+// order must run at most once and carries an order id.
+type order struct{}
+
+// numberedOrder must run at most once and carries a number of the caller's own.
+type numberedOrder struct{}
+
+func (item) content()          {}
+func (pack) content()          {}
+func (order) content()         {}
+func (numberedOrder) content() {}
+
 // scheduled is a call that is due.
 type scheduled struct {
 	at      time.Time
+	phase   phase
 	service string
-	order   bool
+	content content
 	number  int
 }
 
+// ordered reports whether the call is an order.
+func (s scheduled) ordered() bool {
+	switch s.content.(type) {
+	case order, numberedOrder:
+		return true
+	case item, pack:
+	}
+
+	return false
+}
+
+// path returns the path at the backend server.
+func (s scheduled) path() string {
+	if large, ok := s.content.(pack); ok {
+		return packPath + strconv.Itoa(large.bytes)
+	}
+
+	return "/item"
+}
+
+// whole reports whether a body of this size is the whole answer.
+func (s scheduled) whole(size int) bool {
+	if large, ok := s.content.(pack); ok {
+		return size == large.bytes
+	}
+
+	return size == answerSize
+}
+
 // RunLoad starts calls at a fixed rate, whether or not earlier ones have ended,
 // and reports how they ended.
 func RunLoad(ctx context.Context, settings schema.LoadSettings) error {
@@ -36,11 +105,11 @@
 	callers := make([]*Caller, settings.Callers)
 	var running conc.WaitGroup
 	callersEnd, end := context.WithCancel(context.Background())
+	began := time.Now()
 	for i := range callers {
-		callers[i] = NewCaller(settings, client, i)
+		callers[i] = NewCaller(settings, client, began, i)
 		running.Go(func() { callers[i].run(callersEnd, due) })
 	}
-	began := time.Now()
 	run := schedule(ctx, settings, due)
 	for due.Depth() > 0 {
 		time.Sleep(time.Millisecond)
@@ -48,7 +117,7 @@
 	end()
 	running.Wait()
 	run.DurationMs = int(time.Since(began).Milliseconds())
-	collect(&run, callers)
+	collect(&run, settings, callers)
 
 	return report(run, settings.Report)
 }
@@ -57,21 +126,19 @@
 func schedule(ctx context.Context, settings schema.LoadSettings, due *ring.Ring[scheduled]) schema.LoadRun {
 	seed := uint64(settings.Seed)               //nolint:gosec // checked to be positive
 	random := rand.New(rand.NewPCG(seed, seed)) //nolint:gosec // a simulation
-	run := schema.LoadRun{Seed: settings.Seed, Rate: settings.Rate, OrdersUnknown: []string{}, OrdersNotRun: []string{}}
-	end := time.Now().Add(settings.Duration)
-	next := time.Now()
-	for ctx.Err() == nil && next.Before(end) {
+	run := schema.LoadRun{Seed: settings.Seed, Rate: settings.Rate}
+	began := time.Now()
+	next := began
+	for ctx.Err() == nil && next.Before(began.Add(settings.Duration)) {
 		time.Sleep(time.Until(next))
 		run.Started++
-		call := scheduled{
-			at:      next,
-			service: settings.Services[random.IntN(len(settings.Services))],
-			order:   random.IntN(100) < settings.OrderPercent,
-			number:  run.Started,
-		}
+		call := draw(settings, random)
+		call.at, call.number, call.phase = next, run.Started, phaseAt(settings, next.Sub(began))
 		if due.Offer(call) != nil {
 			run.LateStarts++
-			_ = due.Put(ctx, call) // a call that is not put is not counted as answered
+			if due.Put(ctx, call) != nil {
+				run.Started--
+			}
 		}
 		next = next.Add(time.Duration(random.ExpFloat64() * float64(time.Second) / float64(settings.Rate)))
 	}
@@ -79,30 +146,70 @@
 	return run
 }
 
+// draw chooses what a call wants.
+func draw(settings schema.LoadSettings, random *rand.Rand) scheduled {
+	if random.IntN(100) < settings.OrderPercent {
+		call := scheduled{content: order{}, service: settings.OrderServices[random.IntN(len(settings.OrderServices))]}
+		if random.IntN(100) < settings.OrderNumberPercent {
+			call.content = numberedOrder{}
+		}
+
+		return call
+	}
+	call := scheduled{content: item{}, service: settings.Services[random.IntN(len(settings.Services))]}
+	if random.IntN(100) < settings.PackPercent {
+		call.content = pack{bytes: settings.PackBytes}
+	}
+
+	return call
+}
+
+// phaseAt returns the phase at a time since the start.
+func phaseAt(settings schema.LoadSettings, since time.Duration) phase {
+	switch {
+	case since < settings.FaultAfter:
+		return phaseBefore
+	case since < settings.FaultAfter+settings.FaultFor:
+		return phaseDuring
+	default:
+		return phaseAfter
+	}
+}
+
 // collect adds up what the callers saw.
-func collect(run *schema.LoadRun, callers []*Caller) {
-	byService := map[string]*Tally{}
+func collect(run *schema.LoadRun, settings schema.LoadSettings, callers []*Caller) {
+	byService, byPhase, orders := map[string]*Tally{}, map[phase]*Tally{}, map[string][]string{}
 	for _, caller := range callers {
-		run.OrdersNotRun = append(run.OrdersNotRun, caller.ordersNotRun...)
-		run.OrdersUnknown = append(run.OrdersUnknown, caller.ordersUnknown...)
-		for service, tally := range caller.tallies {
-			if byService[service] == nil {
-				byService[service] = NewTally(service)
-			}
-			byService[service].Add(tally)
+		merge(byService, caller.tallies)
+		merge(byPhase, caller.phases)
+		for outcome, names := range caller.ordersEnded {
+			orders[outcome] = append(orders[outcome], names...)
 		}
 	}
-	run.Services = []schema.LoadReportService{}
-	for _, tally := range byService {
-		run.Services = append(run.Services, tally.Report())
+	run.OrdersAnswered = append([]string{}, orders[outcomeAnswered]...)
+	run.OrdersNotRun = append([]string{}, orders[outcomeNotRun]...)
+	run.OrdersUnknown = append([]string{}, orders[outcomeUnknown]...)
+	run.Services, run.Phases = []schema.LoadReportService{}, []schema.LoadPhase{}
+	for _, service := range slices.Sorted(maps.Keys(byService)) {
+		if tally := byService[service]; tally.Total() > 0 {
+			run.Services = append(run.Services, tally.Report())
+		}
 	}
-	slices.SortFunc(run.Services, func(a, b schema.LoadReportService) int {
-		if a.Service < b.Service {
-			return -1
+	for _, phase := range phases {
+		if settings.FaultAfter > 0 {
+			run.Phases = append(run.Phases, byPhase[phase].Phase())
 		}
+	}
+}
 
-		return 1
-	})
+// merge adds the tallies of one caller to those of all.
+func merge[Key comparable](into, tallies map[Key]*Tally) {
+	for key, tally := range tallies {
+		if into[key] == nil {
+			into[key] = NewTally(tally.report.Service)
+		}
+		into[key].Add(tally)
+	}
 }
 
 // report prints a table and writes the JSON file if one is wanted.
