--- a/callerhttp/order_test.go
+++ b/callerhttp/order_test.go
@@ -1,6 +1,7 @@
 package callerhttp_test
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -9,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
@@ -129,20 +129,18 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, seen := serveOrders(t, test.reply)
-			var request fasthttp.Request
-			var response fasthttp.Response
-			request.Header.SetMethod(http.MethodPost)
-			if test.method != "" {
-				request.Header.SetMethod(test.method)
-			}
-			request.SetRequestURI("http://" + address + "/order/orders/place?n=1")
+			request, err := http.NewRequest(cmp.Or(test.method, http.MethodPost), "http://"+address+"/order/orders/place?n=1", nil)
+			assert.NilError(t, err)
 			for header, value := range test.headers {
 				request.Header.Set(header, value)
 			}
-			assert.NilError(t, fasthttp.Do(&request, &response))
-			assert.Equal(t, response.StatusCode(), test.status)
-			assert.Equal(t, string(response.Header.Peek(callerhttp.HeaderOutcome)), test.outcome)
-			assert.Equal(t, string(response.Header.Peek(callerhttp.HeaderReason)), test.reason)
+			client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			response, err := client.Do(request)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, response.StatusCode, test.status)
+			assert.Equal(t, response.Header.Get(callerhttp.HeaderOutcome), test.outcome)
+			assert.Equal(t, response.Header.Get(callerhttp.HeaderReason), test.reason)
 			if order, ok := seen.Poll(); ok {
 				assert.Equal(t, order.Order.First, test.first)
 				assert.Equal(t, order.Order.Attempt, test.attempt)
