Measure slopes of entry hosts as processes too

Cause: CAPACITY.md needs processor time and memory of whole hosts, not only of the decisions. Ruled out: reading them from a profile; it leaves the kernel's part out. Change: scripts/slopes.sh reads /proc of 14 hosts, idle and at three rates.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 .PHONY: slopes
 # slopes prints the figures of docs/CAPACITY.md.
 slopes: build
-	bin/standin-slopes
+	scripts/slopes.sh
 
 .PHONY: demo faults soak docs-check
 
--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,49 @@
+#!/usr/bin/env bash
+# Prints the slopes behind docs/CAPACITY.md: of the decisions, in one process,
+# and of 14 entry hosts as processes, idle and at three rates of calls.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/lib.sh
+trap stop_all EXIT
+
+ticks=$(getconf CLK_TCK)
+idle=10
+load=6
+
+# host_ticks: prints the processor time of all entry hosts in clock ticks.
+host_ticks() {
+  local host sum=0 fields
+  for host in "${hosts[@]}"; do
+    read -ra fields <"/proc/${pids[$host]}/stat"
+    sum=$((sum + fields[13] + fields[14]))
+  done
+  echo "$sum"
+}
+
+# host_memory: prints the mean resident memory of an entry host in KiB.
+host_memory() {
+  local host sum=0
+  for host in "${hosts[@]}"; do
+    sum=$((sum + $(awk '/^VmRSS/ { print $2 }' "/proc/${pids[$host]}/status")))
+  done
+  echo $((sum / ${#hosts[@]}))
+}
+
+echo "date=$(date -u +%F) cores=$(nproc) memory_gib=$(awk '/MemTotal/ { printf "%.0f", $2 / 1048576 }' /proc/meminfo)"
+bin/standin-slopes
+use_deployment mauritius
+start_deployment
+from=$(host_ticks)
+sleep "$idle"
+spent=$(($(host_ticks) - from))
+awk -v t="$spent" -v hz="$ticks" -v s="$idle" -v n="${#hosts[@]}" -v kib="$(host_memory)" \
+  'BEGIN { printf "idle host: %.2f%% of a core, %d KiB resident\n", 100 * t / hz / s / n, kib }'
+for rate in 1000 2000 4000; do
+  from=$(host_ticks)
+  start_load --rate "$rate" --duration "${load}s" --callers 256
+  finish load
+  spent=$(($(host_ticks) - from))
+  calls=$(awk '/"started"/ { gsub(/[^0-9]/, ""); print; exit }' "$out/load.json")
+  awk -v t="$spent" -v hz="$ticks" -v c="$calls" -v r="$rate" -v kib="$(host_memory)" \
+    'BEGIN { printf "rate %d calls/s over 14 hosts: %d calls, %.0f us of a core each, %d KiB resident\n", r, c, 1e6 * t / hz / c, kib }'
+done
