Finish calls and orders in flight while the front stops

Cause: fasthttp ends the request's context as soon as a shutdown begins, and the front took that for the end of the host: every call in flight at a planned stop was told unknown (stopping).

Ruled out: waiting without end; a host whose dispatch duty is gone would hold up the stop.

Change: the front waits for the reply until a second after the call's deadline, also while it stops.

Conclusion: a planned stop no longer cuts what is in flight at the front.

--- a/callerhttp/call.go
+++ b/callerhttp/call.go
@@ -19,6 +19,8 @@
 	maxDepth = 16
 	// maxHops is the largest number of forwards that a request may state.
 	maxHops = 3
+	// replyGrace is how long after its deadline a call is expected to end.
+	replyGrace = time.Second
 	// maxDeadline is the longest time that a caller may wait.
 	maxDeadline = 10 * time.Minute
 )
@@ -33,7 +35,7 @@
 	if err := f.Inputs.Offer(dispatch.Call{Call: call, Request: request(c), Reply: reply}); err != nil {
 		return fail(c, caller.NotRun{Reason: caller.ReasonOverloaded}, err.Error())
 	}
-	switch reply := f.wait(c, call.ID, reply).(type) {
+	switch reply := f.wait(c, call, reply).(type) {
 	case dispatch.Begun:
 		return f.stream(c, call, reply.Answer)
 	case dispatch.Finished:
@@ -82,9 +84,11 @@
 	return copied
 }
 
-// wait returns the reply of the dispatch duty, or nil when the host stops. It
-// cancels the call when the caller's connection is closed.
-func (f *Front) wait(c fiber.Ctx, id caller.CallID, reply *ring.Ring[dispatch.Reply]) dispatch.Reply {
+// wait returns the reply of the dispatch duty. While the front stops, calls in
+// flight go on; it returns nil only if the reply of a stopped host is overdue.
+// It cancels the call when the caller's connection is closed.
+func (f *Front) wait(c fiber.Ctx, call caller.Call, reply *ring.Ring[dispatch.Reply]) dispatch.Reply {
+	overdue := call.Deadline.Add(replyGrace)
 	timer := time.NewTimer(goneInterval)
 	defer timer.Stop()
 	cancelled := false
@@ -92,11 +96,12 @@
 		select {
 		case received := <-reply.Items():
 			return received
-		case <-c.RequestCtx().Done():
-			return nil
 		case <-timer.C:
+			if c.RequestCtx().Err() != nil && time.Now().After(overdue) {
+				return nil
+			}
 			if !cancelled && gone(c.RequestCtx().Conn()) {
-				cancelled = f.Inputs.Offer(dispatch.Cancel{Call: id}) == nil
+				cancelled = f.Inputs.Offer(dispatch.Cancel{Call: call.ID}) == nil
 			}
 			timer.Reset(goneInterval)
 		}
--- a/callerhttp/order.go
+++ b/callerhttp/order.go
@@ -42,7 +42,7 @@
 	if err := f.Inputs.Put(ctx, input); err != nil {
 		return fail(c, input.Order.Undelivered(caller.ReasonOverloaded), err.Error())
 	}
-	switch reply := f.wait(c, input.Order.Call.ID, input.Reply).(type) {
+	switch reply := f.wait(c, input.Order.Call, input.Reply).(type) {
 	case dispatch.Begun:
 		return f.stream(c, input.Order.Call, reply.Answer)
 	case dispatch.Finished:
--- a/callerhttp/order_test.go
+++ b/callerhttp/order_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
@@ -152,3 +153,42 @@
 		})
 	}
 }
+
+func TestStoppingFrontFinishesWhatIsInFlight(t *testing.T) {
+	for name, path := range map[string]string{"call": "/call/orders/", "order": "/order/orders/"} {
+		t.Run(name, func(t *testing.T) {
+			inputs := ring.New[dispatch.Input]("dispatch", 1)
+			listener := listen(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var serving conc.WaitGroup
+			serving.Go(func() { _ = callerhttp.New(inputs, 5*time.Second, 1<<20).Run(ctx, listener) })
+			var deciding conc.WaitGroup
+			deciding.Go(func() { answerLate(inputs, cancel) })
+			request, err := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String()+path, nil)
+			assert.NilError(t, err)
+			request.Header.Set(backendhttp.HeaderOrderID, orderText)
+			client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			response, err := client.Do(request)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, response.Header.Get(callerhttp.HeaderOutcome), "answered")
+			deciding.Wait()
+			serving.Wait()
+		})
+	}
+}
+
+// answerLate answers one request some time after the front was told to stop.
+func answerLate(inputs *ring.Ring[dispatch.Input], stop func()) {
+	input, err := inputs.Take(context.Background())
+	stop()
+	time.Sleep(200 * time.Millisecond)
+	answer := dispatch.Finished{Outcome: caller.Answered{}, Answer: &dispatch.Answer{Status: http.StatusOK}}
+	if call, ok := input.(dispatch.Call); ok && err == nil {
+		_ = call.Reply.Offer(answer)
+	}
+	if order, ok := input.(dispatch.OrderCall); ok && err == nil {
+		_ = order.Reply.Offer(answer)
+	}
+}
