Reply to every call when the dispatch duty ends

Cause: with the front waiting for replies while it stops, calls in flight held up the stop of a host whose dispatch duty had ended until a second after their deadlines (TestQueuedCallLeavesTheQueue took 12 s instead of under 1 s).

Ruled out: ending the wait when the front stops, which cut planned stops.

Change: the duty replies unknown (stopping) to calls it holds and not_run (stopping) to those it never took.

Before/after: TestQueuedCallLeavesTheQueue 12.14 s, then 0.65 s.

Conclusion: a stop waits for calls in flight and for nothing else.

--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -87,7 +87,7 @@
 func (d *Duty) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	defer d.cancelAttempts()
+	defer d.stop()
 	for {
 		select {
 		case input := <-d.Inputs.Items():
@@ -105,15 +105,28 @@
 	}
 }
 
-// cancelAttempts gives up all attempts, so that the senders can stop.
-func (d *Duty) cancelAttempts() {
+// stop gives up all attempts, so that the senders can stop, and replies to every
+// call that has no reply yet.
+func (d *Duty) stop() {
 	for _, attempt := range d.attempts {
 		attempt.Cancel()
 	}
+	stopping := Finished{Outcome: caller.Unknown{Reason: caller.ReasonStopping}}
 	for _, call := range d.calls {
 		if call.forward != nil {
 			call.forward.Cancel()
 		}
+		if call.reply != nil {
+			_ = call.reply.Offer(stopping) // the ring has room by contract
+		}
+	}
+	for input, ok := d.Inputs.Poll(); ok; input, ok = d.Inputs.Poll() {
+		if call, isCall := input.(Call); isCall {
+			_ = call.Reply.Offer(Finished{Outcome: caller.NotRun{Reason: caller.ReasonStopping}}) // as above
+		}
+		if order, isOrder := input.(OrderCall); isOrder {
+			_ = order.Reply.Offer(Finished{Outcome: order.Order.Undelivered(caller.ReasonStopping)}) // as above
+		}
 	}
 }
 
