Accept order ids from clocks that are a minute ahead

Cause: the book's clock never follows a correction of the host's clock, so a host started more than 5 s behind refused every order for as long as it ran.

Ruled out: following the host's clock; a step back would bring expired ids to life.

Change: ids up to a minute ahead are accepted, at the cost of remembering them a minute longer. Tables for orders in the dispatch duty: forwarding, large answers, callers that leave, claims.

--- a/caller/order_book.go
+++ b/caller/order_book.go
@@ -8,7 +8,7 @@
 
 const (
 	// orderSkew is how far the clock of an id's issuer may be ahead.
-	orderSkew = 5 * time.Second
+	orderSkew = time.Minute
 	// orderWaiters bounds the requests that wait for the end of one run.
 	orderWaiters = 64
 	// keptAnswer is the largest body in bytes that is kept for repeats.
@@ -138,7 +138,7 @@
 		return Unknown{Reason: ReasonIncarnationGone}
 	case !id.Time().Add(b.Lifetime).After(clock):
 		return Unknown{Reason: ReasonExpired}
-	case id.Time().After(clock.Add(b.Lifetime)):
+	case id.Time().After(clock.Add(b.Lifetime + orderSkew)):
 		return Unknown{Reason: ReasonInvalid}
 	default:
 		return nil
--- /dev/null
+++ b/dispatch/orders_test.go
@@ -0,0 +1,186 @@
+package dispatch_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	ownIncarnation   = "01JEAAAAAAAAAAAAAAAAAAAAAA"
+	otherIncarnation = "01JEBBBBBBBBBBBBBBBBBBBBBB"
+)
+
+// newOrderDuty returns a duty that runs orders of ownIncarnation and knows a
+// live host with otherIncarnation.
+func newOrderDuty(t *testing.T) *dispatch.Duty {
+	t.Helper()
+	duty := newDuty()
+	duty.Router.Incarnation = ownIncarnation
+	book := caller.NewOrderBook(ownIncarnation, time.Hour, 100, began)
+	duty.Orders = dispatch.NewOrders(book, ring.New[dispatch.Claim]("claims", 1), rand.NewChaCha8([32]byte{1}))
+	duty.Step(began, dispatch.Configure{Configuration: declare(1, schema.DataCentreStateIn, schema.DataCentreStateOut)})
+	duty.Step(began, dispatch.Hosts{
+		Hosts:   []schema.Host{{Name: "host-1", DataCentre: "north", Incarnation: ownIncarnation, CallerAddress: "127.0.0.1:1"}},
+		Leaving: []schema.Host{{Name: "host-2", DataCentre: "north", Incarnation: otherIncarnation, CallerAddress: "127.0.0.1:2"}},
+	})
+
+	return duty
+}
+
+// order offers a request for an order and returns its call and its reply ring.
+func order(duty *dispatch.Duty, id caller.OrderID, number string, first bool) (caller.CallID, *ring.Ring[dispatch.Reply]) {
+	reply := ring.New[dispatch.Reply]("reply", 1)
+	call := caller.Call{ID: dispatch.NextCall(), Service: "catalogue", Deadline: began.Add(time.Minute)}
+	duty.Step(began, dispatch.OrderCall{
+		Order: caller.OrderRequest{Call: call, Order: id, First: first}, Number: number,
+		Request: &dispatch.Request{Method: "POST", Target: "/"}, Reply: reply,
+	})
+
+	return call.ID, reply
+}
+
+// issued returns an order id of the incarnation.
+func issued(t *testing.T, incarnation string) caller.OrderID {
+	t.Helper()
+	id, err := caller.NewOrderID(incarnation, began, rand.NewChaCha8([32]byte{2}))
+	assert.NilError(t, err)
+
+	return id
+}
+
+// outcomeOf returns the outcome of a reply that has arrived, or nil.
+func outcomeOf(reply *ring.Ring[dispatch.Reply]) caller.Outcome {
+	received, _ := reply.Poll()
+	finished, _ := received.(dispatch.Finished)
+
+	return finished.Outcome
+}
+
+func TestForwardedOrders(t *testing.T) {
+	for name, test := range map[string]struct {
+		first  bool
+		result backend.Result
+		answer *dispatch.Answer
+		want   caller.Outcome
+	}{
+		"answered": {
+			result: backend.Whole{}, answer: &dispatch.Answer{Outcome: caller.Answered{}}, want: caller.Answered{},
+		},
+		"not run, passed on with what the other host says": {
+			result: backend.Whole{}, answer: &dispatch.Answer{Outcome: caller.NotRun{}}, want: caller.Answered{},
+		},
+		"no outcome stated": {
+			result: backend.Whole{}, answer: &dispatch.Answer{}, want: caller.Unknown{Reason: caller.ReasonCut},
+		},
+		"no byte left, but an earlier request may have run": {
+			result: backend.Unsent{}, want: caller.Unknown{Reason: caller.ReasonUnreachable},
+		},
+		"no byte left of the first request": {
+			first: true, result: backend.Unsent{}, want: caller.NotRun{Reason: caller.ReasonUnreachable},
+		},
+		"cut, first request": {
+			first: true, result: backend.Cut{}, want: caller.Unknown{Reason: caller.ReasonCut},
+		},
+		"too late": {
+			first: true, result: backend.TimedOut{}, want: caller.Unknown{Reason: caller.ReasonDeadline},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			duty := newOrderDuty(t)
+			id := issued(t, otherIncarnation)
+			_, reply := order(duty, id, "", test.first)
+			attempt, ok := duty.Attempts.Poll()
+			assert.Assert(t, ok)
+			assert.Equal(t, attempt.Address, "127.0.0.1:2")
+			assert.Equal(t, attempt.OrderID, id.String())
+			assert.Equal(t, attempt.Hops, 1)
+			duty.Step(began, dispatch.Ended{Attempt: attempt, Result: test.result, Answer: test.answer})
+			assert.DeepEqual(t, outcomeOf(reply), test.want)
+		})
+	}
+}
+
+func TestLargeAnswerOfAnOrder(t *testing.T) {
+	duty := newOrderDuty(t)
+	id := issued(t, ownIncarnation)
+	first, reply := order(duty, id, "", false)
+	_, repeat := order(duty, id, "", false)
+	attempt, _ := duty.Attempts.Poll()
+	assert.Equal(t, attempt.OrderID, "", "a run carries no order id")
+	duty.Step(began, dispatch.Answering{Attempt: attempt, Answer: &dispatch.Answer{Length: 1 << 20}})
+	begun, _ := reply.Poll()
+	_, ok := begun.(dispatch.Begun)
+	assert.Assert(t, ok)
+	assert.Assert(t, outcomeOf(repeat) == nil)
+	duty.Step(began, dispatch.Cancel{Call: first})
+	assert.ErrorContains(t, attempt.Context.Err(), "canceled")
+	duty.Step(began, dispatch.Ended{Attempt: attempt, Result: backend.Cancelled{}})
+	assert.DeepEqual(t, outcomeOf(repeat), caller.Unknown{Reason: caller.ReasonCancelled})
+}
+
+func TestRunGoesOnWithoutItsCaller(t *testing.T) {
+	duty := newOrderDuty(t)
+	id := issued(t, ownIncarnation)
+	first, _ := order(duty, id, "", false)
+	attempt, _ := duty.Attempts.Poll()
+	duty.Step(began, dispatch.Cancel{Call: first})
+	assert.NilError(t, attempt.Context.Err())
+	duty.Step(began, dispatch.Ended{Attempt: attempt, Result: backend.Whole{}, Answer: &dispatch.Answer{Body: []byte("done")}})
+	_, repeat := order(duty, id, "", false)
+	received, _ := repeat.Poll()
+	finished, _ := received.(dispatch.Finished)
+	assert.Equal(t, string(finished.Answer.Body), "done")
+	_, again := duty.Attempts.Poll()
+	assert.Assert(t, !again, "the order ran twice")
+}
+
+func TestClaimedOrders(t *testing.T) {
+	other := issued(t, otherIncarnation)
+	held := func(claim dispatch.Claim) platform.ClaimResult { return platform.ClaimHeld{By: claim.Token} }
+	taken := func(dispatch.Claim) platform.ClaimResult { return platform.ClaimHeld{By: other.String()} }
+	strange := func(dispatch.Claim) platform.ClaimResult { return platform.ClaimHeld{By: "1"} }
+	unsettled := func(dispatch.Claim) platform.ClaimResult { return platform.ClaimUnsettled{} }
+
+	for name, test := range map[string]struct {
+		first   bool
+		result  func(claim dispatch.Claim) platform.ClaimResult
+		address string
+		want    caller.Outcome
+	}{
+		"held by this request":            {result: held, address: "127.0.0.1:10"},
+		"held by another host's request":  {result: taken, address: "127.0.0.1:2"},
+		"held by a row without order id":  {result: strange, want: caller.Unknown{Reason: caller.ReasonInvalid}},
+		"unsettled":                       {result: unsettled, want: caller.Unknown{Reason: caller.ReasonPlatformUnavailable}},
+		"unsettled for the first request": {first: true, result: unsettled, want: caller.NotRun{Reason: caller.ReasonPlatformUnavailable}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			duty := newOrderDuty(t)
+			_, reply := order(duty, caller.OrderID{}, "17", test.first)
+			claim, ok := duty.Orders.Claims.Poll()
+			assert.Assert(t, ok)
+			duty.Step(began, dispatch.Claimed{Claim: claim, Result: test.result(claim)})
+			assert.DeepEqual(t, outcomeOf(reply), test.want)
+			attempt, started := duty.Attempts.Poll()
+			assert.Equal(t, started, test.address != "")
+			if started {
+				assert.Equal(t, attempt.Address, test.address)
+			}
+			if refused, ok := test.want.(caller.NotRun); ok {
+				id, err := caller.ParseOrderID(claim.Token)
+				assert.NilError(t, err)
+				_, late := order(duty, id, "", false)
+				assert.DeepEqual(t, outcomeOf(late), refused)
+			}
+		})
+	}
+}
