Tell the outcome of an order by its header, not by its body

Cause: baobabdrum order took any JSON body of a response other than 200 for a failure, so an order that a backend server answered with status 500 exited as not run.

--- a/cmd/order.go
+++ b/cmd/order.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/jsonhttp"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -58,7 +60,7 @@
 	path := "/order/" + c.Args.Service + "/" + strings.TrimPrefix(c.Args.Path, "/")
 	body, err := host.Exchange(c.Method, path, []byte(c.Body), c.headers(host.Timeout)...)
 	if err != nil {
-		return unsettled(err)
+		return c.settle(err)
 	}
 	_, err = c.output.Results.Write(body)
 
@@ -80,14 +82,40 @@
 	return host, nil
 }
 
-// unsettled returns the error of an order: without a response it may have run.
-func unsettled(err error) error {
+// settle reports an order whose response has not status 200. Without a response
+// the order may have run.
+func (c *Order) settle(err error) error {
 	var status *jsonhttp.StatusError
-	if errors.As(err, &status) {
+	if !errors.As(err, &status) {
+		return &OutcomeError{Code: ExitUnknown, Message: "unknown: the order may have run: " + err.Error()}
+	}
+	reason := status.Header(backendhttp.HeaderReason)
+	switch status.Header(backendhttp.HeaderOutcome) {
+	case backendhttp.OutcomeAnswered:
+		if reason == string(caller.ReasonAnswerNotKept) {
+			fmt.Fprintln(c.output.Messages, "answered: the order ran; its answer is not held any more")
+
+			return nil
+		}
+
+		return c.answered(status)
+	case backendhttp.OutcomeNotRun:
 		return err
+	default:
+		return &OutcomeError{Code: ExitUnknown, Message: "unknown: " + reason + ": the order may have run"}
+	}
+}
+
+// answered prints a backend server's answer and fails for a status of an error.
+func (c *Order) answered(status *jsonhttp.StatusError) error {
+	if _, err := c.output.Results.Write(status.Body); err != nil {
+		return err
+	}
+	if status.Status < http.StatusBadRequest {
+		return nil
 	}
 
-	return &OutcomeError{Code: ExitUnknown, Message: "unknown: the order may have run: " + err.Error()}
+	return &OutcomeError{Code: ExitFailed, Message: fmt.Sprintf("answered: the order ran; status %d", status.Status)}
 }
 
 // headers returns what identifies the order.
--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -25,10 +25,23 @@
 	Path string
 	// Status is the HTTP status.
 	Status int
+	// Headers are the response's header fields.
+	Headers []Header
 	// Body is the response's body.
 	Body []byte
 }
 
+// Header returns the value of the response's header field, or nothing.
+func (e *StatusError) Header(name string) string {
+	for _, header := range e.Headers {
+		if header.Name == name {
+			return header.Value
+		}
+	}
+
+	return ""
+}
+
 // Error names the path and the status and quotes the body.
 func (e *StatusError) Error() string {
 	return fmt.Sprintf("%s: status %d: %s", e.Path, e.Status, strings.TrimSpace(string(e.Body)))
@@ -110,12 +123,22 @@
 	}
 	copied := append([]byte(nil), response.Body()...)
 	if response.StatusCode() != http.StatusOK {
-		return nil, &StatusError{Path: path, Status: response.StatusCode(), Body: copied}
+		return nil, &StatusError{Path: path, Status: response.StatusCode(), Headers: headersOf(response), Body: copied}
 	}
 
 	return copied, nil
 }
 
+// headersOf copies the header fields of a response.
+func headersOf(response *fasthttp.Response) []Header {
+	var headers []Header
+	for name, value := range response.Header.All() {
+		headers = append(headers, Header{Name: string(name), Value: string(value)})
+	}
+
+	return headers
+}
+
 // Handle returns a handler that decodes a message, rejecting unknown fields,
 // and answers with the message that serve returns.
 func Handle[In, Out any](serve func(in In) (Out, error)) fiber.Handler {
