--- a/slopes/decisions.go
+++ b/slopes/decisions.go
@@ -75,7 +75,7 @@
 
 // pool returns a pool that owns all cells.
 func pool(servers int) *backend.Pool {
-	p := backend.NewPool(queueLength)
+	p := backend.NewPool(backend.Options{QueueLength: queueLength})
 	p.Step(time.Time{}, backend.CellsChanged{Cells: cells(servers)})
 
 	return p
