Compare placement policies over simulated backend servers

Cause: the choice of the policy had figures of a scratch trial only.

Change: package bench runs the decisions in simulated time over backend servers whose speed shifts, every policy on the same arrivals and speeds; make policies prints a table, writes JSON and a plot. The tests of the begun answer and of the latency that errors count as are stricter: a deliberate fault in each passed before (giving up the other attempt left out; errors counted as they took).

Limits: attempts beyond the slots wait at the simulated backend server, which is where the policies without an owner lose most; no network, no processes.

--- a/Makefile
+++ b/Makefile
@@ -67,3 +67,9 @@
 # docs-check runs the commands of the users' pages as written.
 docs-check: build
 	scripts/docs-check.sh
+
+.PHONY: policies
+# policies compares placement policies over simulated backend servers.
+policies: build
+	mkdir -p out
+	bin/standin-policies --report out/policies.json --plot out/policies.svg
--- a/backend/choice_test.go
+++ b/backend/choice_test.go
@@ -10,10 +10,10 @@
 	"github.com/baobabdrum/baobabdrum/backend"
 )
 
-// except runs calls quickly but on one backend server.
-func except(address string, took time.Duration, result backend.Result) func(string) (time.Duration, backend.Result) {
+// exceptA runs calls quickly but on backend server a.
+func exceptA(took time.Duration, result backend.Result) func(string) (time.Duration, backend.Result) {
 	return func(chosen string) (time.Duration, backend.Result) {
-		if chosen == address {
+		if chosen == "a" {
 			return took, result
 		}
 
@@ -34,7 +34,11 @@
 			d.declare(4, "a", "b", "c")
 			d.serve(60, quick)
 			before := d.count("a")
-			d.serve(600, except("a", time.Microsecond, result))
+			for d.count("a") == before {
+				d.serve(1, exceptA(time.Microsecond, result))
+			}
+			assert.Assert(t, d.server("a").Latency > 10*time.Millisecond, "an error looks like %s", d.server("a").Latency)
+			d.serve(600, exceptA(time.Microsecond, result))
 			assert.Assert(t, d.count("a")-before <= 12, "%d of 600 calls went to it", d.count("a")-before)
 		})
 	}
@@ -43,7 +47,7 @@
 func TestSlowServerIsTriedAgain(t *testing.T) {
 	d := newDriver(t, backend.Options{QueueLength: 16})
 	d.declare(4, "a", "b")
-	d.serve(60, except("a", 100*time.Millisecond, answered))
+	d.serve(60, exceptA(100*time.Millisecond, answered))
 	before := d.count("a")
 	d.serve(2000, quick)
 	assert.Assert(t, d.count("a")-before >= 200, "only %d of 2000 calls went to it", d.count("a")-before)
@@ -85,7 +89,7 @@
 	d.declare(4, "a", "b")
 	d.serve(60, quick)
 	for !d.server("a").Ejected(d.now) {
-		d.serve(10, except("a", time.Microsecond, backend.Whole{Status: 500}))
+		d.serve(10, exceptA(time.Microsecond, backend.Whole{Status: 500}))
 	}
 	until := d.server("a").EjectedUntil
 	assert.Assert(t, until.Sub(d.now) <= time.Second)
--- a/backend/hedge_test.go
+++ b/backend/hedge_test.go
@@ -95,6 +95,30 @@
 	}
 }
 
+func TestBegunAnswerCancelsTheOther(t *testing.T) {
+	tests := map[string]struct{ begins, other int }{
+		"the first attempt begins": {0, 1},
+		"the hedge begins":         {1, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, backend.Options{QueueLength: 16})
+			d.declare(4, "a", "b")
+			d.serve(100, quick)
+			d.place()
+			d.tick(10 * time.Millisecond)
+			pair := len(d.started) - 2
+			d.step(backend.AttemptAnswering{Attempt: d.started[pair+test.begins].Attempt})
+			assert.DeepEqual(t, d.cancels, []backend.AttemptID{d.started[pair+test.other].Attempt})
+			d.step(backend.AttemptAnswering{Attempt: d.started[pair+test.other].Attempt})
+			d.end(pair+test.other, time.Millisecond, answered)
+			assert.Assert(t, d.outcomes[d.lastCall] == nil, "a late answer ended the call")
+			d.end(pair+test.begins, time.Millisecond, answered)
+			assert.DeepEqual(t, d.outcomes[d.lastCall], caller.Outcome(caller.Answered{}))
+		})
+	}
+}
+
 func TestRetryOfCutAnswerByDepth(t *testing.T) {
 	tests := map[string]struct {
 		call   caller.Call
--- /dev/null
+++ b/bench/events.go
@@ -0,0 +1,87 @@
+package bench
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+)
+
+// event is what happens in a simulation.
+//
+//sumtype:decl
+type event interface{ event() }
+
+// arrival brings a call to a random host.
+type arrival struct{}
+
+// tick lets time pass in every pool.
+type tick struct{}
+
+// served ends the service of an attempt.
+type served struct {
+	job *job
+}
+
+// reported tells a pool how an attempt ended.
+type reported struct {
+	job    *job
+	result backend.Result
+}
+
+func (arrival) event()  {}
+func (tick) event()     {}
+func (served) event()   {}
+func (reported) event() {}
+
+// scheduled is an event with its time.
+type scheduled struct {
+	at     time.Time
+	number int
+	event  event
+}
+
+// agenda orders events by time, and those of one time as they were added.
+type agenda struct {
+	items []scheduled
+	added int
+}
+
+// Len returns the number of events.
+func (a *agenda) Len() int { return len(a.items) }
+
+// Less orders two events.
+func (a *agenda) Less(i, j int) bool {
+	if a.items[i].at.Equal(a.items[j].at) {
+		return a.items[i].number < a.items[j].number
+	}
+
+	return a.items[i].at.Before(a.items[j].at)
+}
+
+// Swap exchanges two events.
+func (a *agenda) Swap(i, j int) { a.items[i], a.items[j] = a.items[j], a.items[i] }
+
+// Push appends an event for package heap.
+func (a *agenda) Push(item any) { a.items = append(a.items, item.(scheduled)) }
+
+// Pop removes the last event for package heap.
+func (a *agenda) Pop() any {
+	last := len(a.items) - 1
+	item := a.items[last]
+	a.items[last] = scheduled{}
+	a.items = a.items[:last]
+
+	return item
+}
+
+// add schedules an event.
+func (a *agenda) add(at time.Time, event event) {
+	a.added++
+	heap.Push(a, scheduled{at: at, number: a.added, event: event})
+}
+
+// take removes the next event.
+func (a *agenda) take() scheduled {
+	return heap.Pop(a).(scheduled)
+}
--- /dev/null
+++ b/bench/simulation.go
@@ -0,0 +1,236 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// tickInterval is the time between ticks of the dispatch duty.
+	tickInterval = 5 * time.Millisecond
+	// queueLength is the bound of a cell's queue.
+	queueLength = 1024
+	// callers is the number of callers that calls are spread over.
+	callers = 40
+	// latencyDigits is the precision of latencies in significant digits.
+	latencyDigits = 3
+)
+
+// start is when simulations begin.
+var start = time.Unix(0, 0)
+
+// cell is the only cell of a simulation.
+var cell = caller.Cell{Service: "catalogue", DataCentre: "mu-north"}
+
+// job is an attempt at a simulated backend server.
+type job struct {
+	pool    int
+	attempt backend.AttemptID
+	server  *server
+	running bool
+	gone    bool
+}
+
+// jobKey identifies a job by its pool and attempt.
+type jobKey struct {
+	pool    int
+	attempt backend.AttemptID
+}
+
+// simulation runs the decisions over simulated backend servers.
+type simulation struct {
+	settings schema.PoliciesSettings
+	rate     float64
+	now      time.Time
+	events   agenda
+	arrivals *rand.Rand
+	services *rand.Rand
+	pools    []*backend.Pool
+	servers  map[string]*server
+	jobs     map[jobKey]*job
+	placed   map[caller.CallID]time.Time
+	last     caller.CallID
+	latency  *hdrhistogram.Histogram
+	run      schema.PolicyRun
+}
+
+// simulate runs a policy at a rate in calls a second and returns the result.
+func simulate(settings schema.PoliciesSettings, policy Variant, rate float64, seed uint64) schema.PolicyRun {
+	s := newSimulation(settings, policy, rate, seed)
+	s.events.add(start, arrival{})
+	s.events.add(start, tick{})
+	for end := start.Add(settings.WarmUp + settings.Duration); s.now.Before(end); {
+		next := s.events.take()
+		s.now = next.at
+		s.handle(next.event)
+	}
+	s.run.Policy, s.run.Seed = policy.Name, int(seed) //nolint:gosec // a small number
+	s.run.Latency = schema.Latency{
+		P50Us:  int(s.latency.ValueAtPercentile(50)),
+		P99Us:  int(s.latency.ValueAtPercentile(99)),
+		P999Us: int(s.latency.ValueAtPercentile(99.9)),
+		MaxUs:  int(s.latency.Max()),
+	}
+
+	return s.run
+}
+
+// newSimulation returns a simulation in which nothing has happened.
+func newSimulation(settings schema.PoliciesSettings, policy Variant, rate float64, seed uint64) *simulation {
+	s := &simulation{
+		settings: settings,
+		rate:     rate,
+		now:      start,
+		arrivals: rand.New(rand.NewPCG(seed, 1<<32)), //nolint:gosec // a simulation
+		services: rand.New(rand.NewPCG(seed, 2<<32)), //nolint:gosec // a simulation
+		servers:  map[string]*server{},
+		jobs:     map[jobKey]*job{},
+		placed:   map[caller.CallID]time.Time{},
+		latency:  hdrhistogram.New(1, settings.Deadline.Microseconds()+1, latencyDigits),
+	}
+	declared := make([]backend.Declared, 0, settings.BackendServers)
+	for index := range settings.BackendServers {
+		address := fmt.Sprintf("server-%02d", index)
+		s.servers[address] = newServer(settings, seed, uint64(index))
+		declared = append(declared, backend.Declared{Address: address, Slots: settings.Slots})
+	}
+	hosts := 1
+	if !policy.Owner {
+		hosts = settings.Hosts
+	}
+	for index := range hosts {
+		options := policy.Options
+		options.QueueLength, options.Seed = queueLength, seed+uint64(index)
+		s.pools = append(s.pools, backend.NewPool(options))
+		s.step(index, backend.CellsChanged{Cells: map[caller.Cell][]backend.Declared{cell: declared}})
+	}
+
+	return s
+}
+
+// handle carries out an event.
+func (s *simulation) handle(event event) {
+	switch event := event.(type) {
+	case arrival:
+		s.arrive()
+	case tick:
+		for index := range s.pools {
+			s.step(index, backend.Ticked{})
+		}
+		s.events.add(s.now.Add(tickInterval), event)
+	case served:
+		if event.job.gone {
+			return
+		}
+		event.job.gone = true
+		s.release(event.job.server)
+		s.report(event.job, backend.Whole{Status: 200})
+	case reported:
+		s.report(event.job, event.result)
+	}
+}
+
+// arrive places a call and schedules the next arrival.
+func (s *simulation) arrive() {
+	gap := time.Duration(s.arrivals.ExpFloat64() / s.rate * float64(time.Second))
+	s.events.add(s.now.Add(gap), arrival{})
+	host, name := s.arrivals.IntN(s.settings.Hosts), s.arrivals.IntN(callers)
+	s.last++
+	if s.counts() {
+		s.placed[s.last] = s.now
+		s.run.Calls++
+	}
+	s.step(host%len(s.pools), backend.CallPlaced{Cell: cell, Call: caller.Call{
+		ID: s.last, Service: cell.Service, Caller: fmt.Sprint(name), Idempotent: true,
+		Deadline: s.now.Add(s.settings.Deadline),
+	}})
+}
+
+// counts reports whether the warm-up is over.
+func (s *simulation) counts() bool {
+	return s.now.Sub(start) >= s.settings.WarmUp
+}
+
+// step steps a pool and carries out its actions.
+func (s *simulation) step(pool int, event backend.Event) {
+	for _, action := range s.pools[pool].Step(s.now, event) {
+		switch action := action.(type) {
+		case backend.StartAttempt:
+			s.begin(pool, action)
+		case backend.CancelAttempt:
+			s.cancel(s.jobs[jobKey{pool, action.Attempt}])
+		case backend.EndCall:
+			s.end(action)
+		case backend.Violation:
+			s.run.Violations++
+		case backend.DeliverAnswer, backend.StartProbe:
+		}
+	}
+}
+
+// begin gives an attempt to its backend server.
+func (s *simulation) begin(pool int, action backend.StartAttempt) {
+	if action.Hedge && s.counts() {
+		s.run.Hedges++
+	}
+	j := &job{pool: pool, attempt: action.Attempt, server: s.servers[action.Address]}
+	s.jobs[jobKey{pool, action.Attempt}] = j
+	if j.server.admit(j) {
+		s.serve(j)
+	}
+}
+
+// serve schedules the end of an attempt that has a slot.
+func (s *simulation) serve(j *job) {
+	s.events.add(s.now.Add(j.server.duration(s.now, s.services)), served{j})
+}
+
+// release frees a slot for the attempt that waits next.
+func (s *simulation) release(server *server) {
+	if next := server.release(); next != nil {
+		s.serve(next)
+	}
+}
+
+// cancel gives up an attempt at once.
+func (s *simulation) cancel(j *job) {
+	if j.gone {
+		return
+	}
+	j.gone = true
+	if j.running {
+		s.release(j.server)
+	}
+	s.events.add(s.now, reported{j, backend.Cancelled{}})
+}
+
+// report tells the pool how an attempt ended.
+func (s *simulation) report(j *job, result backend.Result) {
+	delete(s.jobs, jobKey{j.pool, j.attempt})
+	s.step(j.pool, backend.AttemptEnded{Attempt: j.attempt, Result: result})
+}
+
+// end counts how a call ended.
+func (s *simulation) end(action backend.EndCall) {
+	placed, counted := s.placed[action.Call]
+	if !counted {
+		return
+	}
+	delete(s.placed, action.Call)
+	switch action.Outcome.(type) {
+	case caller.Answered:
+		s.run.Answered++
+		_ = s.latency.RecordValue(s.now.Sub(placed).Microseconds()) // the deadline bounds it
+	case caller.NotRun:
+		s.run.NotRun++
+	case caller.Unknown:
+		s.run.Unknown++
+	}
+}
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -7153,6 +7153,583 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *PolicyReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "capacity":
+			z.Capacity, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+		case "p999_ratio":
+			z.P999Ratio, err = dc.ReadFloat64()
+			if err != nil {
+				err = msgp.WrapError(err, "P999Ratio")
+				return
+			}
+		case "p99_ratio":
+			z.P99Ratio, err = dc.ReadFloat64()
+			if err != nil {
+				err = msgp.WrapError(err, "P99Ratio")
+				return
+			}
+		case "runs":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Runs")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Runs) >= int(zb0002) {
+				z.Runs = (z.Runs)[:zb0002]
+			} else {
+				z.Runs = make([]PolicyRun, zb0002)
+			}
+			for za0001 := range z.Runs {
+				err = z.Runs[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Runs", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PolicyReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "capacity"
+	err = en.Append(0x84, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Capacity)
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
+		return
+	}
+	// write "p999_ratio"
+	err = en.Append(0xaa, 0x70, 0x39, 0x39, 0x39, 0x5f, 0x72, 0x61, 0x74, 0x69, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.P999Ratio)
+	if err != nil {
+		err = msgp.WrapError(err, "P999Ratio")
+		return
+	}
+	// write "p99_ratio"
+	err = en.Append(0xa9, 0x70, 0x39, 0x39, 0x5f, 0x72, 0x61, 0x74, 0x69, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.P99Ratio)
+	if err != nil {
+		err = msgp.WrapError(err, "P99Ratio")
+		return
+	}
+	// write "runs"
+	err = en.Append(0xa4, 0x72, 0x75, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Runs)))
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
+	for za0001 := range z.Runs {
+		err = z.Runs[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Runs", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PolicyReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "capacity"
+	o = append(o, 0x84, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt(o, z.Capacity)
+	// string "p999_ratio"
+	o = append(o, 0xaa, 0x70, 0x39, 0x39, 0x39, 0x5f, 0x72, 0x61, 0x74, 0x69, 0x6f)
+	o = msgp.AppendFloat64(o, z.P999Ratio)
+	// string "p99_ratio"
+	o = append(o, 0xa9, 0x70, 0x39, 0x39, 0x5f, 0x72, 0x61, 0x74, 0x69, 0x6f)
+	o = msgp.AppendFloat64(o, z.P99Ratio)
+	// string "runs"
+	o = append(o, 0xa4, 0x72, 0x75, 0x6e, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
+	for za0001 := range z.Runs {
+		o, err = z.Runs[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Runs", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PolicyReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "capacity":
+			z.Capacity, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+		case "p999_ratio":
+			z.P999Ratio, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "P999Ratio")
+				return
+			}
+		case "p99_ratio":
+			z.P99Ratio, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "P99Ratio")
+				return
+			}
+		case "runs":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Runs) >= int(zb0002) {
+				z.Runs = (z.Runs)[:zb0002]
+			} else {
+				z.Runs = make([]PolicyRun, zb0002)
+			}
+			for za0001 := range z.Runs {
+				bts, err = z.Runs[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Runs", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PolicyReport) Msgsize() (s int) {
+	s = 1 + 9 + msgp.IntSize + 11 + msgp.Float64Size + 10 + msgp.Float64Size + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.Runs {
+		s += z.Runs[za0001].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PolicyRun) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answered":
+			z.Answered, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Answered")
+				return
+			}
+		case "calls":
+			z.Calls, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "hedges":
+			z.Hedges, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Hedges")
+				return
+			}
+		case "latency":
+			err = z.Latency.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Latency")
+				return
+			}
+		case "load_percent":
+			z.LoadPercent, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "LoadPercent")
+				return
+			}
+		case "not_run":
+			z.NotRun, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "policy":
+			z.Policy, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Policy")
+				return
+			}
+		case "seed":
+			z.Seed, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Seed")
+				return
+			}
+		case "unknown":
+			z.Unknown, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		case "violations":
+			z.Violations, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Violations")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PolicyRun) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 10
+	// write "answered"
+	err = en.Append(0x8a, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Answered)
+	if err != nil {
+		err = msgp.WrapError(err, "Answered")
+		return
+	}
+	// write "calls"
+	err = en.Append(0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	// write "hedges"
+	err = en.Append(0xa6, 0x68, 0x65, 0x64, 0x67, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Hedges)
+	if err != nil {
+		err = msgp.WrapError(err, "Hedges")
+		return
+	}
+	// write "latency"
+	err = en.Append(0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
+	if err != nil {
+		return
+	}
+	err = z.Latency.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Latency")
+		return
+	}
+	// write "load_percent"
+	err = en.Append(0xac, 0x6c, 0x6f, 0x61, 0x64, 0x5f, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.LoadPercent)
+	if err != nil {
+		err = msgp.WrapError(err, "LoadPercent")
+		return
+	}
+	// write "not_run"
+	err = en.Append(0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.NotRun)
+	if err != nil {
+		err = msgp.WrapError(err, "NotRun")
+		return
+	}
+	// write "policy"
+	err = en.Append(0xa6, 0x70, 0x6f, 0x6c, 0x69, 0x63, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Policy)
+	if err != nil {
+		err = msgp.WrapError(err, "Policy")
+		return
+	}
+	// write "seed"
+	err = en.Append(0xa4, 0x73, 0x65, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Seed)
+	if err != nil {
+		err = msgp.WrapError(err, "Seed")
+		return
+	}
+	// write "unknown"
+	err = en.Append(0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Unknown)
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	// write "violations"
+	err = en.Append(0xaa, 0x76, 0x69, 0x6f, 0x6c, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Violations)
+	if err != nil {
+		err = msgp.WrapError(err, "Violations")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PolicyRun) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 10
+	// string "answered"
+	o = append(o, 0x8a, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Answered)
+	// string "calls"
+	o = append(o, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	o = msgp.AppendInt(o, z.Calls)
+	// string "hedges"
+	o = append(o, 0xa6, 0x68, 0x65, 0x64, 0x67, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.Hedges)
+	// string "latency"
+	o = append(o, 0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
+	o, err = z.Latency.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Latency")
+		return
+	}
+	// string "load_percent"
+	o = append(o, 0xac, 0x6c, 0x6f, 0x61, 0x64, 0x5f, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.LoadPercent)
+	// string "not_run"
+	o = append(o, 0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	o = msgp.AppendInt(o, z.NotRun)
+	// string "policy"
+	o = append(o, 0xa6, 0x70, 0x6f, 0x6c, 0x69, 0x63, 0x79)
+	o = msgp.AppendString(o, z.Policy)
+	// string "seed"
+	o = append(o, 0xa4, 0x73, 0x65, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Seed)
+	// string "unknown"
+	o = append(o, 0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendInt(o, z.Unknown)
+	// string "violations"
+	o = append(o, 0xaa, 0x76, 0x69, 0x6f, 0x6c, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.Violations)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PolicyRun) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answered":
+			z.Answered, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Answered")
+				return
+			}
+		case "calls":
+			z.Calls, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "hedges":
+			z.Hedges, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hedges")
+				return
+			}
+		case "latency":
+			bts, err = z.Latency.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Latency")
+				return
+			}
+		case "load_percent":
+			z.LoadPercent, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LoadPercent")
+				return
+			}
+		case "not_run":
+			z.NotRun, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "policy":
+			z.Policy, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Policy")
+				return
+			}
+		case "seed":
+			z.Seed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Seed")
+				return
+			}
+		case "unknown":
+			z.Unknown, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		case "violations":
+			z.Violations, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Violations")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PolicyRun) Msgsize() (s int) {
+	s = 1 + 9 + msgp.IntSize + 6 + msgp.IntSize + 7 + msgp.IntSize + 8 + z.Latency.Msgsize() + 13 + msgp.IntSize + 8 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Policy) + 5 + msgp.IntSize + 8 + msgp.IntSize + 11 + msgp.IntSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *RingDump) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -485,6 +485,56 @@
 	Kind string `json:"kind" msg:"kind"`
 }
 
+// PolicyReport compares placement policies on the same seeds.
+type PolicyReport struct {
+	// Capacity is the measured capacity in calls a second.
+	Capacity int `json:"capacity" msg:"capacity"`
+
+	// P999Ratio is the same for the 99.9th percentile.
+	P999Ratio float64 `json:"p999_ratio" msg:"p999_ratio"`
+
+	// P99Ratio is the 99th percentile of the product's policy divided by that of two
+	// choices by own attempts in flight at 75% load, as a mean over the seeds.
+	P99Ratio float64 `json:"p99_ratio" msg:"p99_ratio"`
+
+	// Runs are in the order of policy, load and seed.
+	Runs []PolicyRun `json:"runs" msg:"runs"`
+}
+
+// PolicyRun is the result of one run of a placement policy over simulated backend
+// servers.
+type PolicyRun struct {
+	// Answered counts calls with a whole answer.
+	Answered int `json:"answered" msg:"answered"`
+
+	// Calls counts the calls.
+	Calls int `json:"calls" msg:"calls"`
+
+	// Hedges counts attempts that were started beside a running one.
+	Hedges int `json:"hedges" msg:"hedges"`
+
+	// Latency corresponds to the JSON schema field "latency".
+	Latency Latency `json:"latency" msg:"latency"`
+
+	// LoadPercent is the load in percent of the measured capacity.
+	LoadPercent int `json:"load_percent" msg:"load_percent"`
+
+	// NotRun counts calls that were refused.
+	NotRun int `json:"not_run" msg:"not_run"`
+
+	// Policy names the policy.
+	Policy string `json:"policy" msg:"policy"`
+
+	// Seed is the seed of the run.
+	Seed int `json:"seed" msg:"seed"`
+
+	// Unknown counts calls that may have run and were not answered.
+	Unknown int `json:"unknown" msg:"unknown"`
+
+	// Violations counts broken invariants.
+	Violations int `json:"violations" msg:"violations"`
+}
+
 // RingDump is the state of one ring.
 type RingDump struct {
 	// Capacity is the bound.
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -366,3 +366,68 @@
 
 	return settings, c.faults
 }
+
+// PoliciesFlags holds the raw settings of the comparison of placement policies.
+type PoliciesFlags struct {
+	BackendServers string `long:"backend-servers" env:"BAOBABDRUM_POLICIES_BACKEND_SERVERS" default:"20" value-name:"integer" description:"number of simulated backend servers, in backend servers (1 to 10000)"`
+	Slots          string `long:"slots" env:"BAOBABDRUM_POLICIES_SLOTS" default:"4" value-name:"integer" description:"calls that each backend server runs at once; further calls wait there, in calls (1 to 1024)"`
+	Hosts          string `long:"hosts" env:"BAOBABDRUM_POLICIES_HOSTS" default:"14" value-name:"integer" description:"number of entry hosts that place calls independently under the policies without an owner, in hosts (1 to 1000)"`
+	ServiceTime    string `long:"service-time" env:"BAOBABDRUM_POLICIES_SERVICE_TIME" default:"5ms" value-name:"duration" description:"mean duration of a call at normal speed (1us to 1m)"`
+	ShiftInterval  string `long:"shift-interval" env:"BAOBABDRUM_POLICIES_SHIFT_INTERVAL" default:"50ms" value-name:"duration" description:"mean time between changes of a backend server's speed (1ms to 1h)"`
+	Seeds          string `long:"seeds" env:"BAOBABDRUM_POLICIES_SEEDS" default:"5" value-name:"integer" description:"number of seeds, from 1 up, in seeds (1 to 1000)"`
+	WarmUp         string `long:"warm-up" env:"BAOBABDRUM_POLICIES_WARM_UP" default:"2s" value-name:"duration" description:"simulated time before calls are counted (0s to 1h)"`
+	Duration       string `long:"duration" env:"BAOBABDRUM_POLICIES_DURATION" default:"10s" value-name:"duration" description:"simulated time in which calls are counted (10ms to 24h)"`
+	Deadline       string `long:"deadline" env:"BAOBABDRUM_POLICIES_DEADLINE" default:"5s" value-name:"duration" description:"deadline of each call (1ms to 10m)"`
+	Workers        string `long:"workers" env:"BAOBABDRUM_POLICIES_WORKERS" default:"4" value-name:"integer" description:"runs at once, in threads (1 to 1024)"`
+	Report         string `long:"report" env:"BAOBABDRUM_POLICIES_REPORT" default:"" value-name:"text" description:"file for the JSON report; empty for none"`
+	Plot           string `long:"plot" env:"BAOBABDRUM_POLICIES_PLOT" default:"" value-name:"text" description:"SVG file for the plot of the 99th percentiles; empty for none"`
+}
+
+// PoliciesSettings holds the checked settings of the comparison of placement policies.
+type PoliciesSettings struct {
+	// BackendServers is set by --backend-servers: number of simulated backend servers, in backend servers (1 to 10000).
+	BackendServers int
+	// Slots is set by --slots: calls that each backend server runs at once; further calls wait there, in calls (1 to 1024).
+	Slots int
+	// Hosts is set by --hosts: number of entry hosts that place calls independently under the policies without an owner, in hosts (1 to 1000).
+	Hosts int
+	// ServiceTime is set by --service-time: mean duration of a call at normal speed (1us to 1m).
+	ServiceTime time.Duration
+	// ShiftInterval is set by --shift-interval: mean time between changes of a backend server's speed (1ms to 1h).
+	ShiftInterval time.Duration
+	// Seeds is set by --seeds: number of seeds, from 1 up, in seeds (1 to 1000).
+	Seeds int
+	// WarmUp is set by --warm-up: simulated time before calls are counted (0s to 1h).
+	WarmUp time.Duration
+	// Duration is set by --duration: simulated time in which calls are counted (10ms to 24h).
+	Duration time.Duration
+	// Deadline is set by --deadline: deadline of each call (1ms to 10m).
+	Deadline time.Duration
+	// Workers is set by --workers: runs at once, in threads (1 to 1024).
+	Workers int
+	// Report is set by --report: file for the JSON report; empty for none.
+	Report string
+	// Plot is set by --plot: SVG file for the plot of the 99th percentiles; empty for none.
+	Plot string
+}
+
+// Check returns the typed settings and a fault for each value that is rejected.
+func (f PoliciesFlags) Check() (PoliciesSettings, []Fault) {
+	c := checker{}
+	settings := PoliciesSettings{
+		BackendServers: c.integer("backend-servers", f.BackendServers, "1", "10000"),
+		Slots:          c.integer("slots", f.Slots, "1", "1024"),
+		Hosts:          c.integer("hosts", f.Hosts, "1", "1000"),
+		ServiceTime:    c.duration("service-time", f.ServiceTime, "1us", "1m"),
+		ShiftInterval:  c.duration("shift-interval", f.ShiftInterval, "1ms", "1h"),
+		Seeds:          c.integer("seeds", f.Seeds, "1", "1000"),
+		WarmUp:         c.duration("warm-up", f.WarmUp, "0s", "1h"),
+		Duration:       c.duration("duration", f.Duration, "10ms", "24h"),
+		Deadline:       c.duration("deadline", f.Deadline, "1ms", "10m"),
+		Workers:        c.integer("workers", f.Workers, "1", "1024"),
+		Report:         c.text("report", f.Report),
+		Plot:           c.text("plot", f.Plot),
+	}
+
+	return settings, c.faults
+}
