Compare policies with servers that turn cold and under overload

Cause: the comparison had no cold backend server and no overload, so it said nothing of the ramp, of ejection and of the queue discipline.

Change: two more scenarios. Turning cold: every second a random backend server is cold for 2 s without notice and falls over for 500 ms above 2 attempts. Overload: one caller makes 70% of calls, deadline 200 ms.

--- a/bench/events.go
+++ b/bench/events.go
@@ -18,6 +18,9 @@
 // tick lets time pass in every pool.
 type tick struct{}
 
+// cooling turns a random backend server cold.
+type cooling struct{}
+
 // served ends the service of an attempt.
 type served struct {
 	job *job
@@ -31,6 +34,7 @@
 
 func (arrival) event()  {}
 func (tick) event()     {}
+func (cooling) event()  {}
 func (served) event()   {}
 func (reported) event() {}
 
--- a/bench/plot.go
+++ b/bench/plot.go
@@ -15,7 +15,7 @@
 	plotHeight = 5 * vg.Inch
 )
 
-// draw draws the 99th percentile of each policy by load.
+// draw draws the 99th percentile of each policy of the first scenario by load.
 func draw(path string, report schema.PolicyReport) error {
 	p := plot.New()
 	p.Title.Text = "99th percentile by load"
@@ -23,7 +23,7 @@
 	p.Y.Label.Text = "latency in ms"
 	p.Y.Min = 0
 	p.Legend.Top, p.Legend.Left = true, true
-	for index, variant := range Variants {
+	for index, variant := range Scenarios[0].Variants {
 		line, points, err := plotter.NewLinePoints(series(report, variant.Name))
 		if err != nil {
 			return err
@@ -39,9 +39,9 @@
 
 // series returns the mean 99th percentile of a policy at each load.
 func series(report schema.PolicyReport, policy string) plotter.XYs {
-	points := make(plotter.XYs, 0, len(loads))
-	for _, load := range loads {
-		points = append(points, plotter.XY{X: float64(load), Y: Summarise(report, policy, load).P99.Mean})
+	points := make(plotter.XYs, 0, len(Scenarios[0].Loads))
+	for _, load := range Scenarios[0].Loads {
+		points = append(points, plotter.XY{X: float64(load), Y: Summarise(report, nameShifting, policy, load).P99.Mean})
 	}
 
 	return points
--- a/bench/report.go
+++ b/bench/report.go
@@ -32,56 +32,83 @@
 type Summary struct {
 	// P50, P99 and P999 are percentiles of the latency in milliseconds.
 	P50, P99, P999 Spread
-	// Calls counts all calls, NotRun those refused, Unknown those without an
-	// answer that may have run, Hedges the hedges and Violations the broken
-	// invariants.
-	Calls, NotRun, Unknown, Hedges, Violations int
+	// OtherP99 is that of the callers that do not flood.
+	OtherP99 Spread
+	// Total sums up the counts of all seeds.
+	Total schema.PolicyRun
 }
 
-// Summarise sums up the runs of a policy at a load in percent.
-func Summarise(report schema.PolicyReport, policy string, load int) Summary {
+// Summarise sums up the runs of a policy in a scenario at a load in percent.
+func Summarise(report schema.PolicyReport, scenario, policy string, load int) Summary {
 	var summary Summary
-	var p50, p99, p999 []float64
+	var p50, p99, p999, others []float64
 	for _, run := range report.Runs {
-		if run.Policy != policy || run.LoadPercent != load {
+		if run.Scenario != scenario || run.Policy != policy || run.LoadPercent != load {
 			continue
 		}
 		p50 = append(p50, milliseconds(run.Latency.P50Us))
 		p99 = append(p99, milliseconds(run.Latency.P99Us))
 		p999 = append(p999, milliseconds(run.Latency.P999Us))
-		summary.Calls += run.Calls
-		summary.NotRun += run.NotRun
-		summary.Unknown += run.Unknown
-		summary.Hedges += run.Hedges
-		summary.Violations += run.Violations
+		others = append(others, milliseconds(run.OtherLatency.P99Us))
+		add(&summary.Total, run)
 	}
-	summary.P50, summary.P99, summary.P999 = spread(p50), spread(p99), spread(p999)
+	summary.P50, summary.P99, summary.P999, summary.OtherP99 = spread(p50), spread(p99), spread(p999), spread(others)
 
 	return summary
 }
 
+// add adds the counts of a run.
+func add(total *schema.PolicyRun, run schema.PolicyRun) {
+	total.Calls += run.Calls
+	total.Answered += run.Answered
+	total.NotRun += run.NotRun
+	total.Unknown += run.Unknown
+	total.OtherCalls += run.OtherCalls
+	total.OtherAnswered += run.OtherAnswered
+	total.Hedges += run.Hedges
+	total.FellOver += run.FellOver
+	total.Violations += run.Violations
+}
+
 // milliseconds converts microseconds.
 func milliseconds(us int) float64 {
 	return float64(us) / 1000
 }
 
-// Print prints the report as a table, with the least and the most of the seeds.
+// Print prints the report as tables, with the least and the most of the seeds.
 func Print(out io.Writer, report schema.PolicyReport) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(table, "capacity=%d calls/s\n", report.Capacity)
-	fmt.Fprintln(table, "load\tpolicy\tp50_ms\tp99_ms\tp999_ms\tnot_run\tunknown\thedged\tviolations")
-	for _, load := range loads {
-		for _, variant := range Variants {
-			s := Summarise(report, variant.Name, load)
-			fmt.Fprintf(table, "0.%02d\t%s\t%.1f\t%s\t%s\t%d\t%d\t%.2f%%\t%d\n", load, variant.Name, s.P50.Mean,
-				s.P99, s.P999, s.NotRun, s.Unknown, 100*float64(s.Hedges)/float64(s.Calls), s.Violations)
-		}
+	for _, scenario := range Scenarios {
+		printScenario(table, report, scenario)
 	}
-	fmt.Fprintf(table, "p99_ratio=%.2f\np999_ratio=%.2f\n", report.P99Ratio, report.P999Ratio)
+	fmt.Fprintf(table, "\np99_ratio=%.2f\np999_ratio=%.2f\n", report.P99Ratio, report.P999Ratio)
 
 	return table.Flush()
 }
 
+// printScenario prints the table of a scenario.
+func printScenario(table io.Writer, report schema.PolicyReport, scenario Scenario) {
+	fmt.Fprintf(table, "\n%s\n", scenario.Name)
+	fmt.Fprintln(table, "load\tpolicy\tp50_ms\tp99_ms\tp999_ms\tnot_run\tunknown\thedged"+
+		"\tfell_over\tothers_answered\tothers_p99_ms\tviolations")
+	for _, load := range scenario.Loads {
+		for _, variant := range scenario.Variants {
+			s := Summarise(report, scenario.Name, variant.Name, load)
+			fmt.Fprintf(table, "%.2f\t%s\t%.1f\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\n",
+				float64(load)/100, variant.Name, s.P50.Mean, s.P99, s.P999,
+				percent(s.Total.NotRun, s.Total.Calls), percent(s.Total.Unknown, s.Total.Calls),
+				percent(s.Total.Hedges, s.Total.Calls), s.Total.FellOver,
+				percent(s.Total.OtherAnswered, s.Total.OtherCalls), s.OtherP99, s.Total.Violations)
+		}
+	}
+}
+
+// percent returns a share for a table.
+func percent(part, whole int) string {
+	return fmt.Sprintf("%.2f%%", 100*float64(part)/float64(max(whole, 1)))
+}
+
 // String returns the mean with the least and the most.
 func (s Spread) String() string {
 	return fmt.Sprintf("%.1f (%.1f-%.1f)", s.Mean, s.Least, s.Most)
--- a/bench/server.go
+++ b/bench/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/schema"
@@ -11,15 +12,33 @@
 // as it stands here often.
 var speeds = []int{1, 1, 1, 1, 1, 1, 1, 3, 3, 10}
 
+const (
+	// coldSlots is the number of attempts that a cold backend server runs at
+	// normal speed.
+	coldSlots = 1
+	// coldLimit is the number of attempts at which a cold backend server still
+	// answers.
+	coldLimit = 2
+	// coldFactor stretches the attempts of a cold backend server beyond coldSlots.
+	coldFactor = 3
+	// coldTime is how long a backend server that turned cold stays so.
+	coldTime = 2 * time.Second
+	// fallTime is how long a backend server that fell over answers nothing.
+	fallTime = 500 * time.Millisecond
+)
+
 // server is a simulated backend server. Attempts beyond its slots wait in their
 // order.
 type server struct {
-	settings schema.PoliciesSettings
-	shifts   *rand.Rand
-	factor   int
-	shiftAt  time.Time
-	running  int
-	waiting  []*job
+	settings    schema.PoliciesSettings
+	shifts      *rand.Rand
+	factor      int
+	shiftAt     time.Time
+	coldUntil   time.Time
+	fallenUntil time.Time
+	fell        int
+	running     []*job
+	waiting     []*job
 }
 
 // newServer returns an idle backend server at normal speed. Its speed depends on
@@ -40,26 +59,55 @@
 		s.shiftAt = s.shiftAt.Add(time.Duration(float64(s.settings.ShiftInterval) * s.shifts.ExpFloat64()))
 	}
 	mean := float64(s.settings.ServiceTime) * float64(s.factor)
+	if now.Before(s.coldUntil) && len(s.running) > coldSlots {
+		mean *= coldFactor
+	}
 
 	return time.Duration(mean * (0.5 + 0.5*random.ExpFloat64()))
 }
 
+// turnCold makes the backend server cold without notice.
+func (s *server) turnCold(now time.Time) {
+	s.coldUntil = now.Add(coldTime)
+}
+
 // admit takes a slot for an attempt or lets it wait, and reports whether it runs.
 func (s *server) admit(j *job) bool {
-	if s.running >= s.settings.Slots {
+	if len(s.running) >= s.settings.Slots {
 		s.waiting = append(s.waiting, j)
 
 		return false
 	}
-	s.running++
-	j.running = true
+	s.running = append(s.running, j)
 
 	return true
 }
 
-// release frees a slot and returns the attempt that runs next, or nil.
-func (s *server) release() *job {
-	s.running--
+// fall returns the attempts that are cut because the backend server is down or
+// has just fallen over.
+func (s *server) fall(now time.Time) []*job {
+	overloaded := now.Before(s.coldUntil) && len(s.running) > coldLimit
+	if overloaded && !now.Before(s.fallenUntil) {
+		s.fallenUntil = now.Add(fallTime)
+		s.fell++
+	}
+	if !now.Before(s.fallenUntil) {
+		return nil
+	}
+	cut := slices.Concat(s.running, s.waiting)
+	s.running, s.waiting = nil, nil
+
+	return cut
+}
+
+// release frees the slot of an attempt, if it has one, and returns the attempt
+// that runs next, or nil.
+func (s *server) release(j *job) *job {
+	slot := slices.Index(s.running, j)
+	if slot < 0 {
+		return nil
+	}
+	s.running = slices.Delete(s.running, slot, slot+1)
 	for len(s.waiting) > 0 {
 		next := s.waiting[0]
 		s.waiting = s.waiting[1:]
--- a/bench/simulation.go
+++ b/bench/simulation.go
@@ -19,6 +19,10 @@
 	queueLength = 1024
 	// callers is the number of callers that calls are spread over.
 	callers = 40
+	// coolingInterval is the time between backend servers that turn cold.
+	coolingInterval = time.Second
+	// flooder is the caller that floods.
+	flooder = "flooder"
 	// latencyDigits is the precision of latencies in significant digits.
 	latencyDigits = 3
 )
@@ -34,7 +38,6 @@
 	pool    int
 	attempt backend.AttemptID
 	server  *server
-	running bool
 	gone    bool
 }
 
@@ -44,9 +47,17 @@
 	attempt backend.AttemptID
 }
 
+// placed is what a simulation remembers of a call.
+type placed struct {
+	at    time.Time
+	other bool
+}
+
 // simulation runs the decisions over simulated backend servers.
 type simulation struct {
 	settings schema.PoliciesSettings
+	scenario Scenario
+	variant  Variant
 	rate     float64
 	now      time.Time
 	events   agenda
@@ -55,58 +66,81 @@
 	pools    []*backend.Pool
 	servers  map[string]*server
 	jobs     map[jobKey]*job
-	placed   map[caller.CallID]time.Time
+	order    []*server
+	coolings *rand.Rand
+	placed   map[caller.CallID]placed
 	last     caller.CallID
 	latency  *hdrhistogram.Histogram
+	others   *hdrhistogram.Histogram
 	run      schema.PolicyRun
 }
 
 // simulate runs a policy at a rate in calls a second and returns the result.
-func simulate(settings schema.PoliciesSettings, policy Variant, rate float64, seed uint64) schema.PolicyRun {
-	s := newSimulation(settings, policy, rate, seed)
+func simulate(settings schema.PoliciesSettings, scenario Scenario, variant Variant, rate float64, seed uint64) schema.PolicyRun {
+	if scenario.Deadline > 0 {
+		settings.Deadline = scenario.Deadline
+	}
+	s := newSimulation(settings, scenario, variant, rate, seed)
 	s.events.add(start, arrival{})
 	s.events.add(start, tick{})
+	if scenario.Cooling {
+		s.events.add(start.Add(coolingInterval), cooling{})
+	}
 	for end := start.Add(settings.WarmUp + settings.Duration); s.now.Before(end); {
 		next := s.events.take()
 		s.now = next.at
 		s.handle(next.event)
 	}
-	s.run.Policy, s.run.Seed = policy.Name, int(seed) //nolint:gosec // a small number
-	s.run.Latency = schema.Latency{
-		P50Us:  int(s.latency.ValueAtPercentile(50)),
-		P99Us:  int(s.latency.ValueAtPercentile(99)),
-		P999Us: int(s.latency.ValueAtPercentile(99.9)),
-		MaxUs:  int(s.latency.Max()),
+	for _, server := range s.order {
+		s.run.FellOver += server.fell
 	}
+	s.run.Scenario, s.run.Policy = scenario.Name, variant.Name
+	s.run.Seed = int(seed) //nolint:gosec // a small number
+	s.run.Latency, s.run.OtherLatency = summarise(s.latency), summarise(s.others)
 
 	return s.run
 }
 
+// summarise returns the percentiles of a histogram in microseconds.
+func summarise(histogram *hdrhistogram.Histogram) schema.Latency {
+	return schema.Latency{
+		P50Us:  int(histogram.ValueAtPercentile(50)),
+		P99Us:  int(histogram.ValueAtPercentile(99)),
+		P999Us: int(histogram.ValueAtPercentile(99.9)),
+		MaxUs:  int(histogram.Max()),
+	}
+}
+
 // newSimulation returns a simulation in which nothing has happened.
-func newSimulation(settings schema.PoliciesSettings, policy Variant, rate float64, seed uint64) *simulation {
+func newSimulation(settings schema.PoliciesSettings, scenario Scenario, variant Variant, rate float64, seed uint64) *simulation {
 	s := &simulation{
 		settings: settings,
+		scenario: scenario,
+		variant:  variant,
 		rate:     rate,
 		now:      start,
 		arrivals: rand.New(rand.NewPCG(seed, 1<<32)), //nolint:gosec // a simulation
 		services: rand.New(rand.NewPCG(seed, 2<<32)), //nolint:gosec // a simulation
 		servers:  map[string]*server{},
 		jobs:     map[jobKey]*job{},
-		placed:   map[caller.CallID]time.Time{},
+		coolings: rand.New(rand.NewPCG(seed, 3<<32)), //nolint:gosec // a simulation
+		placed:   map[caller.CallID]placed{},
 		latency:  hdrhistogram.New(1, settings.Deadline.Microseconds()+1, latencyDigits),
+		others:   hdrhistogram.New(1, settings.Deadline.Microseconds()+1, latencyDigits),
 	}
 	declared := make([]backend.Declared, 0, settings.BackendServers)
 	for index := range settings.BackendServers {
 		address := fmt.Sprintf("server-%02d", index)
 		s.servers[address] = newServer(settings, seed, uint64(index))
+		s.order = append(s.order, s.servers[address])
 		declared = append(declared, backend.Declared{Address: address, Slots: settings.Slots})
 	}
 	hosts := 1
-	if !policy.Owner {
+	if !variant.Owner {
 		hosts = settings.Hosts
 	}
 	for index := range hosts {
-		options := policy.Options
+		options := variant.Options
 		options.QueueLength, options.Seed = queueLength, seed+uint64(index)
 		s.pools = append(s.pools, backend.NewPool(options))
 		s.step(index, backend.CellsChanged{Cells: map[caller.Cell][]backend.Declared{cell: declared}})
@@ -125,12 +159,15 @@
 			s.step(index, backend.Ticked{})
 		}
 		s.events.add(s.now.Add(tickInterval), event)
+	case cooling:
+		s.order[s.coolings.IntN(len(s.order))].turnCold(s.now)
+		s.events.add(s.now.Add(coolingInterval), event)
 	case served:
 		if event.job.gone {
 			return
 		}
 		event.job.gone = true
-		s.release(event.job.server)
+		s.release(event.job)
 		s.report(event.job, backend.Whole{Status: 200})
 	case reported:
 		s.report(event.job, event.result)
@@ -141,18 +178,32 @@
 func (s *simulation) arrive() {
 	gap := time.Duration(s.arrivals.ExpFloat64() / s.rate * float64(time.Second))
 	s.events.add(s.now.Add(gap), arrival{})
-	host, name := s.arrivals.IntN(s.settings.Hosts), s.arrivals.IntN(callers)
+	host, name := s.arrivals.IntN(s.settings.Hosts), fmt.Sprint(s.arrivals.IntN(callers))
+	if s.arrivals.Float64() < s.scenario.Flood {
+		name = flooder
+	}
 	s.last++
-	if s.counts() {
-		s.placed[s.last] = s.now
-		s.run.Calls++
+	s.note(name != flooder)
+	if s.variant.OneQueue {
+		name = ""
 	}
 	s.step(host%len(s.pools), backend.CallPlaced{Cell: cell, Call: caller.Call{
-		ID: s.last, Service: cell.Service, Caller: fmt.Sprint(name), Idempotent: true,
-		Deadline: s.now.Add(s.settings.Deadline),
+		ID: s.last, Service: cell.Service, Caller: name, Idempotent: true, Deadline: s.now.Add(s.settings.Deadline),
 	}})
 }
 
+// note counts the newest call once the warm-up is over.
+func (s *simulation) note(other bool) {
+	if !s.counts() {
+		return
+	}
+	s.placed[s.last] = placed{at: s.now, other: other}
+	s.run.Calls++
+	if other {
+		s.run.OtherCalls++
+	}
+}
+
 // counts reports whether the warm-up is over.
 func (s *simulation) counts() bool {
 	return s.now.Sub(start) >= s.settings.WarmUp
@@ -185,6 +236,10 @@
 	if j.server.admit(j) {
 		s.serve(j)
 	}
+	for _, cut := range j.server.fall(s.now) {
+		cut.gone = true
+		s.events.add(s.now, reported{cut, backend.Cut{}})
+	}
 }
 
 // serve schedules the end of an attempt that has a slot.
@@ -193,8 +248,8 @@
 }
 
 // release frees a slot for the attempt that waits next.
-func (s *simulation) release(server *server) {
-	if next := server.release(); next != nil {
+func (s *simulation) release(j *job) {
+	if next := j.server.release(j); next != nil {
 		s.serve(next)
 	}
 }
@@ -205,9 +260,7 @@
 		return
 	}
 	j.gone = true
-	if j.running {
-		s.release(j.server)
-	}
+	s.release(j)
 	s.events.add(s.now, reported{j, backend.Cancelled{}})
 }
 
@@ -219,18 +272,28 @@
 
 // end counts how a call ended.
 func (s *simulation) end(action backend.EndCall) {
-	placed, counted := s.placed[action.Call]
+	call, counted := s.placed[action.Call]
 	if !counted {
 		return
 	}
 	delete(s.placed, action.Call)
 	switch action.Outcome.(type) {
 	case caller.Answered:
-		s.run.Answered++
-		_ = s.latency.RecordValue(s.now.Sub(placed).Microseconds()) // the deadline bounds it
+		s.answered(call)
 	case caller.NotRun:
 		s.run.NotRun++
 	case caller.Unknown:
 		s.run.Unknown++
 	}
 }
+
+// answered counts an answer.
+func (s *simulation) answered(call placed) {
+	took := s.now.Sub(call.at).Microseconds()
+	s.run.Answered++
+	_ = s.latency.RecordValue(took) // the deadline bounds it
+	if call.other {
+		s.run.OtherAnswered++
+		_ = s.others.RecordValue(took) // the deadline bounds it
+	}
+}
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -7424,6 +7424,12 @@
 				err = msgp.WrapError(err, "Calls")
 				return
 			}
+		case "fell_over":
+			z.FellOver, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "FellOver")
+				return
+			}
 		case "hedges":
 			z.Hedges, err = dc.ReadInt()
 			if err != nil {
@@ -7448,12 +7454,36 @@
 				err = msgp.WrapError(err, "NotRun")
 				return
 			}
+		case "other_answered":
+			z.OtherAnswered, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OtherAnswered")
+				return
+			}
+		case "other_calls":
+			z.OtherCalls, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OtherCalls")
+				return
+			}
+		case "other_latency":
+			err = z.OtherLatency.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "OtherLatency")
+				return
+			}
 		case "policy":
 			z.Policy, err = dc.ReadString()
 			if err != nil {
 				err = msgp.WrapError(err, "Policy")
 				return
 			}
+		case "scenario":
+			z.Scenario, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Scenario")
+				return
+			}
 		case "seed":
 			z.Seed, err = dc.ReadInt()
 			if err != nil {
@@ -7485,9 +7515,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PolicyRun) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
+	// map header, size 15
 	// write "answered"
-	err = en.Append(0x8a, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	err = en.Append(0x8f, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
 	if err != nil {
 		return
 	}
@@ -7506,6 +7536,16 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	// write "fell_over"
+	err = en.Append(0xa9, 0x66, 0x65, 0x6c, 0x6c, 0x5f, 0x6f, 0x76, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.FellOver)
+	if err != nil {
+		err = msgp.WrapError(err, "FellOver")
+		return
+	}
 	// write "hedges"
 	err = en.Append(0xa6, 0x68, 0x65, 0x64, 0x67, 0x65, 0x73)
 	if err != nil {
@@ -7546,6 +7586,36 @@
 		err = msgp.WrapError(err, "NotRun")
 		return
 	}
+	// write "other_answered"
+	err = en.Append(0xae, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OtherAnswered)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherAnswered")
+		return
+	}
+	// write "other_calls"
+	err = en.Append(0xab, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OtherCalls)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherCalls")
+		return
+	}
+	// write "other_latency"
+	err = en.Append(0xad, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
+	if err != nil {
+		return
+	}
+	err = z.OtherLatency.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherLatency")
+		return
+	}
 	// write "policy"
 	err = en.Append(0xa6, 0x70, 0x6f, 0x6c, 0x69, 0x63, 0x79)
 	if err != nil {
@@ -7556,6 +7626,16 @@
 		err = msgp.WrapError(err, "Policy")
 		return
 	}
+	// write "scenario"
+	err = en.Append(0xa8, 0x73, 0x63, 0x65, 0x6e, 0x61, 0x72, 0x69, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Scenario)
+	if err != nil {
+		err = msgp.WrapError(err, "Scenario")
+		return
+	}
 	// write "seed"
 	err = en.Append(0xa4, 0x73, 0x65, 0x65, 0x64)
 	if err != nil {
@@ -7592,13 +7672,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PolicyRun) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 15
 	// string "answered"
-	o = append(o, 0x8a, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = append(o, 0x8f, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
 	o = msgp.AppendInt(o, z.Answered)
 	// string "calls"
 	o = append(o, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
 	o = msgp.AppendInt(o, z.Calls)
+	// string "fell_over"
+	o = append(o, 0xa9, 0x66, 0x65, 0x6c, 0x6c, 0x5f, 0x6f, 0x76, 0x65, 0x72)
+	o = msgp.AppendInt(o, z.FellOver)
 	// string "hedges"
 	o = append(o, 0xa6, 0x68, 0x65, 0x64, 0x67, 0x65, 0x73)
 	o = msgp.AppendInt(o, z.Hedges)
@@ -7615,9 +7698,25 @@
 	// string "not_run"
 	o = append(o, 0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
 	o = msgp.AppendInt(o, z.NotRun)
+	// string "other_answered"
+	o = append(o, 0xae, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.OtherAnswered)
+	// string "other_calls"
+	o = append(o, 0xab, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	o = msgp.AppendInt(o, z.OtherCalls)
+	// string "other_latency"
+	o = append(o, 0xad, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
+	o, err = z.OtherLatency.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherLatency")
+		return
+	}
 	// string "policy"
 	o = append(o, 0xa6, 0x70, 0x6f, 0x6c, 0x69, 0x63, 0x79)
 	o = msgp.AppendString(o, z.Policy)
+	// string "scenario"
+	o = append(o, 0xa8, 0x73, 0x63, 0x65, 0x6e, 0x61, 0x72, 0x69, 0x6f)
+	o = msgp.AppendString(o, z.Scenario)
 	// string "seed"
 	o = append(o, 0xa4, 0x73, 0x65, 0x65, 0x64)
 	o = msgp.AppendInt(o, z.Seed)
@@ -7664,6 +7763,12 @@
 				err = msgp.WrapError(err, "Calls")
 				return
 			}
+		case "fell_over":
+			z.FellOver, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FellOver")
+				return
+			}
 		case "hedges":
 			z.Hedges, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -7688,12 +7793,36 @@
 				err = msgp.WrapError(err, "NotRun")
 				return
 			}
+		case "other_answered":
+			z.OtherAnswered, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OtherAnswered")
+				return
+			}
+		case "other_calls":
+			z.OtherCalls, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OtherCalls")
+				return
+			}
+		case "other_latency":
+			bts, err = z.OtherLatency.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OtherLatency")
+				return
+			}
 		case "policy":
 			z.Policy, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Policy")
 				return
 			}
+		case "scenario":
+			z.Scenario, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Scenario")
+				return
+			}
 		case "seed":
 			z.Seed, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -7726,7 +7855,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PolicyRun) Msgsize() (s int) {
-	s = 1 + 9 + msgp.IntSize + 6 + msgp.IntSize + 7 + msgp.IntSize + 8 + z.Latency.Msgsize() + 13 + msgp.IntSize + 8 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Policy) + 5 + msgp.IntSize + 8 + msgp.IntSize + 11 + msgp.IntSize
+	s = 1 + 9 + msgp.IntSize + 6 + msgp.IntSize + 10 + msgp.IntSize + 7 + msgp.IntSize + 8 + z.Latency.Msgsize() + 13 + msgp.IntSize + 8 + msgp.IntSize + 15 + msgp.IntSize + 12 + msgp.IntSize + 14 + z.OtherLatency.Msgsize() + 7 + msgp.StringPrefixSize + len(z.Policy) + 9 + msgp.StringPrefixSize + len(z.Scenario) + 5 + msgp.IntSize + 8 + msgp.IntSize + 11 + msgp.IntSize
 	return
 }
 
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -497,7 +497,7 @@
 	// choices by own attempts in flight at 75% load, as a mean over the seeds.
 	P99Ratio float64 `json:"p99_ratio" msg:"p99_ratio"`
 
-	// Runs are in the order of policy, load and seed.
+	// Runs are in the order of scenario, load, policy and seed.
 	Runs []PolicyRun `json:"runs" msg:"runs"`
 }
 
@@ -510,6 +510,9 @@
 	// Calls counts the calls.
 	Calls int `json:"calls" msg:"calls"`
 
+	// FellOver counts how often a cold backend server had more work than it can bear.
+	FellOver int `json:"fell_over" msg:"fell_over"`
+
 	// Hedges counts attempts that were started beside a running one.
 	Hedges int `json:"hedges" msg:"hedges"`
 
@@ -522,9 +525,21 @@
 	// NotRun counts calls that were refused.
 	NotRun int `json:"not_run" msg:"not_run"`
 
+	// OtherAnswered counts those of them with a whole answer.
+	OtherAnswered int `json:"other_answered" msg:"other_answered"`
+
+	// OtherCalls counts the calls that are not of the caller that floods.
+	OtherCalls int `json:"other_calls" msg:"other_calls"`
+
+	// OtherLatency corresponds to the JSON schema field "other_latency".
+	OtherLatency Latency `json:"other_latency" msg:"other_latency"`
+
 	// Policy names the policy.
 	Policy string `json:"policy" msg:"policy"`
 
+	// Scenario names what the backend servers and the callers do.
+	Scenario string `json:"scenario" msg:"scenario"`
+
 	// Seed is the seed of the run.
 	Seed int `json:"seed" msg:"seed"`
 
