Prove membership, overrides and loans by randomised runs

Ruled out: one loan bound counted from arrival; heartbeats that are passed on once (they die out: 4053 changes of the live hosts at 14 hosts in 120 s of a quiet trial); 60 ms of silence for each host (30 hosts flapped). Found and mended on the way: a freeze that a message shows before the tick; stale answers that ended isolation; heartbeats that died out.

--- /dev/null
+++ b/host/cluster_test.go
@@ -0,0 +1,116 @@
+package host_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// quiet is how long hosts may take to agree after the last fault.
+const quiet = 20 * time.Second
+
+// faults draws what happens in one second and makes it happen.
+func (s *shuffler) faults(t *rapid.T) {
+	count := len(s.nodes)
+	host := rapid.IntRange(0, count-1).Draw(t, "host")
+	dataCentre := rapid.SampledFrom([]string{"mu-north", "mu-centre", "mu-south"}).Draw(t, "data centre")
+	switch rapid.SampledFrom([]string{
+		"none", "freeze", "restart", "weather", "outage", "return", "out", "in",
+	}).Draw(t, "fault") {
+	case "freeze":
+		s.nodes[host].frozen = s.now.Add(time.Duration(rapid.IntRange(100, 8000).Draw(t, "freeze ms")) * time.Millisecond)
+	case "restart":
+		s.restart(host)
+	case "weather":
+		s.weather.lossPercent = rapid.IntRange(0, 60).Draw(t, "loss percent")
+		s.weather.duplicatePercent = rapid.IntRange(0, 30).Draw(t, "duplicate percent")
+		s.weather.delay = time.Duration(rapid.IntRange(0, 3000).Draw(t, "delay ms")) * time.Millisecond
+	case "outage":
+		s.weather.outage = true
+	case "return":
+		s.weather.outage = false
+	case "out":
+		s.override(host, dataCentre, schema.DataCentreStateOut)
+	case "in":
+		s.override(host, dataCentre, schema.DataCentreStateIn)
+	}
+}
+
+// converged fails unless all hosts agree.
+func (s *shuffler) converged(t rapid.TB) {
+	wanted := s.kept().Version
+	for i, n := range s.nodes {
+		assert.Equal(t, n.register.Configuration.Version, wanted, n.name)
+		assert.Equal(t, len(n.register.Overrides), 0, "%s has overrides that are not kept", n.name)
+		assert.Equal(t, len(n.membership.Live()), len(s.nodes), "live hosts at %s", n.name)
+		assert.Equal(t, n.membership.Isolated, false, n.name)
+		for _, dataCentre := range []string{"mu-north", "mu-centre", "mu-south"} {
+			assert.Equal(t, s.state(i, dataCentre), s.state(0, dataCentre), "%s at %s", dataCentre, n.name)
+		}
+	}
+}
+
+func TestClusterUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(3, 14).Draw(t, "hosts")
+		s := newShuffler(count, rapid.Uint64().Draw(t, "seed"))
+		check := func() {
+			assert.Equal(t, len(s.broken), 0, "%v", s.broken)
+			assert.Assert(t, s.shares() <= count, "%d shares of %d are spent", s.shares(), count)
+		}
+		s.run(15*time.Second, check)
+		for range rapid.IntRange(1, 40).Draw(t, "seconds") {
+			s.faults(t)
+			s.run(time.Second, check)
+		}
+		s.weather = weather{}
+		s.run(quiet, check)
+		s.converged(t)
+	})
+}
+
+func TestOutInForceEverywhere(t *testing.T) {
+	const bound = 3 * time.Second
+	tests := map[string]struct {
+		hosts, tries int
+		weather      weather
+	}{
+		"quiet":                     {hosts: 14, tries: 50},
+		"platform away":             {hosts: 14, tries: 50, weather: weather{outage: true}},
+		"platform away and losses":  {hosts: 14, tries: 50, weather: weather{outage: true, lossPercent: 10, delay: 50 * time.Millisecond}},
+		"platform away, more hosts": {hosts: 30, tries: 5, weather: weather{outage: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			most := time.Duration(0)
+			for seed := range test.tries {
+				s := newShuffler(test.hosts, uint64(seed+1)) //nolint:gosec // a small number
+				s.run(10*time.Second, nil)
+				s.weather = test.weather
+				began := s.now
+				assert.Assert(t, s.override(seed%test.hosts, "mu-north", schema.DataCentreStateOut))
+				for !s.outEverywhere("mu-north") && s.now.Sub(began) < 2*bound {
+					s.run(stepTime, nil)
+				}
+				most = max(most, s.now.Sub(began))
+			}
+			t.Logf("out in force everywhere after at most %v in %d tries", most, test.tries)
+			assert.Assert(t, most <= bound)
+		})
+	}
+}
+
+// outEverywhere reports whether the data centre is out at every host.
+func (s *shuffler) outEverywhere(dataCentre string) bool {
+	for i := range s.nodes {
+		if s.state(i, dataCentre) != schema.DataCentreStateOut {
+			return false
+		}
+	}
+
+	return true
+}
--- /dev/null
+++ b/host/shuffler_test.go
@@ -0,0 +1,359 @@
+package host_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/operator"
+	"github.com/baobabdrum/baobabdrum/peer"
+	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/standin"
+)
+
+const (
+	// stepTime is the time between steps of a shuffler.
+	stepTime = 25 * time.Millisecond
+	// interval is the time between exchanges.
+	interval = 250 * time.Millisecond
+	// answerBound is how long a host waits for the answer of another.
+	answerBound = 300 * time.Millisecond
+	// platformInterval is the time between reads of the platform.
+	platformInterval = 500 * time.Millisecond
+)
+
+// weather is how the network treats messages.
+type weather struct {
+	lossPercent, duplicatePercent int
+	delay                         time.Duration
+	outage                        bool
+}
+
+// node is one host: its membership and its register.
+type node struct {
+	name       string
+	membership *peer.Membership
+	register   *operator.Register
+	rate       float64
+	frozen     time.Time
+	tickAt     time.Time
+	readAt     time.Time
+	version    int
+	sentBytes  int
+}
+
+// delivery is a message on its way.
+type delivery struct {
+	at   time.Time
+	to   int
+	take func(n *node)
+}
+
+// shuffler runs several hosts over a network that delays, loses, duplicates
+// and reorders messages.
+type shuffler struct {
+	weather weather
+	now     time.Time
+	start   time.Time
+	nodes   []*node
+	mail    []delivery
+	table   *standin.Table
+	random  *rand.Rand
+	broken  []string
+	drawn   uint64
+}
+
+// newShuffler returns hosts that know each other from the platform's list.
+func newShuffler(count int, seed uint64) *shuffler {
+	s := &shuffler{
+		now:    time.UnixMilli(1_800_000_000_000),
+		table:  standin.NewTable(0),
+		random: rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // a test's seed
+	}
+	s.start = s.now
+	list := schema.HostList{}
+	for i := range count {
+		s.nodes = append(s.nodes, s.newNode(i))
+		list.Hosts = append(list.Hosts, schema.ListedHost{
+			Name: s.nodes[i].name, PeerAddress: s.nodes[i].name, State: schema.HostStateLive,
+		})
+	}
+	s.table.SetHosts(s.now, list)
+	s.change(operator.ReplaceSheet{Configuration: schema.Configuration{Day: "2026-12-04", DataCentres: []schema.DataCentre{
+		{Name: "mu-centre", State: schema.DataCentreStateIn},
+		{Name: "mu-north", State: schema.DataCentreStateIn},
+		{Name: "mu-south", State: schema.DataCentreStateIn},
+	}}}, s.changeID(s.now), nil)
+
+	return s
+}
+
+// newNode returns a new process of a host.
+func (s *shuffler) newNode(i int) *node {
+	name := fmt.Sprintf("host-%04d", i)
+	n := &node{name: name, register: operator.NewRegister(), rate: 0.98 + 0.04*s.random.Float64()}
+	n.tickAt = s.now.Add(time.Duration(s.random.Int64N(int64(interval))))
+	n.readAt = s.now.Add(time.Duration(s.random.Int64N(int64(platformInterval))))
+	self := schema.Host{
+		Name: name, DataCentre: []string{"mu-north", "mu-centre", "mu-south"}[i%3], Incarnation: s.changeID(s.now),
+		CallerAddress: "192.0.2.100:8080", PeerAddress: name, OperatorAddress: "192.0.2.100:8082", State: schema.HostStateJoining,
+	}
+	n.membership = peer.NewMembership(s.clock(n), self, interval, s.random.Uint64())
+
+	return n
+}
+
+// clock returns the time by a host's own clock.
+func (s *shuffler) clock(n *node) time.Time {
+	return s.start.Add(time.Duration(float64(s.now.Sub(s.start)) * n.rate))
+}
+
+// changeID returns an id of the time that no other has.
+func (s *shuffler) changeID(at time.Time) string {
+	s.drawn++
+	var id ulid.ULID
+	_ = id.SetTime(ulid.Timestamp(at))
+	_ = id.SetEntropy(fmt.Appendf(nil, "%010d", s.drawn))
+
+	return id.String()
+}
+
+// run lets time pass.
+func (s *shuffler) run(duration time.Duration, check func()) {
+	for end := s.now.Add(duration); s.now.Before(end); {
+		s.now = s.now.Add(stepTime)
+		s.deliver()
+		for i, n := range s.nodes {
+			if s.now.Before(n.frozen) {
+				continue
+			}
+			if !s.now.Before(n.tickAt) {
+				n.tickAt = s.now.Add(interval)
+				s.step(i, peer.Ticked{})
+			}
+			if !s.now.Before(n.readAt) {
+				n.readAt = s.now.Add(platformInterval)
+				s.readPlatform(i)
+			}
+		}
+		if check != nil {
+			check()
+		}
+	}
+}
+
+// deliver hands over the messages that are due, in a random order.
+func (s *shuffler) deliver() {
+	due := []delivery{}
+	s.mail = slices.DeleteFunc(s.mail, func(d delivery) bool {
+		ready := !s.now.Before(d.at) && !s.now.Before(s.nodes[d.to].frozen)
+		if ready {
+			due = append(due, d)
+		}
+
+		return ready
+	})
+	s.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, d := range due {
+		d.take(s.nodes[d.to])
+	}
+}
+
+// send puts a message on its way.
+func (s *shuffler) send(to int, take func(n *node)) {
+	copies := 1
+	if s.random.IntN(100) < s.weather.duplicatePercent {
+		copies++
+	}
+	for range copies {
+		if s.random.IntN(100) < s.weather.lossPercent {
+			continue
+		}
+		delay := time.Millisecond + time.Duration(s.random.Int64N(int64(s.weather.delay)+1))
+		s.mail = append(s.mail, delivery{at: s.now.Add(delay), to: to, take: take})
+	}
+}
+
+// step steps a host's membership and carries out its actions.
+func (s *shuffler) step(i int, event peer.Event) {
+	n := s.nodes[i]
+	for _, action := range n.membership.Step(s.clock(n), event) {
+		switch action := action.(type) {
+		case peer.Exchange:
+			s.exchange(i, action)
+		case peer.FetchConfiguration:
+			s.fetch(i, action)
+		case peer.OverridesHeard:
+			s.register(i, operator.OverridesHeard{Overrides: action.Overrides})
+		case peer.Violation:
+			s.broken = append(s.broken, n.name+": "+action.Invariant+": "+action.Detail)
+		case peer.LiveChanged, peer.IsolationChanged, peer.Confirmed, peer.SharesChanged:
+		}
+	}
+}
+
+// register steps a host's register and carries out its actions.
+func (s *shuffler) register(i int, event operator.Event) {
+	n := s.nodes[i]
+	for _, action := range n.register.Step(event) {
+		switch action := action.(type) {
+		case operator.PutInForce:
+			s.step(i, peer.ConfigurationInForce{Version: action.Configuration.Version, Overrides: action.Overrides})
+		case operator.Violation:
+			s.broken = append(s.broken, n.name+": "+action.Invariant+": "+action.Detail)
+		}
+	}
+	if n.register.Configuration.Version < n.version {
+		s.broken = append(s.broken, n.name+": a version reverted")
+	}
+	n.version = n.register.Configuration.Version
+}
+
+// index returns the host at an address for peers.
+func (s *shuffler) index(address string) int {
+	return slices.IndexFunc(s.nodes, func(n *node) bool { return n.name == address })
+}
+
+// exchange sends a digest. An answer counts even if it comes late, which is
+// harder than what a closed connection allows.
+func (s *shuffler) exchange(from int, action peer.Exchange) {
+	to, incarnation := s.index(action.Address), s.nodes[from].membership.Self.Incarnation
+	s.nodes[from].sentBytes += encoded(action.Digest)
+	answered := false
+	s.send(to, func(n *node) {
+		s.step(to, peer.DigestHeard{Digest: action.Digest})
+		answer := n.membership.Answer(s.clock(n))
+		n.sentBytes += encoded(answer)
+		s.send(from, func(asker *node) {
+			answered = true
+			if asker.membership.Self.Incarnation == incarnation {
+				s.step(from, peer.DigestHeard{Digest: answer, Asked: action.Asked})
+			}
+		})
+	})
+	s.mail = append(s.mail, delivery{at: s.now.Add(answerBound), to: from, take: func(*node) {
+		if !answered {
+			s.step(from, peer.ExchangeFailed{Address: action.Address})
+		}
+	}})
+}
+
+// encoded returns the size of a digest in bytes.
+func encoded(digest schema.Digest) int {
+	raw, _ := digest.MarshalMsg(nil) // plain texts and numbers always encode
+
+	return len(raw)
+}
+
+// fetch asks for another host's configuration.
+func (s *shuffler) fetch(from int, action peer.FetchConfiguration) {
+	to := s.index(action.Address)
+	s.send(to, func(n *node) {
+		read := operator.ConfigurationRead{Configuration: n.register.Configuration, Source: n.name}
+		s.send(from, func(*node) { s.register(from, read) })
+	})
+}
+
+// readPlatform reads the list and the configuration and keeps overrides.
+func (s *shuffler) readPlatform(i int) {
+	if s.weather.outage {
+		return
+	}
+	n := s.nodes[i]
+	s.step(i, peer.ListRead{List: s.table.Hosts(s.now), Asked: s.clock(n)})
+	if configuration := s.kept(); configuration.Version > 0 {
+		s.register(i, operator.ConfigurationRead{Configuration: configuration, Source: "platform"})
+	}
+	for _, override := range n.register.Overrides {
+		s.change(operator.SetDataCentre{Name: override.DataCentre, State: override.State}, override.ChangeID, nil)
+	}
+}
+
+// kept returns the configuration that the platform holds.
+func (s *shuffler) kept() schema.Configuration {
+	configuration, err := platform.Decode(s.table.Read(platform.KeyConfiguration))
+	if err != nil {
+		s.broken = append(s.broken, err.Error())
+	}
+
+	return configuration
+}
+
+// change applies a change to the configuration that the platform holds.
+func (s *shuffler) change(change operator.Change, id string, overrides []schema.Override) {
+	current := s.kept()
+	applied, err := operator.Apply(current, change, id, overrides)
+	if err != nil || !applied.Changed {
+		return
+	}
+	transaction, err := platform.Encode(applied.Configuration, current.Version)
+	if err != nil {
+		s.broken = append(s.broken, err.Error())
+	}
+	s.table.Commit(transaction)
+}
+
+// override takes a data centre out or in at a host, unless that collides.
+func (s *shuffler) override(i int, name string, state schema.DataCentreState) bool {
+	n := s.nodes[i]
+	change := operator.SetDataCentre{Name: name, State: state}
+	register := n.register
+	if operator.CheckCollision(s.clock(n), register.Configuration, register.Overrides, change) != nil {
+		return false
+	}
+	id := s.changeID(operator.ChangeTime(s.clock(n), register.Configuration, register.Overrides))
+	s.register(i, operator.OverridesHeard{Overrides: []schema.Override{
+		{DataCentre: name, State: state, ChangeID: id, BaseVersion: register.Configuration.Version},
+	}})
+
+	return true
+}
+
+// state returns the state of a data centre that is in force at a host.
+func (s *shuffler) state(i int, name string) schema.DataCentreState {
+	register := s.nodes[i].register
+	for _, d := range operator.Overridden(register.Configuration, register.Overrides).DataCentres {
+		if d.Name == name {
+			return d.State
+		}
+	}
+
+	return ""
+}
+
+// restart replaces a host by a new process.
+func (s *shuffler) restart(i int) {
+	s.nodes[i] = s.newNode(i)
+}
+
+// shares returns the largest number of shares that all hosts that own a cell in
+// their own view spend on it.
+func (s *shuffler) shares() int {
+	most := 0
+	for _, cell := range cells {
+		spent := 0
+		for _, n := range s.nodes {
+			m := n.membership
+			if s.now.Before(n.frozen) || m.Isolated {
+				continue
+			}
+			if ranked := caller.NewRanker(m.Live()).Rank(cell, 1); len(ranked) > 0 && ranked[0].Name == n.name {
+				spent += m.Shares()
+			}
+		}
+		most = max(most, spent)
+	}
+
+	return most
+}
+
+// cells are those on which shares are counted.
+var cells = []caller.Cell{
+	{Service: "catalogue", DataCentre: "mu-north"}, {Service: "catalogue", DataCentre: "mu-centre"},
+	{Service: "orders", DataCentre: "mu-south"}, {Service: "workshop", DataCentre: "mu-north"},
+}
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -14,10 +14,12 @@
 		overrides = overrides[:digestOverrides]
 	}
 
+	hosts := m.turnRecords()
+
 	return schema.Digest{
 		Sender:               m.Self,
-		Hosts:                m.turnRecords(),
-		Heartbeats:           m.turnBeats(),
+		Hosts:                hosts,
+		Heartbeats:           m.turnBeats(max(digestHeartbeats-recordHeartbeats*len(hosts), 0)),
 		ViewHash:             m.Loans.View,
 		ConfigurationVersion: m.Version,
 		Overrides:            overrides,
@@ -36,17 +38,22 @@
 	return digest
 }
 
-// turnRecords returns the records whose turn it is.
+// turnRecords returns the records whose turn it is: a changed one with every
+// other digest, any one now and then, and several to greet a host that was not
+// known.
 func (m *Membership) turnRecords() []schema.Host {
-	bound := digestHosts
-	if m.greet {
+	bound := 0
+	m.digests++
+	switch {
+	case m.greet:
 		bound, m.greet = greetingHosts, false
+	case m.digests%digestTurn == 0, m.digests%2 == 0 && m.changed():
+		bound = digestHosts
 	}
-	hosts := []schema.Host{}
-	for _, r := range sortedRecords(m.records, func(r *record) (int, uint64) { return min(r.sends, urgentSends), r.sentAt }) {
-		if len(hosts) >= bound {
-			break
-		}
+	hosts := make([]schema.Host, 0, bound)
+	for _, r := range firstRecords(m.records, bound, func(r *record) uint64 {
+		return uint64(min(r.sends, urgentSends))<<sentBits + r.sentAt //nolint:gosec // never negative
+	}) {
 		m.sent++
 		r.sends++
 		r.sentAt = m.sent
@@ -56,20 +63,26 @@
 	return hosts
 }
 
-// turnBeats returns the heartbeats whose turn it is, of those that grew since
-// they were last sent.
-func (m *Membership) turnBeats() []schema.Heartbeat {
-	beats := []schema.Heartbeat{}
-	for _, r := range sortedRecords(m.records, func(r *record) (int, uint64) { return 0, r.beatSentAt }) {
-		if len(beats) >= digestHeartbeats {
-			break
-		}
-		if r.dead || r.counter == r.beatSent {
-			continue
+// changed reports whether a record changed and was not sent often since.
+func (m *Membership) changed() bool {
+	for _, r := range m.records {
+		if r.sends < urgentSends {
+			return true
 		}
+	}
+
+	return false
+}
+
+// turnBeats returns the heartbeats whose turn it is.
+func (m *Membership) turnBeats(bound int) []schema.Heartbeat {
+	beats := []schema.Heartbeat{}
+	for _, r := range firstRecords(m.records, bound, func(r *record) uint64 { return r.beatSentAt }) {
 		m.sent++
-		r.beatSentAt, r.beatSent = m.sent, r.counter
-		beats = append(beats, schema.Heartbeat{HostHash: hash(r.host), Counter: r.counter})
+		r.beatSentAt = m.sent
+		if !r.dead {
+			beats = append(beats, schema.Heartbeat{HostHash: hash(r.host), Counter: r.counter})
+		}
 	}
 
 	return beats
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -29,6 +29,7 @@
 	Interval time.Duration
 
 	records   map[string]*record
+	hashes    map[int]*record
 	listed    map[string]schema.ListedHost
 	leaving   map[string]string
 	seeds     []schema.ListedHost
@@ -36,6 +37,7 @@
 	order     []string
 	random    *rand.Rand
 	sent      uint64
+	digests   uint64
 	greet     bool
 	shares    int
 	ticked    time.Time
@@ -55,6 +57,7 @@
 		Loans:     NewLoans(now),
 		Interval:  interval,
 		records:   map[string]*record{},
+		hashes:    map[int]*record{},
 		listed:    map[string]schema.ListedHost{},
 		leaving:   map[string]string{},
 		random:    rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // the order of exchanges is no secret
@@ -65,6 +68,9 @@
 
 // Step reacts to one event.
 func (m *Membership) Step(now time.Time, event Event) []Action {
+	if now.Sub(m.ticked) > FrozenAfter {
+		m.thaw(now)
+	}
 	var actions []Action
 	switch event := event.(type) {
 	case Ticked:
@@ -88,12 +94,8 @@
 	return append(actions, m.check(now)...)
 }
 
-// tick notices a freeze of this host, announces a heartbeat and starts the next
-// exchange.
+// tick announces a heartbeat and starts the next exchange.
 func (m *Membership) tick(now time.Time) []Action {
-	if now.Sub(m.ticked) > FrozenAfter {
-		m.thaw(now)
-	}
 	m.ticked = now
 	m.Self.Heartbeat++
 	m.forget(now)
@@ -108,7 +110,7 @@
 // thaw isolates this host until it has heard the platform or a peer again. The
 // silence of others was its own.
 func (m *Membership) thaw(now time.Time) {
-	m.thawedAt = now
+	m.ticked, m.thawedAt = now, now
 	for _, r := range m.records {
 		r.heardAt = now
 	}
@@ -234,21 +236,21 @@
 	if host.Name == m.Self.Name {
 		return
 	}
-	if known, ok := m.records[host.Name]; ok {
+	known, ok := m.records[host.Name]
+	if ok {
 		known.hear(now, host)
-
-		return
+	} else {
+		known = newRecord(now, host)
+		m.records[host.Name] = known
 	}
-	m.records[host.Name] = newRecord(now, host)
+	m.hashes[hash(known.host)] = known
 }
 
-// hearBeats adopts heartbeats of known hosts.
+// hearBeats adopts heartbeats of known incarnations.
 func (m *Membership) hearBeats(now time.Time, beats []schema.Heartbeat) {
 	for _, beat := range beats {
-		for _, r := range m.records {
-			if hash(r.host) == beat.HostHash {
-				r.beat(now, beat.Counter)
-			}
+		if r, ok := m.hashes[beat.HostHash]; ok && hash(r.host) == beat.HostHash {
+			r.beat(now, beat.Counter)
 		}
 	}
 }
@@ -269,6 +271,11 @@
 			delete(m.records, name)
 		}
 	}
+	for key, r := range m.hashes {
+		if m.records[r.host.Name] != r || hash(r.host) != key {
+			delete(m.hashes, key)
+		}
+	}
 }
 
 // fetch asks the sender of a digest for its configuration if that is newer, one
--- /dev/null
+++ b/peer/membership_test.go
@@ -0,0 +1,276 @@
+package peer_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/peer"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// interval is the default time between exchanges.
+const interval = 250 * time.Millisecond
+
+// start is when the tests begin.
+var start = time.UnixMilli(1_800_000_000_000)
+
+// hostNamed returns the record of a live host.
+func hostNamed(i, incarnation int) schema.Host {
+	return schema.Host{
+		Name:            fmt.Sprintf("mu-centre-%04d", i),
+		DataCentre:      "mu-centre",
+		Incarnation:     fmt.Sprintf("01M90CM7XBF6ZJQ2RQVF2%05d", incarnation),
+		CallerAddress:   fmt.Sprintf("192.0.2.%d:8080", i%256),
+		PeerAddress:     fmt.Sprintf("192.0.2.%d:%d", i%256, 10000+i),
+		OperatorAddress: fmt.Sprintf("192.0.2.%d:8082", i%256),
+		State:           schema.HostStateLive,
+		Heartbeat:       1,
+	}
+}
+
+// memberOf returns a live host that knows the others.
+func memberOf(others int) *peer.Membership {
+	m := peer.NewMembership(start, hostNamed(0, 1), interval, 1)
+	m.Step(start, peer.ConfigurationInForce{Version: 1})
+	for i := range others {
+		m.Step(start, peer.DigestHeard{Digest: schema.Digest{Sender: hostNamed(i+1, 1), ConfigurationVersion: 1}})
+	}
+
+	return m
+}
+
+// names returns the names of the live hosts.
+func names(m *peer.Membership) []string {
+	list := make([]string, 0, len(m.Live()))
+	for _, host := range m.Live() {
+		list = append(list, host.Name)
+	}
+
+	return list
+}
+
+// hostHash returns what heartbeats identify a host by.
+func hostHash(host schema.Host) int {
+	return int(xxhash.Sum64String(host.Name+"\x00"+host.Incarnation) & math.MaxUint32)
+}
+
+func TestDigestBytes(t *testing.T) {
+	const (
+		seconds = 60
+		bound   = 3000
+		// frame is what net/rpc adds to a message: the method, the sequence
+		// number and the error.
+		frame = 24
+	)
+	tests := map[string]struct{ hosts int }{
+		"14 hosts":   {hosts: 14},
+		"200 hosts":  {hosts: 200},
+		"1000 hosts": {hosts: 1000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := memberOf(test.hosts - 1)
+			_ = m.Digest() // greets the hosts heard for the first time
+			sent, now := 0, start
+			for tick := range seconds * int(time.Second/interval) {
+				now = now.Add(interval)
+				beats := make([]schema.Heartbeat, 0, test.hosts-1)
+				for i := range test.hosts - 1 {
+					beats = append(beats, schema.Heartbeat{HostHash: hostHash(hostNamed(i+1, 1)), Counter: 1_000_000 + tick})
+				}
+				m.Step(now, peer.DigestHeard{Digest: schema.Digest{Sender: hostNamed(1, 1), Heartbeats: beats}})
+				for _, digest := range []schema.Digest{m.Digest(), m.Answer(now)} {
+					raw, err := digest.MarshalMsg(nil)
+					assert.NilError(t, err)
+					sent += len(raw) + frame
+				}
+			}
+			t.Logf("%s: %d B/s sent", name, sent/seconds)
+			assert.Assert(t, sent/seconds < bound)
+		})
+	}
+}
+
+// beat makes the host hear another host's digest.
+func beat(m *peer.Membership, now time.Time, i, incarnation, counter int, change func(h *schema.Host)) {
+	host := hostNamed(i, incarnation)
+	host.Heartbeat = counter
+	if change != nil {
+		change(&host)
+	}
+	m.Step(now, peer.DigestHeard{Digest: schema.Digest{Sender: host, ConfigurationVersion: 1}})
+}
+
+func TestLive(t *testing.T) {
+	leaving := func(h *schema.Host) { h.State = schema.HostStateLeaving }
+	list := func(state schema.HostState) peer.Event {
+		return peer.ListRead{List: schema.HostList{Hosts: []schema.ListedHost{
+			{Name: "mu-centre-0001", PeerAddress: hostNamed(1, 1).PeerAddress, State: state},
+		}}}
+	}
+	tests := map[string]struct {
+		run  func(m *peer.Membership)
+		want []string
+	}{
+		"heard": {
+			run:  func(*peer.Membership) {},
+			want: []string{"mu-centre-0000", "mu-centre-0001"},
+		},
+		"silent": {
+			run: func(m *peer.Membership) {
+				for now := start; now.Sub(start) < peer.TakeoverAfter; m.Step(now, peer.Ticked{}) {
+					now = now.Add(interval)
+				}
+			},
+			want: []string{"mu-centre-0000"},
+		},
+		"leaving": {
+			run:  func(m *peer.Membership) { beat(m, start, 1, 1, 2, leaving) },
+			want: []string{"mu-centre-0000"},
+		},
+		"leaving, then a late digest from before": {
+			run:  func(m *peer.Membership) { beat(m, start, 1, 1, 3, leaving); beat(m, start, 1, 1, 2, nil) },
+			want: []string{"mu-centre-0000"},
+		},
+		"leaving by the list alone": {
+			run:  func(m *peer.Membership) { m.Step(start, list(schema.HostStateLeaving)) },
+			want: []string{"mu-centre-0000"},
+		},
+		"replaced while the list lags": {
+			run:  func(m *peer.Membership) { m.Step(start, list(schema.HostStateLeaving)); beat(m, start, 1, 2, 1, nil) },
+			want: []string{"mu-centre-0000", "mu-centre-0001"},
+		},
+		"replaced, then a late digest of the process before": {
+			run:  func(m *peer.Membership) { beat(m, start, 1, 2, 1, nil); beat(m, start, 1, 1, 99, leaving) },
+			want: []string{"mu-centre-0000", "mu-centre-0001"},
+		},
+		"found dead by another host": {
+			run: func(m *peer.Membership) {
+				dead := hostNamed(1, 1)
+				dead.State = schema.HostStateDead
+				m.Step(start, peer.DigestHeard{Digest: schema.Digest{Sender: hostNamed(2, 1), Hosts: []schema.Host{dead}}})
+			},
+			want: []string{"mu-centre-0000", "mu-centre-0002"},
+		},
+		"found dead before its newest heartbeat": {
+			run: func(m *peer.Membership) {
+				beat(m, start, 1, 1, 2, nil)
+				dead := hostNamed(1, 1)
+				dead.State = schema.HostStateDead
+				m.Step(start, peer.DigestHeard{Digest: schema.Digest{Sender: hostNamed(2, 1), Hosts: []schema.Host{dead}}})
+			},
+			want: []string{"mu-centre-0000", "mu-centre-0001", "mu-centre-0002"},
+		},
+		"this host leaves": {
+			run:  func(m *peer.Membership) { m.Step(start, peer.LeaveStarted{}) },
+			want: []string{"mu-centre-0001"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := memberOf(1)
+			test.run(m)
+			assert.DeepEqual(t, names(m), test.want)
+		})
+	}
+}
+
+func TestFrozenHostDemotesItselfBeforeTakeover(t *testing.T) {
+	assert.Assert(t, peer.FrozenAfter < peer.TakeoverAfter)
+	answered := func(now time.Time, version int) peer.Event {
+		sender := hostNamed(1, 1)
+		sender.Heartbeat = 1_000
+
+		return peer.DigestHeard{Asked: now, Digest: schema.Digest{Sender: sender, ConfigurationVersion: version}}
+	}
+	tests := map[string]struct {
+		freeze   time.Duration
+		first    peer.Event
+		then     func(thawed time.Time) peer.Event
+		isolated bool
+	}{
+		"shorter than the bound": {freeze: peer.FrozenAfter, first: peer.Ticked{}},
+		"just longer":            {freeze: peer.FrozenAfter + 1, first: peer.Ticked{}, isolated: true},
+		"a message comes first":  {freeze: time.Minute, first: peer.DigestHeard{Digest: schema.Digest{Sender: hostNamed(1, 1)}}, isolated: true},
+		"an answer from before": {
+			freeze: time.Minute, first: peer.Ticked{}, isolated: true,
+			then: func(time.Time) peer.Event { return answered(start, 1) },
+		},
+		"an answer since": {
+			freeze: time.Minute, first: peer.Ticked{},
+			then: func(thawed time.Time) peer.Event { return answered(thawed.Add(time.Millisecond), 1) },
+		},
+		"an answer with a newer configuration": {
+			freeze: time.Minute, first: peer.Ticked{}, isolated: true,
+			then: func(thawed time.Time) peer.Event { return answered(thawed.Add(time.Millisecond), 2) },
+		},
+		"the platform's answer since": {
+			freeze: time.Minute, first: peer.Ticked{},
+			then: func(thawed time.Time) peer.Event { return peer.ListRead{Asked: thawed.Add(time.Millisecond)} },
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := memberOf(3)
+			m.Step(start, peer.Ticked{})
+			thawed := start.Add(test.freeze)
+			m.Step(thawed, test.first)
+			if test.then != nil {
+				m.Step(thawed.Add(2*time.Millisecond), test.then(thawed))
+			}
+			assert.Equal(t, m.Isolated, test.isolated)
+			assert.Equal(t, m.Self.State == schema.HostStateLive, !test.isolated)
+		})
+	}
+}
+
+func TestIsolation(t *testing.T) {
+	const others = 4
+	tests := map[string]struct {
+		heard    int
+		platform bool
+		isolated bool
+	}{
+		"all peers":                  {heard: 4},
+		"half of the peers":          {heard: 2},
+		"fewer than half":            {heard: 1, isolated: true},
+		"nobody":                     {isolated: true},
+		"nobody but the platform":    {platform: true},
+		"fewer, but the platform":    {heard: 1, platform: true},
+		"half, and the platform too": {heard: 2, platform: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m, now := memberOf(others), start
+			for tick := 1; now.Sub(start) < 2*peer.IsolatedAfter; tick++ {
+				now = now.Add(interval)
+				m.Step(now, peer.Ticked{})
+				for i := range test.heard {
+					beat(m, now, i+1, 1, 1+tick, nil)
+				}
+				if test.platform {
+					m.Step(now, peer.ListRead{Asked: now})
+				}
+			}
+			assert.Equal(t, m.Isolated, test.isolated)
+		})
+	}
+}
+
+func TestOneFetchAtATime(t *testing.T) {
+	m := memberOf(3)
+	fetches := 0
+	for i := range 3 {
+		for _, action := range m.Step(start, peer.DigestHeard{Digest: schema.Digest{Sender: hostNamed(i+1, 1), ConfigurationVersion: 2}}) {
+			if _, ok := action.(peer.FetchConfiguration); ok {
+				fetches++
+			}
+		}
+	}
+	assert.Equal(t, fetches, 1)
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -147,7 +147,7 @@
 	TakeoverAfter = 2 * time.Second
 	// takeoverPerHost stretches TakeoverAfter when there are so many hosts that
 	// heartbeats travel longer.
-	takeoverPerHost = 60 * time.Millisecond
+	takeoverPerHost = 150 * time.Millisecond
 	// IsolatedAfter is how long a host may go without the platform and without
 	// half of its peers before it refuses calls.
 	IsolatedAfter = 4 * time.Second
@@ -157,11 +157,16 @@
 	fetchTimeout = 2 * time.Second
 	// digestHosts bounds the host records in one digest.
 	digestHosts = 1
+	// digestTurn is the number of digests in which unchanged records get one
+	// turn.
+	digestTurn = 16
 	// greetingHosts bounds the host records in the digest for a host that was
 	// not known before.
 	greetingHosts = 16
 	// digestHeartbeats bounds the heartbeats in one digest.
-	digestHeartbeats = 6
+	digestHeartbeats = 16
+	// recordHeartbeats is the number of heartbeats that make room for a record.
+	recordHeartbeats = 13
 	// digestOverrides bounds the overrides in one digest.
 	digestOverrides = 16
 	// urgentSends is how often a changed record goes before unchanged ones.
--- a/peer/record.go
+++ b/peer/record.go
@@ -27,8 +27,6 @@
 	sentAt uint64
 	// beatSentAt orders records by when their heartbeat was last sent.
 	beatSentAt uint64
-	// beatSent is the counter that was last sent.
-	beatSent int
 }
 
 // newRecord returns the record of a host heard of for the first time.
@@ -93,19 +91,24 @@
 	return r.host.State == schema.HostStateLive && !r.dead && now.Sub(r.heardAt) < bound
 }
 
-// sortedRecords returns the records with the key, smallest first, names last so
-// that the order does not depend on the map's.
-func sortedRecords(records map[string]*record, key func(r *record) (first int, second uint64)) []*record {
-	list := make([]*record, 0, len(records))
+// sentBits is the number of bits for the order in which records were sent.
+const sentBits = 56
+
+// firstRecords returns up to count records with the smallest keys. Names decide
+// between equal keys, so that the order does not depend on the map's.
+func firstRecords(records map[string]*record, count int, key func(r *record) uint64) []*record {
+	first := make([]*record, 0, count+1)
+	before := func(a, b *record) int {
+		return cmp.Or(cmp.Compare(key(a), key(b)), cmp.Compare(a.host.Name, b.host.Name))
+	}
 	for _, r := range records {
-		list = append(list, r)
+		if len(first) == count && (count == 0 || before(r, first[count-1]) > 0) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(first, r, before)
+		first = slices.Insert(first, at, r)
+		first = first[:min(len(first), count)]
 	}
-	slices.SortFunc(list, func(a, b *record) int {
-		a1, a2 := key(a)
-		b1, b2 := key(b)
-
-		return cmp.Or(cmp.Compare(a1, b1), cmp.Compare(a2, b2), cmp.Compare(a.host.Name, b.host.Name))
-	})
 
-	return list
+	return first
 }
--- /dev/null
+++ b/peerrpc/codec_test.go
@@ -0,0 +1,143 @@
+package peerrpc_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/group"
+	"github.com/baobabdrum/baobabdrum/peerrpc"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	token   = "0123456789abcdef"
+	timeout = 500 * time.Millisecond
+)
+
+// serve serves peers and answers each digest until the test ends.
+func serve(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	requests := ring.New[peerrpc.Request]("requests", 16)
+	duties := group.New(ctx)
+	duties.Go("front", func(ctx context.Context) error { return peerrpc.Serve(ctx, listener, token, requests) })
+	duties.Go("peers", func(ctx context.Context) error {
+		for {
+			request, err := requests.Take(ctx)
+			if err != nil {
+				return err
+			}
+			switch request := request.(type) {
+			case peerrpc.DigestRequest:
+				_ = request.Reply.Offer(schema.Digest{ConfigurationVersion: request.Digest.ConfigurationVersion + 1})
+			case peerrpc.ConfigurationRequest:
+				// It is left without a reply.
+			}
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, duties.Wait())
+	})
+
+	return listener.Addr().String()
+}
+
+func TestExchange(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	tests := map[string]struct {
+		token  string
+		method string
+		fails  bool
+	}{
+		"the token":             {token: token, method: peerrpc.MethodExchange},
+		"another token":         {token: "fedcba9876543210", method: peerrpc.MethodExchange, fails: true},
+		"no token":              {method: peerrpc.MethodExchange, fails: true},
+		"a method without body": {token: token, method: "Unknown", fails: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t)
+			client := peerrpc.NewClient(test.token, timeout)
+			defer client.Close()
+			for version := range 3 {
+				var heard schema.Digest
+				err := peerrpc.Call(context.Background(), client, address, test.method,
+					&schema.Digest{ConfigurationVersion: version}, &heard)
+				assert.Equal(t, err != nil, test.fails)
+				if !test.fails {
+					assert.Equal(t, heard.ConfigurationVersion, version+1)
+				}
+			}
+		})
+	}
+}
+
+func TestCallEndsInTime(t *testing.T) {
+	address := serve(t)
+	client := peerrpc.NewClient(token, timeout)
+	defer client.Close()
+	began := time.Now()
+	var read schema.Configuration
+	err := peerrpc.Call(context.Background(), client, address, peerrpc.MethodConfiguration, &schema.ConfigurationRequest{}, &read)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(began) < 10*timeout)
+}
+
+func FuzzDigest(f *testing.F) {
+	for _, digest := range []schema.Digest{
+		{},
+		{Sender: schema.Host{Name: "mu-north-1", State: schema.HostStateLive}, ConfigurationVersion: 3},
+		{Hosts: []schema.Host{{Name: "a"}, {Name: "b"}}, Heartbeats: []schema.Heartbeat{{HostHash: 1 << 31, Counter: 9}}},
+		{Overrides: []schema.Override{{DataCentre: "mu-north", State: schema.DataCentreStateOut}}},
+	} {
+		raw, err := digest.MarshalMsg(nil)
+		assert.NilError(f, err)
+		f.Add(raw)
+	}
+	f.Add([]byte{0x97, 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var digest schema.Digest
+		if digest.DecodeMsg(msgp.NewReader(bytes.NewReader(raw))) != nil {
+			return
+		}
+		encoded, err := digest.MarshalMsg(nil)
+		assert.NilError(t, err)
+		var again schema.Digest
+		_, err = again.UnmarshalMsg(encoded)
+		assert.NilError(t, err)
+		reencoded, err := again.MarshalMsg(nil)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(encoded, reencoded))
+	})
+}
+
+func FuzzConnection(f *testing.F) {
+	f.Add([]byte("\xb00123456789abcdef\xadPeer.Exchange\x01\xa0\xc0"))
+	f.Add([]byte("\xb00123456789abcdef\xdb\xff\xff\xff\xff"))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		duties := group.New(ctx)
+		requests := ring.New[peerrpc.Request]("requests", 1)
+		duties.Go("front", func(ctx context.Context) error { return peerrpc.Serve(ctx, listener, token, requests) })
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		_, _ = conn.Write(raw) // the server may close first
+		_ = conn.Close()
+		cancel()
+		assert.NilError(t, duties.Wait())
+	})
+}
