--- a/backendhttp/backendhttp.go
+++ b/backendhttp/backendhttp.go
@@ -16,6 +16,15 @@
 	HeaderHops = "Baobabdrum-Hops"
 	// HeaderOrderID carries the id of an order.
 	HeaderOrderID = "Baobabdrum-Order-Id"
+	// HeaderOrderAttempt carries the number of requests that the caller sent for
+	// the order before. Without it the caller does not say.
+	HeaderOrderAttempt = "Baobabdrum-Order-Attempt"
+	// HeaderOrderNumber carries a caller's own number for an order.
+	HeaderOrderNumber = "Baobabdrum-Order-Number"
+	// HeaderOutcome carries answered, not_run or unknown.
+	HeaderOutcome = "Baobabdrum-Outcome"
+	// HeaderReason carries the reason of not_run and unknown.
+	HeaderReason = "Baobabdrum-Reason"
 	// HeaderShed marks a backend server's answer that says that the call was not
 	// run.
 	HeaderShed = "Baobabdrum-Shed"
@@ -31,6 +40,9 @@
 	chunkSize = 32 << 10
 	// chunkRing is the number of parts that wait for the caller.
 	chunkRing = 8
+	// readSize is the size in bytes of the first buffer for a body of unknown
+	// length.
+	readSize = 4 << 10
 )
 
 // hopByHop are header fields that concern one connection only.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -50,6 +50,8 @@
 	Rest *ring.Ring[Chunk]
 	// Forwarded says that another entry host answered.
 	Forwarded bool
+	// Outcome is what another entry host stated, or nil.
+	Outcome caller.Outcome
 }
 
 // Chunk is a part of a large body.
@@ -84,6 +86,11 @@
 	Depth int
 	// OrderID is the id of a forwarded order, or empty.
 	OrderID string
+	// OrderAttempt is the number of requests that the caller sent for a forwarded
+	// order before.
+	OrderAttempt int
+	// OrderFirst says that the caller vouches that it sent none.
+	OrderFirst bool
 	// Context ends when the attempt is given up.
 	Context context.Context //nolint:containedctx // one context for each attempt, made by the duty and read by a sender
 
@@ -102,6 +109,14 @@
 	a.cancel()
 }
 
+// Probe asks a backend server for its health, taken by a prober.
+type Probe struct {
+	// Address is the backend server's ip:port.
+	Address string
+	// Timeout bounds the probe.
+	Timeout time.Duration
+}
+
 // Reply is what the front end gets for a call: Begun or Finished. A call has
 // exactly one reply.
 //
@@ -138,6 +153,14 @@
 //sumtype:decl
 type Input interface{ input() }
 
+// Control is an input that concerns the host rather than one call.
+//
+//sumtype:decl
+type Control interface {
+	Input
+	control()
+}
+
 // Ask is a caller's question.
 type Ask struct {
 	// Service names the service.
@@ -211,22 +234,41 @@
 	Held int
 }
 
+// Probed says how a probe ended.
+type Probed struct {
+	// Address is the backend server's ip:port.
+	Address string
+	// Healthy says that the backend server answered well in time.
+	Healthy bool
+}
+
 // Dump asks for the state of the duty.
 type Dump struct {
 	// Reply receives one reply; it must have room.
 	Reply *ring.Ring[[]schema.CellDump]
 }
 
-func (Ask) input()       {}
-func (Call) input()      {}
-func (Cancel) input()    {}
-func (Answering) input() {}
-func (Ended) input()     {}
+func (OrderCall) input()   {}
+func (OrderAsk) input()    {}
+func (Claimed) input()     {}
+func (Ask) input()         {}
+func (Call) input()        {}
+func (Cancel) input()      {}
+func (Answering) input()   {}
+func (Ended) input()       {}
+func (Configure) control() {}
+func (Hosts) control()     {}
+func (Isolate) control()   {}
+func (Confirm) control()   {}
+func (Shares) control()    {}
+func (Dump) control()      {}
+
 func (Configure) input() {}
 func (Hosts) input()     {}
 func (Isolate) input()   {}
 func (Confirm) input()   {}
 func (Shares) input()    {}
+func (Probed) input()    {}
 func (Dump) input()      {}
 
 // lastCall is the newest call id of this process.
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -13,6 +13,9 @@
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
+// maxMoves bounds how often a waiting call is routed again.
+const maxMoves = 2
+
 // tickInterval is the time between checks of deadlines while calls wait or run.
 const tickInterval = 5 * time.Millisecond
 
@@ -27,6 +30,14 @@
 	call    caller.Call
 	reply   *ring.Ring[Reply]
 	forward *Attempt
+	// order is set for a caller's request for an order.
+	order *caller.OrderRequest
+	// run is set for the run of an order.
+	run *run
+	// streams is the run whose large answer the request receives, or 0.
+	streams caller.CallID
+	// moves counts how often the call was routed again.
+	moves int
 }
 
 // Duty is the state of the dispatch duty.
@@ -35,10 +46,14 @@
 	Inputs *ring.Ring[Input]
 	// Attempts is the ring that the senders take from.
 	Attempts *ring.Ring[*Attempt]
+	// Probes is the ring that the probers take from.
+	Probes *ring.Ring[Probe]
 	// Router decides where calls are placed.
 	Router *caller.Router
 	// Pool decides how placed calls are run.
 	Pool *backend.Pool
+	// Orders holds the orders of this incarnation.
+	Orders *Orders
 	// Log receives broken invariants.
 	Log *logrus.Entry
 
@@ -53,12 +68,14 @@
 }
 
 // New returns a duty that has no configuration yet.
-func New(inputs *ring.Ring[Input], attempts *ring.Ring[*Attempt], router *caller.Router, pool *backend.Pool, log *logrus.Entry) *Duty {
+func New(inputs *ring.Ring[Input], attempts *ring.Ring[*Attempt], probes *ring.Ring[Probe], router *caller.Router, pool *backend.Pool, log *logrus.Entry) *Duty {
 	return &Duty{
 		Inputs:    inputs,
 		Attempts:  attempts,
+		Probes:    probes,
 		Router:    router,
 		Pool:      pool,
+		Orders:    NewOrders(caller.NewOrderBook("", 0, 0, time.Now()), nil, nil),
 		Log:       log,
 		calls:     map[caller.CallID]*pending{},
 		questions: map[caller.CallID]*ring.Ring[AskReply]{},
@@ -70,6 +87,7 @@
 func (d *Duty) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer d.cancelAttempts()
 	for {
 		select {
 		case input := <-d.Inputs.Items():
@@ -80,12 +98,25 @@
 			if d.Pool.Busy() {
 				d.backend(now, backend.Ticked{})
 			}
+			d.tickOrders(now)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// cancelAttempts gives up all attempts, so that the senders can stop.
+func (d *Duty) cancelAttempts() {
+	for _, attempt := range d.attempts {
+		attempt.Cancel()
+	}
+	for _, call := range d.calls {
+		if call.forward != nil {
+			call.forward.Cancel()
+		}
+	}
+}
+
 // suspend makes the router refuse calls while this host is isolated or frozen.
 func (d *Duty) suspend(now time.Time) {
 	d.caller(now, caller.Suspended{On: d.isolated || !d.thawedAt.IsZero()})
@@ -113,9 +144,21 @@
 // Step carries out one input.
 func (d *Duty) Step(now time.Time, input Input) {
 	d.notice(now)
+	d.step(now, input)
+	d.settleRuns(now)
+}
+
+// step carries out one input except for what follows from it for orders.
+func (d *Duty) step(now time.Time, input Input) {
 	switch input := input.(type) {
 	case Ask:
 		d.ask(now, input)
+	case OrderCall:
+		d.orderCalled(now, input)
+	case OrderAsk:
+		_ = input.Reply.Offer(d.orderStatus(now, input.Order)) // the ring has room by contract
+	case Claimed:
+		d.claimed(now, input)
 	case Call:
 		d.calls[input.Call.ID] = &pending{request: input.Request, call: input.Call, reply: input.Reply}
 		d.caller(now, caller.Called{Call: input.Call})
@@ -125,6 +168,16 @@
 		d.answering(now, input)
 	case Ended:
 		d.ended(now, input)
+	case Probed:
+		d.backend(now, backend.ProbeEnded{Address: input.Address, Healthy: input.Healthy})
+	case Control:
+		d.control(now, input)
+	}
+}
+
+// control carries out an input that concerns the host.
+func (d *Duty) control(now time.Time, input Control) {
+	switch input := input.(type) {
 	case Configure:
 		d.configuration = input.Configuration
 		d.caller(now, caller.ConfigurationChanged{Configuration: input.Configuration})
@@ -140,7 +193,7 @@
 	case Shares:
 		d.backend(now, backend.SharesChanged{Held: input.Held})
 	case Dump:
-		_ = input.Reply.Offer(d.dump()) // the ring has room by contract
+		_ = input.Reply.Offer(d.dump(now)) // the ring has room by contract
 	}
 }
 
@@ -188,6 +241,8 @@
 // backend steps the pool and carries out its actions.
 func (d *Duty) backend(now time.Time, event backend.Event) {
 	var unsent []backend.AttemptID
+	var unprobed []string
+	var moved []caller.Call
 	for _, action := range d.Pool.Step(now, event) {
 		switch action := action.(type) {
 		case backend.StartAttempt:
@@ -199,13 +254,28 @@
 		case backend.DeliverAnswer:
 			d.begin(action.Call, d.answer)
 		case backend.EndCall:
+			if d.moves(action) {
+				moved = append(moved, d.calls[action.Call].call)
+
+				continue
+			}
 			d.endCall(action)
+		case backend.StartProbe:
+			if d.Probes.Offer(Probe{Address: action.Address, Timeout: action.Timeout}) != nil {
+				unprobed = append(unprobed, action.Address)
+			}
 		case backend.Violation:
 			d.violated(action.Violation)
 		}
 	}
+	for _, address := range unprobed {
+		d.backend(now, backend.ProbeEnded{Address: address, Healthy: true}) // nothing was learned
+	}
+	for _, call := range moved {
+		d.caller(now, caller.Called{Call: call})
+	}
 	for _, id := range unsent {
-		d.ended(now, Ended{Attempt: d.attempts[id], Result: backend.Unsent{Cause: &ring.FullError{
+		d.ended(now, Ended{Attempt: d.attempts[id], Result: backend.Unsent{Local: true, Cause: &ring.FullError{
 			Ring: d.Attempts.Name, Capacity: d.Attempts.Capacity(),
 		}}})
 	}
@@ -224,8 +294,12 @@
 		Depth:    call.call.Depth,
 	})
 	d.attempts[action.Attempt] = attempt
+	if d.Attempts.Offer(attempt) != nil {
+		return false
+	}
+	d.noteSent(call)
 
-	return d.Attempts.Offer(attempt) == nil
+	return true
 }
 
 // forward sends a call to another entry host.
@@ -244,7 +318,10 @@
 	})
 	if err := d.Attempts.Offer(call.forward); err != nil {
 		d.finish(action.Call.ID, Finished{Outcome: caller.NotRun{Reason: caller.ReasonOverloaded}})
+
+		return
 	}
+	d.noteSent(call)
 }
 
 // cancel gives up a call whose caller went away.
@@ -258,6 +335,11 @@
 
 		return
 	}
+	if call.order != nil {
+		d.orderLeft(now, call)
+
+		return
+	}
 	d.backend(now, backend.CallCancelled{Call: id})
 }
 
@@ -276,7 +358,7 @@
 // ended ends an attempt and what depends on it.
 func (d *Duty) ended(now time.Time, input Ended) {
 	if input.Attempt.Forward {
-		d.finish(input.Attempt.Call, Finished{Outcome: backend.OutcomeOf(input.Result), Answer: input.Answer})
+		d.finish(input.Attempt.Call, d.forwarded(input))
 
 		return
 	}
@@ -286,6 +368,19 @@
 	delete(d.attempts, input.Attempt.ID)
 }
 
+// moves reports whether a call that waited in a cell of another host now is
+// routed again instead of being refused.
+func (d *Duty) moves(action backend.EndCall) bool {
+	refused, ok := action.Outcome.(caller.NotRun)
+	call := d.calls[action.Call]
+	if !ok || refused.Reason != caller.ReasonMisdirected || call == nil || call.moves >= maxMoves {
+		return false
+	}
+	call.moves++
+
+	return true
+}
+
 // endCall replies with the outcome that the pool decided.
 func (d *Duty) endCall(action backend.EndCall) {
 	finished := Finished{Outcome: action.Outcome}
@@ -299,6 +394,12 @@
 // its attempt ends, so that it can still be cancelled.
 func (d *Duty) begin(id caller.CallID, answer *Answer) {
 	call, ok := d.calls[id]
+	if ok && call.run != nil {
+		call.run.begun = answer
+		d.note(runBegun{run: id, answer: answer})
+
+		return
+	}
 	if !ok || call.reply == nil {
 		return
 	}
@@ -313,6 +414,11 @@
 		return
 	}
 	delete(d.calls, id)
+	if call.run != nil {
+		d.note(runFinished{run: id, of: call.run, finished: finished})
+
+		return
+	}
 	if call.reply != nil {
 		_ = call.reply.Offer(finished) // the ring has room by contract
 	}
@@ -320,6 +426,10 @@
 
 // adoptCells tells the pool which cells this host owns.
 func (d *Duty) adoptCells(now time.Time) {
+	rates := map[string]int{}
+	for _, service := range d.configuration.Services {
+		rates[service.Name] = service.ProbeRateMilli
+	}
 	cells := map[caller.Cell][]backend.Declared{}
 	for _, cell := range d.Router.Owned() {
 		cells[cell] = nil
@@ -328,7 +438,7 @@
 		cell := caller.Cell{Service: server.Service, DataCentre: server.DataCentre}
 		if _, owned := cells[cell]; owned {
 			cells[cell] = append(cells[cell], backend.Declared{
-				Address: server.Address, Slots: server.Slots, Leaving: server.Leaving,
+				Address: server.Address, Slots: server.Slots, Leaving: server.Leaving, ProbeRateMilli: rates[server.Service],
 			})
 		}
 	}
@@ -336,7 +446,7 @@
 }
 
 // dump describes every routable cell and the state of the owned ones.
-func (d *Duty) dump() []schema.CellDump {
+func (d *Duty) dump(now time.Time) []schema.CellDump {
 	dumps := []schema.CellDump{}
 	for _, service := range d.configuration.Services {
 		for _, dataCentre := range d.configuration.DataCentres {
@@ -348,8 +458,8 @@
 			dump := schema.CellDump{Service: cell.Service, DataCentre: cell.DataCentre, Owner: owner}
 			dump.BackendServers = []schema.BackendServerDump{}
 			if state, ok := d.Pool.Cells[cell]; ok {
-				dump.Queued = len(state.Queue)
-				dump.BackendServers = dumpServers(state.Servers)
+				dump.Queued = state.Queue.Len()
+				dump.BackendServers = dumpServers(now, state.Servers)
 			}
 			dumps = append(dumps, dump)
 		}
@@ -359,7 +469,7 @@
 }
 
 // dumpServers describes backend servers in the order of their addresses.
-func dumpServers(servers []*backend.Server) []schema.BackendServerDump {
+func dumpServers(now time.Time, servers []*backend.Server) []schema.BackendServerDump {
 	dumps := make([]schema.BackendServerDump, 0, len(servers))
 	for _, server := range servers {
 		dumps = append(dumps, schema.BackendServerDump{
@@ -368,6 +478,7 @@
 			InFlight:  server.InFlight,
 			Allowance: server.Allowance,
 			LatencyUs: int(server.Latency.Microseconds()),
+			Ejected:   server.Ejected(now),
 		})
 	}
 	slices.SortFunc(dumps, func(a, b schema.BackendServerDump) int {
--- a/host/host.go
+++ b/host/host.go
@@ -37,6 +37,9 @@
 	platformTimeout = 2 * time.Second
 	// addressConnections bounds this host's connections to one address.
 	addressConnections = 64
+	// probers is the number of prober duties, each of which runs one probe at a
+	// time.
+	probers = 4
 )
 
 // Host is an entry host with its rings.
@@ -50,6 +53,7 @@
 
 	dispatch       *ring.Ring[dispatch.Input]
 	attempts       *ring.Ring[*dispatch.Attempt]
+	probes         *ring.Ring[dispatch.Probe]
 	peers          *ring.Ring[peerInput]
 	exchanges      *ring.Ring[peer.Exchange]
 	fetches        *ring.Ring[peer.FetchConfiguration]
@@ -60,6 +64,7 @@
 	stops          *ring.Ring[plannedStops]
 	stopRequests   *ring.Ring[operatorhttp.StopRequest]
 	dumps          *ring.Ring[operatorhttp.DumpRequest]
+	claims         *ring.Ring[dispatch.Claim]
 	platform       *platformhttp.Client
 	seed           uint64
 }
@@ -98,7 +103,7 @@
 		Self: schema.Host{
 			Name:            settings.Name,
 			DataCentre:      settings.DataCentre,
-			Incarnation:     ulid.Make().String(),
+			Incarnation:     ulid.MustNew(ulid.Now(), crand.Reader).String(), // two hosts never share one
 			CallerAddress:   settings.CallerAddress,
 			PeerAddress:     settings.PeerAddress,
 			OperatorAddress: settings.OperatorAddress,
@@ -106,6 +111,7 @@
 		},
 		dispatch:       ring.New[dispatch.Input]("dispatch", settings.DispatchRing),
 		attempts:       ring.New[*dispatch.Attempt]("senders", settings.Senders),
+		probes:         ring.New[dispatch.Probe]("probers", controlRing),
 		peers:          ring.New[peerInput]("peers", controlRing),
 		exchanges:      ring.New[peer.Exchange]("exchanges", exchangeRing),
 		fetches:        ring.New[peer.FetchConfiguration]("fetches", exchangeRing),
@@ -116,6 +122,7 @@
 		stops:          ring.New[plannedStops]("stop", controlRing),
 		stopRequests:   ring.New[operatorhttp.StopRequest]("stop_requests", controlRing),
 		dumps:          ring.New[operatorhttp.DumpRequest]("dump", controlRing),
+		claims:         ring.New[dispatch.Claim]("claims", claimRing),
 		platform:       platformhttp.New(settings.PlatformAddress, platformTimeout),
 		seed:           seed,
 	}
@@ -173,13 +180,22 @@
 	closing, closeFront := context.WithCancel(context.WithoutCancel(interrupted))
 	defer closeFront()
 	router := caller.NewRouter(h.Self.Name, h.Settings.AnswerKeep)
-	pool := backend.NewPool(h.Settings.QueueLength)
-	duties.Go("dispatch", dispatch.New(h.dispatch, h.attempts, router, pool, h.Log).Run)
+	pool := backend.NewPool(backend.Options{
+		QueueLength: h.Settings.QueueLength, Hosts: h.Settings.ConfiguredHosts, Seed: h.seed,
+	})
+	calls := dispatch.New(h.dispatch, h.attempts, h.probes, router, pool, h.Log)
+	h.addOrders(calls)
+	duties.Go("dispatch", calls.Run)
+	duties.Go("claims", h.newClaims().run)
 	connections := backendhttp.NewConnections(addressConnections)
+	defer connections.Close()
 	for range h.Settings.Senders {
 		sender := &backendhttp.Sender{Attempts: h.attempts, Reports: h.dispatch, Connections: connections}
 		duties.Go("sender", sender.Run)
 	}
+	for range probers {
+		duties.Go("prober", (&backendhttp.Prober{Probes: h.probes, Reports: h.dispatch, Connections: connections}).Run)
+	}
 	duties.Go("configuration", h.runConfiguration)
 	duties.Go("peers", h.runPeers)
 	duties.Go("exchanges", h.runExchanges)
