--- a/host/cluster_test.go
+++ b/host/cluster_test.go
@@ -88,7 +88,7 @@
 		t.Run(name, func(t *testing.T) {
 			most := time.Duration(0)
 			for seed := range test.tries {
-				s := newShuffler(test.hosts, uint64(seed+1)) //nolint:gosec // a small number
+				s := newShuffler(test.hosts, uint64(seed+1))
 				s.run(10*time.Second, nil)
 				s.weather = test.weather
 				began := s.now
