--- /dev/null
+++ b/dispatch/freeze_test.go
@@ -0,0 +1,56 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/peer"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+func TestFrozenDutyRefusesUntilConfirmed(t *testing.T) {
+	// A duty that was frozen waits for the membership, which notices the same
+	// freeze by its smaller bound, and both do before others take over.
+	assert.Assert(t, peer.FrozenAfter < dispatch.FrozenAfter)
+	assert.Assert(t, dispatch.FrozenAfter < peer.TakeoverAfter)
+	const long = time.Minute
+	tests := map[string]struct {
+		freeze  time.Duration
+		inputs  []dispatch.Input
+		refused bool
+	}{
+		"shorter than the bound":  {freeze: dispatch.FrozenAfter},
+		"longer":                  {freeze: long, refused: true},
+		"confirmed before":        {freeze: long, inputs: []dispatch.Input{dispatch.Confirm{At: began}}, refused: true},
+		"confirmed since":         {freeze: long, inputs: []dispatch.Input{dispatch.Confirm{At: began.Add(long + 1)}}},
+		"isolated":                {inputs: []dispatch.Input{dispatch.Isolate{Isolated: true}}, refused: true},
+		"isolated and back":       {inputs: []dispatch.Input{dispatch.Isolate{Isolated: true}, dispatch.Isolate{}}},
+		"confirmed, but isolated": {freeze: long, refused: true, inputs: []dispatch.Input{dispatch.Isolate{Isolated: true}, dispatch.Confirm{At: began.Add(long + 1)}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			duty := newDuty()
+			duty.Step(began, dispatch.Configure{Configuration: declare(1, schema.DataCentreStateIn, schema.DataCentreStateOut)})
+			thawed := began.Add(test.freeze)
+			for _, input := range test.inputs {
+				duty.Step(thawed, input)
+			}
+			reply := ring.New[dispatch.Reply]("reply", 1)
+			duty.Step(thawed, dispatch.Call{
+				Call:    caller.Call{ID: dispatch.NextCall(), Service: "catalogue", Deadline: thawed.Add(time.Minute)},
+				Request: &dispatch.Request{Method: "POST", Target: "/"}, Reply: reply,
+			})
+			ended, refused := reply.Poll()
+			assert.Equal(t, refused, test.refused)
+			if refused {
+				outcome := ended.(dispatch.Finished).Outcome.(caller.NotRun)
+				assert.Equal(t, outcome.Reason, caller.ReasonNotReady)
+			}
+		})
+	}
+}
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -60,6 +60,7 @@
 		hashes:    map[int]*record{},
 		listed:    map[string]schema.ListedHost{},
 		leaving:   map[string]string{},
+		shares:    -1,                             // so that the first step tells how many are held
 		random:    rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // the order of exchanges is no secret
 		ticked:    now,
 		startedAt: now,
@@ -415,5 +416,5 @@
 
 // Shares returns the number of shares of the probe budget that are held.
 func (m *Membership) Shares() int {
-	return m.shares
+	return max(m.shares, 0)
 }
