Open this host's share of connections ahead of need

Cause: each host opened up to 64 connections to any address, whatever a backend server accepts from all hosts together, and only when a call needed one.

Change: the dispatch duty tells an opener duty the backend servers of this host's cells. The opener bounds each by the declared connections divided by the configured hosts, at least 1, keeps as many open as there are slots, and replaces idle ones that the other side closed.

Ruled out: giving all connections to one duty, which every attempt would then have to ask twice.

After: go test -race -count=5 ./backendhttp passes.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -44,7 +44,7 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	sent   int
-	home   *pool
+	home   *addressPool
 }
 
 // NewConnection returns a connection that is not open yet.
@@ -54,7 +54,8 @@
 
 // Open makes the connection ready for a request and returns when it is open. A
 // connection that the other side closed, or on which bytes wait that belong to
-// no request, is replaced. The deadline then holds for the next exchange.
+// no request, is replaced. The deadline then holds for the next exchange. After
+// an error the connection is closed.
 func (c *Connection) Open(ctx context.Context, deadline time.Time) error {
 	c.sent = 0
 	if c.conn != nil {
@@ -75,7 +76,13 @@
 	c.reader.Reset(conn)
 	c.writer.Reset(c)
 
-	return eris.Wrapf(conn.SetDeadline(deadline), "connecting to %s", c.Address)
+	if err := conn.SetDeadline(deadline); err != nil {
+		c.Close()
+
+		return eris.Wrapf(err, "connecting to %s", c.Address)
+	}
+
+	return nil
 }
 
 // usable reports whether a request may be sent on the open connection.
@@ -83,17 +90,11 @@
 	return c.reader.Buffered() == 0 && tcp.Peek(c.conn) == tcp.Quiet
 }
 
-// Check closes the connection if it can't be used any more and reports whether
-// it is open.
-func (c *Connection) Check() bool {
-	if c.conn == nil {
-		return false
-	}
-	if c.conn.SetDeadline(time.Time{}) != nil || !c.usable() {
+// Check closes the connection if it can't be used any more.
+func (c *Connection) Check() {
+	if c.conn != nil && (c.conn.SetDeadline(time.Time{}) != nil || !c.usable()) {
 		c.Close()
 	}
-
-	return c.conn != nil
 }
 
 // Write sends bytes and counts those that left.
--- a/backendhttp/connections.go
+++ b/backendhttp/connections.go
@@ -28,21 +28,21 @@
 	// Limit bounds the connections to each address that has no limit of its own.
 	Limit int
 
-	pools sync.Map // address to *pool
+	pools sync.Map // address to *addressPool
 }
 
-// pool is the connections to one address. Each connection is in idle if it is
+// addressPool is the connections to one address. Each connection is in idle if it is
 // open, in places if it is not, or taken by a duty.
-type pool struct {
+type addressPool struct {
 	limit   int
 	idle    *ring.Ring[*Connection]
 	places  *ring.Ring[*Connection]
 	retired atomic.Bool
 }
 
-// newPool returns a pool that has opened none of its connections.
-func newPool(address string, limit int) *pool {
-	made := &pool{
+// newAddressPool returns a pool that has opened none of its connections.
+func newAddressPool(address string, limit int) *addressPool {
+	made := &addressPool{
 		limit:  limit,
 		idle:   ring.New[*Connection]("idle connections", limit),
 		places: ring.New[*Connection]("connections", limit),
@@ -57,7 +57,7 @@
 }
 
 // release makes a connection available again.
-func (p *pool) release(connection *Connection) {
+func (p *addressPool) release(connection *Connection) {
 	if connection.conn == nil {
 		_ = p.places.Offer(connection) // it has room for all connections
 
@@ -70,13 +70,25 @@
 }
 
 // retire closes the idle connections, and the others once they are released.
-func (p *pool) retire() {
+func (p *addressPool) retire() {
 	p.retired.Store(true)
 	p.closeIdle()
 }
 
+// check closes the idle connections that can't be used any more.
+func (p *addressPool) check() {
+	for range p.idle.Depth() {
+		connection, ok := p.idle.Poll()
+		if !ok {
+			return
+		}
+		connection.Check()
+		p.release(connection)
+	}
+}
+
 // closeIdle closes the idle connections.
-func (p *pool) closeIdle() {
+func (p *addressPool) closeIdle() {
 	for connection, ok := p.idle.Poll(); ok; connection, ok = p.idle.Poll() {
 		connection.Close()
 		_ = p.places.Offer(connection) // it has room for all connections
@@ -95,8 +107,8 @@
 	if c.pool(address).limit == limit {
 		return
 	}
-	if old, ok := c.pools.Swap(address, newPool(address, limit)); ok {
-		old.(*pool).retire()
+	if old, ok := c.pools.Swap(address, newAddressPool(address, limit)); ok {
+		old.(*addressPool).retire()
 	}
 }
 
@@ -104,7 +116,7 @@
 // when they are released.
 func (c *Connections) Forget(address string) {
 	if old, ok := c.pools.LoadAndDelete(address); ok {
-		old.(*pool).retire()
+		old.(*addressPool).retire()
 	}
 }
 
@@ -136,17 +148,33 @@
 	connection.home.release(connection)
 }
 
-// Idle returns the number of open connections to an address that no duty uses.
-func (c *Connections) Idle(address string) int {
-	return c.pool(address).idle.Depth()
+// acquireClosed returns a connection that is not open, if one is left.
+func (c *Connections) acquireClosed(address string) (*Connection, bool) {
+	return c.pool(address).places.Poll()
+}
+
+// Open returns the number of connections to an address that are open or in use.
+func (c *Connections) Open(address string) int {
+	found := c.pool(address)
+
+	return found.limit - found.places.Depth()
+}
+
+// Check closes the idle connections that can't be used any more.
+func (c *Connections) Check() {
+	c.pools.Range(func(_, found any) bool {
+		found.(*addressPool).check()
+
+		return true
+	})
 }
 
 // pool returns the connections to an address.
-func (c *Connections) pool(address string) *pool {
+func (c *Connections) pool(address string) *addressPool {
 	if found, ok := c.pools.Load(address); ok {
-		return found.(*pool)
+		return found.(*addressPool)
 	}
-	made, _ := c.pools.LoadOrStore(address, newPool(address, c.Limit))
+	made, _ := c.pools.LoadOrStore(address, newAddressPool(address, c.Limit))
 
-	return made.(*pool)
+	return made.(*addressPool)
 }
--- /dev/null
+++ b/backendhttp/opener.go
@@ -0,0 +1,98 @@
+package backendhttp
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/ring"
+)
+
+const (
+	// openInterval is the time between checks of idle connections.
+	openInterval = 250 * time.Millisecond
+	// openAtOnce bounds the backend servers to which connections are opened at
+	// once.
+	openAtOnce = 8
+)
+
+// Opener is a duty that opens connections ahead of need to the backend servers
+// of this host's cells, and closes idle ones that can't be used any more.
+type Opener struct {
+	// Targets is the ring that the duty takes from. Each item replaces the one
+	// before.
+	Targets *ring.Ring[[]dispatch.Target]
+	// Connections are shared with the senders.
+	Connections *Connections
+	// ConfiguredHosts is the number of entry hosts that share a backend server's
+	// connections.
+	ConfiguredHosts int
+
+	targets map[string]dispatch.Target
+}
+
+// Run opens and checks connections until the context ends.
+func (o *Opener) Run(ctx context.Context) error {
+	ticker := time.NewTicker(openInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case targets := <-o.Targets.Items():
+			o.replace(targets)
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		o.Connections.Check()
+		o.open(ctx)
+	}
+}
+
+// Limit returns this host's share of a backend server's connections.
+func (o *Opener) Limit(target dispatch.Target) int {
+	return max(target.Connections/o.ConfiguredHosts, 1)
+}
+
+// replace bounds the connections of new targets and closes those of former ones.
+func (o *Opener) replace(targets []dispatch.Target) {
+	former := o.targets
+	o.targets = make(map[string]dispatch.Target, len(targets))
+	for _, target := range targets {
+		o.targets[target.Address] = target
+		o.Connections.Declare(target.Address, o.Limit(target))
+		delete(former, target.Address)
+	}
+	for address := range former {
+		o.Connections.Forget(address)
+	}
+}
+
+// open opens the connections that are missing.
+func (o *Opener) open(ctx context.Context) {
+	opening := pool.New().WithMaxGoroutines(openAtOnce)
+	for _, target := range o.targets {
+		missing := min(target.Slots, o.Limit(target)) - o.Connections.Open(target.Address)
+		if missing <= 0 {
+			continue
+		}
+		opening.Go(func() { o.openMissing(ctx, target.Address, missing) })
+	}
+	opening.Wait()
+}
+
+// openMissing opens up to count connections to an address, until one fails.
+func (o *Opener) openMissing(ctx context.Context, address string, count int) {
+	for range count {
+		connection, ok := o.Connections.acquireClosed(address)
+		if !ok {
+			return
+		}
+		err := connection.Open(ctx, time.Now().Add(dialTimeout))
+		o.Connections.Release(connection)
+		if err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/backendhttp/opener_test.go
@@ -0,0 +1,127 @@
+package backendhttp_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/group"
+	"github.com/baobabdrum/baobabdrum/ring"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// newOpener runs an opener duty.
+func newOpener(t *testing.T, configuredHosts int) *backendhttp.Opener {
+	t.Helper()
+	opener := &backendhttp.Opener{
+		Targets:         ring.New[[]dispatch.Target]("opener", 1),
+		Connections:     backendhttp.NewConnections(1),
+		ConfiguredHosts: configuredHosts,
+	}
+	duties := group.New(t.Context())
+	duties.Go("opener", opener.Run)
+	t.Cleanup(func() {
+		assert.Check(t, duties.Wait())
+		opener.Connections.Close()
+	})
+
+	return opener
+}
+
+// waitOpen waits until as many connections are open or in use.
+func waitOpen(t *testing.T, connections *backendhttp.Connections, address string, want int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if open := connections.Open(address); open != want {
+			return poll.Continue("%d connections are open, want %d", open, want)
+		}
+
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// acquirable returns the number of connections that can be in use at once.
+func acquirable(t *testing.T, connections *backendhttp.Connections, address string) int {
+	t.Helper()
+	for count := 0; ; count++ {
+		connection, err := connections.Acquire(address)
+		if err != nil {
+			assert.ErrorType(t, err, &backendhttp.LimitError{})
+
+			return count
+		}
+		defer connections.Release(connection)
+	}
+}
+
+// serveAll answers every request of a connection.
+func serveAll(conn *net.TCPConn, requests *bufio.Reader) {
+	for path := receive(requests); path != ""; path = receive(requests) {
+		say(conn, sized(path))
+	}
+}
+
+func TestOpenerOpensAShareAheadOfNeed(t *testing.T) {
+	tests := map[string]struct {
+		target dispatch.Target
+		hosts  int
+		limit  int
+		open   int
+	}{
+		"as many as slots":         {target: dispatch.Target{Connections: 240, Slots: 4}, hosts: 14, limit: 17, open: 4},
+		"no more than the share":   {target: dispatch.Target{Connections: 28, Slots: 4}, hosts: 14, limit: 2, open: 2},
+		"at least one":             {target: dispatch.Target{Connections: 5, Slots: 4}, hosts: 14, limit: 1, open: 1},
+		"none to a leaving server": {target: dispatch.Target{Connections: 240}, hosts: 14, limit: 17, open: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address := listen(t, serveAll, serveAll, serveAll, serveAll)
+			opener := newOpener(t, test.hosts)
+			test.target.Address = address
+			assert.NilError(t, opener.Targets.Offer([]dispatch.Target{test.target}))
+			waitOpen(t, opener.Connections, address, test.open)
+			assert.Equal(t, opener.Limit(test.target), test.limit)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if count := acquirable(t, opener.Connections, address); count != test.limit {
+					return poll.Continue("%d connections, want %d", count, test.limit)
+				}
+
+				return poll.Success()
+			}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+		})
+	}
+}
+
+func TestOpenerReplacesClosedConnections(t *testing.T) {
+	address := listen(t, func(conn *net.TCPConn, _ *bufio.Reader) { closeConn(conn) }, serveAll)
+	opener := newOpener(t, 1)
+	assert.NilError(t, opener.Targets.Offer([]dispatch.Target{{Address: address, Connections: 1, Slots: 1}}))
+	waitOpen(t, opener.Connections, address, 1)
+	time.Sleep(600 * time.Millisecond) // two checks
+	waitOpen(t, opener.Connections, address, 1)
+	assert.NilError(t, opener.Targets.Offer(nil))
+	waitOpen(t, opener.Connections, address, 0)
+}
+
+func TestDeclareKeepsConnectionsInUse(t *testing.T) {
+	s := newSender(t, listen(t, late(4*settle), serveAll))
+	s.connections.Declare(s.address, 1)
+	s.start(t, http.MethodGet, "/one", time.Second)
+	time.Sleep(settle)
+	s.connections.Declare(s.address, 2)
+	assert.Equal(t, s.wait(t).body, "/one")
+	s.start(t, http.MethodGet, "/two", time.Second)
+	assert.Equal(t, s.wait(t).body, "/two")
+	assert.Equal(t, s.connections.Open(s.address), 1)
+}
--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -52,8 +52,6 @@
 	}
 	defer s.Connections.Release(connection)
 	if err := connection.Open(attempt.Context, attempt.Deadline); err != nil {
-		connection.Close()
-
 		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Cause: err}}
 	}
 	ended, reusable := s.exchange(ctx, attempt, connection)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -117,6 +117,17 @@
 	Timeout time.Duration
 }
 
+// Target is a backend server that this host dispatches to.
+type Target struct {
+	// Address is its ip:port.
+	Address string
+	// Connections is the number of connections that it accepts from all hosts.
+	Connections int
+	// Slots is the number of calls that this host may run on it at once, or 0 if
+	// it receives no new work.
+	Slots int
+}
+
 // Reply is what the front end gets for a call: Begun or Finished. A call has
 // exactly one reply.
 //
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -54,6 +54,9 @@
 	Pool *backend.Pool
 	// Orders holds the orders of this incarnation.
 	Orders *Orders
+	// Targets receives the backend servers of this host's cells, unless it is
+	// nil. It has room for one item, the newest; only this duty offers to it.
+	Targets *ring.Ring[[]Target]
 	// Log receives broken invariants.
 	Log *logrus.Entry
 
@@ -443,6 +446,27 @@
 		}
 	}
 	d.backend(now, backend.CellsChanged{Cells: cells})
+	d.offerTargets(cells)
+}
+
+// offerTargets tells the opener which backend servers this host dispatches to.
+func (d *Duty) offerTargets(cells map[caller.Cell][]backend.Declared) {
+	if d.Targets == nil {
+		return
+	}
+	var targets []Target
+	for _, server := range d.configuration.BackendServers {
+		if _, owned := cells[caller.Cell{Service: server.Service, DataCentre: server.DataCentre}]; !owned {
+			continue
+		}
+		target := Target{Address: server.Address, Connections: server.Connections}
+		if !server.Leaving {
+			target.Slots = server.Slots
+		}
+		targets = append(targets, target)
+	}
+	d.Targets.Poll()
+	_ = d.Targets.Offer(targets) // there is room, because only this duty offers
 }
 
 // dump describes every routable cell and the state of the owned ones.
--- a/host/host.go
+++ b/host/host.go
@@ -35,8 +35,8 @@
 	controlRing = 256
 	// platformTimeout bounds one exchange with the platform.
 	platformTimeout = 2 * time.Second
-	// addressConnections bounds this host's connections to one address.
-	addressConnections = 64
+	// addressConnections bounds this host's connections to another entry host.
+	addressConnections = 256
 	// probers is the number of prober duties, each of which runs one probe at a
 	// time.
 	probers = 4
@@ -184,11 +184,16 @@
 		QueueLength: h.Settings.QueueLength, Hosts: h.Settings.ConfiguredHosts, Seed: h.seed,
 	})
 	calls := dispatch.New(h.dispatch, h.attempts, h.probes, router, pool, h.Log)
+	calls.Targets = ring.New[[]dispatch.Target]("opener", 1)
 	h.addOrders(calls)
 	duties.Go("dispatch", calls.Run)
 	duties.Go("claims", h.newClaims().run)
 	connections := backendhttp.NewConnections(addressConnections)
 	defer connections.Close()
+	opener := &backendhttp.Opener{
+		Targets: calls.Targets, Connections: connections, ConfiguredHosts: h.Settings.ConfiguredHosts,
+	}
+	duties.Go("opener", opener.Run)
 	for range h.Settings.Senders {
 		sender := &backendhttp.Sender{Attempts: h.attempts, Reports: h.dispatch, Connections: connections}
 		duties.Go("sender", sender.Run)
