Check the command line and show outcomes of calls

Cause: left-over arguments were ignored, a path with a space or a question mark made a malformed request, call printed neither outcome nor reason, and an answer with an error status of the backend server was shown as a failure of the host without its body.

Change: paths are percent-encoded where needed, call prints the outcome, passes its deadline on and tells a call that may have run from one that was not sent.

--- a/cmd/ask.go
+++ b/cmd/ask.go
@@ -1,6 +1,8 @@
 package cmd
 
 import (
+	"net/url"
+
 	"github.com/baobabdrum/baobabdrum/jsonhttp"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -28,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	answer, err := jsonhttp.Get[schema.AskAnswer](host, "/ask/"+c.Args.Service)
+	answer, err := jsonhttp.Get[schema.AskAnswer](host, "/ask/"+url.PathEscape(c.Args.Service))
 	if err != nil {
 		return err
 	}
--- a/cmd/call.go
+++ b/cmd/call.go
@@ -1,15 +1,25 @@
 package cmd
 
 import (
-	"strings"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
 
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/jsonhttp"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
-const callHelp = `Calls a service through an entry host and prints the body of the answer.
+const callHelp = `Calls a service through an entry host and prints the body of the answer. The
+outcome, and the reason if there is no answer, are printed to standard error.
+An answer with a status of 400 or more ends with exit code 1.
 
-Example:
-  baobabdrum call --host-address 127.0.0.1:8080 catalogue /stock/hinge-40`
+Examples:
+  baobabdrum call --host-address 127.0.0.1:8080 catalogue /stock/hinge-40
+  baobabdrum call --host-address 127.0.0.1:8080 catalogue '/stock/rose belle?size=40'
+  baobabdrum call --host-address 127.0.0.1:8080 --method PUT --body '{"note":1}' workshop /note`
 
 // Call calls a service.
 type Call struct {
@@ -34,12 +44,45 @@
 	if err != nil {
 		return err
 	}
-	path := "/call/" + c.Args.Service + "/" + strings.TrimPrefix(c.Args.Path, "/")
-	body, err := host.Exchange(c.Method, path, []byte(c.Body))
+	path, err := target("/call/", c.Args.Service, c.Args.Path)
 	if err != nil {
 		return err
 	}
-	_, err = c.output.Results.Write(body)
+	deadline := jsonhttp.Header{
+		Name: backendhttp.HeaderDeadline, Value: strconv.FormatInt(max(host.Timeout.Milliseconds(), 1), 10),
+	}
+	response, err := host.Do(c.Method, path, []byte(c.Body), deadline)
+	if err != nil {
+		return undelivered(err)
+	}
+
+	return c.show(path, response)
+}
+
+// show prints the answer, or returns why there is none.
+func (c *Call) show(path string, response jsonhttp.Response) error {
+	outcome := response.Header(backendhttp.HeaderOutcome)
+	if outcome != "answered" {
+		return &jsonhttp.StatusError{Path: path, Status: response.Status, Body: response.Body}
+	}
+	if _, err := c.output.Results.Write(response.Body); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.output.Messages, "%s: status %d\n", outcome, response.Status)
+	if response.Status >= http.StatusBadRequest {
+		return &OutcomeError{Code: ExitFailed, Message: fmt.Sprintf("the answer has status %d", response.Status)}
+	}
+
+	return nil
+}
+
+// undelivered returns the error of a call without a response. It may have run
+// unless no connection could be opened.
+func undelivered(err error) error {
+	var failed *net.OpError
+	if errors.As(err, &failed) && failed.Op == "dial" {
+		return &OutcomeError{Code: ExitNotRun, Message: "not_run: unreachable: " + err.Error()}
+	}
 
-	return err
+	return &OutcomeError{Code: ExitUnknown, Message: "unknown: the call may have run: " + err.Error()}
 }
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -71,11 +71,25 @@
 			return ExitFailed
 		}
 	}
+	parser.CommandHandler = execute
 	_, err := parser.ParseArgs(args)
 
 	return exit(output, err)
 }
 
+// execute runs a command unless arguments are left over.
+func execute(command flags.Commander, rest []string) error {
+	faults := make([]schema.Fault, 0, len(rest))
+	for _, argument := range rest {
+		faults = append(faults, schema.Fault{Place: "argument", Value: argument, Problem: "was not expected"})
+	}
+	if err := invalid("arguments", faults); err != nil || command == nil {
+		return err
+	}
+
+	return command.Execute(nil)
+}
+
 // commands lists the commands in the order of the help.
 func commands(output Output) []Command {
 	return []Command{
@@ -87,7 +101,7 @@
 		{"call", "Call a service", callHelp, &Call{output: output}},
 		{"order", "Place an order that runs at most once", orderHelp, &Order{output: output}},
 		{"dump", "Show the state of an entry host", dumpHelp, &Dump{output: output}},
-		{"version", "Show the version", "Shows the version of this program.", &Version{output: output}},
+		{"version", "Show the version", versionHelp, &Version{output: output}},
 	}
 }
 
--- a/cmd/version.go
+++ b/cmd/version.go
@@ -5,6 +5,11 @@
 	"runtime/debug"
 )
 
+const versionHelp = `Shows the version of this program.
+
+Example:
+  baobabdrum version`
+
 // Version shows the version.
 type Version struct {
 	output Output
--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -50,6 +50,7 @@
 func NewClient(address, token string, timeout time.Duration) *Client {
 	return &Client{Address: address, Token: token, Timeout: timeout, http: fasthttp.HostClient{
 		Addr:                      address,
+		DisablePathNormalizing:    true,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
@@ -89,9 +90,44 @@
 	Value string
 }
 
+// Response is a whole response.
+type Response struct {
+	// Status is the HTTP status.
+	Status int
+	// Headers are the header fields in their order.
+	Headers []Header
+	// Body is the whole body.
+	Body []byte
+}
+
+// Header returns the value of the first header field with this name, or nothing.
+func (r Response) Header(name string) string {
+	for _, header := range r.Headers {
+		if strings.EqualFold(header.Name, name) {
+			return header.Value
+		}
+	}
+
+	return ""
+}
+
 // Exchange sends a body and returns the body of a response with status 200.
 // Another status is returned as a *StatusError.
 func (c *Client) Exchange(method, path string, body []byte, headers ...Header) ([]byte, error) {
+	response, err := c.Do(method, path, body, headers...)
+	if err != nil {
+		return nil, err
+	}
+	if response.Status != http.StatusOK {
+		return nil, &StatusError{Path: path, Status: response.Status, Body: response.Body}
+	}
+
+	return response.Body, nil
+}
+
+// Do sends a body and returns the response whatever its status. The path must
+// be percent-encoded and may have a query.
+func (c *Client) Do(method, path string, body []byte, headers ...Header) (Response, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -106,11 +142,11 @@
 	}
 	request.SetBodyRaw(body)
 	if err := c.http.DoTimeout(request, response, c.Timeout); err != nil {
-		return nil, eris.Wrapf(err, "%s %s%s", method, c.Address, path)
+		return Response{}, eris.Wrapf(err, "%s %s%s", method, c.Address, path)
 	}
-	copied := append([]byte(nil), response.Body()...)
-	if response.StatusCode() != http.StatusOK {
-		return nil, &StatusError{Path: path, Status: response.StatusCode(), Body: copied}
+	copied := Response{Status: response.StatusCode(), Body: append([]byte(nil), response.Body()...)}
+	for name, value := range response.Header.All() {
+		copied.Headers = append(copied.Headers, Header{Name: string(name), Value: string(value)})
 	}
 
 	return copied, nil
