Count calls, attempts, queues and rings

Change: package prometheus holds a host's metrics on VictoriaMetrics/metrics. The dispatch duty counts calls and attempts through counters that it keeps, so that no label is formatted for each call.

What the metrics cost is not measured yet.

--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -71,11 +71,15 @@
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	encode(request, attempt)
+	began := time.Now()
 	if err := connection.Exchange(request, response); err != nil {
 		return dispatch.Ended{Attempt: attempt, Result: failure(attempt, connection, err)}, false
 	}
 	ended := s.receive(ctx, attempt, connection, response)
 	_, whole := ended.Result.(backend.Whole)
+	if ended.Answer != nil {
+		ended.Answer.Took = time.Since(began)
+	}
 
 	return ended, whole && !response.ConnectionClose()
 }
--- a/callerhttp/call.go
+++ b/callerhttp/call.go
@@ -25,18 +25,27 @@
 
 // call runs a caller's request and answers with what came back.
 func (f *Front) call(c fiber.Ctx) error {
+	began := time.Now()
 	call, faults := f.decode(c)
 	if len(faults) > 0 {
+		f.Metrics.Rejected(string(caller.ReasonInvalid))
+
 		return reject(c, faults)
 	}
 	reply := ring.New[dispatch.Reply]("reply", 1)
 	if err := f.Inputs.Offer(dispatch.Call{Call: call, Request: request(c), Reply: reply}); err != nil {
+		f.Metrics.Rejected(string(caller.ReasonOverloaded))
+
 		return fail(c, caller.NotRun{Reason: caller.ReasonOverloaded}, err.Error())
 	}
 	switch reply := f.wait(c, call.ID, reply).(type) {
 	case dispatch.Begun:
 		return f.stream(c, call, reply.Answer)
 	case dispatch.Finished:
+		if reply.Answer != nil && !reply.Answer.Forwarded {
+			f.Metrics.AddedLatency(time.Since(began) - reply.Answer.Took)
+		}
+
 		return finish(c, reply)
 	default:
 		return fail(c, caller.Unknown{Reason: caller.ReasonStopping}, "the host stopped before the call ended")
--- a/callerhttp/callerhttp.go
+++ b/callerhttp/callerhttp.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
 )
 
@@ -36,13 +37,15 @@
 	Inputs *ring.Ring[dispatch.Input]
 	// CallTimeout is the deadline of calls that state none.
 	CallTimeout time.Duration
+	// Metrics receives the added latency and refused requests.
+	Metrics *prometheus.Metrics
 
 	app *fiber.App
 }
 
 // New returns a front end that accepts request bodies of up to bodyLimit bytes.
 func New(inputs *ring.Ring[dispatch.Input], callTimeout time.Duration, bodyLimit int) *Front {
-	front := &Front{Inputs: inputs, CallTimeout: callTimeout}
+	front := &Front{Inputs: inputs, CallTimeout: callTimeout, Metrics: prometheus.New()}
 	front.app = fiber.New(fiber.Config{
 		AppName:                   "baobabdrum",
 		BodyLimit:                 bodyLimit,
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -48,6 +48,8 @@
 	Length int
 	// Rest brings the other parts of the body, or is nil.
 	Rest *ring.Ring[Chunk]
+	// Took is the time from sending the request to the end of a whole body.
+	Took time.Duration
 	// Forwarded says that another entry host answered.
 	Forwarded bool
 	// Outcome is what another entry host stated, or nil.
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabdrum/baobabdrum/backend"
 	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -57,6 +58,8 @@
 	// Targets receives the backend servers of this host's cells, unless it is
 	// nil. It has room for one item, the newest; only this duty offers to it.
 	Targets *ring.Ring[[]Target]
+	// Metrics counts what happens.
+	Metrics *prometheus.Dispatch
 	// Log receives broken invariants.
 	Log *logrus.Entry
 
@@ -68,6 +71,7 @@
 	isolated      bool
 	seenAt        time.Time
 	thawedAt      time.Time
+	observedAt    time.Time
 }
 
 // New returns a duty that has no configuration yet.
@@ -79,6 +83,7 @@
 		Router:    router,
 		Pool:      pool,
 		Orders:    NewOrders(caller.NewOrderBook("", 0, 0, time.Now()), nil, nil),
+		Metrics:   prometheus.NewDispatch(prometheus.New()),
 		Log:       log,
 		calls:     map[caller.CallID]*pending{},
 		questions: map[caller.CallID]*ring.Ring[AskReply]{},
@@ -102,6 +107,7 @@
 				d.backend(now, backend.Ticked{})
 			}
 			d.tickOrders(now)
+			d.observe(now)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -172,6 +178,7 @@
 	case Ended:
 		d.ended(now, input)
 	case Probed:
+		d.Metrics.Probe(input.Healthy)
 		d.backend(now, backend.ProbeEnded{Address: input.Address, Healthy: input.Healthy})
 	case Control:
 		d.control(now, input)
@@ -183,9 +190,11 @@
 	switch input := input.(type) {
 	case Configure:
 		d.configuration = input.Configuration
+		d.Metrics.Configuration(input.Configuration.Version)
 		d.caller(now, caller.ConfigurationChanged{Configuration: input.Configuration})
 		d.adoptCells(now)
 	case Hosts:
+		d.Metrics.Hosts(len(input.Hosts))
 		d.caller(now, caller.HostsChanged{Hosts: input.Hosts})
 		d.adoptCells(now)
 	case Isolate:
@@ -365,6 +374,7 @@
 
 		return
 	}
+	d.Metrics.Attempt(resultName(input.Result))
 	d.answer = input.Answer
 	d.backend(now, backend.AttemptEnded{Attempt: input.Attempt.ID, Result: input.Result})
 	d.answer = nil
@@ -422,6 +432,7 @@
 
 		return
 	}
+	d.Metrics.Call(callLabels(call.call.Service, finished.Outcome))
 	if call.reply != nil {
 		_ = call.reply.Offer(finished) // the ring has room by contract
 	}
@@ -518,5 +529,6 @@
 
 // violated logs a broken invariant.
 func (d *Duty) violated(violation caller.Violation) {
+	d.Metrics.Violation(violation.Invariant)
 	d.Log.WithFields(logrus.Fields{"event": "invariant_broken", "invariant": violation.Invariant}).Error(violation.Detail)
 }
--- a/host/dump.go
+++ b/host/dump.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -46,19 +47,41 @@
 	return dump
 }
 
+// namedRing is a ring between duties.
+type namedRing struct {
+	name string
+	ring prometheus.Ring
+}
+
+// named returns a ring with its name.
+func named[T any](r *ring.Ring[T]) namedRing {
+	return namedRing{name: r.Name, ring: r}
+}
+
+// between lists the rings between duties.
+func (h *Host) between() []namedRing {
+	return []namedRing{
+		named(h.dispatch), named(h.attempts), named(h.probes), named(h.peers), named(h.exchanges), named(h.requests),
+		named(h.configurations), named(h.changes), named(h.dumps), named(h.fetches), named(h.keeps), named(h.stops), named(h.stopRequests), named(h.claims),
+	}
+}
+
 // rings describes the rings between duties.
 func (h *Host) rings() []schema.RingDump {
-	return []schema.RingDump{
-		describe(h.dispatch), describe(h.attempts), describe(h.probes), describe(h.peers), describe(h.exchanges),
-		describe(h.requests), describe(h.configurations), describe(h.changes), describe(h.dumps),
-		describe(h.fetches), describe(h.keeps), describe(h.stops), describe(h.stopRequests),
-		describe(h.claims),
+	between := h.between()
+	dumps := make([]schema.RingDump, 0, len(between))
+	for _, entry := range between {
+		dumps = append(dumps, schema.RingDump{Name: entry.name, Depth: entry.ring.Depth(), Capacity: entry.ring.Capacity()})
 	}
+
+	return dumps
 }
 
-// describe returns the state of a ring.
-func describe[T any](r *ring.Ring[T]) schema.RingDump {
-	return schema.RingDump{Name: r.Name, Depth: r.Depth(), Capacity: r.Capacity()}
+// exposeRings adds the rings between duties to the metrics.
+func (h *Host) exposeRings(measured *prometheus.Metrics) {
+	for _, entry := range h.between() {
+		measured.Ring(entry.name, entry.ring)
+	}
 }
 
 // askDuty offers a request with a reply ring and returns the reply, or the zero
--- a/host/host.go
+++ b/host/host.go
@@ -26,6 +26,7 @@
 	"github.com/baobabdrum/baobabdrum/peer"
 	"github.com/baobabdrum/baobabdrum/peerrpc"
 	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -184,6 +185,10 @@
 		QueueLength: h.Settings.QueueLength, Hosts: h.Settings.ConfiguredHosts, Seed: h.seed,
 	})
 	calls := dispatch.New(h.dispatch, h.attempts, h.probes, router, pool, h.Log)
+	measured := prometheus.New()
+	defer measured.Expose()()
+	calls.Metrics = prometheus.NewDispatch(measured)
+	h.exposeRings(measured)
 	calls.Targets = ring.New[[]dispatch.Target]("opener", 1)
 	h.addOrders(calls)
 	duties.Go("dispatch", calls.Run)
@@ -215,6 +220,7 @@
 	})
 	duties.Go("caller front", func(ctx context.Context) error {
 		front := callerhttp.New(h.dispatch, h.Settings.CallTimeout, h.Settings.BodyLimit)
+		front.Metrics = measured
 
 		return runFront(ctx, closing, open.caller, front.Run)
 	})
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 )
 
 // FullError reports an offer that the ring had no room for.
@@ -26,6 +27,7 @@
 	// Name says which duty takes from the ring.
 	Name  string
 	items chan T
+	fulls atomic.Uint64
 }
 
 // New returns an empty ring that holds at most capacity items.
@@ -39,6 +41,8 @@
 	case r.items <- item:
 		return nil
 	default:
+		r.fulls.Add(1)
+
 		return &FullError{Ring: r.Name, Capacity: cap(r.items)}
 	}
 }
@@ -94,6 +98,11 @@
 	return len(r.items)
 }
 
+// Fulls returns the number of offers that there was no room for.
+func (r *Ring[T]) Fulls() uint64 {
+	return r.fulls.Load()
+}
+
 // Capacity returns the bound in items.
 func (r *Ring[T]) Capacity() int {
 	return cap(r.items)
