Measure the added latency of one entry host

make bench starts stand-ins and one host, runs the same load directly and through the host in turns, and prints added_p50_ms= and added_p99_ms= with the spread over the rounds.

--- a/Makefile
+++ b/Makefile
@@ -67,3 +67,8 @@
 # docs-check runs the commands of the users' pages as written.
 docs-check: build
 	scripts/docs-check.sh
+
+.PHONY: bench
+# bench measures what one entry host adds to a call, on a quiet machine.
+bench: build
+	scripts/bench.sh
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,87 @@
+#!/usr/bin/env bash
+# Measures what one entry host adds to a call: runs the same load straight to
+# backend servers and through one host, alternating, and prints the difference
+# of the quantiles for each rate with its spread over the rounds. The backend
+# servers have so many slots that queueing is not measured.
+#
+# RATES, ROUNDS, SECONDS_EACH and SERVICE_TIME change the run; HOST_SETTINGS adds
+# environment variables to the host, such as BAOBABDRUM_LOCK_THREADS=true;
+# PROFILE=file takes a CPU profile of the host during the last round.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/lib.sh
+trap stop_all EXIT
+
+rates=${RATES:-2000 10000}
+rounds=${ROUNDS:-5}
+seconds=${SECONDS_EACH:-5}
+first_port=$BASE_PORT
+out=${OUT:-out/bench}
+rm -rf "$out"
+mkdir -p "$out"
+hosts=(bench-1)
+servers=()
+for i in 1 2 3 4; do servers+=("$(port $((100 + i)))"); done
+connections=1024 probe_time=0s
+SERVER_SETTINGS="--slots 256 --service-time ${SERVICE_TIME:-0s}"
+sheet=$out/sheet.csv
+{
+  echo "kind,name,service,data_centre,address,slots,connections,state,at,probes_per_1000_s,idempotent"
+  echo "day,,,,,,,,$(date -u +%F),,"
+  echo "data_centre,bench,,,,,,in,,,"
+  echo "service,catalogue,,,,,,,,1000,yes"
+  for address in "${servers[@]}"; do echo "backend_server,,catalogue,bench,$address,256,$connections,in,,,"; done
+} >"$sheet"
+cat >"$out/bench-1.env" <<SETTINGS
+BAOBABDRUM_NAME=bench-1
+BAOBABDRUM_DATA_CENTRE=bench
+BAOBABDRUM_CALLER_ADDRESS=$(caller_address 0)
+BAOBABDRUM_PEER_ADDRESS=$(peer_address 0)
+BAOBABDRUM_OPERATOR_ADDRESS=$(operator_address 0)
+BAOBABDRUM_PLATFORM_ADDRESS=$(port 0)
+BAOBABDRUM_CONFIGURED_HOSTS=1
+SETTINGS
+
+# load NAME ADDRESSES DIRECT RATE: runs the load and prints p50 and p99 in us.
+load() {
+  bin/standin-load --host-addresses "$2" --services catalogue --direct "$3" --rate "$4" \
+    --duration "${seconds}s" --report "$out/$1.json" >"$out/$1.log" 2>&1
+  local answered started
+  answered=$(sum "$out/$1.json" answered)
+  started=$(sum "$out/$1.json" started)
+  ((answered * 1000 >= started * 999)) || { echo "$1: $answered of $started calls were answered" >&2 && return 1; }
+  echo "$(sum "$out/$1.json" p50_us) $(sum "$out/$1.json" p99_us)"
+}
+
+# sum FILE FIELD: adds up a field of a report.
+sum() { awk -F'[:,]' -v field="\"$2\"" '$1 ~ field { total += $2 } END { print total + 0 }' "$1"; }
+
+# spread NAME VALUES...: prints the median in ms, and the least and largest.
+spread() {
+  local name=$1
+  shift
+  printf '%s\n' "$@" | sort -n | awk -v name="$name" '{ v[NR] = $1 / 1000 } END {
+    printf "%s=%.3f least=%.3f most=%.3f rounds=%d\n", name, v[int((NR + 1) / 2)], v[1], v[NR], NR }'
+}
+
+start_deployment || exit 1
+direct=$(IFS=, && echo "${servers[*]}")
+load warm "$(caller_address 0)" false 2000 >/dev/null
+for rate in $rates; do
+  p50=() p99=() direct50=() direct99=()
+  for ((round = 1; round <= rounds; round++)); do
+    read -r d50 d99 < <(load "direct-$rate-$round" "$direct" true "$rate")
+    if [[ -n ${PROFILE:-} && $round == "$rounds" ]]; then
+      start profile curl -sSf -o "$PROFILE.$rate" "http://$(operator_address 0)/debug/profile?seconds=$seconds"
+    fi
+    read -r h50 h99 < <(load "host-$rate-$round" "$(caller_address 0)" false "$rate")
+    p50+=($((h50 - d50))) p99+=($((h99 - d99)))
+    direct50+=("$d50") direct99+=("$d99")
+  done
+  echo "rate=$rate"
+  spread direct_p50_ms "${direct50[@]}"
+  spread direct_p99_ms "${direct99[@]}"
+  spread added_p50_ms "${p50[@]}"
+  spread added_p99_ms "${p99[@]}"
+done
+echo "load average: $(cut -d' ' -f1-3 /proc/loadavg)"
