Take profiles of a host on request and lock duties to threads by setting

A profile is served at /debug/profile?seconds=N of the operator address only, behind the operators' token, for 60 s at most and one at a time. lock_threads locks the dispatch duty and the senders to threads.

--- a/callerhttp/stack_test.go
+++ b/callerhttp/stack_test.go
@@ -55,7 +55,7 @@
 
 // newStack runs a dispatch duty, senders and a caller front that place calls of
 // service catalogue on the backend server.
-func newStack(t *testing.T, backendServer schema.BackendServer) *stack {
+func newStack(t testing.TB, backendServer schema.BackendServer) *stack {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -87,7 +87,7 @@
 }
 
 // configure puts a configuration with one backend server in force.
-func (s *stack) configure(t *testing.T, backendServer schema.BackendServer) {
+func (s *stack) configure(t testing.TB, backendServer schema.BackendServer) {
 	t.Helper()
 	backendServer.Service, backendServer.DataCentre, backendServer.Connections = "catalogue", "mu-north", testSenders
 	assert.NilError(t, s.inputs.Offer(dispatch.Hosts{Hosts: []schema.Host{
@@ -147,7 +147,7 @@
 }
 
 // newFakeServer serves each request by writing raw bytes.
-func newFakeServer(t *testing.T, serve func(ctx context.Context, request *http.Request, conn *net.TCPConn)) *fakeServer {
+func newFakeServer(t testing.TB, serve func(ctx context.Context, request *http.Request, conn *net.TCPConn)) *fakeServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/host/host.go
+++ b/host/host.go
@@ -10,6 +10,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"runtime"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -191,7 +192,7 @@
 	h.exposeRings(measured)
 	calls.Targets = ring.New[[]dispatch.Target]("opener", 1)
 	h.addOrders(calls)
-	duties.Go("dispatch", calls.Run)
+	duties.Go("dispatch", h.locked(calls.Run))
 	duties.Go("claims", h.newClaims().run)
 	connections := backendhttp.NewConnections(addressConnections)
 	defer connections.Close()
@@ -201,7 +202,7 @@
 	duties.Go("opener", opener.Run)
 	for range h.Settings.Senders {
 		sender := &backendhttp.Sender{Attempts: h.attempts, Reports: h.dispatch, Connections: connections}
-		duties.Go("sender", sender.Run)
+		duties.Go("sender", h.locked(sender.Run))
 	}
 	for range probers {
 		duties.Go("prober", (&backendhttp.Prober{Probes: h.probes, Reports: h.dispatch, Connections: connections}).Run)
@@ -236,3 +237,18 @@
 
 	return nil
 }
+
+// locked returns a duty that keeps an operating system thread if the settings
+// say so.
+func (h *Host) locked(duty func(ctx context.Context) error) func(ctx context.Context) error {
+	if !h.Settings.LockThreads {
+		return duty
+	}
+
+	return func(ctx context.Context) error {
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+
+		return duty(ctx)
+	}
+}
--- a/operatorhttp/operatorhttp.go
+++ b/operatorhttp/operatorhttp.go
@@ -101,6 +101,7 @@
 
 		return nil
 	})
+	front.app.Get(PathProfile, profile)
 	front.app.Get(PathDump, front.dump)
 	front.app.Get(PathConfiguration, front.configuration)
 	front.app.Post(PathSheet, front.sheet)
@@ -266,12 +267,15 @@
 		invalid *schema.InvalidError
 		unknown *operator.UnknownDataCentreError
 		refused *fiber.Error
+		running *ProfilingError
 	)
 	switch {
 	case errors.As(err, &invalid):
 		return refusal{http.StatusBadRequest, "invalid", outcomeNotRun}
 	case errors.As(err, &unknown):
 		return refusal{http.StatusNotFound, "unknown_data_centre", outcomeNotRun}
+	case errors.As(err, &running):
+		return refusal{http.StatusConflict, "profiling", outcomeNotRun}
 	case errors.As(err, &refused):
 		return refusal{refused.Code, "refused", outcomeNotRun}
 	}
