Place no more calls than this host may connect

Cause: a host's share of the connections may be smaller than the slots, and an attempt without a connection was reported as a failure of the backend server.

Change: the dispatch duty computes the share, bounds the slots by it and hands it to the opener. An attempt that ended because of this host, for want of a connection or because it was given up before it was sent, says so.

--- a/backendhttp/opener.go
+++ b/backendhttp/opener.go
@@ -26,9 +26,6 @@
 	Targets *ring.Ring[[]dispatch.Target]
 	// Connections are shared with the senders.
 	Connections *Connections
-	// ConfiguredHosts is the number of entry hosts that share a backend server's
-	// connections.
-	ConfiguredHosts int
 
 	targets map[string]dispatch.Target
 }
@@ -50,18 +47,13 @@
 	}
 }
 
-// Limit returns this host's share of a backend server's connections.
-func (o *Opener) Limit(target dispatch.Target) int {
-	return max(target.Connections/o.ConfiguredHosts, 1)
-}
-
 // replace bounds the connections of new targets and closes those of former ones.
 func (o *Opener) replace(targets []dispatch.Target) {
 	former := o.targets
 	o.targets = make(map[string]dispatch.Target, len(targets))
 	for _, target := range targets {
 		o.targets[target.Address] = target
-		o.Connections.Declare(target.Address, o.Limit(target))
+		o.Connections.Declare(target.Address, target.Connections)
 		delete(former, target.Address)
 	}
 	for address := range former {
@@ -73,7 +65,7 @@
 func (o *Opener) open(ctx context.Context) {
 	opening := pool.New().WithMaxGoroutines(openAtOnce)
 	for _, target := range o.targets {
-		missing := min(target.Slots, o.Limit(target)) - o.Connections.Open(target.Address)
+		missing := target.Ahead - o.Connections.Open(target.Address)
 		if missing <= 0 {
 			continue
 		}
--- a/backendhttp/opener_test.go
+++ b/backendhttp/opener_test.go
@@ -22,12 +22,11 @@
 }
 
 // newOpener runs an opener duty.
-func newOpener(t *testing.T, configuredHosts int) *backendhttp.Opener {
+func newOpener(t *testing.T) *backendhttp.Opener {
 	t.Helper()
 	opener := &backendhttp.Opener{
-		Targets:         ring.New[[]dispatch.Target]("opener", 1),
-		Connections:     backendhttp.NewConnections(1),
-		ConfiguredHosts: configuredHosts,
+		Targets:     ring.New[[]dispatch.Target]("opener", 1),
+		Connections: backendhttp.NewConnections(1),
 	}
 	duties := group.New(t.Context())
 	duties.Go("opener", opener.Run)
@@ -72,29 +71,25 @@
 	}
 }
 
-func TestOpenerOpensAShareAheadOfNeed(t *testing.T) {
+func TestOpenerOpensConnectionsAheadOfNeed(t *testing.T) {
 	tests := map[string]struct {
 		target dispatch.Target
-		hosts  int
-		limit  int
 		open   int
 	}{
-		"as many as slots":         {target: dispatch.Target{Connections: 240, Slots: 4}, hosts: 14, limit: 17, open: 4},
-		"no more than the share":   {target: dispatch.Target{Connections: 28, Slots: 4}, hosts: 14, limit: 2, open: 2},
-		"at least one":             {target: dispatch.Target{Connections: 5, Slots: 4}, hosts: 14, limit: 1, open: 1},
-		"none to a leaving server": {target: dispatch.Target{Connections: 240}, hosts: 14, limit: 17, open: 0},
+		"fewer than the bound":     {target: dispatch.Target{Connections: 17, Ahead: 4}, open: 4},
+		"as many as the bound":     {target: dispatch.Target{Connections: 2, Ahead: 2}, open: 2},
+		"none to a leaving server": {target: dispatch.Target{Connections: 17}, open: 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			address := listen(t, serveAll, serveAll, serveAll, serveAll)
-			opener := newOpener(t, test.hosts)
+			opener := newOpener(t)
 			test.target.Address = address
 			assert.NilError(t, opener.Targets.Offer([]dispatch.Target{test.target}))
 			waitOpen(t, opener.Connections, address, test.open)
-			assert.Equal(t, opener.Limit(test.target), test.limit)
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
-				if count := acquirable(t, opener.Connections, address); count != test.limit {
-					return poll.Continue("%d connections, want %d", count, test.limit)
+				if count := acquirable(t, opener.Connections, address); count != test.target.Connections {
+					return poll.Continue("%d connections, want %d", count, test.target.Connections)
 				}
 
 				return poll.Success()
@@ -105,8 +100,8 @@
 
 func TestOpenerReplacesClosedConnections(t *testing.T) {
 	address := listen(t, func(conn *net.TCPConn, _ *bufio.Reader) { closeConn(conn) }, serveAll)
-	opener := newOpener(t, 1)
-	assert.NilError(t, opener.Targets.Offer([]dispatch.Target{{Address: address, Connections: 1, Slots: 1}}))
+	opener := newOpener(t)
+	assert.NilError(t, opener.Targets.Offer([]dispatch.Target{{Address: address, Connections: 1, Ahead: 1}}))
 	waitOpen(t, opener.Connections, address, 1)
 	time.Sleep(600 * time.Millisecond) // two checks
 	waitOpen(t, opener.Connections, address, 1)
--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -44,15 +44,17 @@
 // was read to its end is kept open.
 func (s *Sender) send(ctx context.Context, attempt *dispatch.Attempt) dispatch.Ended {
 	if attempt.Context.Err() != nil || !time.Now().Before(attempt.Deadline) {
-		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Cause: context.DeadlineExceeded}}
+		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Local: true, Cause: context.DeadlineExceeded}}
 	}
 	connection, err := s.Connections.Acquire(attempt.Address)
 	if err != nil {
-		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Cause: err}}
+		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Local: true, Cause: err}}
 	}
 	defer s.Connections.Release(connection)
 	if err := connection.Open(attempt.Context, attempt.Deadline); err != nil {
-		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Cause: err}}
+		local := attempt.Context.Err() != nil
+
+		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Local: local, Cause: err}}
 	}
 	ended, reusable := s.exchange(ctx, attempt, connection)
 	if !reusable {
--- a/backendhttp/sender_test.go
+++ b/backendhttp/sender_test.go
@@ -182,23 +182,33 @@
 		address string
 		timeout time.Duration
 		cancel  bool
+		busy    bool
 		want    string
+		local   bool
 	}{
 		"refused":                 {address: refused, timeout: time.Second, want: "Unsent"},
-		"past its deadline":       {address: silent, timeout: -time.Second, want: "Unsent"},
-		"cancelled before":        {address: silent, timeout: time.Second, cancel: true, want: "Unsent"},
+		"past its deadline":       {address: silent, timeout: -time.Second, want: "Unsent", local: true},
+		"cancelled before":        {address: silent, timeout: time.Second, cancel: true, want: "Unsent", local: true},
+		"no connection left":      {address: silent, timeout: time.Second, busy: true, want: "Unsent", local: true},
 		"accepted but unanswered": {address: silent, timeout: settle, want: "TimedOut"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			s := newSender(t, test.address)
+			if test.busy {
+				_, err := s.connections.Acquire(test.address)
+				assert.NilError(t, err)
+			}
 			if test.cancel {
 				attempt := cancelled(test.address)
 				assert.NilError(t, s.attempts.Put(t.Context(), attempt))
 			} else {
 				s.start(t, http.MethodPost, "/", test.timeout)
 			}
-			assert.Equal(t, kind(s.wait(t).result), test.want)
+			got := s.wait(t)
+			assert.Equal(t, kind(got.result), test.want)
+			unsent, ok := got.result.(backend.Unsent)
+			assert.Assert(t, !ok || unsent.Local == test.local)
 		})
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -123,11 +123,10 @@
 type Target struct {
 	// Address is its ip:port.
 	Address string
-	// Connections is the number of connections that it accepts from all hosts.
+	// Connections bounds this host's connections to it.
 	Connections int
-	// Slots is the number of calls that this host may run on it at once, or 0 if
-	// it receives no new work.
-	Slots int
+	// Ahead is the number of connections to open ahead of need.
+	Ahead int
 }
 
 // Reply is what the front end gets for a call: Begun or Finished. A call has
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -55,6 +55,9 @@
 	Pool *backend.Pool
 	// Orders holds the orders of this incarnation.
 	Orders *Orders
+	// ConfiguredHosts is the number of entry hosts that share a backend server's
+	// connections.
+	ConfiguredHosts int
 	// Targets receives the backend servers of this host's cells, unless it is
 	// nil. It has room for one item, the newest; only this duty offers to it.
 	Targets *ring.Ring[[]Target]
@@ -77,13 +80,16 @@
 // New returns a duty that has no configuration yet.
 func New(inputs *ring.Ring[Input], attempts *ring.Ring[*Attempt], probes *ring.Ring[Probe], router *caller.Router, pool *backend.Pool, log *logrus.Entry) *Duty {
 	return &Duty{
-		Inputs:    inputs,
-		Attempts:  attempts,
-		Probes:    probes,
-		Router:    router,
-		Pool:      pool,
-		Orders:    NewOrders(caller.NewOrderBook("", 0, 0, time.Now()), nil, nil),
-		Metrics:   prometheus.NewDispatch(prometheus.New()),
+		Inputs:   inputs,
+		Attempts: attempts,
+		Probes:   probes,
+		Router:   router,
+		Pool:     pool,
+		Orders:   NewOrders(caller.NewOrderBook("", 0, 0, time.Now()), nil, nil),
+		Metrics:  prometheus.NewDispatch(prometheus.New()),
+
+		ConfiguredHosts: 1,
+
 		Log:       log,
 		calls:     map[caller.CallID]*pending{},
 		questions: map[caller.CallID]*ring.Ring[AskReply]{},
@@ -452,7 +458,8 @@
 		cell := caller.Cell{Service: server.Service, DataCentre: server.DataCentre}
 		if _, owned := cells[cell]; owned {
 			cells[cell] = append(cells[cell], backend.Declared{
-				Address: server.Address, Slots: server.Slots, Leaving: server.Leaving, ProbeRateMilli: rates[server.Service],
+				Address: server.Address, Slots: min(server.Slots, d.share(server)), Leaving: server.Leaving,
+				ProbeRateMilli: rates[server.Service],
 			})
 		}
 	}
@@ -460,6 +467,12 @@
 	d.offerTargets(cells)
 }
 
+// share returns this host's part of the connections that a backend server
+// accepts from all hosts together.
+func (d *Duty) share(server schema.BackendServer) int {
+	return max(server.Connections/d.ConfiguredHosts, 1)
+}
+
 // offerTargets tells the opener which backend servers this host dispatches to.
 func (d *Duty) offerTargets(cells map[caller.Cell][]backend.Declared) {
 	if d.Targets == nil {
@@ -470,9 +483,9 @@
 		if _, owned := cells[caller.Cell{Service: server.Service, DataCentre: server.DataCentre}]; !owned {
 			continue
 		}
-		target := Target{Address: server.Address, Connections: server.Connections}
+		target := Target{Address: server.Address, Connections: d.share(server)}
 		if !server.Leaving {
-			target.Slots = server.Slots
+			target.Ahead = min(server.Slots, target.Connections)
 		}
 		targets = append(targets, target)
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -190,6 +190,7 @@
 	defer measured.Expose()()
 	calls.Metrics = prometheus.NewDispatch(measured)
 	h.exposeRings(measured)
+	calls.ConfiguredHosts = h.Settings.ConfiguredHosts
 	calls.Targets = ring.New[[]dispatch.Target]("opener", 1)
 	h.addOrders(calls)
 	duties.Go("dispatch", h.locked(calls.Run))
@@ -197,7 +198,7 @@
 	connections := backendhttp.NewConnections(addressConnections)
 	defer connections.Close()
 	opener := &backendhttp.Opener{
-		Targets: calls.Targets, Connections: connections, ConfiguredHosts: h.Settings.ConfiguredHosts,
+		Targets: calls.Targets, Connections: connections,
 	}
 	duties.Go("opener", opener.Run)
 	for range h.Settings.Senders {
