--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -48,6 +48,8 @@
 	Length int
 	// Rest brings the other parts of the body, or is nil.
 	Rest *ring.Ring[Chunk]
+	// Took is the time from sending the request to the end of a whole body.
+	Took time.Duration
 	// Forwarded says that another entry host answered.
 	Forwarded bool
 	// Outcome is what another entry host stated, or nil.
@@ -117,6 +119,16 @@
 	Timeout time.Duration
 }
 
+// Target is a backend server that this host dispatches to.
+type Target struct {
+	// Address is its ip:port.
+	Address string
+	// Connections bounds this host's connections to it.
+	Connections int
+	// Ahead is the number of connections to open ahead of need.
+	Ahead int
+}
+
 // Reply is what the front end gets for a call: Begun or Finished. A call has
 // exactly one reply.
 //
