--- a/standin/caller.go
+++ b/standin/caller.go
@@ -111,6 +111,7 @@
 // exchange is how one request ended.
 type exchange struct {
 	outcome     string
+	reason      string
 	misdirected bool
 	failed      bool
 }
@@ -140,6 +141,7 @@
 	}
 	result := exchange{
 		outcome: string(response.Header.Peek(backendhttp.HeaderOutcome)),
+		reason:  string(response.Header.Peek(backendhttp.HeaderReason)),
 		failed:  response.StatusCode() >= fasthttp.StatusInternalServerError,
 	}
 	if c.settings.Direct {
--- a/standin/caller_test.go
+++ b/standin/caller_test.go
@@ -15,29 +15,33 @@
 func TestOrderIdentityRepeats(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
-		outcomes []string
-		renew    bool
-		want     orderIdentity
+		results []exchange
+		renew   bool
+		want    orderIdentity
 	}{
 		"with its id and a higher attempt": {
-			outcomes: []string{outcomeNotRun}, want: orderIdentity{id: "id", attempt: 1},
+			results: []exchange{{outcome: outcomeNotRun}}, want: orderIdentity{id: "id", attempt: 1},
 		},
 		"with another id if it was not run": {
-			outcomes: []string{outcomeNotRun}, renew: true, want: orderIdentity{attempt: 1},
+			results: []exchange{{outcome: outcomeNotRun}}, renew: true, want: orderIdentity{attempt: 1, renewed: true},
+		},
+		"with an id if its number could not be claimed": {
+			results: []exchange{{outcome: outcomeNotRun, reason: "platform_unavailable"}},
+			want:    orderIdentity{attempt: 1, renewed: true},
 		},
 		"with its id if it may have run": {
-			outcomes: []string{outcomeUnknown}, renew: true, want: orderIdentity{id: "id", attempt: 1, uncertain: true},
+			results: []exchange{{outcome: outcomeUnknown}}, renew: true, want: orderIdentity{id: "id", attempt: 1, uncertain: true},
 		},
 		"with its id if it once may have run": {
-			outcomes: []string{outcomeUnknown, outcomeNotRun}, renew: true,
+			results: []exchange{{outcome: outcomeUnknown}, {outcome: outcomeNotRun}}, renew: true,
 			want: orderIdentity{id: "id", attempt: 2, uncertain: true},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			identity := orderIdentity{id: "id"}
-			for _, outcome := range test.outcomes {
-				identity.repeat(exchange{outcome: outcome}, test.renew)
+			for _, result := range test.results {
+				identity.repeat(result, test.renew)
 			}
 			assert.Equal(t, identity, test.want)
 		})
--- a/standin/order.go
+++ b/standin/order.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/caller"
 )
 
 // orderIdentity is what keeps an order from running twice when it is repeated.
@@ -20,6 +21,8 @@
 	attempt int
 	// uncertain says that an earlier request may have run.
 	uncertain bool
+	// renewed says that a fresh order id replaces the earlier id or number.
+	renewed bool
 }
 
 // identify gives an order its id or number and returns the addresses to use,
@@ -27,15 +30,20 @@
 func (c *Caller) identify(call scheduled, identity *orderIdentity) []string {
 	switch call.content.(type) {
 	case item, pack:
+		return c.addresses(call.service)
 	case numberedOrder:
-		identity.number = identity.name
-	case order:
-		if identity.id == "" && !c.settings.Direct {
-			return c.issue(call.service, identity)
+		if !identity.renewed {
+			identity.number = identity.name
+
+			return c.addresses(call.service)
 		}
+	case order:
+	}
+	if identity.id != "" || c.settings.Direct {
+		return c.addresses(call.service)
 	}
 
-	return c.addresses(call.service)
+	return c.issue(call.service, identity)
 }
 
 // issue asks for an order id and returns the addresses that came with it.
@@ -67,15 +75,17 @@
 	}
 }
 
-// repeat prepares another request. An order that may have run keeps its id; one
-// that was not run for certain may get another.
+// repeat prepares another request. An order that may have run keeps its id or
+// number; one that was not run for certain may get a fresh id, and has to if its
+// number cannot be claimed.
 func (i *orderIdentity) repeat(result exchange, renew bool) {
 	i.attempt++
 	if result.outcome == outcomeUnknown {
 		i.uncertain = true
 	}
-	if renew && !i.uncertain {
-		i.id = ""
+	unclaimed := result.reason == string(caller.ReasonPlatformUnavailable)
+	if (renew || unclaimed) && !i.uncertain {
+		i.id, i.number, i.renewed = "", "", true
 	}
 }
 
