--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -5690,6 +5690,192 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *LoadReason) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "calls":
+			z.Calls, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "ordered":
+			z.Ordered, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Ordered")
+				return
+			}
+		case "outcome":
+			z.Outcome, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Outcome")
+				return
+			}
+		case "reason":
+			z.Reason, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LoadReason) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "calls"
+	err = en.Append(0x84, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	// write "ordered"
+	err = en.Append(0xa7, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Ordered)
+	if err != nil {
+		err = msgp.WrapError(err, "Ordered")
+		return
+	}
+	// write "outcome"
+	err = en.Append(0xa7, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Outcome)
+	if err != nil {
+		err = msgp.WrapError(err, "Outcome")
+		return
+	}
+	// write "reason"
+	err = en.Append(0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Reason)
+	if err != nil {
+		err = msgp.WrapError(err, "Reason")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadReason) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "calls"
+	o = append(o, 0x84, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	o = msgp.AppendInt(o, z.Calls)
+	// string "ordered"
+	o = append(o, 0xa7, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Ordered)
+	// string "outcome"
+	o = append(o, 0xa7, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Outcome)
+	// string "reason"
+	o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Reason)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadReason) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "calls":
+			z.Calls, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "ordered":
+			z.Ordered, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ordered")
+				return
+			}
+		case "outcome":
+			z.Outcome, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Outcome")
+				return
+			}
+		case "reason":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadReason) Msgsize() (s int) {
+	s = 1 + 6 + msgp.IntSize + 8 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Outcome) + 7 + msgp.StringPrefixSize + len(z.Reason)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -6273,6 +6459,29 @@
 				err = msgp.WrapError(err, "Rate")
 				return
 			}
+		case "reasons":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Reasons")
+				return
+			}
+			if zb0006 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Reasons) >= int(zb0006) {
+				z.Reasons = (z.Reasons)[:zb0006]
+			} else {
+				z.Reasons = make([]LoadReason, zb0006)
+			}
+			for za0005 := range z.Reasons {
+				err = z.Reasons[za0005].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Reasons", za0005)
+					return
+				}
+			}
 		case "seed":
 			z.Seed, err = dc.ReadInt()
 			if err != nil {
@@ -6280,25 +6489,25 @@
 				return
 			}
 		case "services":
-			var zb0006 uint32
-			zb0006, err = dc.ReadArrayHeader()
+			var zb0007 uint32
+			zb0007, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Services")
 				return
 			}
-			if zb0006 > zf88ce922limitArrays {
+			if zb0007 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Services) >= int(zb0006) {
-				z.Services = (z.Services)[:zb0006]
+			if cap(z.Services) >= int(zb0007) {
+				z.Services = (z.Services)[:zb0007]
 			} else {
-				z.Services = make([]LoadReportService, zb0006)
+				z.Services = make([]LoadReportService, zb0007)
 			}
-			for za0005 := range z.Services {
-				err = z.Services[za0005].DecodeMsg(dc)
+			for za0006 := range z.Services {
+				err = z.Services[za0006].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Services", za0005)
+					err = msgp.WrapError(err, "Services", za0006)
 					return
 				}
 			}
@@ -6321,9 +6530,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *LoadRun) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
+	// map header, size 11
 	// write "duration_ms"
-	err = en.Append(0x8a, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
+	err = en.Append(0x8b, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
 	if err != nil {
 		return
 	}
@@ -6420,6 +6629,23 @@
 		err = msgp.WrapError(err, "Rate")
 		return
 	}
+	// write "reasons"
+	err = en.Append(0xa7, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Reasons)))
+	if err != nil {
+		err = msgp.WrapError(err, "Reasons")
+		return
+	}
+	for za0005 := range z.Reasons {
+		err = z.Reasons[za0005].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Reasons", za0005)
+			return
+		}
+	}
 	// write "seed"
 	err = en.Append(0xa4, 0x73, 0x65, 0x65, 0x64)
 	if err != nil {
@@ -6440,10 +6666,10 @@
 		err = msgp.WrapError(err, "Services")
 		return
 	}
-	for za0005 := range z.Services {
-		err = z.Services[za0005].EncodeMsg(en)
+	for za0006 := range z.Services {
+		err = z.Services[za0006].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0005)
+			err = msgp.WrapError(err, "Services", za0006)
 			return
 		}
 	}
@@ -6463,9 +6689,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LoadRun) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "duration_ms"
-	o = append(o, 0x8a, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
+	o = append(o, 0x8b, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt(o, z.DurationMs)
 	// string "late_starts"
 	o = append(o, 0xab, 0x6c, 0x61, 0x74, 0x65, 0x5f, 0x73, 0x74, 0x61, 0x72, 0x74, 0x73)
@@ -6501,16 +6727,26 @@
 	// string "rate"
 	o = append(o, 0xa4, 0x72, 0x61, 0x74, 0x65)
 	o = msgp.AppendInt(o, z.Rate)
+	// string "reasons"
+	o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Reasons)))
+	for za0005 := range z.Reasons {
+		o, err = z.Reasons[za0005].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Reasons", za0005)
+			return
+		}
+	}
 	// string "seed"
 	o = append(o, 0xa4, 0x73, 0x65, 0x65, 0x64)
 	o = msgp.AppendInt(o, z.Seed)
 	// string "services"
 	o = append(o, 0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
-	for za0005 := range z.Services {
-		o, err = z.Services[za0005].MarshalMsg(o)
+	for za0006 := range z.Services {
+		o, err = z.Services[za0006].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0005)
+			err = msgp.WrapError(err, "Services", za0006)
 			return
 		}
 	}
@@ -6652,6 +6888,29 @@
 				err = msgp.WrapError(err, "Rate")
 				return
 			}
+		case "reasons":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reasons")
+				return
+			}
+			if zb0006 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Reasons) >= int(zb0006) {
+				z.Reasons = (z.Reasons)[:zb0006]
+			} else {
+				z.Reasons = make([]LoadReason, zb0006)
+			}
+			for za0005 := range z.Reasons {
+				bts, err = z.Reasons[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Reasons", za0005)
+					return
+				}
+			}
 		case "seed":
 			z.Seed, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -6659,25 +6918,25 @@
 				return
 			}
 		case "services":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Services")
 				return
 			}
-			if zb0006 > zf88ce922limitArrays {
+			if zb0007 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Services) >= int(zb0006) {
-				z.Services = (z.Services)[:zb0006]
+			if cap(z.Services) >= int(zb0007) {
+				z.Services = (z.Services)[:zb0007]
 			} else {
-				z.Services = make([]LoadReportService, zb0006)
+				z.Services = make([]LoadReportService, zb0007)
 			}
-			for za0005 := range z.Services {
-				bts, err = z.Services[za0005].UnmarshalMsg(bts)
+			for za0006 := range z.Services {
+				bts, err = z.Services[za0006].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Services", za0005)
+					err = msgp.WrapError(err, "Services", za0006)
 					return
 				}
 			}
@@ -6717,9 +6976,13 @@
 	for za0004 := range z.Phases {
 		s += z.Phases[za0004].Msgsize()
 	}
-	s += 5 + msgp.IntSize + 5 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
-	for za0005 := range z.Services {
-		s += z.Services[za0005].Msgsize()
+	s += 5 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	for za0005 := range z.Reasons {
+		s += z.Reasons[za0005].Msgsize()
+	}
+	s += 5 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
+	for za0006 := range z.Services {
+		s += z.Services[za0006].Msgsize()
 	}
 	s += 8 + msgp.IntSize
 	return
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -374,6 +374,22 @@
 	Unknown int `json:"unknown" msg:"unknown"`
 }
 
+// LoadReason counts the calls that ended without an answer for one reason.
+type LoadReason struct {
+	// Calls is the number of calls.
+	Calls int `json:"calls" msg:"calls"`
+
+	// Ordered says that the calls were orders.
+	Ordered bool `json:"ordered" msg:"ordered"`
+
+	// Outcome is not_run or unknown.
+	Outcome string `json:"outcome" msg:"outcome"`
+
+	// Reason is the one that the last response stated; no_response or no_connection
+	// without one.
+	Reason string `json:"reason" msg:"reason"`
+}
+
 // LoadReport is what a backend server says about its load; it lags and may be
 // wrong.
 type LoadReport struct {
@@ -439,6 +455,9 @@
 	// Rate is the wanted number of calls a second.
 	Rate int `json:"rate" msg:"rate"`
 
+	// Reasons are sorted by outcome, reason and kind.
+	Reasons []LoadReason `json:"reasons" msg:"reasons"`
+
 	// Seed is the seed of the run.
 	Seed int `json:"seed" msg:"seed"`
 
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -33,6 +33,12 @@
 	outcomeUnknown  = "unknown"
 )
 
+// The reasons of requests without a response.
+const (
+	reasonNoConnection = "no_connection"
+	reasonNoResponse   = "no_response"
+)
+
 // kept is an answer to "which host" that is still kept.
 type kept struct {
 	addresses []string
@@ -50,6 +56,7 @@
 	phases      map[phase]*Tally
 	asked       int
 	ordersEnded map[string][]string
+	reasons     map[schema.LoadReason]int
 }
 
 // NewCaller returns a caller that knows only the configured addresses.
@@ -58,7 +65,7 @@
 	caller := &Caller{
 		settings: settings, client: client, began: began, number: number,
 		answers: map[string]kept{}, tallies: map[string]*Tally{}, phases: map[phase]*Tally{},
-		asked: number, ordersEnded: map[string][]string{},
+		asked: number, ordersEnded: map[string][]string{}, reasons: map[schema.LoadReason]int{},
 	}
 	for _, service := range slices.Concat(settings.Services, settings.OrderServices) {
 		caller.tallies[service] = NewTally(service)
@@ -88,7 +95,7 @@
 	identity := orderIdentity{name: c.orderName(call)}
 	var result exchange
 	for try := range callTries {
-		result = c.try(call, deadline, try, &identity)
+		result = c.try(call, tryDeadline(time.Now(), deadline, try), try, &identity)
 		if !result.mayRetry() || time.Now().After(deadline) {
 			break
 		}
@@ -101,6 +108,9 @@
 	tally.Count(result)
 	tally.Record(result, took)
 	c.phases[call.phase].Count(result)
+	if result.outcome != outcomeAnswered {
+		c.reasons[schema.LoadReason{Outcome: result.outcome, Reason: result.reason, Ordered: call.ordered()}]++
+	}
 	if call.ordered() {
 		c.ordersEnded[result.outcome] = append(c.ordersEnded[result.outcome], identity.name)
 	} else {
@@ -108,6 +118,12 @@
 	}
 }
 
+// tryDeadline returns when a request must have ended that leaves the later
+// tries their share of the time.
+func tryDeadline(now, deadline time.Time, try int) time.Time {
+	return now.Add(deadline.Sub(now) / time.Duration(callTries-try))
+}
+
 // exchange is how one request ended.
 type exchange struct {
 	outcome     string
@@ -126,7 +142,7 @@
 func (c *Caller) try(call scheduled, deadline time.Time, try int, identity *orderIdentity) exchange {
 	addresses := c.identify(call, identity)
 	if len(addresses) == 0 {
-		return exchange{outcome: outcomeNotRun}
+		return exchange{outcome: outcomeNotRun, reason: reasonNoConnection}
 	}
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -137,7 +153,7 @@
 	request.Header.Set(HeaderEcho, echo)
 	request.Header.Set(backendhttp.HeaderDeadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
 	if err := c.client.DoDeadline(request, response, deadline); err != nil {
-		return exchange{outcome: identity.failureOutcome(err)}
+		return identity.failure(err)
 	}
 	result := exchange{
 		outcome: string(response.Header.Peek(backendhttp.HeaderOutcome)),
@@ -168,15 +184,15 @@
 	request.SetRequestURI("http://" + address + prefix + call.path())
 }
 
-// failureOutcome returns how a request without a response ended. A request
-// without a connection was not run.
-func failureOutcome(err error) string {
+// failure returns how a request without a response ended. A request without a
+// connection was not run.
+func failure(err error) exchange {
 	var network *net.OpError
 	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &network) && network.Op == "dial" {
-		return outcomeNotRun
+		return exchange{outcome: outcomeNotRun, reason: reasonNoConnection}
 	}
 
-	return outcomeUnknown
+	return exchange{outcome: outcomeUnknown, reason: reasonNoResponse}
 }
 
 // addresses returns the hosts to use for a service, from a kept answer or by asking.
--- a/standin/caller_test.go
+++ b/standin/caller_test.go
@@ -48,7 +48,7 @@
 	}
 }
 
-func TestCallerFailureOutcome(t *testing.T) {
+func TestCallerFailure(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
 		err  error
@@ -62,7 +62,27 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			assert.Equal(t, failureOutcome(test.err), test.want)
+			assert.Equal(t, failure(test.err).outcome, test.want)
+		})
+	}
+}
+
+func TestTryDeadline(t *testing.T) {
+	t.Parallel()
+	now := time.UnixMilli(0)
+	for name, test := range map[string]struct {
+		left time.Duration
+		try  int
+		want time.Duration
+	}{
+		"a third for the first try": {left: 3 * time.Second, try: 0, want: time.Second},
+		"half of what is left then": {left: 2 * time.Second, try: 1, want: time.Second},
+		"all for the last try":      {left: time.Second, try: 2, want: time.Second},
+		"none after the deadline":   {left: 0, try: 1, want: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			assert.Equal(t, tryDeadline(now, now.Add(test.left), test.try), now.Add(test.want))
 		})
 	}
 }
--- a/standin/load.go
+++ b/standin/load.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -179,9 +180,13 @@
 // collect adds up what the callers saw.
 func collect(run *schema.LoadRun, settings schema.LoadSettings, callers []*Caller) {
 	byService, byPhase, orders := map[string]*Tally{}, map[phase]*Tally{}, map[string][]string{}
+	reasons := map[schema.LoadReason]int{}
 	for _, caller := range callers {
 		merge(byService, caller.tallies)
 		merge(byPhase, caller.phases)
+		for reason, calls := range caller.reasons {
+			reasons[reason] += calls
+		}
 		for outcome, names := range caller.ordersEnded {
 			orders[outcome] = append(orders[outcome], names...)
 		}
@@ -189,6 +194,7 @@
 	run.OrdersAnswered = append([]string{}, orders[outcomeAnswered]...)
 	run.OrdersNotRun = append([]string{}, orders[outcomeNotRun]...)
 	run.OrdersUnknown = append([]string{}, orders[outcomeUnknown]...)
+	run.Reasons = listReasons(reasons)
 	run.Services, run.Phases = []schema.LoadReportService{}, []schema.LoadPhase{}
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
 		if tally := byService[service]; tally.Total() > 0 {
@@ -202,6 +208,20 @@
 	}
 }
 
+// listReasons returns the reasons in a stable order.
+func listReasons(reasons map[schema.LoadReason]int) []schema.LoadReason {
+	list := make([]schema.LoadReason, 0, len(reasons))
+	for reason, calls := range reasons {
+		reason.Calls = calls
+		list = append(list, reason)
+	}
+	slices.SortFunc(list, func(a, b schema.LoadReason) int {
+		return cmp.Or(cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.Calls, b.Calls))
+	})
+
+	return list
+}
+
 // merge adds the tallies of one caller to those of all.
 func merge[Key comparable](into, tallies map[Key]*Tally) {
 	for key, tally := range tallies {
--- a/standin/order.go
+++ b/standin/order.go
@@ -89,12 +89,13 @@
 	}
 }
 
-// failureOutcome returns how a request without a response ended. An order that
-// may have run before still may have.
-func (i *orderIdentity) failureOutcome(err error) string {
+// failure returns how a request without a response ended. An order that may have
+// run before still may have.
+func (i *orderIdentity) failure(err error) exchange {
+	ended := failure(err)
 	if i.uncertain {
-		return outcomeUnknown
+		ended.outcome = outcomeUnknown
 	}
 
-	return failureOutcome(err)
+	return ended
 }
