--- a/cmd/order.go
+++ b/cmd/order.go
@@ -1,11 +1,9 @@
 package cmd
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
@@ -57,14 +55,16 @@
 			return err
 		}
 	}
-	path := "/order/" + c.Args.Service + "/" + strings.TrimPrefix(c.Args.Path, "/")
-	body, err := host.Exchange(c.Method, path, []byte(c.Body), c.headers(host.Timeout)...)
+	path, err := target("/order/", c.Args.Service, c.Args.Path)
 	if err != nil {
-		return c.settle(err)
+		return err
+	}
+	response, err := host.Do(c.Method, path, []byte(c.Body), c.headers(host.Timeout)...)
+	if err != nil {
+		return &OutcomeError{Code: ExitUnknown, Message: "unknown: the order may have run: " + err.Error()}
 	}
-	_, err = c.output.Results.Write(body)
 
-	return err
+	return c.show(path, response)
 }
 
 // ask gets an order id and returns a client of the host that may run it.
@@ -82,15 +82,11 @@
 	return host, nil
 }
 
-// settle reports an order whose response has not status 200. Without a response
-// the order may have run.
-func (c *Order) settle(err error) error {
-	var status *jsonhttp.StatusError
-	if !errors.As(err, &status) {
-		return &OutcomeError{Code: ExitUnknown, Message: "unknown: the order may have run: " + err.Error()}
-	}
-	reason := status.Header(backendhttp.HeaderReason)
-	switch status.Header(backendhttp.HeaderOutcome) {
+// show prints the answer, or returns why there is none. A response that states
+// no outcome leaves it unknown.
+func (c *Order) show(path string, response jsonhttp.Response) error {
+	reason := response.Header(backendhttp.HeaderReason)
+	switch response.Header(backendhttp.HeaderOutcome) {
 	case backendhttp.OutcomeAnswered:
 		if reason == string(caller.ReasonAnswerNotKept) {
 			fmt.Fprintln(c.output.Messages, "answered: the order ran; its answer is not held any more")
@@ -98,24 +94,24 @@
 			return nil
 		}
 
-		return c.answered(status)
+		return c.answered(response)
 	case backendhttp.OutcomeNotRun:
-		return err
+		return &jsonhttp.StatusError{Path: path, Status: response.Status, Body: response.Body}
 	default:
 		return &OutcomeError{Code: ExitUnknown, Message: "unknown: " + reason + ": the order may have run"}
 	}
 }
 
 // answered prints a backend server's answer and fails for a status of an error.
-func (c *Order) answered(status *jsonhttp.StatusError) error {
-	if _, err := c.output.Results.Write(status.Body); err != nil {
+func (c *Order) answered(response jsonhttp.Response) error {
+	if _, err := c.output.Results.Write(response.Body); err != nil {
 		return err
 	}
-	if status.Status < http.StatusBadRequest {
+	if response.Status < http.StatusBadRequest {
 		return nil
 	}
 
-	return &OutcomeError{Code: ExitFailed, Message: fmt.Sprintf("answered: the order ran; status %d", status.Status)}
+	return &OutcomeError{Code: ExitFailed, Message: fmt.Sprintf("answered: the order ran; status %d", response.Status)}
 }
 
 // headers returns what identifies the order.
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabdrum/baobabdrum/backend"
 	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -54,6 +55,14 @@
 	Pool *backend.Pool
 	// Orders holds the orders of this incarnation.
 	Orders *Orders
+	// ConfiguredHosts is the number of entry hosts that share a backend server's
+	// connections.
+	ConfiguredHosts int
+	// Targets receives the backend servers of this host's cells, unless it is
+	// nil. It has room for one item, the newest; only this duty offers to it.
+	Targets *ring.Ring[[]Target]
+	// Metrics counts what happens.
+	Metrics *prometheus.Dispatch
 	// Log receives broken invariants.
 	Log *logrus.Entry
 
@@ -65,17 +74,22 @@
 	isolated      bool
 	seenAt        time.Time
 	thawedAt      time.Time
+	observedAt    time.Time
 }
 
 // New returns a duty that has no configuration yet.
 func New(inputs *ring.Ring[Input], attempts *ring.Ring[*Attempt], probes *ring.Ring[Probe], router *caller.Router, pool *backend.Pool, log *logrus.Entry) *Duty {
 	return &Duty{
-		Inputs:    inputs,
-		Attempts:  attempts,
-		Probes:    probes,
-		Router:    router,
-		Pool:      pool,
-		Orders:    NewOrders(caller.NewOrderBook("", 0, 0, time.Now()), nil, nil),
+		Inputs:   inputs,
+		Attempts: attempts,
+		Probes:   probes,
+		Router:   router,
+		Pool:     pool,
+		Orders:   NewOrders(caller.NewOrderBook("", 0, 0, time.Now()), nil, nil),
+		Metrics:  prometheus.NewDispatch(prometheus.New()),
+
+		ConfiguredHosts: 1,
+
 		Log:       log,
 		calls:     map[caller.CallID]*pending{},
 		questions: map[caller.CallID]*ring.Ring[AskReply]{},
@@ -99,6 +113,7 @@
 				d.backend(now, backend.Ticked{})
 			}
 			d.tickOrders(now)
+			d.observe(now)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -182,6 +197,7 @@
 	case Ended:
 		d.ended(now, input)
 	case Probed:
+		d.Metrics.Probe(input.Healthy)
 		d.backend(now, backend.ProbeEnded{Address: input.Address, Healthy: input.Healthy})
 	case Control:
 		d.control(now, input)
@@ -193,9 +209,11 @@
 	switch input := input.(type) {
 	case Configure:
 		d.configuration = input.Configuration
+		d.Metrics.Configuration(input.Configuration.Version)
 		d.caller(now, caller.ConfigurationChanged{Configuration: input.Configuration})
 		d.adoptCells(now)
 	case Hosts:
+		d.Metrics.Hosts(len(input.Hosts))
 		d.caller(now, caller.HostsChanged{Hosts: input.Hosts, Leaving: input.Leaving})
 		d.adoptCells(now)
 	case Isolate:
@@ -375,6 +393,7 @@
 
 		return
 	}
+	d.Metrics.Attempt(resultName(input.Result))
 	d.answer = input.Answer
 	d.backend(now, backend.AttemptEnded{Attempt: input.Attempt.ID, Result: input.Result})
 	d.answer = nil
@@ -432,6 +451,7 @@
 
 		return
 	}
+	d.Metrics.Call(callLabels(call.call.Service, finished.Outcome))
 	if call.reply != nil {
 		_ = call.reply.Offer(finished) // the ring has room by contract
 	}
@@ -451,11 +471,39 @@
 		cell := caller.Cell{Service: server.Service, DataCentre: server.DataCentre}
 		if _, owned := cells[cell]; owned {
 			cells[cell] = append(cells[cell], backend.Declared{
-				Address: server.Address, Slots: server.Slots, Leaving: server.Leaving, ProbeRateMilli: rates[server.Service],
+				Address: server.Address, Slots: min(server.Slots, d.share(server)), Leaving: server.Leaving,
+				ProbeRateMilli: rates[server.Service],
 			})
 		}
 	}
 	d.backend(now, backend.CellsChanged{Cells: cells})
+	d.offerTargets(cells)
+}
+
+// share returns this host's part of the connections that a backend server
+// accepts from all hosts together.
+func (d *Duty) share(server schema.BackendServer) int {
+	return max(server.Connections/d.ConfiguredHosts, 1)
+}
+
+// offerTargets tells the opener which backend servers this host dispatches to.
+func (d *Duty) offerTargets(cells map[caller.Cell][]backend.Declared) {
+	if d.Targets == nil {
+		return
+	}
+	var targets []Target
+	for _, server := range d.configuration.BackendServers {
+		if _, owned := cells[caller.Cell{Service: server.Service, DataCentre: server.DataCentre}]; !owned {
+			continue
+		}
+		target := Target{Address: server.Address, Connections: d.share(server)}
+		if !server.Leaving {
+			target.Ahead = min(server.Slots, target.Connections)
+		}
+		targets = append(targets, target)
+	}
+	d.Targets.Poll()
+	_ = d.Targets.Offer(targets) // there is room, because only this duty offers
 }
 
 // dump describes every routable cell and the state of the owned ones.
@@ -507,5 +555,6 @@
 
 // violated logs a broken invariant.
 func (d *Duty) violated(violation caller.Violation) {
+	d.Metrics.Violation(violation.Invariant)
 	d.Log.WithFields(logrus.Fields{"event": "invariant_broken", "invariant": violation.Invariant}).Error(violation.Detail)
 }
--- a/host/host.go
+++ b/host/host.go
@@ -10,6 +10,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"runtime"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -26,6 +27,7 @@
 	"github.com/baobabdrum/baobabdrum/peer"
 	"github.com/baobabdrum/baobabdrum/peerrpc"
 	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -35,8 +37,8 @@
 	controlRing = 256
 	// platformTimeout bounds one exchange with the platform.
 	platformTimeout = 2 * time.Second
-	// addressConnections bounds this host's connections to one address.
-	addressConnections = 64
+	// addressConnections bounds this host's connections to another entry host.
+	addressConnections = 256
 	// probers is the number of prober duties, each of which runs one probe at a
 	// time.
 	probers = 4
@@ -184,14 +186,24 @@
 		QueueLength: h.Settings.QueueLength, Hosts: h.Settings.ConfiguredHosts, Seed: h.seed,
 	})
 	calls := dispatch.New(h.dispatch, h.attempts, h.probes, router, pool, h.Log)
+	measured := prometheus.New()
+	defer measured.Expose()()
+	calls.Metrics = prometheus.NewDispatch(measured)
+	h.exposeRings(measured)
+	calls.ConfiguredHosts = h.Settings.ConfiguredHosts
+	calls.Targets = ring.New[[]dispatch.Target]("opener", 1)
 	h.addOrders(calls)
-	duties.Go("dispatch", calls.Run)
+	duties.Go("dispatch", h.locked(calls.Run))
 	duties.Go("claims", h.newClaims().run)
 	connections := backendhttp.NewConnections(addressConnections)
 	defer connections.Close()
+	opener := &backendhttp.Opener{
+		Targets: calls.Targets, Connections: connections,
+	}
+	duties.Go("opener", opener.Run)
 	for range h.Settings.Senders {
 		sender := &backendhttp.Sender{Attempts: h.attempts, Reports: h.dispatch, Connections: connections}
-		duties.Go("sender", sender.Run)
+		duties.Go("sender", h.locked(sender.Run))
 	}
 	for range probers {
 		duties.Go("prober", (&backendhttp.Prober{Probes: h.probes, Reports: h.dispatch, Connections: connections}).Run)
@@ -210,6 +222,7 @@
 	})
 	duties.Go("caller front", func(ctx context.Context) error {
 		front := callerhttp.New(h.dispatch, h.Settings.CallTimeout, h.Settings.BodyLimit)
+		front.Metrics = measured
 
 		return runFront(ctx, closing, open.caller, front.Run)
 	})
@@ -225,3 +238,18 @@
 
 	return nil
 }
+
+// locked returns a duty that keeps an operating system thread if the settings
+// say so.
+func (h *Host) locked(duty func(ctx context.Context) error) func(ctx context.Context) error {
+	if !h.Settings.LockThreads {
+		return duty
+	}
+
+	return func(ctx context.Context) error {
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+
+		return duty(ctx)
+	}
+}
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -5690,6 +5690,192 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *LoadReason) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "calls":
+			z.Calls, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "ordered":
+			z.Ordered, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Ordered")
+				return
+			}
+		case "outcome":
+			z.Outcome, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Outcome")
+				return
+			}
+		case "reason":
+			z.Reason, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LoadReason) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "calls"
+	err = en.Append(0x84, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	// write "ordered"
+	err = en.Append(0xa7, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Ordered)
+	if err != nil {
+		err = msgp.WrapError(err, "Ordered")
+		return
+	}
+	// write "outcome"
+	err = en.Append(0xa7, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Outcome)
+	if err != nil {
+		err = msgp.WrapError(err, "Outcome")
+		return
+	}
+	// write "reason"
+	err = en.Append(0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Reason)
+	if err != nil {
+		err = msgp.WrapError(err, "Reason")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadReason) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "calls"
+	o = append(o, 0x84, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	o = msgp.AppendInt(o, z.Calls)
+	// string "ordered"
+	o = append(o, 0xa7, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Ordered)
+	// string "outcome"
+	o = append(o, 0xa7, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Outcome)
+	// string "reason"
+	o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Reason)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadReason) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "calls":
+			z.Calls, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "ordered":
+			z.Ordered, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ordered")
+				return
+			}
+		case "outcome":
+			z.Outcome, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Outcome")
+				return
+			}
+		case "reason":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadReason) Msgsize() (s int) {
+	s = 1 + 6 + msgp.IntSize + 8 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Outcome) + 7 + msgp.StringPrefixSize + len(z.Reason)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -6273,6 +6459,29 @@
 				err = msgp.WrapError(err, "Rate")
 				return
 			}
+		case "reasons":
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Reasons")
+				return
+			}
+			if zb0006 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Reasons) >= int(zb0006) {
+				z.Reasons = (z.Reasons)[:zb0006]
+			} else {
+				z.Reasons = make([]LoadReason, zb0006)
+			}
+			for za0005 := range z.Reasons {
+				err = z.Reasons[za0005].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Reasons", za0005)
+					return
+				}
+			}
 		case "seed":
 			z.Seed, err = dc.ReadInt()
 			if err != nil {
@@ -6280,25 +6489,25 @@
 				return
 			}
 		case "services":
-			var zb0006 uint32
-			zb0006, err = dc.ReadArrayHeader()
+			var zb0007 uint32
+			zb0007, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Services")
 				return
 			}
-			if zb0006 > zf88ce922limitArrays {
+			if zb0007 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Services) >= int(zb0006) {
-				z.Services = (z.Services)[:zb0006]
+			if cap(z.Services) >= int(zb0007) {
+				z.Services = (z.Services)[:zb0007]
 			} else {
-				z.Services = make([]LoadReportService, zb0006)
+				z.Services = make([]LoadReportService, zb0007)
 			}
-			for za0005 := range z.Services {
-				err = z.Services[za0005].DecodeMsg(dc)
+			for za0006 := range z.Services {
+				err = z.Services[za0006].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Services", za0005)
+					err = msgp.WrapError(err, "Services", za0006)
 					return
 				}
 			}
@@ -6321,9 +6530,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *LoadRun) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
+	// map header, size 11
 	// write "duration_ms"
-	err = en.Append(0x8a, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
+	err = en.Append(0x8b, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
 	if err != nil {
 		return
 	}
@@ -6420,6 +6629,23 @@
 		err = msgp.WrapError(err, "Rate")
 		return
 	}
+	// write "reasons"
+	err = en.Append(0xa7, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Reasons)))
+	if err != nil {
+		err = msgp.WrapError(err, "Reasons")
+		return
+	}
+	for za0005 := range z.Reasons {
+		err = z.Reasons[za0005].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Reasons", za0005)
+			return
+		}
+	}
 	// write "seed"
 	err = en.Append(0xa4, 0x73, 0x65, 0x65, 0x64)
 	if err != nil {
@@ -6440,10 +6666,10 @@
 		err = msgp.WrapError(err, "Services")
 		return
 	}
-	for za0005 := range z.Services {
-		err = z.Services[za0005].EncodeMsg(en)
+	for za0006 := range z.Services {
+		err = z.Services[za0006].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0005)
+			err = msgp.WrapError(err, "Services", za0006)
 			return
 		}
 	}
@@ -6463,9 +6689,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LoadRun) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "duration_ms"
-	o = append(o, 0x8a, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
+	o = append(o, 0x8b, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt(o, z.DurationMs)
 	// string "late_starts"
 	o = append(o, 0xab, 0x6c, 0x61, 0x74, 0x65, 0x5f, 0x73, 0x74, 0x61, 0x72, 0x74, 0x73)
@@ -6501,16 +6727,26 @@
 	// string "rate"
 	o = append(o, 0xa4, 0x72, 0x61, 0x74, 0x65)
 	o = msgp.AppendInt(o, z.Rate)
+	// string "reasons"
+	o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Reasons)))
+	for za0005 := range z.Reasons {
+		o, err = z.Reasons[za0005].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Reasons", za0005)
+			return
+		}
+	}
 	// string "seed"
 	o = append(o, 0xa4, 0x73, 0x65, 0x65, 0x64)
 	o = msgp.AppendInt(o, z.Seed)
 	// string "services"
 	o = append(o, 0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
-	for za0005 := range z.Services {
-		o, err = z.Services[za0005].MarshalMsg(o)
+	for za0006 := range z.Services {
+		o, err = z.Services[za0006].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Services", za0005)
+			err = msgp.WrapError(err, "Services", za0006)
 			return
 		}
 	}
@@ -6652,6 +6888,29 @@
 				err = msgp.WrapError(err, "Rate")
 				return
 			}
+		case "reasons":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reasons")
+				return
+			}
+			if zb0006 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Reasons) >= int(zb0006) {
+				z.Reasons = (z.Reasons)[:zb0006]
+			} else {
+				z.Reasons = make([]LoadReason, zb0006)
+			}
+			for za0005 := range z.Reasons {
+				bts, err = z.Reasons[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Reasons", za0005)
+					return
+				}
+			}
 		case "seed":
 			z.Seed, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -6659,25 +6918,25 @@
 				return
 			}
 		case "services":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Services")
 				return
 			}
-			if zb0006 > zf88ce922limitArrays {
+			if zb0007 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Services) >= int(zb0006) {
-				z.Services = (z.Services)[:zb0006]
+			if cap(z.Services) >= int(zb0007) {
+				z.Services = (z.Services)[:zb0007]
 			} else {
-				z.Services = make([]LoadReportService, zb0006)
+				z.Services = make([]LoadReportService, zb0007)
 			}
-			for za0005 := range z.Services {
-				bts, err = z.Services[za0005].UnmarshalMsg(bts)
+			for za0006 := range z.Services {
+				bts, err = z.Services[za0006].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Services", za0005)
+					err = msgp.WrapError(err, "Services", za0006)
 					return
 				}
 			}
@@ -6717,9 +6976,13 @@
 	for za0004 := range z.Phases {
 		s += z.Phases[za0004].Msgsize()
 	}
-	s += 5 + msgp.IntSize + 5 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
-	for za0005 := range z.Services {
-		s += z.Services[za0005].Msgsize()
+	s += 5 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	for za0005 := range z.Reasons {
+		s += z.Reasons[za0005].Msgsize()
+	}
+	s += 5 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
+	for za0006 := range z.Services {
+		s += z.Services[za0006].Msgsize()
 	}
 	s += 8 + msgp.IntSize
 	return
@@ -7339,6 +7602,712 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *PolicyReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "capacity":
+			z.Capacity, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+		case "p999_ratio":
+			z.P999Ratio, err = dc.ReadFloat64()
+			if err != nil {
+				err = msgp.WrapError(err, "P999Ratio")
+				return
+			}
+		case "p99_ratio":
+			z.P99Ratio, err = dc.ReadFloat64()
+			if err != nil {
+				err = msgp.WrapError(err, "P99Ratio")
+				return
+			}
+		case "runs":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Runs")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Runs) >= int(zb0002) {
+				z.Runs = (z.Runs)[:zb0002]
+			} else {
+				z.Runs = make([]PolicyRun, zb0002)
+			}
+			for za0001 := range z.Runs {
+				err = z.Runs[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Runs", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PolicyReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "capacity"
+	err = en.Append(0x84, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Capacity)
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
+		return
+	}
+	// write "p999_ratio"
+	err = en.Append(0xaa, 0x70, 0x39, 0x39, 0x39, 0x5f, 0x72, 0x61, 0x74, 0x69, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.P999Ratio)
+	if err != nil {
+		err = msgp.WrapError(err, "P999Ratio")
+		return
+	}
+	// write "p99_ratio"
+	err = en.Append(0xa9, 0x70, 0x39, 0x39, 0x5f, 0x72, 0x61, 0x74, 0x69, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.P99Ratio)
+	if err != nil {
+		err = msgp.WrapError(err, "P99Ratio")
+		return
+	}
+	// write "runs"
+	err = en.Append(0xa4, 0x72, 0x75, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Runs)))
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
+	for za0001 := range z.Runs {
+		err = z.Runs[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Runs", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PolicyReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "capacity"
+	o = append(o, 0x84, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt(o, z.Capacity)
+	// string "p999_ratio"
+	o = append(o, 0xaa, 0x70, 0x39, 0x39, 0x39, 0x5f, 0x72, 0x61, 0x74, 0x69, 0x6f)
+	o = msgp.AppendFloat64(o, z.P999Ratio)
+	// string "p99_ratio"
+	o = append(o, 0xa9, 0x70, 0x39, 0x39, 0x5f, 0x72, 0x61, 0x74, 0x69, 0x6f)
+	o = msgp.AppendFloat64(o, z.P99Ratio)
+	// string "runs"
+	o = append(o, 0xa4, 0x72, 0x75, 0x6e, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
+	for za0001 := range z.Runs {
+		o, err = z.Runs[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Runs", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PolicyReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "capacity":
+			z.Capacity, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+		case "p999_ratio":
+			z.P999Ratio, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "P999Ratio")
+				return
+			}
+		case "p99_ratio":
+			z.P99Ratio, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "P99Ratio")
+				return
+			}
+		case "runs":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Runs) >= int(zb0002) {
+				z.Runs = (z.Runs)[:zb0002]
+			} else {
+				z.Runs = make([]PolicyRun, zb0002)
+			}
+			for za0001 := range z.Runs {
+				bts, err = z.Runs[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Runs", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PolicyReport) Msgsize() (s int) {
+	s = 1 + 9 + msgp.IntSize + 11 + msgp.Float64Size + 10 + msgp.Float64Size + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.Runs {
+		s += z.Runs[za0001].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *PolicyRun) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answered":
+			z.Answered, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Answered")
+				return
+			}
+		case "calls":
+			z.Calls, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "fell_over":
+			z.FellOver, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "FellOver")
+				return
+			}
+		case "hedges":
+			z.Hedges, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Hedges")
+				return
+			}
+		case "latency":
+			err = z.Latency.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Latency")
+				return
+			}
+		case "load_percent":
+			z.LoadPercent, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "LoadPercent")
+				return
+			}
+		case "not_run":
+			z.NotRun, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "other_answered":
+			z.OtherAnswered, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OtherAnswered")
+				return
+			}
+		case "other_calls":
+			z.OtherCalls, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OtherCalls")
+				return
+			}
+		case "other_latency":
+			err = z.OtherLatency.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "OtherLatency")
+				return
+			}
+		case "policy":
+			z.Policy, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Policy")
+				return
+			}
+		case "scenario":
+			z.Scenario, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Scenario")
+				return
+			}
+		case "seed":
+			z.Seed, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Seed")
+				return
+			}
+		case "unknown":
+			z.Unknown, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		case "violations":
+			z.Violations, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Violations")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PolicyRun) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 15
+	// write "answered"
+	err = en.Append(0x8f, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Answered)
+	if err != nil {
+		err = msgp.WrapError(err, "Answered")
+		return
+	}
+	// write "calls"
+	err = en.Append(0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	// write "fell_over"
+	err = en.Append(0xa9, 0x66, 0x65, 0x6c, 0x6c, 0x5f, 0x6f, 0x76, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.FellOver)
+	if err != nil {
+		err = msgp.WrapError(err, "FellOver")
+		return
+	}
+	// write "hedges"
+	err = en.Append(0xa6, 0x68, 0x65, 0x64, 0x67, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Hedges)
+	if err != nil {
+		err = msgp.WrapError(err, "Hedges")
+		return
+	}
+	// write "latency"
+	err = en.Append(0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
+	if err != nil {
+		return
+	}
+	err = z.Latency.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Latency")
+		return
+	}
+	// write "load_percent"
+	err = en.Append(0xac, 0x6c, 0x6f, 0x61, 0x64, 0x5f, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.LoadPercent)
+	if err != nil {
+		err = msgp.WrapError(err, "LoadPercent")
+		return
+	}
+	// write "not_run"
+	err = en.Append(0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.NotRun)
+	if err != nil {
+		err = msgp.WrapError(err, "NotRun")
+		return
+	}
+	// write "other_answered"
+	err = en.Append(0xae, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OtherAnswered)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherAnswered")
+		return
+	}
+	// write "other_calls"
+	err = en.Append(0xab, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OtherCalls)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherCalls")
+		return
+	}
+	// write "other_latency"
+	err = en.Append(0xad, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
+	if err != nil {
+		return
+	}
+	err = z.OtherLatency.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherLatency")
+		return
+	}
+	// write "policy"
+	err = en.Append(0xa6, 0x70, 0x6f, 0x6c, 0x69, 0x63, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Policy)
+	if err != nil {
+		err = msgp.WrapError(err, "Policy")
+		return
+	}
+	// write "scenario"
+	err = en.Append(0xa8, 0x73, 0x63, 0x65, 0x6e, 0x61, 0x72, 0x69, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Scenario)
+	if err != nil {
+		err = msgp.WrapError(err, "Scenario")
+		return
+	}
+	// write "seed"
+	err = en.Append(0xa4, 0x73, 0x65, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Seed)
+	if err != nil {
+		err = msgp.WrapError(err, "Seed")
+		return
+	}
+	// write "unknown"
+	err = en.Append(0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Unknown)
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	// write "violations"
+	err = en.Append(0xaa, 0x76, 0x69, 0x6f, 0x6c, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Violations)
+	if err != nil {
+		err = msgp.WrapError(err, "Violations")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PolicyRun) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 15
+	// string "answered"
+	o = append(o, 0x8f, 0xa8, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Answered)
+	// string "calls"
+	o = append(o, 0xa5, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	o = msgp.AppendInt(o, z.Calls)
+	// string "fell_over"
+	o = append(o, 0xa9, 0x66, 0x65, 0x6c, 0x6c, 0x5f, 0x6f, 0x76, 0x65, 0x72)
+	o = msgp.AppendInt(o, z.FellOver)
+	// string "hedges"
+	o = append(o, 0xa6, 0x68, 0x65, 0x64, 0x67, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.Hedges)
+	// string "latency"
+	o = append(o, 0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
+	o, err = z.Latency.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Latency")
+		return
+	}
+	// string "load_percent"
+	o = append(o, 0xac, 0x6c, 0x6f, 0x61, 0x64, 0x5f, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.LoadPercent)
+	// string "not_run"
+	o = append(o, 0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	o = msgp.AppendInt(o, z.NotRun)
+	// string "other_answered"
+	o = append(o, 0xae, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.OtherAnswered)
+	// string "other_calls"
+	o = append(o, 0xab, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	o = msgp.AppendInt(o, z.OtherCalls)
+	// string "other_latency"
+	o = append(o, 0xad, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
+	o, err = z.OtherLatency.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherLatency")
+		return
+	}
+	// string "policy"
+	o = append(o, 0xa6, 0x70, 0x6f, 0x6c, 0x69, 0x63, 0x79)
+	o = msgp.AppendString(o, z.Policy)
+	// string "scenario"
+	o = append(o, 0xa8, 0x73, 0x63, 0x65, 0x6e, 0x61, 0x72, 0x69, 0x6f)
+	o = msgp.AppendString(o, z.Scenario)
+	// string "seed"
+	o = append(o, 0xa4, 0x73, 0x65, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Seed)
+	// string "unknown"
+	o = append(o, 0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendInt(o, z.Unknown)
+	// string "violations"
+	o = append(o, 0xaa, 0x76, 0x69, 0x6f, 0x6c, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.Violations)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PolicyRun) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answered":
+			z.Answered, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Answered")
+				return
+			}
+		case "calls":
+			z.Calls, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "fell_over":
+			z.FellOver, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FellOver")
+				return
+			}
+		case "hedges":
+			z.Hedges, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hedges")
+				return
+			}
+		case "latency":
+			bts, err = z.Latency.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Latency")
+				return
+			}
+		case "load_percent":
+			z.LoadPercent, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LoadPercent")
+				return
+			}
+		case "not_run":
+			z.NotRun, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "other_answered":
+			z.OtherAnswered, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OtherAnswered")
+				return
+			}
+		case "other_calls":
+			z.OtherCalls, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OtherCalls")
+				return
+			}
+		case "other_latency":
+			bts, err = z.OtherLatency.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OtherLatency")
+				return
+			}
+		case "policy":
+			z.Policy, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Policy")
+				return
+			}
+		case "scenario":
+			z.Scenario, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Scenario")
+				return
+			}
+		case "seed":
+			z.Seed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Seed")
+				return
+			}
+		case "unknown":
+			z.Unknown, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		case "violations":
+			z.Violations, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Violations")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PolicyRun) Msgsize() (s int) {
+	s = 1 + 9 + msgp.IntSize + 6 + msgp.IntSize + 10 + msgp.IntSize + 7 + msgp.IntSize + 8 + z.Latency.Msgsize() + 13 + msgp.IntSize + 8 + msgp.IntSize + 15 + msgp.IntSize + 12 + msgp.IntSize + 14 + z.OtherLatency.Msgsize() + 7 + msgp.StringPrefixSize + len(z.Policy) + 9 + msgp.StringPrefixSize + len(z.Scenario) + 5 + msgp.IntSize + 8 + msgp.IntSize + 11 + msgp.IntSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *RingDump) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/standin/caller_test.go
+++ b/standin/caller_test.go
@@ -15,36 +15,40 @@
 func TestOrderIdentityRepeats(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
-		outcomes []string
-		renew    bool
-		want     orderIdentity
+		results []exchange
+		renew   bool
+		want    orderIdentity
 	}{
 		"with its id and a higher attempt": {
-			outcomes: []string{outcomeNotRun}, want: orderIdentity{id: "id", attempt: 1},
+			results: []exchange{{outcome: outcomeNotRun}}, want: orderIdentity{id: "id", attempt: 1},
 		},
 		"with another id if it was not run": {
-			outcomes: []string{outcomeNotRun}, renew: true, want: orderIdentity{attempt: 1},
+			results: []exchange{{outcome: outcomeNotRun}}, renew: true, want: orderIdentity{attempt: 1, renewed: true},
+		},
+		"with an id if its number could not be claimed": {
+			results: []exchange{{outcome: outcomeNotRun, reason: "platform_unavailable"}},
+			want:    orderIdentity{attempt: 1, renewed: true},
 		},
 		"with its id if it may have run": {
-			outcomes: []string{outcomeUnknown}, renew: true, want: orderIdentity{id: "id", attempt: 1, uncertain: true},
+			results: []exchange{{outcome: outcomeUnknown}}, renew: true, want: orderIdentity{id: "id", attempt: 1, uncertain: true},
 		},
 		"with its id if it once may have run": {
-			outcomes: []string{outcomeUnknown, outcomeNotRun}, renew: true,
+			results: []exchange{{outcome: outcomeUnknown}, {outcome: outcomeNotRun}}, renew: true,
 			want: orderIdentity{id: "id", attempt: 2, uncertain: true},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			identity := orderIdentity{id: "id"}
-			for _, outcome := range test.outcomes {
-				identity.repeat(exchange{outcome: outcome}, test.renew)
+			for _, result := range test.results {
+				identity.repeat(result, test.renew)
 			}
 			assert.Equal(t, identity, test.want)
 		})
 	}
 }
 
-func TestCallerFailureOutcome(t *testing.T) {
+func TestCallerFailure(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
 		err  error
@@ -58,7 +62,27 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			assert.Equal(t, failureOutcome(test.err), test.want)
+			assert.Equal(t, failure(test.err).outcome, test.want)
+		})
+	}
+}
+
+func TestTryDeadline(t *testing.T) {
+	t.Parallel()
+	now := time.UnixMilli(0)
+	for name, test := range map[string]struct {
+		left time.Duration
+		try  int
+		want time.Duration
+	}{
+		"a third for the first try": {left: 3 * time.Second, try: 0, want: time.Second},
+		"half of what is left then": {left: 2 * time.Second, try: 1, want: time.Second},
+		"all for the last try":      {left: time.Second, try: 2, want: time.Second},
+		"none after the deadline":   {left: 0, try: 1, want: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			assert.Equal(t, tryDeadline(now, now.Add(test.left), test.try), now.Add(test.want))
 		})
 	}
 }
