Check the deadlines of waiting requests only when one is due

Cause: the order book looked at every run each 5 ms.

Ruled out: a heap of deadlines; requests end long before they are due, so it would mostly be emptied.

Change: the book knows a time before which no deadline passes.

Before/after: TestRequestsForOneOrderEndAtTheirOwnDeadlines is new and passes; the cost was not measured.

Conclusion: a tick costs nothing while no request is due.

--- a/caller/order_book.go
+++ b/caller/order_book.go
@@ -57,7 +57,9 @@
 	oldest orderHeap
 	// floor is the newest time of issue that was refused without being
 	// remembered. An unseen order that is not newer never runs.
-	floor   time.Time
+	floor time.Time
+	// due is not later than the earliest deadline of a request that waits.
+	due     time.Time
 	kept    int
 	actions []OrderAction
 }
@@ -214,6 +216,15 @@
 	return b
 }
 
+// earlier returns the earlier of two times, of which the first may be zero.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+
+	return a
+}
+
 // start begins the only run of the order.
 func (b *OrderBook) start(entry *order, event OrderArrived) {
 	entry.state, entry.outcome = OrderClaimed, nil
@@ -232,6 +243,7 @@
 
 		return
 	}
+	b.due = earlier(b.due, request.Call.Deadline)
 	entry.waiters = append(entry.waiters, waiter{
 		call: request.Call.ID, attempt: request.Attempt, deadline: request.Call.Deadline,
 	})
@@ -362,17 +374,22 @@
 
 // expire ends the requests whose deadline passed while the run goes on.
 func (b *OrderBook) expire(now time.Time) {
+	if b.due.IsZero() || now.Before(b.due) {
+		return
+	}
+	b.due = time.Time{}
 	for _, entry := range b.runs {
-		waiting := entry.waiters[:0]
-		for _, request := range entry.waiters {
+		waiting := entry.waiters
+		entry.waiters = nil
+		for _, request := range waiting {
 			if now.Before(request.deadline) {
-				waiting = append(waiting, request)
+				entry.waiters = append(entry.waiters, request)
+				b.due = earlier(b.due, request.deadline)
 
 				continue
 			}
 			b.end(request.call, entry.id, Unknown{Reason: ReasonDeadline})
 		}
-		entry.waiters = waiting
 	}
 }
 
--- a/caller/order_book_test.go
+++ b/caller/order_book_test.go
@@ -182,3 +182,20 @@
 		})
 	}
 }
+
+func TestRequestsForOneOrderEndAtTheirOwnDeadlines(t *testing.T) {
+	book := caller.NewOrderBook(incarnationA, time.Minute, 10, bookStart)
+	for call, deadline := range map[caller.CallID]time.Duration{1: 3 * time.Second, 2: time.Second, 3: 2 * time.Second} {
+		arrived := caller.OrderArrived{OrderRequest: request(call, 0, orderAt(0)), Run: 100 + call}
+		arrived.Call.Deadline = bookStart.Add(deadline)
+		book.Step(bookStart, arrived)
+	}
+	for second, call := range []caller.CallID{0, 2, 3, 1} {
+		var want []caller.OrderAction
+		if call > 0 {
+			want = append(want, caller.EndRequest{Call: call, Order: orderAt(0), Outcome: caller.Unknown{Reason: caller.ReasonDeadline}})
+		}
+		assert.DeepEqual(t, book.Step(bookStart.Add(time.Duration(second)*time.Second), caller.OrdersTicked{}), want)
+	}
+	assert.Assert(t, book.Busy(), "the run goes on")
+}
