Make a replaced process refuse

Cause: a process that was frozen while another took its name would place calls and spend the host's share of the probe budget twice after its thaw. Change: a host that hears its own name with a later incarnation is isolated for good; a peer tells an outdated sender its successor's record. Before/after: TestReplacedProcessRefuses; go test ./peer ./host passes. Conclusion: incarnations are ULIDs, so a replacement whose clock is behind the start of the process before it would be refused: said in docs/MEMBERSHIP.md.

--- a/peer/digest.go
+++ b/peer/digest.go
@@ -39,12 +39,18 @@
 }
 
 // turnRecords returns the records whose turn it is: a changed one with every
-// other digest, any one now and then, and several to greet a host that was not
-// known.
+// other digest, any one now and then, several to greet a host that was not
+// known, and its successor's to a process that was replaced.
 func (m *Membership) turnRecords() []schema.Host {
 	bound := 0
 	m.digests++
 	switch {
+	case m.outdated != "":
+		r := m.records[m.outdated]
+		m.outdated = ""
+		if r != nil {
+			return []schema.Host{r.announced()}
+		}
 	case m.greet:
 		bound, m.greet = greetingHosts, false
 	case m.digests%digestTurn == 0, m.digests%2 == 0 && m.changed():
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -39,6 +39,8 @@
 	sent      uint64
 	digests   uint64
 	greet     bool
+	outdated  string
+	replaced  bool
 	shares    int
 	ticked    time.Time
 	startedAt time.Time
@@ -118,8 +120,12 @@
 }
 
 // isolated reports whether this host has heard neither the platform nor half of
-// its peers for too long, or was frozen and has not caught up since.
+// its peers for too long, was frozen and has not caught up since, or was
+// replaced by a later process of the same name.
 func (m *Membership) isolated(now time.Time) bool {
+	if m.replaced {
+		return true
+	}
 	if !m.thawedAt.IsZero() && !m.caughtUp() {
 		return true
 	}
@@ -208,10 +214,12 @@
 // digest adopts what another host says.
 func (m *Membership) digest(now time.Time, event DigestHeard) []Action {
 	digest := event.Digest
-	if digest.Sender.Name == m.Self.Name {
+	known := m.incarnation(digest.Sender.Name)
+	if known > digest.Sender.Incarnation {
+		m.outdated = digest.Sender.Name
+
 		return nil
 	}
-	known := m.incarnation(digest.Sender.Name)
 	m.greet = m.greet || known != digest.Sender.Incarnation
 	m.newest = max(m.newest, digest.ConfigurationVersion)
 	m.hear(now, digest.Sender)
@@ -235,6 +243,8 @@
 // hear adopts a record.
 func (m *Membership) hear(now time.Time, host schema.Host) {
 	if host.Name == m.Self.Name {
+		m.replaced = m.replaced || host.Incarnation > m.Self.Incarnation
+
 		return
 	}
 	known, ok := m.records[host.Name]
--- a/peer/membership_test.go
+++ b/peer/membership_test.go
@@ -274,3 +274,15 @@
 	}
 	assert.Equal(t, fetches, 1)
 }
+
+func TestReplacedProcessRefuses(t *testing.T) {
+	before, other := memberOf(1), peer.NewMembership(start, hostNamed(1, 1), interval, 1)
+	after := peer.NewMembership(start, hostNamed(0, 2), interval, 1)
+	now := start.Add(interval)
+	other.Step(now, peer.DigestHeard{Digest: after.Digest()})
+	other.Step(now, peer.DigestHeard{Digest: before.Digest()})
+	assert.Assert(t, !before.Isolated)
+	before.Step(now, peer.DigestHeard{Digest: other.Answer(now), Asked: now})
+	assert.Assert(t, before.Isolated)
+	assert.Assert(t, !other.Isolated)
+}
