--- a/host/outage_test.go
+++ b/host/outage_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -41,16 +40,6 @@
 	return server.Listener.Addr().String()
 }
 
-// freeAddress returns an address that nobody listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-
-	return listener.Addr().String()
-}
-
 // settingsOf returns the settings of a host in a test.
 func settingsOf(t *testing.T, name, platformAddress string) schema.HostSettings {
 	t.Helper()
