--- a/host/keeper.go
+++ b/host/keeper.go
@@ -59,11 +59,19 @@
 // serve keeps a change and replies. A data centre's change that cannot be kept
 // yet stays in force and is retried.
 func (k *keeper) serve(ctx context.Context, request keepRequest) error {
-	result, failure := k.keep(ctx, request.change, request.id)
 	_, override := request.change.(operator.SetDataCentre)
+	inForce := schema.ChangeResult{State: stateInForce, ChangeID: request.id}
+	lost := func() {
+		// The operator does not wait for the writes that follow a lost reply.
+		if override && request.reply != nil {
+			k.host.replyChange(request.reply, inForce, nil)
+			request.reply = nil
+		}
+	}
+	result, failure := k.keep(ctx, request.change, request.id, lost)
 	if failure != nil && override && pending(failure) {
 		k.due[request.id] = time.Now()
-		result, failure = schema.ChangeResult{State: stateInForce, ChangeID: request.id}, nil
+		result, failure = inForce, nil
 	}
 	k.host.replyChange(request.reply, result, failure)
 
@@ -91,7 +99,7 @@
 			continue
 		}
 		change := operator.SetDataCentre{Name: override.DataCentre, State: override.State}
-		result, failure := k.keep(ctx, change, override.ChangeID)
+		result, failure := k.keep(ctx, change, override.ChangeID, func() {})
 		if failure == nil {
 			k.host.replyChange(nil, result, nil)
 		} else {
@@ -103,12 +111,13 @@
 	return ctx.Err()
 }
 
-// keep applies a change to the configuration in the platform's table. A data
-// centre's change is applied again after a conflict; a sheet is not.
-func (k *keeper) keep(ctx context.Context, change operator.Change, id string) (schema.ChangeResult, error) {
+// keep applies a change to the configuration in the platform's table, and calls
+// lost at each write whose reply is lost. A data centre's change is applied
+// again after a conflict; a sheet is not.
+func (k *keeper) keep(ctx context.Context, change operator.Change, id string, lost func()) (schema.ChangeResult, error) {
 	var failure error
 	for range keepTries {
-		result, err := k.try(ctx, change, id)
+		result, err := k.try(ctx, change, id, lost)
 		var conflict *platform.ConflictError
 		_, sheet := change.(operator.ReplaceSheet)
 		if sheet || !errors.As(err, &conflict) {
@@ -121,7 +130,7 @@
 }
 
 // try reads the configuration, applies the change and writes the result once.
-func (k *keeper) try(ctx context.Context, change operator.Change, id string) (schema.ChangeResult, error) {
+func (k *keeper) try(ctx context.Context, change operator.Change, id string, lost func()) (schema.ChangeResult, error) {
 	failed := schema.ChangeResult{ChangeID: id}
 	current, err := k.read()
 	if err != nil {
@@ -137,7 +146,7 @@
 	}
 	result := schema.ChangeResult{State: stateUnchanged, Version: current.Version, ChangeID: current.ChangeID}
 	if applied.Changed {
-		version, err := k.write(applied.Configuration, current.Version)
+		version, err := k.write(applied.Configuration, current.Version, lost)
 		if err != nil {
 			return failed, err
 		}
@@ -172,7 +181,7 @@
 }
 
 // write writes the configuration and returns the version that holds it.
-func (k *keeper) write(next schema.Configuration, base int) (int, error) {
+func (k *keeper) write(next schema.Configuration, base int, lost func()) (int, error) {
 	transaction, err := platform.Encode(next, base)
 	if err != nil {
 		return 0, err
@@ -183,6 +192,7 @@
 		case platform.Write:
 			result, err := k.host.platform.Write(wanted.Transaction)
 			if err != nil {
+				lost()
 				action = writer.Step(platform.Failed{Cause: err})
 			} else {
 				action = writer.Step(platform.Replied{Result: result})
