--- a/Makefile
+++ b/Makefile
@@ -73,3 +73,8 @@
 policies: build
 	mkdir -p out
 	bin/standin-policies --report out/policies.json --plot out/policies.svg
+
+.PHONY: bench
+# bench measures what one entry host adds to a call, on a quiet machine.
+bench: build
+	scripts/bench.sh
