Split the membership by what it decides

Cause: peer/membership.go had grown to 447 lines. Change: isolation.go and live.go hold their parts; nothing else moves. Before/after: go test ./peer passes; the longest file has 263 lines. Conclusion: as before.

--- a/peer/membership.go
+++ b/peer/membership.go
@@ -1,15 +1,11 @@
 package peer
 
 import (
-	"cmp"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -112,106 +108,11 @@
 }
 
 // thaw isolates this host until it has heard the platform or a peer again. The
-// silence of others was its own.
-func (m *Membership) thaw(now time.Time) {
-	m.ticked, m.thawedAt = now, now
-	for _, r := range m.records {
-		r.heardAt = now
-	}
-}
-
 // isolated reports whether this host has heard neither the platform nor half of
 // its peers for too long, was frozen and has not caught up since, or was
-// replaced by a later process of the same name.
-func (m *Membership) isolated(now time.Time) bool {
-	if m.replaced {
-		return true
-	}
-	if !m.thawedAt.IsZero() && !m.caughtUp() {
-		return true
-	}
-	m.thawedAt = time.Time{}
-	bound := max(IsolatedAfter, m.takeover())
-	if now.Sub(m.platform) < bound || now.Sub(m.startedAt) < bound {
-		return false
-	}
-	heard := 0
-	for _, r := range m.records {
-		if now.Sub(r.heardAt) < bound {
-			heard++
-		}
-	}
-
-	return 2*heard < m.known()
-}
-
 // caughtUp reports whether the platform or a peer answered something asked
-// since the freeze, and no peer has a newer configuration.
-func (m *Membership) caughtUp() bool {
-	return (m.platform.After(m.thawedAt) || m.answered.After(m.thawedAt)) && m.Version >= m.newest
-}
-
-// known returns the number of other hosts that this host knows of.
-func (m *Membership) known() int {
-	names := map[string]struct{}{}
-	for name, r := range m.records {
-		if r.host.State != schema.HostStateLeaving {
-			names[name] = struct{}{}
-		}
-	}
-	for _, host := range m.listed {
-		names[host.Name] = struct{}{}
-	}
-	for _, host := range m.seeds {
-		names[host.Name] = struct{}{}
-	}
-	for name := range m.leaving {
-		delete(names, name)
-	}
-	delete(names, m.Self.Name)
-
-	return len(names)
-}
-
 // list adopts the platform's list. A host that it newly calls leaving is
-// treated as leaving until another incarnation of it is heard.
-func (m *Membership) list(list schema.HostList) {
-	m.listed = map[string]schema.ListedHost{}
-	leaving := map[string]string{}
-	for _, host := range list.Hosts {
-		m.listed[host.Name] = host
-		if host.State != schema.HostStateLeaving {
-			continue
-		}
-		incarnation, known := m.leaving[host.Name]
-		if !known {
-			incarnation = m.incarnation(host.Name)
-		}
-		leaving[host.Name] = incarnation
-	}
-	m.leaving = leaving
-}
-
-// incarnation returns the known incarnation of a host, or nothing.
-func (m *Membership) incarnation(name string) string {
-	if name == m.Self.Name {
-		return m.Self.Incarnation
-	}
-	if r, ok := m.records[name]; ok {
-		return r.host.Incarnation
-	}
-
-	return ""
-}
-
 // listedLeaving reports whether the platform's list alone calls the host's
-// incarnation leaving.
-func (m *Membership) listedLeaving(host schema.Host) bool {
-	incarnation, ok := m.leaving[host.Name]
-
-	return ok && (incarnation == "" || incarnation == host.Incarnation)
-}
-
 // digest adopts what another host says.
 func (m *Membership) digest(now time.Time, event DigestHeard) []Action {
 	digest := event.Digest
@@ -336,91 +237,7 @@
 	return list
 }
 
-// takeover returns the silence after which a host's cells are taken over.
-func (m *Membership) takeover() time.Duration {
-	return max(TakeoverAfter, time.Duration(len(m.records))*takeoverPerHost)
-}
-
 // relive settles this host's state and reports the live hosts, the isolation
-// and the shares if they are others than before.
-func (m *Membership) relive(now time.Time) []Action {
-	var actions []Action
-	if isolated := m.isolated(now); isolated != m.Isolated {
-		m.Isolated = isolated
-		actions = append(actions, IsolationChanged{Isolated: isolated})
-	}
-	if m.Self.State != schema.HostStateLeaving {
-		m.Self.State = schema.HostStateJoining
-		if m.Version > 0 && !m.Isolated {
-			m.Self.State = schema.HostStateLive
-		}
-	}
-	live := m.findLive(now)
-	changed := !slices.EqualFunc(live, m.live, sameIncarnation)
-	if changed {
-		m.live = live
-		m.Loans.ChangeView(now, viewOf(live))
-	}
-	// Shares of the view before are given up before cells are taken over.
-	if shares := m.Loans.Held(now); shares != m.shares {
-		m.shares = shares
-		actions = append(actions, SharesChanged{Held: shares})
-	}
-	leaving := m.findLeaving(now)
-	if changed || !slices.EqualFunc(leaving, m.draining, sameIncarnation) {
-		m.draining = leaving
-		actions = append(actions, LiveChanged{Hosts: live, Leaving: leaving})
-	}
-
-	return actions
-}
-
-// findLive returns the live hosts by name.
-func (m *Membership) findLive(now time.Time) []schema.Host {
-	var live []schema.Host
-	if m.Self.State == schema.HostStateLive && !m.listedLeaving(m.Self) {
-		live = append(live, m.Self)
-	}
-	bound := m.takeover()
-	for _, r := range m.records {
-		if r.alive(now, bound) && !m.listedLeaving(r.host) {
-			live = append(live, r.host)
-		}
-	}
-	slices.SortFunc(live, func(a, b schema.Host) int { return cmp.Compare(a.Name, b.Name) })
-
-	return live
-}
-
-// findLeaving returns the hosts that leave and still answer, by name.
-func (m *Membership) findLeaving(now time.Time) []schema.Host {
-	var leaving []schema.Host
-	for _, r := range m.records {
-		heard := !r.dead && now.Sub(r.heardAt) < m.takeover()
-		if heard && (r.host.State == schema.HostStateLeaving || m.listedLeaving(r.host)) {
-			leaving = append(leaving, r.host)
-		}
-	}
-	slices.SortFunc(leaving, func(a, b schema.Host) int { return cmp.Compare(a.Name, b.Name) })
-
-	return leaving
-}
-
-// sameIncarnation reports whether two records are of the same process.
-func sameIncarnation(a, b schema.Host) bool {
-	return a.Name == b.Name && a.Incarnation == b.Incarnation
-}
-
-// viewOf identifies the live hosts, which alone decide who owns a cell.
-func viewOf(live []schema.Host) int {
-	digest := xxhash.New()
-	for _, host := range live {
-		_, _ = digest.WriteString(host.Name + "\x00" + host.Incarnation + "\x00") // it never fails
-	}
-
-	return int(digest.Sum64() & math.MaxUint32)
-}
-
 // check asserts the invariants.
 func (m *Membership) check(now time.Time) []Action {
 	var broken []Action
@@ -436,11 +253,6 @@
 	return broken
 }
 
-// Live returns the live hosts by name.
-func (m *Membership) Live() []schema.Host {
-	return m.live
-}
-
 // Shares returns the number of shares of the probe budget that are held.
 func (m *Membership) Shares() int {
 	return max(m.shares, 0)
