--- a/backendhttp/backendhttp.go
+++ b/backendhttp/backendhttp.go
@@ -4,7 +4,11 @@
 // to change the encoding towards backend servers.
 package backendhttp
 
-import "github.com/baobabdrum/baobabdrum/dispatch"
+import (
+	"bytes"
+
+	"github.com/baobabdrum/baobabdrum/dispatch"
+)
 
 // Header fields between entry hosts, callers and backend servers.
 const (
@@ -40,6 +44,8 @@
 	chunkSize = 32 << 10
 	// chunkRing is the number of parts that wait for the caller.
 	chunkRing = 8
+	// usualHeaders is the number of header fields to make room for.
+	usualHeaders = 8
 	// readSize is the size in bytes of the first buffer for a body of unknown
 	// length.
 	readSize = 4 << 10
@@ -59,10 +65,32 @@
 	"host":                true,
 }
 
-// PassedOn reports whether a header field with this lower-case name is passed
-// on between callers and backend servers.
-func PassedOn(lower string) bool {
-	return !hopByHop[lower] && (len(lower) < len(HeaderPrefix) || lower[:len(HeaderPrefix)] != "baobabdrum-")
+// longestHopByHop is the length in bytes of the longest name in hopByHop.
+const longestHopByHop = len("proxy-authorization")
+
+// isHopByHop reports whether a header field concerns one connection only.
+func isHopByHop(name []byte) bool {
+	if len(name) > longestHopByHop {
+		return false
+	}
+	var buffer [longestHopByHop]byte
+	lower := buffer[:len(name)]
+	for i, char := range name {
+		if 'A' <= char && char <= 'Z' {
+			char += 'a' - 'A'
+		}
+		lower[i] = char
+	}
+
+	return hopByHop[string(lower)]
+}
+
+// PassedOn reports whether a header field with this name is passed on between
+// callers and backend servers.
+func PassedOn(name []byte) bool {
+	ours := len(name) >= len(HeaderPrefix) && bytes.EqualFold(name[:len(HeaderPrefix)], []byte(HeaderPrefix))
+
+	return !ours && !isHopByHop(name)
 }
 
 // shed reports whether the answer says that the call was not run.
--- /dev/null
+++ b/backendhttp/backendhttp_test.go
@@ -0,0 +1,27 @@
+package backendhttp_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+)
+
+func TestPassedOn(t *testing.T) {
+	tests := map[string]struct {
+		names []string
+		want  bool
+	}{
+		"end to end":        {names: []string{"Accept", "content-type", "X-Forge", "Baobab", "Echo", "A-Name-Longer-Than-Any-Hop-By-Hop-One"}, want: true},
+		"of one connection": {names: []string{"Connection", "KEEP-ALIVE", "transfer-Encoding", "Proxy-Authorization", "Host", "Content-Length"}},
+		"between hosts":     {names: []string{"Baobabdrum-Hops", "baobabdrum-shed", "BAOBABDRUM-X"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, header := range test.names {
+				assert.Equal(t, backendhttp.PassedOn([]byte(header)), test.want, header)
+			}
+		})
+	}
+}
--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -41,6 +41,7 @@
 	Address string
 
 	conn   net.Conn
+	peeker *tcp.Peeker
 	reader *bufio.Reader
 	writer *bufio.Writer
 	sent   int
@@ -69,7 +70,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "connecting to %s", c.Address)
 	}
-	c.conn = conn
+	c.conn, c.peeker = conn, tcp.NewPeeker(conn)
 	if c.reader == nil {
 		c.reader, c.writer = bufio.NewReaderSize(conn, headSize), bufio.NewWriterSize(c, writeSize)
 	}
@@ -87,7 +88,7 @@
 
 // usable reports whether a request may be sent on the open connection.
 func (c *Connection) usable() bool {
-	return c.reader.Buffered() == 0 && tcp.Peek(c.conn) == tcp.Quiet
+	return c.reader.Buffered() == 0 && c.peeker.Peek() == tcp.Quiet
 }
 
 // Check closes the connection if it can't be used any more.
--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -6,7 +6,6 @@
 	"io"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -214,14 +213,14 @@
 	answer := &dispatch.Answer{
 		Status:    response.StatusCode(),
 		Length:    response.Header.ContentLength(),
+		Headers:   make([]dispatch.Header, 0, usualHeaders),
 		Forwarded: attempt.Forward,
 	}
 	if attempt.Forward {
 		answer.Outcome = outcome(string(response.Header.Peek(HeaderOutcome)), string(response.Header.Peek(HeaderReason)))
 	}
 	for name, value := range response.Header.All() {
-		lower := strings.ToLower(string(name))
-		if PassedOn(lower) || attempt.Forward && !hopByHop[lower] || string(name) == HeaderShed {
+		if PassedOn(name) || attempt.Forward && !isHopByHop(name) || string(name) == HeaderShed {
 			answer.Headers = append(answer.Headers, dispatch.Header{Name: string(name), Value: string(value)})
 		}
 	}
--- a/callerhttp/call.go
+++ b/callerhttp/call.go
@@ -83,7 +83,7 @@
 		Body:   append([]byte(nil), c.Request().Body()...),
 	}
 	for name, value := range c.Request().Header.All() {
-		if backendhttp.PassedOn(strings.ToLower(string(name))) {
+		if backendhttp.PassedOn(name) {
 			copied.Headers = append(copied.Headers, dispatch.Header{Name: string(name), Value: string(value)})
 		}
 	}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -56,6 +56,17 @@
 # sum FILE FIELD: adds up a field of a report.
 sum() { awk -F'[:,]' -v field="\"$2\"" '$1 ~ field { total += $2 } END { print total + 0 }' "$1"; }
 
+# cpu_ms: prints the processor time that the host has used in ms.
+cpu_ms() { awk -v ticks="$(getconf CLK_TCK)" '{ print int(($14 + $15) * 1000 / ticks) }' "/proc/${pids[bench-1]}/stat"; }
+
+# own: prints the calls that the host itself saw adding at most 0.41 ms, and all.
+own() {
+  curl -sSf "http://$(operator_address 0)/metrics" | awk '
+    /^baobabdrum_added_latency_seconds_bucket\{le="0.00041"\}/ { within = $2 }
+    /^baobabdrum_added_latency_seconds_count/ { all = $2 }
+    END { print within + 0, all + 0 }'
+}
+
 # spread NAME VALUES...: prints the median in ms, and the least and largest.
 spread() {
   local name=$1
@@ -68,13 +79,16 @@
 direct=$(IFS=, && echo "${servers[*]}")
 load warm "$(caller_address 0)" false 2000 >/dev/null
 for rate in $rates; do
-  p50=() p99=() direct50=() direct99=()
+  p50=() p99=() direct50=() direct99=() used=0
+  read -r within_before all_before < <(own)
   for ((round = 1; round <= rounds; round++)); do
     read -r d50 d99 < <(load "direct-$rate-$round" "$direct" true "$rate")
     if [[ -n ${PROFILE:-} && $round == "$rounds" ]]; then
       start profile curl -sSf -o "$PROFILE.$rate" "http://$(operator_address 0)/debug/profile?seconds=$seconds"
     fi
+    before=$(cpu_ms)
     read -r h50 h99 < <(load "host-$rate-$round" "$(caller_address 0)" false "$rate")
+    used=$((used + $(cpu_ms) - before))
     p50+=($((h50 - d50))) p99+=($((h99 - d99)))
     direct50+=("$d50") direct99+=("$d99")
   done
@@ -83,5 +97,8 @@
   spread direct_p99_ms "${direct99[@]}"
   spread added_p50_ms "${p50[@]}"
   spread added_p99_ms "${p99[@]}"
+  read -r within all < <(own)
+  awk -v used="$used" -v calls="$((all - all_before))" -v within="$((within - within_before))" 'BEGIN {
+    printf "host_cpu_us_per_call=%.1f within_0.41_ms_by_the_host=%.2f%%\n", used * 1000 / calls, within * 100 / calls }'
 done
 echo "load average: $(cut -d' ' -f1-3 /proc/loadavg)"
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -24,25 +24,47 @@
 // connection that is no socket counts as quiet; one whose read deadline has
 // passed counts as closed.
 func Peek(conn net.Conn) State {
+	return NewPeeker(conn).Peek()
+}
+
+// Peeker looks at one connection again and again. One goroutine uses it at a
+// time.
+type Peeker struct {
+	raw   syscall.RawConn
+	look  func(descriptor uintptr) bool
+	state State
+}
+
+// NewPeeker returns a peeker for the connection.
+func NewPeeker(conn net.Conn) *Peeker {
+	peeker := &Peeker{}
 	system, ok := conn.(syscall.Conn)
 	if !ok {
-		return Quiet
+		return peeker
 	}
 	raw, err := system.SyscallConn()
 	if err != nil {
-		return Closed
+		peeker.state = Closed
+
+		return peeker
 	}
-	state := Closed
-	peek := func(descriptor uintptr) bool {
-		state = peekDescriptor(int(descriptor))
+	peeker.raw = raw
+	peeker.look = func(descriptor uintptr) bool {
+		peeker.state = peekDescriptor(int(descriptor))
 
 		return true
 	}
-	if raw.Read(peek) != nil {
+
+	return peeker
+}
+
+// Peek returns the state of the connection as the function Peek does.
+func (p *Peeker) Peek() State {
+	if p.raw != nil && p.raw.Read(p.look) != nil {
 		return Closed
 	}
 
-	return state
+	return p.state
 }
 
 // peekDescriptor returns the state of a socket.
