--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -201,7 +201,7 @@
 		d.adoptCells(now)
 	case Hosts:
 		d.Metrics.Hosts(len(input.Hosts))
-		d.caller(now, caller.HostsChanged{Hosts: input.Hosts})
+		d.caller(now, caller.HostsChanged{Hosts: input.Hosts, Leaving: input.Leaving})
 		d.adoptCells(now)
 	case Isolate:
 		d.isolated = input.Isolated
--- a/peer/membership.go
+++ b/peer/membership.go
@@ -29,13 +29,16 @@
 	Interval time.Duration
 
 	records   map[string]*record
+	hashes    map[int]*record
 	listed    map[string]schema.ListedHost
 	leaving   map[string]string
 	seeds     []schema.ListedHost
 	live      []schema.Host
+	draining  []schema.Host
 	order     []string
 	random    *rand.Rand
 	sent      uint64
+	digests   uint64
 	greet     bool
 	shares    int
 	ticked    time.Time
@@ -55,8 +58,10 @@
 		Loans:     NewLoans(now),
 		Interval:  interval,
 		records:   map[string]*record{},
+		hashes:    map[int]*record{},
 		listed:    map[string]schema.ListedHost{},
 		leaving:   map[string]string{},
+		shares:    -1,                             // so that the first step tells how many are held
 		random:    rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // the order of exchanges is no secret
 		ticked:    now,
 		startedAt: now,
@@ -65,6 +70,9 @@
 
 // Step reacts to one event.
 func (m *Membership) Step(now time.Time, event Event) []Action {
+	if now.Sub(m.ticked) > FrozenAfter {
+		m.thaw(now)
+	}
 	var actions []Action
 	switch event := event.(type) {
 	case Ticked:
@@ -88,12 +96,8 @@
 	return append(actions, m.check(now)...)
 }
 
-// tick notices a freeze of this host, announces a heartbeat and starts the next
-// exchange.
+// tick announces a heartbeat and starts the next exchange.
 func (m *Membership) tick(now time.Time) []Action {
-	if now.Sub(m.ticked) > FrozenAfter {
-		m.thaw(now)
-	}
 	m.ticked = now
 	m.Self.Heartbeat++
 	m.forget(now)
@@ -108,7 +112,7 @@
 // thaw isolates this host until it has heard the platform or a peer again. The
 // silence of others was its own.
 func (m *Membership) thaw(now time.Time) {
-	m.thawedAt = now
+	m.ticked, m.thawedAt = now, now
 	for _, r := range m.records {
 		r.heardAt = now
 	}
@@ -234,21 +238,21 @@
 	if host.Name == m.Self.Name {
 		return
 	}
-	if known, ok := m.records[host.Name]; ok {
+	known, ok := m.records[host.Name]
+	if ok {
 		known.hear(now, host)
-
-		return
+	} else {
+		known = newRecord(now, host)
+		m.records[host.Name] = known
 	}
-	m.records[host.Name] = newRecord(now, host)
+	m.hashes[hash(known.host)] = known
 }
 
-// hearBeats adopts heartbeats of known hosts.
+// hearBeats adopts heartbeats of known incarnations.
 func (m *Membership) hearBeats(now time.Time, beats []schema.Heartbeat) {
 	for _, beat := range beats {
-		for _, r := range m.records {
-			if hash(r.host) == beat.HostHash {
-				r.beat(now, beat.Counter)
-			}
+		if r, ok := m.hashes[beat.HostHash]; ok && hash(r.host) == beat.HostHash {
+			r.beat(now, beat.Counter)
 		}
 	}
 }
@@ -269,6 +273,11 @@
 			delete(m.records, name)
 		}
 	}
+	for key, r := range m.hashes {
+		if m.records[r.host.Name] != r || hash(r.host) != key {
+			delete(m.hashes, key)
+		}
+	}
 }
 
 // fetch asks the sender of a digest for its configuration if that is newer, one
@@ -347,8 +356,10 @@
 		m.shares = shares
 		actions = append(actions, SharesChanged{Held: shares})
 	}
-	if changed {
-		actions = append(actions, LiveChanged{Hosts: live})
+	leaving := m.findLeaving(now)
+	if changed || !slices.EqualFunc(leaving, m.draining, sameIncarnation) {
+		m.draining = leaving
+		actions = append(actions, LiveChanged{Hosts: live, Leaving: leaving})
 	}
 
 	return actions
@@ -371,6 +382,20 @@
 	return live
 }
 
+// findLeaving returns the hosts that leave and still answer, by name.
+func (m *Membership) findLeaving(now time.Time) []schema.Host {
+	var leaving []schema.Host
+	for _, r := range m.records {
+		heard := !r.dead && now.Sub(r.heardAt) < m.takeover()
+		if heard && (r.host.State == schema.HostStateLeaving || m.listedLeaving(r.host)) {
+			leaving = append(leaving, r.host)
+		}
+	}
+	slices.SortFunc(leaving, func(a, b schema.Host) int { return cmp.Compare(a.Name, b.Name) })
+
+	return leaving
+}
+
 // sameIncarnation reports whether two records are of the same process.
 func sameIncarnation(a, b schema.Host) bool {
 	return a.Name == b.Name && a.Incarnation == b.Incarnation
@@ -408,5 +433,5 @@
 
 // Shares returns the number of shares of the probe budget that are held.
 func (m *Membership) Shares() int {
-	return m.shares
+	return max(m.shares, 0)
 }
