Reply to callers when the dispatch duty stops

Cause: when all duties stop at once, as after a failure of one, the caller front waited for replies until each call's deadline: 6 s in each case of the test of the queue since the front finishes what is in flight.

Change: a dispatch duty that stops tells its callers unknown with reason stopping. The planned stop, which waits for calls in flight before it stops the duties, is not changed. Tests count requests through the front.

--- a/callerhttp/stack_test.go
+++ b/callerhttp/stack_test.go
@@ -21,6 +21,7 @@
 	"github.com/baobabdrum/baobabdrum/callerhttp"
 	"github.com/baobabdrum/baobabdrum/dispatch"
 	"github.com/baobabdrum/baobabdrum/group"
+	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -51,6 +52,7 @@
 type stack struct {
 	address string
 	inputs  *ring.Ring[dispatch.Input]
+	metrics *prometheus.Metrics
 }
 
 // newStack runs a dispatch duty, senders and a caller front that place calls of
@@ -59,7 +61,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &stack{address: listener.Addr().String(), inputs: ring.New[dispatch.Input]("dispatch", 1024)}
+	s := &stack{address: listener.Addr().String(), inputs: ring.New[dispatch.Input]("dispatch", 1024), metrics: prometheus.New()}
 	attempts := ring.New[*dispatch.Attempt]("senders", testSenders)
 	connections := backendhttp.NewConnections(testSenders)
 	ctx, stop := context.WithCancel(context.Background())
@@ -69,12 +71,16 @@
 	probes := ring.New[dispatch.Probe]("probers", 1)
 	pool := backend.NewPool(backend.Options{QueueLength: 16, Hosts: 1, Seed: 1})
 	duty := dispatch.New(s.inputs, attempts, probes, caller.NewRouter("host-1", time.Second), pool, log.WithField("test", t.Name()))
+	duty.Metrics = prometheus.NewDispatch(s.metrics)
 	duties.Go("dispatch", duty.Run)
 	for range testSenders {
 		duties.Go("sender", (&backendhttp.Sender{Attempts: attempts, Reports: s.inputs, Connections: connections}).Run)
 	}
 	duties.Go("caller front", func(ctx context.Context) error {
-		return callerhttp.New(s.inputs, testTimeout, bodyLimit).Run(ctx, listener)
+		front := callerhttp.New(s.inputs, testTimeout, bodyLimit)
+		front.Metrics = s.metrics
+
+		return front.Run(ctx, listener)
 	})
 	t.Cleanup(func() {
 		stop()
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -101,7 +101,7 @@
 func (d *Duty) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	defer d.cancelAttempts()
+	defer d.abandon()
 	for {
 		select {
 		case input := <-d.Inputs.Items():
@@ -120,8 +120,9 @@
 	}
 }
 
-// cancelAttempts gives up all attempts, so that the senders can stop.
-func (d *Duty) cancelAttempts() {
+// abandon gives up all attempts and replies to all callers, so that the senders
+// and the caller front can stop.
+func (d *Duty) abandon() {
 	for _, attempt := range d.attempts {
 		attempt.Cancel()
 	}
@@ -129,6 +130,9 @@
 		if call.forward != nil {
 			call.forward.Cancel()
 		}
+		if call.reply != nil {
+			_ = call.reply.Offer(Finished{Outcome: caller.Unknown{Reason: caller.ReasonStopping}}) // the ring has room by contract
+		}
 	}
 }
 
