Split the order book's memory and the runs of orders into files of their own

Before/after: go test ./caller ./dispatch passes before and after.

Conclusion: no change of behaviour.

--- a/caller/order_book.go
+++ b/caller/order_book.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"container/heap"
 	"fmt"
 	"time"
 )
@@ -126,27 +125,6 @@
 	return OrderUnseen, nil
 }
 
-// clock returns the time by the book's own clock.
-func (b *OrderBook) clock(now time.Time) time.Time {
-	return b.Started.Add(now.Sub(b.Started))
-}
-
-// unrememberable returns the outcome of an id that is outside of the span of
-// time for which orders are remembered, or nil.
-func (b *OrderBook) unrememberable(now time.Time, id OrderID) Outcome {
-	clock := b.clock(now)
-	switch {
-	case id.Incarnation != b.Incarnation:
-		return Unknown{Reason: ReasonIncarnationGone}
-	case !id.Time().Add(b.Lifetime).After(clock):
-		return Unknown{Reason: ReasonExpired}
-	case id.Time().After(clock.Add(b.Lifetime + orderSkew)):
-		return Unknown{Reason: ReasonInvalid}
-	default:
-		return nil
-	}
-}
-
 // arrived starts a run, joins the one under way, or tells how it ended.
 func (b *OrderBook) arrived(now time.Time, event OrderArrived) {
 	entry, outcome := b.entry(now, event.OrderRequest)
@@ -172,59 +150,6 @@
 	}
 }
 
-// entry returns the order of a request, remembering one that is new, or says
-// why there is none.
-func (b *OrderBook) entry(now time.Time, request OrderRequest) (*order, Outcome) {
-	if entry, ok := b.orders[request.Order]; ok {
-		if entry.fingerprint != request.Fingerprint {
-			return nil, NotRun{Reason: ReasonOrderMismatch}
-		}
-
-		return entry, nil
-	}
-	if outcome := b.unrememberable(now, request.Order); outcome != nil {
-		return nil, outcome
-	}
-	issued := request.Order.Time()
-	future := issued.After(b.clock(now).Add(orderSkew))
-	if len(b.orders) >= b.Capacity || !issued.After(b.floor) {
-		if future {
-			return nil, Unknown{Reason: ReasonInvalid}
-		}
-		b.floor = later(b.floor, issued)
-
-		return nil, NotRun{Reason: ReasonOverloaded}
-	}
-	entry := &order{id: request.Order, state: OrderUnseen, fingerprint: request.Fingerprint}
-	b.orders[entry.id] = entry
-	heap.Push(&b.oldest, entry)
-	if future {
-		b.refuse(entry, request.Attempt, NotRun{Reason: ReasonInvalid})
-
-		return nil, entry.outcome
-	}
-
-	return entry, nil
-}
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-
-	return b
-}
-
-// earlier returns the earlier of two times, of which the first may be zero.
-func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || b.Before(a) {
-		return b
-	}
-
-	return a
-}
-
 // start begins the only run of the order.
 func (b *OrderBook) start(entry *order, event OrderArrived) {
 	entry.state, entry.outcome = OrderClaimed, nil
@@ -393,47 +318,7 @@
 	}
 }
 
-// evict forgets orders whose lifetime has passed. An order that is still under
-// way holds up those that were issued after it.
-func (b *OrderBook) evict(now time.Time) {
-	limit := b.clock(now).Add(-b.Lifetime)
-	for len(b.oldest) > 0 {
-		entry := b.oldest[0]
-		if entry.id.Time().After(limit) || !entry.ended() {
-			return
-		}
-		heap.Pop(&b.oldest)
-		delete(b.orders, entry.id)
-		b.kept -= entry.kept
-		b.actions = append(b.actions, ForgetOrder{Order: entry.id})
-	}
-}
-
 // violatedf reports a broken invariant.
 func (b *OrderBook) violatedf(invariant, format string, args ...any) {
 	b.actions = append(b.actions, Violation{Invariant: invariant, Detail: fmt.Sprintf(format, args...)})
 }
-
-// orderHeap has the order that was issued first at index 0.
-type orderHeap []*order
-
-// Len returns the number of orders.
-func (h orderHeap) Len() int { return len(h) }
-
-// Less reports whether the order at i was issued before the one at j.
-func (h orderHeap) Less(i, j int) bool { return h[i].id.ULID.Compare(h[j].id.ULID) < 0 }
-
-// Swap exchanges two orders.
-func (h orderHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push adds an order at the end; package heap calls it.
-func (h *orderHeap) Push(item any) { *h = append(*h, item.(*order)) }
-
-// Pop removes the order at the end; package heap calls it.
-func (h *orderHeap) Pop() any {
-	last := len(*h) - 1
-	item := (*h)[last]
-	*h = (*h)[:last]
-
-	return item
-}
--- /dev/null
+++ b/dispatch/runs.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/caller"
+)
+
+// run is the only run of an order.
+type run struct {
+	// begun is the large answer that arrives, or nil.
+	begun *Answer
+	// streamsTo is the request that receives it, or 0.
+	streamsTo caller.CallID
+}
+
+// runNote is what the order book has yet to be told about a run. Notes are kept
+// until the end of a step because they arise while the pool's actions are
+// being carried out.
+//
+//sumtype:decl
+type runNote interface{ runNote() }
+
+// runSent says that a run was given to a sender.
+type runSent struct {
+	run caller.CallID
+}
+
+// runBegun says that a large answer arrives.
+type runBegun struct {
+	run    caller.CallID
+	answer *Answer
+}
+
+// runFinished says how a run ended.
+type runFinished struct {
+	run      caller.CallID
+	of       *run
+	finished Finished
+}
+
+func (runSent) runNote()     {}
+func (runBegun) runNote()    {}
+func (runFinished) runNote() {}
+
+// note keeps a note until the end of the step.
+func (d *Duty) note(note runNote) {
+	d.Orders.notes = append(d.Orders.notes, note)
+}
+
+// noteSent notes that an attempt of the call was given to a sender.
+func (d *Duty) noteSent(call *pending) {
+	if call.run != nil {
+		d.note(runSent{run: call.call.ID})
+	}
+}
+
+// settleRuns tells the order book what happened to runs until nothing more
+// follows from it.
+func (d *Duty) settleRuns(now time.Time) {
+	for len(d.Orders.notes) > 0 {
+		note := d.Orders.notes[0]
+		d.Orders.notes = d.Orders.notes[1:]
+		switch note := note.(type) {
+		case runSent:
+			d.book(now, caller.RunSent{Run: note.run}, nil)
+		case runBegun:
+			d.book(now, caller.RunAnswering{Run: note.run}, note.answer)
+		case runFinished:
+			d.runFinished(now, note)
+		}
+	}
+}
+
+// runFinished tells the order book how a run ended.
+func (d *Duty) runFinished(now time.Time, note runFinished) {
+	ended := caller.RunEnded{Run: note.run, Outcome: note.finished.Outcome}
+	if note.finished.Answer != nil {
+		ended.Size = len(note.finished.Answer.Body)
+	}
+	d.book(now, ended, note.finished.Answer)
+	delete(d.calls, note.of.streamsTo)
+}
+
+// startRun runs an order as a call of its own.
+func (d *Duty) startRun(now time.Time, action caller.StartRun) {
+	d.calls[action.Call.ID] = &pending{request: d.calls[action.For].request, call: action.Call, run: &run{}}
+	d.caller(now, caller.Called{Call: action.Call})
+}
+
+// beginOrder gives a large answer to a request.
+func (d *Duty) beginOrder(event caller.OrderEvent, id caller.CallID, answer *Answer) {
+	answering, ok := event.(caller.RunAnswering)
+	if !ok {
+		return
+	}
+	d.begin(id, answer)
+	d.calls[id].streams = answering.Run
+	if running, ok := d.calls[answering.Run]; ok {
+		running.run.streamsTo = id
+	}
+}
