Keep ids from ahead of the clock from closing a full order book

Cause: one id from up to a minute ahead, refused by a full book, made it refuse every new order until that minute had passed.

Ruled out: not raising the floor while telling not_run; a delayed copy would run.

Change: a full book answers an unseen id from more than a second ahead with unknown (overloaded).

Before/after: a row of TestOrderBook is new; go test -race ./caller passes.

Conclusion: the floor is at most a second ahead.

--- a/caller/order_book_test.go
+++ b/caller/order_book_test.go
@@ -123,6 +123,12 @@
 			},
 			runs: 1,
 		},
+		"a full book and an id from ahead of its clock": {
+			capacity: 1,
+			events:   []caller.OrderEvent{arrive(1, 0, id), arrive(2, 0, orderAt(2*time.Second))},
+			want:     map[caller.CallID]caller.Outcome{2: caller.Unknown{Reason: caller.ReasonOverloaded}},
+			runs:     1,
+		},
 		"the caller went away": {
 			events: []caller.OrderEvent{arrive(1, 0, id), caller.OrderLeft{Call: 1}, caller.RunEnded{Run: 101, Outcome: caller.Answered{}}, arrive(2, 0, id)},
 			want:   map[caller.CallID]caller.Outcome{1: caller.Unknown{Reason: caller.ReasonCancelled}, 2: caller.Answered{}},
--- a/caller/order_memory.go
+++ b/caller/order_memory.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// floorLead is how far the floor of a full book may be ahead of the clock.
+const floorLead = time.Second
+
 // clock returns the time by the book's own clock.
 func (b *OrderBook) clock(now time.Time) time.Time {
 	return b.Started.Add(now.Sub(b.Started))
@@ -40,19 +43,13 @@
 		return nil, outcome
 	}
 	issued := request.Order.Time()
-	future := issued.After(b.clock(now).Add(orderSkew))
 	if len(b.orders) >= b.Capacity || !issued.After(b.floor) {
-		if future {
-			return nil, Unknown{Reason: ReasonInvalid}
-		}
-		b.floor = later(b.floor, issued)
-
-		return nil, NotRun{Reason: ReasonOverloaded}
+		return nil, b.refuseUnremembered(now, issued)
 	}
 	entry := &order{id: request.Order, state: OrderUnseen, fingerprint: request.Fingerprint}
 	b.orders[entry.id] = entry
 	heap.Push(&b.oldest, entry)
-	if future {
+	if issued.After(b.clock(now).Add(orderSkew)) {
 		b.refuse(entry, request.Attempt, NotRun{Reason: ReasonInvalid})
 
 		return nil, entry.outcome
@@ -61,6 +58,18 @@
 	return entry, nil
 }
 
+// refuseUnremembered refuses an order that there is no room for. An id that was
+// issued ahead of the clock would raise the floor above ids to come, so its
+// order is left unknown.
+func (b *OrderBook) refuseUnremembered(now, issued time.Time) Outcome {
+	if issued.After(b.clock(now).Add(floorLead)) {
+		return Unknown{Reason: ReasonOverloaded}
+	}
+	b.floor = later(b.floor, issued)
+
+	return NotRun{Reason: ReasonOverloaded}
+}
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
