Believe a shed answer that comes before the request was taken

Cause: a backend server that sheds a large request without reading it closes the connection while it is sent. The attempt was Cut and its call unknown.

Change: when the other side stops taking the request, its answer is read and counts if it says that the call was shed; any other answer stays Cut. The new test's case failed before.

After: go test -race -count=10 of the test passes.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -108,16 +108,19 @@
 
 // Exchange sends a request and reads the head of the answer. Unless the answer
 // has no body, it follows as a stream, which must be read to its end before the
-// next exchange.
+// next exchange. When the other side stopped taking the request, its answer
+// counts only if it says that the call was shed.
 func (c *Connection) Exchange(request *fasthttp.Request, response *fasthttp.Response) error {
-	if err := request.Write(c.writer); err != nil {
-		return err
-	}
-	if err := c.writer.Flush(); err != nil {
-		return err
-	}
 	response.StreamBody = true
 	response.SkipBody = request.Header.IsHead()
+	if err := c.send(request); err != nil {
+		if c.sent == 0 || response.ReadLimitBody(c.reader, 0) != nil || len(response.Header.Peek(HeaderShed)) == 0 {
+			return err
+		}
+		response.SetConnectionClose()
+
+		return nil
+	}
 	if err := response.ReadLimitBody(c.reader, 0); err != nil {
 		return err
 	}
@@ -129,6 +132,15 @@
 	return nil
 }
 
+// send sends a request.
+func (c *Connection) send(request *fasthttp.Request) error {
+	if err := request.Write(c.writer); err != nil {
+		return err
+	}
+
+	return c.writer.Flush()
+}
+
 // Sent returns the number of bytes of the current request that left.
 func (c *Connection) Sent() int {
 	return c.sent
--- a/backendhttp/sender_test.go
+++ b/backendhttp/sender_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/dispatch"
 )
 
 const (
@@ -213,6 +214,35 @@
 	}
 }
 
+func TestSenderReadsAShedAnswerBeforeTheRequestWasTaken(t *testing.T) {
+	tests := map[string]struct {
+		raw  string
+		want string
+	}{
+		"shed":       {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", want: "Shed"},
+		"other":      {raw: "HTTP/1.1 500 Failed\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", want: "Cut"},
+		"no answer":  {want: "Cut"},
+		"cut answer": {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\n", want: "Cut"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSender(t, listen(t, func(conn *net.TCPConn, requests *bufio.Reader) {
+				receive(requests)
+				say(conn, test.raw)
+				time.Sleep(settle)
+				_ = conn.Close()
+			}))
+			attempt := dispatch.NewAttempt(dispatch.Attempt{
+				Address:  s.address,
+				Request:  &dispatch.Request{Method: http.MethodPost, Target: "/", Body: make([]byte, 64<<20)},
+				Deadline: time.Now().Add(5 * time.Second),
+			})
+			assert.NilError(t, s.attempts.Put(t.Context(), attempt))
+			assert.Equal(t, kind(s.wait(t).result), test.want)
+		})
+	}
+}
+
 // closeConn closes the connection after what was sent.
 func closeConn(conn *net.TCPConn) {
 	_ = conn.CloseWrite()
