--- a/backendhttp/backendhttp.go
+++ b/backendhttp/backendhttp.go
@@ -86,11 +86,23 @@
 }
 
 // PassedOn reports whether a header field with this name is passed on between
-// callers and backend servers.
-func PassedOn(name []byte) bool {
+// callers and backend servers. The value of the Connection field may name more
+// fields that concern one connection only.
+func PassedOn(name, connection []byte) bool {
 	ours := len(name) >= len(HeaderPrefix) && bytes.EqualFold(name[:len(HeaderPrefix)], []byte(HeaderPrefix))
 
-	return !ours && !isHopByHop(name)
+	return !ours && !isHopByHop(name) && !isNominated(name, connection)
+}
+
+// isNominated reports whether the value of a Connection field names the field.
+func isNominated(name, connection []byte) bool {
+	for option := range bytes.SplitSeq(connection, []byte(",")) {
+		if bytes.EqualFold(bytes.TrimSpace(option), name) {
+			return true
+		}
+	}
+
+	return false
 }
 
 // shed reports whether the answer says that the call was not run.
--- a/backendhttp/backendhttp_test.go
+++ b/backendhttp/backendhttp_test.go
@@ -10,17 +10,20 @@
 
 func TestPassedOn(t *testing.T) {
 	tests := map[string]struct {
-		names []string
-		want  bool
+		names      []string
+		connection string
+		want       bool
 	}{
-		"end to end":        {names: []string{"Accept", "content-type", "X-Forge", "Baobab", "Echo", "A-Name-Longer-Than-Any-Hop-By-Hop-One"}, want: true},
-		"of one connection": {names: []string{"Connection", "KEEP-ALIVE", "transfer-Encoding", "Proxy-Authorization", "Host", "Content-Length"}},
-		"between hosts":     {names: []string{"Baobabdrum-Hops", "baobabdrum-shed", "BAOBABDRUM-X"}},
+		"end to end":          {names: []string{"Accept", "content-type", "X-Forge", "Baobab", "Echo", "A-Name-Longer-Than-Any-Hop-By-Hop-One"}, want: true},
+		"of one connection":   {names: []string{"Connection", "KEEP-ALIVE", "transfer-Encoding", "Proxy-Authorization", "Host", "Content-Length"}},
+		"named by Connection": {names: []string{"X-Trace", "x-other"}, connection: "close, x-trace , X-Other"},
+		"not named":           {names: []string{"X-Trac", "Close-X"}, connection: "close, x-trace", want: true},
+		"between hosts":       {names: []string{"Baobabdrum-Hops", "baobabdrum-shed", "BAOBABDRUM-X"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			for _, header := range test.names {
-				assert.Equal(t, backendhttp.PassedOn([]byte(header)), test.want, header)
+				assert.Equal(t, backendhttp.PassedOn([]byte(header), []byte(test.connection)), test.want, header)
 			}
 		})
 	}
--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -219,8 +219,9 @@
 	if attempt.Forward {
 		answer.Outcome = outcome(string(response.Header.Peek(HeaderOutcome)), string(response.Header.Peek(HeaderReason)))
 	}
+	connection := response.Header.Peek(fasthttp.HeaderConnection)
 	for name, value := range response.Header.All() {
-		if PassedOn(name) || attempt.Forward && !isHopByHop(name) || string(name) == HeaderShed {
+		if PassedOn(name, connection) || attempt.Forward && !isHopByHop(name) || string(name) == HeaderShed {
 			answer.Headers = append(answer.Headers, dispatch.Header{Name: string(name), Value: string(value)})
 		}
 	}
--- a/callerhttp/call.go
+++ b/callerhttp/call.go
@@ -84,8 +84,9 @@
 		Target: target,
 		Body:   append([]byte(nil), c.Request().Body()...),
 	}
+	connection := c.Request().Header.Peek(fiber.HeaderConnection)
 	for name, value := range c.Request().Header.All() {
-		if backendhttp.PassedOn(name) {
+		if backendhttp.PassedOn(name, connection) {
 			copied.Headers = append(copied.Headers, dispatch.Header{Name: string(name), Value: string(value)})
 		}
 	}
