--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -101,7 +101,7 @@
 func (d *Duty) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	defer d.abandon()
+	defer d.stop()
 	for {
 		select {
 		case input := <-d.Inputs.Items():
@@ -120,18 +120,27 @@
 	}
 }
 
-// abandon gives up all attempts and replies to all callers, so that the senders
-// and the caller front can stop.
-func (d *Duty) abandon() {
+// stop gives up all attempts, so that the senders can stop, and replies to every
+// call that has no reply yet.
+func (d *Duty) stop() {
 	for _, attempt := range d.attempts {
 		attempt.Cancel()
 	}
+	stopping := Finished{Outcome: caller.Unknown{Reason: caller.ReasonStopping}}
 	for _, call := range d.calls {
 		if call.forward != nil {
 			call.forward.Cancel()
 		}
 		if call.reply != nil {
-			_ = call.reply.Offer(Finished{Outcome: caller.Unknown{Reason: caller.ReasonStopping}}) // the ring has room by contract
+			_ = call.reply.Offer(stopping) // the ring has room by contract
+		}
+	}
+	for input, ok := d.Inputs.Poll(); ok; input, ok = d.Inputs.Poll() {
+		if call, isCall := input.(Call); isCall {
+			_ = call.Reply.Offer(Finished{Outcome: caller.NotRun{Reason: caller.ReasonStopping}}) // as above
+		}
+		if order, isOrder := input.(OrderCall); isOrder {
+			_ = order.Reply.Offer(Finished{Outcome: order.Order.Undelivered(caller.ReasonStopping)}) // as above
 		}
 	}
 }
