Move waiting calls to another data centre's cell that has room

Cause: a cell whose backend servers slow down together kept its calls waiting while other cells of the service had free slots. Here the crowded owner asks, so the answer is as fresh as a round trip and nothing is sent while no cell is crowded. Setting spill for the ablation; metric baobabdrum_moved_calls_total. Dispatch carries follow-ups out after all actions of a step. The model test draws RoomFound too.

--- a/backend/actions.go
+++ b/backend/actions.go
@@ -58,6 +58,22 @@
 	Timeout time.Duration
 }
 
+// SeekRoom asks whether other cells of the service have room for calls that
+// wait. Each answer is a RoomFound.
+type SeekRoom struct {
+	// Cell is the cell in which the calls wait.
+	Cell caller.Cell
+}
+
+// MoveCall takes a call that never started out of the pool and gives it to
+// another cell. It is the last action for the call in this cell.
+type MoveCall struct {
+	// Call is the call.
+	Call caller.Call
+	// Room is the cell and its owner.
+	Room Room
+}
+
 // Violation reports a broken invariant.
 type Violation struct {
 	// Violation names the invariant.
@@ -69,4 +85,6 @@
 func (DeliverAnswer) action() {}
 func (EndCall) action()       {}
 func (StartProbe) action()    {}
+func (SeekRoom) action()      {}
+func (MoveCall) action()      {}
 func (Violation) action()     {}
--- a/backend/calls.go
+++ b/backend/calls.go
@@ -65,6 +65,7 @@
 	if placed.waiting != nil && p.late(placed, now.Add(cell.wait(now, placed)), cell.Latency.Median) {
 		p.end(placed, 0, caller.NotRun{Reason: caller.ReasonDeadline})
 	}
+	p.seekRoom(now, cell)
 }
 
 // late reports whether a call that starts at the given time and takes as long as
--- a/backend/cell.go
+++ b/backend/cell.go
@@ -25,7 +25,8 @@
 	// Budget bounds hedges and retries.
 	Budget *Budget
 
-	turn int
+	turn     int
+	soughtAt time.Time
 }
 
 // NewCellState returns a cell without backend servers.
--- a/backend/events.go
+++ b/backend/events.go
@@ -71,6 +71,24 @@
 	Healthy bool
 }
 
+// Room is a cell of the same service that can take calls.
+type Room struct {
+	// Cell names the cell.
+	Cell caller.Cell
+	// Address is its owner's ip:port for callers, or empty if this host owns it.
+	Address string
+	// Free is the number of calls that it takes now.
+	Free int
+}
+
+// RoomFound says that another cell can take calls that wait.
+type RoomFound struct {
+	// Cell is the cell in which the calls wait.
+	Cell caller.Cell
+	// Room is the other cell.
+	Room Room
+}
+
 // Ticked says that time passed.
 type Ticked struct{}
 
@@ -81,4 +99,5 @@
 func (CellsChanged) event()     {}
 func (SharesChanged) event()    {}
 func (ProbeEnded) event()       {}
+func (RoomFound) event()        {}
 func (Ticked) event()           {}
--- a/backend/model_test.go
+++ b/backend/model_test.go
@@ -107,6 +107,11 @@
 			call.delivered = true
 		case backend.EndCall:
 			m.ended(action)
+		case backend.SeekRoom:
+		case backend.MoveCall:
+			call := m.open[action.Call.ID]
+			assert.Assert(m.t, call != nil && call.attempts == 0, "a call moved that had ended or started")
+			delete(m.open, action.Call.ID)
 		case backend.StartProbe:
 			m.probed(action)
 		case backend.Violation:
@@ -155,6 +160,12 @@
 	m.probes[action.Address]++
 }
 
+// spill offers room in another cell.
+func (m *model) spill(t *rapid.T) {
+	room := backend.Room{Address: "192.0.2.99:80", Free: rapid.IntRange(0, 3).Draw(t, "free")}
+	m.step(backend.RoomFound{Cell: rapid.SampledFrom(modelCells).Draw(t, "cell"), Room: room})
+}
+
 // place places calls of a few callers.
 func (m *model) place(t *rapid.T) {
 	for range rapid.IntRange(1, 12).Draw(t, "calls") {
@@ -320,6 +331,7 @@
 			"place":  m.place,
 			"serve":  m.serve,
 			"fail":   m.fail,
+			"spill":  m.spill,
 			"finish": m.finish,
 			"change": func(t *rapid.T) {
 				if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
--- a/backend/options.go
+++ b/backend/options.go
@@ -18,6 +18,8 @@
 	WithoutHedge bool
 	// WithoutRamp lets a cold backend server use all its slots.
 	WithoutRamp bool
+	// WithoutSpill leaves waiting calls in their cell.
+	WithoutSpill bool
 	// WithoutEjection keeps every backend server in use.
 	WithoutEjection bool
 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -76,6 +76,8 @@
 		p.Shares = max(event.Held, 0)
 	case ProbeEnded:
 		p.probed(now, event)
+	case RoomFound:
+		p.moveOut(now, event)
 	case Ticked:
 		p.tick(now)
 	}
@@ -97,6 +99,7 @@
 	for _, cell := range p.order {
 		if cell.Queue.Len() > 0 {
 			p.dispatch(now, cell)
+			p.seekRoom(now, cell)
 		}
 	}
 	p.probe(now)
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -19,6 +19,8 @@
 	started  []backend.StartAttempt
 	cancels  []backend.AttemptID
 	probes   []backend.StartProbe
+	seeks    []backend.SeekRoom
+	moves    []backend.MoveCall
 	outcomes map[caller.CallID]caller.Outcome
 }
 
@@ -43,6 +45,10 @@
 		case backend.DeliverAnswer:
 		case backend.StartProbe:
 			d.probes = append(d.probes, action)
+		case backend.SeekRoom:
+			d.seeks = append(d.seeks, action)
+		case backend.MoveCall:
+			d.moves = append(d.moves, action)
 		case backend.EndCall:
 			_, ended := d.outcomes[action.Call]
 			assert.Assert(d.t, !ended, "call %d ended twice", action.Call)
--- a/bench/simulation.go
+++ b/bench/simulation.go
@@ -221,7 +221,8 @@
 			s.end(action)
 		case backend.Violation:
 			s.run.Violations++
-		case backend.DeliverAnswer, backend.StartProbe:
+		case backend.DeliverAnswer, backend.StartProbe, backend.SeekRoom, backend.MoveCall:
+			// The one cell of a simulation has no other cell to move calls to.
 		}
 	}
 }
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -35,6 +35,8 @@
 	Depth int
 	// Hops is the number of entry hosts that forwarded the call.
 	Hops int
+	// Moved says that the call waited in another cell before.
+	Moved bool
 	// OrderID is the id of the order, or empty.
 	OrderID string
 }
--- a/caller/router.go
+++ b/caller/router.go
@@ -94,6 +94,27 @@
 	return ""
 }
 
+// Neighbour is another cell of a service with the host that owns it.
+type Neighbour struct {
+	// Cell names the cell.
+	Cell Cell
+	// Host is its owner.
+	Host schema.Host
+}
+
+// Neighbours returns the other cells of the cell's service that may receive new
+// work.
+func (r *Router) Neighbours(cell Cell) []Neighbour {
+	var list []Neighbour
+	for _, route := range r.routes[cell.Service] {
+		if route.cell != cell && len(route.ranked) > 0 {
+			list = append(list, Neighbour{Cell: route.cell, Host: route.ranked[0]})
+		}
+	}
+
+	return list
+}
+
 // reroute computes the routes from the configuration and the hosts.
 func (r *Router) reroute() {
 	in := map[string]bool{}
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -49,6 +49,8 @@
 	Attempts *ring.Ring[*Attempt]
 	// Probes is the ring that the probers take from.
 	Probes *ring.Ring[Probe]
+	// Seeks is the ring of the duty that asks other owners for room; nil asks none.
+	Seeks *ring.Ring[Seek]
 	// Router decides where calls are placed.
 	Router *caller.Router
 	// Pool decides how placed calls are run.
@@ -223,6 +225,10 @@
 		d.confirm(now, input.At)
 	case Shares:
 		d.backend(now, backend.SharesChanged{Held: input.Held})
+	case RoomAsked:
+		_ = input.Reply.Offer(schema.Room{Free: d.Pool.Room(now, input.Cell)}) // the ring has room by contract
+	case RoomFound:
+		d.backend(now, backend.RoomFound{Cell: input.Cell, Room: input.Room})
 	case Dump:
 		_ = input.Reply.Offer(d.dump(now)) // the ring has room by contract
 	}
@@ -269,49 +275,56 @@
 	}
 }
 
-// backend steps the pool and carries out its actions.
+// backend steps the pool and carries out its actions. What steps the pool again
+// follows after all of them.
 func (d *Duty) backend(now time.Time, event backend.Event) {
-	var unsent []backend.AttemptID
-	var unprobed []string
-	var moved []caller.Call
+	var after []func()
 	for _, action := range d.Pool.Step(now, event) {
 		switch action := action.(type) {
 		case backend.StartAttempt:
 			if !d.start(action) {
-				unsent = append(unsent, action.Attempt)
+				after = append(after, func() { d.unsent(now, action.Attempt) })
 			}
 		case backend.CancelAttempt:
 			d.attempts[action.Attempt].Cancel()
 		case backend.DeliverAnswer:
 			d.begin(action.Call, d.answer)
 		case backend.EndCall:
-			if d.moves(action) {
-				moved = append(moved, d.calls[action.Call].call)
+			if !d.moves(action) {
+				d.endCall(action)
 
 				continue
 			}
-			d.endCall(action)
+			call := d.calls[action.Call].call
+			after = append(after, func() { d.caller(now, caller.Called{Call: call}) })
+		case backend.MoveCall:
+			after = append(after, func() { d.move(now, action) })
+		case backend.SeekRoom:
+			after = append(after, func() { d.seek(now, action.Cell) })
 		case backend.StartProbe:
 			if d.Probes.Offer(Probe{Address: action.Address, Timeout: action.Timeout}) != nil {
-				unprobed = append(unprobed, action.Address)
+				after = append(after, func() { d.unprobed(now, action.Address) })
 			}
 		case backend.Violation:
 			d.violated(action.Violation)
 		}
 	}
-	for _, address := range unprobed {
-		d.backend(now, backend.ProbeEnded{Address: address, Healthy: true}) // nothing was learned
-	}
-	for _, call := range moved {
-		d.caller(now, caller.Called{Call: call})
-	}
-	for _, id := range unsent {
-		d.ended(now, Ended{Attempt: d.attempts[id], Result: backend.Unsent{Local: true, Cause: &ring.FullError{
-			Ring: d.Attempts.Name, Capacity: d.Attempts.Capacity(),
-		}}})
+	for _, follow := range after {
+		follow()
 	}
 }
 
+// unsent ends an attempt that the senders' ring had no room for.
+func (d *Duty) unsent(now time.Time, id backend.AttemptID) {
+	cause := &ring.FullError{Ring: d.Attempts.Name, Capacity: d.Attempts.Capacity()}
+	d.ended(now, Ended{Attempt: d.attempts[id], Result: backend.Unsent{Local: true, Cause: cause}})
+}
+
+// unprobed ends a probe that the probers' ring had no room for.
+func (d *Duty) unprobed(now time.Time, address string) {
+	d.backend(now, backend.ProbeEnded{Address: address, Healthy: true}) // nothing was learned
+}
+
 // start gives an attempt to the senders and reports whether their ring had room.
 func (d *Duty) start(action backend.StartAttempt) bool {
 	call := d.calls[action.Call]
--- a/host/host.go
+++ b/host/host.go
@@ -60,6 +60,7 @@
 	exchanges      *ring.Ring[peer.Exchange]
 	fetches        *ring.Ring[peer.FetchConfiguration]
 	requests       *ring.Ring[peerrpc.Request]
+	seeks          *ring.Ring[dispatch.Seek]
 	configurations *ring.Ring[configurationInput]
 	changes        *ring.Ring[operatorhttp.ChangeRequest]
 	keeps          *ring.Ring[keepRequest]
@@ -118,6 +119,7 @@
 		exchanges:      ring.New[peer.Exchange]("exchanges", exchangeRing),
 		fetches:        ring.New[peer.FetchConfiguration]("fetches", exchangeRing),
 		requests:       ring.New[peerrpc.Request]("peer_requests", controlRing),
+		seeks:          ring.New[dispatch.Seek]("seeks", controlRing),
 		configurations: ring.New[configurationInput]("configuration", controlRing),
 		changes:        ring.New[operatorhttp.ChangeRequest]("operator", controlRing),
 		keeps:          ring.New[keepRequest]("keeper", controlRing),
@@ -183,7 +185,7 @@
 	defer closeFront()
 	router := caller.NewRouter(h.Self.Name, h.Settings.AnswerKeep)
 	pool := backend.NewPool(backend.Options{
-		QueueLength: h.Settings.QueueLength, Hosts: h.Settings.ConfiguredHosts, Seed: h.seed,
+		QueueLength: h.Settings.QueueLength, Hosts: h.Settings.ConfiguredHosts, Seed: h.seed, WithoutSpill: !h.Settings.Spill,
 	})
 	calls := dispatch.New(h.dispatch, h.attempts, h.probes, router, pool, h.Log)
 	measured := prometheus.New()
@@ -192,6 +194,7 @@
 	h.exposeRings(measured)
 	calls.ConfiguredHosts = h.Settings.ConfiguredHosts
 	calls.Targets = ring.New[[]dispatch.Target]("opener", 1)
+	calls.Seeks = h.seeks
 	h.addOrders(calls)
 	duties.Go("dispatch", h.locked(calls.Run))
 	duties.Go("claims", h.newClaims().run)
@@ -212,6 +215,7 @@
 	duties.Go("peers", h.runPeers)
 	duties.Go("exchanges", h.runExchanges)
 	duties.Go("fetches", h.runFetches)
+	duties.Go("seeks", h.runSeeks)
 	duties.Go("keeper", h.runKeeper)
 	duties.Go("stop", func(ctx context.Context) error { return h.runStop(ctx, interrupted, closeFront) })
 	duties.Go("platform", h.runPlatform)
--- /dev/null
+++ b/host/room.go
@@ -0,0 +1,46 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/peerrpc"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// roomTimeout bounds a question for room. A later answer would be out of date.
+const roomTimeout = 50 * time.Millisecond
+
+// cellOf returns the cell that a request names.
+func cellOf(request schema.RoomRequest) caller.Cell {
+	return caller.Cell{Service: request.Service, DataCentre: request.DataCentre}
+}
+
+// runSeeks asks the owners of other cells for room, one at a time.
+func (h *Host) runSeeks(ctx context.Context) error {
+	client := peerrpc.NewClient(h.Settings.Token, roomTimeout)
+	defer client.Close()
+	for {
+		wanted, err := h.seeks.Take(ctx)
+		if err != nil {
+			return err
+		}
+		request := schema.RoomRequest{Service: wanted.Of.Cell.Service, DataCentre: wanted.Of.Cell.DataCentre}
+		var room schema.Room
+		if err := peerrpc.Call(ctx, client, wanted.Of.Host.PeerAddress, peerrpc.MethodRoom, &request, &room); err != nil {
+			h.Log.WithField("event", "room_not_found").Debug(err)
+
+			continue
+		}
+		if room.Free <= 0 {
+			continue
+		}
+		found := backend.Room{Cell: wanted.Of.Cell, Address: wanted.Of.Host.CallerAddress, Free: room.Free}
+		if err := h.dispatch.Put(ctx, dispatch.RoomFound{Cell: wanted.For, Room: found}); err != nil {
+			return err
+		}
+	}
+}
--- a/peerrpc/codec_test.go
+++ b/peerrpc/codec_test.go
@@ -40,6 +40,8 @@
 			switch request := request.(type) {
 			case peerrpc.DigestRequest:
 				_ = request.Reply.Offer(schema.Digest{ConfigurationVersion: request.Digest.ConfigurationVersion + 1})
+			case peerrpc.RoomRequest:
+				_ = request.Reply.Offer(schema.Room{Free: len(request.Cell.Service)})
 			case peerrpc.ConfigurationRequest:
 				// It is left without a reply.
 			}
--- a/peerrpc/peerrpc.go
+++ b/peerrpc/peerrpc.go
@@ -22,7 +22,7 @@
 	serviceName = "Peer"
 )
 
-// Request is what another host asks: Digest or Configuration.
+// Request is what another host asks.
 //
 //sumtype:decl
 type Request interface{ request() }
@@ -41,8 +41,17 @@
 	Reply *ring.Ring[schema.Configuration]
 }
 
+// RoomRequest asks how many calls a cell takes from another cell.
+type RoomRequest struct {
+	// Cell names the cell.
+	Cell schema.RoomRequest
+	// Reply receives the number; it must have room.
+	Reply *ring.Ring[schema.Room]
+}
+
 func (DigestRequest) request()        {}
 func (ConfigurationRequest) request() {}
+func (RoomRequest) request()          {}
 
 // Peer holds the methods that other hosts call.
 type Peer struct {
@@ -63,6 +72,13 @@
 	return serve(p.requests, ConfigurationRequest{Reply: reply}, reply, out)
 }
 
+// Room returns how many calls a cell of this host takes from another cell.
+func (p *Peer) Room(cell *schema.RoomRequest, out *schema.Room) error {
+	reply := ring.New[schema.Room]("room", 1)
+
+	return serve(p.requests, RoomRequest{Cell: *cell, Reply: reply}, reply, out)
+}
+
 // serve offers a request to a duty and waits for its reply.
 func serve[Out any](requests *ring.Ring[Request], request Request, reply *ring.Ring[Out], out *Out) error {
 	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
@@ -101,4 +117,6 @@
 	MethodExchange = "Exchange"
 	// MethodConfiguration returns the configuration in force.
 	MethodConfiguration = "Configuration"
+	// MethodRoom returns how many calls a cell takes from another cell.
+	MethodRoom = "Room"
 )
--- a/prometheus/dispatch.go
+++ b/prometheus/dispatch.go
@@ -59,6 +59,11 @@
 	counter.Inc()
 }
 
+// Moved counts a waiting call that moved to another cell.
+func (d *Dispatch) Moved(service string) {
+	d.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_moved_calls_total{service=%q}`, service)).Inc()
+}
+
 // Attempt counts the end of an attempt by its result.
 func (d *Dispatch) Attempt(result string) {
 	counter, ok := d.attempts[result]
--- a/prometheus/prometheus_test.go
+++ b/prometheus/prometheus_test.go
@@ -36,6 +36,7 @@
 	dispatch.Call(prometheus.CallLabels{Service: "catalogue", Outcome: "not_run", Reason: "shed"})
 	dispatch.Call(prometheus.CallLabels{Service: "catalogue", Outcome: "not_run", Reason: "shed"})
 	dispatch.Attempt("cut")
+	dispatch.Moved("catalogue")
 	dispatch.Probe(true)
 	dispatch.Violation("slots")
 	dispatch.Configuration(7)
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -4317,192 +4317,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Headroom) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zf88ce922limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "data_centre":
-			z.DataCentre, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
-		case "free_slots":
-			z.FreeSlots, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "FreeSlots")
-				return
-			}
-		case "queued":
-			z.Queued, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Queued")
-				return
-			}
-		case "service":
-			z.Service, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Headroom) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "data_centre"
-	err = en.Append(0x84, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.DataCentre)
-	if err != nil {
-		err = msgp.WrapError(err, "DataCentre")
-		return
-	}
-	// write "free_slots"
-	err = en.Append(0xaa, 0x66, 0x72, 0x65, 0x65, 0x5f, 0x73, 0x6c, 0x6f, 0x74, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.FreeSlots)
-	if err != nil {
-		err = msgp.WrapError(err, "FreeSlots")
-		return
-	}
-	// write "queued"
-	err = en.Append(0xa6, 0x71, 0x75, 0x65, 0x75, 0x65, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Queued)
-	if err != nil {
-		err = msgp.WrapError(err, "Queued")
-		return
-	}
-	// write "service"
-	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Service)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Headroom) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "data_centre"
-	o = append(o, 0x84, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
-	o = msgp.AppendString(o, z.DataCentre)
-	// string "free_slots"
-	o = append(o, 0xaa, 0x66, 0x72, 0x65, 0x65, 0x5f, 0x73, 0x6c, 0x6f, 0x74, 0x73)
-	o = msgp.AppendInt(o, z.FreeSlots)
-	// string "queued"
-	o = append(o, 0xa6, 0x71, 0x75, 0x65, 0x75, 0x65, 0x64)
-	o = msgp.AppendInt(o, z.Queued)
-	// string "service"
-	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Service)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Headroom) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zf88ce922limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "data_centre":
-			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
-		case "free_slots":
-			z.FreeSlots, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "FreeSlots")
-				return
-			}
-		case "queued":
-			z.Queued, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Queued")
-				return
-			}
-		case "service":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Headroom) Msgsize() (s int) {
-	s = 1 + 12 + msgp.StringPrefixSize + len(z.DataCentre) + 11 + msgp.IntSize + 7 + msgp.IntSize + 8 + msgp.StringPrefixSize + len(z.Service)
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *Heartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -8469,6 +8283,253 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Room) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "free":
+			z.Free, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Free")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Room) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "free"
+	err = en.Append(0x81, 0xa4, 0x66, 0x72, 0x65, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Free)
+	if err != nil {
+		err = msgp.WrapError(err, "Free")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Room) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "free"
+	o = append(o, 0x81, 0xa4, 0x66, 0x72, 0x65, 0x65)
+	o = msgp.AppendInt(o, z.Free)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Room) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "free":
+			z.Free, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Free")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Room) Msgsize() (s int) {
+	s = 1 + 5 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *RoomRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "data_centre":
+			z.DataCentre, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
+				return
+			}
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z RoomRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "data_centre"
+	err = en.Append(0x82, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.DataCentre)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	// write "service"
+	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RoomRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "data_centre"
+	o = append(o, 0x82, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
+	o = msgp.AppendString(o, z.DataCentre)
+	// string "service"
+	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RoomRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "data_centre":
+			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
+				return
+			}
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RoomRequest) Msgsize() (s int) {
+	s = 1 + 12 + msgp.StringPrefixSize + len(z.DataCentre) + 8 + msgp.StringPrefixSize + len(z.Service)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Row) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -262,22 +262,6 @@
 	Value string `json:"value" msg:"value"`
 }
 
-// Headroom tells the owner of another cell of the same service how much work this
-// cell can take.
-type Headroom struct {
-	// DataCentre names the cell's data centre.
-	DataCentre string `json:"data_centre" msg:"data_centre"`
-
-	// FreeSlots is the number of slots that could start a call now.
-	FreeSlots int `json:"free_slots" msg:"free_slots"`
-
-	// Queued is the number of calls that wait.
-	Queued int `json:"queued" msg:"queued"`
-
-	// Service names the cell's service.
-	Service string `json:"service" msg:"service"`
-}
-
 // Heartbeat says how far a host's counter has come without repeating its record.
 type Heartbeat struct {
 	// Counter is the host's heartbeat.
@@ -599,6 +583,21 @@
 	Name string `json:"name" msg:"name"`
 }
 
+// Room answers a RoomRequest.
+type Room struct {
+	// Free is the number of calls that the cell takes now.
+	Free int `json:"free" msg:"free"`
+}
+
+// RoomRequest asks the owner of a cell how many calls it takes from another cell.
+type RoomRequest struct {
+	// DataCentre names the cell's data centre.
+	DataCentre string `json:"data_centre" msg:"data_centre"`
+
+	// Service names the cell's service.
+	Service string `json:"service" msg:"service"`
+}
+
 // Row is one row of the platform's transactional table.
 type Row struct {
 	// ChangeID identifies the last write.
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -22,6 +22,7 @@
 	LockThreads      string `long:"lock-threads" env:"BAOBABDRUM_LOCK_THREADS" default:"false" value-name:"boolean" description:"whether the dispatch duty and the senders each keep an operating system thread"`
 	DispatchRing     string `long:"dispatch-ring" env:"BAOBABDRUM_DISPATCH_RING" default:"8192" value-name:"integer" description:"capacity of the ring that the dispatch duty takes from, in items (16 to 1048576)"`
 	QueueLength      string `long:"queue-length" env:"BAOBABDRUM_QUEUE_LENGTH" default:"1024" value-name:"integer" description:"calls that may wait in one cell, in calls (1 to 1048576)"`
+	Spill            string `long:"spill" env:"BAOBABDRUM_SPILL" default:"true" value-name:"boolean" description:"whether calls that wait in a crowded cell move to another data centre's cell that has room"`
 	BodyLimit        string `long:"body-limit" env:"BAOBABDRUM_BODY_LIMIT" default:"4194304" value-name:"integer" description:"largest request body accepted, in bytes (1024 to 1073741824)"`
 	DigestInterval   string `long:"digest-interval" env:"BAOBABDRUM_DIGEST_INTERVAL" default:"250ms" value-name:"duration" description:"time between exchanges with other entry hosts (10ms to 10s)"`
 	PlatformInterval string `long:"platform-interval" env:"BAOBABDRUM_PLATFORM_INTERVAL" default:"500ms" value-name:"duration" description:"time between reads of the configuration from the platform (10ms to 1m)"`
@@ -63,6 +64,8 @@
 	DispatchRing int
 	// QueueLength is set by --queue-length: calls that may wait in one cell, in calls (1 to 1048576).
 	QueueLength int
+	// Spill is set by --spill: whether calls that wait in a crowded cell move to another data centre's cell that has room.
+	Spill bool
 	// BodyLimit is set by --body-limit: largest request body accepted, in bytes (1024 to 1073741824).
 	BodyLimit int
 	// DigestInterval is set by --digest-interval: time between exchanges with other entry hosts (10ms to 10s).
@@ -95,6 +98,7 @@
 		LockThreads:      c.boolean("lock-threads", f.LockThreads),
 		DispatchRing:     c.integer("dispatch-ring", f.DispatchRing, "16", "1048576"),
 		QueueLength:      c.integer("queue-length", f.QueueLength, "1", "1048576"),
+		Spill:            c.boolean("spill", f.Spill),
 		BodyLimit:        c.integer("body-limit", f.BodyLimit, "1024", "1073741824"),
 		DigestInterval:   c.duration("digest-interval", f.DigestInterval, "10ms", "10s"),
 		PlatformInterval: c.duration("platform-interval", f.PlatformInterval, "10ms", "1m"),
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -241,6 +241,17 @@
 }
 
 # A caller is killed in the middle of a large answer: no slot stays taken.
+# The backend servers of one service in one data centre become slow, so that
+# callers crowd its cell. HOST_SETTINGS=BAOBABDRUM_SPILL=false shows what moving calls to
+# other cells is worth.
+case_crowded_data_centre() {
+  local address service=${idempotent%%,*}
+  while read -r address; do
+    server_fault "$address" late $((during * 1000)) 200
+  done < <(awk -F, -v s="$service" -v d="${data_centres[0]}" '$1 == "backend_server" && $3 == s && $4 == d { print $5 }' "$sheet")
+  sleep "$during"
+}
+
 case_caller_killed_mid_pack() {
   local i
   for i in 1 2 3 4 5 6 7 8; do
