Bound the time to read a caller's request

Cause: a caller that never sent the body it announced held its connection and a goroutine without end. The first case of the new test failed before.

Change: a request must arrive within the call timeout, or 1 s if that is longer. The deadline for reading is cleared while the call runs: without that the look at the caller's socket took a long call's caller for gone, which the second case of the test showed in a first try.

After: go test -race ./callerhttp ./cmd passes.

--- a/callerhttp/call.go
+++ b/callerhttp/call.go
@@ -99,6 +99,7 @@
 // It cancels the call when the caller's connection is closed.
 func (f *Front) wait(c fiber.Ctx, call caller.Call, reply *ring.Ring[dispatch.Reply]) dispatch.Reply {
 	overdue := call.Deadline.Add(replyGrace)
+	_ = c.RequestCtx().Conn().SetReadDeadline(time.Time{}) // it fails only on a closed connection, which is noticed below
 	timer := time.NewTimer(goneInterval)
 	defer timer.Stop()
 	cancelled := false
--- a/callerhttp/gone_test.go
+++ b/callerhttp/gone_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -133,6 +134,38 @@
 	read()
 }
 
+func TestTimeToReadARequestIsBounded(t *testing.T) {
+	const callTimeout = 300 * time.Millisecond
+	answerLate := func(_ context.Context, _ *http.Request, conn *net.TCPConn) {
+		time.Sleep(5 * callTimeout)
+		say(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+	tests := map[string]struct {
+		headers string
+		outcome string
+	}{
+		"body never comes":              {headers: "Content-Length: 9\r\n"},
+		"longer deadline, late answer":  {headers: "Baobabdrum-Deadline-Ms: 5000\r\nContent-Length: 0\r\n", outcome: "answered"},
+		"default deadline, late answer": {headers: "Content-Length: 0\r\n", outcome: "unknown"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, answerLate)
+			s := newStackWith(t, schema.BackendServer{Address: server.address, Slots: 1}, callTimeout)
+			conn := s.connect(t, http.MethodPost, "/call/catalogue/stock", test.headers)
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*callTimeout)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			var timeout net.Error
+			assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout(), "the host still waits for the request")
+			if test.outcome != "" {
+				assert.NilError(t, err)
+				assert.NilError(t, response.Body.Close())
+				assert.Equal(t, response.Header.Get("Baobabdrum-Outcome"), test.outcome)
+			}
+		})
+	}
+}
+
 func TestQueuedCallLeavesTheQueue(t *testing.T) {
 	tests := map[string]struct {
 		headers string
--- a/callerhttp/stack_test.go
+++ b/callerhttp/stack_test.go
@@ -59,6 +59,13 @@
 // service catalogue on the backend server.
 func newStack(t testing.TB, backendServer schema.BackendServer) *stack {
 	t.Helper()
+
+	return newStackWith(t, backendServer, testTimeout)
+}
+
+// newStackWith is newStack with another deadline of calls that state none.
+func newStackWith(t testing.TB, backendServer schema.BackendServer, callTimeout time.Duration) *stack {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := &stack{address: listener.Addr().String(), inputs: ring.New[dispatch.Input]("dispatch", 1024), metrics: prometheus.New()}
@@ -77,7 +84,7 @@
 		duties.Go("sender", (&backendhttp.Sender{Attempts: attempts, Reports: s.inputs, Connections: connections}).Run)
 	}
 	duties.Go("caller front", func(ctx context.Context) error {
-		front := callerhttp.New(s.inputs, testTimeout, bodyLimit)
+		front := callerhttp.New(s.inputs, callTimeout, bodyLimit)
 		front.Metrics = s.metrics
 
 		return front.Run(ctx, listener)
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -14,7 +14,7 @@
 	PlatformAddress  string `long:"platform-address" env:"BAOBABDRUM_PLATFORM_ADDRESS" default:"127.0.0.1:8090" value-name:"address" description:"IP and port of the platform's table service"`
 	Token            string `long:"token" env:"BAOBABDRUM_TOKEN" default:"" value-name:"secret" description:"shared secret of operators and entry hosts; required unless every listening address is loopback"`
 	ConfiguredHosts  string `long:"configured-hosts" env:"BAOBABDRUM_CONFIGURED_HOSTS" default:"14" value-name:"integer" description:"number of entry hosts, by which shared budgets are split, in hosts (1 to 1000)"`
-	CallTimeout      string `long:"call-timeout" env:"BAOBABDRUM_CALL_TIMEOUT" default:"10s" value-name:"duration" description:"deadline of a call that states none (1ms to 10m)"`
+	CallTimeout      string `long:"call-timeout" env:"BAOBABDRUM_CALL_TIMEOUT" default:"10s" value-name:"duration" description:"deadline of a call that states none, and time to read a request if longer than 1s (1ms to 10m)"`
 	AnswerKeep       string `long:"answer-keep" env:"BAOBABDRUM_ANSWER_KEEP" default:"2s" value-name:"duration" description:"how long a caller may keep an answer to ask (100ms to 1m)"`
 	OrderLifetime    string `long:"order-lifetime" env:"BAOBABDRUM_ORDER_LIFETIME" default:"10m" value-name:"duration" description:"how long an order id stays valid and its outcome is remembered (1s to 1h)"`
 	OrderCapacity    string `long:"order-capacity" env:"BAOBABDRUM_ORDER_CAPACITY" default:"100000" value-name:"integer" description:"number of orders remembered at once; further orders are refused, in orders (1 to 10000000)"`
@@ -47,7 +47,7 @@
 	Token string
 	// ConfiguredHosts is set by --configured-hosts: number of entry hosts, by which shared budgets are split, in hosts (1 to 1000).
 	ConfiguredHosts int
-	// CallTimeout is set by --call-timeout: deadline of a call that states none (1ms to 10m).
+	// CallTimeout is set by --call-timeout: deadline of a call that states none, and time to read a request if longer than 1s (1ms to 10m).
 	CallTimeout time.Duration
 	// AnswerKeep is set by --answer-keep: how long a caller may keep an answer to ask (100ms to 1m).
 	AnswerKeep time.Duration
