Measure what moving calls out of a crowded cell is worth

Cause: the spill had unit tests and no measurement with processes. Ruled out: the stand-in's late answers (a late answer frees its slot, so no cell gets crowded) and 64 callers (each waits for its answer, so the load falls with the cell's speed): both first tries showed no difference. Change: case crowded_data_centre of scripts/faults.sh, and CALLERS.

--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs failure cases under load, with real signals and the stand-ins' control
 # addresses. Usage: scripts/faults.sh [CASE]; without a case it runs them all.
-# Settings: SEED (of every choice), RATE (calls a second), BASE_PORT, DEPLOYMENT.
+# Settings: SEED (of every choice), RATE (calls a second), CALLERS, BASE_PORT,
+# DEPLOYMENT.
 #
 # Each case prints one line. The exit code is 1 if a case broke what must always
 # hold; whether it did is judged by standin-verdict and by the case's own checks.
@@ -247,7 +248,7 @@
 case_crowded_data_centre() {
   local address service=${idempotent%%,*}
   while read -r address; do
-    server_fault "$address" late $((during * 1000)) 200
+    server_fault "$address" straggle $((during * 1000)) 40
   done < <(awk -F, -v s="$service" -v d="${data_centres[0]}" '$1 == "backend_server" && $3 == s && $4 == d { print $5 }' "$sheet")
   sleep "$during"
 }
@@ -318,7 +319,7 @@
   if declare -F "prepare_$1" >/dev/null; then "prepare_$1"; fi
   SETTLE=$settle start_deployment || { stop_all && echo "case=$1 seed=$SEED result=NOT_STARTED" && return 1; }
   local began=$SECONDS
-  start_load --rate "$RATE" --order-percent 20 --pack-percent 1 --seed "$SEED" --duration $((before + during + after))s \
+  start_load --rate "$RATE" --callers "${CALLERS:-64}" --order-percent 20 --pack-percent 1 --seed "$SEED" --duration $((before + during + after))s \
     --fault-after "${before}s" --fault-for "${during}s"
   sleep "$before"
   "case_$1"
