Grow the allowance only by quick answers to attempts at the limit

Change: an answer adds to the allowance only if its attempt started at the limit and it is no slower than twice the quickest recent answers or the cell's median. Ramp tests now fill the slots; one call at a time opens no third slot.

--- a/backend/attempts.go
+++ b/backend/attempts.go
@@ -18,6 +18,9 @@
 	server    *Server
 	started   time.Time
 	cancelled bool
+	// atLimit says that the backend server had no further slot free when the
+	// attempt started.
+	atLimit bool
 }
 
 // start begins one attempt.
@@ -131,8 +134,7 @@
 	if !owned || !running.server.Owned {
 		return
 	}
-	took := now.Sub(running.started)
-	running.server.observe(now, result, took, cell.Latency.Median)
+	running.server.observe(now, result, running, cell.Latency.Median)
 	if p.Options.WithoutRamp {
 		running.server.Allowance = float64(running.server.Slots)
 	}
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -80,6 +80,24 @@
 	}
 }
 
+// fill keeps all permitted slots busy with calls that are answered well in 5 ms,
+// which opens the slots of cold backend servers.
+func (d *driver) fill(rounds int) {
+	d.t.Helper()
+	for range rounds {
+		first := len(d.started)
+		for _, server := range d.pool.Cells[cell].Servers {
+			for range server.Limit() {
+				d.place()
+			}
+		}
+		d.now = d.now.Add(5 * time.Millisecond)
+		for index := first; index < len(d.started); index++ {
+			d.end(index, 0, answered)
+		}
+	}
+}
+
 // tick lets time pass.
 func (d *driver) tick(elapsed time.Duration) {
 	d.t.Helper()
--- a/backend/server.go
+++ b/backend/server.go
@@ -12,8 +12,14 @@
 const (
 	// coldAllowance is the allowance of a backend server without answers.
 	coldAllowance = 1
-	// allowanceGrowth is added to the allowance by a good answer.
+	// allowanceGrowth is added to the allowance by a quick answer to an attempt
+	// that started at the limit.
 	allowanceGrowth = 0.5
+	// quickAnswer is the ratio to the quickest recent answers up to which an answer
+	// is quick.
+	quickAnswer = 2
+	// quickestWeight is the share of a slower answer in the quickest latency.
+	quickestWeight = 0.002
 	// latencyWeight is the share of the newest answer in the smoothed latency.
 	latencyWeight = 0.2
 	// latencyMemory is the time in which an unconfirmed latency falls to 37%, so
@@ -48,6 +54,8 @@
 	Allowance float64
 	// Latency is the smoothed duration of attempts.
 	Latency time.Duration
+	// Quickest is the duration of its quickest recent answers.
+	Quickest time.Duration
 	// ObservedAt is when the latency was last confirmed.
 	ObservedAt time.Time
 	// EjectedUntil is when it may receive work again.
@@ -70,7 +78,7 @@
 // declare adopts the declared state. A backend server that returns is cold.
 func (s *Server) declare(cell caller.Cell, declared Declared) {
 	if !s.Owned || s.Leaving && !declared.Leaving {
-		s.Allowance, s.Latency, s.ObservedAt = coldAllowance, 0, time.Time{}
+		s.Allowance, s.Latency, s.Quickest, s.ObservedAt = coldAllowance, 0, 0, time.Time{}
 		s.EjectedUntil, s.Errors, s.Ejections = time.Time{}, 0, 0
 	}
 	s.Cell, s.Declared, s.Owned = cell, declared, true
@@ -115,6 +123,7 @@
 // begin adds an attempt.
 func (s *Server) begin(running *attempt) {
 	s.InFlight++
+	running.atLimit = s.InFlight >= s.Limit()
 	s.running = append(s.running, running)
 }
 
@@ -124,9 +133,10 @@
 	s.running = slices.DeleteFunc(s.running, func(other *attempt) bool { return other == running })
 }
 
-// observe updates latency, allowance and errors by an attempt that took the
-// given time. The median is the cell's.
-func (s *Server) observe(now time.Time, result Result, took, median time.Duration) {
+// observe updates latency, allowance and errors by an attempt that ended. The
+// median is the cell's.
+func (s *Server) observe(now time.Time, result Result, running *attempt, median time.Duration) {
+	took := now.Sub(running.started)
 	switch result := result.(type) {
 	case Whole:
 		if result.Status >= http.StatusInternalServerError {
@@ -134,7 +144,7 @@
 
 			return
 		}
-		s.answered(now, took, median)
+		s.answered(now, took, median, running.atLimit)
 	case Shed, Cut, TimedOut:
 		s.failed(now, took, median)
 	case Unsent:
@@ -148,18 +158,32 @@
 	}
 }
 
-// answered notes a good answer.
-func (s *Server) answered(now time.Time, took, median time.Duration) {
+// answered notes a good answer. Only an attempt that started at the limit shows
+// that the backend server bears that many, and only if the answer is quick: a
+// cold one answers as quickly as ever until it has too much work.
+func (s *Server) answered(now time.Time, took, median time.Duration, atLimit bool) {
+	s.quickest(took)
 	usual := max(s.Latency, median)
-	if usual > 0 && took > latencyJump*usual {
+	switch {
+	case usual > 0 && took > latencyJump*usual:
 		s.halve()
-	} else {
+	case atLimit && took <= max(quickAnswer*s.Quickest, median):
 		s.Allowance = math.Min(s.Allowance+allowanceGrowth, float64(max(s.Slots, coldAllowance)))
 	}
 	s.Errors, s.Ejections = 0, 0
 	s.smooth(now, took)
 }
 
+// quickest follows the quickest answers down at once and up slowly.
+func (s *Server) quickest(took time.Duration) {
+	if s.Quickest == 0 || took < s.Quickest {
+		s.Quickest = took
+
+		return
+	}
+	s.Quickest += time.Duration(quickestWeight * float64(took-s.Quickest))
+}
+
 // failed notes an error, which counts as a slow answer however fast it came.
 func (s *Server) failed(now time.Time, took, median time.Duration) {
 	s.halve()
