Let a queue stand longer before calls are dropped

Cause: refusals at loads below the capacity with the shorter times. Change: an interval of 100 and a target of 8 median latencies.

--- a/backend/queue.go
+++ b/backend/queue.go
@@ -24,10 +24,10 @@
 
 const (
 	// standingInterval is how long a queue may stand, in median latencies.
-	standingInterval = 20
+	standingInterval = 100
 	// standingTarget is how long a call may wait in a standing queue, in median
 	// latencies.
-	standingTarget = 4
+	standingTarget = 8
 )
 
 func (FirstIn) discipline()         {}
