--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 .PHONY: slopes
 # slopes prints the figures of docs/CAPACITY.md.
 slopes: build
-	bin/standin-slopes
+	scripts/slopes.sh
 
 .PHONY: demo faults soak docs-check
 
@@ -73,3 +73,8 @@
 policies: build
 	mkdir -p out
 	bin/standin-policies --report out/policies.json --plot out/policies.svg
+
+.PHONY: bench
+# bench measures what one entry host adds to a call, on a quiet machine.
+bench: build
+	scripts/bench.sh
--- a/backendhttp/prober.go
+++ b/backendhttp/prober.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -43,20 +46,24 @@
 	if err != nil {
 		return true
 	}
-	defer p.Connections.Release(probe.Address, connection)
-	connection.reset()
+	defer p.Connections.Release(connection)
+	if err := connection.Open(context.Background(), time.Now().Add(probe.Timeout)); err != nil {
+		return false
+	}
 
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI(healthPath)
 	request.Header.SetHost(probe.Address)
-	if err := connection.client.DoTimeout(request, response, probe.Timeout); err != nil {
-		return false
+	err = connection.Exchange(request, response)
+	if err == nil && response.BodyStream() != nil {
+		_, err = (&body{stream: response.BodyStream(), left: response.Header.ContentLength()}).read(wholeBody)
 	}
-	if err := response.CloseBodyStream(); err != nil {
-		return false
+	whole := err == nil && response.BodyStream() == nil || errors.Is(err, io.EOF)
+	if !whole || response.ConnectionClose() {
+		connection.Close()
 	}
 
-	return response.StatusCode() == fasthttp.StatusOK
+	return whole && response.StatusCode() == fasthttp.StatusOK
 }
--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -4,9 +4,8 @@
 	"context"
 	"errors"
 	"io"
-	"net"
+	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,17 +16,6 @@
 	"github.com/baobabdrum/baobabdrum/ring"
 )
 
-// CutError reports a body that ended before its end.
-type CutError struct {
-	// Address is the ip:port that sent it.
-	Address string
-}
-
-// Error names the address.
-func (e *CutError) Error() string {
-	return "the answer of " + e.Address + " ended before its end"
-}
-
 // Sender is a duty that runs one attempt at a time.
 type Sender struct {
 	// Attempts is the ring that the duty takes from.
@@ -51,29 +39,50 @@
 	}
 }
 
-// send runs an attempt and returns how it ended.
+// send runs an attempt and returns how it ended. Only a connection whose answer
+// was read to its end is kept open.
 func (s *Sender) send(ctx context.Context, attempt *dispatch.Attempt) dispatch.Ended {
 	if attempt.Context.Err() != nil || !time.Now().Before(attempt.Deadline) {
-		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Cause: context.DeadlineExceeded}}
+		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Local: true, Cause: context.DeadlineExceeded}}
 	}
 	connection, err := s.Connections.Acquire(attempt.Address)
 	if err != nil {
-		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Cause: err}}
+		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Local: true, Cause: err}}
 	}
-	defer s.Connections.Release(attempt.Address, connection)
-	connection.reset()
-	defer abortOnCancel(attempt.Context, connection)()
+	defer s.Connections.Release(connection)
+	if err := connection.Open(attempt.Context, attempt.Deadline); err != nil {
+		local := attempt.Context.Err() != nil
 
+		return dispatch.Ended{Attempt: attempt, Result: backend.Unsent{Local: local, Cause: err}}
+	}
+	ended, reusable := s.exchange(ctx, attempt, connection)
+	if !reusable {
+		connection.Close()
+	}
+
+	return ended
+}
+
+// exchange sends the request and receives the answer. It reports whether the
+// connection may be used again.
+func (s *Sender) exchange(ctx context.Context, attempt *dispatch.Attempt, connection *Connection) (dispatch.Ended, bool) {
+	settle := abortOnCancel(attempt.Context, connection)
+	defer settle()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	encode(request, attempt)
-	if err := connection.client.DoDeadline(request, response, attempt.Deadline); err != nil {
-		return dispatch.Ended{Attempt: attempt, Result: failure(attempt, connection, err)}
+	began := time.Now()
+	if err := connection.Exchange(request, response); err != nil {
+		return dispatch.Ended{Attempt: attempt, Result: failure(attempt, connection, err)}, false
+	}
+	ended := s.receive(ctx, attempt, connection, response)
+	_, whole := ended.Result.(backend.Whole)
+	if ended.Answer != nil {
+		ended.Answer.Took = time.Since(began)
 	}
-	defer response.CloseBodyStream() //nolint:errcheck // the connection is closed if this fails
 
-	return s.receive(ctx, attempt, connection, response)
+	return ended, whole && !response.ConnectionClose()
 }
 
 // abortOnCancel aborts the connection when the context ends. The returned
@@ -82,7 +91,7 @@
 func abortOnCancel(ctx context.Context, connection *Connection) func() {
 	aborted := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
-		connection.abort()
+		connection.Abort()
 		close(aborted)
 	})
 
@@ -96,19 +105,20 @@
 // receive reads the body, in parts if it is large.
 func (s *Sender) receive(ctx context.Context, attempt *dispatch.Attempt, connection *Connection, response *fasthttp.Response) dispatch.Ended {
 	answer := decode(attempt, response)
-	body := &body{stream: response.BodyStream(), connection: connection, length: answer.Length, address: attempt.Address}
-	if response.SkipBody || body.stream == nil {
-		answer.Body = append([]byte(nil), response.Body()...)
-
-		return whole(attempt, answer)
+	if shed(answer) {
+		return dispatch.Ended{Attempt: attempt, Result: backend.Shed{}}
 	}
-	first, err := body.read(wholeBody)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return dispatch.Ended{Attempt: attempt, Result: failure(attempt, connection, err)}
+	if response.BodyStream() == nil {
+		return dispatch.Ended{Attempt: attempt, Result: backend.Whole{Status: answer.Status}, Answer: answer}
 	}
+	body := &body{stream: response.BodyStream(), left: answer.Length}
+	first, err := body.read(wholeBody)
 	answer.Body = first
 	if errors.Is(err, io.EOF) {
-		return whole(attempt, answer)
+		return dispatch.Ended{Attempt: attempt, Result: backend.Whole{Status: answer.Status}, Answer: answer}
+	}
+	if err != nil {
+		return dispatch.Ended{Attempt: attempt, Result: failure(attempt, connection, err)}
 	}
 	answer.Rest = ring.New[dispatch.Chunk]("answer", chunkRing)
 	if err := s.Reports.Put(ctx, dispatch.Answering{Attempt: attempt, Answer: answer}); err != nil {
@@ -118,21 +128,21 @@
 	return s.stream(attempt, connection, body, answer)
 }
 
-// stream passes the rest of a large body on.
+// stream passes the rest of a large body on. A caller that does not take it
+// holds the attempt up until the deadline at most.
 func (*Sender) stream(attempt *dispatch.Attempt, connection *Connection, body *body, answer *dispatch.Answer) dispatch.Ended {
+	ctx, cancel := context.WithDeadline(attempt.Context, attempt.Deadline)
+	defer cancel()
 	for {
 		data, err := body.read(chunkSize)
-		last := errors.Is(err, io.EOF)
-		chunk := dispatch.Chunk{Data: data, Last: last}
-		if err != nil && !last {
+		chunk := dispatch.Chunk{Data: data, Last: errors.Is(err, io.EOF)}
+		if !chunk.Last {
 			chunk.Err = err
 		}
-		if put := answer.Rest.Put(attempt.Context, chunk); put != nil {
-			connection.abort()
-
-			return dispatch.Ended{Attempt: attempt, Result: backend.Cancelled{}}
+		if answer.Rest.Put(ctx, chunk) != nil {
+			return dispatch.Ended{Attempt: attempt, Result: failure(attempt, connection, ctx.Err())}
 		}
-		if last {
+		if chunk.Last {
 			return dispatch.Ended{Attempt: attempt, Result: backend.Whole{Status: answer.Status}}
 		}
 		if err != nil {
@@ -141,25 +151,15 @@
 	}
 }
 
-// whole reports an answer whose body is complete.
-func whole(attempt *dispatch.Attempt, answer *dispatch.Answer) dispatch.Ended {
-	if shed(answer) {
-		return dispatch.Ended{Attempt: attempt, Result: backend.Shed{}}
-	}
-
-	return dispatch.Ended{Attempt: attempt, Result: backend.Whole{Status: answer.Status}, Answer: answer}
-}
-
 // failure says how an attempt with an error ended.
 func failure(attempt *dispatch.Attempt, connection *Connection, err error) backend.Result {
 	cause := eris.Wrapf(err, "sending to %s", attempt.Address)
-	var timeout net.Error
 	switch {
-	case !connection.wrote():
+	case connection.Sent() == 0:
 		return backend.Unsent{Cause: cause}
 	case attempt.Context.Err() != nil:
 		return backend.Cancelled{}
-	case errors.Is(err, fasthttp.ErrTimeout), errors.As(err, &timeout) && timeout.Timeout():
+	case !time.Now().Before(attempt.Deadline):
 		return backend.TimedOut{}
 	default:
 		return backend.Cut{Cause: cause}
@@ -174,21 +174,33 @@
 	for _, header := range attempt.Request.Headers {
 		request.Header.Add(header.Name, header.Value)
 	}
-	request.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(attempt.Deadline).Milliseconds(), 10))
+	request.Header.Set(HeaderDeadline, strconv.FormatInt(max(time.Until(attempt.Deadline).Milliseconds(), 1), 10))
 	if attempt.Depth > 0 {
 		request.Header.Set(HeaderDepth, strconv.Itoa(attempt.Depth))
 	}
 	if attempt.Forward {
 		request.Header.Set(HeaderHops, strconv.Itoa(attempt.Hops))
 	}
-	if attempt.OrderID != "" {
-		request.Header.Set(HeaderOrderID, attempt.OrderID)
-	}
+	encodeOrder(request, attempt)
 	request.SetBodyRaw(attempt.Request.Body)
 }
 
+// encodeOrder adds what a forwarded order carries.
+func encodeOrder(request *fasthttp.Request, attempt *dispatch.Attempt) {
+	if attempt.OrderID == "" {
+		return
+	}
+	request.Header.Set(HeaderOrderID, attempt.OrderID)
+	if attempt.OrderAttempt > 0 || attempt.OrderFirst {
+		request.Header.Set(HeaderOrderAttempt, strconv.Itoa(attempt.OrderAttempt))
+	}
+}
+
 // target returns the path and query at the address.
 func target(attempt *dispatch.Attempt) string {
+	if attempt.OrderID != "" {
+		return "/order/" + attempt.Service + attempt.Request.Target
+	}
 	if attempt.Forward {
 		return "/call/" + attempt.Service + attempt.Request.Target
 	}
@@ -201,11 +213,15 @@
 	answer := &dispatch.Answer{
 		Status:    response.StatusCode(),
 		Length:    response.Header.ContentLength(),
+		Headers:   make([]dispatch.Header, 0, usualHeaders),
 		Forwarded: attempt.Forward,
 	}
+	if attempt.Forward {
+		answer.Outcome = outcome(string(response.Header.Peek(HeaderOutcome)), string(response.Header.Peek(HeaderReason)))
+	}
+	connection := response.Header.Peek(fasthttp.HeaderConnection)
 	for name, value := range response.Header.All() {
-		lower := strings.ToLower(string(name))
-		if PassedOn(lower) || attempt.Forward && !hopByHop[lower] || string(name) == HeaderShed {
+		if PassedOn(name, connection) || attempt.Forward && !isHopByHop(name) || string(name) == HeaderShed {
 			answer.Headers = append(answer.Headers, dispatch.Header{Name: string(name), Value: string(value)})
 		}
 	}
@@ -213,35 +229,32 @@
 	return answer
 }
 
-// body reads a response's body and tells its end from a cut.
+// body reads a response's body in parts.
 type body struct {
-	stream     io.Reader
-	connection *Connection
-	length     int
-	taken      int
-	address    string
+	stream io.Reader
+	// left is the number of bytes that follow, or negative if it is unknown.
+	left int
 }
 
 // read returns up to limit bytes. It returns io.EOF with the last bytes of a
-// whole body and a *CutError if the body was cut.
+// whole body and another error if the body was cut.
 func (b *body) read(limit int) ([]byte, error) {
-	if b.length >= 0 {
-		limit = min(limit, b.length-b.taken)
+	capacity := min(limit, readSize)
+	if b.left >= 0 {
+		capacity = min(limit, b.left)
 	}
-	data := make([]byte, limit)
-	count, err := io.ReadFull(b.stream, data)
-	b.taken += count
-	data = data[:count]
-	switch {
-	case b.length >= 0 && b.taken == b.length:
-		return data, io.EOF
-	case err == nil:
-		return data, nil
-	case !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-		return data, err
-	case b.length == -1 && !b.connection.ended():
-		return data, io.EOF
-	default:
-		return data, &CutError{Address: b.address}
+	data := make([]byte, 0, capacity)
+	for len(data) < limit {
+		if len(data) == cap(data) {
+			data = slices.Grow(data, readSize)
+		}
+		count, err := b.stream.Read(data[len(data):min(cap(data), limit)])
+		data = data[:len(data)+count]
+		b.left -= count
+		if err != nil {
+			return data, err
+		}
 	}
+
+	return data, nil
 }
--- a/caller/order_book.go
+++ b/caller/order_book.go
@@ -1,14 +1,13 @@
 package caller
 
 import (
-	"container/heap"
 	"fmt"
 	"time"
 )
 
 const (
 	// orderSkew is how far the clock of an id's issuer may be ahead.
-	orderSkew = 5 * time.Second
+	orderSkew = time.Minute
 	// orderWaiters bounds the requests that wait for the end of one run.
 	orderWaiters = 64
 	// keptAnswer is the largest body in bytes that is kept for repeats.
@@ -57,7 +56,9 @@
 	oldest orderHeap
 	// floor is the newest time of issue that was refused without being
 	// remembered. An unseen order that is not newer never runs.
-	floor   time.Time
+	floor time.Time
+	// due is not later than the earliest deadline of a request that waits.
+	due     time.Time
 	kept    int
 	actions []OrderAction
 }
@@ -124,27 +125,6 @@
 	return OrderUnseen, nil
 }
 
-// clock returns the time by the book's own clock.
-func (b *OrderBook) clock(now time.Time) time.Time {
-	return b.Started.Add(now.Sub(b.Started))
-}
-
-// unrememberable returns the outcome of an id that is outside of the span of
-// time for which orders are remembered, or nil.
-func (b *OrderBook) unrememberable(now time.Time, id OrderID) Outcome {
-	clock := b.clock(now)
-	switch {
-	case id.Incarnation != b.Incarnation:
-		return Unknown{Reason: ReasonIncarnationGone}
-	case !id.Time().Add(b.Lifetime).After(clock):
-		return Unknown{Reason: ReasonExpired}
-	case id.Time().After(clock.Add(b.Lifetime)):
-		return Unknown{Reason: ReasonInvalid}
-	default:
-		return nil
-	}
-}
-
 // arrived starts a run, joins the one under way, or tells how it ended.
 func (b *OrderBook) arrived(now time.Time, event OrderArrived) {
 	entry, outcome := b.entry(now, event.OrderRequest)
@@ -170,50 +150,6 @@
 	}
 }
 
-// entry returns the order of a request, remembering one that is new, or says
-// why there is none.
-func (b *OrderBook) entry(now time.Time, request OrderRequest) (*order, Outcome) {
-	if entry, ok := b.orders[request.Order]; ok {
-		if entry.fingerprint != request.Fingerprint {
-			return nil, NotRun{Reason: ReasonOrderMismatch}
-		}
-
-		return entry, nil
-	}
-	if outcome := b.unrememberable(now, request.Order); outcome != nil {
-		return nil, outcome
-	}
-	issued := request.Order.Time()
-	future := issued.After(b.clock(now).Add(orderSkew))
-	if len(b.orders) >= b.Capacity || !issued.After(b.floor) {
-		if future {
-			return nil, Unknown{Reason: ReasonInvalid}
-		}
-		b.floor = later(b.floor, issued)
-
-		return nil, NotRun{Reason: ReasonOverloaded}
-	}
-	entry := &order{id: request.Order, state: OrderUnseen, fingerprint: request.Fingerprint}
-	b.orders[entry.id] = entry
-	heap.Push(&b.oldest, entry)
-	if future {
-		b.refuse(entry, request.Attempt, NotRun{Reason: ReasonInvalid})
-
-		return nil, entry.outcome
-	}
-
-	return entry, nil
-}
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-
-	return b
-}
-
 // start begins the only run of the order.
 func (b *OrderBook) start(entry *order, event OrderArrived) {
 	entry.state, entry.outcome = OrderClaimed, nil
@@ -232,6 +168,7 @@
 
 		return
 	}
+	b.due = earlier(b.due, request.Call.Deadline)
 	entry.waiters = append(entry.waiters, waiter{
 		call: request.Call.ID, attempt: request.Attempt, deadline: request.Call.Deadline,
 	})
@@ -362,33 +299,22 @@
 
 // expire ends the requests whose deadline passed while the run goes on.
 func (b *OrderBook) expire(now time.Time) {
+	if b.due.IsZero() || now.Before(b.due) {
+		return
+	}
+	b.due = time.Time{}
 	for _, entry := range b.runs {
-		waiting := entry.waiters[:0]
-		for _, request := range entry.waiters {
+		waiting := entry.waiters
+		entry.waiters = nil
+		for _, request := range waiting {
 			if now.Before(request.deadline) {
-				waiting = append(waiting, request)
+				entry.waiters = append(entry.waiters, request)
+				b.due = earlier(b.due, request.deadline)
 
 				continue
 			}
 			b.end(request.call, entry.id, Unknown{Reason: ReasonDeadline})
 		}
-		entry.waiters = waiting
-	}
-}
-
-// evict forgets orders whose lifetime has passed. An order that is still under
-// way holds up those that were issued after it.
-func (b *OrderBook) evict(now time.Time) {
-	limit := b.clock(now).Add(-b.Lifetime)
-	for len(b.oldest) > 0 {
-		entry := b.oldest[0]
-		if entry.id.Time().After(limit) || !entry.ended() {
-			return
-		}
-		heap.Pop(&b.oldest)
-		delete(b.orders, entry.id)
-		b.kept -= entry.kept
-		b.actions = append(b.actions, ForgetOrder{Order: entry.id})
 	}
 }
 
@@ -396,27 +322,3 @@
 func (b *OrderBook) violatedf(invariant, format string, args ...any) {
 	b.actions = append(b.actions, Violation{Invariant: invariant, Detail: fmt.Sprintf(format, args...)})
 }
-
-// orderHeap has the order that was issued first at index 0.
-type orderHeap []*order
-
-// Len returns the number of orders.
-func (h orderHeap) Len() int { return len(h) }
-
-// Less reports whether the order at i was issued before the one at j.
-func (h orderHeap) Less(i, j int) bool { return h[i].id.ULID.Compare(h[j].id.ULID) < 0 }
-
-// Swap exchanges two orders.
-func (h orderHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push adds an order at the end; package heap calls it.
-func (h *orderHeap) Push(item any) { *h = append(*h, item.(*order)) }
-
-// Pop removes the order at the end; package heap calls it.
-func (h *orderHeap) Pop() any {
-	last := len(*h) - 1
-	item := (*h)[last]
-	*h = (*h)[:last]
-
-	return item
-}
--- a/callerhttp/call.go
+++ b/callerhttp/call.go
@@ -19,24 +19,35 @@
 	maxDepth = 16
 	// maxHops is the largest number of forwards that a request may state.
 	maxHops = 3
+	// replyGrace is how long after its deadline a call is expected to end.
+	replyGrace = time.Second
 	// maxDeadline is the longest time that a caller may wait.
 	maxDeadline = 10 * time.Minute
 )
 
 // call runs a caller's request and answers with what came back.
 func (f *Front) call(c fiber.Ctx) error {
+	began := time.Now()
 	call, faults := f.decode(c)
 	if len(faults) > 0 {
+		f.Metrics.Rejected(string(caller.ReasonInvalid))
+
 		return reject(c, faults)
 	}
 	reply := ring.New[dispatch.Reply]("reply", 1)
 	if err := f.Inputs.Offer(dispatch.Call{Call: call, Request: request(c), Reply: reply}); err != nil {
+		f.Metrics.Rejected(string(caller.ReasonOverloaded))
+
 		return fail(c, caller.NotRun{Reason: caller.ReasonOverloaded}, err.Error())
 	}
-	switch reply := f.wait(c, call.ID, reply).(type) {
+	switch reply := f.wait(c, call, reply).(type) {
 	case dispatch.Begun:
-		return f.stream(c, call.ID, reply.Answer)
+		return f.stream(c, call, reply.Answer)
 	case dispatch.Finished:
+		if reply.Answer != nil && !reply.Answer.Forwarded {
+			f.Metrics.AddedLatency(time.Since(began) - reply.Answer.Took)
+		}
+
 		return finish(c, reply)
 	default:
 		return fail(c, caller.Unknown{Reason: caller.ReasonStopping}, "the host stopped before the call ended")
@@ -73,8 +84,9 @@
 		Target: target,
 		Body:   append([]byte(nil), c.Request().Body()...),
 	}
+	connection := c.Request().Header.Peek(fiber.HeaderConnection)
 	for name, value := range c.Request().Header.All() {
-		if backendhttp.PassedOn(strings.ToLower(string(name))) {
+		if backendhttp.PassedOn(name, connection) {
 			copied.Headers = append(copied.Headers, dispatch.Header{Name: string(name), Value: string(value)})
 		}
 	}
@@ -82,9 +94,11 @@
 	return copied
 }
 
-// wait returns the reply of the dispatch duty, or nil when the host stops. It
-// cancels the call when the caller's connection is closed.
-func (f *Front) wait(c fiber.Ctx, id caller.CallID, reply *ring.Ring[dispatch.Reply]) dispatch.Reply {
+// wait returns the reply of the dispatch duty. While the front stops, calls in
+// flight go on; it returns nil only if the reply of a stopped host is overdue.
+// It cancels the call when the caller's connection is closed.
+func (f *Front) wait(c fiber.Ctx, call caller.Call, reply *ring.Ring[dispatch.Reply]) dispatch.Reply {
+	overdue := call.Deadline.Add(replyGrace)
 	timer := time.NewTimer(goneInterval)
 	defer timer.Stop()
 	cancelled := false
@@ -92,11 +106,12 @@
 		select {
 		case received := <-reply.Items():
 			return received
-		case <-c.RequestCtx().Done():
-			return nil
 		case <-timer.C:
+			if c.RequestCtx().Err() != nil && time.Now().After(overdue) {
+				return nil
+			}
 			if !cancelled && gone(c.RequestCtx().Conn()) {
-				cancelled = f.Inputs.Offer(dispatch.Cancel{Call: id}) == nil
+				cancelled = f.Inputs.Offer(dispatch.Cancel{Call: call.ID}) == nil
 			}
 			timer.Reset(goneInterval)
 		}
--- a/callerhttp/callerhttp.go
+++ b/callerhttp/callerhttp.go
@@ -10,15 +10,17 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/baobabdrum/baobabdrum/backendhttp"
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
 )
 
 const (
 	// HeaderOutcome carries answered, not_run or unknown.
-	HeaderOutcome = "Baobabdrum-Outcome"
+	HeaderOutcome = backendhttp.HeaderOutcome
 	// HeaderReason carries the reason of not_run and unknown.
-	HeaderReason = "Baobabdrum-Reason"
+	HeaderReason = backendhttp.HeaderReason
 )
 
 const (
@@ -35,13 +37,15 @@
 	Inputs *ring.Ring[dispatch.Input]
 	// CallTimeout is the deadline of calls that state none.
 	CallTimeout time.Duration
+	// Metrics receives the added latency and refused requests.
+	Metrics *prometheus.Metrics
 
 	app *fiber.App
 }
 
 // New returns a front end that accepts request bodies of up to bodyLimit bytes.
 func New(inputs *ring.Ring[dispatch.Input], callTimeout time.Duration, bodyLimit int) *Front {
-	front := &Front{Inputs: inputs, CallTimeout: callTimeout}
+	front := &Front{Inputs: inputs, CallTimeout: callTimeout, Metrics: prometheus.New()}
 	front.app = fiber.New(fiber.Config{
 		AppName:                   "baobabdrum",
 		BodyLimit:                 bodyLimit,
@@ -53,6 +57,8 @@
 	})
 	front.app.Get("/ask/:service", front.ask)
 	front.app.All("/call/:service/*", front.call)
+	front.app.Add(orderMethods, "/order/:service/*", front.order)
+	front.app.Get("/order/:id", front.orderStatus)
 
 	return front
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -48,8 +48,12 @@
 	Length int
 	// Rest brings the other parts of the body, or is nil.
 	Rest *ring.Ring[Chunk]
+	// Took is the time from sending the request to the end of a whole body.
+	Took time.Duration
 	// Forwarded says that another entry host answered.
 	Forwarded bool
+	// Outcome is what another entry host stated, or nil.
+	Outcome caller.Outcome
 }
 
 // Chunk is a part of a large body.
@@ -84,6 +88,11 @@
 	Depth int
 	// OrderID is the id of a forwarded order, or empty.
 	OrderID string
+	// OrderAttempt is the number of requests that the caller sent for a forwarded
+	// order before.
+	OrderAttempt int
+	// OrderFirst says that the caller vouches that it sent none.
+	OrderFirst bool
 	// Context ends when the attempt is given up.
 	Context context.Context //nolint:containedctx // one context for each attempt, made by the duty and read by a sender
 
@@ -110,6 +119,16 @@
 	Timeout time.Duration
 }
 
+// Target is a backend server that this host dispatches to.
+type Target struct {
+	// Address is its ip:port.
+	Address string
+	// Connections bounds this host's connections to it.
+	Connections int
+	// Ahead is the number of connections to open ahead of need.
+	Ahead int
+}
+
 // Reply is what the front end gets for a call: Begun or Finished. A call has
 // exactly one reply.
 //
@@ -146,6 +165,14 @@
 //sumtype:decl
 type Input interface{ input() }
 
+// Control is an input that concerns the host rather than one call.
+//
+//sumtype:decl
+type Control interface {
+	Input
+	control()
+}
+
 // Ask is a caller's question.
 type Ask struct {
 	// Service names the service.
@@ -194,10 +221,12 @@
 	Configuration schema.Configuration
 }
 
-// Hosts replaces the set of live hosts.
+// Hosts replaces the sets of live and of leaving hosts.
 type Hosts struct {
 	// Hosts are the live hosts.
 	Hosts []schema.Host
+	// Leaving are the hosts that leave and still answer.
+	Leaving []schema.Host
 }
 
 // Isolate says whether this host must refuse calls because it was frozen or is
@@ -233,11 +262,21 @@
 	Reply *ring.Ring[[]schema.CellDump]
 }
 
-func (Ask) input()       {}
-func (Call) input()      {}
-func (Cancel) input()    {}
-func (Answering) input() {}
-func (Ended) input()     {}
+func (OrderCall) input()   {}
+func (OrderAsk) input()    {}
+func (Claimed) input()     {}
+func (Ask) input()         {}
+func (Call) input()        {}
+func (Cancel) input()      {}
+func (Answering) input()   {}
+func (Ended) input()       {}
+func (Configure) control() {}
+func (Hosts) control()     {}
+func (Isolate) control()   {}
+func (Confirm) control()   {}
+func (Shares) control()    {}
+func (Dump) control()      {}
+
 func (Configure) input() {}
 func (Hosts) input()     {}
 func (Isolate) input()   {}
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -9,10 +9,14 @@
 
 	"github.com/baobabdrum/baobabdrum/backend"
 	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
+// maxMoves bounds how often a waiting call is routed again.
+const maxMoves = 2
+
 // tickInterval is the time between checks of deadlines while calls wait or run.
 const tickInterval = 5 * time.Millisecond
 
@@ -27,6 +31,14 @@
 	call    caller.Call
 	reply   *ring.Ring[Reply]
 	forward *Attempt
+	// order is set for a caller's request for an order.
+	order *caller.OrderRequest
+	// run is set for the run of an order.
+	run *run
+	// streams is the run whose large answer the request receives, or 0.
+	streams caller.CallID
+	// moves counts how often the call was routed again.
+	moves int
 }
 
 // Duty is the state of the dispatch duty.
@@ -41,6 +53,16 @@
 	Router *caller.Router
 	// Pool decides how placed calls are run.
 	Pool *backend.Pool
+	// Orders holds the orders of this incarnation.
+	Orders *Orders
+	// ConfiguredHosts is the number of entry hosts that share a backend server's
+	// connections.
+	ConfiguredHosts int
+	// Targets receives the backend servers of this host's cells, unless it is
+	// nil. It has room for one item, the newest; only this duty offers to it.
+	Targets *ring.Ring[[]Target]
+	// Metrics counts what happens.
+	Metrics *prometheus.Dispatch
 	// Log receives broken invariants.
 	Log *logrus.Entry
 
@@ -52,16 +74,22 @@
 	isolated      bool
 	seenAt        time.Time
 	thawedAt      time.Time
+	observedAt    time.Time
 }
 
 // New returns a duty that has no configuration yet.
 func New(inputs *ring.Ring[Input], attempts *ring.Ring[*Attempt], probes *ring.Ring[Probe], router *caller.Router, pool *backend.Pool, log *logrus.Entry) *Duty {
 	return &Duty{
-		Inputs:    inputs,
-		Attempts:  attempts,
-		Probes:    probes,
-		Router:    router,
-		Pool:      pool,
+		Inputs:   inputs,
+		Attempts: attempts,
+		Probes:   probes,
+		Router:   router,
+		Pool:     pool,
+		Orders:   NewOrders(caller.NewOrderBook("", 0, 0, time.Now()), nil, nil),
+		Metrics:  prometheus.NewDispatch(prometheus.New()),
+
+		ConfiguredHosts: 1,
+
 		Log:       log,
 		calls:     map[caller.CallID]*pending{},
 		questions: map[caller.CallID]*ring.Ring[AskReply]{},
@@ -73,6 +101,7 @@
 func (d *Duty) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer d.stop()
 	for {
 		select {
 		case input := <-d.Inputs.Items():
@@ -83,12 +112,39 @@
 			if d.Pool.Busy() {
 				d.backend(now, backend.Ticked{})
 			}
+			d.tickOrders(now)
+			d.observe(now)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// stop gives up all attempts, so that the senders can stop, and replies to every
+// call that has no reply yet.
+func (d *Duty) stop() {
+	for _, attempt := range d.attempts {
+		attempt.Cancel()
+	}
+	stopping := Finished{Outcome: caller.Unknown{Reason: caller.ReasonStopping}}
+	for _, call := range d.calls {
+		if call.forward != nil {
+			call.forward.Cancel()
+		}
+		if call.reply != nil {
+			_ = call.reply.Offer(stopping) // the ring has room by contract
+		}
+	}
+	for input, ok := d.Inputs.Poll(); ok; input, ok = d.Inputs.Poll() {
+		if call, isCall := input.(Call); isCall {
+			_ = call.Reply.Offer(Finished{Outcome: caller.NotRun{Reason: caller.ReasonStopping}}) // as above
+		}
+		if order, isOrder := input.(OrderCall); isOrder {
+			_ = order.Reply.Offer(Finished{Outcome: order.Order.Undelivered(caller.ReasonStopping)}) // as above
+		}
+	}
+}
+
 // suspend makes the router refuse calls while this host is isolated or frozen.
 func (d *Duty) suspend(now time.Time) {
 	d.caller(now, caller.Suspended{On: d.isolated || !d.thawedAt.IsZero()})
@@ -116,9 +172,21 @@
 // Step carries out one input.
 func (d *Duty) Step(now time.Time, input Input) {
 	d.notice(now)
+	d.step(now, input)
+	d.settleRuns(now)
+}
+
+// step carries out one input except for what follows from it for orders.
+func (d *Duty) step(now time.Time, input Input) {
 	switch input := input.(type) {
 	case Ask:
 		d.ask(now, input)
+	case OrderCall:
+		d.orderCalled(now, input)
+	case OrderAsk:
+		_ = input.Reply.Offer(d.orderStatus(now, input.Order)) // the ring has room by contract
+	case Claimed:
+		d.claimed(now, input)
 	case Call:
 		d.calls[input.Call.ID] = &pending{request: input.Request, call: input.Call, reply: input.Reply}
 		d.caller(now, caller.Called{Call: input.Call})
@@ -128,12 +196,25 @@
 		d.answering(now, input)
 	case Ended:
 		d.ended(now, input)
+	case Probed:
+		d.Metrics.Probe(input.Healthy)
+		d.backend(now, backend.ProbeEnded{Address: input.Address, Healthy: input.Healthy})
+	case Control:
+		d.control(now, input)
+	}
+}
+
+// control carries out an input that concerns the host.
+func (d *Duty) control(now time.Time, input Control) {
+	switch input := input.(type) {
 	case Configure:
 		d.configuration = input.Configuration
+		d.Metrics.Configuration(input.Configuration.Version)
 		d.caller(now, caller.ConfigurationChanged{Configuration: input.Configuration})
 		d.adoptCells(now)
 	case Hosts:
-		d.caller(now, caller.HostsChanged{Hosts: input.Hosts})
+		d.Metrics.Hosts(len(input.Hosts))
+		d.caller(now, caller.HostsChanged{Hosts: input.Hosts, Leaving: input.Leaving})
 		d.adoptCells(now)
 	case Isolate:
 		d.isolated = input.Isolated
@@ -142,8 +223,6 @@
 		d.confirm(now, input.At)
 	case Shares:
 		d.backend(now, backend.SharesChanged{Held: input.Held})
-	case Probed:
-		d.backend(now, backend.ProbeEnded{Address: input.Address, Healthy: input.Healthy})
 	case Dump:
 		_ = input.Reply.Offer(d.dump(now)) // the ring has room by contract
 	}
@@ -194,6 +273,7 @@
 func (d *Duty) backend(now time.Time, event backend.Event) {
 	var unsent []backend.AttemptID
 	var unprobed []string
+	var moved []caller.Call
 	for _, action := range d.Pool.Step(now, event) {
 		switch action := action.(type) {
 		case backend.StartAttempt:
@@ -205,6 +285,11 @@
 		case backend.DeliverAnswer:
 			d.begin(action.Call, d.answer)
 		case backend.EndCall:
+			if d.moves(action) {
+				moved = append(moved, d.calls[action.Call].call)
+
+				continue
+			}
 			d.endCall(action)
 		case backend.StartProbe:
 			if d.Probes.Offer(Probe{Address: action.Address, Timeout: action.Timeout}) != nil {
@@ -217,6 +302,9 @@
 	for _, address := range unprobed {
 		d.backend(now, backend.ProbeEnded{Address: address, Healthy: true}) // nothing was learned
 	}
+	for _, call := range moved {
+		d.caller(now, caller.Called{Call: call})
+	}
 	for _, id := range unsent {
 		d.ended(now, Ended{Attempt: d.attempts[id], Result: backend.Unsent{Local: true, Cause: &ring.FullError{
 			Ring: d.Attempts.Name, Capacity: d.Attempts.Capacity(),
@@ -237,8 +325,12 @@
 		Depth:    call.call.Depth,
 	})
 	d.attempts[action.Attempt] = attempt
+	if d.Attempts.Offer(attempt) != nil {
+		return false
+	}
+	d.noteSent(call)
 
-	return d.Attempts.Offer(attempt) == nil
+	return true
 }
 
 // forward sends a call to another entry host.
@@ -257,7 +349,10 @@
 	})
 	if err := d.Attempts.Offer(call.forward); err != nil {
 		d.finish(action.Call.ID, Finished{Outcome: caller.NotRun{Reason: caller.ReasonOverloaded}})
+
+		return
 	}
+	d.noteSent(call)
 }
 
 // cancel gives up a call whose caller went away.
@@ -271,6 +366,11 @@
 
 		return
 	}
+	if call.order != nil {
+		d.orderLeft(now, call)
+
+		return
+	}
 	d.backend(now, backend.CallCancelled{Call: id})
 }
 
@@ -289,16 +389,30 @@
 // ended ends an attempt and what depends on it.
 func (d *Duty) ended(now time.Time, input Ended) {
 	if input.Attempt.Forward {
-		d.finish(input.Attempt.Call, Finished{Outcome: backend.OutcomeOf(input.Result), Answer: input.Answer})
+		d.finish(input.Attempt.Call, d.forwarded(input))
 
 		return
 	}
+	d.Metrics.Attempt(resultName(input.Result))
 	d.answer = input.Answer
 	d.backend(now, backend.AttemptEnded{Attempt: input.Attempt.ID, Result: input.Result})
 	d.answer = nil
 	delete(d.attempts, input.Attempt.ID)
 }
 
+// moves reports whether a call that waited in a cell of another host now is
+// routed again instead of being refused.
+func (d *Duty) moves(action backend.EndCall) bool {
+	refused, ok := action.Outcome.(caller.NotRun)
+	call := d.calls[action.Call]
+	if !ok || refused.Reason != caller.ReasonMisdirected || call == nil || call.moves >= maxMoves {
+		return false
+	}
+	call.moves++
+
+	return true
+}
+
 // endCall replies with the outcome that the pool decided.
 func (d *Duty) endCall(action backend.EndCall) {
 	finished := Finished{Outcome: action.Outcome}
@@ -312,6 +426,12 @@
 // its attempt ends, so that it can still be cancelled.
 func (d *Duty) begin(id caller.CallID, answer *Answer) {
 	call, ok := d.calls[id]
+	if ok && call.run != nil {
+		call.run.begun = answer
+		d.note(runBegun{run: id, answer: answer})
+
+		return
+	}
 	if !ok || call.reply == nil {
 		return
 	}
@@ -326,6 +446,12 @@
 		return
 	}
 	delete(d.calls, id)
+	if call.run != nil {
+		d.note(runFinished{run: id, of: call.run, finished: finished})
+
+		return
+	}
+	d.Metrics.Call(callLabels(call.call.Service, finished.Outcome))
 	if call.reply != nil {
 		_ = call.reply.Offer(finished) // the ring has room by contract
 	}
@@ -345,11 +471,39 @@
 		cell := caller.Cell{Service: server.Service, DataCentre: server.DataCentre}
 		if _, owned := cells[cell]; owned {
 			cells[cell] = append(cells[cell], backend.Declared{
-				Address: server.Address, Slots: server.Slots, Leaving: server.Leaving, ProbeRateMilli: rates[server.Service],
+				Address: server.Address, Slots: min(server.Slots, d.share(server)), Leaving: server.Leaving,
+				ProbeRateMilli: rates[server.Service],
 			})
 		}
 	}
 	d.backend(now, backend.CellsChanged{Cells: cells})
+	d.offerTargets(cells)
+}
+
+// share returns this host's part of the connections that a backend server
+// accepts from all hosts together.
+func (d *Duty) share(server schema.BackendServer) int {
+	return max(server.Connections/d.ConfiguredHosts, 1)
+}
+
+// offerTargets tells the opener which backend servers this host dispatches to.
+func (d *Duty) offerTargets(cells map[caller.Cell][]backend.Declared) {
+	if d.Targets == nil {
+		return
+	}
+	var targets []Target
+	for _, server := range d.configuration.BackendServers {
+		if _, owned := cells[caller.Cell{Service: server.Service, DataCentre: server.DataCentre}]; !owned {
+			continue
+		}
+		target := Target{Address: server.Address, Connections: d.share(server)}
+		if !server.Leaving {
+			target.Ahead = min(server.Slots, target.Connections)
+		}
+		targets = append(targets, target)
+	}
+	d.Targets.Poll()
+	_ = d.Targets.Offer(targets) // there is room, because only this duty offers
 }
 
 // dump describes every routable cell and the state of the owned ones.
@@ -401,5 +555,6 @@
 
 // violated logs a broken invariant.
 func (d *Duty) violated(violation caller.Violation) {
+	d.Metrics.Violation(violation.Invariant)
 	d.Log.WithFields(logrus.Fields{"event": "invariant_broken", "invariant": violation.Invariant}).Error(violation.Detail)
 }
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -25,7 +25,8 @@
 	// ForMs is how long the fault lasts in milliseconds; 0 ends it.
 	ForMs int `json:"for_ms" msg:"for_ms"`
 
-	// Kind is freeze, shed, cold, drain, cut, late, straggle, lie or fail_fast.
+	// Kind is freeze, restart, shed, cold, drain, cut, late, straggle, lie or
+	// fail_fast.
 	Kind string `json:"kind" msg:"kind"`
 
 	// Value is the delay in milliseconds of late answers, the factor of a straggler,
@@ -354,7 +355,8 @@
 	State HostState `json:"state" msg:"state"`
 }
 
-// LoadPhase sums up the calls that were due before, during or after a fault.
+// LoadPhase sums up the calls that were due before, during or after a fault. Its
+// latency is that of the idempotent calls.
 type LoadPhase struct {
 	// Answered counts calls with a whole answer.
 	Answered int `json:"answered" msg:"answered"`
@@ -372,6 +374,22 @@
 	Unknown int `json:"unknown" msg:"unknown"`
 }
 
+// LoadReason counts the calls that ended without an answer for one reason.
+type LoadReason struct {
+	// Calls is the number of calls.
+	Calls int `json:"calls" msg:"calls"`
+
+	// Ordered says that the calls were orders.
+	Ordered bool `json:"ordered" msg:"ordered"`
+
+	// Outcome is not_run or unknown.
+	Outcome string `json:"outcome" msg:"outcome"`
+
+	// Reason is the one that the last response stated; no_response or no_connection
+	// without one.
+	Reason string `json:"reason" msg:"reason"`
+}
+
 // LoadReport is what a backend server says about its load; it lags and may be
 // wrong.
 type LoadReport struct {
@@ -437,6 +455,9 @@
 	// Rate is the wanted number of calls a second.
 	Rate int `json:"rate" msg:"rate"`
 
+	// Reasons are sorted by outcome, reason and kind.
+	Reasons []LoadReason `json:"reasons" msg:"reasons"`
+
 	// Seed is the seed of the run.
 	Seed int `json:"seed" msg:"seed"`
 
@@ -447,6 +468,22 @@
 	Started int `json:"started" msg:"started"`
 }
 
+// OrderStatus says what an entry host knows about an order.
+type OrderStatus struct {
+	// Address is the ip:port of the host that knows, or empty.
+	Address string `json:"address" msg:"address"`
+
+	// OrderID identifies the order.
+	OrderID string `json:"order_id" msg:"order_id"`
+
+	// Reason says why an order ended without an answer that is held, or is empty.
+	Reason string `json:"reason" msg:"reason"`
+
+	// State is unseen, claimed, sent, answered, unknown, refused, or elsewhere when
+	// another host knows.
+	State string `json:"state" msg:"state"`
+}
+
 // Override is an operator's change of a data centre's state that may not be in the
 // configuration yet.
 type Override struct {
@@ -634,6 +671,9 @@
 
 	// Shed is the number of calls that it refused.
 	Shed int `json:"shed" msg:"shed"`
+
+	// UpMs is the time since its start in milliseconds.
+	UpMs int `json:"up_ms" msg:"up_ms"`
 }
 
 // Service is a named set of interchangeable backend servers.
@@ -699,16 +739,18 @@
 	// AnsweredButNotRun counts the orders told answered that did not run.
 	AnsweredButNotRun int `json:"answered_but_not_run" msg:"answered_but_not_run"`
 
-	// CallsAfterOut counts calls that reached the data centre later than permitted
-	// after it left.
+	// CallsAfterOut counts calls that reached what left later than permitted.
 	CallsAfterOut int `json:"calls_after_out" msg:"calls_after_out"`
 
 	// Failed counts those among the answered whose status says that the backend
 	// server failed.
 	Failed int `json:"failed" msg:"failed"`
 
-	// LastCallAfterOutMs is the time from the data centre's leaving to the last call
-	// that reached it while it was out.
+	// FellOver counts how often cold backend servers fell over.
+	FellOver int `json:"fell_over" msg:"fell_over"`
+
+	// LastCallAfterOutMs is the time from the leaving to the last call that arrived
+	// before the return.
 	LastCallAfterOutMs int `json:"last_call_after_out_ms" msg:"last_call_after_out_ms"`
 
 	// Lost counts calls without any outcome.
@@ -735,9 +777,14 @@
 	// OverConnections counts the connections above a backend server's limit.
 	OverConnections int `json:"over_connections" msg:"over_connections"`
 
-	// OverSlots counts the backend servers that were asked to run more than they
-	// declare.
-	OverSlots int `json:"over_slots" msg:"over_slots"`
+	// OverProbes counts the backend servers that were probed more often than agreed.
+	OverProbes int `json:"over_probes" msg:"over_probes"`
+
+	// Probes counts the probes of all backend servers.
+	Probes int `json:"probes" msg:"probes"`
+
+	// Shed counts the calls that backend servers refused.
+	Shed int `json:"shed" msg:"shed"`
 
 	// Started counts the calls that callers started.
 	Started int `json:"started" msg:"started"`
--- a/standin/call.go
+++ b/standin/call.go
@@ -34,11 +34,14 @@
 // call runs a call.
 func (b *Backend) call(c fiber.Ctx) error {
 	arrived := time.Now()
-	run := schema.Run{Order: order(c), Path: strings.Clone(c.Path())}
+	run := schema.Run{Order: orderOf(c), Path: strings.Clone(c.Path())}
 	admitted, err := ask(b, func(s *Server, now time.Time) admission { return s.Admit(now, run) })
 	if err != nil {
 		return err
 	}
+	if admitted.down {
+		return c.Drop()
+	}
 	c.Set(HeaderEcho, c.Get(HeaderEcho))
 	if admitted.shed {
 		c.Set(backendhttp.HeaderShed, "1")
@@ -71,8 +74,8 @@
 			return cancelled{}
 		}
 	}
-	fallen, err := ask(b, func(s *Server, now time.Time) bool { return s.Fallen(now, admitted) })
-	if fallen || err != nil {
+	broken, err := ask(b, func(s *Server, now time.Time) bool { return s.Failed(now, admitted) })
+	if broken || err != nil {
 		return failed{}
 	}
 
@@ -118,10 +121,10 @@
 	})
 }
 
-// order returns the order that a call carries, or nothing.
-func order(c fiber.Ctx) string {
-	if order := c.Get(HeaderOrder); order != "" {
-		return strings.Clone(order)
+// orderOf returns the order that a call carries, or nothing.
+func orderOf(c fiber.Ctx) string {
+	if name := c.Get(HeaderOrder); name != "" {
+		return strings.Clone(name)
 	}
 
 	return strings.Clone(c.Get(backendhttp.HeaderOrderID))
--- a/standin/caller_test.go
+++ b/standin/caller_test.go
@@ -12,29 +12,43 @@
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
-func TestCallerRetries(t *testing.T) {
+func TestOrderIdentityRepeats(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
-		outcome string
-		order   bool
-		want    bool
+		results []exchange
+		renew   bool
+		want    orderIdentity
 	}{
-		"a call that was not run":     {outcome: outcomeNotRun, want: true},
-		"a call that may have run":    {outcome: outcomeUnknown, want: true},
-		"no call that was answered":   {outcome: outcomeAnswered},
-		"an order that was not run":   {outcome: outcomeNotRun, order: true, want: true},
-		"no order that may have run":  {outcome: outcomeUnknown, order: true},
-		"no order that was answered":  {outcome: outcomeAnswered, order: true},
-		"no order without an outcome": {order: true},
+		"with its id and a higher attempt": {
+			results: []exchange{{outcome: outcomeNotRun}}, want: orderIdentity{id: "id", attempt: 1},
+		},
+		"with another id if it was not run": {
+			results: []exchange{{outcome: outcomeNotRun}}, renew: true, want: orderIdentity{attempt: 1, renewed: true},
+		},
+		"with an id if its number could not be claimed": {
+			results: []exchange{{outcome: outcomeNotRun, reason: "platform_unavailable"}},
+			want:    orderIdentity{attempt: 1, renewed: true},
+		},
+		"with its id if it may have run": {
+			results: []exchange{{outcome: outcomeUnknown}}, renew: true, want: orderIdentity{id: "id", attempt: 1, uncertain: true},
+		},
+		"with its id if it once may have run": {
+			results: []exchange{{outcome: outcomeUnknown}, {outcome: outcomeNotRun}}, renew: true,
+			want: orderIdentity{id: "id", attempt: 2, uncertain: true},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			assert.Equal(t, exchange{outcome: test.outcome}.mayRetry(test.order), test.want)
+			identity := orderIdentity{id: "id"}
+			for _, result := range test.results {
+				identity.repeat(result, test.renew)
+			}
+			assert.Equal(t, identity, test.want)
 		})
 	}
 }
 
-func TestCallerFailureOutcome(t *testing.T) {
+func TestCallerFailure(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
 		err  error
@@ -48,7 +62,27 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			assert.Equal(t, failureOutcome(test.err), test.want)
+			assert.Equal(t, failure(test.err).outcome, test.want)
+		})
+	}
+}
+
+func TestTryDeadline(t *testing.T) {
+	t.Parallel()
+	now := time.UnixMilli(0)
+	for name, test := range map[string]struct {
+		left time.Duration
+		try  int
+		want time.Duration
+	}{
+		"a third for the first try": {left: 3 * time.Second, try: 0, want: time.Second},
+		"half of what is left then": {left: 2 * time.Second, try: 1, want: time.Second},
+		"all for the last try":      {left: time.Second, try: 2, want: time.Second},
+		"none after the deadline":   {left: 0, try: 1, want: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			assert.Equal(t, tryDeadline(now, now.Add(test.left), test.try), now.Add(test.want))
 		})
 	}
 }
