--- a/backend/attempts.go
+++ b/backend/attempts.go
@@ -163,15 +163,12 @@
 	case Shed:
 		p.retry(now, placed, outcome)
 	case Unsent:
-		p.settleUnsent(now, placed, result, outcome)
-	case Cut:
-		placed.mayHaveRun = true
-		if placed.call.Idempotent && placed.call.Depth == 0 || len(placed.attempts) > 0 {
-			p.retry(now, placed, outcome)
-
-			return
+		if result.Local {
+			outcome = caller.NotRun{Reason: caller.ReasonOverloaded}
 		}
-		p.end(placed, 0, outcome)
+		p.retry(now, placed, outcome)
+	case Cut:
+		p.settleCut(now, placed, outcome)
 	case TimedOut, Cancelled:
 		placed.mayHaveRun = true
 		if len(placed.attempts) == 0 {
@@ -180,14 +177,16 @@
 	}
 }
 
-// settleUnsent retries a call that did not leave, unless this host was the cause.
-func (p *Pool) settleUnsent(now time.Time, placed *placedCall, result Unsent, outcome caller.Outcome) {
-	if result.Local && len(placed.attempts) == 0 {
-		p.end(placed, 0, caller.NotRun{Reason: caller.ReasonOverloaded})
+// settleCut retries a call that may have run if it may run again. Only the
+// outermost of nested calls retries, so that retries do not multiply.
+func (p *Pool) settleCut(now time.Time, placed *placedCall, outcome caller.Outcome) {
+	placed.mayHaveRun = true
+	if placed.call.Idempotent && placed.call.Depth == 0 || len(placed.attempts) > 0 {
+		p.retry(now, placed, outcome)
 
 		return
 	}
-	p.retry(now, placed, outcome)
+	p.end(placed, 0, outcome)
 }
 
 // recordLatency adds the duration of a good answer to the cell's summary.
--- a/backend/hedge_test.go
+++ b/backend/hedge_test.go
@@ -131,7 +131,8 @@
 		"shed moves on when nested": {
 			call: caller.Call{Idempotent: true, Depth: 16}, result: backend.Shed{}, want: true,
 		},
-		"shed moves on when not idempotent": {result: backend.Shed{}, want: true},
+		"unsent by this host's own limit moves on": {result: backend.Unsent{Local: true}, want: true},
+		"shed moves on when not idempotent":        {result: backend.Shed{}, want: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/backendhttp/prober.go
+++ b/backendhttp/prober.go
@@ -57,10 +57,11 @@
 	request.SetRequestURI(healthPath)
 	request.Header.SetHost(probe.Address)
 	err = connection.Exchange(request, response)
+	whole := err == nil && response.BodyStream() == nil
 	if err == nil && response.BodyStream() != nil {
 		_, err = (&body{stream: response.BodyStream(), left: response.Header.ContentLength()}).read(wholeBody)
+		whole = errors.Is(err, io.EOF)
 	}
-	whole := err == nil && response.BodyStream() == nil || errors.Is(err, io.EOF)
 	if !whole || response.ConnectionClose() {
 		connection.Close()
 	}
--- /dev/null
+++ b/backendhttp/prober_test.go
@@ -0,0 +1,71 @@
+package backendhttp_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/group"
+	"github.com/baobabdrum/baobabdrum/ring"
+)
+
+func TestProberReportsHealth(t *testing.T) {
+	answering := func(raw string) wire {
+		return func(conn *net.TCPConn, requests *bufio.Reader) {
+			if receive(requests) == "/health" {
+				say(conn, raw)
+			}
+		}
+	}
+	tests := map[string]struct {
+		serve   wire
+		timeout time.Duration
+		busy    bool
+		want    bool
+	}{
+		"well":           {serve: answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), want: true},
+		"without a body": {serve: answering("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), want: true},
+		"error status":   {serve: answering("HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n")},
+		"no answer":      {serve: answering(""), timeout: settle},
+		"half an answer": {serve: answering("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok"), timeout: settle},
+		"reset":          {serve: func(conn *net.TCPConn, _ *bufio.Reader) { reset(conn) }},
+		"no connection left of this host": {
+			serve: answering(""), busy: true, want: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address := listen(t, test.serve)
+			prober := &backendhttp.Prober{
+				Probes:      ring.New[dispatch.Probe]("probers", 1),
+				Reports:     ring.New[dispatch.Input]("dispatch", 1),
+				Connections: backendhttp.NewConnections(1),
+			}
+			if test.busy {
+				_, err := prober.Connections.Acquire(address)
+				assert.NilError(t, err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			duties := group.New(ctx)
+			duties.Go("prober", prober.Run)
+			probe := dispatch.Probe{Address: address, Timeout: 5 * time.Second}
+			if test.timeout > 0 {
+				probe.Timeout = test.timeout
+			}
+			assert.NilError(t, prober.Probes.Offer(probe))
+			waiting, stop := context.WithTimeout(t.Context(), 10*time.Second)
+			defer stop()
+			report, err := prober.Reports.Take(waiting)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, report, dispatch.Input(dispatch.Probed{Address: address, Healthy: test.want}))
+			cancel()
+			assert.NilError(t, duties.Wait())
+		})
+	}
+}
