Show orders in the dump and in the metrics

Cause: how full an order book is could not be seen, and a full one refuses orders.

Change: the dump has orders (remembered, running, capacity, kept_bytes); gauges baobabdrum_remembered_orders and baobabdrum_running_orders.

Conclusion: operators can see a book fill up.

--- a/caller/order_book.go
+++ b/caller/order_book.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/baobabdrum/baobabdrum/schema"
 )
 
 const (
@@ -104,9 +106,11 @@
 	return len(b.runs) > 0
 }
 
-// Size returns the number of orders that are remembered.
-func (b *OrderBook) Size() int {
-	return len(b.orders)
+// Dump describes what the book holds.
+func (b *OrderBook) Dump() schema.OrdersDump {
+	return schema.OrdersDump{
+		Remembered: len(b.orders), Running: len(b.runs), Capacity: b.Capacity, KeptBytes: b.kept,
+	}
 }
 
 // State returns the state of an order of this incarnation and, if it has ended,
--- a/caller/order_book_test.go
+++ b/caller/order_book_test.go
@@ -167,10 +167,10 @@
 	arrived := caller.OrderArrived{OrderRequest: request(1, 0, orderAt(0)), Run: 101}
 	book.Step(bookStart, arrived)
 	book.Step(bookStart.Add(2*time.Minute), caller.OrdersTicked{})
-	assert.Equal(t, book.Size(), 1, "an order under way is not forgotten")
+	assert.Equal(t, book.Dump().Remembered, 1, "an order under way is not forgotten")
 	book.Step(bookStart.Add(2*time.Minute), caller.RunEnded{Run: 101, Outcome: caller.Answered{}})
 	book.Step(bookStart.Add(2*time.Minute), caller.OrdersTicked{})
-	assert.Equal(t, book.Size(), 0)
+	assert.Equal(t, book.Dump().Remembered, 0)
 	state, outcome := book.State(bookStart.Add(2*time.Minute), orderAt(0))
 	assert.Equal(t, state, caller.OrderUnknown)
 	assert.Equal(t, outcome, caller.Unknown{Reason: caller.ReasonExpired})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -265,6 +265,7 @@
 func (OrderCall) input()   {}
 func (OrderAsk) input()    {}
 func (Claimed) input()     {}
+func (OrdersDump) input()  {}
 func (Ask) input()         {}
 func (Call) input()        {}
 func (Cancel) input()      {}
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -185,6 +185,8 @@
 		d.orderCalled(now, input)
 	case OrderAsk:
 		_ = input.Reply.Offer(d.orderStatus(now, input.Order)) // the ring has room by contract
+	case OrdersDump:
+		_ = input.Reply.Offer(d.Orders.Book.Dump()) // the ring has room by contract
 	case Claimed:
 		d.claimed(now, input)
 	case Call:
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -18,6 +18,8 @@
 	}
 	d.observedAt = now
 	d.Metrics.Cells()
+	orders := d.Orders.Book.Dump()
+	d.Metrics.Orders(orders.Remembered, orders.Running)
 	for key, cell := range d.Pool.Cells {
 		inFlight := 0
 		for _, server := range cell.Servers {
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -35,6 +35,12 @@
 	Reply *ring.Ring[schema.OrderStatus]
 }
 
+// OrdersDump asks for the state of the order book.
+type OrdersDump struct {
+	// Reply receives one reply; it must have room.
+	Reply *ring.Ring[schema.OrdersDump]
+}
+
 // Claim wants a caller's own order number for an order id of this incarnation.
 type Claim struct {
 	platform.Claim
--- a/host/dump.go
+++ b/host/dump.go
@@ -43,6 +43,9 @@
 	dump.Cells = askDuty(ctx, h.dispatch, func(reply *ring.Ring[[]schema.CellDump]) dispatch.Input {
 		return dispatch.Dump{Reply: reply}
 	})
+	dump.Orders = askDuty(ctx, h.dispatch, func(reply *ring.Ring[schema.OrdersDump]) dispatch.Input {
+		return dispatch.OrdersDump{Reply: reply}
+	})
 
 	return dump
 }
--- a/prometheus/dispatch.go
+++ b/prometheus/dispatch.go
@@ -33,6 +33,9 @@
 	inFlight map[CellLabels]*metrics.Gauge
 	version  *metrics.Gauge
 	hosts    *metrics.Gauge
+	// remembered and running count orders.
+	remembered *metrics.Gauge
+	running    *metrics.Gauge
 }
 
 // NewDispatch returns the dispatch duty's part of a host's metrics.
@@ -45,6 +48,9 @@
 		inFlight: map[CellLabels]*metrics.Gauge{},
 		version:  m.set.NewGauge("baobabdrum_configuration_version", nil),
 		hosts:    m.set.NewGauge("baobabdrum_live_hosts", nil),
+
+		remembered: m.set.NewGauge("baobabdrum_remembered_orders", nil),
+		running:    m.set.NewGauge("baobabdrum_running_orders", nil),
 	}
 }
 
@@ -89,6 +95,12 @@
 	d.hosts.Set(float64(live))
 }
 
+// Orders records the orders that are remembered and those under way.
+func (d *Dispatch) Orders(remembered, running int) {
+	d.remembered.Set(float64(remembered))
+	d.running.Set(float64(running))
+}
+
 // Cells begins a new record of the cells that this host owns.
 func (d *Dispatch) Cells() {
 	for _, gauges := range []map[CellLabels]*metrics.Gauge{d.queued, d.inFlight} {
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -3211,6 +3211,12 @@
 				err = msgp.WrapError(err, "Isolated")
 				return
 			}
+		case "orders":
+			err = z.Orders.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Orders")
+				return
+			}
 		case "overrides":
 			var zb0004 uint32
 			zb0004, err = dc.ReadArrayHeader()
@@ -3315,9 +3321,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Dump) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
+	// map header, size 9
 	// write "cells"
-	err = en.Append(0x88, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
+	err = en.Append(0x89, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
 	if err != nil {
 		return
 	}
@@ -3380,6 +3386,16 @@
 		err = msgp.WrapError(err, "Isolated")
 		return
 	}
+	// write "orders"
+	err = en.Append(0xa6, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73)
+	if err != nil {
+		return
+	}
+	err = z.Orders.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Orders")
+		return
+	}
 	// write "overrides"
 	err = en.Append(0xa9, 0x6f, 0x76, 0x65, 0x72, 0x72, 0x69, 0x64, 0x65, 0x73)
 	if err != nil {
@@ -3456,9 +3472,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Dump) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "cells"
-	o = append(o, 0x88, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
+	o = append(o, 0x89, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Cells)))
 	for za0001 := range z.Cells {
 		o, err = z.Cells[za0001].MarshalMsg(o)
@@ -3494,6 +3510,13 @@
 	// string "isolated"
 	o = append(o, 0xa8, 0x69, 0x73, 0x6f, 0x6c, 0x61, 0x74, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Isolated)
+	// string "orders"
+	o = append(o, 0xa6, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73)
+	o, err = z.Orders.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Orders")
+		return
+	}
 	// string "overrides"
 	o = append(o, 0xa9, 0x6f, 0x76, 0x65, 0x72, 0x72, 0x69, 0x64, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Overrides)))
@@ -3611,6 +3634,12 @@
 				err = msgp.WrapError(err, "Isolated")
 				return
 			}
+		case "orders":
+			bts, err = z.Orders.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Orders")
+				return
+			}
 		case "overrides":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -3724,7 +3753,7 @@
 	for za0002 := range z.Hosts {
 		s += z.Hosts[za0002].Msgsize()
 	}
-	s += 9 + msgp.BoolSize + 10 + msgp.ArrayHeaderSize
+	s += 9 + msgp.BoolSize + 7 + z.Orders.Msgsize() + 10 + msgp.ArrayHeaderSize
 	for za0003 := range z.Overrides {
 		s += z.Overrides[za0003].Msgsize()
 	}
@@ -7174,6 +7203,192 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *OrdersDump) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "capacity":
+			z.Capacity, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+		case "kept_bytes":
+			z.KeptBytes, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "KeptBytes")
+				return
+			}
+		case "remembered":
+			z.Remembered, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Remembered")
+				return
+			}
+		case "running":
+			z.Running, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *OrdersDump) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "capacity"
+	err = en.Append(0x84, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Capacity)
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
+		return
+	}
+	// write "kept_bytes"
+	err = en.Append(0xaa, 0x6b, 0x65, 0x70, 0x74, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.KeptBytes)
+	if err != nil {
+		err = msgp.WrapError(err, "KeptBytes")
+		return
+	}
+	// write "remembered"
+	err = en.Append(0xaa, 0x72, 0x65, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Remembered)
+	if err != nil {
+		err = msgp.WrapError(err, "Remembered")
+		return
+	}
+	// write "running"
+	err = en.Append(0xa7, 0x72, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Running)
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *OrdersDump) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "capacity"
+	o = append(o, 0x84, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt(o, z.Capacity)
+	// string "kept_bytes"
+	o = append(o, 0xaa, 0x6b, 0x65, 0x70, 0x74, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.KeptBytes)
+	// string "remembered"
+	o = append(o, 0xaa, 0x72, 0x65, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Remembered)
+	// string "running"
+	o = append(o, 0xa7, 0x72, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
+	o = msgp.AppendInt(o, z.Running)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OrdersDump) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "capacity":
+			z.Capacity, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+		case "kept_bytes":
+			z.KeptBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KeptBytes")
+				return
+			}
+		case "remembered":
+			z.Remembered, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Remembered")
+				return
+			}
+		case "running":
+			z.Running, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *OrdersDump) Msgsize() (s int) {
+	s = 1 + 9 + msgp.IntSize + 11 + msgp.IntSize + 11 + msgp.IntSize + 8 + msgp.IntSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Override) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -221,6 +221,9 @@
 	// Isolated says that the host refuses calls because it was frozen or is cut off.
 	Isolated bool `json:"isolated" msg:"isolated"`
 
+	// Orders corresponds to the JSON schema field "orders".
+	Orders OrdersDump `json:"orders" msg:"orders"`
+
 	// Overrides are those in force.
 	Overrides []Override `json:"overrides" msg:"overrides"`
 
@@ -484,6 +487,21 @@
 	State string `json:"state" msg:"state"`
 }
 
+// OrdersDump is what the order book of an entry host holds.
+type OrdersDump struct {
+	// Capacity bounds the remembered orders.
+	Capacity int `json:"capacity" msg:"capacity"`
+
+	// KeptBytes is the size of the answers held for repeats.
+	KeptBytes int `json:"kept_bytes" msg:"kept_bytes"`
+
+	// Remembered is the number of orders whose state is held.
+	Remembered int `json:"remembered" msg:"remembered"`
+
+	// Running is the number of orders that wait or were sent.
+	Running int `json:"running" msg:"running"`
+}
+
 // Override is an operator's change of a data centre's state that may not be in the
 // configuration yet.
 type Override struct {
