--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -41,6 +41,7 @@
 	Address string
 
 	conn   net.Conn
+	peeker *tcp.Peeker
 	reader *bufio.Reader
 	writer *bufio.Writer
 	sent   int
@@ -69,7 +70,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "connecting to %s", c.Address)
 	}
-	c.conn = conn
+	c.conn, c.peeker = conn, tcp.NewPeeker(conn)
 	if c.reader == nil {
 		c.reader, c.writer = bufio.NewReaderSize(conn, headSize), bufio.NewWriterSize(c, writeSize)
 	}
@@ -87,7 +88,7 @@
 
 // usable reports whether a request may be sent on the open connection.
 func (c *Connection) usable() bool {
-	return c.reader.Buffered() == 0 && tcp.Peek(c.conn) == tcp.Quiet
+	return c.reader.Buffered() == 0 && c.peeker.Peek() == tcp.Quiet
 }
 
 // Check closes the connection if it can't be used any more.
@@ -107,16 +108,19 @@
 
 // Exchange sends a request and reads the head of the answer. Unless the answer
 // has no body, it follows as a stream, which must be read to its end before the
-// next exchange.
+// next exchange. When the other side stopped taking the request, its answer
+// counts only if it says that the call was shed.
 func (c *Connection) Exchange(request *fasthttp.Request, response *fasthttp.Response) error {
-	if err := request.Write(c.writer); err != nil {
-		return err
-	}
-	if err := c.writer.Flush(); err != nil {
-		return err
-	}
 	response.StreamBody = true
 	response.SkipBody = request.Header.IsHead()
+	if err := c.send(request); err != nil {
+		if c.sent == 0 || response.ReadLimitBody(c.reader, 0) != nil || len(response.Header.Peek(HeaderShed)) == 0 {
+			return err
+		}
+		response.SetConnectionClose()
+
+		return nil
+	}
 	if err := response.ReadLimitBody(c.reader, 0); err != nil {
 		return err
 	}
@@ -128,6 +132,15 @@
 	return nil
 }
 
+// send sends a request.
+func (c *Connection) send(request *fasthttp.Request) error {
+	if err := request.Write(c.writer); err != nil {
+		return err
+	}
+
+	return c.writer.Flush()
+}
+
 // Sent returns the number of bytes of the current request that left.
 func (c *Connection) Sent() int {
 	return c.sent
