Measure changes in force and planned stops with processes

Cause: the figures for a data centre's change and for planned stops came from randomised runs and scratch scripts alone. Change: scripts/in-force.sh; case planned_stop in scripts/faults.sh; a keeper that ends does not apply a change without the overrides.

--- a/host/keeper.go
+++ b/host/keeper.go
@@ -137,6 +137,9 @@
 		return failed, err
 	}
 	register := k.host.inForce(ctx)
+	if ctx.Err() != nil {
+		return failed, ctx.Err()
+	}
 	if current.Version < register.Configuration.Version {
 		return failed, &operator.RegressedError{Found: current.Version, InForce: register.Configuration.Version}
 	}
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -219,6 +219,22 @@
   for i in "${!hosts[@]}"; do replace "$i"; done
 }
 
+# One host stops as the sheet plans, another because an operator asks.
+prepare_planned_stop() { during=12 none_cut=1; }
+case_planned_stop() {
+  local planned=${hosts[2]} asked=${hosts[7]} code=0
+  cp "$sheet" "$out/changed.csv"
+  echo "planned_stop,$planned,,,,,,,$(date -u -d '+4 seconds' +%Y-%m-%dT%H:%M:%SZ),," >>"$out/changed.csv"
+  check "sheet apply" apply_sheet "$out/changed.csv" >>"$out/apply.json" 2>&1
+  check "stop" bin/baobabdrum stop --host-address "$(operator_address 7)" >>"$out/stop.json" 2>&1
+  finish "$asked" || code=$?
+  finish "$planned" || code=$?
+  check "a stopped host exited with $code" test "$code" = 0
+  sleep 4
+  start_host 2
+  start_host 7
+}
+
 # Two at once: an owner dies while the platform is away.
 prepare_kill_owner_in_outage() { during=10; }
 case_kill_owner_in_outage() {
--- /dev/null
+++ b/scripts/in-force.sh
@@ -0,0 +1,56 @@
+#!/usr/bin/env bash
+# Measures how long a data centre's change takes until it is in force at every
+# entry host, as processes. Usage: scripts/in-force.sh quiet|outage [TRIES];
+# in an outage the platform answers nothing until the end. Settings: BASE_PORT,
+# DEPLOYMENT, MOST_MS (the largest time allowed).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/lib.sh
+trap stop_all EXIT
+mode=${1:-quiet} tries=${2:-50}
+MOST_MS=${MOST_MS:-3000}
+SERVER_SETTINGS=""
+OUT=out/in-force-$mode
+use_deployment "${DEPLOYMENT:-mauritius}"
+start_deployment
+if [[ $mode == outage ]]; then
+  platform_fault outage 3600000
+  sleep 3
+fi
+dumps=()
+for i in "${!hosts[@]}"; do dumps+=("http://$(operator_address "$i")/dump"); done
+
+# states DATA_CENTRE: prints its states that are in force at any host.
+states() {
+  curl -s "${dumps[@]}" | jq -s -r --arg name "$1" 'map(
+    (.overrides | map(select(.data_centre == $name)) | .[0].state)
+    // (.configuration.data_centres | map(select(.name == $name)) | .[0].state)) | unique | join(",")'
+}
+
+# change DATA_CENTRE STATE: makes the change at the next host and waits for it.
+change() {
+  local began host=$((count % ${#hosts[@]})) took
+  began=$(now_ms)
+  set_data_centre "$1" "$2" "$host"
+  replied=$(($(now_ms) - began))
+  until [[ $(states "$1") == "$2" ]]; do
+    if (($(now_ms) - began > 10000)); then return 1; fi
+  done
+  took=$(($(now_ms) - began))
+  count=$((count + 1)) sum=$((sum + took))
+  if ((took > most)); then most=$took; fi
+  if ((replied > slowest)); then slowest=$replied; fi
+}
+
+count=0 sum=0 most=0 slowest=0 state=out
+while ((count < tries)); do
+  for name in "${data_centres[@]}"; do change "$name" "$state"; done
+  if [[ $state == out ]]; then
+    state=in
+    sleep 5 # an in within 5 s of an out collides with it
+  else
+    state=out
+  fi
+done
+echo "mode=$mode hosts=${#hosts[@]} tries=$count most_ms=$most mean_ms=$((sum / count)) slowest_reply_ms=$slowest"
+((most <= MOST_MS))
