--- a/cmd/order.go
+++ b/cmd/order.go
@@ -1,13 +1,13 @@
 package cmd
 
 import (
-	"errors"
 	"fmt"
+	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/jsonhttp"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -55,14 +55,16 @@
 			return err
 		}
 	}
-	path := "/order/" + c.Args.Service + "/" + strings.TrimPrefix(c.Args.Path, "/")
-	body, err := host.Exchange(c.Method, path, []byte(c.Body), c.headers(host.Timeout)...)
+	path, err := target("/order/", c.Args.Service, c.Args.Path)
 	if err != nil {
-		return unsettled(err)
+		return err
+	}
+	response, err := host.Do(c.Method, path, []byte(c.Body), c.headers(host.Timeout)...)
+	if err != nil {
+		return &OutcomeError{Code: ExitUnknown, Message: "unknown: the order may have run: " + err.Error()}
 	}
-	_, err = c.output.Results.Write(body)
 
-	return err
+	return c.show(path, response)
 }
 
 // ask gets an order id and returns a client of the host that may run it.
@@ -80,14 +82,36 @@
 	return host, nil
 }
 
-// unsettled returns the error of an order: without a response it may have run.
-func unsettled(err error) error {
-	var status *jsonhttp.StatusError
-	if errors.As(err, &status) {
+// show prints the answer, or returns why there is none. A response that states
+// no outcome leaves it unknown.
+func (c *Order) show(path string, response jsonhttp.Response) error {
+	reason := response.Header(backendhttp.HeaderReason)
+	switch response.Header(backendhttp.HeaderOutcome) {
+	case backendhttp.OutcomeAnswered:
+		if reason == string(caller.ReasonAnswerNotKept) {
+			fmt.Fprintln(c.output.Messages, "answered: the order ran; its answer is not held any more")
+
+			return nil
+		}
+
+		return c.answered(response)
+	case backendhttp.OutcomeNotRun:
+		return &jsonhttp.StatusError{Path: path, Status: response.Status, Body: response.Body}
+	default:
+		return &OutcomeError{Code: ExitUnknown, Message: "unknown: " + reason + ": the order may have run"}
+	}
+}
+
+// answered prints a backend server's answer and fails for a status of an error.
+func (c *Order) answered(response jsonhttp.Response) error {
+	if _, err := c.output.Results.Write(response.Body); err != nil {
 		return err
 	}
+	if response.Status < http.StatusBadRequest {
+		return nil
+	}
 
-	return &OutcomeError{Code: ExitUnknown, Message: "unknown: the order may have run: " + err.Error()}
+	return &OutcomeError{Code: ExitFailed, Message: fmt.Sprintf("answered: the order ran; status %d", response.Status)}
 }
 
 // headers returns what identifies the order.
