Judge quick answers by the backend server alone, and grow slower

Cause: in separate processes three cold backend servers, one a cell, fell over 40 times in 3 s at 600 calls/s (663 calls answered): their slow answers under load had lifted the cell's median, by which answers counted as quick.

Change: only the quickest recent answers of the backend server itself are the measure; an answer under load lifts it ten times slower than one to an attempt that ran alone; the allowance grows by an eighth in place of a half, so that the measure rests on eight answers at least.

Conclusion: not whole. A cold backend server under more load than it bears still falls over about once in 3 s: single answers vary by more than a factor of two, so that two quick ones under load pass for a warm server's.

--- a/backend/attempts.go
+++ b/backend/attempts.go
@@ -21,6 +21,8 @@
 	// atLimit says that the backend server had no further slot free when the
 	// attempt started.
 	atLimit bool
+	// alone says that no other attempt ran on the backend server then.
+	alone bool
 }
 
 // start begins one attempt.
--- a/backend/server.go
+++ b/backend/server.go
@@ -14,12 +14,15 @@
 	coldAllowance = 1
 	// allowanceGrowth is added to the allowance by a quick answer to an attempt
 	// that started at the limit.
-	allowanceGrowth = 0.5
+	allowanceGrowth = 0.125
 	// quickAnswer is the ratio to the quickest recent answers up to which an answer
 	// is quick.
 	quickAnswer = 2
-	// quickestWeight is the share of a slower answer in the quickest latency.
+	// quickestWeight is the share of a slower answer in the quickest latency, if the
+	// attempt started alone on the backend server.
 	quickestWeight = 0.002
+	// loadedWeight is that share if it started beside others.
+	loadedWeight = 0.0002
 	// latencyWeight is the share of the newest answer in the smoothed latency.
 	latencyWeight = 0.2
 	// latencyMemory is the time in which an unconfirmed latency falls to 37%, so
@@ -124,6 +127,7 @@
 func (s *Server) begin(running *attempt) {
 	s.InFlight++
 	running.atLimit = s.InFlight >= s.Limit()
+	running.alone = s.InFlight == 1
 	s.running = append(s.running, running)
 }
 
@@ -144,7 +148,7 @@
 
 			return
 		}
-		s.answered(now, took, median, running.atLimit)
+		s.answered(now, took, median, running)
 	case Shed, Cut, TimedOut:
 		s.failed(now, took, median)
 	case Unsent:
@@ -161,27 +165,32 @@
 // answered notes a good answer. Only an attempt that started at the limit shows
 // that the backend server bears that many, and only if the answer is quick: a
 // cold one answers as quickly as ever until it has too much work.
-func (s *Server) answered(now time.Time, took, median time.Duration, atLimit bool) {
-	s.quickest(took)
+func (s *Server) answered(now time.Time, took, median time.Duration, running *attempt) {
+	s.quickest(took, running.alone)
 	usual := max(s.Latency, median)
 	switch {
 	case usual > 0 && took > latencyJump*usual:
 		s.halve()
-	case atLimit && took <= max(quickAnswer*s.Quickest, median):
+	case running.atLimit && took <= quickAnswer*s.Quickest:
 		s.Allowance = math.Min(s.Allowance+allowanceGrowth, float64(max(s.Slots, coldAllowance)))
 	}
 	s.Errors, s.Ejections = 0, 0
 	s.smooth(now, took)
 }
 
-// quickest follows the quickest answers down at once and up slowly.
-func (s *Server) quickest(took time.Duration) {
+// quickest follows the quickest answers down at once and up slowly. An answer
+// under load says little of how quick the backend server could be.
+func (s *Server) quickest(took time.Duration, alone bool) {
+	weight := loadedWeight
+	if alone {
+		weight = quickestWeight
+	}
 	if s.Quickest == 0 || took < s.Quickest {
 		s.Quickest = took
 
 		return
 	}
-	s.Quickest += time.Duration(quickestWeight * float64(took-s.Quickest))
+	s.Quickest += time.Duration(weight * float64(took-s.Quickest))
 }
 
 // failed notes an error, which counts as a slow answer however fast it came.
