--- a/backend/server.go
+++ b/backend/server.go
@@ -18,6 +18,9 @@
 	// quickAnswer is the ratio to the quickest recent answers up to which an answer
 	// is quick.
 	quickAnswer = 2
+	// slowAnswer is the ratio to the quickest recent answers from which an answer at
+	// the limit takes back what a quick one adds.
+	slowAnswer = 3
 	// quickestWeight is the share of a slower answer in the quickest latency, if the
 	// attempt started alone on the backend server.
 	quickestWeight = 0.002
@@ -173,6 +176,8 @@
 		s.halve()
 	case running.atLimit && took <= quickAnswer*s.Quickest:
 		s.Allowance = math.Min(s.Allowance+allowanceGrowth, float64(max(s.Slots, coldAllowance)))
+	case running.atLimit && took > slowAnswer*s.Quickest:
+		s.Allowance = math.Max(s.Allowance-allowanceGrowth, coldAllowance)
 	}
 	s.Errors, s.Ejections = 0, 0
 	s.smooth(now, took)
