Suspect a host only after it did not answer twice

Cause: at 60 hosts heartbeats are older than 2 s in ordinary times, so one exchange that failed had a host announced as dead: a new test saw a takeover 0.375 s after a freeze, before the frozen host would know (0.9 s). Ruled out: asking again whichever host another one found dead (the last host of 60 still learnt after 15.4 s); reverted before this commit. Change: a host that did not answer is asked again 2 s later and is dead only if it does not answer then and was not heard of since.

--- a/peer/membership.go
+++ b/peer/membership.go
@@ -168,15 +168,35 @@
 	}
 }
 
-// suspect marks a host dead that did not answer and was not heard of either.
+// suspect notes that a host did not answer. It is dead if it did not answer
+// TakeoverAfter before either and was not heard of since.
 func (m *Membership) suspect(now time.Time, address string) {
 	for _, r := range m.records {
-		if r.host.PeerAddress == address && !r.dead && now.Sub(r.heardAt) >= TakeoverAfter {
+		switch {
+		case r.host.PeerAddress != address || r.dead:
+		case r.failedAt.IsZero():
+			r.failedAt = now
+		case now.Sub(r.failedAt) >= TakeoverAfter:
 			r.dead, r.sends = true, 0
 		}
 	}
 }
 
+// suspected returns the address of a host that is asked again because it did
+// not answer, or nothing.
+func (m *Membership) suspected(now time.Time) string {
+	oldest := now.Add(-TakeoverAfter)
+	address := ""
+	for _, r := range m.records {
+		due := !r.dead && !r.failedAt.IsZero() && !r.failedAt.After(oldest) && now.Sub(r.retriedAt) >= TakeoverAfter
+		if due && (address == "" || r.host.PeerAddress < address) {
+			address = r.host.PeerAddress
+		}
+	}
+
+	return address
+}
+
 // forget drops hosts that were silent for long.
 func (m *Membership) forget(now time.Time) {
 	for name, r := range m.records {
@@ -202,8 +222,22 @@
 	return []Action{FetchConfiguration{Address: digest.Sender.PeerAddress, Above: m.Version}}
 }
 
+// retry notes that a host is asked again and returns the digest for it.
+func (m *Membership) retry(now time.Time, address string) schema.Digest {
+	for _, r := range m.records {
+		if r.host.PeerAddress == address {
+			r.retriedAt = now
+		}
+	}
+
+	return m.Digest()
+}
+
 // exchange picks the next host, in rounds over a shuffled list.
 func (m *Membership) exchange(now time.Time) []Action {
+	if address := m.suspected(now); address != "" {
+		return []Action{Exchange{Address: address, Digest: m.retry(now, address), Asked: now}}
+	}
 	if len(m.order) == 0 {
 		m.order = m.addresses()
 	}
--- a/peer/membership_test.go
+++ b/peer/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -286,3 +287,46 @@
 	assert.Assert(t, before.Isolated)
 	assert.Assert(t, !other.Isolated)
 }
+
+// asks returns how often the actions start an exchange with the host.
+func asks(actions []peer.Action, host schema.Host) int {
+	count := 0
+	for _, action := range actions {
+		if exchange, ok := action.(peer.Exchange); ok && exchange.Address == host.PeerAddress {
+			count++
+		}
+	}
+
+	return count
+}
+
+func TestSuspicion(t *testing.T) {
+	const soon = peer.TakeoverAfter / 4
+	suspected := hostNamed(1, 1)
+	tests := map[string]struct {
+		failures []time.Duration
+		heard    time.Duration
+		dead     bool
+	}{
+		"once":               {failures: []time.Duration{soon}},
+		"again too soon":     {failures: []time.Duration{soon, 2 * soon}},
+		"again later":        {failures: []time.Duration{soon, soon + peer.TakeoverAfter}, dead: true},
+		"again, heard since": {failures: []time.Duration{soon, soon + peer.TakeoverAfter}, heard: 2 * soon},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m, asked := memberOf(60), 0
+			for after := time.Duration(0); after <= 2*peer.TakeoverAfter; after += soon {
+				asked += asks(m.Step(start.Add(after), peer.Ticked{}), suspected)
+				if test.heard > 0 && after == test.heard {
+					beat(m, start.Add(after), 1, 1, 2, nil)
+				}
+				if slices.Contains(test.failures, after) {
+					m.Step(start.Add(after), peer.ExchangeFailed{Address: suspected.PeerAddress})
+				}
+			}
+			assert.Equal(t, !slices.Contains(names(m), suspected.Name), test.dead)
+			assert.Assert(t, test.heard > 0 || asked > 0, "a suspected host was not asked again")
+		})
+	}
+}
--- a/peer/record.go
+++ b/peer/record.go
@@ -21,6 +21,10 @@
 	heardAt time.Time
 	// dead says that another host found it dead at this counter.
 	dead bool
+	// failedAt is when the host first did not answer since it was last heard.
+	failedAt time.Time
+	// retriedAt is when the host was last asked again.
+	retriedAt time.Time
 	// sends counts the digests with this record since it changed.
 	sends int
 	// sentAt orders records by when they were last sent.
@@ -47,7 +51,7 @@
 	if r.dead {
 		r.sends = 0
 	}
-	r.counter, r.heardAt, r.dead = counter, now, false
+	r.counter, r.heardAt, r.dead, r.failedAt = counter, now, false, time.Time{}
 }
 
 // hear adopts what a newer record of the host says.
