--- a/backend/attempts.go
+++ b/backend/attempts.go
@@ -18,6 +18,9 @@
 	server    *Server
 	started   time.Time
 	cancelled bool
+	// atLimit says that the backend server had no further slot free when the
+	// attempt started.
+	atLimit bool
 }
 
 // start begins one attempt.
@@ -131,8 +134,7 @@
 	if !owned || !running.server.Owned {
 		return
 	}
-	took := now.Sub(running.started)
-	running.server.observe(now, result, took, cell.Latency.Median)
+	running.server.observe(now, result, running, cell.Latency.Median)
 	if p.Options.WithoutRamp {
 		running.server.Allowance = float64(running.server.Slots)
 	}
@@ -161,15 +163,12 @@
 	case Shed:
 		p.retry(now, placed, outcome)
 	case Unsent:
-		p.settleUnsent(now, placed, result, outcome)
-	case Cut:
-		placed.mayHaveRun = true
-		if placed.call.Idempotent && placed.call.Depth == 0 || len(placed.attempts) > 0 {
-			p.retry(now, placed, outcome)
-
-			return
+		if result.Local {
+			outcome = caller.NotRun{Reason: caller.ReasonOverloaded}
 		}
-		p.end(placed, 0, outcome)
+		p.retry(now, placed, outcome)
+	case Cut:
+		p.settleCut(now, placed, outcome)
 	case TimedOut, Cancelled:
 		placed.mayHaveRun = true
 		if len(placed.attempts) == 0 {
@@ -178,14 +177,16 @@
 	}
 }
 
-// settleUnsent retries a call that did not leave, unless this host was the cause.
-func (p *Pool) settleUnsent(now time.Time, placed *placedCall, result Unsent, outcome caller.Outcome) {
-	if result.Local && len(placed.attempts) == 0 {
-		p.end(placed, 0, caller.NotRun{Reason: caller.ReasonOverloaded})
+// settleCut retries a call that may have run if it may run again. Only the
+// outermost of nested calls retries, so that retries do not multiply.
+func (p *Pool) settleCut(now time.Time, placed *placedCall, outcome caller.Outcome) {
+	placed.mayHaveRun = true
+	if placed.call.Idempotent && placed.call.Depth == 0 || len(placed.attempts) > 0 {
+		p.retry(now, placed, outcome)
 
 		return
 	}
-	p.retry(now, placed, outcome)
+	p.end(placed, 0, outcome)
 }
 
 // recordLatency adds the duration of a good answer to the cell's summary.
--- a/backend/options.go
+++ b/backend/options.go
@@ -12,12 +12,15 @@
 	Seed uint64
 	// Policy chooses among free backend servers; nil stands for LowestLatency.
 	Policy Policy
-	// Discipline chooses among waiting calls; nil stands for FirstIn.
+	// Discipline chooses among waiting calls; nil stands for
+	// ControlledDelay.
 	Discipline Discipline
 	// WithoutHedge starts no second attempt beside a running one.
 	WithoutHedge bool
 	// WithoutRamp lets a cold backend server use all its slots.
 	WithoutRamp bool
+	// WithoutSpill leaves waiting calls in their cell.
+	WithoutSpill bool
 	// WithoutEjection keeps every backend server in use.
 	WithoutEjection bool
 }
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -19,6 +19,8 @@
 	started  []backend.StartAttempt
 	cancels  []backend.AttemptID
 	probes   []backend.StartProbe
+	seeks    []backend.SeekRoom
+	moves    []backend.MoveCall
 	outcomes map[caller.CallID]caller.Outcome
 }
 
@@ -43,6 +45,10 @@
 		case backend.DeliverAnswer:
 		case backend.StartProbe:
 			d.probes = append(d.probes, action)
+		case backend.SeekRoom:
+			d.seeks = append(d.seeks, action)
+		case backend.MoveCall:
+			d.moves = append(d.moves, action)
 		case backend.EndCall:
 			_, ended := d.outcomes[action.Call]
 			assert.Assert(d.t, !ended, "call %d ended twice", action.Call)
@@ -80,6 +86,24 @@
 	}
 }
 
+// fill keeps all permitted slots busy with calls that are answered well in 5 ms,
+// which opens the slots of cold backend servers.
+func (d *driver) fill(rounds int) {
+	d.t.Helper()
+	for range rounds {
+		first := len(d.started)
+		for _, server := range d.pool.Cells[cell].Servers {
+			for range server.Limit() {
+				d.place()
+			}
+		}
+		d.now = d.now.Add(5 * time.Millisecond)
+		for index := first; index < len(d.started); index++ {
+			d.end(index, 0, answered)
+		}
+	}
+}
+
 // tick lets time pass.
 func (d *driver) tick(elapsed time.Duration) {
 	d.t.Helper()
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -3211,6 +3211,12 @@
 				err = msgp.WrapError(err, "Isolated")
 				return
 			}
+		case "orders":
+			err = z.Orders.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Orders")
+				return
+			}
 		case "overrides":
 			var zb0004 uint32
 			zb0004, err = dc.ReadArrayHeader()
@@ -3315,9 +3321,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Dump) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 8
+	// map header, size 9
 	// write "cells"
-	err = en.Append(0x88, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
+	err = en.Append(0x89, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
 	if err != nil {
 		return
 	}
@@ -3380,6 +3386,16 @@
 		err = msgp.WrapError(err, "Isolated")
 		return
 	}
+	// write "orders"
+	err = en.Append(0xa6, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73)
+	if err != nil {
+		return
+	}
+	err = z.Orders.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Orders")
+		return
+	}
 	// write "overrides"
 	err = en.Append(0xa9, 0x6f, 0x76, 0x65, 0x72, 0x72, 0x69, 0x64, 0x65, 0x73)
 	if err != nil {
@@ -3456,9 +3472,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Dump) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "cells"
-	o = append(o, 0x88, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
+	o = append(o, 0x89, 0xa5, 0x63, 0x65, 0x6c, 0x6c, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Cells)))
 	for za0001 := range z.Cells {
 		o, err = z.Cells[za0001].MarshalMsg(o)
@@ -3494,6 +3510,13 @@
 	// string "isolated"
 	o = append(o, 0xa8, 0x69, 0x73, 0x6f, 0x6c, 0x61, 0x74, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Isolated)
+	// string "orders"
+	o = append(o, 0xa6, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73)
+	o, err = z.Orders.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Orders")
+		return
+	}
 	// string "overrides"
 	o = append(o, 0xa9, 0x6f, 0x76, 0x65, 0x72, 0x72, 0x69, 0x64, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Overrides)))
@@ -3611,6 +3634,12 @@
 				err = msgp.WrapError(err, "Isolated")
 				return
 			}
+		case "orders":
+			bts, err = z.Orders.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Orders")
+				return
+			}
 		case "overrides":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -3724,7 +3753,7 @@
 	for za0002 := range z.Hosts {
 		s += z.Hosts[za0002].Msgsize()
 	}
-	s += 9 + msgp.BoolSize + 10 + msgp.ArrayHeaderSize
+	s += 9 + msgp.BoolSize + 7 + z.Orders.Msgsize() + 10 + msgp.ArrayHeaderSize
 	for za0003 := range z.Overrides {
 		s += z.Overrides[za0003].Msgsize()
 	}
@@ -4317,192 +4346,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Headroom) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zf88ce922limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "data_centre":
-			z.DataCentre, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
-		case "free_slots":
-			z.FreeSlots, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "FreeSlots")
-				return
-			}
-		case "queued":
-			z.Queued, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Queued")
-				return
-			}
-		case "service":
-			z.Service, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Headroom) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "data_centre"
-	err = en.Append(0x84, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.DataCentre)
-	if err != nil {
-		err = msgp.WrapError(err, "DataCentre")
-		return
-	}
-	// write "free_slots"
-	err = en.Append(0xaa, 0x66, 0x72, 0x65, 0x65, 0x5f, 0x73, 0x6c, 0x6f, 0x74, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.FreeSlots)
-	if err != nil {
-		err = msgp.WrapError(err, "FreeSlots")
-		return
-	}
-	// write "queued"
-	err = en.Append(0xa6, 0x71, 0x75, 0x65, 0x75, 0x65, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Queued)
-	if err != nil {
-		err = msgp.WrapError(err, "Queued")
-		return
-	}
-	// write "service"
-	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Service)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Headroom) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "data_centre"
-	o = append(o, 0x84, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
-	o = msgp.AppendString(o, z.DataCentre)
-	// string "free_slots"
-	o = append(o, 0xaa, 0x66, 0x72, 0x65, 0x65, 0x5f, 0x73, 0x6c, 0x6f, 0x74, 0x73)
-	o = msgp.AppendInt(o, z.FreeSlots)
-	// string "queued"
-	o = append(o, 0xa6, 0x71, 0x75, 0x65, 0x75, 0x65, 0x64)
-	o = msgp.AppendInt(o, z.Queued)
-	// string "service"
-	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Service)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Headroom) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zf88ce922limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "data_centre":
-			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
-		case "free_slots":
-			z.FreeSlots, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "FreeSlots")
-				return
-			}
-		case "queued":
-			z.Queued, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Queued")
-				return
-			}
-		case "service":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Headroom) Msgsize() (s int) {
-	s = 1 + 12 + msgp.StringPrefixSize + len(z.DataCentre) + 11 + msgp.IntSize + 7 + msgp.IntSize + 8 + msgp.StringPrefixSize + len(z.Service)
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *Heartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -7175,52 +7018,238 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Override) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *OrdersDump) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zf88ce922limitArrays {
+	if zb0001 > zf88ce922limitMaps {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.BaseVersion, err = dc.ReadInt()
-	if err != nil {
-		err = msgp.WrapError(err, "BaseVersion")
-		return
-	}
-	z.ChangeID, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "ChangeID")
-		return
-	}
-	z.DataCentre, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "DataCentre")
-		return
-	}
-	{
-		var zb0002 string
-		zb0002, err = dc.ReadString()
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
 		if err != nil {
-			err = msgp.WrapError(err, "State")
+			err = msgp.WrapError(err)
 			return
 		}
-		z.State = DataCentreState(zb0002)
+		switch msgp.UnsafeString(field) {
+		case "capacity":
+			z.Capacity, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+		case "kept_bytes":
+			z.KeptBytes, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "KeptBytes")
+				return
+			}
+		case "remembered":
+			z.Remembered, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Remembered")
+				return
+			}
+		case "running":
+			z.Running, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Override) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+func (z *OrdersDump) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "capacity"
+	err = en.Append(0x84, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Capacity)
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
+		return
+	}
+	// write "kept_bytes"
+	err = en.Append(0xaa, 0x6b, 0x65, 0x70, 0x74, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.KeptBytes)
+	if err != nil {
+		err = msgp.WrapError(err, "KeptBytes")
+		return
+	}
+	// write "remembered"
+	err = en.Append(0xaa, 0x72, 0x65, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Remembered)
+	if err != nil {
+		err = msgp.WrapError(err, "Remembered")
+		return
+	}
+	// write "running"
+	err = en.Append(0xa7, 0x72, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Running)
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *OrdersDump) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "capacity"
+	o = append(o, 0x84, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt(o, z.Capacity)
+	// string "kept_bytes"
+	o = append(o, 0xaa, 0x6b, 0x65, 0x70, 0x74, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.KeptBytes)
+	// string "remembered"
+	o = append(o, 0xaa, 0x72, 0x65, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Remembered)
+	// string "running"
+	o = append(o, 0xa7, 0x72, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
+	o = msgp.AppendInt(o, z.Running)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OrdersDump) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "capacity":
+			z.Capacity, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+		case "kept_bytes":
+			z.KeptBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KeptBytes")
+				return
+			}
+		case "remembered":
+			z.Remembered, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Remembered")
+				return
+			}
+		case "running":
+			z.Running, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *OrdersDump) Msgsize() (s int) {
+	s = 1 + 9 + msgp.IntSize + 11 + msgp.IntSize + 11 + msgp.IntSize + 8 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Override) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.BaseVersion, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "BaseVersion")
+		return
+	}
+	z.ChangeID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ChangeID")
+		return
+	}
+	z.DataCentre, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	{
+		var zb0002 string
+		zb0002, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "State")
+			return
+		}
+		z.State = DataCentreState(zb0002)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Override) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -8469,6 +8498,253 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Room) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "free":
+			z.Free, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Free")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Room) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "free"
+	err = en.Append(0x81, 0xa4, 0x66, 0x72, 0x65, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Free)
+	if err != nil {
+		err = msgp.WrapError(err, "Free")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Room) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "free"
+	o = append(o, 0x81, 0xa4, 0x66, 0x72, 0x65, 0x65)
+	o = msgp.AppendInt(o, z.Free)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Room) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "free":
+			z.Free, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Free")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Room) Msgsize() (s int) {
+	s = 1 + 5 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *RoomRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "data_centre":
+			z.DataCentre, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
+				return
+			}
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z RoomRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "data_centre"
+	err = en.Append(0x82, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.DataCentre)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	// write "service"
+	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RoomRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "data_centre"
+	o = append(o, 0x82, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
+	o = msgp.AppendString(o, z.DataCentre)
+	// string "service"
+	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RoomRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "data_centre":
+			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
+				return
+			}
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RoomRequest) Msgsize() (s int) {
+	s = 1 + 12 + msgp.StringPrefixSize + len(z.DataCentre) + 8 + msgp.StringPrefixSize + len(z.Service)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Row) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -221,6 +221,9 @@
 	// Isolated says that the host refuses calls because it was frozen or is cut off.
 	Isolated bool `json:"isolated" msg:"isolated"`
 
+	// Orders corresponds to the JSON schema field "orders".
+	Orders OrdersDump `json:"orders" msg:"orders"`
+
 	// Overrides are those in force.
 	Overrides []Override `json:"overrides" msg:"overrides"`
 
@@ -262,22 +265,6 @@
 	Value string `json:"value" msg:"value"`
 }
 
-// Headroom tells the owner of another cell of the same service how much work this
-// cell can take.
-type Headroom struct {
-	// DataCentre names the cell's data centre.
-	DataCentre string `json:"data_centre" msg:"data_centre"`
-
-	// FreeSlots is the number of slots that could start a call now.
-	FreeSlots int `json:"free_slots" msg:"free_slots"`
-
-	// Queued is the number of calls that wait.
-	Queued int `json:"queued" msg:"queued"`
-
-	// Service names the cell's service.
-	Service string `json:"service" msg:"service"`
-}
-
 // Heartbeat says how far a host's counter has come without repeating its record.
 type Heartbeat struct {
 	// Counter is the host's heartbeat.
@@ -484,6 +471,21 @@
 	State string `json:"state" msg:"state"`
 }
 
+// OrdersDump is what the order book of an entry host holds.
+type OrdersDump struct {
+	// Capacity bounds the remembered orders.
+	Capacity int `json:"capacity" msg:"capacity"`
+
+	// KeptBytes is the size of the answers held for repeats.
+	KeptBytes int `json:"kept_bytes" msg:"kept_bytes"`
+
+	// Remembered is the number of orders whose state is held.
+	Remembered int `json:"remembered" msg:"remembered"`
+
+	// Running is the number of orders that wait or were sent.
+	Running int `json:"running" msg:"running"`
+}
+
 // Override is an operator's change of a data centre's state that may not be in the
 // configuration yet.
 type Override struct {
@@ -599,6 +601,21 @@
 	Name string `json:"name" msg:"name"`
 }
 
+// Room answers a RoomRequest.
+type Room struct {
+	// Free is the number of calls that the cell takes now.
+	Free int `json:"free" msg:"free"`
+}
+
+// RoomRequest asks the owner of a cell how many calls it takes from another cell.
+type RoomRequest struct {
+	// DataCentre names the cell's data centre.
+	DataCentre string `json:"data_centre" msg:"data_centre"`
+
+	// Service names the cell's service.
+	Service string `json:"service" msg:"service"`
+}
+
 // Row is one row of the platform's transactional table.
 type Row struct {
 	// ChangeID identifies the last write.
