--- a/scripts/docs-check.sh
+++ b/scripts/docs-check.sh
@@ -23,11 +23,15 @@
   local wanted=0 code=0 words
   words=$(head -1 "$1")
   if [[ $words =~ exit=([0-9]+) ]]; then wanted=${BASH_REMATCH[1]}; fi
-  move_ports "$1" >"$1.moved"
+  # The settings of the hosts are read with moved ports, too.
+  move_ports "$1" | sed "s#examples/mauritius/hosts/#$out/#" >"$1.moved"
   if [[ $words == *background* ]]; then
+    # exec, so that the command has the id that is stopped.
+    sed -i '$s/^/exec /' "$1.moved"
     start "$(basename "$1" .sh)" bash -euo pipefail "$1.moved"
     sleep 2
-    return 0
+    all_running
+    return
   fi
   timeout 60 bash -euo pipefail "$1.moved" >"$1.log" 2>&1 || code=$?
   ((code == wanted)) || { echo "$1: exit code $code instead of $wanted" && sed 's/^/    /' "$1.moved" "$1.log" && return 1; }
