Name the ways in which a run ends in the shuffled test

Cause: the list of ends was a slice of anonymous structs; tables are maps by name. Ruled out: none. Change: a map by name, drawn by its sorted keys; the four ends are the same.

--- a/caller/order_shuffle_test.go
+++ b/caller/order_shuffle_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"flag"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -252,6 +254,20 @@
 	}
 }
 
+// runEnd is how a run ends at a backend server.
+type runEnd struct {
+	ran     bool
+	outcome caller.Outcome
+}
+
+// runEnds are the ways in which a run ends.
+var runEnds = map[string]runEnd{
+	"ran and answered":         {true, caller.Answered{}},
+	"ran and was cut":          {true, caller.Unknown{Reason: caller.ReasonCut}},
+	"did not run and was cut":  {false, caller.Unknown{Reason: caller.ReasonCut}},
+	"did not run and was shed": {false, caller.NotRun{Reason: caller.ReasonShed}},
+}
+
 // endRun lets a run happen at a backend server, or not, also after its host
 // died.
 func (s *shuffler) endRun() {
@@ -264,16 +280,7 @@
 		return
 	}
 	s.runs = append(s.runs[:at], s.runs[at+1:]...)
-	ends := []struct {
-		ran     bool
-		outcome caller.Outcome
-	}{
-		{true, caller.Answered{}},
-		{true, caller.Unknown{Reason: caller.ReasonCut}},
-		{false, caller.Unknown{Reason: caller.ReasonCut}},
-		{false, caller.NotRun{Reason: caller.ReasonShed}},
-	}
-	end := ends[rapid.IntRange(0, len(ends)-1).Draw(s.t, "end")]
+	end := runEnds[rapid.SampledFrom(slices.Sorted(maps.Keys(runEnds))).Draw(s.t, "end")]
 	if end.ran {
 		ended.order.ran++
 		ended.order.ranBy = ended.attempt
