Take allowance back by slow answers only during the ramp

Change: a backend server ramps from its start, return, ejection or an error until it has borne work on all slots; only then do slow answers at the limit (above three times the quickest) take back what quick ones add.

--- a/backend/ramp_test.go
+++ b/backend/ramp_test.go
@@ -29,6 +29,7 @@
 		"good answers open all slots":                     {run: func(d *driver) { d.fill(24) }, want: 4},
 		"good answers open no more than slots":            {run: func(d *driver) { d.fill(40) }, want: 4},
 		"a cold server under steady load admits no third": {run: steadyCold, want: 2},
+		"slow answers of a warm server take nothing back": {run: slowWhileWarm, want: 4},
 		"slow answers at the limit open nothing":          {run: slowAtLimit, want: 2},
 		"a shed call halves":                              {run: after(time.Millisecond, backend.Shed{}), want: 2},
 		"a time-out halves":                               {run: after(time.Second, backend.TimedOut{}), want: 2},
@@ -73,6 +74,21 @@
 	}
 }
 
+// slowWhileWarm answers all slots of a warm backend server slowly.
+func slowWhileWarm(d *driver) {
+	d.fill(40)
+	for range 20 {
+		first := len(d.started)
+		for range 4 {
+			d.place()
+		}
+		d.now = d.now.Add(18 * time.Millisecond)
+		for index := first; index < len(d.started); index++ {
+			d.end(index, 0, answered)
+		}
+	}
+}
+
 // steadyCold keeps two attempts running on a backend server that answers each
 // call beside another three times slower.
 func steadyCold(d *driver) {
--- a/backend/server.go
+++ b/backend/server.go
@@ -19,7 +19,7 @@
 	// is quick.
 	quickAnswer = 2
 	// slowAnswer is the ratio to the quickest recent answers from which an answer at
-	// the limit takes back what a quick one adds.
+	// the limit takes back, during the ramp, what a quick one adds.
 	slowAnswer = 3
 	// quickestWeight is the share of a slower answer in the quickest latency, if the
 	// attempt started alone on the backend server.
@@ -58,6 +58,8 @@
 	InFlight int
 	// Allowance is the number of attempts that the cold-start ramp permits.
 	Allowance float64
+	// Ramping says that it has not borne work on all its slots since it was cold.
+	Ramping bool
 	// Latency is the smoothed duration of attempts.
 	Latency time.Duration
 	// Quickest is the duration of its quickest recent answers.
@@ -78,13 +80,14 @@
 
 // NewServer returns a backend server that is treated as cold.
 func NewServer(address string) *Server {
-	return &Server{Declared: Declared{Address: address}, Allowance: coldAllowance}
+	return &Server{Declared: Declared{Address: address}, Allowance: coldAllowance, Ramping: true}
 }
 
 // declare adopts the declared state. A backend server that returns is cold.
 func (s *Server) declare(cell caller.Cell, declared Declared) {
 	if !s.Owned || s.Leaving && !declared.Leaving {
-		s.Allowance, s.Latency, s.Quickest, s.ObservedAt = coldAllowance, 0, 0, time.Time{}
+		s.Allowance, s.Ramping = coldAllowance, true
+		s.Latency, s.Quickest, s.ObservedAt = 0, 0, time.Time{}
 		s.EjectedUntil, s.Errors, s.Ejections = time.Time{}, 0, 0
 	}
 	s.Cell, s.Declared, s.Owned = cell, declared, true
@@ -176,9 +179,10 @@
 		s.halve()
 	case running.atLimit && took <= quickAnswer*s.Quickest:
 		s.Allowance = math.Min(s.Allowance+allowanceGrowth, float64(max(s.Slots, coldAllowance)))
-	case running.atLimit && took > slowAnswer*s.Quickest:
+	case running.atLimit && s.Ramping && took > slowAnswer*s.Quickest:
 		s.Allowance = math.Max(s.Allowance-allowanceGrowth, coldAllowance)
 	}
+	s.Ramping = s.Ramping && s.Allowance < float64(s.Slots)
 	s.Errors, s.Ejections = 0, 0
 	s.smooth(now, took)
 }
@@ -201,6 +205,7 @@
 // failed notes an error, which counts as a slow answer however fast it came.
 func (s *Server) failed(now time.Time, took, median time.Duration) {
 	s.halve()
+	s.Ramping = true
 	s.Errors++
 	s.smooth(now, max(took, errorLatency*median, s.Latency))
 }
