--- a/host/dump.go
+++ b/host/dump.go
@@ -43,6 +43,9 @@
 	dump.Cells = askDuty(ctx, h.dispatch, func(reply *ring.Ring[[]schema.CellDump]) dispatch.Input {
 		return dispatch.Dump{Reply: reply}
 	})
+	dump.Orders = askDuty(ctx, h.dispatch, func(reply *ring.Ring[schema.OrdersDump]) dispatch.Input {
+		return dispatch.OrdersDump{Reply: reply}
+	})
 
 	return dump
 }
@@ -62,7 +65,7 @@
 func (h *Host) between() []namedRing {
 	return []namedRing{
 		named(h.dispatch), named(h.attempts), named(h.probes), named(h.peers), named(h.exchanges), named(h.requests),
-		named(h.configurations), named(h.changes), named(h.dumps), named(h.fetches), named(h.keeps), named(h.stops), named(h.stopRequests), named(h.claims), named(h.seeks),
+		named(h.configurations), named(h.changes), named(h.dumps), named(h.fetches), named(h.keeps), named(h.stops), named(h.stopRequests), named(h.claims), named(h.seeks), named(h.routing),
 	}
 }
 
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs failure cases under load, with real signals and the stand-ins' control
 # addresses. Usage: scripts/faults.sh [CASE]; without a case it runs them all.
-# Settings: SEED (of every choice), RATE (calls a second), BASE_PORT, DEPLOYMENT.
+# Settings: SEED (of every choice), RATE (calls a second), CALLERS, BASE_PORT,
+# DEPLOYMENT.
 #
 # Each case prints one line. The exit code is 1 if a case broke what must always
 # hold; whether it did is judged by standin-verdict and by the case's own checks.
@@ -219,6 +220,22 @@
   for i in "${!hosts[@]}"; do replace "$i"; done
 }
 
+# One host stops as the sheet plans, another because an operator asks.
+prepare_planned_stop() { during=12 none_cut=1; }
+case_planned_stop() {
+  local planned=${hosts[2]} asked=${hosts[7]} code=0
+  cp "$sheet" "$out/changed.csv"
+  echo "planned_stop,$planned,,,,,,,$(date -u -d '+4 seconds' +%Y-%m-%dT%H:%M:%SZ),," >>"$out/changed.csv"
+  check "sheet apply" apply_sheet "$out/changed.csv" >>"$out/apply.json" 2>&1
+  check "stop" bin/baobabdrum stop --host-address "$(operator_address 7)" >>"$out/stop.json" 2>&1
+  finish "$asked" || code=$?
+  finish "$planned" || code=$?
+  check "a stopped host exited with $code" test "$code" = 0
+  sleep 4
+  start_host 2
+  start_host 7
+}
+
 # Two at once: an owner dies while the platform is away.
 prepare_kill_owner_in_outage() { during=10; }
 case_kill_owner_in_outage() {
@@ -247,7 +264,7 @@
 case_crowded_data_centre() {
   local address service=${idempotent%%,*}
   while read -r address; do
-    server_fault "$address" late $((during * 1000)) 200
+    server_fault "$address" straggle $((during * 1000)) 40
   done < <(awk -F, -v s="$service" -v d="${data_centres[0]}" '$1 == "backend_server" && $3 == s && $4 == d { print $5 }' "$sheet")
   sleep "$during"
 }
@@ -318,7 +335,7 @@
   if declare -F "prepare_$1" >/dev/null; then "prepare_$1"; fi
   SETTLE=$settle start_deployment || { stop_all && echo "case=$1 seed=$SEED result=NOT_STARTED" && return 1; }
   local began=$SECONDS
-  start_load --rate "$RATE" --order-percent 20 --pack-percent 1 --seed "$SEED" --duration $((before + during + after))s \
+  start_load --rate "$RATE" --callers "${CALLERS:-64}" --order-percent 20 --pack-percent 1 --seed "$SEED" --duration $((before + during + after))s \
     --fault-after "${before}s" --fault-for "${during}s"
   sleep "$before"
   "case_$1"
