Use four cores at most and tick less often while idle

Cause: on ten cores the Go scheduler woke and searched with more threads than the work needs, beside the load and the backend servers on the same machine; and the dispatch duty ticked every 5 ms without any call. Ruled out: locking duties to threads (measured worse before); fewer senders. Change: setting processors (default 4); the dispatch duty ticks every 50 ms while there is no call and every 5 ms from the first one on.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -1,6 +1,8 @@
 package cmd
 
 import (
+	"runtime"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/baobabdrum/baobabdrum/host"
@@ -26,6 +28,7 @@
 		return err
 	}
 	log := c.output.logger(settings.LogLevel, logrus.Fields{"host": settings.Name, "data_centre": settings.DataCentre})
+	runtime.GOMAXPROCS(min(settings.Processors, runtime.NumCPU()))
 	ctx, cancel := signalled()
 	defer cancel()
 
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -17,8 +17,12 @@
 // maxMoves bounds how often a waiting call is routed again.
 const maxMoves = 2
 
-// tickInterval is the time between checks of deadlines while calls wait or run.
-const tickInterval = 5 * time.Millisecond
+const (
+	// tickInterval is the time between checks of deadlines while calls wait or run.
+	tickInterval = 5 * time.Millisecond
+	// idleInterval is the time between ticks while there is no call.
+	idleInterval = 50 * time.Millisecond
+)
 
 // FrozenAfter is the gap between two inputs or ticks after which the duty knows
 // that it was frozen. It then places no call until the membership, whose bound
@@ -100,27 +104,47 @@
 
 // Run takes inputs until the context ends.
 func (d *Duty) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(idleInterval)
+	defer timer.Stop()
 	defer d.stop()
+	idle := true
 	for {
 		select {
 		case input := <-d.Inputs.Items():
 			d.Step(time.Now(), input)
-		case <-ticker.C:
-			now := time.Now()
-			d.notice(now)
-			if d.Pool.Busy() {
-				d.backend(now, backend.Ticked{})
+			if idle && len(d.calls) > 0 {
+				idle = false
+				timer.Reset(tickInterval)
 			}
-			d.tickOrders(now)
-			d.observe(now)
+		case <-timer.C:
+			d.tick(time.Now())
+			idle = len(d.calls) == 0
+			timer.Reset(interval(idle))
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// interval returns the time until the next tick.
+func interval(idle bool) time.Duration {
+	if idle {
+		return idleInterval
+	}
+
+	return tickInterval
+}
+
+// tick carries out what the passing of time brings.
+func (d *Duty) tick(now time.Time) {
+	d.notice(now)
+	if d.Pool.Busy() {
+		d.backend(now, backend.Ticked{})
+	}
+	d.tickOrders(now)
+	d.observe(now)
+}
+
 // stop gives up all attempts, so that the senders can stop, and replies to every
 // call that has no reply yet.
 func (d *Duty) stop() {
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -19,6 +19,7 @@
 	OrderLifetime    string `long:"order-lifetime" env:"BAOBABDRUM_ORDER_LIFETIME" default:"10m" value-name:"duration" description:"how long an order id stays valid and its outcome is remembered (1s to 1h)"`
 	OrderCapacity    string `long:"order-capacity" env:"BAOBABDRUM_ORDER_CAPACITY" default:"100000" value-name:"integer" description:"number of orders remembered at once; further orders are refused, in orders (1 to 10000000)"`
 	Senders          string `long:"senders" env:"BAOBABDRUM_SENDERS" default:"256" value-name:"integer" description:"number of sender duties, each of which runs one attempt at a time, in threads (1 to 65536)"`
+	Processors       string `long:"processors" env:"BAOBABDRUM_PROCESSORS" default:"4" value-name:"integer" description:"cores that this process uses at once, at most those of the machine, in cores (1 to 1024)"`
 	LockThreads      string `long:"lock-threads" env:"BAOBABDRUM_LOCK_THREADS" default:"false" value-name:"boolean" description:"whether the dispatch duty and the senders each keep an operating system thread"`
 	DispatchRing     string `long:"dispatch-ring" env:"BAOBABDRUM_DISPATCH_RING" default:"8192" value-name:"integer" description:"capacity of the ring that the dispatch duty takes from, in items (16 to 1048576)"`
 	QueueLength      string `long:"queue-length" env:"BAOBABDRUM_QUEUE_LENGTH" default:"1024" value-name:"integer" description:"calls that may wait in one cell, in calls (1 to 1048576)"`
@@ -58,6 +59,8 @@
 	OrderCapacity int
 	// Senders is set by --senders: number of sender duties, each of which runs one attempt at a time, in threads (1 to 65536).
 	Senders int
+	// Processors is set by --processors: cores that this process uses at once, at most those of the machine, in cores (1 to 1024).
+	Processors int
 	// LockThreads is set by --lock-threads: whether the dispatch duty and the senders each keep an operating system thread.
 	LockThreads bool
 	// DispatchRing is set by --dispatch-ring: capacity of the ring that the dispatch duty takes from, in items (16 to 1048576).
@@ -95,6 +98,7 @@
 		OrderLifetime:    c.duration("order-lifetime", f.OrderLifetime, "1s", "1h"),
 		OrderCapacity:    c.integer("order-capacity", f.OrderCapacity, "1", "10000000"),
 		Senders:          c.integer("senders", f.Senders, "1", "65536"),
+		Processors:       c.integer("processors", f.Processors, "1", "1024"),
 		LockThreads:      c.boolean("lock-threads", f.LockThreads),
 		DispatchRing:     c.integer("dispatch-ring", f.DispatchRing, "16", "1048576"),
 		QueueLength:      c.integer("queue-length", f.QueueLength, "1", "1048576"),
