--- /dev/null
+++ b/dispatch/cells.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/backend"
+	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// adoptCells tells the pool which cells this host owns.
+func (d *Duty) adoptCells(now time.Time) {
+	rates := map[string]int{}
+	for _, service := range d.Router.Routes.Configuration.Services {
+		rates[service.Name] = service.ProbeRateMilli
+	}
+	cells := map[caller.Cell][]backend.Declared{}
+	for cell, servers := range d.Router.Owned() {
+		declared := make([]backend.Declared, 0, len(servers))
+		for _, server := range servers {
+			declared = append(declared, backend.Declared{
+				Address: server.Address, Slots: min(server.Slots, d.share(server)), Leaving: server.Leaving,
+				ProbeRateMilli: rates[server.Service],
+			})
+		}
+		cells[cell] = declared
+	}
+	d.backend(now, backend.CellsChanged{Cells: cells})
+	d.offerTargets()
+}
+
+// share returns this host's part of the connections that a backend server
+// accepts from all hosts together.
+func (d *Duty) share(server schema.BackendServer) int {
+	return max(server.Connections/d.ConfiguredHosts, 1)
+}
+
+// offerTargets tells the opener which backend servers this host dispatches to.
+func (d *Duty) offerTargets() {
+	if d.Targets == nil {
+		return
+	}
+	var targets []Target
+	for _, servers := range d.Router.Owned() {
+		for _, server := range servers {
+			target := Target{Address: server.Address, Connections: d.share(server)}
+			if !server.Leaving {
+				target.Ahead = min(server.Slots, target.Connections)
+			}
+			targets = append(targets, target)
+		}
+	}
+	d.Targets.Poll()
+	_ = d.Targets.Offer(targets) // there is room, because only this duty offers
+}
+
+// dump describes every routable cell and the state of the owned ones.
+func (d *Duty) dump(now time.Time) []schema.CellDump {
+	dumps := []schema.CellDump{}
+	for _, service := range d.Router.Routes.Configuration.Services {
+		for _, dataCentre := range d.Router.Routes.Configuration.DataCentres {
+			cell := caller.Cell{Service: service.Name, DataCentre: dataCentre.Name}
+			owner := d.Router.Owner(cell)
+			if owner == "" {
+				continue
+			}
+			dump := schema.CellDump{Service: cell.Service, DataCentre: cell.DataCentre, Owner: owner}
+			dump.BackendServers = []schema.BackendServerDump{}
+			if state, ok := d.Pool.Cells[cell]; ok {
+				dump.Queued = state.Queue.Len()
+				dump.BackendServers = dumpServers(now, state.Servers)
+			}
+			dumps = append(dumps, dump)
+		}
+	}
+
+	return dumps
+}
+
+// dumpServers describes backend servers in the order of their addresses.
+func dumpServers(now time.Time, servers []*backend.Server) []schema.BackendServerDump {
+	dumps := make([]schema.BackendServerDump, 0, len(servers))
+	for _, server := range servers {
+		dumps = append(dumps, schema.BackendServerDump{
+			Address:   server.Address,
+			Slots:     server.Slots,
+			InFlight:  server.InFlight,
+			Allowance: server.Allowance,
+			LatencyUs: int(server.Latency.Microseconds()),
+			Ejected:   server.Ejected(now),
+		})
+	}
+	slices.SortFunc(dumps, func(a, b schema.BackendServerDump) int {
+		if a.Address < b.Address {
+			return -1
+		}
+
+		return 1
+	})
+
+	return dumps
+}
