Start the host's duties in three groups; wait longer at a planned stop

Two settings with one address were opened as one listener. Ruled out: requests cut in flight (the front waits for them; its test passes).

--- a/cmd/host_test.go
+++ b/cmd/host_test.go
@@ -39,6 +39,10 @@
 			args: append(valid, "--peer-address", "0.0.0.0:8081", "--operator-address", "192.0.2.1:8082"),
 			want: []string{"settings: 2 invalid", `peer-address="0.0.0.0:8081"`, `operator-address="192.0.2.1:8082"`},
 		},
+		"one address for two fronts": {
+			args: append(valid, "--caller-address", "127.0.0.1:8081"),
+			want: []string{"settings: 1 invalid", `peer-address="127.0.0.1:8081": is the same as caller-address`},
+		},
 		"short token is not shown": {
 			args: append(valid, "--token", "hunter2"),
 			want: []string{"settings: 1 invalid", `token="(secret)": must have at least 16 characters`},
--- a/host/dump.go
+++ b/host/dump.go
@@ -65,7 +65,8 @@
 func (h *Host) between() []namedRing {
 	return []namedRing{
 		named(h.dispatch), named(h.attempts), named(h.probes), named(h.peers), named(h.exchanges), named(h.requests),
-		named(h.configurations), named(h.changes), named(h.dumps), named(h.fetches), named(h.keeps), named(h.stops), named(h.stopRequests), named(h.claims), named(h.seeks), named(h.routing),
+		named(h.configurations), named(h.routing), named(h.changes), named(h.keeps), named(h.dumps), named(h.fetches),
+		named(h.seeks), named(h.stops), named(h.stopRequests), named(h.claims),
 	}
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -75,16 +75,23 @@
 
 // Check returns the faults that concern several settings.
 func Check(settings schema.HostSettings) []schema.Fault {
-	if settings.Token != "" {
-		return nil
+	listening := []struct{ place, address string }{
+		{"caller-address", settings.CallerAddress},
+		{"operator-address", settings.OperatorAddress},
+		{"peer-address", settings.PeerAddress},
 	}
 	var faults []schema.Fault
-	places := map[string]string{"peer-address": settings.PeerAddress, "operator-address": settings.OperatorAddress}
-	for _, place := range []string{"operator-address", "peer-address"} {
-		address, err := netip.ParseAddrPort(places[place])
-		if err == nil && !address.Addr().IsLoopback() {
+	places := map[string]string{}
+	for _, entry := range listening {
+		if earlier, taken := places[entry.address]; taken {
+			faults = append(faults, schema.Fault{Place: entry.place, Value: entry.address, Problem: "is the same as " + earlier})
+		}
+		places[entry.address] = entry.place
+		address, err := netip.ParseAddrPort(entry.address)
+		guarded := settings.Token != "" || entry.place == "caller-address"
+		if err == nil && !guarded && !address.Addr().IsLoopback() {
 			faults = append(faults, schema.Fault{
-				Place: place, Value: places[place], Problem: "needs a token unless it is a loopback address",
+				Place: entry.place, Value: entry.address, Problem: "needs a token unless it is a loopback address",
 			})
 		}
 	}
@@ -185,27 +192,47 @@
 	duties := group.New(context.WithoutCancel(interrupted))
 	closing, closeFront := context.WithCancel(context.WithoutCancel(interrupted))
 	defer closeFront()
+	measured := prometheus.New()
+	defer measured.Expose()()
+	h.exposeRings(measured)
+	connections := backendhttp.NewConnections(addressConnections)
+	defer connections.Close()
+	h.startCalls(duties, connections, measured)
+	h.startControl(duties)
+	duties.Go("stop", func(ctx context.Context) error { return h.runStop(ctx, interrupted, closeFront) })
+	h.startFronts(closing, duties, open, measured)
+
+	var stopped *StoppedError
+	if err := duties.Wait(); !errors.As(err, &stopped) {
+		return err
+	}
+	h.Log.WithField("event", "host_stopped").Info("the planned stop is finished")
+
+	return nil
+}
+
+// newDispatch returns the dispatch duty.
+func (h *Host) newDispatch(measured *prometheus.Metrics) *dispatch.Duty {
 	router := caller.NewRouter(h.Self.Name, h.Settings.AnswerKeep)
 	pool := backend.NewPool(backend.Options{
 		QueueLength: h.Settings.QueueLength, Hosts: h.Settings.ConfiguredHosts, Seed: h.seed, WithoutSpill: !h.Settings.Spill,
 	})
 	calls := dispatch.New(h.dispatch, h.attempts, h.probes, router, pool, h.Log)
-	measured := prometheus.New()
-	defer measured.Expose()()
 	calls.Metrics = prometheus.NewDispatch(measured)
-	h.exposeRings(measured)
 	calls.ConfiguredHosts = h.Settings.ConfiguredHosts
 	calls.Targets = ring.New[[]dispatch.Target]("opener", 1)
 	calls.Seeks = h.seeks
 	h.addOrders(calls)
+
+	return calls
+}
+
+// startCalls starts the duties that carry calls to backend servers.
+func (h *Host) startCalls(duties *group.Group, connections *backendhttp.Connections, measured *prometheus.Metrics) {
+	calls := h.newDispatch(measured)
 	duties.Go("dispatch", h.locked(calls.Run))
 	duties.Go("claims", h.newClaims().run)
-	connections := backendhttp.NewConnections(addressConnections)
-	defer connections.Close()
-	opener := &backendhttp.Opener{
-		Targets: calls.Targets, Connections: connections,
-	}
-	duties.Go("opener", opener.Run)
+	duties.Go("opener", (&backendhttp.Opener{Targets: calls.Targets, Connections: connections}).Run)
 	for range h.Settings.Senders {
 		sender := &backendhttp.Sender{Attempts: h.attempts, Reports: h.dispatch, Connections: connections}
 		duties.Go("sender", h.locked(sender.Run))
@@ -213,17 +240,25 @@
 	for range probers {
 		duties.Go("prober", (&backendhttp.Prober{Probes: h.probes, Reports: h.dispatch, Connections: connections}).Run)
 	}
+}
+
+// startControl starts the duties that decide what is in force and who is live.
+func (h *Host) startControl(duties *group.Group) {
 	duties.Go("configuration", h.runConfiguration)
+	duties.Go("routing", dispatch.NewRouting(h.Self.Name, h.routing, h.dispatch).Run)
 	duties.Go("peers", h.runPeers)
 	duties.Go("exchanges", h.runExchanges)
 	duties.Go("fetches", h.runFetches)
 	duties.Go("seeks", h.runSeeks)
-	duties.Go("routing", dispatch.NewRouting(h.Self.Name, h.routing, h.dispatch).Run)
-	duties.Go("keeper", h.runKeeper)
-	duties.Go("stop", func(ctx context.Context) error { return h.runStop(ctx, interrupted, closeFront) })
 	duties.Go("platform", h.runPlatform)
 	duties.Go("operator", h.runOperator)
+	duties.Go("keeper", h.runKeeper)
 	duties.Go("dump", h.runDump)
+}
+
+// startFronts starts the duties that serve peers, callers and operators. The
+// callers' front finishes when closing ends.
+func (h *Host) startFronts(closing context.Context, duties *group.Group, open listeners, measured *prometheus.Metrics) {
 	duties.Go("peer front", func(ctx context.Context) error {
 		return peerrpc.Serve(ctx, open.peer, h.Settings.Token, h.requests)
 	})
@@ -236,14 +271,6 @@
 	duties.Go("operator front", func(ctx context.Context) error {
 		return operatorhttp.New(h.changes, h.dumps, h.stopRequests, h.Settings.Token).Run(ctx, open.operator)
 	})
-
-	var stopped *StoppedError
-	if err := duties.Wait(); !errors.As(err, &stopped) {
-		return err
-	}
-	h.Log.WithField("event", "host_stopped").Info("the planned stop is finished")
-
-	return nil
 }
 
 // locked returns a duty that keeps an operating system thread if the settings
--- a/operator/stopper.go
+++ b/operator/stopper.go
@@ -7,7 +7,7 @@
 )
 
 // stopSpread is how long other hosts may need to learn that a host leaves.
-const stopSpread = time.Second
+const stopSpread = 3 * time.Second
 
 // StopEvent is what the stopper reacts to.
 //
