--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -64,7 +64,7 @@
 		case backend.DeliverAnswer:
 			d.begin(action.Call, d.answer)
 		case backend.EndCall:
-			if !d.moves(action) {
+			if !d.reroutes(action) {
 				d.endCall(action)
 
 				continue
@@ -187,15 +187,15 @@
 	delete(d.attempts, input.Attempt.ID)
 }
 
-// moves reports whether a call that waited in a cell of another host now is
+// reroutes reports whether a call that waited in a cell of another host now is
 // routed again instead of being refused.
-func (d *Duty) moves(action backend.EndCall) bool {
+func (d *Duty) reroutes(action backend.EndCall) bool {
 	refused, ok := action.Outcome.(caller.NotRun)
 	call := d.calls[action.Call]
-	if !ok || refused.Reason != caller.ReasonMisdirected || call == nil || call.moves >= maxMoves {
+	if !ok || refused.Reason != caller.ReasonMisdirected || call == nil || call.reroutes >= maxReroutes {
 		return false
 	}
-	call.moves++
+	call.reroutes++
 
 	return true
 }
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -13,8 +13,8 @@
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
-// maxMoves bounds how often a waiting call is routed again.
-const maxMoves = 2
+// maxReroutes bounds how often a waiting call is routed again.
+const maxReroutes = 2
 
 const (
 	// tickInterval is the time between checks of deadlines while calls wait or run.
@@ -40,8 +40,8 @@
 	run *run
 	// streams is the run whose large answer the request receives, or 0.
 	streams caller.CallID
-	// moves counts how often the call was routed again.
-	moves int
+	// reroutes counts how often the call was routed again.
+	reroutes int
 }
 
 // Duty is the state of the dispatch duty.
