Name the product's own table packages after their peer

Cause: platform/ is to hold only the translation to the users' platform, and the packages of that name decided about the product's own table. Change: platform becomes table, platformhttp becomes tablehttp; no behaviour.

--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -6,7 +6,7 @@
 
 	"github.com/baobabdrum/baobabdrum/backend"
 	"github.com/baobabdrum/baobabdrum/caller"
-	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -43,7 +43,7 @@
 
 // Claim wants a caller's own order number for an order id of this incarnation.
 type Claim struct {
-	platform.Claim
+	table.Claim
 	// Call identifies the request.
 	Call caller.CallID
 }
@@ -53,7 +53,7 @@
 	// Claim is the claim.
 	Claim Claim
 	// Result says what became of it.
-	Result platform.ClaimResult
+	Result table.ClaimResult
 }
 
 // Orders holds what the duty keeps for orders.
@@ -147,7 +147,7 @@
 		return
 	}
 	request.Order = id
-	claim := platform.Claim{Key: platform.ClaimKey(request.Call.Service, number), Token: id.String()}
+	claim := table.Claim{Key: table.ClaimKey(request.Call.Service, number), Token: id.String()}
 	if d.Orders.Claims.Offer(Claim{Claim: claim, Call: request.Call.ID}) != nil {
 		d.finish(request.Call.ID, refused)
 	}
@@ -162,7 +162,7 @@
 		return
 	}
 	switch result := input.Result.(type) {
-	case platform.ClaimHeld:
+	case table.ClaimHeld:
 		id, err := caller.ParseOrderID(result.By)
 		if err != nil {
 			d.finish(call.call.ID, Finished{Outcome: caller.Unknown{Reason: caller.ReasonInvalid}})
@@ -171,7 +171,7 @@
 		}
 		call.order.Order = id
 		d.routeOrder(now, call.order)
-	case platform.ClaimUnsettled:
+	case table.ClaimUnsettled:
 		outcome := call.order.Undelivered(caller.ReasonPlatformUnavailable)
 		notRun, refused := outcome.(caller.NotRun)
 		if !refused {
--- a/dispatch/orders_test.go
+++ b/dispatch/orders_test.go
@@ -10,7 +10,7 @@
 	"github.com/baobabdrum/baobabdrum/backend"
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/dispatch"
-	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -145,14 +145,14 @@
 
 func TestClaimedOrders(t *testing.T) {
 	other := issued(t, otherIncarnation)
-	held := func(claim dispatch.Claim) platform.ClaimResult { return platform.ClaimHeld{By: claim.Token} }
-	taken := func(dispatch.Claim) platform.ClaimResult { return platform.ClaimHeld{By: other.String()} }
-	strange := func(dispatch.Claim) platform.ClaimResult { return platform.ClaimHeld{By: "1"} }
-	unsettled := func(dispatch.Claim) platform.ClaimResult { return platform.ClaimUnsettled{} }
+	held := func(claim dispatch.Claim) table.ClaimResult { return table.ClaimHeld{By: claim.Token} }
+	taken := func(dispatch.Claim) table.ClaimResult { return table.ClaimHeld{By: other.String()} }
+	strange := func(dispatch.Claim) table.ClaimResult { return table.ClaimHeld{By: "1"} }
+	unsettled := func(dispatch.Claim) table.ClaimResult { return table.ClaimUnsettled{} }
 
 	for name, test := range map[string]struct {
 		first   bool
-		result  func(claim dispatch.Claim) platform.ClaimResult
+		result  func(claim dispatch.Claim) table.ClaimResult
 		address string
 		want    caller.Outcome
 	}{
--- a/host/claims.go
+++ b/host/claims.go
@@ -9,8 +9,8 @@
 
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/dispatch"
-	"github.com/baobabdrum/baobabdrum/platform"
-	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/table"
+	"github.com/baobabdrum/baobabdrum/tablehttp"
 	"github.com/baobabdrum/baobabdrum/ring"
 )
 
@@ -38,9 +38,9 @@
 	return &claims{
 		taken:    h.claims,
 		settled:  h.dispatch,
-		platform: platformhttp.New(h.Settings.PlatformAddress, claimTimeout),
+		platform: tablehttp.New(h.Settings.PlatformAddress, claimTimeout),
 		log:      h.Log,
-		circuit:  platform.NewCircuit(h.seed + 2),
+		circuit:  table.NewCircuit(h.seed + 2),
 	}
 }
 
@@ -48,9 +48,9 @@
 type claims struct {
 	taken    *ring.Ring[dispatch.Claim]
 	settled  *ring.Ring[dispatch.Input]
-	platform *platformhttp.Client
+	platform *tablehttp.Client
 	log      *logrus.Entry
-	circuit  *platform.Circuit
+	circuit  *table.Circuit
 }
 
 // run claims batches until the context ends.
@@ -61,7 +61,7 @@
 			return err
 		}
 		if !c.circuit.Allow(time.Now()) {
-			if err := c.settle(ctx, first, platform.ClaimUnsettled{}); err != nil {
+			if err := c.settle(ctx, first, table.ClaimUnsettled{}); err != nil {
 				return err
 			}
 
@@ -100,20 +100,20 @@
 
 // claim writes a batch until each claim of it is settled.
 func (c *claims) claim(ctx context.Context, batch []dispatch.Claim) error {
-	wanted := make([]platform.Claim, 0, len(batch))
+	wanted := make([]table.Claim, 0, len(batch))
 	byToken := map[string]dispatch.Claim{}
 	for _, claim := range batch {
 		wanted = append(wanted, claim.Claim)
 		byToken[claim.Token] = claim
 	}
-	decisions, actions := platform.NewClaims(wanted)
+	decisions, actions := table.NewClaims(wanted)
 	for len(actions) > 0 {
 		action := actions[0]
 		actions = actions[1:]
 		switch action := action.(type) {
-		case platform.WriteClaims:
+		case table.WriteClaims:
 			actions = append(actions, decisions.Step(c.write(action))...)
-		case platform.SettleClaim:
+		case table.SettleClaim:
 			if err := c.settle(ctx, byToken[action.Claim.Token], action.Result); err != nil {
 				return err
 			}
@@ -124,21 +124,21 @@
 }
 
 // write sends a transaction and returns what came of it.
-func (c *claims) write(action platform.WriteClaims) platform.Event {
+func (c *claims) write(action table.WriteClaims) table.Event {
 	result, err := c.platform.Write(action.Transaction)
 	if err != nil {
 		c.circuit.Failed(time.Now())
 		c.log.WithFields(logrus.Fields{"event": "claims_failed", "claims": len(action.Transaction.Rows)}).Warn(err)
 
-		return platform.Failed{Cause: err}
+		return table.Failed{Cause: err}
 	}
 
 	c.circuit.Succeeded()
 
-	return platform.Replied{Result: result}
+	return table.Replied{Result: result}
 }
 
 // settle tells the dispatch duty what became of a claim.
-func (c *claims) settle(ctx context.Context, claim dispatch.Claim, result platform.ClaimResult) error {
+func (c *claims) settle(ctx context.Context, claim dispatch.Claim, result table.ClaimResult) error {
 	return c.settled.Put(ctx, dispatch.Claimed{Claim: claim, Result: result})
 }
--- a/host/host.go
+++ b/host/host.go
@@ -26,7 +26,7 @@
 	"github.com/baobabdrum/baobabdrum/operatorhttp"
 	"github.com/baobabdrum/baobabdrum/peer"
 	"github.com/baobabdrum/baobabdrum/peerrpc"
-	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/tablehttp"
 	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
@@ -69,7 +69,7 @@
 	stopRequests   *ring.Ring[operatorhttp.StopRequest]
 	dumps          *ring.Ring[operatorhttp.DumpRequest]
 	claims         *ring.Ring[dispatch.Claim]
-	platform       *platformhttp.Client
+	platform       *tablehttp.Client
 	seed           uint64
 }
 
@@ -136,7 +136,7 @@
 		stopRequests:   ring.New[operatorhttp.StopRequest]("stop_requests", controlRing),
 		dumps:          ring.New[operatorhttp.DumpRequest]("dump", controlRing),
 		claims:         ring.New[dispatch.Claim]("claims", claimRing),
-		platform:       platformhttp.New(settings.PlatformAddress, platformTimeout),
+		platform:       tablehttp.New(settings.PlatformAddress, platformTimeout),
 		seed:           seed,
 	}
 }
--- a/host/keeper.go
+++ b/host/keeper.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/operator"
-	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -25,7 +25,7 @@
 // keeper keeps changes in the platform's table.
 type keeper struct {
 	host    *Host
-	circuit *platform.Circuit
+	circuit *table.Circuit
 	random  *rand.Rand
 	due     map[string]time.Time
 }
@@ -34,7 +34,7 @@
 func (h *Host) runKeeper(ctx context.Context) error {
 	k := &keeper{
 		host:    h,
-		circuit: platform.NewCircuit(h.seed + 1),
+		circuit: table.NewCircuit(h.seed + 1),
 		random:  rand.New(rand.NewPCG(h.seed, 2)), //nolint:gosec // the spreading of retries is no secret
 		due:     map[string]time.Time{},
 	}
@@ -118,7 +118,7 @@
 	var failure error
 	for range keepTries {
 		result, err := k.try(ctx, change, id, lost)
-		var conflict *platform.ConflictError
+		var conflict *table.ConflictError
 		_, sheet := change.(operator.ReplaceSheet)
 		if sheet || !errors.As(err, &conflict) {
 			return result, err
@@ -170,39 +170,39 @@
 // read reads the configuration from the platform's table.
 func (k *keeper) read() (schema.Configuration, error) {
 	if !k.circuit.Allow(time.Now()) {
-		return schema.Configuration{}, &platform.UnavailableError{}
+		return schema.Configuration{}, &table.UnavailableError{}
 	}
-	row, err := k.host.platform.Read(platform.KeyConfiguration)
+	row, err := k.host.platform.Read(table.KeyConfiguration)
 	if err != nil {
 		k.circuit.Failed(time.Now())
 
-		return schema.Configuration{}, &platform.UnavailableError{Cause: err}
+		return schema.Configuration{}, &table.UnavailableError{Cause: err}
 	}
 	k.circuit.Succeeded()
 
-	return platform.Decode(row)
+	return table.Decode(row)
 }
 
 // write writes the configuration and returns the version that holds it.
 func (k *keeper) write(next schema.Configuration, base int, lost func()) (int, error) {
-	transaction, err := platform.Encode(next, base)
+	transaction, err := table.Encode(next, base)
 	if err != nil {
 		return 0, err
 	}
-	writer, action := platform.NewWriter(transaction)
+	writer, action := table.NewWriter(transaction)
 	for {
 		switch wanted := action.(type) {
-		case platform.Write:
+		case table.Write:
 			result, err := k.host.platform.Write(wanted.Transaction)
 			if err != nil {
 				lost()
-				action = writer.Step(platform.Failed{Cause: err})
+				action = writer.Step(table.Failed{Cause: err})
 			} else {
-				action = writer.Step(platform.Replied{Result: result})
+				action = writer.Step(table.Replied{Result: result})
 			}
-		case platform.Accept:
+		case table.Accept:
 			return wanted.Version, nil
-		case platform.Reject:
+		case table.Reject:
 			return 0, wanted.Err
 		}
 	}
--- a/host/orders_test.go
+++ b/host/orders_test.go
@@ -23,8 +23,8 @@
 	"github.com/baobabdrum/baobabdrum/backendhttp"
 	"github.com/baobabdrum/baobabdrum/host"
 	"github.com/baobabdrum/baobabdrum/jsonhttp"
-	"github.com/baobabdrum/baobabdrum/platform"
-	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/table"
+	"github.com/baobabdrum/baobabdrum/tablehttp"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/standin"
 )
@@ -141,10 +141,10 @@
 			Name: settings.Name, PeerAddress: settings.PeerAddress, State: schema.HostStateLive,
 		})
 	}
-	transaction, err := platform.Encode(configuration, 0)
+	transaction, err := table.Encode(configuration, 0)
 	assert.NilError(t, err)
 	eventually(t, func() bool {
-		_, err := platformhttp.New(d.platform, requestLimit).Write(transaction)
+		_, err := tablehttp.New(d.platform, requestLimit).Write(transaction)
 
 		return err == nil && inject(d.control, "/hosts", list)
 	})
--- a/host/outage_test.go
+++ b/host/outage_test.go
@@ -18,8 +18,8 @@
 	"github.com/baobabdrum/baobabdrum/host"
 	"github.com/baobabdrum/baobabdrum/jsonhttp"
 	"github.com/baobabdrum/baobabdrum/operatorhttp"
-	"github.com/baobabdrum/baobabdrum/platform"
-	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/table"
+	"github.com/baobabdrum/baobabdrum/tablehttp"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -27,7 +27,7 @@
 func tableAway(t *testing.T, objects map[string]schema.Snapshot) string {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		key, ok := strings.CutPrefix(r.URL.Path, platformhttp.PathObjects)
+		key, ok := strings.CutPrefix(r.URL.Path, tablehttp.PathObjects)
 		if !ok {
 			w.WriteHeader(http.StatusServiceUnavailable)
 
@@ -87,7 +87,7 @@
 
 func TestStartWhileTheTableIsAway(t *testing.T) {
 	snapshot := func(version int) schema.Snapshot {
-		snapshot, err := platform.EncodeSnapshot(schema.Configuration{
+		snapshot, err := table.EncodeSnapshot(schema.Configuration{
 			Version: version, DataCentres: []schema.DataCentre{{Name: "mu-north", State: schema.DataCentreStateIn}},
 		}, nil)
 		assert.NilError(t, err)
@@ -97,7 +97,7 @@
 	damaged := snapshot(8)
 	damaged.Value = strings.Replace(damaged.Value, `"version":8`, `"version":9`, 1)
 	objects := map[string]schema.Snapshot{
-		platform.SnapshotKey(5): snapshot(5), platform.SnapshotKey(6): snapshot(6), platform.SnapshotKey(8): damaged,
+		table.SnapshotKey(5): snapshot(5), table.SnapshotKey(6): snapshot(6), table.SnapshotKey(8): damaged,
 	}
 	first := settingsOf(t, "host-1", tableAway(t, objects))
 	client := run(t, first)
--- a/host/platform.go
+++ b/host/platform.go
@@ -7,7 +7,7 @@
 
 	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/peer"
-	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -25,7 +25,7 @@
 // reader reads the platform for one host.
 type reader struct {
 	host    *Host
-	circuit *platform.Circuit
+	circuit *table.Circuit
 	random  *rand.Rand
 	started time.Time
 	list    schema.HostList
@@ -39,7 +39,7 @@
 func (h *Host) runPlatform(ctx context.Context) error {
 	r := &reader{
 		host:    h,
-		circuit: platform.NewCircuit(h.seed),
+		circuit: table.NewCircuit(h.seed),
 		random:  rand.New(rand.NewPCG(h.seed, 3)), //nolint:gosec // jitter is no secret
 		started: time.Now(),
 		list:    schema.HostList{Hosts: []schema.ListedHost{}},
@@ -50,7 +50,7 @@
 			if err := r.read(ctx); err != nil {
 				return err
 			}
-			wait = platform.Interval(h.Settings.PlatformInterval, len(r.list.Hosts), r.random)
+			wait = table.Interval(h.Settings.PlatformInterval, len(r.list.Hosts), r.random)
 		}
 		select {
 		case <-time.After(wait):
@@ -88,7 +88,7 @@
 		return failure, nil
 	}
 	r.list = list
-	row, failure := r.host.platform.Version(platform.KeyConfiguration)
+	row, failure := r.host.platform.Version(table.KeyConfiguration)
 	if failure != nil {
 		return failure, nil
 	}
@@ -99,10 +99,10 @@
 	if row.Version <= inForce.Version {
 		return r.save(inForce), nil
 	}
-	if row, failure = r.host.platform.Read(platform.KeyConfiguration); failure != nil {
+	if row, failure = r.host.platform.Read(table.KeyConfiguration); failure != nil {
 		return failure, nil
 	}
-	configuration, failure := platform.Decode(row)
+	configuration, failure := table.Decode(row)
 	if failure != nil {
 		return failure, nil
 	}
@@ -131,13 +131,13 @@
 	if now.Before(r.saveAt) {
 		return nil
 	}
-	key := platform.SnapshotKey(inForce.Version)
+	key := table.SnapshotKey(inForce.Version)
 	present, err := r.host.platform.ReadObject(key)
 	if err != nil {
 		return err
 	}
-	if held, err := platform.DecodeSnapshot(present); err != nil || held.Version < inForce.Version {
-		snapshot, err := platform.EncodeSnapshot(inForce, r.list.Hosts)
+	if held, err := table.DecodeSnapshot(present); err != nil || held.Version < inForce.Version {
+		snapshot, err := table.EncodeSnapshot(inForce, r.list.Hosts)
 		if err != nil {
 			return err
 		}
@@ -156,14 +156,14 @@
 	if time.Since(r.started) < restoreDelay || r.host.inForce(ctx).Configuration.Version > 0 {
 		return nil
 	}
-	for _, key := range platform.SnapshotKeys() {
+	for _, key := range table.SnapshotKeys() {
 		snapshot, err := r.host.platform.ReadObject(key)
 		if err != nil {
 			r.host.Log.WithField("event", "snapshot_unavailable").Warn(err)
 
 			continue
 		}
-		configuration, err := platform.DecodeSnapshot(snapshot)
+		configuration, err := table.DecodeSnapshot(snapshot)
 		if err != nil {
 			r.host.Log.WithField("event", "snapshot_invalid").Error(err)
 
--- a/host/shuffler_test.go
+++ b/host/shuffler_test.go
@@ -11,7 +11,7 @@
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/peer"
-	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/standin"
 )
@@ -276,7 +276,7 @@
 
 // kept returns the configuration that the platform holds.
 func (s *shuffler) kept() schema.Configuration {
-	configuration, err := platform.Decode(s.table.Read(platform.KeyConfiguration))
+	configuration, err := table.Decode(s.table.Read(table.KeyConfiguration))
 	if err != nil {
 		s.broken = append(s.broken, err.Error())
 	}
@@ -291,7 +291,7 @@
 	if err != nil || !applied.Changed {
 		return
 	}
-	transaction, err := platform.Encode(applied.Configuration, current.Version)
+	transaction, err := table.Encode(applied.Configuration, current.Version)
 	if err != nil {
 		s.broken = append(s.broken, err.Error())
 	}
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -26,7 +26,7 @@
 // holds. A change whose id is among the recent changes changes nothing.
 // Overrides are those in force.
 func Apply(current schema.Configuration, change Change, id string, overrides []schema.Override) (Applied, error) {
-	if platform.Contains(current, id) {
+	if table.Contains(current, id) {
 		return Applied{Configuration: current}, nil
 	}
 	switch change := change.(type) {
@@ -49,7 +49,7 @@
 		return Applied{Configuration: current}, nil
 	}
 	if change.BaseVersion != 0 && change.BaseVersion != current.Version {
-		return Applied{}, &platform.ConflictError{ChangeID: id, Accepted: current.ChangeID, Version: current.Version}
+		return Applied{}, &table.ConflictError{ChangeID: id, Accepted: current.ChangeID, Version: current.Version}
 	}
 	if err := checkEarlier(current, change, checksum); err != nil {
 		return Applied{}, err
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/baobabdrum/baobabdrum/operator"
-	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -72,7 +72,7 @@
 		"a replaced sheet again":    {before: []operator.Change{monday, mondayOut}, change: monday, err: &operator.SupersededError{}},
 		"a replaced sheet on base":  {before: []operator.Change{monday, mondayOut}, change: based(monday, 2), changed: true},
 		"the base in force":         {before: []operator.Change{monday}, change: based(tuesday, 1), changed: true},
-		"another planner was first": {before: []operator.Change{monday, takeOut}, change: based(tuesday, 1), err: &platform.ConflictError{}},
+		"another planner was first": {before: []operator.Change{monday, takeOut}, change: based(tuesday, 1), err: &table.ConflictError{}},
 		"an out that is not kept": {
 			before: []operator.Change{monday}, change: tuesday,
 			overrides: []schema.Override{{DataCentre: "mu-north", State: out, ChangeID: idAt(time.Hour, 0)}},
--- a/operator/override.go
+++ b/operator/override.go
@@ -7,7 +7,7 @@
 
 	"github.com/oklog/ulid/v2"
 
-	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -52,7 +52,7 @@
 // Ended reports whether the configuration contains the override, a decision
 // that ranks above it, or no such data centre any more.
 func Ended(configuration schema.Configuration, override schema.Override) bool {
-	if platform.Contains(configuration, override.ChangeID) {
+	if table.Contains(configuration, override.ChangeID) {
 		return true
 	}
 	for _, decided := range configuration.DataCentres {
--- a/operatorhttp/operatorhttp.go
+++ b/operatorhttp/operatorhttp.go
@@ -17,7 +17,7 @@
 
 	"github.com/baobabdrum/baobabdrum/jsonhttp"
 	"github.com/baobabdrum/baobabdrum/operator"
-	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/sheet"
@@ -290,7 +290,7 @@
 // nothing.
 func collision(err error) string {
 	var (
-		conflict   *platform.ConflictError
+		conflict   *table.ConflictError
 		outdated   *operator.OutdatedError
 		superseded *operator.SupersededError
 		collided   *operator.CollisionError
@@ -315,8 +315,8 @@
 // describePlatform describes a failure of the platform or of this host.
 func describePlatform(err error) refusal {
 	var (
-		unsettled   *platform.UnsettledError
-		unavailable *platform.UnavailableError
+		unsettled   *table.UnsettledError
+		unavailable *table.UnavailableError
 		regressed   *operator.RegressedError
 		full        *ring.FullError
 	)
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -6,7 +6,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
-	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/tablehttp"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -24,7 +24,7 @@
 
 // serveObjects serves the object store and the versions of rows.
 func (p *Platform) serveObjects(front *fiber.App) {
-	front.Get(platformhttp.PathVersions+"*", func(c fiber.Ctx) error {
+	front.Get(tablehttp.PathVersions+"*", func(c fiber.Ctx) error {
 		key := strings.Clone(c.Params("*"))
 
 		return p.serve(c, false, func(t *Table, _ time.Time) any {
@@ -34,12 +34,12 @@
 			return row
 		})
 	})
-	front.Get(platformhttp.PathObjects+"*", func(c fiber.Ctx) error {
+	front.Get(tablehttp.PathObjects+"*", func(c fiber.Ctx) error {
 		key := strings.Clone(c.Params("*"))
 
 		return p.serve(c, false, func(t *Table, _ time.Time) any { return t.ReadObject(key) })
 	})
-	front.Post(platformhttp.PathObjects+"*", func(c fiber.Ctx) error {
+	front.Post(tablehttp.PathObjects+"*", func(c fiber.Ctx) error {
 		key := strings.Clone(c.Params("*"))
 		object, err := accept[schema.Snapshot](c)
 		if err != nil {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,7 +9,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/baobabdrum/baobabdrum/group"
-	"github.com/baobabdrum/baobabdrum/platformhttp"
+	"github.com/baobabdrum/baobabdrum/tablehttp"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -79,16 +79,16 @@
 // front serves the platform's service.
 func (p *Platform) front() *fiber.App {
 	front := app()
-	front.Get(platformhttp.PathRows+"*", func(c fiber.Ctx) error {
+	front.Get(tablehttp.PathRows+"*", func(c fiber.Ctx) error {
 		key := strings.Clone(c.Params("*"))
 
 		return p.serve(c, false, func(t *Table, _ time.Time) any { return t.Read(key) })
 	})
-	front.Get(platformhttp.PathHosts, func(c fiber.Ctx) error {
+	front.Get(tablehttp.PathHosts, func(c fiber.Ctx) error {
 		return p.serve(c, false, func(t *Table, now time.Time) any { return t.Hosts(now) })
 	})
 	p.serveObjects(front)
-	front.Post(platformhttp.PathTransaction, func(c fiber.Ctx) error {
+	front.Post(tablehttp.PathTransaction, func(c fiber.Ctx) error {
 		transaction, err := accept[schema.Transaction](c)
 		if err != nil {
 			return err
--- a/platform/circuit_test.go
+++ b/table/circuit_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package table_test
 
 import (
 	"math/rand/v2"
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -21,7 +21,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			circuit, now := platform.NewCircuit(1), time.Time{}
+			circuit, now := table.NewCircuit(1), time.Time{}
 			tries := 0
 			for end := now.Add(test.outage); now.Before(end); now = now.Add(100 * time.Millisecond) {
 				if circuit.Allow(now) {
@@ -35,9 +35,9 @@
 				now = now.Add(100 * time.Millisecond)
 			}
 			assert.Assert(t, now.Sub(returned) <= 4*time.Second, "the platform is asked again after %v", now.Sub(returned))
-			assert.Equal(t, circuit.Allow(now), circuit.State == platform.CircuitClosed)
+			assert.Equal(t, circuit.Allow(now), circuit.State == table.CircuitClosed)
 			circuit.Succeeded()
-			assert.Equal(t, circuit.State, platform.CircuitClosed)
+			assert.Equal(t, circuit.State, table.CircuitClosed)
 		})
 	}
 }
@@ -54,7 +54,7 @@
 		t.Run(name, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(1, 0)) //nolint:gosec // a test's seed
 			for range 100 {
-				interval := platform.Interval(500*time.Millisecond, test.hosts, random)
+				interval := table.Interval(500*time.Millisecond, test.hosts, random)
 				assert.Assert(t, interval >= test.least && interval <= test.most, "%v", interval)
 			}
 		})
@@ -62,7 +62,7 @@
 }
 
 func TestSnapshot(t *testing.T) {
-	whole, err := platform.EncodeSnapshot(schema.Configuration{Version: 9, Day: "2026-12-04"}, nil)
+	whole, err := table.EncodeSnapshot(schema.Configuration{Version: 9, Day: "2026-12-04"}, nil)
 	assert.NilError(t, err)
 	tests := map[string]struct {
 		change  func(s *schema.Snapshot)
@@ -78,9 +78,9 @@
 		t.Run(name, func(t *testing.T) {
 			snapshot := whole
 			test.change(&snapshot)
-			configuration, err := platform.DecodeSnapshot(snapshot)
+			configuration, err := table.DecodeSnapshot(snapshot)
 			if test.damaged {
-				assert.ErrorType(t, err, &platform.ChecksumError{})
+				assert.ErrorType(t, err, &table.ChecksumError{})
 
 				return
 			}
@@ -92,26 +92,26 @@
 
 func TestCircuitStates(t *testing.T) {
 	now := time.UnixMilli(1_765_000_000_000)
-	fail := func(circuit *platform.Circuit) { circuit.Failed(now) }
-	trial := func(circuit *platform.Circuit) { circuit.Allow(now.Add(time.Hour)) }
-	succeed := func(circuit *platform.Circuit) { circuit.Succeeded() }
+	fail := func(circuit *table.Circuit) { circuit.Failed(now) }
+	trial := func(circuit *table.Circuit) { circuit.Allow(now.Add(time.Hour)) }
+	succeed := func(circuit *table.Circuit) { circuit.Succeeded() }
 
 	for name, test := range map[string]struct {
-		steps []func(circuit *platform.Circuit)
+		steps []func(circuit *table.Circuit)
 		now   bool
 		later bool
 	}{
 		"new":                      {now: true, later: true},
-		"failed once":              {steps: []func(*platform.Circuit){fail}, now: true, later: true},
-		"failed until open":        {steps: []func(*platform.Circuit){fail, fail}, later: true},
-		"a trial is under way":     {steps: []func(*platform.Circuit){fail, fail, trial}},
-		"the trial failed":         {steps: []func(*platform.Circuit){fail, fail, trial, fail}, later: true},
-		"the trial succeeded":      {steps: []func(*platform.Circuit){fail, fail, trial, succeed}, now: true, later: true},
-		"success between failures": {steps: []func(*platform.Circuit){fail, succeed, fail}, now: true, later: true},
+		"failed once":              {steps: []func(*table.Circuit){fail}, now: true, later: true},
+		"failed until open":        {steps: []func(*table.Circuit){fail, fail}, later: true},
+		"a trial is under way":     {steps: []func(*table.Circuit){fail, fail, trial}},
+		"the trial failed":         {steps: []func(*table.Circuit){fail, fail, trial, fail}, later: true},
+		"the trial succeeded":      {steps: []func(*table.Circuit){fail, fail, trial, succeed}, now: true, later: true},
+		"success between failures": {steps: []func(*table.Circuit){fail, succeed, fail}, now: true, later: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for at, want := range map[time.Duration]bool{0: test.now, time.Hour: test.later} {
-				circuit := platform.NewCircuit(1)
+				circuit := table.NewCircuit(1)
 				for _, step := range test.steps {
 					step(circuit)
 				}
--- a/platform/claims.go
+++ b/table/claims.go
@@ -1,4 +1,4 @@
-package platform
+package table
 
 import (
 	"encoding/base64"
--- a/platform/platform.go
+++ b/table/table.go
@@ -1,8 +1,8 @@
-// Package platform decides how the declared configuration is kept in the
+// Package table decides how the declared configuration is kept in the
 // platform's table: one row, replaced by compare-and-swap, with a change id by
 // which a writer recognises its own write after a lost reply. It holds no
-// clock, socket, goroutine or lock. Encoding lives in package platformhttp.
-package platform
+// clock, socket, goroutine or lock. Encoding lives in package tablehttp.
+package table
 
 import (
 	"encoding/json"
--- a/platform/writer_test.go
+++ b/table/writer_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package table_test
 
 import (
 	"encoding/json"
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/standin"
 )
@@ -30,36 +30,36 @@
 }
 
 func TestWriterSettles(t *testing.T) {
-	lost := platform.Failed{Cause: &platform.MalformedError{}}
-	found := func(version int, id string, ids ...string) platform.Event {
-		return platform.Replied{Result: schema.TransactionResult{Rows: []schema.Row{
-			{Key: platform.KeyConfiguration, Version: version, ChangeID: id, Value: value(ids...)},
+	lost := table.Failed{Cause: &table.MalformedError{}}
+	found := func(version int, id string, ids ...string) table.Event {
+		return table.Replied{Result: schema.TransactionResult{Rows: []schema.Row{
+			{Key: table.KeyConfiguration, Version: version, ChangeID: id, Value: value(ids...)},
 		}}}
 	}
 	tests := map[string]struct {
-		events []platform.Event
+		events []table.Event
 		want   string
 	}{
 		"committed": {
-			events: []platform.Event{platform.Replied{Result: schema.TransactionResult{
+			events: []table.Event{table.Replied{Result: schema.TransactionResult{
 				Committed: true, Rows: []schema.Row{{Version: 4, ChangeID: "ours"}},
 			}}},
 			want: "accept 4",
 		},
-		"lost reply of a write that took effect":   {events: []platform.Event{lost, found(4, "ours", "ours")}, want: "accept 4"},
-		"another change on top of ours":            {events: []platform.Event{lost, found(5, "theirs", "ours", "theirs")}, want: "accept 5"},
-		"another change instead of ours":           {events: []platform.Event{lost, found(5, "theirs", "theirs")}, want: "conflict"},
-		"never a reply":                            {events: []platform.Event{lost, lost, lost, lost, lost}, want: "unsettled"},
-		"a conflict with a version that still is":  {events: []platform.Event{found(3, "theirs"), lost, lost, lost, lost}, want: "unsettled"},
-		"an answer without rows proves nothing":    {events: []platform.Event{platform.Replied{}, lost, lost, lost, lost}, want: "unsettled"},
-		"an answer without rows, then a committed": {events: []platform.Event{platform.Replied{}, found(4, "ours", "ours")}, want: "accept 4"},
+		"lost reply of a write that took effect":   {events: []table.Event{lost, found(4, "ours", "ours")}, want: "accept 4"},
+		"another change on top of ours":            {events: []table.Event{lost, found(5, "theirs", "ours", "theirs")}, want: "accept 5"},
+		"another change instead of ours":           {events: []table.Event{lost, found(5, "theirs", "theirs")}, want: "conflict"},
+		"never a reply":                            {events: []table.Event{lost, lost, lost, lost, lost}, want: "unsettled"},
+		"a conflict with a version that still is":  {events: []table.Event{found(3, "theirs"), lost, lost, lost, lost}, want: "unsettled"},
+		"an answer without rows proves nothing":    {events: []table.Event{table.Replied{}, lost, lost, lost, lost}, want: "unsettled"},
+		"an answer without rows, then a committed": {events: []table.Event{table.Replied{}, found(4, "ours", "ours")}, want: "accept 4"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			transaction := schema.Transaction{Rows: []schema.Row{{Key: platform.KeyConfiguration, Version: 3, ChangeID: "ours"}}}
-			writer, action := platform.NewWriter(transaction)
+			transaction := schema.Transaction{Rows: []schema.Row{{Key: table.KeyConfiguration, Version: 3, ChangeID: "ours"}}}
+			writer, action := table.NewWriter(transaction)
 			for _, event := range test.events {
-				assert.DeepEqual(t, action, platform.Action(platform.Write{Transaction: transaction}))
+				assert.DeepEqual(t, action, table.Action(table.Write{Transaction: transaction}))
 				action = writer.Step(event)
 			}
 			assert.Equal(t, ended(action), test.want)
@@ -68,22 +68,22 @@
 }
 
 // ended describes how a change ended.
-func ended(action platform.Action) string {
+func ended(action table.Action) string {
 	var (
-		conflict  *platform.ConflictError
-		unsettled *platform.UnsettledError
+		conflict  *table.ConflictError
+		unsettled *table.UnsettledError
 	)
 	switch action := action.(type) {
-	case platform.Accept:
+	case table.Accept:
 		return "accept " + strconv.Itoa(action.Version)
-	case platform.Reject:
+	case table.Reject:
 		if errors.As(action.Err, &conflict) {
 			return "conflict"
 		}
 		if errors.As(action.Err, &unsettled) {
 			return "unsettled"
 		}
-	case platform.Write:
+	case table.Write:
 		return "write"
 	}
 
@@ -134,7 +134,7 @@
 // client is one planner with a change under way.
 type client struct {
 	input  registerInput
-	writer *platform.Writer
+	writer *table.Writer
 	began  int64
 }
 
@@ -160,21 +160,21 @@
 }
 
 // begin reads the row and starts a change on top of it.
-func (r *registerRun) begin(id string) (*client, platform.Action) {
-	base := r.table.Read(platform.KeyConfiguration).Version
+func (r *registerRun) begin(id string) (*client, table.Action) {
+	base := r.table.Read(table.KeyConfiguration).Version
 	transaction := schema.Transaction{Rows: []schema.Row{{
-		Key: platform.KeyConfiguration, Version: base, ChangeID: id, Value: value(append(slices.Clone(r.ids), id)...),
+		Key: table.KeyConfiguration, Version: base, ChangeID: id, Value: value(append(slices.Clone(r.ids), id)...),
 	}}}
-	writer, action := platform.NewWriter(transaction)
+	writer, action := table.NewWriter(transaction)
 
 	return &client{input: registerInput{base: base, id: id}, writer: writer, began: r.clock}, action
 }
 
 // write sends a write whose reply, or which itself, may be lost or late.
-func (r *registerRun) write(c *client, transaction schema.Transaction, faultPercent int) platform.Action {
-	lost := platform.Failed{Cause: &platform.MalformedError{}}
+func (r *registerRun) write(c *client, transaction schema.Transaction, faultPercent int) table.Action {
+	lost := table.Failed{Cause: &table.MalformedError{}}
 	if r.random.IntN(100) >= faultPercent {
-		return c.writer.Step(platform.Replied{Result: r.commit(transaction)})
+		return c.writer.Step(table.Replied{Result: r.commit(transaction)})
 	}
 	switch r.random.IntN(3) {
 	case 0:
@@ -203,7 +203,7 @@
 		run := registerRun{table: standin.NewTable(0), random: random}
 		faultPercent := rapid.IntRange(0, 80).Draw(t, "fault percent")
 		planners := rapid.IntRange(2, 5).Draw(t, "planners")
-		clients, actions := make([]*client, planners), make([]platform.Action, planners)
+		clients, actions := make([]*client, planners), make([]table.Action, planners)
 		for step := range 120 {
 			run.clock++
 			if len(run.late) > 0 && run.random.IntN(4) == 0 {
@@ -217,12 +217,12 @@
 				continue
 			}
 			switch action := actions[i].(type) {
-			case platform.Write:
+			case table.Write:
 				actions[i] = run.write(clients[i], action.Transaction, faultPercent)
-			case platform.Accept:
+			case table.Accept:
 				run.end(i, clients[i], "accept")
 				clients[i] = nil
-			case platform.Reject:
+			case table.Reject:
 				run.end(i, clients[i], ended(action))
 				clients[i] = nil
 			}
--- a/platformhttp/platformhttp.go
+++ b/tablehttp/tablehttp.go
@@ -1,7 +1,7 @@
-// Package platformhttp speaks to the platform's table service, object store and
+// Package tablehttp speaks to the platform's table service, object store and
 // host list. It decides nothing. Change this package to change the encoding
 // towards the platform.
-package platformhttp
+package tablehttp
 
 import (
 	"time"
