--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -19,6 +20,8 @@
 	headSize = 16 << 10
 	// writeSize is the size in bytes of the buffer for requests.
 	writeSize = 4 << 10
+	// mostAnswers bounds the answers that are read for one request.
+	mostAnswers = 4
 )
 
 // UnframedError reports an answer whose end cannot be told from a cut, because
@@ -33,6 +36,18 @@
 	return "the answer states neither its length nor chunks"
 }
 
+// ForeignAnswerError reports a connection on which only answers to other
+// requests arrive.
+type ForeignAnswerError struct {
+	// Answers is the number of answers that were read.
+	Answers int
+}
+
+// Error says how many answers were read.
+func (e *ForeignAnswerError) Error() string {
+	return fmt.Sprintf("%d answers to other requests arrived", e.Answers)
+}
+
 // Connection is one connection to a backend server or an entry host. One duty
 // uses it at a time. It counts the bytes that left, so that the sender knows
 // whether a request may have run.
@@ -45,7 +60,10 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	sent   int
-	home   *addressPool
+	until  time.Time
+	// exchanges counts those on the open connection.
+	exchanges int
+	home      *addressPool
 }
 
 // NewConnection returns a connection that is not open yet.
@@ -53,6 +71,17 @@
 	return &Connection{Address: address}
 }
 
+// KeepUntil forbids the use of the open connection from a time on, because the
+// other side is going to close it.
+func (c *Connection) KeepUntil(until time.Time) {
+	c.until = until
+}
+
+// Reused reports whether the connection has carried an exchange before.
+func (c *Connection) Reused() bool {
+	return c.exchanges > 0
+}
+
 // Open makes the connection ready for a request and returns when it is open. A
 // connection that the other side closed, or on which bytes wait that belong to
 // no request, is replaced. The deadline then holds for the next exchange. After
@@ -60,12 +89,16 @@
 func (c *Connection) Open(ctx context.Context, deadline time.Time) error {
 	c.sent = 0
 	if c.conn != nil {
-		if c.conn.SetDeadline(deadline) == nil && c.usable() {
+		expired := !c.until.IsZero() && time.Now().After(c.until)
+		if !expired && c.conn.SetDeadline(deadline) == nil && c.usable() {
+			c.exchanges++
+
 			return nil
 		}
 		c.Close()
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, Deadline: deadline}
+	c.until, c.exchanges = time.Time{}, 0
+	dialer := net.Dialer{Timeout: dialTimeout, Deadline: deadline, Control: tcp.DetectLoss}
 	conn, err := dialer.DialContext(ctx, "tcp", c.Address)
 	if err != nil {
 		return eris.Wrapf(err, "connecting to %s", c.Address)
@@ -132,6 +165,36 @@
 	return nil
 }
 
+// ExchangeWhole sends a request and reads whole answers of up to limit bytes
+// until one is accepted; others belong to earlier requests. An answer without a
+// length ends with the connection.
+func (c *Connection) ExchangeWhole(request *fasthttp.Request, response *fasthttp.Response, limit int, accept func(*fasthttp.Response) bool) error {
+	response.SkipBody = request.Header.IsHead()
+	if err := c.send(request); err != nil {
+		if c.sent == 0 || response.ReadLimitBody(c.reader, limit) != nil || !accept(response) {
+			return err
+		}
+		response.SetConnectionClose()
+
+		return nil
+	}
+	for range mostAnswers {
+		response.Reset()
+		response.SkipBody = request.Header.IsHead()
+		if err := response.ReadLimitBody(c.reader, limit); err != nil {
+			return err
+		}
+		if response.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			return &UnframedError{Status: response.StatusCode()}
+		}
+		if accept(response) {
+			return nil
+		}
+	}
+
+	return &ForeignAnswerError{Answers: mostAnswers}
+}
+
 // send sends a request.
 func (c *Connection) send(request *fasthttp.Request) error {
 	if err := request.Write(c.writer); err != nil {
--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -66,7 +66,7 @@
 // exchange sends the request and receives the answer. It reports whether the
 // connection may be used again.
 func (s *Sender) exchange(ctx context.Context, attempt *dispatch.Attempt, connection *Connection) (dispatch.Ended, bool) {
-	settle := abortOnCancel(attempt.Context, connection)
+	settle := AbortOnCancel(attempt.Context, connection)
 	defer settle()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -85,10 +85,10 @@
 	return ended, whole && !response.ConnectionClose()
 }
 
-// abortOnCancel aborts the connection when the context ends. The returned
+// AbortOnCancel aborts the connection when the context ends. The returned
 // function ends that and waits for an abort that has begun, so that it cannot
 // reach a later attempt on the same connection.
-func abortOnCancel(ctx context.Context, connection *Connection) func() {
+func AbortOnCancel(ctx context.Context, connection *Connection) func() {
 	aborted := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		connection.Abort()
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -94,6 +94,7 @@
 func commands(output Output) []Command {
 	return []Command{
 		{"host", "Run an entry host", hostHelp, &Host{output: output}},
+		{"edge", "Run an entry host on the users' platform", edgeHelp, &Edge{output: output}},
 		{"sheet", "Check, apply or show the morning sheet", sheetHelp, newSheet(output)},
 		{"data-centre", "Take a data centre out or in", dataCentreHelp, &DataCentre{output: output}},
 		{"stop", "Stop an entry host as planned", stopHelp, &Stop{output: output}},
--- /dev/null
+++ b/cmd/edge.go
@@ -0,0 +1,43 @@
+package cmd
+
+import (
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/baobabdrum/baobabdrum/edge"
+	"github.com/baobabdrum/baobabdrum/platform"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const edgeHelp = `Runs an entry host on the users' platform until it is interrupted, which starts a planned stop.
+The platform writes the settings file whose path stands in the environment variable ` + platform.SettingsVariable + `.
+
+Example:
+  ` + platform.SettingsVariable + `=local.json baobabdrum edge --check`
+
+// Edge runs an entry host on the users' platform.
+type Edge struct {
+	schema.EdgeFlags
+	CheckOnly bool `long:"check" description:"check the settings and exit"`
+
+	output Output
+}
+
+// Execute checks all settings and runs the host.
+func (c *Edge) Execute([]string) error {
+	settings, faults := c.Check()
+	path := os.Getenv(platform.SettingsVariable)
+	site, store, err := platform.ReadSite(path)
+	if err != nil {
+		faults = append(faults, schema.Fault{Place: platform.SettingsVariable, Value: path, Problem: err.Error()})
+	}
+	if err := invalid("settings", faults); err != nil || c.CheckOnly {
+		return err
+	}
+	log := Output{Results: c.output.Messages, Messages: c.output.Results}.logger(settings.LogLevel, logrus.Fields{"host": site.Name, "data_centre": site.DataCentre})
+	ctx, cancel := signalled()
+	defer cancel()
+
+	return edge.New(settings, site, platform.New(path, store, log), log).Run(ctx)
+}
--- /dev/null
+++ b/declared/declared.go
@@ -0,0 +1,478 @@
+// Package declared decides what of the operators' orders and the backend
+// servers' registrations is in force at a host, and when the platform's store
+// is read. It holds no clock, socket, goroutine or lock. Change this package to
+// change what a host believes after the store or a peer was away.
+package declared
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// readInterval is the time between reads of the registrations. With the time
+	// that other hosts take to hear of a change it stays below the two seconds
+	// after which a draining backend server gets no more work.
+	readInterval = 700 * time.Millisecond
+	// staleAfter is how long a host does without news of the registrations until
+	// it reads them itself.
+	staleAfter = time.Second
+	// staleStep is what each rank waits longer, so that one host after the other
+	// begins to read.
+	staleStep = 200 * time.Millisecond
+	// LongestWait is how long a read of the orders waits for a change.
+	LongestWait = 2 * time.Second
+	// retryAfter is the time before a failed read is tried again.
+	retryAfter = 200 * time.Millisecond
+	// lostFailures is the number of reads in a row that must fail until the store
+	// counts as away; a single one may be an idle connection that was closed.
+	lostFailures = 2
+	// lapseHold is how long a registration that went missing while the store was
+	// away is kept after its return. Live backend servers register again within
+	// two seconds.
+	lapseHold = 2200 * time.Millisecond
+)
+
+// Event is what the book reacts to.
+//
+//sumtype:decl
+type Event interface{ event() }
+
+// OrdersRead brings what operators wrote to the store.
+type OrdersRead struct {
+	// At is the store's version as of which this holds.
+	At int
+	// Full says that this is everything rather than what changed.
+	Full bool
+	// Declarations are declarations that were written, in their order.
+	Declarations []schema.Declaration
+	// Evacuated are data centres that are to get no new work.
+	Evacuated []string
+	// Returned are data centres that may get new work again.
+	Returned []string
+}
+
+// RegistrationsRead brings what backend servers wrote to the store.
+type RegistrationsRead struct {
+	// At is the store's version as of which this holds.
+	At int
+	// Full says that this is everything rather than what changed.
+	Full bool
+	// Registered are the registrations that can be used.
+	Registered []schema.Registration
+	// Gone are the IDs of registrations that were removed or name no backend
+	// server that can be used.
+	Gone []string
+}
+
+// HistoryLost says that the store has dropped the changes since the last read.
+type HistoryLost struct {
+	// Table says of what.
+	Table Table
+}
+
+// ReadFailed says that a read had no result.
+type ReadFailed struct {
+	// Table says of what.
+	Table Table
+}
+
+// PeerHeard says what another host knows.
+type PeerHeard struct {
+	// Address is its ip:port for peers' requests.
+	Address string
+	// Hash identifies what it knows.
+	Hash int
+	// OrdersAt is the store's version of its orders.
+	OrdersAt int
+	// RegistrationsAt is the store's version of its registrations.
+	RegistrationsAt int
+}
+
+// PeerAnswered brings all that another host knows.
+type PeerAnswered struct {
+	// Declared is what it knows.
+	Declared schema.Declared
+}
+
+// FetchFailed says that another host did not answer.
+type FetchFailed struct{}
+
+// RoleChanged says how this host takes part in reading.
+type RoleChanged struct {
+	// Serving says that callers are told this host's address.
+	Serving bool
+	// Rank is this host's place among those that serve, or among all.
+	Rank int
+}
+
+// Ticked says that time passed.
+type Ticked struct{}
+
+func (OrdersRead) event()        {}
+func (RegistrationsRead) event() {}
+func (HistoryLost) event()       {}
+func (ReadFailed) event()        {}
+func (PeerHeard) event()         {}
+func (PeerAnswered) event()      {}
+func (FetchFailed) event()       {}
+func (RoleChanged) event()       {}
+func (Ticked) event()            {}
+
+// Table names what is read from the store.
+type Table int
+
+// The tables.
+const (
+	// Orders are the declaration and the evacuations.
+	Orders Table = iota
+	// Registrations are the backend servers.
+	Registrations
+)
+
+// Action is what the book wants done.
+//
+//sumtype:decl
+type Action interface{ action() }
+
+// Read reads from the store. It ends with OrdersRead, RegistrationsRead,
+// HistoryLost or ReadFailed.
+type Read struct {
+	// Table says what.
+	Table Table
+	// After is the version from which changes are read, or 0 to read everything.
+	After int
+	// Wait is how long the store may wait for a change.
+	Wait time.Duration
+}
+
+// Fetch asks another host for all that it knows. It ends with PeerAnswered or
+// FetchFailed.
+type Fetch struct {
+	// Address is the other host's ip:port for peers' requests.
+	Address string
+}
+
+// Changed says that something else is in force.
+type Changed struct {
+	// Declared is all that is in force.
+	Declared schema.Declared
+}
+
+// StoreLost says that the store cannot be read any more.
+type StoreLost struct{}
+
+// StoreRegained says that the store can be read again.
+type StoreRegained struct {
+	// Away is how long it could not be read.
+	Away time.Duration
+}
+
+func (Read) action()          {}
+func (Fetch) action()         {}
+func (Changed) action()       {}
+func (StoreLost) action()     {}
+func (StoreRegained) action() {}
+
+// Book is what one host knows to be declared.
+type Book struct {
+	// Declared is what is in force.
+	Declared schema.Declared
+	// Hash identifies it.
+	Hash int
+
+	registrations map[string]schema.Registration
+	missing       map[string]time.Time
+	reading       [2]bool
+	readAt        [2]time.Time
+	after         [2]int
+	newsAt        time.Time
+	newest        int
+	holdUntil     time.Time
+	failures      int
+	failedAt      time.Time
+	lostAt        time.Time
+	fetching      bool
+	role          RoleChanged
+	changed       bool
+}
+
+// NewBook returns a book that knows nothing and reads the store at once.
+func NewBook() *Book {
+	return &Book{registrations: map[string]schema.Registration{}, missing: map[string]time.Time{}}
+}
+
+// Known reports whether both orders and registrations are known.
+func (b *Book) Known() bool {
+	return b.Declared.OrdersAt > 0 && b.Declared.RegistrationsAt > 0
+}
+
+// Step reacts to one event.
+func (b *Book) Step(now time.Time, event Event) []Action {
+	b.changed = false
+	var actions []Action
+	switch event := event.(type) {
+	case OrdersRead:
+		actions = b.regained(now, Orders)
+		b.adoptOrders(event)
+	case RegistrationsRead:
+		actions = b.regained(now, Registrations)
+		b.adoptRegistrations(now, event)
+	case HistoryLost:
+		b.reading[event.Table], b.after[event.Table], b.readAt[event.Table] = false, 0, time.Time{}
+	case ReadFailed:
+		actions = b.failed(now, event.Table)
+	case PeerHeard:
+		actions = b.heard(now, event)
+	case PeerAnswered:
+		b.fetching = false
+		b.adoptPeer(now, event.Declared)
+	case FetchFailed:
+		b.fetching = false
+	case RoleChanged:
+		b.role = event
+	case Ticked:
+	}
+	b.dropMissing(now)
+	if b.changed {
+		b.settle()
+		actions = append(actions, Changed{Declared: b.Declared})
+	}
+
+	return append(actions, b.reads(now)...)
+}
+
+// reads returns the reads that are due.
+func (b *Book) reads(now time.Time) []Action {
+	var actions []Action
+	stale := now.Sub(b.newsAt) > staleAfter+time.Duration(b.role.Rank)*staleStep
+	first := b.role.Serving && b.role.Rank == 0
+	if b.due(now, Registrations, readInterval) && (!b.Known() || first || stale) {
+		actions = append(actions, b.read(now, Registrations, 0))
+	}
+	if b.due(now, Orders, 0) && (!b.Known() || b.role.Serving || stale) {
+		actions = append(actions, b.read(now, Orders, LongestWait))
+	}
+
+	return actions
+}
+
+// due reports whether a table may be read again.
+func (b *Book) due(now time.Time, table Table, interval time.Duration) bool {
+	if b.failures > 0 {
+		interval = max(interval, retryAfter)
+	}
+
+	return !b.reading[table] && now.Sub(b.readAt[table]) >= interval
+}
+
+// read begins a read.
+func (b *Book) read(now time.Time, table Table, wait time.Duration) Action {
+	b.reading[table], b.readAt[table] = true, now
+	if b.after[table] == 0 {
+		wait = 0
+	}
+
+	return Read{Table: table, After: b.after[table], Wait: wait}
+}
+
+// regained notes that the store answered.
+func (b *Book) regained(now time.Time, table Table) []Action {
+	b.reading[table], b.failures = false, 0
+	if b.lostAt.IsZero() {
+		return nil
+	}
+	away := now.Sub(b.lostAt)
+	b.lostAt, b.holdUntil = time.Time{}, now.Add(lapseHold)
+
+	return []Action{StoreRegained{Away: away}}
+}
+
+// failed notes that the store did not answer.
+func (b *Book) failed(now time.Time, table Table) []Action {
+	b.reading[table] = false
+	if b.failures == 0 {
+		b.failedAt = now
+	}
+	b.failures++
+	if b.failures < lostFailures || !b.lostAt.IsZero() {
+		return nil
+	}
+	b.lostAt = b.failedAt
+
+	return []Action{StoreLost{}}
+}
+
+// adoptOrders adopts what operators wrote. Versions of the declaration only
+// grow.
+func (b *Book) adoptOrders(read OrdersRead) {
+	b.after[Orders] = read.At
+	if read.At < b.Declared.OrdersAt {
+		return
+	}
+	for _, declaration := range read.Declarations {
+		if declaration.Version > b.Declared.Declaration.Version {
+			b.Declared.Declaration, b.changed = declaration, true
+		}
+	}
+	evacuated := slices.Clone(read.Evacuated)
+	if !read.Full {
+		evacuated = append(evacuated, b.Declared.Evacuated...)
+	}
+	evacuated = slices.DeleteFunc(evacuated, func(name string) bool { return slices.Contains(read.Returned, name) })
+	slices.Sort(evacuated)
+	evacuated = slices.Compact(evacuated)
+	if !slices.Equal(evacuated, b.Declared.Evacuated) {
+		b.Declared.Evacuated, b.changed = evacuated, true
+	}
+	if b.Declared.Declaration.Version > 0 {
+		b.Declared.OrdersAt = read.At
+	}
+}
+
+// adoptRegistrations adopts what backend servers wrote. A registration that went
+// missing while the store was away is kept for some time.
+func (b *Book) adoptRegistrations(now time.Time, read RegistrationsRead) {
+	b.after[Registrations] = read.At
+	if read.At < b.Declared.RegistrationsAt {
+		return
+	}
+	listed := map[string]bool{}
+	for _, registration := range read.Registered {
+		listed[registration.ID] = true
+		delete(b.missing, registration.ID)
+		known, ok := b.registrations[registration.ID]
+		if ok && known.StartedMs > registration.StartedMs {
+			continue // an earlier incarnation's late write
+		}
+		b.changed = b.changed || !ok || material(known) != material(registration)
+		b.registrations[registration.ID] = registration
+	}
+	for _, id := range read.Gone {
+		b.remove(now, id)
+	}
+	if read.Full {
+		for id := range b.registrations {
+			if !listed[id] {
+				b.remove(now, id)
+			}
+		}
+	}
+	if len(b.missing) == 0 {
+		b.Declared.RegistrationsAt = read.At
+	}
+	b.news(now, read.At)
+}
+
+// news notes that registrations were read as of a version.
+func (b *Book) news(now time.Time, at int) {
+	if at > b.newest {
+		b.newest, b.newsAt = at, now
+	}
+}
+
+// remove drops a registration, or keeps it for a while if it may have lapsed
+// because the store was away.
+func (b *Book) remove(now time.Time, id string) {
+	if _, ok := b.registrations[id]; !ok {
+		return
+	}
+	if now.Before(b.holdUntil) {
+		if _, held := b.missing[id]; !held {
+			b.missing[id] = b.holdUntil
+		}
+
+		return
+	}
+	delete(b.registrations, id)
+	b.changed = true
+}
+
+// dropMissing drops the registrations that did not come back.
+func (b *Book) dropMissing(now time.Time) {
+	for id, until := range b.missing {
+		if !now.Before(until) {
+			delete(b.missing, id)
+			delete(b.registrations, id)
+			b.changed = true
+		}
+	}
+}
+
+// heard compares what another host knows with what this host knows.
+func (b *Book) heard(now time.Time, peer PeerHeard) []Action {
+	b.news(now, peer.RegistrationsAt)
+	newer := peer.OrdersAt > b.Declared.OrdersAt || peer.RegistrationsAt > b.Declared.RegistrationsAt
+	if !newer {
+		return nil
+	}
+	if peer.Hash == b.Hash && b.Known() {
+		b.Declared.OrdersAt = max(b.Declared.OrdersAt, peer.OrdersAt)
+		if len(b.missing) == 0 {
+			b.Declared.RegistrationsAt = max(b.Declared.RegistrationsAt, peer.RegistrationsAt)
+		}
+
+		return nil
+	}
+	if b.fetching {
+		return nil
+	}
+	b.fetching = true
+
+	return []Action{Fetch{Address: peer.Address}}
+}
+
+// adoptPeer adopts what another host knows where that is newer.
+func (b *Book) adoptPeer(now time.Time, peer schema.Declared) {
+	if peer.OrdersAt > b.Declared.OrdersAt && peer.Declaration.Version >= b.Declared.Declaration.Version {
+		b.changed = b.changed || peer.Declaration.Version > b.Declared.Declaration.Version ||
+			!slices.Equal(peer.Evacuated, b.Declared.Evacuated)
+		b.Declared.Declaration, b.Declared.Evacuated, b.Declared.OrdersAt = peer.Declaration, peer.Evacuated, peer.OrdersAt
+	}
+	if peer.RegistrationsAt <= b.Declared.RegistrationsAt {
+		return
+	}
+	b.registrations = make(map[string]schema.Registration, len(peer.Registrations))
+	for _, registration := range peer.Registrations {
+		b.registrations[registration.ID] = registration
+	}
+	clear(b.missing)
+	b.Declared.RegistrationsAt, b.changed = peer.RegistrationsAt, true
+	b.news(now, peer.RegistrationsAt)
+}
+
+// settle sorts the registrations in force and hashes all that is in force.
+func (b *Book) settle() {
+	b.Declared.Registrations = make([]schema.Registration, 0, len(b.registrations))
+	for _, registration := range b.registrations {
+		b.Declared.Registrations = append(b.Declared.Registrations, registration)
+	}
+	slices.SortFunc(b.Declared.Registrations, func(a, c schema.Registration) int { return cmp.Compare(a.ID, c.ID) })
+	b.Hash = hash(b.Declared)
+}
+
+// material returns what matters of a registration to those that send work.
+func material(registration schema.Registration) schema.Registration {
+	registration.ColdLeftMs = 0
+
+	return registration
+}
+
+// hash identifies what is declared in 32 bits.
+func hash(declared schema.Declared) int {
+	digest := xxhash.New()
+	encoder := json.NewEncoder(digest)
+	_ = encoder.Encode(declared.Declaration.Version) // a digest takes every write
+	_ = encoder.Encode(declared.Evacuated)           // as above
+	for _, registration := range declared.Registrations {
+		_ = encoder.Encode(material(registration)) // as above
+	}
+
+	return int(uint32(digest.Sum64())) //nolint:gosec // it is meant to be cut
+}
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,382 @@
+// Package directory decides which entry hosts callers are told to use, from the
+// beacons that the hosts send each other. It holds no clock, socket, goroutine
+// or lock. Change this package to change whom callers are sent to and how soon
+// a lost host is left out.
+package directory
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// tickBeacon is the time between beacons of serving hosts to each other, which
+	// carry loads that change within as little.
+	tickBeacon = 50 * time.Millisecond
+	// servingBeacon is the time between beacons of serving hosts to all others.
+	servingBeacon = 200 * time.Millisecond
+	// idleBeacon is the time between beacons of other hosts.
+	idleBeacon = 500 * time.Millisecond
+	// strangerBeacon is the time between beacons to hosts that are not heard.
+	strangerBeacon = 2 * time.Second
+	// servingTimeout is how long a serving host may be silent until it is left out:
+	// four beacons.
+	servingTimeout = 800 * time.Millisecond
+	// idleTimeout is how long another host may be silent: three beacons and a half.
+	idleTimeout = 1800 * time.Millisecond
+	// forgetAfter is how long a silent host is still sent beacons.
+	forgetAfter = 10 * time.Minute
+	// busyShare is the share of a host's capacity from which another one serves
+	// beside it.
+	busyShare = 0.6
+	// quietShare is the share below which it no longer does.
+	quietShare = 0.4
+	// keep is how long callers may keep an answer: as short as asking is cheap.
+	keep = time.Second
+	// mostAddresses bounds the addresses in an answer.
+	mostAddresses = 64
+)
+
+// Event is what the directory reacts to.
+//
+//sumtype:decl
+type Event interface{ event() }
+
+// BeaconHeard brings another host's beacon.
+type BeaconHeard struct {
+	// Beacon is the beacon.
+	Beacon schema.Beacon
+}
+
+// AddressesLearnt brings addresses of hosts that may exist.
+type AddressesLearnt struct {
+	// Addresses are ip:port for beacons.
+	Addresses []string
+}
+
+// ReadyChanged says whether this host serves calls.
+type ReadyChanged struct {
+	// Ready says that it does.
+	Ready bool
+}
+
+// Ticked says that time passed.
+type Ticked struct{}
+
+func (BeaconHeard) event()     {}
+func (AddressesLearnt) event() {}
+func (ReadyChanged) event()    {}
+func (Ticked) event()          {}
+
+// Action is what the directory wants done.
+//
+//sumtype:decl
+type Action interface{ action() }
+
+// SendBeacon sends this host's beacon.
+type SendBeacon struct {
+	// Addresses are ip:port of the receivers.
+	Addresses []string
+	// Loads says that the receivers use what the beacon says of loads.
+	Loads bool
+}
+
+// ServingChanged says that callers are told other addresses.
+type ServingChanged struct {
+	// Serving are the hosts that they are told, by data centre and name.
+	Serving []schema.Beacon
+	// Rank is this host's place among them, or its place among all hosts.
+	Rank int
+	// Self says that this host is one of them.
+	Self bool
+	// Hosts is the number of known hosts.
+	Hosts int
+}
+
+// PeerLost says that a host is silent or stops.
+type PeerLost struct {
+	// Name is the host's name.
+	Name string
+	// Silent is how long it was silent.
+	Silent time.Duration
+}
+
+// PeerFound says that a host is heard that was not before.
+type PeerFound struct {
+	// Name is the host's name.
+	Name string
+}
+
+func (SendBeacon) action()     {}
+func (ServingChanged) action() {}
+func (PeerLost) action()       {}
+func (PeerFound) action()      {}
+
+// member is another host.
+type member struct {
+	beacon  schema.Beacon
+	heardAt time.Time
+	live    bool
+}
+
+// stranger is an address that was not heard yet.
+type stranger struct {
+	since  time.Time
+	sentAt time.Time
+}
+
+// Directory is one host's view of the entry hosts.
+type Directory struct {
+	// Self is this host's beacon without its loads.
+	Self schema.Beacon
+
+	members   map[string]*member
+	strangers map[string]*stranger
+	serving   []schema.Beacon
+	counts    map[string]int
+	sentAt    [2]time.Time
+	urgent    bool
+	known     int
+}
+
+// New returns the view of a host that knows no other and is not ready.
+func New(self schema.Beacon) *Directory {
+	return &Directory{Self: self, members: map[string]*member{}, strangers: map[string]*stranger{}, counts: map[string]int{}}
+}
+
+// Step reacts to one event.
+func (d *Directory) Step(now time.Time, event Event) []Action {
+	var actions []Action
+	switch event := event.(type) {
+	case BeaconHeard:
+		actions = d.hear(now, event.Beacon)
+	case AddressesLearnt:
+		for _, address := range event.Addresses {
+			d.meet(now, address)
+		}
+	case ReadyChanged:
+		d.urgent = d.urgent || d.Self.Ready != event.Ready
+		d.Self.Ready = event.Ready
+	case Ticked:
+	}
+	actions = append(actions, d.lose(now)...)
+	actions = append(actions, d.elect()...)
+
+	return append(actions, d.beacons(now)...)
+}
+
+// meet remembers an address unless its host is known.
+func (d *Directory) meet(now time.Time, address string) {
+	if address == d.Self.PeerAddress || d.strangers[address] != nil {
+		return
+	}
+	for _, other := range d.members {
+		if other.beacon.PeerAddress == address {
+			return
+		}
+	}
+	d.strangers[address] = &stranger{since: now}
+}
+
+// hear adopts a beacon unless a newer one was heard.
+func (d *Directory) hear(now time.Time, beacon schema.Beacon) []Action {
+	if beacon.Name == d.Self.Name {
+		return nil
+	}
+	delete(d.strangers, beacon.PeerAddress)
+	known, ok := d.members[beacon.Name]
+	if !ok {
+		known = &member{}
+		d.members[beacon.Name] = known
+		d.urgent = true // so that it hears of this host at once
+	} else if older(beacon, known.beacon) {
+		return nil
+	}
+	beacon.Loads = nil
+	known.beacon, known.heardAt = beacon, now
+	if known.live {
+		return nil
+	}
+	known.live = true
+
+	return []Action{PeerFound{Name: beacon.Name}}
+}
+
+// older reports whether a beacon was sent before another one of the same host.
+func older(beacon, than schema.Beacon) bool {
+	if beacon.StartedMs != than.StartedMs {
+		return beacon.StartedMs < than.StartedMs
+	}
+
+	return beacon.Sequence <= than.Sequence
+}
+
+// lose leaves out the hosts that are silent.
+func (d *Directory) lose(now time.Time) []Action {
+	var actions []Action
+	for name, other := range d.members {
+		silent := now.Sub(other.heardAt)
+		timeout := idleTimeout
+		if d.serves(name) {
+			timeout = servingTimeout
+		}
+		if other.live && silent > timeout {
+			other.live = false
+			actions = append(actions, PeerLost{Name: name, Silent: silent})
+		}
+		if silent > forgetAfter {
+			delete(d.members, name)
+		}
+	}
+	for address, other := range d.strangers {
+		if now.Sub(other.since) > forgetAfter {
+			delete(d.strangers, address)
+		}
+	}
+
+	return actions
+}
+
+// serves reports whether callers are told a host's address.
+func (d *Directory) serves(name string) bool {
+	return slices.ContainsFunc(d.serving, func(beacon schema.Beacon) bool { return beacon.Name == name })
+}
+
+// elect chooses the hosts that callers are told. Few hosts know the backend
+// servers' load better than many, so each data centre has as few as can carry
+// its calls. Those that run for longest are chosen, so that a host that
+// restarts does not take over at once.
+func (d *Directory) elect() []Action {
+	ready := map[string][]schema.Beacon{}
+	all := []schema.Beacon{d.Self}
+	for _, other := range d.members {
+		if other.live {
+			all = append(all, other.beacon)
+		}
+	}
+	slices.SortFunc(all, before)
+	for _, beacon := range all {
+		if beacon.Ready {
+			ready[beacon.DataCentre] = append(ready[beacon.DataCentre], beacon)
+		}
+	}
+	var serving []schema.Beacon
+	for dataCentre, candidates := range ready {
+		count := d.count(dataCentre, candidates)
+		serving = append(serving, candidates[:count]...)
+	}
+	slices.SortFunc(serving, func(a, b schema.Beacon) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Name, b.Name))
+	})
+	same := func(a, b schema.Beacon) bool { return a.Name == b.Name && a.StartedMs == b.StartedMs }
+	hosts := len(d.members) + 1
+	changed := !slices.EqualFunc(serving, d.serving, same) || hosts != d.known
+	d.serving, d.known = serving, hosts
+	if !changed {
+		return nil
+	}
+	d.urgent = true
+	isSelf := func(beacon schema.Beacon) bool { return beacon.Name == d.Self.Name }
+	rank := slices.IndexFunc(serving, isSelf)
+	action := ServingChanged{Serving: serving, Rank: rank, Self: rank >= 0, Hosts: hosts}
+	if rank < 0 {
+		action.Rank = len(serving) + slices.IndexFunc(all, isSelf)
+	}
+
+	return []Action{action}
+}
+
+// before orders hosts by capacity and then by age.
+func before(a, b schema.Beacon) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.StartedMs, b.StartedMs), cmp.Compare(a.Name, b.Name))
+}
+
+// count returns how many of the candidates carry a data centre's calls.
+func (d *Directory) count(dataCentre string, candidates []schema.Beacon) int {
+	calls := 0
+	for _, beacon := range candidates {
+		calls += beacon.Calls
+	}
+	needed := func(share float64) int {
+		capacity := 0.0
+		for i, beacon := range candidates {
+			capacity += share * float64(beacon.Capacity)
+			if float64(calls) <= capacity {
+				return i + 1
+			}
+		}
+
+		return len(candidates)
+	}
+	count := min(max(d.counts[dataCentre], needed(busyShare)), needed(quietShare))
+	d.counts[dataCentre] = count
+
+	return count
+}
+
+// beacons sends beacons that are due.
+func (d *Directory) beacons(now time.Time) []Action {
+	var mates, others, strangers []string
+	for name, other := range d.members {
+		if d.serves(name) {
+			mates = append(mates, other.beacon.PeerAddress)
+		} else {
+			others = append(others, other.beacon.PeerAddress)
+		}
+	}
+	for address, other := range d.strangers {
+		if now.Sub(other.sentAt) >= strangerBeacon || d.urgent && now.Sub(other.sentAt) >= idleBeacon {
+			other.sentAt = now
+			strangers = append(strangers, address)
+		}
+	}
+	mateInterval, otherInterval := idleBeacon, idleBeacon
+	if d.serves(d.Self.Name) {
+		mateInterval, otherInterval = tickBeacon, servingBeacon
+	}
+	otherInterval = time.Duration(float64(otherInterval) * math.Max(1, float64(len(d.members))/manyHosts))
+	var actions []Action
+	actions = d.beacon(actions, now, 0, mateInterval, mates, true)
+	actions = d.beacon(actions, now, 1, otherInterval, others, false)
+	if len(strangers) > 0 {
+		actions = append(actions, SendBeacon{Addresses: strangers})
+	}
+	d.urgent = false
+
+	return actions
+}
+
+// manyHosts is the number of hosts from which beacons become rarer, so that the
+// work of a host does not grow with their number.
+const manyHosts = 32
+
+// beacon adds a beacon to some hosts if it is due.
+func (d *Directory) beacon(actions []Action, now time.Time, kind int, interval time.Duration, addresses []string, loads bool) []Action {
+	if len(addresses) == 0 || !d.urgent && now.Sub(d.sentAt[kind]) < interval {
+		return actions
+	}
+	d.sentAt[kind] = now
+
+	return append(actions, SendBeacon{Addresses: addresses, Loads: loads})
+}
+
+// Answer returns the addresses for a caller in a data centre and how long it
+// may keep them: the hosts of its data centre, or all if there are none.
+func (d *Directory) Answer(dataCentre string) ([]string, time.Duration) {
+	var local, all []string
+	for _, beacon := range d.serving {
+		all = append(all, beacon.CallerAddress)
+		if beacon.DataCentre == dataCentre {
+			local = append(local, beacon.CallerAddress)
+		}
+	}
+	if len(local) > 0 {
+		all = local
+	}
+
+	return all[:min(len(all), mostAddresses)], keep
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -6,9 +6,9 @@
 
 	"github.com/baobabdrum/baobabdrum/backend"
 	"github.com/baobabdrum/baobabdrum/caller"
-	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/table"
 )
 
 // stateElsewhere is the state of an order that another host knows about.
--- a/dispatch/orders_test.go
+++ b/dispatch/orders_test.go
@@ -10,9 +10,9 @@
 	"github.com/baobabdrum/baobabdrum/backend"
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/dispatch"
-	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/table"
 )
 
 const (
--- /dev/null
+++ b/edge/calls.go
@@ -0,0 +1,222 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// busyTick is the time between ticks while there are calls: a small part of any
+	// latency objective.
+	busyTick = 10 * time.Millisecond
+	// servingTick is the time between ticks of a host without calls that measures
+	// backend servers.
+	servingTick = 25 * time.Millisecond
+	// idleTick is the time between ticks of any other host.
+	idleTick = 250 * time.Millisecond
+	// tellInterval is the time between reports of loads to the control duty.
+	tellInterval = 50 * time.Millisecond
+	// rateInterval is the time over which arriving calls are counted.
+	rateInterval = 2 * time.Second
+)
+
+// open is a call without a reply.
+type open struct {
+	request  *Request
+	reply    *ring.Ring[Reply]
+	attempts []*Attempt
+}
+
+// callsDuty owns every call from its arrival to its end.
+type callsDuty struct {
+	placer   *placement.Placer
+	inputs   *ring.Ring[Input]
+	attempts *ring.Ring[*Attempt]
+	probes   *ring.Ring[placement.Probe]
+	control  *ring.Ring[ControlInput]
+	log      *eventlog.Log
+	metrics  *Metrics
+
+	calls   map[placement.CallID]*open
+	running map[placement.AttemptID]*Attempt
+	serving bool
+	toldAt  time.Time
+	arrived int
+	since   time.Time
+	rate    int
+}
+
+// run takes inputs until the context ends.
+func (d *callsDuty) run(ctx context.Context) error {
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
+	defer d.stop()
+	waits := idleTick
+	for {
+		select {
+		case input := <-d.inputs.Items():
+			d.step(time.Now(), input)
+			if wanted := d.interval(); wanted < waits {
+				waits = wanted
+				timer.Reset(waits)
+			}
+		case <-timer.C:
+			d.tick(time.Now())
+			waits = d.interval()
+			timer.Reset(waits)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// interval returns the time until the next tick.
+func (d *callsDuty) interval() time.Duration {
+	switch {
+	case d.placer.Open() > 0:
+		return busyTick
+	case d.serving:
+		return servingTick
+	default:
+		return idleTick
+	}
+}
+
+// stop gives up what still runs.
+func (d *callsDuty) stop() {
+	for _, attempt := range d.running {
+		attempt.cancel()
+	}
+}
+
+// tick carries out what the passing of time brings.
+func (d *callsDuty) tick(now time.Time) {
+	d.act(now, d.placer.Step(now, placement.Ticked{}))
+	if !d.serving && len(d.running) == 0 || now.Sub(d.toldAt) < tellInterval {
+		return
+	}
+	d.toldAt = now
+	if elapsed := now.Sub(d.since); elapsed >= rateInterval {
+		d.rate = int(float64(d.arrived) / elapsed.Seconds())
+		d.arrived, d.since = 0, now
+	}
+	if d.control.Offer(LoadsTold{Loads: d.placer.Loads(now), Calls: d.rate}) != nil {
+		d.metrics.Dropped("loads")
+	}
+}
+
+// step carries out one input.
+func (d *callsDuty) step(now time.Time, input Input) {
+	switch input := input.(type) {
+	case Arrived:
+		d.arrived++
+		d.calls[input.Call] = &open{request: input.Request, reply: input.Reply}
+		d.act(now, d.placer.Step(now, placement.CallArrived{
+			Call: input.Call, HostName: input.Request.HostName, Path: input.Request.Path, Deadline: input.Request.Deadline,
+		}))
+	case Left:
+		d.act(now, d.placer.Step(now, placement.CallerLeft{Call: input.Call}))
+	case Ended:
+		d.ended(now, input)
+	case Told:
+		d.act(now, d.placer.Step(now, input.Event))
+	case Serve:
+		d.serving = input.Serving
+	}
+}
+
+// ended passes the end of an attempt on.
+func (d *callsDuty) ended(now time.Time, input Ended) {
+	attempt := input.Attempt
+	attempt.cancel()
+	attempt.answer = input.Decoded.Answer
+	delete(d.running, attempt.Attempt)
+	d.logEnded(now, attempt, input.Decoded.Result)
+	d.act(now, d.placer.Step(now, placement.AttemptEnded{
+		Attempt: attempt.Attempt, Result: input.Decoded.Result, Load: input.Decoded.Load,
+	}))
+}
+
+// act carries out actions. Ended attempts are handed over first, so that the
+// actions of one step are never mixed with those of another.
+func (d *callsDuty) act(now time.Time, actions []placement.Action) {
+	var unsent []*Attempt
+	for _, action := range actions {
+		switch action := action.(type) {
+		case placement.Send:
+			if attempt := d.send(now, action); attempt != nil {
+				unsent = append(unsent, attempt)
+			}
+		case placement.Cancel:
+			if attempt, running := d.running[action.Attempt]; running {
+				attempt.cancel()
+			}
+		case placement.Finish:
+			d.finish(action)
+		case placement.Probe:
+			if err := d.probes.Offer(action); err != nil {
+				d.metrics.Dropped("probes")
+			}
+		case placement.Believe:
+			d.metrics.Believed(string(action.Belief))
+			d.log.Event(eventlog.Info, "backend_server_"+string(action.Belief), "a backend server is used less",
+				eventlog.Text("backend_server", action.Server), eventlog.Number("failures", action.Failures), eventlog.Duration("for", action.For))
+		}
+	}
+	for _, attempt := range unsent {
+		d.ended(now, Ended{Attempt: attempt, Decoded: Decoded{Result: placement.Unsent{Local: true, Cause: errSendersBusy}}})
+	}
+}
+
+// send gives an attempt to the senders and returns it if they are all busy.
+func (d *callsDuty) send(now time.Time, action placement.Send) *Attempt {
+	call := d.calls[action.Call]
+	attempt := newAttempt(action, call.request)
+	call.attempts = append(call.attempts, attempt)
+	d.running[action.Attempt] = attempt
+	d.metrics.Sent(action.Reason)
+	d.logSend(now, call.request, action)
+	if d.attempts.Offer(attempt) != nil {
+		return attempt
+	}
+
+	return nil
+}
+
+// finish replies to a caller.
+func (d *callsDuty) finish(action placement.Finish) {
+	call, known := d.calls[action.Call]
+	if !known {
+		return
+	}
+	delete(d.calls, action.Call)
+	reply := Reply{Outcome: action.Outcome}
+	if answered, ok := action.Outcome.(placement.Answered); ok {
+		reply.Answer = answerOf(call, answered.Attempt)
+	}
+	d.metrics.Finished(action)
+	d.logFinish(call.request, action, reply)
+	_ = call.reply.Offer(reply) // the ring has room by contract
+}
+
+// answerOf returns the answer to one of a call's attempts.
+func answerOf(call *open, id placement.AttemptID) *dispatch.Answer {
+	for _, attempt := range call.attempts {
+		if attempt.Attempt == id {
+			return attempt.answer
+		}
+	}
+
+	return nil
+}
+
+// declare returns the input that puts something else in force.
+func declare(declared schema.Declared) Input {
+	return Told{Event: placement.DeclaredChanged{Declared: declared}}
+}
--- /dev/null
+++ b/edge/control.go
@@ -0,0 +1,246 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/beacon"
+	"github.com/baobabdrum/baobabdrum/declared"
+	"github.com/baobabdrum/baobabdrum/directory"
+	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// controlTick is the time between ticks of a serving host, that of its beacons
+	// to the others that serve.
+	controlTick = 50 * time.Millisecond
+	// controlIdleTick is the time between ticks of any other host: a quarter of the
+	// time after which a serving host counts as lost.
+	controlIdleTick = 200 * time.Millisecond
+	// frozenAfter is the gap between ticks after which a host that stood still
+	// refuses to serve until it has news.
+	frozenAfter = 2 * time.Second
+)
+
+// controlDuty owns what is declared and which hosts serve.
+type controlDuty struct {
+	book      *declared.Book
+	directory *directory.Directory
+	inputs    *ring.Ring[ControlInput]
+	calls     *ring.Ring[Input]
+	orders    *ring.Ring[declared.Read]
+	registry  *ring.Ring[declared.Read]
+	fetches   *ring.Ring[declared.Fetch]
+	beacons   *ring.Ring[beacon.Datagram]
+	log       *eventlog.Log
+	metrics   *Metrics
+
+	loads    []schema.ServerLoad
+	callRate int
+	sequence int
+	serving  bool
+	stopping bool
+	tickedAt time.Time
+	thawedAt int
+}
+
+// run takes inputs until the context ends.
+func (d *controlDuty) run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case input := <-d.inputs.Items():
+			if err := d.step(ctx, time.Now(), input); err != nil {
+				return err
+			}
+		case <-timer.C:
+			if err := d.tick(ctx, time.Now()); err != nil {
+				return err
+			}
+			timer.Reset(d.interval())
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// interval returns the time until the next tick.
+func (d *controlDuty) interval() time.Duration {
+	if d.serving {
+		return controlTick
+	}
+
+	return controlIdleTick
+}
+
+// tick carries out what the passing of time brings.
+func (d *controlDuty) tick(ctx context.Context, now time.Time) error {
+	if !d.tickedAt.IsZero() && now.Sub(d.tickedAt) > frozenAfter {
+		d.thawedAt = d.book.Declared.RegistrationsAt
+		d.log.Event(eventlog.Warning, "host_frozen", "this host stood still", eventlog.Duration("for", now.Sub(d.tickedAt)))
+	}
+	d.tickedAt = now
+	if err := d.declare(ctx, now, declared.Ticked{}); err != nil {
+		return err
+	}
+
+	return d.direct(ctx, now, directory.ReadyChanged{Ready: d.ready()})
+}
+
+// ready reports whether this host serves calls.
+func (d *controlDuty) ready() bool {
+	thawed := d.thawedAt == 0 || d.book.Declared.RegistrationsAt > d.thawedAt
+
+	return d.book.Known() && !d.stopping && thawed
+}
+
+// step carries out one input.
+func (d *controlDuty) step(ctx context.Context, now time.Time, input ControlInput) error {
+	switch input := input.(type) {
+	case StoreAnswered:
+		return d.declare(ctx, now, input.Event)
+	case BeaconArrived:
+		return d.hear(ctx, now, input.Beacon)
+	case MembersRead:
+		return d.direct(ctx, now, directory.AddressesLearnt{Addresses: input.Addresses})
+	case LoadsTold:
+		d.loads, d.callRate = input.Loads, input.Calls
+	case AddressesAsked:
+		list, keep := d.directory.Answer(input.DataCentre)
+		_ = input.Reply.Offer(Addresses{List: list, Keep: keep}) // the ring has room by contract
+	case ReadyAsked:
+		_ = input.Reply.Offer(d.ready()) // as above
+	case DeclaredAsked:
+		_ = input.Reply.Offer(d.book.Declared) // as above
+	case Stopping:
+		d.stopping = true
+
+		return d.direct(ctx, now, directory.ReadyChanged{Ready: false})
+	}
+
+	return nil
+}
+
+// hear adopts another host's beacon.
+func (d *controlDuty) hear(ctx context.Context, now time.Time, heard schema.Beacon) error {
+	if err := d.direct(ctx, now, directory.BeaconHeard{Beacon: heard}); err != nil {
+		return err
+	}
+	if heard.Name == d.directory.Self.Name {
+		return nil
+	}
+	if d.calls.Offer(Told{Event: placement.LoadsHeard{Host: heard.Name, Loads: heard.Loads}}) != nil {
+		d.metrics.Dropped("loads_heard")
+	}
+
+	return d.declare(ctx, now, declared.PeerHeard{
+		Address: heard.PeerAddress, Hash: heard.DeclaredHash, OrdersAt: heard.OrdersAt, RegistrationsAt: heard.RegistrationsAt,
+	})
+}
+
+// declare lets the book react to an event and carries out what it wants.
+func (d *controlDuty) declare(ctx context.Context, now time.Time, event declared.Event) error {
+	for _, action := range d.book.Step(now, event) {
+		switch action := action.(type) {
+		case declared.Read:
+			d.read(action)
+		case declared.Fetch:
+			if d.fetches.Offer(action) != nil {
+				d.metrics.Dropped("fetches")
+			}
+		case declared.Changed:
+			d.logDeclared(action.Declared)
+			if err := d.calls.Put(ctx, declare(action.Declared)); err != nil {
+				return err
+			}
+		case declared.StoreLost:
+			d.log.Event(eventlog.Warning, "store_lost", "the store does not answer")
+		case declared.StoreRegained:
+			d.log.Event(eventlog.Info, "store_regained", "the store answers again", eventlog.Duration("away", action.Away))
+		}
+	}
+
+	return nil
+}
+
+// read gives a read to the duty of its table.
+func (d *controlDuty) read(action declared.Read) {
+	target := d.registry
+	if action.Table == declared.Orders {
+		target = d.orders
+	}
+	if target.Offer(action) != nil {
+		d.metrics.Dropped("reads")
+	}
+}
+
+// logDeclared logs what is in force now.
+func (d *controlDuty) logDeclared(in schema.Declared) {
+	draining := 0
+	for _, registration := range in.Registrations {
+		if registration.Draining {
+			draining++
+		}
+	}
+	d.metrics.Declared(in.Declaration.Version, len(in.Registrations))
+	d.log.Event(eventlog.Info, "declared_changed", "something else is in force",
+		eventlog.Integer("version", in.Declaration.Version), eventlog.Integer("orders_at", in.OrdersAt),
+		eventlog.Integer("evacuated", len(in.Evacuated)), eventlog.Integer("backend_servers", len(in.Registrations)),
+		eventlog.Integer("draining", draining), eventlog.Integer("registrations_at", in.RegistrationsAt))
+}
+
+// direct lets the directory react to an event and carries out what it wants.
+func (d *controlDuty) direct(ctx context.Context, now time.Time, event directory.Event) error {
+	for _, action := range d.directory.Step(now, event) {
+		switch action := action.(type) {
+		case directory.SendBeacon:
+			d.send(action)
+		case directory.ServingChanged:
+			if err := d.serve(ctx, now, action); err != nil {
+				return err
+			}
+		case directory.PeerLost:
+			d.log.Event(eventlog.Warning, "host_lost", "another host is silent", eventlog.Text("host", action.Name), eventlog.Duration("silent", action.Silent))
+		case directory.PeerFound:
+			d.log.Event(eventlog.Info, "host_found", "another host is heard", eventlog.Text("host", action.Name))
+		}
+	}
+
+	return nil
+}
+
+// send gives a beacon to the duty that sends them.
+func (d *controlDuty) send(action directory.SendBeacon) {
+	d.sequence++
+	told := d.directory.Self
+	told.Sequence, told.Calls, told.Loads = d.sequence, d.callRate, d.loads
+	told.DeclaredHash, told.OrdersAt, told.RegistrationsAt = d.book.Hash, d.book.Declared.OrdersAt, d.book.Declared.RegistrationsAt
+	if d.beacons.Offer(beacon.Datagram{Beacon: told, Addresses: action.Addresses}) != nil {
+		d.metrics.Dropped("beacons")
+	}
+}
+
+// serve tells the other duties which hosts serve.
+func (d *controlDuty) serve(ctx context.Context, now time.Time, action directory.ServingChanged) error {
+	d.serving = action.Self
+	peers := placement.Peers{Hosts: action.Hosts}
+	names := ""
+	for _, serving := range action.Serving {
+		peers.Serving = append(peers.Serving, placement.Peer{Name: serving.Name, DataCentre: serving.DataCentre})
+		names += serving.Name + " "
+	}
+	d.log.Event(eventlog.Info, "serving_changed", "callers are told other hosts",
+		eventlog.Text("hosts", names), eventlog.Flag("self", action.Self), eventlog.Integer("known_hosts", action.Hosts))
+	if err := d.calls.Put(ctx, Told{Event: placement.PeersChanged{Peers: peers}}); err != nil {
+		return err
+	}
+	if err := d.calls.Put(ctx, Serve{Serving: action.Self}); err != nil {
+		return err
+	}
+
+	return d.declare(ctx, now, declared.RoleChanged{Serving: action.Self, Rank: action.Rank})
+}
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,255 @@
+// Package edge runs an entry host on the users' platform: it makes the rings,
+// opens the listeners and runs one goroutine for each duty in a group that
+// stops together. What is decided stands in packages placement, declared and
+// directory; how it is written on the wire in the adapter that is handed in.
+// Change this package to join duties differently.
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabdrum/baobabdrum/declared"
+	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// Site is what the platform tells a host about its place.
+type Site struct {
+	// Name is unique among the entry hosts.
+	Name string
+	// DataCentre is where the host runs.
+	DataCentre string
+	// CallerAddress is the ip:port for callers.
+	CallerAddress string
+	// ReadyAddress is the ip:port for readiness checks.
+	ReadyAddress string
+	// DirectoryAddress is the ip:port for callers that ask which host to use.
+	DirectoryAddress string
+	// ControlAddress is the ip:port for metrics and dumps.
+	ControlAddress string
+	// PeerAddress is the ip:port for beacons and for peers' requests.
+	PeerAddress string
+	// Seeds are addresses for beacons of some other hosts.
+	Seeds []string
+	// Grace is the time from a request to stop until the kill.
+	Grace time.Duration
+	// RetryRatio is the number of repeated sends that each call may cause.
+	RetryRatio float64
+	// RetrySlack is the number of repeated sends in a window beyond the ratio.
+	RetrySlack float64
+	// RetryWindow is the span in which repeated sends are counted.
+	RetryWindow time.Duration
+	// Capacity is the number of calls a second that the host can carry.
+	Capacity int
+}
+
+// Adapter translates between the wire and the product's types. It decides
+// nothing.
+type Adapter struct {
+	// ReadOrders reads what operators wrote.
+	ReadOrders func(declared.Read) declared.Event
+	// ReadRegistrations reads what backend servers wrote.
+	ReadRegistrations func(declared.Read) declared.Event
+	// Register keeps this host's addresses in the store.
+	Register func(schema.Member) error
+	// Members returns the hosts that have registered.
+	Members func() ([]schema.Member, error)
+	// ReadSite reads the settings file again.
+	ReadSite func() (Site, error)
+	// DecodeCall decodes a caller's request.
+	DecodeCall func(ctx *fasthttp.RequestCtx, now time.Time) *Request
+	// EncodeReply encodes the outcome of a call.
+	EncodeReply func(ctx *fasthttp.RequestCtx, reply Reply)
+	// EncodeSend encodes a request to a backend server.
+	EncodeSend func(request *fasthttp.Request, attempt *Attempt, now time.Time)
+	// DecodeAnswer decodes a backend server's answer.
+	DecodeAnswer func(response *fasthttp.Response, attempt *Attempt) Decoded
+	// DecodeProbe decodes the answer to a probe.
+	DecodeProbe func(response *fasthttp.Response, server string) placement.ProbeEnded
+	// MountReadiness adds the readiness check.
+	MountReadiness func(app *fiber.App, ready func() bool)
+	// MountDirectory adds the question which addresses to use.
+	MountDirectory func(app *fiber.App, ask func(dataCentre string) ([]string, time.Duration))
+}
+
+// Request is a caller's request.
+type Request struct {
+	dispatch.Request
+	// ID is the caller's id of the request.
+	ID string
+	// HostName is the host name that the caller stated.
+	HostName string
+	// Path is the path without the query.
+	Path string
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+}
+
+// Reply is how a call ended.
+type Reply struct {
+	// Outcome says how.
+	Outcome placement.Outcome
+	// Answer is a backend server's answer if the outcome is Answered, else nil.
+	Answer *dispatch.Answer
+}
+
+// Attempt is one send of a request, taken by a sender.
+type Attempt struct {
+	placement.Send
+	// Request is what is sent.
+	Request *Request
+	// Context ends when the attempt is given up.
+	Context context.Context //nolint:containedctx // one context for each attempt, made by the duty and read by a sender
+
+	cancel context.CancelFunc
+	answer *dispatch.Answer
+}
+
+// newAttempt returns an attempt ready for a sender.
+func newAttempt(send placement.Send, request *Request) *Attempt {
+	attempt := &Attempt{Send: send, Request: request}
+	attempt.Context, attempt.cancel = context.WithCancel(context.Background())
+
+	return attempt
+}
+
+// Decoded is a backend server's answer.
+type Decoded struct {
+	// Foreign says that it belongs to another request.
+	Foreign bool
+	// Result says how the send ended.
+	Result placement.Result
+	// Load is the reported load, or nil.
+	Load *placement.Load
+	// Answer is the answer for the caller, or nil.
+	Answer *dispatch.Answer
+	// KeepFor is how long the connection may be used again, or 0 if the backend
+	// server does not say.
+	KeepFor time.Duration
+}
+
+// Input is what the calls duty takes from its ring.
+//
+//sumtype:decl
+type Input interface{ input() }
+
+// Arrived is a caller's request.
+type Arrived struct {
+	// Call identifies the call within this process.
+	Call placement.CallID
+	// Request is the request.
+	Request *Request
+	// Reply receives one reply; it must have room.
+	Reply *ring.Ring[Reply]
+}
+
+// Left says that the caller of a call went away.
+type Left struct {
+	// Call identifies the call.
+	Call placement.CallID
+}
+
+// Ended says how an attempt ended.
+type Ended struct {
+	// Attempt is the attempt.
+	Attempt *Attempt
+	// Decoded is what came back.
+	Decoded Decoded
+}
+
+// Told is an event for the placer from another duty.
+type Told struct {
+	// Event is the event.
+	Event placement.Event
+}
+
+// Serve says whether callers are told this host's address.
+type Serve struct {
+	// Serving says that they are.
+	Serving bool
+}
+
+func (Arrived) input() {}
+func (Left) input()    {}
+func (Ended) input()   {}
+func (Told) input()    {}
+func (Serve) input()   {}
+
+// ControlInput is what the control duty takes from its ring.
+//
+//sumtype:decl
+type ControlInput interface{ controlInput() }
+
+// StoreAnswered brings the end of a read.
+type StoreAnswered struct {
+	// Event is what was read.
+	Event declared.Event
+}
+
+// BeaconArrived brings another host's beacon.
+type BeaconArrived struct {
+	// Beacon is the beacon.
+	Beacon schema.Beacon
+}
+
+// MembersRead brings addresses of hosts from the store.
+type MembersRead struct {
+	// Addresses are ip:port for beacons.
+	Addresses []string
+}
+
+// LoadsTold brings what this host knows about backend servers.
+type LoadsTold struct {
+	// Loads are its measurements and its attempts in flight.
+	Loads []schema.ServerLoad
+	// Calls is the number of calls a second that arrived.
+	Calls int
+}
+
+// AddressesAsked asks which hosts a caller should use.
+type AddressesAsked struct {
+	// DataCentre is the caller's.
+	DataCentre string
+	// Reply receives one reply; it must have room.
+	Reply *ring.Ring[Addresses]
+}
+
+// Addresses are hosts that a caller should use.
+type Addresses struct {
+	// List are ip:port.
+	List []string
+	// Keep is how long the caller may keep them.
+	Keep time.Duration
+}
+
+// ReadyAsked asks whether this host serves calls.
+type ReadyAsked struct {
+	// Reply receives one reply; it must have room.
+	Reply *ring.Ring[bool]
+}
+
+// DeclaredAsked asks for all that this host knows to be declared.
+type DeclaredAsked struct {
+	// Sender names the host that asks.
+	Sender string
+	// Reply receives one reply; it must have room.
+	Reply *ring.Ring[schema.Declared]
+}
+
+// Stopping says that this host stops.
+type Stopping struct{}
+
+func (StoreAnswered) controlInput()  {}
+func (BeaconArrived) controlInput()  {}
+func (MembersRead) controlInput()    {}
+func (LoadsTold) controlInput()      {}
+func (AddressesAsked) controlInput() {}
+func (ReadyAsked) controlInput()     {}
+func (DeclaredAsked) controlInput()  {}
+func (Stopping) controlInput()       {}
--- /dev/null
+++ b/edge/fronts.go
@@ -0,0 +1,199 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/tcp"
+)
+
+const (
+	// goneInterval is the time between checks whether a caller is still connected.
+	goneInterval = 100 * time.Millisecond
+	// replyGrace is how long after its deadline a call is expected to end.
+	replyGrace = time.Second
+	// headLimit bounds the head of a request in bytes: what operators declare at
+	// most, with room for the line end.
+	headLimit = 17 << 10
+	// bodyLimit bounds the body of a request in bytes: what operators declare.
+	bodyLimit = 64 << 20
+	// readTimeout bounds the time to read a request.
+	readTimeout = 10 * time.Second
+	// idleTimeout is how long a caller's connection may stay idle, longer than
+	// callers keep one.
+	idleTimeout = 60 * time.Second
+	// askTimeout bounds the wait for the control duty.
+	askTimeout = 500 * time.Millisecond
+	// writeTimeout bounds the time in which a caller takes an answer.
+	writeTimeout = 30 * time.Second
+	// callerBuffer is the size in bytes of the buffer for answers.
+	callerBuffer = 4 << 10
+)
+
+// callerFront serves callers.
+type callerFront struct {
+	adapter  Adapter
+	inputs   *ring.Ring[Input]
+	metrics  *Metrics
+	stopping atomic.Bool
+	active   atomic.Int64
+	last     atomic.Uint64
+	server   *fasthttp.Server
+}
+
+// newCallerFront returns a front that is not started.
+func newCallerFront(adapter Adapter, inputs *ring.Ring[Input], metrics *Metrics) *callerFront {
+	front := &callerFront{adapter: adapter, inputs: inputs, metrics: metrics}
+	front.server = &fasthttp.Server{
+		Handler:                      front.serve,
+		ReadBufferSize:               headLimit,
+		WriteBufferSize:              callerBuffer,
+		MaxRequestBodySize:           bodyLimit,
+		ReadTimeout:                  readTimeout,
+		WriteTimeout:                 writeTimeout,
+		IdleTimeout:                  idleTimeout,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		DisablePreParseMultipartForm: true,
+		CloseOnShutdown:              true,
+		Logger:                       discard{},
+	}
+
+	return front
+}
+
+// discard drops the lines that the HTTP library writes about broken
+// connections, which are no events of this program.
+type discard struct{}
+
+// Printf drops a line.
+func (discard) Printf(string, ...any) {}
+
+// run serves callers until the context ends, and then until no request is in
+// flight.
+func (f *callerFront) run(ctx context.Context, closing context.Context, listener net.Listener) error {
+	finished := ring.New[error]("shutdown", 1)
+	stop := context.AfterFunc(closing, func() {
+		_ = finished.Offer(f.server.ShutdownWithContext(ctx)) // the ring has room
+	})
+	if err := f.server.Serve(listener); stop() {
+		return eris.Wrap(err, "serving callers")
+	}
+	_, _ = finished.Take(ctx) // a group that stops does not wait for callers
+	<-ctx.Done()
+
+	return ctx.Err()
+}
+
+// serve runs a caller's request and answers with what came back.
+func (f *callerFront) serve(ctx *fasthttp.RequestCtx) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	request := f.adapter.DecodeCall(ctx, time.Now())
+	reply := ring.New[Reply]("reply", 1)
+	call := placement.CallID(f.last.Add(1))
+	if f.inputs.Offer(Arrived{Call: call, Request: request, Reply: reply}) != nil {
+		f.metrics.Dropped("calls")
+		f.reply(ctx, Reply{Outcome: placement.NotRun{Reason: placement.ReasonOverloaded, RetryAfter: askTimeout}})
+
+		return
+	}
+	f.reply(ctx, f.wait(ctx, call, request, reply))
+}
+
+// reply encodes the outcome of a call.
+func (f *callerFront) reply(ctx *fasthttp.RequestCtx, reply Reply) {
+	f.adapter.EncodeReply(ctx, reply)
+	if f.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+// wait returns the outcome of a call. It cancels the call when the caller's
+// connection is closed.
+func (f *callerFront) wait(ctx *fasthttp.RequestCtx, call placement.CallID, request *Request, reply *ring.Ring[Reply]) Reply {
+	_ = ctx.Conn().SetReadDeadline(time.Time{}) // it fails only on a closed connection, which is noticed below
+	timer := time.NewTimer(goneInterval)
+	defer timer.Stop()
+	peeker := tcp.NewPeeker(ctx.Conn())
+	overdue := request.Deadline.Add(replyGrace)
+	cancelled := false
+	for {
+		select {
+		case received := <-reply.Items():
+			return received
+		case <-timer.C:
+			if time.Now().After(overdue) {
+				return Reply{Outcome: placement.Unknown{Reason: placement.ReasonTimeout}}
+			}
+			if !cancelled && peeker.Peek() == tcp.Closed {
+				cancelled = f.inputs.Offer(Left{Call: call}) == nil
+			}
+			timer.Reset(goneInterval)
+		}
+	}
+}
+
+// asker lets HTTP handlers ask the control duty.
+type asker struct {
+	control *ring.Ring[ControlInput]
+}
+
+// ask offers a question and returns the reply, or the zero value in time.
+func ask[T any](a *asker, question func(reply *ring.Ring[T]) ControlInput) T {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	reply := ring.New[T]("answer", 1)
+	var none T
+	if a.control.Offer(question(reply)) != nil {
+		return none
+	}
+	answer, err := reply.Take(ctx)
+	if err != nil {
+		return none
+	}
+
+	return answer
+}
+
+// ready asks whether this host serves calls.
+func (a *asker) ready() bool {
+	return ask(a, func(reply *ring.Ring[bool]) ControlInput { return ReadyAsked{Reply: reply} })
+}
+
+// addresses asks which hosts a caller should use.
+func (a *asker) addresses(dataCentre string) ([]string, time.Duration) {
+	answer := ask(a, func(reply *ring.Ring[Addresses]) ControlInput {
+		return AddressesAsked{DataCentre: dataCentre, Reply: reply}
+	})
+
+	return answer.List, answer.Keep
+}
+
+// newApp returns an application without routes.
+func newApp() *fiber.App {
+	return fiber.New(fiber.Config{AppName: "baobabdrum", CaseSensitive: true, IdleTimeout: idleTimeout, ReadTimeout: readTimeout})
+}
+
+// serveApp serves an application until the context ends.
+func serveApp(ctx context.Context, app *fiber.App, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = app.ShutdownWithTimeout(askTimeout) }) // the process ends in any case
+	defer stop()
+
+	return eris.Wrap(app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}), "serving questions")
+}
+
+// declared asks for all that this host knows to be declared.
+func (a *asker) declared() schema.Declared {
+	return ask(a, func(reply *ring.Ring[schema.Declared]) ControlInput { return DeclaredAsked{Reply: reply} })
+}
--- /dev/null
+++ b/edge/host.go
@@ -0,0 +1,245 @@
+package edge
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/beacon"
+	"github.com/baobabdrum/baobabdrum/declared"
+	"github.com/baobabdrum/baobabdrum/directory"
+	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/group"
+	"github.com/baobabdrum/baobabdrum/peerrpc"
+	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// callsRing is the capacity of the ring of the calls duty: more than all senders
+	// and callers of a host put in at once.
+	callsRing = 4096
+	// controlRing is the capacity of rings that carry no calls.
+	controlRing = 512
+	// usualConnections bounds the connections to an address that has no limit of
+	// its own.
+	usualConnections = 64
+)
+
+// Host is an entry host with its rings.
+type Host struct {
+	// Settings are the host's own settings.
+	Settings schema.EdgeSettings
+	// Site is what the platform told at the start.
+	Site Site
+	// Adapter translates to and from the wire.
+	Adapter Adapter
+	// Log takes events.
+	Log *eventlog.Log
+	// Metrics count what happens.
+	Metrics *Metrics
+
+	started  time.Time
+	inputs   *ring.Ring[Input]
+	attempts *ring.Ring[*Attempt]
+	probes   *ring.Ring[placement.Probe]
+	control  *ring.Ring[ControlInput]
+	orders   *ring.Ring[declared.Read]
+	registry *ring.Ring[declared.Read]
+	fetches  *ring.Ring[declared.Fetch]
+	beacons  *ring.Ring[beacon.Datagram]
+	requests *ring.Ring[peerrpc.Request]
+	front    *callerFront
+	asker    *asker
+}
+
+// New returns a host with empty rings.
+func New(settings schema.EdgeSettings, site Site, adapter Adapter, log *logrus.Entry) *Host {
+	h := &Host{
+		Settings: settings,
+		Site:     site,
+		Adapter:  adapter,
+		Log:      eventlog.New(log),
+		Metrics:  NewMetrics(),
+		started:  time.Now(),
+		inputs:   ring.New[Input]("calls", callsRing),
+		attempts: ring.New[*Attempt]("senders", settings.Senders),
+		probes:   ring.New[placement.Probe]("probers", controlRing),
+		control:  ring.New[ControlInput]("control", controlRing),
+		orders:   ring.New[declared.Read]("orders", 1),
+		registry: ring.New[declared.Read]("registrations", 1),
+		fetches:  ring.New[declared.Fetch]("fetches", 1),
+		beacons:  ring.New[beacon.Datagram]("beacons", controlRing),
+		requests: ring.New[peerrpc.Request]("peer_requests", controlRing),
+	}
+	h.front = newCallerFront(adapter, h.inputs, h.Metrics)
+	h.asker = &asker{control: h.control}
+	h.Metrics.Gauge("baobabdrum_dropped_log_lines", func() float64 { return float64(h.Log.Dropped()) })
+
+	return h
+}
+
+// listeners are the open sockets.
+type listeners struct {
+	caller    net.Listener
+	ready     net.Listener
+	directory net.Listener
+	control   net.Listener
+	peer      net.Listener
+	beacon    *beacon.Socket
+}
+
+// listen opens all sockets.
+func (h *Host) listen() (*listeners, error) {
+	open := &listeners{}
+	for address, target := range map[string]*net.Listener{
+		h.Site.CallerAddress:    &open.caller,
+		h.Site.ReadyAddress:     &open.ready,
+		h.Site.DirectoryAddress: &open.directory,
+		h.Site.ControlAddress:   &open.control,
+		h.Site.PeerAddress:      &open.peer,
+	} {
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return nil, eris.Wrapf(err, "listening on %s", address)
+		}
+		*target = listener
+	}
+	socket, err := beacon.Listen(h.Site.PeerAddress)
+	open.beacon = socket
+
+	return open, err
+}
+
+// StoppedError ends the group of duties when a planned stop is finished.
+type StoppedError struct{}
+
+// Error says why the duties end.
+func (*StoppedError) Error() string {
+	return "the planned stop is finished"
+}
+
+// Run runs the host until a planned stop is finished or a duty fails. The end
+// of the context starts a planned stop.
+func (h *Host) Run(interrupted context.Context) error {
+	open, err := h.listen()
+	if err != nil {
+		return err
+	}
+	h.Log.Event(eventlog.Info, "host_started", "listening",
+		eventlog.Text("host", h.Site.Name), eventlog.Text("data_centre", h.Site.DataCentre), eventlog.Text("caller_address", h.Site.CallerAddress))
+	duties := group.New(context.WithoutCancel(interrupted))
+	closing, closeFront := context.WithCancel(context.WithoutCancel(interrupted))
+	defer closeFront()
+	h.startCalls(duties)
+	h.startControl(duties, open)
+	h.startFronts(duties, closing, open)
+	duties.Go("stop", func(ctx context.Context) error { return h.runStop(ctx, interrupted, closeFront) })
+	duties.Go("log", h.Log.Run)
+
+	var stopped *StoppedError
+	if err := duties.Wait(); !errors.As(err, &stopped) {
+		return err
+	}
+
+	return nil
+}
+
+// seed returns the seed of random choices.
+func (h *Host) seed() uint64 {
+	if h.Settings.Seed != 0 {
+		return uint64(h.Settings.Seed) //nolint:gosec // checked to be non-negative
+	}
+	var drawn [8]byte
+	_, _ = crand.Read(drawn[:]) // it never fails
+
+	return binary.LittleEndian.Uint64(drawn[:])
+}
+
+// startCalls starts the duties that carry calls to backend servers.
+func (h *Host) startCalls(duties *group.Group) {
+	connections := backendhttp.NewConnections(usualConnections)
+	calls := &callsDuty{
+		placer: placement.New(placement.Options{
+			Host: h.Site.Name, DataCentre: h.Site.DataCentre, Seed: h.seed(),
+			RetryRatio: h.Site.RetryRatio, RetrySlack: h.Site.RetrySlack, RetryWindow: h.Site.RetryWindow,
+			ProbeInterval: h.Settings.ProbeInterval, CrossingCost: h.Settings.CrossingCost,
+		}),
+		inputs: h.inputs, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
+		calls: map[placement.CallID]*open{}, running: map[placement.AttemptID]*Attempt{}, since: time.Now(),
+	}
+	duties.Go("calls", calls.run)
+	for range h.Settings.Senders {
+		duty := &sender{adapter: h.Adapter, attempts: h.attempts, reports: h.inputs, connections: connections}
+		duties.Go("sender", duty.run)
+	}
+	for range h.Settings.Probers {
+		duty := &prober{adapter: h.Adapter, probes: h.probes, reports: h.inputs, connections: connections}
+		duties.Go("prober", duty.run)
+	}
+}
+
+// startControl starts the duties that know what is declared and who serves.
+func (h *Host) startControl(duties *group.Group, open *listeners) {
+	self := schema.Beacon{
+		Name: h.Site.Name, StartedMs: int(h.started.UnixMilli()), DataCentre: h.Site.DataCentre,
+		CallerAddress: h.Site.CallerAddress, PeerAddress: h.Site.PeerAddress, Capacity: h.Site.Capacity,
+	}
+	view := directory.New(self)
+	view.Step(h.started, directory.AddressesLearnt{Addresses: h.Site.Seeds})
+	control := &controlDuty{
+		book: declared.NewBook(), directory: view, inputs: h.control, calls: h.inputs, orders: h.orders, registry: h.registry,
+		fetches: h.fetches, beacons: h.beacons, log: h.Log, metrics: h.Metrics,
+	}
+	duties.Go("control", control.run)
+	duties.Go("orders", func(ctx context.Context) error { return h.runReads(ctx, h.orders, "orders", h.Adapter.ReadOrders) })
+	duties.Go("registrations", func(ctx context.Context) error {
+		return h.runReads(ctx, h.registry, "registrations", h.Adapter.ReadRegistrations)
+	})
+	duties.Go("members", h.runMembers)
+	duties.Go("fetches", h.runFetches)
+	duties.Go("peer requests", h.runRequests)
+	duties.Go("beacon sender", func(ctx context.Context) error {
+		return open.beacon.Send(ctx, h.beacons, func(error) { h.Metrics.Dropped("beacon_sends") })
+	})
+	duties.Go("beacon receiver", func(ctx context.Context) error {
+		return open.beacon.Receive(ctx, h.receiveBeacon, func(err error) {
+			h.Log.Event(eventlog.Warning, "beacon_unusable", "a datagram is no beacon", eventlog.Text("error", err.Error()))
+		})
+	})
+}
+
+// receiveBeacon gives a beacon to the control duty.
+func (h *Host) receiveBeacon(heard schema.Beacon) {
+	if h.control.Offer(BeaconArrived{Beacon: heard}) != nil {
+		h.Metrics.Dropped("beacons_heard")
+	}
+}
+
+// startFronts starts the duties that serve callers, peers and operators. The
+// callers' front finishes when closing ends.
+func (h *Host) startFronts(duties *group.Group, closing context.Context, open *listeners) {
+	duties.Go("caller front", func(ctx context.Context) error { return h.front.run(ctx, closing, open.caller) })
+	ready, ask, control := newApp(), newApp(), newApp()
+	h.Adapter.MountReadiness(ready, h.asker.ready)
+	h.Adapter.MountDirectory(ask, h.asker.addresses)
+	control.Get("/metrics", func(c fiber.Ctx) error {
+		h.Metrics.Write(c.Response().BodyWriter())
+
+		return nil
+	})
+	control.Get("/dump", func(c fiber.Ctx) error { return c.JSON(h.asker.declared()) })
+	duties.Go("readiness", func(ctx context.Context) error { return serveApp(ctx, ready, open.ready) })
+	duties.Go("directory", func(ctx context.Context) error { return serveApp(ctx, ask, open.directory) })
+	duties.Go("operator front", func(ctx context.Context) error { return serveApp(ctx, control, open.control) })
+	duties.Go("peer front", func(ctx context.Context) error { return peerrpc.Serve(ctx, open.peer, "", h.requests) })
+}
--- /dev/null
+++ b/edge/lines.go
@@ -0,0 +1,90 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/placement"
+)
+
+// SendersBusyError reports that all sender duties have work.
+type SendersBusyError struct{}
+
+// Error says what happened.
+func (*SendersBusyError) Error() string {
+	return "all sender duties are busy"
+}
+
+// errSendersBusy is the cause of attempts that no sender took.
+var errSendersBusy = &SendersBusyError{}
+
+// logSend logs where a call was sent and what decided it.
+func (d *callsDuty) logSend(_ time.Time, request *Request, action placement.Send) {
+	reason := action.Reason
+	d.log.Event(eventlog.Info, "call_sent", "a call was sent to a backend server",
+		eventlog.Text("request_id", request.ID), eventlog.Integer("attempt", int(action.Attempt)),
+		eventlog.Text("backend_server", action.Server), eventlog.Text("address", action.Address),
+		eventlog.Text("data_centre", reason.DataCentre), eventlog.Text("route", reason.Route), eventlog.Text("service", reason.Service),
+		eventlog.Integer("version", reason.Version), eventlog.Flag("repeat", reason.Repeat), eventlog.Flag("hedge", reason.Hedge),
+		eventlog.Number("pace", reason.Pace), eventlog.Duration("pace_age", reason.PaceAge),
+		eventlog.Integer("in_flight", reason.InFlight), eventlog.Duration("expected", reason.Expected), eventlog.Duration("waited", reason.Waited))
+}
+
+// logEnded logs how an attempt ended, unless its answer is what the caller gets.
+func (d *callsDuty) logEnded(_ time.Time, attempt *Attempt, result placement.Result) {
+	outcome, cause := "", error(nil)
+	switch result := result.(type) {
+	case placement.Whole:
+		return
+	case placement.Refused:
+		outcome = "refused"
+	case placement.Misdirected:
+		outcome = "misdirected"
+	case placement.Unsent:
+		outcome, cause = "unsent", result.Cause
+	case placement.Cut:
+		outcome, cause = "cut", result.Cause
+	case placement.Cancelled:
+		outcome = "cancelled"
+	}
+	fields := []eventlog.Field{
+		eventlog.Text("request_id", attempt.Request.ID), eventlog.Integer("attempt", int(attempt.Attempt)),
+		eventlog.Text("backend_server", attempt.Server), eventlog.Text("outcome", outcome),
+	}
+	if cause != nil {
+		fields = append(fields, eventlog.Text("error", cause.Error()))
+	}
+	d.log.Event(eventlog.Info, "attempt_failed", "a send brought no answer", fields...)
+}
+
+// logFinish logs how a call ended.
+func (d *callsDuty) logFinish(request *Request, action placement.Finish, reply Reply) {
+	outcome, reason, after := describe(action.Outcome)
+	status := 0
+	if reply.Answer != nil {
+		status = reply.Answer.Status
+	}
+	d.log.Event(eventlog.Info, "call_ended", "a call ended",
+		eventlog.Text("request_id", request.ID), eventlog.Text("outcome", outcome), eventlog.Text("reason", string(reason)),
+		eventlog.Integer("status", status), eventlog.Text("route", action.Route), eventlog.Text("service", action.Service),
+		eventlog.Integer("version", action.Version), eventlog.Integer("sends", action.Sends),
+		eventlog.Duration("took", action.Took), eventlog.Duration("retry_after", after))
+}
+
+// describe returns stable words for an outcome.
+func describe(outcome placement.Outcome) (string, placement.Reason, time.Duration) {
+	switch outcome := outcome.(type) {
+	case placement.Answered:
+		return "answered", "", 0
+	case placement.NoRoute:
+		return "no_route", "", 0
+	case placement.NotRun:
+		return "not_run", outcome.Reason, outcome.RetryAfter
+	case placement.Unknown:
+		return "unknown", outcome.Reason, 0
+	case placement.Abandoned:
+		return "abandoned", "", 0
+	}
+
+	return "", "", 0
+}
--- /dev/null
+++ b/edge/metrics.go
@@ -0,0 +1,83 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/baobabdrum/baobabdrum/placement"
+)
+
+// Metrics are the metrics of one host. Its methods may be called by any duty.
+type Metrics struct {
+	set      *metrics.Set
+	declared *metrics.Gauge
+	servers  *metrics.Gauge
+}
+
+// NewMetrics returns metrics that count nothing yet.
+func NewMetrics() *Metrics {
+	set := metrics.NewSet()
+
+	return &Metrics{
+		set:      set,
+		declared: set.NewGauge("baobabdrum_declaration_version", nil),
+		servers:  set.NewGauge("baobabdrum_backend_servers", nil),
+	}
+}
+
+// Write writes the metrics in the Prometheus text format.
+func (m *Metrics) Write(writer io.Writer) {
+	m.set.WritePrometheus(writer)
+	metrics.WriteProcessMetrics(writer)
+}
+
+// Gauge adds a figure that is read when the metrics are.
+func (m *Metrics) Gauge(name string, read func() float64) {
+	m.set.NewGauge(name, read)
+}
+
+// Dropped counts a message between duties that found its ring full.
+func (m *Metrics) Dropped(what string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_dropped_messages_total{what=%q}`, what)).Inc()
+}
+
+// Sent counts a send.
+func (m *Metrics) Sent(reason placement.Choice) {
+	kind := "first"
+	if reason.Hedge {
+		kind = "hedge"
+	} else if reason.Repeat {
+		kind = "retry"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_sends_total{service=%q,data_centre=%q,kind=%q}`, reason.Service, reason.DataCentre, kind)).Inc()
+	if reason.PaceAge >= 0 {
+		m.set.GetOrCreateHistogram("baobabdrum_load_report_age_seconds").Update(reason.PaceAge.Seconds())
+	}
+}
+
+// Finished counts a call that ended.
+func (m *Metrics) Finished(action placement.Finish) {
+	outcome, reason, _ := describe(action.Outcome)
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_calls_total{service=%q,outcome=%q,reason=%q}`, action.Service, outcome, reason)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`baobabdrum_call_duration_seconds{service=%q,outcome=%q}`, action.Service, outcome)).Update(action.Took.Seconds())
+}
+
+// Believed counts a change of belief about a backend server.
+func (m *Metrics) Believed(belief string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_beliefs_total{belief=%q}`, belief)).Inc()
+}
+
+// Declared tells what is in force.
+func (m *Metrics) Declared(version, servers int) {
+	m.declared.Set(float64(version))
+	m.servers.Set(float64(servers))
+}
+
+// Store counts a call to the store.
+func (m *Metrics) Store(call, outcome string, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_store_calls_total{call=%q,outcome=%q}`, call, outcome)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`baobabdrum_store_call_duration_seconds{call=%q}`, call)).Update(took.Seconds())
+}
--- /dev/null
+++ b/edge/reads.go
@@ -0,0 +1,127 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/declared"
+	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/peerrpc"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// fetchTimeout bounds the fetch of what another host knows.
+	fetchTimeout = 700 * time.Millisecond
+	// registerRetry is the time before this host is registered again after a
+	// failure; it doubles up to registerLongest.
+	registerRetry = 300 * time.Millisecond
+	// registerLongest bounds that time.
+	registerLongest = 5 * time.Second
+)
+
+// runReads reads a table whenever the control duty wants it.
+func (h *Host) runReads(ctx context.Context, wanted *ring.Ring[declared.Read], table string, read func(declared.Read) declared.Event) error {
+	for {
+		next, err := wanted.Take(ctx)
+		if err != nil {
+			return err
+		}
+		began := time.Now()
+		event := read(next)
+		outcome := "read"
+		switch event.(type) {
+		case declared.ReadFailed:
+			outcome = "failed"
+		case declared.HistoryLost:
+			outcome = "history_lost"
+		default:
+		}
+		h.Metrics.Store(table, outcome, time.Since(began))
+		if err := h.control.Put(ctx, StoreAnswered{Event: event}); err != nil {
+			return err
+		}
+	}
+}
+
+// runMembers registers this host in the store and reads who else has, once.
+// Later hosts find this one there and send it beacons.
+func (h *Host) runMembers(ctx context.Context) error {
+	for wait := registerRetry; ; wait = min(2*wait, registerLongest) {
+		began := time.Now()
+		addresses, err := h.meet()
+		if err == nil {
+			h.Metrics.Store("members", "read", time.Since(began))
+			if err := h.control.Put(ctx, MembersRead{Addresses: addresses}); err != nil {
+				return err
+			}
+			<-ctx.Done()
+
+			return ctx.Err()
+		}
+		h.Metrics.Store("members", "failed", time.Since(began))
+		h.Log.Event(eventlog.Warning, "registration_failed", "this host is not registered in the store", eventlog.Text("error", err.Error()))
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// meet registers this host and returns the addresses of the others.
+func (h *Host) meet() ([]string, error) {
+	if err := h.Adapter.Register(schema.Member{Name: h.Site.Name, PeerAddress: h.Site.PeerAddress}); err != nil {
+		return nil, err
+	}
+	members, err := h.Adapter.Members()
+	if err != nil {
+		return nil, err
+	}
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		addresses = append(addresses, member.PeerAddress)
+	}
+
+	return addresses, nil
+}
+
+// runFetches asks other hosts for what they know.
+func (h *Host) runFetches(ctx context.Context) error {
+	client := peerrpc.NewClient("", fetchTimeout)
+	defer client.Close()
+	for {
+		wanted, err := h.fetches.Take(ctx)
+		if err != nil {
+			return err
+		}
+		var (
+			known   schema.Declared
+			event   declared.Event = declared.FetchFailed{}
+			request                = schema.DeclaredRequest{Sender: h.Site.Name}
+		)
+		if err := peerrpc.Call(ctx, client, wanted.Address, peerrpc.MethodDeclared, &request, &known); err != nil {
+			h.Log.Event(eventlog.Warning, "fetch_failed", "another host did not say what it knows",
+				eventlog.Text("address", wanted.Address), eventlog.Text("error", err.Error()))
+		} else {
+			event = declared.PeerAnswered{Declared: known}
+		}
+		if err := h.control.Put(ctx, StoreAnswered{Event: event}); err != nil {
+			return err
+		}
+	}
+}
+
+// runRequests passes other hosts' requests on to the control duty.
+func (h *Host) runRequests(ctx context.Context) error {
+	for {
+		next, err := h.requests.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if wanted, ok := next.(peerrpc.DeclaredRequest); ok && h.control.Offer(DeclaredAsked{Sender: wanted.Sender, Reply: wanted.Reply}) != nil {
+			h.Metrics.Dropped("peer_requests")
+		}
+	}
+}
--- /dev/null
+++ b/edge/sender.go
@@ -0,0 +1,171 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/ring"
+)
+
+const (
+	// answerLimit bounds a whole answer in bytes, so that one answer cannot take
+	// the memory of a host.
+	answerLimit = 64 << 20
+	// dialShare is the share of the time left that opening a connection may take.
+	dialShare = 0.25
+	// keepUsual is how long an idle connection is used again when the backend
+	// server does not say how long it keeps it.
+	keepUsual = 8 * time.Second
+	// keepMargin is the time before the backend server closes an idle connection
+	// from which it is not used any more.
+	keepMargin = time.Second
+)
+
+// sender is a duty that runs one attempt at a time.
+type sender struct {
+	adapter     Adapter
+	attempts    *ring.Ring[*Attempt]
+	reports     *ring.Ring[Input]
+	connections *backendhttp.Connections
+}
+
+// run takes attempts until the context ends.
+func (s *sender) run(ctx context.Context) error {
+	for {
+		attempt, err := s.attempts.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if err := s.reports.Put(ctx, Ended{Attempt: attempt, Decoded: s.send(attempt)}); err != nil {
+			return err
+		}
+	}
+}
+
+// send runs an attempt and returns what came back.
+func (s *sender) send(attempt *Attempt) Decoded {
+	if attempt.Context.Err() != nil || !time.Now().Before(attempt.Deadline) {
+		return Decoded{Result: placement.Unsent{Local: true, Cause: context.DeadlineExceeded}}
+	}
+	s.connections.Declare(attempt.Address, attempt.Connections)
+	connection, err := s.connections.Acquire(attempt.Address)
+	if err != nil {
+		return Decoded{Result: placement.Unsent{Local: true, Cause: err}}
+	}
+	defer s.connections.Release(connection)
+	if err := openFor(attempt, connection); err != nil {
+		return Decoded{Result: placement.Unsent{Local: attempt.Context.Err() != nil, Cause: err}}
+	}
+	decoded, reusable := s.exchange(attempt, connection)
+	if !reusable {
+		connection.Close()
+	}
+
+	return decoded
+}
+
+// openFor makes a connection ready.
+func openFor(attempt *Attempt, connection *backendhttp.Connection) error {
+	left := time.Until(attempt.Deadline)
+	ctx, cancel := context.WithTimeout(attempt.Context, max(time.Duration(dialShare*float64(left)), time.Millisecond))
+	defer cancel()
+
+	return connection.Open(ctx, attempt.Deadline)
+}
+
+// exchange sends the request and receives the answer. It reports whether the
+// connection may be used again.
+func (s *sender) exchange(attempt *Attempt, connection *backendhttp.Connection) (Decoded, bool) {
+	settle := backendhttp.AbortOnCancel(attempt.Context, connection)
+	defer settle()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	s.adapter.EncodeSend(request, attempt, time.Now())
+	var decoded Decoded
+	err := connection.ExchangeWhole(request, response, answerLimit, func(response *fasthttp.Response) bool {
+		decoded = s.adapter.DecodeAnswer(response, attempt)
+
+		return !decoded.Foreign
+	})
+	if err != nil {
+		return Decoded{Result: failure(attempt, connection, err)}, false
+	}
+	keep := keepUsual
+	if decoded.KeepFor > 0 {
+		keep = decoded.KeepFor - keepMargin
+	}
+	connection.KeepUntil(time.Now().Add(keep))
+
+	return decoded, !response.ConnectionClose() && keep > 0
+}
+
+// failure says how an attempt with an error ended.
+func failure(attempt *Attempt, connection *backendhttp.Connection, err error) placement.Result {
+	cause := eris.Wrapf(err, "sending to %s", attempt.Address)
+	switch {
+	case connection.Sent() == 0:
+		return placement.Unsent{Local: attempt.Context.Err() != nil, Cause: cause}
+	case attempt.Context.Err() != nil:
+		return placement.Cancelled{}
+	default:
+		return placement.Cut{Cause: cause}
+	}
+}
+
+// prober is a duty that runs one probe at a time.
+type prober struct {
+	adapter     Adapter
+	probes      *ring.Ring[placement.Probe]
+	reports     *ring.Ring[Input]
+	connections *backendhttp.Connections
+}
+
+// run takes probes until the context ends.
+func (p *prober) run(ctx context.Context) error {
+	for {
+		probe, err := p.probes.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if err := p.reports.Put(ctx, Told{Event: p.probe(ctx, probe)}); err != nil {
+			return err
+		}
+	}
+}
+
+// probe runs a probe. A backend server whose connections are all in use is not
+// blamed for that.
+func (p *prober) probe(ctx context.Context, probe placement.Probe) placement.ProbeEnded {
+	p.connections.Declare(probe.Address, probe.Connections)
+	connection, err := p.connections.Acquire(probe.Address)
+	if err != nil {
+		return placement.ProbeEnded{Server: probe.Server, Answered: true}
+	}
+	defer p.connections.Release(connection)
+	if connection.Open(ctx, time.Now().Add(probe.Timeout)) != nil {
+		return placement.ProbeEnded{Server: probe.Server}
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(probe.Path)
+	request.Header.SetHost(probe.Address)
+	accept := func(*fasthttp.Response) bool { return true }
+	if connection.ExchangeWhole(request, response, answerLimit, accept) != nil {
+		connection.Close()
+
+		return placement.ProbeEnded{Server: probe.Server}
+	}
+	if response.ConnectionClose() {
+		connection.Close()
+	}
+	connection.KeepUntil(time.Now().Add(keepUsual))
+
+	return p.adapter.DecodeProbe(response, probe.Server)
+}
--- /dev/null
+++ b/edge/stop.go
@@ -0,0 +1,74 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/eventlog"
+)
+
+const (
+	// leaveAfter is how long a stopping host serves at least, so that callers hear
+	// of other hosts before its listener closes.
+	leaveAfter = 1200 * time.Millisecond
+	// leaveLatest is how long it serves at most: callers keep an answer for three
+	// times as long as they are told.
+	leaveLatest = 3300 * time.Millisecond
+	// quietFor is how long no call may be open until the host counts as left.
+	quietFor = 600 * time.Millisecond
+	// stopPoll is the time between checks whether calls are open.
+	stopPoll = 100 * time.Millisecond
+	// stopMargin is the time before the kill at which the host ends in any case.
+	stopMargin = 250 * time.Millisecond
+)
+
+// runStop waits for the request to stop, then has callers told other hosts,
+// waits until they have left, closes the front and ends the process.
+func (h *Host) runStop(ctx, interrupted context.Context, closeFront func()) error {
+	select {
+	case <-interrupted.Done():
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	began := time.Now()
+	h.front.stopping.Store(true)
+	h.Log.Event(eventlog.Info, "host_stopping", "callers are told other hosts", eventlog.Duration("grace", h.Site.Grace))
+	if err := h.control.Put(ctx, Stopping{}); err != nil {
+		return err
+	}
+	h.awaitQuiet(ctx, began)
+	closeFront()
+	for h.front.active.Load() > 0 && time.Since(began) < h.Site.Grace-stopMargin && ctx.Err() == nil {
+		pause(ctx, stopPoll/10)
+	}
+	h.Log.Event(eventlog.Info, "host_stopped", "the planned stop is finished",
+		eventlog.Duration("took", time.Since(began)), eventlog.Integer("open_calls", int(h.front.active.Load())))
+
+	return &StoppedError{}
+}
+
+// awaitQuiet returns when callers seem to have left.
+func (h *Host) awaitQuiet(ctx context.Context, began time.Time) {
+	busyAt := began
+	for ctx.Err() == nil {
+		now := time.Now()
+		if h.front.active.Load() > 0 {
+			busyAt = now
+		}
+		left := now.Sub(began) >= leaveAfter && now.Sub(busyAt) >= quietFor
+		if left || now.Sub(began) >= leaveLatest {
+			return
+		}
+		pause(ctx, stopPoll)
+	}
+}
+
+// pause waits for some time or until the context ends.
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/eventlog/eventlog.go
@@ -0,0 +1,133 @@
+// Package eventlog writes one line of key=value pairs for each event without
+// holding up the duty that reports it: lines wait in a bounded ring, and those
+// that find it full are dropped and counted. Change this package to change how
+// log lines are written.
+package eventlog
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/baobabdrum/baobabdrum/ring"
+)
+
+// Level says how much an event matters.
+type Level = logrus.Level
+
+// The levels.
+const (
+	// Info is for decisions and changes of belief.
+	Info = logrus.InfoLevel
+	// Warning is for what an operator may have to look at.
+	Warning = logrus.WarnLevel
+	// Error is for defects.
+	Error = logrus.ErrorLevel
+)
+
+const (
+	// waitingLines is the number of lines that wait to be written: a second of the
+	// busiest host.
+	waitingLines = 2048
+	// droppedInterval is the time between lines that tell how many were dropped.
+	droppedInterval = time.Second
+)
+
+// Field is a key with a value.
+type Field struct {
+	// Key is in snake case.
+	Key string
+	// Value is a text, a number or a flag.
+	Value any
+}
+
+// Text returns a field with a text.
+func Text(key, value string) Field { return Field{Key: key, Value: value} }
+
+// Integer returns a field with a whole number.
+func Integer(key string, value int) Field { return Field{Key: key, Value: value} }
+
+// Number returns a field with a number.
+func Number(key string, value float64) Field {
+	return Field{Key: key, Value: float64(int(value*1000)) / 1000}
+}
+
+// Flag returns a field with a flag.
+func Flag(key string, value bool) Field { return Field{Key: key, Value: value} }
+
+// Duration returns a field with a time in whole microseconds.
+func Duration(key string, value time.Duration) Field {
+	return Field{Key: key, Value: value.Round(time.Microsecond).String()}
+}
+
+// line is an event that waits to be written.
+type line struct {
+	at      time.Time
+	level   Level
+	event   string
+	message string
+	fields  []Field
+}
+
+// Log takes events from any duty.
+type Log struct {
+	entry   *logrus.Entry
+	lines   *ring.Ring[line]
+	dropped atomic.Uint64
+}
+
+// New returns a log that writes through the entry.
+func New(entry *logrus.Entry) *Log {
+	return &Log{entry: entry, lines: ring.New[line]("log", waitingLines)}
+}
+
+// Event logs an event, or drops it if too many wait.
+func (l *Log) Event(level Level, event, message string, fields ...Field) {
+	if !l.entry.Logger.IsLevelEnabled(level) {
+		return
+	}
+	if l.lines.Offer(line{at: time.Now(), level: level, event: event, message: message, fields: fields}) != nil {
+		l.dropped.Add(1)
+	}
+}
+
+// Dropped returns the number of lines that were dropped.
+func (l *Log) Dropped() uint64 {
+	return l.dropped.Load()
+}
+
+// Run writes lines until the context ends, and then those that wait.
+func (l *Log) Run(ctx context.Context) error {
+	told, toldAt := uint64(0), time.Now()
+	for {
+		next, err := l.lines.Take(ctx)
+		if err != nil {
+			break
+		}
+		l.write(next)
+		if dropped := l.dropped.Load(); dropped > told && time.Since(toldAt) > droppedInterval {
+			l.write(line{at: time.Now(), level: Warning, event: "log_lines_dropped", message: "more events happened than lines can be written",
+				fields: []Field{{Key: "lines", Value: dropped - told}}})
+			told, toldAt = dropped, time.Now()
+		}
+	}
+	for next, ok := l.lines.Poll(); ok; next, ok = l.lines.Poll() {
+		l.write(next)
+	}
+
+	return ctx.Err()
+}
+
+// write writes one line.
+func (l *Log) write(next line) {
+	fields := make(logrus.Fields, len(next.fields)+1)
+	fields["event"] = next.event
+	for _, field := range next.fields {
+		if field.Value != "" {
+			fields[field.Key] = field.Value
+		}
+	}
+	l.entry.WithTime(next.at).WithFields(fields).Log(next.level, next.message)
+}
--- a/host/claims.go
+++ b/host/claims.go
@@ -9,9 +9,9 @@
 
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/tablehttp"
-	"github.com/baobabdrum/baobabdrum/ring"
 )
 
 const (
--- a/host/host.go
+++ b/host/host.go
@@ -26,10 +26,10 @@
 	"github.com/baobabdrum/baobabdrum/operatorhttp"
 	"github.com/baobabdrum/baobabdrum/peer"
 	"github.com/baobabdrum/baobabdrum/peerrpc"
-	"github.com/baobabdrum/baobabdrum/tablehttp"
 	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/tablehttp"
 )
 
 const (
--- a/host/keeper.go
+++ b/host/keeper.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/operator"
-	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/table"
 )
 
 const (
--- a/host/orders_test.go
+++ b/host/orders_test.go
@@ -23,10 +23,10 @@
 	"github.com/baobabdrum/baobabdrum/backendhttp"
 	"github.com/baobabdrum/baobabdrum/host"
 	"github.com/baobabdrum/baobabdrum/jsonhttp"
-	"github.com/baobabdrum/baobabdrum/table"
-	"github.com/baobabdrum/baobabdrum/tablehttp"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/standin"
+	"github.com/baobabdrum/baobabdrum/table"
+	"github.com/baobabdrum/baobabdrum/tablehttp"
 )
 
 const (
--- a/host/outage_test.go
+++ b/host/outage_test.go
@@ -18,9 +18,9 @@
 	"github.com/baobabdrum/baobabdrum/host"
 	"github.com/baobabdrum/baobabdrum/jsonhttp"
 	"github.com/baobabdrum/baobabdrum/operatorhttp"
+	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/tablehttp"
-	"github.com/baobabdrum/baobabdrum/schema"
 )
 
 // tableAway serves an object store whose table service is away.
--- a/host/shuffler_test.go
+++ b/host/shuffler_test.go
@@ -11,9 +11,9 @@
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/peer"
-	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/standin"
+	"github.com/baobabdrum/baobabdrum/table"
 )
 
 const (
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -7,8 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/table"
 )
 
 // recentChanges bounds the evidence of kept changes in a configuration.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/baobabdrum/baobabdrum/operator"
-	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/table"
 )
 
 // start is when the tests begin.
--- a/operator/override.go
+++ b/operator/override.go
@@ -7,8 +7,8 @@
 
 	"github.com/oklog/ulid/v2"
 
-	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/table"
 )
 
 // CollisionWindow is how much later than a change that took a data centre out
--- a/operatorhttp/operatorhttp.go
+++ b/operatorhttp/operatorhttp.go
@@ -17,10 +17,10 @@
 
 	"github.com/baobabdrum/baobabdrum/jsonhttp"
 	"github.com/baobabdrum/baobabdrum/operator"
-	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/sheet"
+	"github.com/baobabdrum/baobabdrum/table"
 )
 
 // Paths that operators use.
--- a/peerrpc/peerrpc.go
+++ b/peerrpc/peerrpc.go
@@ -49,6 +49,15 @@
 	Reply *ring.Ring[schema.Room]
 }
 
+// DeclaredRequest asks for all that the host knows to be declared.
+type DeclaredRequest struct {
+	// Sender names the host that asks.
+	Sender string
+	// Reply receives it; it must have room.
+	Reply *ring.Ring[schema.Declared]
+}
+
+func (DeclaredRequest) request()      {}
 func (DigestRequest) request()        {}
 func (ConfigurationRequest) request() {}
 func (RoomRequest) request()          {}
@@ -79,6 +88,13 @@
 	return serve(p.requests, RoomRequest{Cell: *cell, Reply: reply}, reply, out)
 }
 
+// Declared returns all that this host knows to be declared.
+func (p *Peer) Declared(request *schema.DeclaredRequest, out *schema.Declared) error {
+	reply := ring.New[schema.Declared]("declared", 1)
+
+	return serve(p.requests, DeclaredRequest{Sender: request.Sender, Reply: reply}, reply, out)
+}
+
 // serve offers a request to a duty and waits for its reply.
 func serve[Out any](requests *ring.Ring[Request], request Request, reply *ring.Ring[Out], out *Out) error {
 	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
@@ -119,4 +135,6 @@
 	MethodConfiguration = "Configuration"
 	// MethodRoom returns how many calls a cell takes from another cell.
 	MethodRoom = "Room"
+	// MethodDeclared returns all that a host knows to be declared.
+	MethodDeclared = "Declared"
 )
--- /dev/null
+++ b/placement/attempts.go
@@ -0,0 +1,180 @@
+package placement
+
+import (
+	"net/http"
+	"time"
+)
+
+const (
+	// lateFactor is the progress relative to the usual work from which a send is
+	// taken to have been lost.
+	lateFactor = 2.5
+	// leastLeft is the share of the usual work that is expected to remain of a send
+	// that has not been answered.
+	leastLeft = 0.2
+	// hedgeGain is the share of the remaining time that a second send must stay
+	// below.
+	hedgeGain = 0.7
+	// longestStep bounds the progress that is credited at once, because the pace is
+	// not known for longer.
+	longestStep = 200 * time.Millisecond
+)
+
+// attempt is one send of a call.
+type attempt struct {
+	id        AttemptID
+	call      *call
+	server    *Server
+	started   time.Time
+	advanced  time.Time
+	progress  time.Duration
+	cancelled bool
+	suspected bool
+}
+
+// send sends a call to a backend server.
+func (p *Placer) send(now time.Time, c *call, to *candidate) {
+	p.last++
+	hedge := len(c.running) > 0
+	server := to.server
+	reason := Choice{
+		Route: c.route.Name, Service: c.service.Name, DataCentre: server.DataCentre, Version: p.declared.Declaration.Version,
+		Repeat: c.sends > 0, Hedge: hedge, Pace: server.PaceNow(now), PaceAge: age(now, server.PacedAt),
+		InFlight: server.Taken(now), Expected: to.expected, Waited: now.Sub(c.arrived),
+	}
+	started := &attempt{id: p.last, call: c, server: server, started: now, advanced: now}
+	p.attempts[started.id] = started
+	c.running = append(c.running, started)
+	c.tried = append(c.tried, server.ID)
+	c.sends++
+	server.InFlight++
+	server.SentAt = now
+	p.act(Send{
+		Attempt: started.id, Call: c.id, Server: server.ID, Address: server.Address,
+		Connections: c.service.Rule.MaxConnections, Deadline: c.endsAt, Reason: reason,
+	})
+}
+
+// age returns the time since an instant, or -1 if there was none.
+func age(now, since time.Time) time.Duration {
+	if since.IsZero() {
+		return -1
+	}
+
+	return now.Sub(since)
+}
+
+// observe learns from a send that ended.
+func (p *Placer) observe(now time.Time, ended *attempt, event AttemptEnded) {
+	server := ended.server
+	server.InFlight--
+	if event.Load != nil {
+		server.report(now, event.Load.Pace)
+	}
+	switch result := event.Result.(type) {
+	case Whole:
+		p.observeWhole(now, ended, result, event.Load)
+	case Refused, Cut:
+		if !ended.cancelled {
+			p.blame(now, server)
+		}
+	case Misdirected:
+		p.ejectNow(now, server, false)
+	case Unsent:
+		if !result.Local {
+			p.ejectNow(now, server, true)
+		}
+	case Cancelled:
+	}
+}
+
+// observeWhole learns from a whole answer.
+func (p *Placer) observeWhole(now time.Time, ended *attempt, result Whole, load *Load) {
+	if result.Status >= http.StatusInternalServerError {
+		p.blame(now, ended.server)
+
+		return
+	}
+	ended.server.succeed(now)
+	ended.server.readmit()
+	p.follow(now, ended)
+	ended.call.route.learn(ended.progress, result.Size)
+	if load == nil || load.Pace == 0 {
+		work := ended.call.route.Work
+		ended.server.report(now, float64(now.Sub(ended.started))/float64(max(work, time.Millisecond)))
+	}
+}
+
+// blame notes a failure of a backend server.
+func (p *Placer) blame(now time.Time, server *Server) {
+	if server.fail(now) {
+		p.act(Believe{Server: server.ID, Belief: BeliefEjected, Failures: server.Failures, For: server.EjectedUntil.Sub(now)})
+	}
+}
+
+// ejectNow ejects a backend server that certainly cannot serve.
+func (p *Placer) ejectNow(now time.Time, server *Server, unreachable bool) {
+	server.eject(now)
+	server.Unreachable = unreachable
+	p.act(Believe{Server: server.ID, Belief: BeliefEjected, Failures: server.FailureRatio(now), For: server.EjectedUntil.Sub(now)})
+}
+
+// advance follows the work of all sends.
+func (p *Placer) advance(now time.Time) {
+	for _, running := range p.attempts {
+		p.follow(now, running)
+	}
+}
+
+// follow credits a send with the work done since it was last followed.
+func (*Placer) follow(now time.Time, running *attempt) {
+	step := min(now.Sub(running.advanced), longestStep)
+	rate := running.server.rate(now, running.server.Taken(now))
+	running.progress += time.Duration(float64(step) / max(rate, minimumRate))
+	running.advanced = now
+}
+
+// minimumRate keeps a nonsensical report from crediting endless work.
+const minimumRate = 0.1
+
+// remaining returns the time until a send is expected to be answered, and
+// whether it is taken to have been lost.
+func (p *Placer) remaining(now time.Time, running *attempt) (time.Duration, bool) {
+	work := running.call.route.Work
+	lost := float64(running.progress) > lateFactor*float64(work)
+	left := max(work-running.progress, time.Duration(leastLeft*float64(work)))
+
+	return running.server.duration(left, running.server.rate(now, running.server.Taken(now))), lost
+}
+
+// hedgeAll sends calls a second time that may run twice, when their backend
+// server has turned slow or silent after the choice.
+func (p *Placer) hedgeAll(now time.Time) {
+	for _, c := range p.order {
+		if len(c.running) == 1 && c.route.Idempotent && c.sends < c.route.MaxAttempts {
+			p.hedge(now, c)
+		}
+	}
+}
+
+// hedge sends one call a second time if that is likely to help.
+func (p *Placer) hedge(now time.Time, c *call) {
+	running := c.running[0]
+	remaining, lost := p.remaining(now, running)
+	if lost && !running.suspected {
+		running.suspected = true
+		p.blame(now, running.server)
+	}
+	left := c.targetAt.Sub(now)
+	if !lost && remaining <= left {
+		return
+	}
+	best := p.choose(now, c)
+	if best == nil || !best.free || best.expected >= c.endsAt.Sub(now) {
+		return
+	}
+	helps := best.expected <= left && float64(best.expected) < hedgeGain*float64(remaining)
+	if (lost || helps) && c.service.budget.hedge(now, p.peers.Hosts) {
+		p.send(now, c, best)
+	}
+}
--- /dev/null
+++ b/placement/budget.go
@@ -0,0 +1,93 @@
+package placement
+
+import "time"
+
+const (
+	// budgetBuckets is the number of parts that a window of the retry budget is
+	// counted in.
+	budgetBuckets = 10
+	// budgetMargin is the share of the retry budget that is used, because hosts and
+	// backend servers count the same send in windows that end at different times.
+	budgetMargin = 0.85
+	// hedgeShare is the share of the retry budget that second sends of slow calls
+	// may use; the rest is left for failed ones.
+	hedgeShare = 0.8
+)
+
+// budget bounds the repeated sends to one service in any window. Each host
+// earns by the calls that it receives itself, so the sum over all hosts stays
+// within the ratio without any agreement; a new incarnation begins with nothing.
+type budget struct {
+	ratio  float64
+	slack  float64
+	bucket time.Duration
+
+	calls   [budgetBuckets]int
+	repeats [budgetBuckets]int
+	current int64
+	origin  time.Time
+}
+
+// newBudget returns an unused budget.
+func newBudget(options Options) *budget {
+	return &budget{
+		ratio:  options.RetryRatio * budgetMargin,
+		slack:  options.RetrySlack * budgetMargin,
+		bucket: max(options.RetryWindow/budgetBuckets, time.Millisecond),
+	}
+}
+
+// turn clears the buckets that have left the window.
+func (b *budget) turn(now time.Time) int {
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	current := int64(now.Sub(b.origin) / b.bucket)
+	for b.current < current {
+		b.current = max(b.current+1, current-budgetBuckets)
+		b.calls[b.current%budgetBuckets], b.repeats[b.current%budgetBuckets] = 0, 0
+	}
+
+	return int(b.current % budgetBuckets)
+}
+
+// call counts a caller's call.
+func (b *budget) call(now time.Time) {
+	b.calls[b.turn(now)]++
+}
+
+// left returns the number of repeated sends that this host may still make,
+// where hosts share the slack.
+func (b *budget) left(now time.Time, hosts int) float64 {
+	b.turn(now)
+	left := b.slack / float64(max(hosts, 1))
+	for i := range budgetBuckets {
+		left += b.ratio*float64(b.calls[i]) - float64(b.repeats[i])
+	}
+
+	return left
+}
+
+// retry takes a repeated send of a failed call, if there is one left.
+func (b *budget) retry(now time.Time, hosts int) bool {
+	if b.left(now, hosts) < 1 {
+		return false
+	}
+	b.repeats[b.turn(now)]++
+
+	return true
+}
+
+// hedge takes a repeated send of a slow call, if enough are left.
+func (b *budget) hedge(now time.Time, hosts int) bool {
+	earned := 0.0
+	for i := range budgetBuckets {
+		earned += b.ratio * float64(b.calls[i])
+	}
+	if b.left(now, hosts) < 1+(1-hedgeShare)*earned {
+		return false
+	}
+	b.repeats[b.turn(now)]++
+
+	return true
+}
--- /dev/null
+++ b/placement/calls.go
@@ -0,0 +1,268 @@
+package placement
+
+import (
+	"net/http"
+	"slices"
+	"time"
+)
+
+const (
+	// patience is the share of the latency objective that a call waits in this host
+	// for a backend server that may answer in time.
+	patience = 0.125
+	// answerGrace is how long after the end of a call an answer is awaited that
+	// may be on its way.
+	answerGrace = 40 * time.Millisecond
+	// unsentTries bounds how often a call is tried that never left this host.
+	unsentTries = 3
+)
+
+// call is a caller's request without an outcome.
+type call struct {
+	id       CallID
+	route    *Route
+	service  *service
+	arrived  time.Time
+	targetAt time.Time
+	endsAt   time.Time
+	running  []*attempt
+	tried    []string
+	sends    int
+	unsent   int
+	waiting  bool
+	// ran says that a backend server may have run the call.
+	ran bool
+	// failed is the send that was answered with a failure, which is delivered if
+	// nothing better comes.
+	failed AttemptID
+}
+
+// arrive places a new call.
+func (p *Placer) arrive(now time.Time, event CallArrived) {
+	if p.declared.Declaration.Version == 0 {
+		p.act(Finish{Call: event.Call, Outcome: NotRun{Reason: ReasonNotReady, RetryAfter: longestReturn / 2}})
+
+		return
+	}
+	route := p.routes.match(event.HostName, event.Path)
+	if route == nil || len(route.Targets) == 0 {
+		p.act(Finish{Call: event.Call, Outcome: NoRoute{}, Version: p.declared.Declaration.Version})
+
+		return
+	}
+	c := &call{id: event.Call, route: route, service: p.service(route.next()), arrived: now, targetAt: now.Add(route.Target())}
+	c.endsAt = event.Deadline
+	if end := now.Add(route.Timeout()); route.TimeoutMs > 0 && end.Before(c.endsAt) {
+		c.endsAt = end
+	}
+	p.calls[c.id] = c
+	p.order = append(p.order, c)
+	c.service.budget.call(now)
+	c.service.calledAt = now
+	if len(c.service.waiting) > 0 && p.hopeless(now, c) {
+		p.refuse(now, c, ReasonOverloaded)
+
+		return
+	}
+	if !p.place(now, c) {
+		c.service.enqueue(c)
+	}
+}
+
+// hopeless reports whether more calls wait already than the service can start
+// before the call would be refused.
+func (p *Placer) hopeless(now time.Time, c *call) bool {
+	ahead := 0
+	for _, other := range c.service.waiting {
+		if other.route.Priority <= c.route.Priority {
+			ahead++
+		}
+	}
+
+	return float64(ahead) > c.service.throughput(now, c.route.Work)*p.patience(c).Seconds()
+}
+
+// patience returns how long a call waits for a backend server that may answer
+// in time.
+func (*Placer) patience(c *call) time.Duration {
+	return time.Duration(patience * float64(c.route.Target()))
+}
+
+// place sends or refuses a call, or reports that it has to wait.
+func (p *Placer) place(now time.Time, c *call) bool {
+	best := p.choose(now, c)
+	waits := now.Sub(c.arrived) < p.patience(c)
+	switch {
+	case best != nil && best.expected <= c.targetAt.Sub(now):
+		p.send(now, c, best)
+	case waits:
+		return false
+	case best == nil:
+		p.refuse(now, c, p.without(c.service))
+	case best.free:
+		p.send(now, c, best)
+	default:
+		p.refuse(now, c, ReasonOverloaded)
+	}
+
+	return true
+}
+
+// without returns why there is no backend server for a call.
+func (p *Placer) without(service *service) Reason {
+	for _, server := range service.servers {
+		if !server.Draining && !p.evacuated[server.DataCentre] {
+			return ReasonOverloaded
+		}
+	}
+
+	return ReasonNoServer
+}
+
+// drainQueue starts the calls that wait, the most urgent first.
+func (p *Placer) drainQueue(now time.Time, service *service) {
+	for _, waiting := range slices.Clone(service.waiting) {
+		if p.place(now, waiting) {
+			service.dequeue(waiting)
+		}
+	}
+}
+
+// refuse ends a call that no backend server ran.
+func (p *Placer) refuse(now time.Time, c *call, reason Reason) {
+	after := c.service.refuse(now, c.route.Work, p.random.Float64())
+	p.finish(now, c, NotRun{Reason: reason, RetryAfter: after})
+}
+
+// finish ends a call and gives up its other sends.
+func (p *Placer) finish(now time.Time, c *call, outcome Outcome) {
+	c.service.dequeue(c)
+	delete(p.calls, c.id)
+	p.order = slices.DeleteFunc(p.order, func(other *call) bool { return other == c })
+	p.giveUp(c)
+	p.act(Finish{
+		Call: c.id, Outcome: outcome, Route: c.route.Name, Service: c.service.Name,
+		Version: p.declared.Declaration.Version, Sends: c.sends, Took: now.Sub(c.arrived),
+	})
+}
+
+// giveUp cancels the sends of a call that still run.
+func (p *Placer) giveUp(c *call) {
+	for _, running := range c.running {
+		if !running.cancelled {
+			running.cancelled = true
+			p.act(Cancel{Attempt: running.id})
+		}
+	}
+}
+
+// abandon ends a call whose caller went away. A send that may not be repeated
+// goes on: its work has begun and ends whole.
+func (p *Placer) abandon(now time.Time, id CallID) {
+	c, open := p.calls[id]
+	if !open {
+		return
+	}
+	if !c.route.Idempotent {
+		c.running = nil
+	}
+	p.finish(now, c, Abandoned{})
+}
+
+// expire ends the calls whose time is over.
+func (p *Placer) expire(now time.Time) {
+	for _, c := range slices.Clone(p.order) {
+		end := c.endsAt
+		if len(c.running) > 0 {
+			end = end.Add(answerGrace)
+		}
+		if !now.Before(end) {
+			p.conclude(now, c, ReasonTimeout)
+		}
+	}
+}
+
+// conclude ends a call with the best that is known of it.
+func (p *Placer) conclude(now time.Time, c *call, reason Reason) {
+	switch {
+	case c.failed != 0:
+		p.finish(now, c, Answered{Attempt: c.failed})
+	case c.ran || len(c.running) > 0:
+		p.finish(now, c, Unknown{Reason: reason})
+	default:
+		p.refuse(now, c, reason)
+	}
+}
+
+// again sends a call a second time after its send failed, if that is allowed
+// and may help, and ends it otherwise.
+func (p *Placer) again(now time.Time, c *call, reason Reason) {
+	if len(c.running) > 0 {
+		return
+	}
+	if c.ran && !c.route.Idempotent {
+		p.conclude(now, c, reason)
+
+		return
+	}
+	best := p.choose(now, c)
+	left := c.endsAt.Sub(now)
+	if best == nil || !best.free || best.expected >= left || c.sends >= c.route.MaxAttempts {
+		p.conclude(now, c, reason)
+
+		return
+	}
+	if c.sends > 0 && !c.service.budget.retry(now, p.peers.Hosts) {
+		p.conclude(now, c, reason)
+
+		return
+	}
+	p.send(now, c, best)
+}
+
+// ended learns from a send that ended and settles its call.
+func (p *Placer) ended(now time.Time, event AttemptEnded) {
+	running, known := p.attempts[event.Attempt]
+	if !known {
+		return
+	}
+	delete(p.attempts, event.Attempt)
+	p.observe(now, running, event)
+	c := running.call
+	if _, open := p.calls[c.id]; !open || running.cancelled {
+		return
+	}
+	c.running = slices.DeleteFunc(c.running, func(other *attempt) bool { return other == running })
+	p.settle(now, c, event)
+	p.drainQueue(now, c.service)
+}
+
+// settle ends a call by the result of one of its sends or sends it again.
+func (p *Placer) settle(now time.Time, c *call, event AttemptEnded) {
+	switch result := event.Result.(type) {
+	case Whole:
+		if result.Status < http.StatusInternalServerError || !c.route.Idempotent {
+			p.finish(now, c, Answered{Attempt: event.Attempt})
+
+			return
+		}
+		c.ran, c.failed = true, event.Attempt
+		p.again(now, c, ReasonCut)
+	case Refused, Misdirected:
+		p.again(now, c, ReasonRefused)
+	case Unsent:
+		c.sends--
+		c.unsent++
+		if c.unsent >= unsentTries {
+			p.conclude(now, c, ReasonUnreachable)
+
+			return
+		}
+		p.again(now, c, ReasonUnreachable)
+	case Cut:
+		c.ran = true
+		p.again(now, c, ReasonCut)
+	case Cancelled:
+		p.again(now, c, ReasonCut)
+	}
+}
--- /dev/null
+++ b/placement/choice.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// crossingDelay is what a round trip to another data centre adds.
+	crossingDelay = 2 * time.Millisecond
+	// upstreamQueue is the number of calls that may wait at a backend server beyond
+	// its slots; more would be refused or reset there.
+	upstreamQueue = 2
+	// neglectedAfter is how long a backend server goes without calls until it is
+	// preferred, so that each new one gets some.
+	neglectedAfter = 1500 * time.Millisecond
+	// neglectedBonus is the expected duration that this preference outweighs.
+	neglectedBonus = 40 * time.Millisecond
+	// kibibyte is the number of bytes in a KiB.
+	kibibyte = 1024
+)
+
+// candidate is a backend server that may get a call.
+type candidate struct {
+	server *Server
+	// expected is the expected time until the answer, failures included.
+	expected time.Duration
+	// cost is expected with what it costs to leave the data centre.
+	cost time.Duration
+	// free says that a slot is free.
+	free bool
+}
+
+// choose returns the best backend server for a call that was not tried yet, or
+// nil if there is none.
+func (p *Placer) choose(now time.Time, c *call) *candidate {
+	if best := p.best(now, c, false); best != nil {
+		return best
+	}
+
+	return p.best(now, c, true)
+}
+
+// best returns the cheapest candidate. If all are ejected, the ejections are
+// ignored when told so: some work may get through.
+func (p *Placer) best(now time.Time, c *call, ejected bool) *candidate {
+	var best *candidate
+	for _, server := range c.service.servers {
+		if slices.Contains(c.tried, server.ID) || !p.permits(now, c.service, server, ejected) {
+			continue
+		}
+		next := p.assess(now, c, server)
+		if best == nil || next.cost < best.cost {
+			best = &next
+		}
+	}
+
+	return best
+}
+
+// permits reports whether a call may be sent to the backend server.
+func (p *Placer) permits(now time.Time, service *service, server *Server, ejected bool) bool {
+	if server.Draining || server.Slots == 0 || p.evacuated[server.DataCentre] {
+		return false
+	}
+	if server.Ejected(now) && (!ejected || server.Unreachable) {
+		return false
+	}
+	if server.Taken(now) >= server.Slots+upstreamQueue {
+		return false
+	}
+
+	return !server.Cold(now) || p.bearsCold(now, service, server)
+}
+
+// bearsCold reports whether a cold backend server bears another call. Only the
+// host that measures it sends it any, evenly spaced, so that the sum over all
+// hosts stays within what it bears.
+func (p *Placer) bearsCold(now time.Time, service *service, server *Server) bool {
+	if service.Rule.ColdPerSecond <= 0 || !p.measures(server) {
+		return false
+	}
+	spacing := time.Duration(float64(time.Second) / service.Rule.ColdPerSecond)
+
+	return server.InFlight < server.Slots && now.Sub(server.SentAt) >= spacing
+}
+
+// assess returns what to expect of a call on a backend server.
+func (p *Placer) assess(now time.Time, c *call, server *Server) candidate {
+	expected := server.Expected(now, c.route.Work)
+	penalty := c.route.Target()
+	if !c.route.Idempotent {
+		penalty *= 2 // it cannot be sent again
+	}
+	expected += time.Duration(server.FailureRatio(now) * float64(penalty))
+	cost := expected
+	if server.DataCentre != p.Options.DataCentre {
+		expected += crossingDelay
+		cost += crossingDelay + time.Duration(c.route.Size/kibibyte*float64(p.Options.CrossingCost))
+	}
+	if now.Sub(server.SentAt) > neglectedAfter {
+		cost -= neglectedBonus
+	}
+
+	return candidate{server: server, expected: expected, cost: cost, free: server.Taken(now) < server.Slots}
+}
+
+// measures reports whether this host measures the backend server: one serving
+// host does, of the same data centre if there is one.
+func (p *Placer) measures(server *Server) bool {
+	local := slices.ContainsFunc(p.peers.Serving, func(peer Peer) bool { return peer.DataCentre == server.DataCentre })
+	best, highest := "", uint64(0)
+	for _, peer := range p.peers.Serving {
+		if local && peer.DataCentre != server.DataCentre {
+			continue
+		}
+		if score := xxhash.Sum64String(peer.Name + "\x00" + server.ID); best == "" || score > highest {
+			best, highest = peer.Name, score
+		}
+	}
+
+	return best == p.Options.Host
+}
--- /dev/null
+++ b/placement/measure.go
@@ -0,0 +1,117 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// probeTimeout bounds a probe.
+	probeTimeout = 500 * time.Millisecond
+	// idleFactor stretches the time between probes of a service that gets no calls.
+	idleFactor = 5
+	// idleAfter is how long a service goes without calls until it counts as idle.
+	idleAfter = 2 * time.Second
+	// missesEject is the number of probes in a row without an answer that eject a
+	// backend server.
+	missesEject = 2
+	// toldFor is the age up to which a measurement is told to other hosts.
+	toldFor = time.Second
+)
+
+// probe asks the backend servers that this host measures for their load.
+func (p *Placer) probe(now time.Time) {
+	for _, service := range p.services {
+		interval := p.Options.ProbeInterval
+		if now.Sub(service.calledAt) > idleAfter {
+			interval *= idleFactor
+		}
+		for _, server := range service.servers {
+			due := !server.probing && now.Sub(server.probedAt) >= interval
+			if due && !server.Draining && !p.evacuated[server.DataCentre] && p.measures(server) {
+				server.probing, server.probedAt = true, now
+				p.act(Probe{
+					Server: server.ID, Address: server.Address, Path: service.Rule.HealthPath,
+					Connections: service.Rule.MaxConnections, Timeout: probeTimeout,
+				})
+			}
+		}
+	}
+}
+
+// probed learns from a probe. A report of ill health alone changes nothing,
+// because such reports are often false: calls show whether they are.
+func (p *Placer) probed(now time.Time, event ProbeEnded) {
+	server, known := p.servers[event.Server]
+	if !known {
+		return
+	}
+	server.probing = false
+	if !event.Answered {
+		server.misses++
+		if server.misses >= missesEject {
+			p.ejectNow(now, server, true)
+		}
+
+		return
+	}
+	server.misses = 0
+	server.readmit()
+	if event.Load != nil {
+		server.report(now, event.Load.Pace)
+	}
+	p.adoptCold(now, server, event.ColdLeft)
+}
+
+// adoptCold adopts how much longer a backend server says that it stays cold.
+func (p *Placer) adoptCold(now time.Time, server *Server, left time.Duration) {
+	if left > 0 && !server.Cold(now) {
+		p.act(Believe{Server: server.ID, Belief: BeliefCold, Failures: server.FailureRatio(now), For: left})
+	}
+	server.ColdUntil = now.Add(left)
+}
+
+// Loads returns what this host tells others about backend servers: what it
+// measured and where its calls run.
+func (p *Placer) Loads(now time.Time) []schema.ServerLoad {
+	var loads []schema.ServerLoad
+	for _, server := range p.servers {
+		measured := server.Pace > 0 && now.Sub(server.PacedAt) < toldFor && p.measures(server)
+		if !measured && server.InFlight == 0 {
+			continue
+		}
+		load := schema.ServerLoad{ServerHash: Hash(server.ID), InFlight: server.InFlight, Failing: server.Ejected(now)}
+		if measured {
+			load.PacePercent = int(server.Pace * percent)
+			load.AgeMs = int(now.Sub(server.PacedAt).Milliseconds())
+			load.ColdLeftMs = int(max(server.ColdUntil.Sub(now), 0).Milliseconds())
+		}
+		loads = append(loads, load)
+	}
+
+	return loads
+}
+
+// percent turns a pace into hundredths.
+const percent = 100
+
+// hear adopts what another host knows about backend servers.
+func (p *Placer) hear(now time.Time, event LoadsHeard) {
+	for _, server := range p.servers {
+		delete(server.others, event.Host)
+	}
+	for _, load := range event.Loads {
+		server, known := p.byHash[load.ServerHash]
+		if !known {
+			continue
+		}
+		if load.InFlight > 0 {
+			server.others[event.Host] = heard{inFlight: load.InFlight, at: now}
+		}
+		if load.PacePercent > 0 {
+			server.report(now.Add(-time.Duration(load.AgeMs)*time.Millisecond), float64(load.PacePercent)/percent)
+			server.ColdUntil = now.Add(time.Duration(load.ColdLeftMs) * time.Millisecond)
+		}
+	}
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,193 @@
+// Package placement decides which backend server runs a call, when a call
+// waits, is sent a second time or is refused, and which backend servers are
+// measured. It holds no clock, socket, goroutine or lock: events go in, actions
+// come out. Change this package to change what callers experience under load.
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// Options are what a placer is made with.
+type Options struct {
+	// Host is this entry host's name.
+	Host string
+	// DataCentre is where this entry host runs.
+	DataCentre string
+	// Seed seeds the random choices.
+	Seed uint64
+	// RetryRatio is the number of repeated sends that each call to a service earns.
+	RetryRatio float64
+	// RetryWindow is the span over which repeated sends are counted.
+	RetryWindow time.Duration
+	// RetrySlack is the number of repeated sends in one window that all hosts
+	// together may make beyond the ratio.
+	RetrySlack float64
+	// ProbeInterval is the time between probes of a backend server that is in use.
+	ProbeInterval time.Duration
+	// CrossingCost is the longer expected duration, for each KiB of an answer, that
+	// is accepted to keep the call in this host's data centre.
+	CrossingCost time.Duration
+}
+
+// Placer is one host's knowledge of backend servers and its open calls.
+type Placer struct {
+	// Options are what the placer was made with.
+	Options Options
+
+	declared  schema.Declared
+	routes    routes
+	services  map[string]*service
+	servers   map[string]*Server
+	byHash    map[int]*Server
+	evacuated map[string]bool
+	peers     Peers
+	calls     map[CallID]*call
+	attempts  map[AttemptID]*attempt
+	order     []*call
+	random    *rand.Rand
+	last      AttemptID
+	ticked    time.Time
+	actions   []Action
+}
+
+// New returns a placer that knows nothing and refuses every call.
+func New(options Options) *Placer {
+	return &Placer{
+		Options:   options,
+		services:  map[string]*service{},
+		servers:   map[string]*Server{},
+		byHash:    map[int]*Server{},
+		evacuated: map[string]bool{},
+		calls:     map[CallID]*call{},
+		attempts:  map[AttemptID]*attempt{},
+		random:    rand.New(rand.NewPCG(options.Seed, options.Seed)), //nolint:gosec // placement needs no secrets
+	}
+}
+
+// Hash returns the 32-bit hash by which hosts name a backend server to each
+// other.
+func Hash(id string) int {
+	return int(uint32(xxhash.Sum64String(id))) //nolint:gosec // it is meant to be cut
+}
+
+// Open returns the number of calls without an outcome.
+func (p *Placer) Open() int {
+	return len(p.calls)
+}
+
+// Step reacts to one event. The actions are valid until the next step.
+func (p *Placer) Step(now time.Time, event Event) []Action {
+	p.actions = p.actions[:0]
+	switch event := event.(type) {
+	case CallArrived:
+		p.arrive(now, event)
+	case CallerLeft:
+		p.abandon(now, event.Call)
+	case AttemptEnded:
+		p.ended(now, event)
+	case ProbeEnded:
+		p.probed(now, event)
+	case DeclaredChanged:
+		p.declare(now, event.Declared)
+	case LoadsHeard:
+		p.hear(now, event)
+	case PeersChanged:
+		p.peers = event.Peers
+	case Ticked:
+		p.tick(now)
+	}
+
+	return p.actions
+}
+
+// tick follows the calls in flight, ends those whose time is over, starts those
+// that wait and measures.
+func (p *Placer) tick(now time.Time) {
+	p.advance(now)
+	p.expire(now)
+	for _, service := range p.services {
+		p.drainQueue(now, service)
+	}
+	p.hedgeAll(now)
+	p.probe(now)
+}
+
+// act adds an action.
+func (p *Placer) act(action Action) {
+	p.actions = append(p.actions, action)
+}
+
+// declare adopts what operators and backend servers have declared.
+func (p *Placer) declare(now time.Time, declared schema.Declared) {
+	before := p.evacuated
+	p.evacuated = map[string]bool{}
+	for _, dataCentre := range declared.Evacuated {
+		p.evacuated[dataCentre] = true
+	}
+	if declared.Declaration.Version != p.declared.Declaration.Version {
+		p.routes = newRoutes(declared.Declaration.Routes, p.routes)
+	}
+	p.declared = declared
+	for _, rule := range declared.Declaration.Services {
+		p.service(rule.Name).Rule = rule
+	}
+	p.register(now, declared.Registrations)
+	for _, server := range p.servers {
+		if before[server.DataCentre] && !p.evacuated[server.DataCentre] {
+			server.suspectCold(now, p.services[server.Service].Rule)
+		}
+	}
+}
+
+// register adopts the registered backend servers.
+func (p *Placer) register(now time.Time, registrations []schema.Registration) {
+	listed := make(map[string]bool, len(registrations))
+	for _, registration := range registrations {
+		listed[registration.ID] = true
+		service := p.service(registration.Service)
+		server, known := p.servers[registration.ID]
+		if !known || server.StartedMs != registration.StartedMs || server.Service != registration.Service {
+			if known {
+				p.unregister(server)
+			}
+			server = newServer(now, registration)
+			p.servers[registration.ID] = server
+			p.byHash[Hash(registration.ID)] = server
+			service.servers = append(service.servers, server)
+		}
+		server.Registration = registration
+	}
+	for id, server := range p.servers {
+		if !listed[id] {
+			p.unregister(server)
+		}
+	}
+}
+
+// unregister removes a backend server. Its attempts go on.
+func (p *Placer) unregister(server *Server) {
+	delete(p.servers, server.ID)
+	if p.byHash[Hash(server.ID)] == server {
+		delete(p.byHash, Hash(server.ID))
+	}
+	service := p.service(server.Service)
+	service.servers = slices.DeleteFunc(service.servers, func(other *Server) bool { return other == server })
+}
+
+// service returns the state of a service, which is made when it is first named.
+func (p *Placer) service(name string) *service {
+	known, ok := p.services[name]
+	if !ok {
+		known = newService(name, p.Options)
+		p.services[name] = known
+	}
+
+	return known
+}
--- /dev/null
+++ b/placement/server.go
@@ -0,0 +1,220 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// paceMemory is the time in which a reported pace loses 63% of its weight to
+	// the server's usual pace.
+	paceMemory = 400 * time.Millisecond
+	// paceHold is how long a pace is expected to last from now on.
+	paceHold = 250 * time.Millisecond
+	// usualWeight is the share of the newest report in the usual pace.
+	usualWeight = 0.02
+	// firstUsual is the usual pace until reports were heard.
+	firstUsual = 1.5
+	// coldFactor is how much longer work takes on a cold backend server.
+	coldFactor = 2
+	// crowdedShare is the share of taken slots from which some backend servers
+	// slow down.
+	crowdedShare = 0.8
+	// crowdedFactor is how much longer work is taken to last from there on.
+	crowdedFactor = 1.3
+	// heardFor is how long another host's attempts in flight count after it was
+	// last heard.
+	heardFor = 600 * time.Millisecond
+	// failureWeight is the share of the newest result in the failure ratio.
+	failureWeight = 0.25
+	// failureMemory is the time in which a failure ratio falls to 37%.
+	failureMemory = 3 * time.Second
+	// ejectStreak is the number of failures in a row that eject a backend server.
+	ejectStreak = 3
+	// ejectRatio is the failure ratio that ejects a backend server.
+	ejectRatio = 0.6
+	// ejectFor is the length of the first ejection; each further one without a
+	// good answer in between is twice as long.
+	ejectFor = 400 * time.Millisecond
+	// ejectLongest bounds the length of an ejection.
+	ejectLongest = 3200 * time.Millisecond
+)
+
+// Server is what a placer knows about one backend server.
+type Server struct {
+	schema.Registration
+	// Pace is the reported pace, or 0 if none was reported.
+	Pace float64
+	// PacedAt is when the pace was measured.
+	PacedAt time.Time
+	// Usual is the smoothed pace.
+	Usual float64
+	// InFlight is the number of this host's attempts there.
+	InFlight int
+	// ColdUntil is when it is warm.
+	ColdUntil time.Time
+	// SentAt is when this host sent the last call there.
+	SentAt time.Time
+	// Failures is the share of recent calls that failed there, as of FailedAt.
+	Failures float64
+	// FailedAt is when the failure ratio was updated.
+	FailedAt time.Time
+	// EjectedUntil is when it may get work again.
+	EjectedUntil time.Time
+	// Unreachable says that it was ejected because nothing could be sent.
+	Unreachable bool
+
+	streak    int
+	ejections int
+	others    map[string]heard
+	probing   bool
+	probedAt  time.Time
+	misses    int
+}
+
+// heard is what another host said of a backend server.
+type heard struct {
+	inFlight int
+	at       time.Time
+}
+
+// newServer returns a backend server that registered.
+func newServer(now time.Time, registration schema.Registration) *Server {
+	return &Server{
+		Registration: registration,
+		Usual:        firstUsual,
+		ColdUntil:    now.Add(time.Duration(registration.ColdLeftMs) * time.Millisecond),
+		others:       map[string]heard{},
+	}
+}
+
+// Cold reports whether it bears only a little work.
+func (s *Server) Cold(now time.Time) bool {
+	return now.Before(s.ColdUntil)
+}
+
+// suspectCold treats it as cold until a probe tells.
+func (s *Server) suspectCold(now time.Time, rule schema.ServiceRule) {
+	if until := now.Add(time.Duration(rule.ColdMs) * time.Millisecond); until.After(s.ColdUntil) {
+		s.ColdUntil = until
+	}
+}
+
+// Ejected reports whether it gets no work because of failures.
+func (s *Server) Ejected(now time.Time) bool {
+	return now.Before(s.EjectedUntil)
+}
+
+// usable reports whether it may get work when a slot is free.
+func (s *Server) usable(now time.Time) bool {
+	return !s.Draining && s.Slots > 0 && !s.Ejected(now)
+}
+
+// Taken returns the number of attempts there, by all hosts.
+func (s *Server) Taken(now time.Time) int {
+	taken := s.InFlight
+	for _, other := range s.others {
+		if now.Sub(other.at) < heardFor {
+			taken += other.inFlight
+		}
+	}
+
+	return taken
+}
+
+// PaceNow returns the pace to expect now. An old report counts less and less.
+func (s *Server) PaceNow(now time.Time) float64 {
+	if s.Pace == 0 {
+		return s.Usual
+	}
+	weight := math.Exp(-float64(now.Sub(s.PacedAt)) / float64(paceMemory))
+
+	return s.Pace*weight + s.Usual*(1-weight)
+}
+
+// rate returns how long work takes there now, relative to the usual time, with
+// so many attempts running.
+func (s *Server) rate(now time.Time, running int) float64 {
+	rate := s.PaceNow(now)
+	if s.Cold(now) {
+		rate *= coldFactor
+	}
+	if float64(running) > crowdedShare*float64(s.Slots) {
+		rate *= crowdedFactor
+	}
+
+	return rate
+}
+
+// Expected returns the time until work is done that is sent now. A pace that
+// lasts longer than paceHold is expected to return to the usual one.
+func (s *Server) Expected(now time.Time, work time.Duration) time.Duration {
+	taken := s.Taken(now)
+	rate := s.rate(now, taken+1)
+	queued := max(taken+1-s.Slots, 0)
+	wait := float64(queued) * float64(work) * rate / float64(s.Slots)
+
+	return time.Duration(wait) + s.duration(work, rate)
+}
+
+// duration returns the time that work takes at a rate that lasts for paceHold.
+func (s *Server) duration(work time.Duration, rate float64) time.Duration {
+	whole := time.Duration(float64(work) * rate)
+	if whole <= paceHold {
+		return whole
+	}
+	rest := float64(work) - float64(paceHold)/rate
+
+	return paceHold + time.Duration(rest*min(rate, s.Usual))
+}
+
+// report adopts a reported load that was measured at a time.
+func (s *Server) report(at time.Time, pace float64) {
+	if pace <= 0 || at.Before(s.PacedAt) {
+		return
+	}
+	s.Pace, s.PacedAt = pace, at
+	s.Usual += usualWeight * (pace - s.Usual)
+}
+
+// FailureRatio returns the share of calls that are expected to fail.
+func (s *Server) FailureRatio(now time.Time) float64 {
+	return s.Failures * math.Exp(-float64(now.Sub(s.FailedAt))/float64(failureMemory))
+}
+
+// succeed notes a good answer.
+func (s *Server) succeed(now time.Time) {
+	s.Failures, s.FailedAt = s.FailureRatio(now)*(1-failureWeight), now
+	s.streak, s.ejections = 0, 0
+}
+
+// fail notes a failure and reports whether it ejects the backend server.
+func (s *Server) fail(now time.Time) bool {
+	ratio := s.FailureRatio(now)
+	s.Failures, s.FailedAt = ratio+failureWeight*(1-ratio), now
+	s.streak++
+	if s.streak < ejectStreak && s.Failures < ejectRatio {
+		return false
+	}
+	s.eject(now)
+
+	return true
+}
+
+// eject takes it out of work for some time.
+func (s *Server) eject(now time.Time) {
+	if s.Ejected(now) {
+		return
+	}
+	s.EjectedUntil = now.Add(min(ejectFor<<min(s.ejections, 10), ejectLongest))
+	s.ejections++
+}
+
+// readmit ends an ejection for unreachability.
+func (s *Server) readmit() {
+	if s.Unreachable {
+		s.Unreachable, s.EjectedUntil, s.streak = false, time.Time{}, 0
+	}
+}
--- /dev/null
+++ b/placement/service.go
@@ -0,0 +1,91 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// shortestReturn is the least time after which a refused caller is asked to
+	// come back: a round trip and a round of load reports.
+	shortestReturn = 30 * time.Millisecond
+	// longestReturn is the longest such time. Callers stop waiting within seconds.
+	longestReturn = time.Second
+	// returnSpread is the share by which that time varies between callers, so that
+	// they do not come back together.
+	returnSpread = 0.25
+)
+
+// service is what a placer knows about one service.
+type service struct {
+	// Name is unique among the services.
+	Name string
+	// Rule says how the backend servers may be used.
+	Rule schema.ServiceRule
+
+	servers  []*Server
+	waiting  []*call
+	budget   *budget
+	calledAt time.Time
+	// debt is the number of refused calls that the service had no time to serve
+	// since, as of debtAt.
+	debt   float64
+	debtAt time.Time
+}
+
+// newService returns a service without backend servers.
+func newService(name string, options Options) *service {
+	return &service{Name: name, budget: newBudget(options)}
+}
+
+// throughput returns the number of calls a second that the usable backend
+// servers finish.
+func (s *service) throughput(now time.Time, work time.Duration) float64 {
+	rate := 0.0
+	for _, server := range s.servers {
+		if server.usable(now) && !server.Cold(now) {
+			rate += float64(server.Slots) / (server.Usual * work.Seconds())
+		}
+	}
+
+	return rate
+}
+
+// refuse counts a refused call and returns when its caller may come back. The
+// refused calls form a queue that the service works off in order.
+func (s *service) refuse(now time.Time, work time.Duration, random float64) time.Duration {
+	rate := s.throughput(now, work)
+	if rate == 0 {
+		return longestReturn
+	}
+	s.debt = max(s.debt-rate*now.Sub(s.debtAt).Seconds(), 0) + 1
+	s.debtAt = now
+	after := time.Duration(s.debt / rate * float64(time.Second))
+	after = min(max(after, shortestReturn), longestReturn)
+
+	return time.Duration(float64(after) * (1 + returnSpread*(2*random-1)))
+}
+
+// enqueue adds a call to those that wait: the most urgent first, the oldest of
+// them first.
+func (s *service) enqueue(waiting *call) {
+	at, _ := slices.BinarySearchFunc(s.waiting, waiting, func(a, b *call) int {
+		if a.route.Priority != b.route.Priority {
+			return a.route.Priority - b.route.Priority
+		}
+
+		return a.arrived.Compare(b.arrived)
+	})
+	s.waiting = slices.Insert(s.waiting, at, waiting)
+	waiting.waiting = true
+}
+
+// dequeue removes a call from those that wait.
+func (s *service) dequeue(waiting *call) {
+	if waiting.waiting {
+		s.waiting = slices.DeleteFunc(s.waiting, func(other *call) bool { return other == waiting })
+		waiting.waiting = false
+	}
+}
