--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -904,6 +904,325 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Beacon) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 13 {
+		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
+		return
+	}
+	z.CallerAddress, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
+	z.Calls, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	z.Capacity, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
+		return
+	}
+	z.DataCentre, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	z.DeclaredHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "DeclaredHash")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	if zb0002 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Loads) >= int(zb0002) {
+		z.Loads = (z.Loads)[:zb0002]
+	} else {
+		z.Loads = make([]ServerLoad, zb0002)
+	}
+	for za0001 := range z.Loads {
+		err = z.Loads[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001)
+			return
+		}
+	}
+	z.Name, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.OrdersAt, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "OrdersAt")
+		return
+	}
+	z.PeerAddress, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
+		return
+	}
+	z.Ready, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Ready")
+		return
+	}
+	z.RegistrationsAt, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "RegistrationsAt")
+		return
+	}
+	z.Sequence, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.StartedMs, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMs")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Beacon) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 13
+	err = en.Append(0x9d)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.CallerAddress)
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
+	err = en.WriteInt(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	err = en.WriteInt(z.Capacity)
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
+		return
+	}
+	err = en.WriteString(z.DataCentre)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	err = en.WriteInt(z.DeclaredHash)
+	if err != nil {
+		err = msgp.WrapError(err, "DeclaredHash")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Loads)))
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	for za0001 := range z.Loads {
+		err = z.Loads[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001)
+			return
+		}
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	err = en.WriteInt(z.OrdersAt)
+	if err != nil {
+		err = msgp.WrapError(err, "OrdersAt")
+		return
+	}
+	err = en.WriteString(z.PeerAddress)
+	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
+		return
+	}
+	err = en.WriteBool(z.Ready)
+	if err != nil {
+		err = msgp.WrapError(err, "Ready")
+		return
+	}
+	err = en.WriteInt(z.RegistrationsAt)
+	if err != nil {
+		err = msgp.WrapError(err, "RegistrationsAt")
+		return
+	}
+	err = en.WriteInt(z.Sequence)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	err = en.WriteInt(z.StartedMs)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Beacon) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 13
+	o = append(o, 0x9d)
+	o = msgp.AppendString(o, z.CallerAddress)
+	o = msgp.AppendInt(o, z.Calls)
+	o = msgp.AppendInt(o, z.Capacity)
+	o = msgp.AppendString(o, z.DataCentre)
+	o = msgp.AppendInt(o, z.DeclaredHash)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+	for za0001 := range z.Loads {
+		o, err = z.Loads[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001)
+			return
+		}
+	}
+	o = msgp.AppendString(o, z.Name)
+	o = msgp.AppendInt(o, z.OrdersAt)
+	o = msgp.AppendString(o, z.PeerAddress)
+	o = msgp.AppendBool(o, z.Ready)
+	o = msgp.AppendInt(o, z.RegistrationsAt)
+	o = msgp.AppendInt(o, z.Sequence)
+	o = msgp.AppendInt(o, z.StartedMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Beacon) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 13 {
+		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
+		return
+	}
+	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CallerAddress")
+		return
+	}
+	z.Calls, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	z.Capacity, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
+		return
+	}
+	z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	z.DeclaredHash, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DeclaredHash")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	if zb0002 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Loads) >= int(zb0002) {
+		z.Loads = (z.Loads)[:zb0002]
+	} else {
+		z.Loads = make([]ServerLoad, zb0002)
+	}
+	for za0001 := range z.Loads {
+		bts, err = z.Loads[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001)
+			return
+		}
+	}
+	z.Name, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.OrdersAt, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OrdersAt")
+		return
+	}
+	z.PeerAddress, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
+		return
+	}
+	z.Ready, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ready")
+		return
+	}
+	z.RegistrationsAt, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RegistrationsAt")
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	z.StartedMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMs")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Beacon) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.DataCentre) + msgp.IntSize + msgp.ArrayHeaderSize
+	for za0001 := range z.Loads {
+		s += z.Loads[za0001].Msgsize()
+	}
+	s += msgp.StringPrefixSize + len(z.Name) + msgp.IntSize + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.BoolSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *CallInterval) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -1041,7 +1360,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *CellDump) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *CallerLimits) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1062,33 +1381,219 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "backend_servers":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+		case "body_bytes":
+			z.BodyBytes, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "BackendServers")
+				err = msgp.WrapError(err, "BodyBytes")
 				return
 			}
-			if zb0002 > zf88ce922limitArrays {
-				err = msgp.ErrLimitExceeded
+		case "header_bytes":
+			z.HeaderBytes, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "HeaderBytes")
 				return
 			}
-			if cap(z.BackendServers) >= int(zb0002) {
-				z.BackendServers = (z.BackendServers)[:zb0002]
-			} else {
-				z.BackendServers = make([]BackendServerDump, zb0002)
-			}
-			for za0001 := range z.BackendServers {
-				err = z.BackendServers[za0001].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "BackendServers", za0001)
-					return
-				}
-			}
-		case "data_centre":
-			z.DataCentre, err = dc.ReadString()
+		case "header_timeout_ms":
+			z.HeaderTimeoutMs, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
+				err = msgp.WrapError(err, "HeaderTimeoutMs")
+				return
+			}
+		case "idle_timeout_ms":
+			z.IdleTimeoutMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "IdleTimeoutMs")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *CallerLimits) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "body_bytes"
+	err = en.Append(0x84, 0xaa, 0x62, 0x6f, 0x64, 0x79, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.BodyBytes)
+	if err != nil {
+		err = msgp.WrapError(err, "BodyBytes")
+		return
+	}
+	// write "header_bytes"
+	err = en.Append(0xac, 0x68, 0x65, 0x61, 0x64, 0x65, 0x72, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.HeaderBytes)
+	if err != nil {
+		err = msgp.WrapError(err, "HeaderBytes")
+		return
+	}
+	// write "header_timeout_ms"
+	err = en.Append(0xb1, 0x68, 0x65, 0x61, 0x64, 0x65, 0x72, 0x5f, 0x74, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.HeaderTimeoutMs)
+	if err != nil {
+		err = msgp.WrapError(err, "HeaderTimeoutMs")
+		return
+	}
+	// write "idle_timeout_ms"
+	err = en.Append(0xaf, 0x69, 0x64, 0x6c, 0x65, 0x5f, 0x74, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.IdleTimeoutMs)
+	if err != nil {
+		err = msgp.WrapError(err, "IdleTimeoutMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *CallerLimits) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "body_bytes"
+	o = append(o, 0x84, 0xaa, 0x62, 0x6f, 0x64, 0x79, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.BodyBytes)
+	// string "header_bytes"
+	o = append(o, 0xac, 0x68, 0x65, 0x61, 0x64, 0x65, 0x72, 0x5f, 0x62, 0x79, 0x74, 0x65, 0x73)
+	o = msgp.AppendInt(o, z.HeaderBytes)
+	// string "header_timeout_ms"
+	o = append(o, 0xb1, 0x68, 0x65, 0x61, 0x64, 0x65, 0x72, 0x5f, 0x74, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.HeaderTimeoutMs)
+	// string "idle_timeout_ms"
+	o = append(o, 0xaf, 0x69, 0x64, 0x6c, 0x65, 0x5f, 0x74, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.IdleTimeoutMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CallerLimits) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "body_bytes":
+			z.BodyBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BodyBytes")
+				return
+			}
+		case "header_bytes":
+			z.HeaderBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HeaderBytes")
+				return
+			}
+		case "header_timeout_ms":
+			z.HeaderTimeoutMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HeaderTimeoutMs")
+				return
+			}
+		case "idle_timeout_ms":
+			z.IdleTimeoutMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "IdleTimeoutMs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CallerLimits) Msgsize() (s int) {
+	s = 1 + 11 + msgp.IntSize + 13 + msgp.IntSize + 18 + msgp.IntSize + 16 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *CellDump) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "backend_servers":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "BackendServers")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.BackendServers) >= int(zb0002) {
+				z.BackendServers = (z.BackendServers)[:zb0002]
+			} else {
+				z.BackendServers = make([]BackendServerDump, zb0002)
+			}
+			for za0001 := range z.BackendServers {
+				err = z.BackendServers[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "BackendServers", za0001)
+					return
+				}
+			}
+		case "data_centre":
+			z.DataCentre, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
 				return
 			}
 		case "owner":
@@ -2756,263 +3261,748 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Digest) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Declaration) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zf88ce922limitArrays {
+	if zb0001 > zf88ce922limitMaps {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
-		return
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "limits":
+			err = z.Limits.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+		case "routes":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Routes")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Routes) >= int(zb0002) {
+				z.Routes = (z.Routes)[:zb0002]
+			} else {
+				z.Routes = make([]Route, zb0002)
+			}
+			for za0001 := range z.Routes {
+				err = z.Routes[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Routes", za0001)
+					return
+				}
+			}
+		case "services":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Services")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Services) >= int(zb0003) {
+				z.Services = (z.Services)[:zb0003]
+			} else {
+				z.Services = make([]ServiceRule, zb0003)
+			}
+			for za0002 := range z.Services {
+				err = z.Services[za0002].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Services", za0002)
+					return
+				}
+			}
+		case "version":
+			z.Version, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	z.ConfigurationVersion, err = dc.ReadInt()
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Declaration) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "limits"
+	err = en.Append(0x84, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
 	if err != nil {
-		err = msgp.WrapError(err, "ConfigurationVersion")
 		return
 	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
+	err = z.Limits.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Heartbeats")
+		err = msgp.WrapError(err, "Limits")
 		return
 	}
-	if zb0002 > zf88ce922limitArrays {
-		err = msgp.ErrLimitExceeded
+	// write "routes"
+	err = en.Append(0xa6, 0x72, 0x6f, 0x75, 0x74, 0x65, 0x73)
+	if err != nil {
 		return
 	}
-	if cap(z.Heartbeats) >= int(zb0002) {
-		z.Heartbeats = (z.Heartbeats)[:zb0002]
-	} else {
-		z.Heartbeats = make([]Heartbeat, zb0002)
+	err = en.WriteArrayHeader(uint32(len(z.Routes)))
+	if err != nil {
+		err = msgp.WrapError(err, "Routes")
+		return
 	}
-	for za0001 := range z.Heartbeats {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
+	for za0001 := range z.Routes {
+		err = z.Routes[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Heartbeats", za0001)
-			return
-		}
-		if zb0003 > zf88ce922limitArrays {
-			err = msgp.ErrLimitExceeded
+			err = msgp.WrapError(err, "Routes", za0001)
 			return
 		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+	}
+	// write "services"
+	err = en.Append(0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Services)))
+	if err != nil {
+		err = msgp.WrapError(err, "Services")
+		return
+	}
+	for za0002 := range z.Services {
+		err = z.Services[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Services", za0002)
 			return
 		}
-		z.Heartbeats[za0001].Counter, err = dc.ReadInt()
+	}
+	// write "version"
+	err = en.Append(0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Declaration) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "limits"
+	o = append(o, 0x84, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
+	o, err = z.Limits.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Limits")
+		return
+	}
+	// string "routes"
+	o = append(o, 0xa6, 0x72, 0x6f, 0x75, 0x74, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Routes)))
+	for za0001 := range z.Routes {
+		o, err = z.Routes[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Heartbeats", za0001, "Counter")
+			err = msgp.WrapError(err, "Routes", za0001)
 			return
 		}
-		z.Heartbeats[za0001].HostHash, err = dc.ReadInt()
+	}
+	// string "services"
+	o = append(o, 0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
+	for za0002 := range z.Services {
+		o, err = z.Services[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Heartbeats", za0001, "HostHash")
+			err = msgp.WrapError(err, "Services", za0002)
 			return
 		}
 	}
-	var zb0004 uint32
-	zb0004, err = dc.ReadArrayHeader()
+	// string "version"
+	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Declaration) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Hosts")
+		err = msgp.WrapError(err)
 		return
 	}
-	if zb0004 > zf88ce922limitArrays {
+	if zb0001 > zf88ce922limitMaps {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Hosts) >= int(zb0004) {
-		z.Hosts = (z.Hosts)[:zb0004]
-	} else {
-		z.Hosts = make([]Host, zb0004)
-	}
-	for za0002 := range z.Hosts {
-		err = z.Hosts[za0002].DecodeMsg(dc)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Hosts", za0002)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "limits":
+			bts, err = z.Limits.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+		case "routes":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Routes")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Routes) >= int(zb0002) {
+				z.Routes = (z.Routes)[:zb0002]
+			} else {
+				z.Routes = make([]Route, zb0002)
+			}
+			for za0001 := range z.Routes {
+				bts, err = z.Routes[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Routes", za0001)
+					return
+				}
+			}
+		case "services":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Services")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Services) >= int(zb0003) {
+				z.Services = (z.Services)[:zb0003]
+			} else {
+				z.Services = make([]ServiceRule, zb0003)
+			}
+			for za0002 := range z.Services {
+				bts, err = z.Services[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Services", za0002)
+					return
+				}
+			}
+		case "version":
+			z.Version, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	z.LendsForMs, err = dc.ReadInt()
-	if err != nil {
-		err = msgp.WrapError(err, "LendsForMs")
-		return
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Declaration) Msgsize() (s int) {
+	s = 1 + 7 + z.Limits.Msgsize() + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Routes {
+		s += z.Routes[za0001].Msgsize()
 	}
-	var zb0005 uint32
-	zb0005, err = dc.ReadArrayHeader()
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Services {
+		s += z.Services[za0002].Msgsize()
+	}
+	s += 8 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Declared) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Overrides")
+		err = msgp.WrapError(err)
 		return
 	}
-	if zb0005 > zf88ce922limitArrays {
+	if zb0001 > zf88ce922limitMaps {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Overrides) >= int(zb0005) {
-		z.Overrides = (z.Overrides)[:zb0005]
-	} else {
-		z.Overrides = make([]Override, zb0005)
-	}
-	for za0003 := range z.Overrides {
-		err = z.Overrides[za0003].DecodeMsg(dc)
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
 		if err != nil {
-			err = msgp.WrapError(err, "Overrides", za0003)
+			err = msgp.WrapError(err)
 			return
 		}
-	}
-	err = z.Sender.DecodeMsg(dc)
-	if err != nil {
-		err = msgp.WrapError(err, "Sender")
-		return
-	}
-	z.ViewHash, err = dc.ReadInt()
-	if err != nil {
-		err = msgp.WrapError(err, "ViewHash")
-		return
+		switch msgp.UnsafeString(field) {
+		case "declaration":
+			err = z.Declaration.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Declaration")
+				return
+			}
+		case "evacuated":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Evacuated) >= int(zb0002) {
+				z.Evacuated = (z.Evacuated)[:zb0002]
+			} else {
+				z.Evacuated = make([]string, zb0002)
+			}
+			for za0001 := range z.Evacuated {
+				z.Evacuated[za0001], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuated", za0001)
+					return
+				}
+			}
+		case "orders_at":
+			z.OrdersAt, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersAt")
+				return
+			}
+		case "registrations":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Registrations")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Registrations) >= int(zb0003) {
+				z.Registrations = (z.Registrations)[:zb0003]
+			} else {
+				z.Registrations = make([]Registration, zb0003)
+			}
+			for za0002 := range z.Registrations {
+				err = z.Registrations[za0002].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Registrations", za0002)
+					return
+				}
+			}
+		case "registrations_at":
+			z.RegistrationsAt, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "RegistrationsAt")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Digest) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+func (z *Declared) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "declaration"
+	err = en.Append(0x85, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.ConfigurationVersion)
+	err = z.Declaration.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "ConfigurationVersion")
+		err = msgp.WrapError(err, "Declaration")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Heartbeats)))
+	// write "evacuated"
+	err = en.Append(0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
 	if err != nil {
-		err = msgp.WrapError(err, "Heartbeats")
 		return
 	}
-	for za0001 := range z.Heartbeats {
-		// array header, size 2
-		err = en.Append(0x92)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Heartbeats[za0001].Counter)
-		if err != nil {
-			err = msgp.WrapError(err, "Heartbeats", za0001, "Counter")
-			return
-		}
-		err = en.WriteInt(z.Heartbeats[za0001].HostHash)
+	err = en.WriteArrayHeader(uint32(len(z.Evacuated)))
+	if err != nil {
+		err = msgp.WrapError(err, "Evacuated")
+		return
+	}
+	for za0001 := range z.Evacuated {
+		err = en.WriteString(z.Evacuated[za0001])
 		if err != nil {
-			err = msgp.WrapError(err, "Heartbeats", za0001, "HostHash")
+			err = msgp.WrapError(err, "Evacuated", za0001)
 			return
 		}
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Hosts)))
+	// write "orders_at"
+	err = en.Append(0xa9, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x61, 0x74)
 	if err != nil {
-		err = msgp.WrapError(err, "Hosts")
 		return
 	}
-	for za0002 := range z.Hosts {
-		err = z.Hosts[za0002].EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Hosts", za0002)
-			return
-		}
+	err = en.WriteInt(z.OrdersAt)
+	if err != nil {
+		err = msgp.WrapError(err, "OrdersAt")
+		return
 	}
-	err = en.WriteInt(z.LendsForMs)
+	// write "registrations"
+	err = en.Append(0xad, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
 	if err != nil {
-		err = msgp.WrapError(err, "LendsForMs")
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Overrides)))
+	err = en.WriteArrayHeader(uint32(len(z.Registrations)))
 	if err != nil {
-		err = msgp.WrapError(err, "Overrides")
+		err = msgp.WrapError(err, "Registrations")
 		return
 	}
-	for za0003 := range z.Overrides {
-		err = z.Overrides[za0003].EncodeMsg(en)
+	for za0002 := range z.Registrations {
+		err = z.Registrations[za0002].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Overrides", za0003)
+			err = msgp.WrapError(err, "Registrations", za0002)
 			return
 		}
 	}
-	err = z.Sender.EncodeMsg(en)
+	// write "registrations_at"
+	err = en.Append(0xb0, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x74)
 	if err != nil {
-		err = msgp.WrapError(err, "Sender")
 		return
 	}
-	err = en.WriteInt(z.ViewHash)
+	err = en.WriteInt(z.RegistrationsAt)
 	if err != nil {
-		err = msgp.WrapError(err, "ViewHash")
+		err = msgp.WrapError(err, "RegistrationsAt")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Digest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Declared) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
-	o = msgp.AppendInt(o, z.ConfigurationVersion)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Heartbeats)))
-	for za0001 := range z.Heartbeats {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendInt(o, z.Heartbeats[za0001].Counter)
-		o = msgp.AppendInt(o, z.Heartbeats[za0001].HostHash)
+	// map header, size 5
+	// string "declaration"
+	o = append(o, 0x85, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o, err = z.Declaration.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Declaration")
+		return
 	}
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Hosts)))
-	for za0002 := range z.Hosts {
-		o, err = z.Hosts[za0002].MarshalMsg(o)
+	// string "evacuated"
+	o = append(o, 0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
+	for za0001 := range z.Evacuated {
+		o = msgp.AppendString(o, z.Evacuated[za0001])
+	}
+	// string "orders_at"
+	o = append(o, 0xa9, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x61, 0x74)
+	o = msgp.AppendInt(o, z.OrdersAt)
+	// string "registrations"
+	o = append(o, 0xad, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Registrations)))
+	for za0002 := range z.Registrations {
+		o, err = z.Registrations[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Hosts", za0002)
+			err = msgp.WrapError(err, "Registrations", za0002)
 			return
 		}
 	}
-	o = msgp.AppendInt(o, z.LendsForMs)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Overrides)))
-	for za0003 := range z.Overrides {
-		o, err = z.Overrides[za0003].MarshalMsg(o)
+	// string "registrations_at"
+	o = append(o, 0xb0, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x74)
+	o = msgp.AppendInt(o, z.RegistrationsAt)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Declared) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Overrides", za0003)
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "declaration":
+			bts, err = z.Declaration.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Declaration")
+				return
+			}
+		case "evacuated":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Evacuated) >= int(zb0002) {
+				z.Evacuated = (z.Evacuated)[:zb0002]
+			} else {
+				z.Evacuated = make([]string, zb0002)
+			}
+			for za0001 := range z.Evacuated {
+				z.Evacuated[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuated", za0001)
+					return
+				}
+			}
+		case "orders_at":
+			z.OrdersAt, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersAt")
+				return
+			}
+		case "registrations":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Registrations")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Registrations) >= int(zb0003) {
+				z.Registrations = (z.Registrations)[:zb0003]
+			} else {
+				z.Registrations = make([]Registration, zb0003)
+			}
+			for za0002 := range z.Registrations {
+				bts, err = z.Registrations[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Registrations", za0002)
+					return
+				}
+			}
+		case "registrations_at":
+			z.RegistrationsAt, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RegistrationsAt")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Declared) Msgsize() (s int) {
+	s = 1 + 12 + z.Declaration.Msgsize() + 10 + msgp.ArrayHeaderSize
+	for za0001 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0001])
+	}
+	s += 10 + msgp.IntSize + 14 + msgp.ArrayHeaderSize
+	for za0002 := range z.Registrations {
+		s += z.Registrations[za0002].Msgsize()
+	}
+	s += 17 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *DeclaredRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "sender":
+			z.Sender, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Sender")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	o, err = z.Sender.MarshalMsg(o)
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z DeclaredRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "sender"
+	err = en.Append(0x81, 0xa6, 0x73, 0x65, 0x6e, 0x64, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Sender)
 	if err != nil {
 		err = msgp.WrapError(err, "Sender")
 		return
 	}
-	o = msgp.AppendInt(o, z.ViewHash)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z DeclaredRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "sender"
+	o = append(o, 0x81, 0xa6, 0x73, 0x65, 0x6e, 0x64, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Sender)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Digest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *DeclaredRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "sender":
+			z.Sender, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sender")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z DeclaredRequest) Msgsize() (s int) {
+	s = 1 + 7 + msgp.StringPrefixSize + len(z.Sender)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Digest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 7 {
 		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
-	z.ConfigurationVersion, bts, err = msgp.ReadIntBytes(bts)
+	z.ConfigurationVersion, err = dc.ReadInt()
 	if err != nil {
 		err = msgp.WrapError(err, "ConfigurationVersion")
 		return
 	}
 	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Heartbeats")
 		return
@@ -3028,28 +4018,32 @@
 	}
 	for za0001 := range z.Heartbeats {
 		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		zb0003, err = dc.ReadArrayHeader()
 		if err != nil {
 			err = msgp.WrapError(err, "Heartbeats", za0001)
 			return
 		}
+		if zb0003 > zf88ce922limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0003 != 2 {
 			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
 			return
 		}
-		z.Heartbeats[za0001].Counter, bts, err = msgp.ReadIntBytes(bts)
+		z.Heartbeats[za0001].Counter, err = dc.ReadInt()
 		if err != nil {
 			err = msgp.WrapError(err, "Heartbeats", za0001, "Counter")
 			return
 		}
-		z.Heartbeats[za0001].HostHash, bts, err = msgp.ReadIntBytes(bts)
+		z.Heartbeats[za0001].HostHash, err = dc.ReadInt()
 		if err != nil {
 			err = msgp.WrapError(err, "Heartbeats", za0001, "HostHash")
 			return
 		}
 	}
 	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0004, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Hosts")
 		return
@@ -3064,19 +4058,19 @@
 		z.Hosts = make([]Host, zb0004)
 	}
 	for za0002 := range z.Hosts {
-		bts, err = z.Hosts[za0002].UnmarshalMsg(bts)
+		err = z.Hosts[za0002].DecodeMsg(dc)
 		if err != nil {
 			err = msgp.WrapError(err, "Hosts", za0002)
 			return
 		}
 	}
-	z.LendsForMs, bts, err = msgp.ReadIntBytes(bts)
+	z.LendsForMs, err = dc.ReadInt()
 	if err != nil {
 		err = msgp.WrapError(err, "LendsForMs")
 		return
 	}
 	var zb0005 uint32
-	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	zb0005, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Overrides")
 		return
@@ -3091,62 +4085,293 @@
 		z.Overrides = make([]Override, zb0005)
 	}
 	for za0003 := range z.Overrides {
-		bts, err = z.Overrides[za0003].UnmarshalMsg(bts)
+		err = z.Overrides[za0003].DecodeMsg(dc)
 		if err != nil {
 			err = msgp.WrapError(err, "Overrides", za0003)
 			return
 		}
 	}
-	bts, err = z.Sender.UnmarshalMsg(bts)
+	err = z.Sender.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Sender")
 		return
 	}
-	z.ViewHash, bts, err = msgp.ReadIntBytes(bts)
+	z.ViewHash, err = dc.ReadInt()
 	if err != nil {
 		err = msgp.WrapError(err, "ViewHash")
 		return
 	}
-	o = bts
 	return
 }
 
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Digest) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.ArrayHeaderSize + (len(z.Heartbeats) * (19 + msgp.IntSize + msgp.IntSize)) + msgp.ArrayHeaderSize
-	for za0002 := range z.Hosts {
-		s += z.Hosts[za0002].Msgsize()
-	}
-	s += msgp.IntSize + msgp.ArrayHeaderSize
-	for za0003 := range z.Overrides {
-		s += z.Overrides[za0003].Msgsize()
+// EncodeMsg implements msgp.Encodable
+func (z *Digest) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 7
+	err = en.Append(0x97)
+	if err != nil {
+		return
 	}
-	s += z.Sender.Msgsize() + msgp.IntSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Dump) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	err = en.WriteInt(z.ConfigurationVersion)
 	if err != nil {
-		err = msgp.WrapError(err)
+		err = msgp.WrapError(err, "ConfigurationVersion")
 		return
 	}
-	if zb0001 > zf88ce922limitMaps {
-		err = msgp.ErrLimitExceeded
+	err = en.WriteArrayHeader(uint32(len(z.Heartbeats)))
+	if err != nil {
+		err = msgp.WrapError(err, "Heartbeats")
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+	for za0001 := range z.Heartbeats {
+		// array header, size 2
+		err = en.Append(0x92)
 		if err != nil {
-			err = msgp.WrapError(err)
 			return
 		}
-		switch msgp.UnsafeString(field) {
+		err = en.WriteInt(z.Heartbeats[za0001].Counter)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "Counter")
+			return
+		}
+		err = en.WriteInt(z.Heartbeats[za0001].HostHash)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "HostHash")
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Hosts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Hosts")
+		return
+	}
+	for za0002 := range z.Hosts {
+		err = z.Hosts[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Hosts", za0002)
+			return
+		}
+	}
+	err = en.WriteInt(z.LendsForMs)
+	if err != nil {
+		err = msgp.WrapError(err, "LendsForMs")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Overrides)))
+	if err != nil {
+		err = msgp.WrapError(err, "Overrides")
+		return
+	}
+	for za0003 := range z.Overrides {
+		err = z.Overrides[za0003].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Overrides", za0003)
+			return
+		}
+	}
+	err = z.Sender.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Sender")
+		return
+	}
+	err = en.WriteInt(z.ViewHash)
+	if err != nil {
+		err = msgp.WrapError(err, "ViewHash")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Digest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendInt(o, z.ConfigurationVersion)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Heartbeats)))
+	for za0001 := range z.Heartbeats {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendInt(o, z.Heartbeats[za0001].Counter)
+		o = msgp.AppendInt(o, z.Heartbeats[za0001].HostHash)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Hosts)))
+	for za0002 := range z.Hosts {
+		o, err = z.Hosts[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Hosts", za0002)
+			return
+		}
+	}
+	o = msgp.AppendInt(o, z.LendsForMs)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Overrides)))
+	for za0003 := range z.Overrides {
+		o, err = z.Overrides[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Overrides", za0003)
+			return
+		}
+	}
+	o, err = z.Sender.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Sender")
+		return
+	}
+	o = msgp.AppendInt(o, z.ViewHash)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Digest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.ConfigurationVersion, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigurationVersion")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Heartbeats")
+		return
+	}
+	if zb0002 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Heartbeats) >= int(zb0002) {
+		z.Heartbeats = (z.Heartbeats)[:zb0002]
+	} else {
+		z.Heartbeats = make([]Heartbeat, zb0002)
+	}
+	for za0001 := range z.Heartbeats {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Heartbeats[za0001].Counter, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "Counter")
+			return
+		}
+		z.Heartbeats[za0001].HostHash, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Heartbeats", za0001, "HostHash")
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Hosts")
+		return
+	}
+	if zb0004 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Hosts) >= int(zb0004) {
+		z.Hosts = (z.Hosts)[:zb0004]
+	} else {
+		z.Hosts = make([]Host, zb0004)
+	}
+	for za0002 := range z.Hosts {
+		bts, err = z.Hosts[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Hosts", za0002)
+			return
+		}
+	}
+	z.LendsForMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LendsForMs")
+		return
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Overrides")
+		return
+	}
+	if zb0005 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Overrides) >= int(zb0005) {
+		z.Overrides = (z.Overrides)[:zb0005]
+	} else {
+		z.Overrides = make([]Override, zb0005)
+	}
+	for za0003 := range z.Overrides {
+		bts, err = z.Overrides[za0003].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Overrides", za0003)
+			return
+		}
+	}
+	bts, err = z.Sender.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sender")
+		return
+	}
+	z.ViewHash, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ViewHash")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Digest) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.ArrayHeaderSize + (len(z.Heartbeats) * (19 + msgp.IntSize + msgp.IntSize)) + msgp.ArrayHeaderSize
+	for za0002 := range z.Hosts {
+		s += z.Hosts[za0002].Msgsize()
+	}
+	s += msgp.IntSize + msgp.ArrayHeaderSize
+	for za0003 := range z.Overrides {
+		s += z.Overrides[za0003].Msgsize()
+	}
+	s += z.Sender.Msgsize() + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Dump) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
 		case "cells":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -6832,7 +8057,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *OrderStatus) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -6853,14 +8078,150 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "address":
-			z.Address, err = dc.ReadString()
+		case "name":
+			z.Name, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Address")
+				err = msgp.WrapError(err, "Name")
 				return
 			}
-		case "order_id":
-			z.OrderID, err = dc.ReadString()
+		case "peer_address":
+			z.PeerAddress, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "PeerAddress")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Member) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "name"
+	err = en.Append(0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	// write "peer_address"
+	err = en.Append(0xac, 0x70, 0x65, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.PeerAddress)
+	if err != nil {
+		err = msgp.WrapError(err, "PeerAddress")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Member) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "name"
+	o = append(o, 0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "peer_address"
+	o = append(o, 0xac, 0x70, 0x65, 0x65, 0x72, 0x5f, 0x61, 0x64, 0x64, 0x72, 0x65, 0x73, 0x73)
+	o = msgp.AppendString(o, z.PeerAddress)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "peer_address":
+			z.PeerAddress, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PeerAddress")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Member) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 13 + msgp.StringPrefixSize + len(z.PeerAddress)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *OrderStatus) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "address":
+			z.Address, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "order_id":
+			z.OrderID, err = dc.ReadString()
 			if err != nil {
 				err = msgp.WrapError(err, "OrderID")
 				return
@@ -8167,48 +9528,721 @@
 	o = append(o, 0xa7, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
 	o, err = z.Latency.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Latency")
+		err = msgp.WrapError(err, "Latency")
+		return
+	}
+	// string "load_percent"
+	o = append(o, 0xac, 0x6c, 0x6f, 0x61, 0x64, 0x5f, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.LoadPercent)
+	// string "not_run"
+	o = append(o, 0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
+	o = msgp.AppendInt(o, z.NotRun)
+	// string "other_answered"
+	o = append(o, 0xae, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.OtherAnswered)
+	// string "other_calls"
+	o = append(o, 0xab, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	o = msgp.AppendInt(o, z.OtherCalls)
+	// string "other_latency"
+	o = append(o, 0xad, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
+	o, err = z.OtherLatency.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherLatency")
+		return
+	}
+	// string "policy"
+	o = append(o, 0xa6, 0x70, 0x6f, 0x6c, 0x69, 0x63, 0x79)
+	o = msgp.AppendString(o, z.Policy)
+	// string "scenario"
+	o = append(o, 0xa8, 0x73, 0x63, 0x65, 0x6e, 0x61, 0x72, 0x69, 0x6f)
+	o = msgp.AppendString(o, z.Scenario)
+	// string "seed"
+	o = append(o, 0xa4, 0x73, 0x65, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Seed)
+	// string "unknown"
+	o = append(o, 0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendInt(o, z.Unknown)
+	// string "violations"
+	o = append(o, 0xaa, 0x76, 0x69, 0x6f, 0x6c, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.Violations)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PolicyRun) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "answered":
+			z.Answered, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Answered")
+				return
+			}
+		case "calls":
+			z.Calls, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
+		case "fell_over":
+			z.FellOver, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FellOver")
+				return
+			}
+		case "hedges":
+			z.Hedges, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hedges")
+				return
+			}
+		case "latency":
+			bts, err = z.Latency.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Latency")
+				return
+			}
+		case "load_percent":
+			z.LoadPercent, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LoadPercent")
+				return
+			}
+		case "not_run":
+			z.NotRun, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NotRun")
+				return
+			}
+		case "other_answered":
+			z.OtherAnswered, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OtherAnswered")
+				return
+			}
+		case "other_calls":
+			z.OtherCalls, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OtherCalls")
+				return
+			}
+		case "other_latency":
+			bts, err = z.OtherLatency.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OtherLatency")
+				return
+			}
+		case "policy":
+			z.Policy, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Policy")
+				return
+			}
+		case "scenario":
+			z.Scenario, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Scenario")
+				return
+			}
+		case "seed":
+			z.Seed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Seed")
+				return
+			}
+		case "unknown":
+			z.Unknown, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unknown")
+				return
+			}
+		case "violations":
+			z.Violations, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Violations")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PolicyRun) Msgsize() (s int) {
+	s = 1 + 9 + msgp.IntSize + 6 + msgp.IntSize + 10 + msgp.IntSize + 7 + msgp.IntSize + 8 + z.Latency.Msgsize() + 13 + msgp.IntSize + 8 + msgp.IntSize + 15 + msgp.IntSize + 12 + msgp.IntSize + 14 + z.OtherLatency.Msgsize() + 7 + msgp.StringPrefixSize + len(z.Policy) + 9 + msgp.StringPrefixSize + len(z.Scenario) + 5 + msgp.IntSize + 8 + msgp.IntSize + 11 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Registration) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+		return
+	}
+	z.Address, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.ColdLeftMs, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "ColdLeftMs")
+		return
+	}
+	z.DataCentre, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	z.Draining, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Draining")
+		return
+	}
+	z.ID, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Service, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Slots, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Slots")
+		return
+	}
+	z.StartedMs, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMs")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Registration) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 8
+	err = en.Append(0x98)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Address)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	err = en.WriteInt(z.ColdLeftMs)
+	if err != nil {
+		err = msgp.WrapError(err, "ColdLeftMs")
+		return
+	}
+	err = en.WriteString(z.DataCentre)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	err = en.WriteBool(z.Draining)
+	if err != nil {
+		err = msgp.WrapError(err, "Draining")
+		return
+	}
+	err = en.WriteString(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	err = en.WriteInt(z.Slots)
+	if err != nil {
+		err = msgp.WrapError(err, "Slots")
+		return
+	}
+	err = en.WriteInt(z.StartedMs)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Registration) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 8
+	o = append(o, 0x98)
+	o = msgp.AppendString(o, z.Address)
+	o = msgp.AppendInt(o, z.ColdLeftMs)
+	o = msgp.AppendString(o, z.DataCentre)
+	o = msgp.AppendBool(o, z.Draining)
+	o = msgp.AppendString(o, z.ID)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendInt(o, z.Slots)
+	o = msgp.AppendInt(o, z.StartedMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Registration) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+		return
+	}
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.ColdLeftMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ColdLeftMs")
+		return
+	}
+	z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	z.Draining, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Draining")
+		return
+	}
+	z.ID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Slots, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Slots")
+		return
+	}
+	z.StartedMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartedMs")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Registration) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.IntSize + msgp.StringPrefixSize + len(z.DataCentre) + msgp.BoolSize + msgp.StringPrefixSize + len(z.ID) + msgp.StringPrefixSize + len(z.Service) + msgp.IntSize + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *RingDump) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "capacity":
+			z.Capacity, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+		case "depth":
+			z.Depth, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Depth")
+				return
+			}
+		case "name":
+			z.Name, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z RingDump) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "capacity"
+	err = en.Append(0x83, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Capacity)
+	if err != nil {
+		err = msgp.WrapError(err, "Capacity")
+		return
+	}
+	// write "depth"
+	err = en.Append(0xa5, 0x64, 0x65, 0x70, 0x74, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Depth)
+	if err != nil {
+		err = msgp.WrapError(err, "Depth")
+		return
+	}
+	// write "name"
+	err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RingDump) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "capacity"
+	o = append(o, 0x83, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt(o, z.Capacity)
+	// string "depth"
+	o = append(o, 0xa5, 0x64, 0x65, 0x70, 0x74, 0x68)
+	o = msgp.AppendInt(o, z.Depth)
+	// string "name"
+	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RingDump) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "capacity":
+			z.Capacity, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+		case "depth":
+			z.Depth, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Depth")
+				return
+			}
+		case "name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RingDump) Msgsize() (s int) {
+	s = 1 + 9 + msgp.IntSize + 6 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Room) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "free":
+			z.Free, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Free")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Room) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "free"
+	err = en.Append(0x81, 0xa4, 0x66, 0x72, 0x65, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Free)
+	if err != nil {
+		err = msgp.WrapError(err, "Free")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Room) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "free"
+	o = append(o, 0x81, 0xa4, 0x66, 0x72, 0x65, 0x65)
+	o = msgp.AppendInt(o, z.Free)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Room) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "free":
+			z.Free, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Free")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Room) Msgsize() (s int) {
+	s = 1 + 5 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *RoomRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "data_centre":
+			z.DataCentre, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
+				return
+			}
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z RoomRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "data_centre"
+	err = en.Append(0x82, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.DataCentre)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	// write "service"
+	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	if err != nil {
 		return
 	}
-	// string "load_percent"
-	o = append(o, 0xac, 0x6c, 0x6f, 0x61, 0x64, 0x5f, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
-	o = msgp.AppendInt(o, z.LoadPercent)
-	// string "not_run"
-	o = append(o, 0xa7, 0x6e, 0x6f, 0x74, 0x5f, 0x72, 0x75, 0x6e)
-	o = msgp.AppendInt(o, z.NotRun)
-	// string "other_answered"
-	o = append(o, 0xae, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x61, 0x6e, 0x73, 0x77, 0x65, 0x72, 0x65, 0x64)
-	o = msgp.AppendInt(o, z.OtherAnswered)
-	// string "other_calls"
-	o = append(o, 0xab, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x73)
-	o = msgp.AppendInt(o, z.OtherCalls)
-	// string "other_latency"
-	o = append(o, 0xad, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x6c, 0x61, 0x74, 0x65, 0x6e, 0x63, 0x79)
-	o, err = z.OtherLatency.MarshalMsg(o)
+	err = en.WriteString(z.Service)
 	if err != nil {
-		err = msgp.WrapError(err, "OtherLatency")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	// string "policy"
-	o = append(o, 0xa6, 0x70, 0x6f, 0x6c, 0x69, 0x63, 0x79)
-	o = msgp.AppendString(o, z.Policy)
-	// string "scenario"
-	o = append(o, 0xa8, 0x73, 0x63, 0x65, 0x6e, 0x61, 0x72, 0x69, 0x6f)
-	o = msgp.AppendString(o, z.Scenario)
-	// string "seed"
-	o = append(o, 0xa4, 0x73, 0x65, 0x65, 0x64)
-	o = msgp.AppendInt(o, z.Seed)
-	// string "unknown"
-	o = append(o, 0xa7, 0x75, 0x6e, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
-	o = msgp.AppendInt(o, z.Unknown)
-	// string "violations"
-	o = append(o, 0xaa, 0x76, 0x69, 0x6f, 0x6c, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
-	o = msgp.AppendInt(o, z.Violations)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RoomRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "data_centre"
+	o = append(o, 0x82, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
+	o = msgp.AppendString(o, z.DataCentre)
+	// string "service"
+	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *PolicyRun) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *RoomRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8229,94 +10263,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "answered":
-			z.Answered, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Answered")
-				return
-			}
-		case "calls":
-			z.Calls, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Calls")
-				return
-			}
-		case "fell_over":
-			z.FellOver, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "FellOver")
-				return
-			}
-		case "hedges":
-			z.Hedges, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Hedges")
-				return
-			}
-		case "latency":
-			bts, err = z.Latency.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Latency")
-				return
-			}
-		case "load_percent":
-			z.LoadPercent, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "LoadPercent")
-				return
-			}
-		case "not_run":
-			z.NotRun, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "NotRun")
-				return
-			}
-		case "other_answered":
-			z.OtherAnswered, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "OtherAnswered")
-				return
-			}
-		case "other_calls":
-			z.OtherCalls, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "OtherCalls")
-				return
-			}
-		case "other_latency":
-			bts, err = z.OtherLatency.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "OtherLatency")
-				return
-			}
-		case "policy":
-			z.Policy, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Policy")
-				return
-			}
-		case "scenario":
-			z.Scenario, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Scenario")
-				return
-			}
-		case "seed":
-			z.Seed, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Seed")
-				return
-			}
-		case "unknown":
-			z.Unknown, bts, err = msgp.ReadIntBytes(bts)
+		case "data_centre":
+			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Unknown")
+				err = msgp.WrapError(err, "DataCentre")
 				return
 			}
-		case "violations":
-			z.Violations, bts, err = msgp.ReadIntBytes(bts)
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Violations")
+				err = msgp.WrapError(err, "Service")
 				return
 			}
 		default:
@@ -8332,13 +10288,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PolicyRun) Msgsize() (s int) {
-	s = 1 + 9 + msgp.IntSize + 6 + msgp.IntSize + 10 + msgp.IntSize + 7 + msgp.IntSize + 8 + z.Latency.Msgsize() + 13 + msgp.IntSize + 8 + msgp.IntSize + 15 + msgp.IntSize + 12 + msgp.IntSize + 14 + z.OtherLatency.Msgsize() + 7 + msgp.StringPrefixSize + len(z.Policy) + 9 + msgp.StringPrefixSize + len(z.Scenario) + 5 + msgp.IntSize + 8 + msgp.IntSize + 11 + msgp.IntSize
+func (z RoomRequest) Msgsize() (s int) {
+	s = 1 + 12 + msgp.StringPrefixSize + len(z.DataCentre) + 8 + msgp.StringPrefixSize + len(z.Service)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *RingDump) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Route) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8359,16 +10315,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "capacity":
-			z.Capacity, err = dc.ReadInt()
+		case "host_name":
+			z.HostName, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Capacity")
+				err = msgp.WrapError(err, "HostName")
 				return
 			}
-		case "depth":
-			z.Depth, err = dc.ReadInt()
+		case "idempotent":
+			z.Idempotent, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Depth")
+				err = msgp.WrapError(err, "Idempotent")
+				return
+			}
+		case "max_attempts":
+			z.MaxAttempts, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "MaxAttempts")
 				return
 			}
 		case "name":
@@ -8377,6 +10339,86 @@
 				err = msgp.WrapError(err, "Name")
 				return
 			}
+		case "prefix":
+			z.Prefix, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Prefix")
+				return
+			}
+		case "priority":
+			z.Priority, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		case "target_ms":
+			z.TargetMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "TargetMs")
+				return
+			}
+		case "targets":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Targets")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Targets) >= int(zb0002) {
+				z.Targets = (z.Targets)[:zb0002]
+			} else {
+				z.Targets = make([]RouteTarget, zb0002)
+			}
+			for za0001 := range z.Targets {
+				var zb0003 uint32
+				zb0003, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Targets", za0001)
+					return
+				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Targets", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "service":
+						z.Targets[za0001].Service, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Targets", za0001, "Service")
+							return
+						}
+					case "weight":
+						z.Targets[za0001].Weight, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Targets", za0001, "Weight")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Targets", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "timeout_ms":
+			z.TimeoutMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "TimeoutMs")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -8385,63 +10427,173 @@
 			}
 		}
 	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z RingDump) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "capacity"
-	err = en.Append(0x83, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Route) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 9
+	// write "host_name"
+	err = en.Append(0x89, 0xa9, 0x68, 0x6f, 0x73, 0x74, 0x5f, 0x6e, 0x61, 0x6d, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.HostName)
+	if err != nil {
+		err = msgp.WrapError(err, "HostName")
+		return
+	}
+	// write "idempotent"
+	err = en.Append(0xaa, 0x69, 0x64, 0x65, 0x6d, 0x70, 0x6f, 0x74, 0x65, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Idempotent)
+	if err != nil {
+		err = msgp.WrapError(err, "Idempotent")
+		return
+	}
+	// write "max_attempts"
+	err = en.Append(0xac, 0x6d, 0x61, 0x78, 0x5f, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.MaxAttempts)
+	if err != nil {
+		err = msgp.WrapError(err, "MaxAttempts")
+		return
+	}
+	// write "name"
+	err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	// write "prefix"
+	err = en.Append(0xa6, 0x70, 0x72, 0x65, 0x66, 0x69, 0x78)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Prefix)
+	if err != nil {
+		err = msgp.WrapError(err, "Prefix")
+		return
+	}
+	// write "priority"
+	err = en.Append(0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Priority)
 	if err != nil {
+		err = msgp.WrapError(err, "Priority")
 		return
 	}
-	err = en.WriteInt(z.Capacity)
+	// write "target_ms"
+	err = en.Append(0xa9, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74, 0x5f, 0x6d, 0x73)
 	if err != nil {
-		err = msgp.WrapError(err, "Capacity")
 		return
 	}
-	// write "depth"
-	err = en.Append(0xa5, 0x64, 0x65, 0x70, 0x74, 0x68)
+	err = en.WriteInt(z.TargetMs)
 	if err != nil {
+		err = msgp.WrapError(err, "TargetMs")
 		return
 	}
-	err = en.WriteInt(z.Depth)
+	// write "targets"
+	err = en.Append(0xa7, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74, 0x73)
 	if err != nil {
-		err = msgp.WrapError(err, "Depth")
 		return
 	}
-	// write "name"
-	err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	err = en.WriteArrayHeader(uint32(len(z.Targets)))
 	if err != nil {
+		err = msgp.WrapError(err, "Targets")
 		return
 	}
-	err = en.WriteString(z.Name)
+	for za0001 := range z.Targets {
+		// map header, size 2
+		// write "service"
+		err = en.Append(0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Targets[za0001].Service)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0001, "Service")
+			return
+		}
+		// write "weight"
+		err = en.Append(0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Targets[za0001].Weight)
+		if err != nil {
+			err = msgp.WrapError(err, "Targets", za0001, "Weight")
+			return
+		}
+	}
+	// write "timeout_ms"
+	err = en.Append(0xaa, 0x74, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
 	if err != nil {
-		err = msgp.WrapError(err, "Name")
+		return
+	}
+	err = en.WriteInt(z.TimeoutMs)
+	if err != nil {
+		err = msgp.WrapError(err, "TimeoutMs")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z RingDump) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Route) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "capacity"
-	o = append(o, 0x83, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
-	o = msgp.AppendInt(o, z.Capacity)
-	// string "depth"
-	o = append(o, 0xa5, 0x64, 0x65, 0x70, 0x74, 0x68)
-	o = msgp.AppendInt(o, z.Depth)
+	// map header, size 9
+	// string "host_name"
+	o = append(o, 0x89, 0xa9, 0x68, 0x6f, 0x73, 0x74, 0x5f, 0x6e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.HostName)
+	// string "idempotent"
+	o = append(o, 0xaa, 0x69, 0x64, 0x65, 0x6d, 0x70, 0x6f, 0x74, 0x65, 0x6e, 0x74)
+	o = msgp.AppendBool(o, z.Idempotent)
+	// string "max_attempts"
+	o = append(o, 0xac, 0x6d, 0x61, 0x78, 0x5f, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74, 0x73)
+	o = msgp.AppendInt(o, z.MaxAttempts)
 	// string "name"
 	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
 	o = msgp.AppendString(o, z.Name)
+	// string "prefix"
+	o = append(o, 0xa6, 0x70, 0x72, 0x65, 0x66, 0x69, 0x78)
+	o = msgp.AppendString(o, z.Prefix)
+	// string "priority"
+	o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt(o, z.Priority)
+	// string "target_ms"
+	o = append(o, 0xa9, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.TargetMs)
+	// string "targets"
+	o = append(o, 0xa7, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Targets)))
+	for za0001 := range z.Targets {
+		// map header, size 2
+		// string "service"
+		o = append(o, 0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Targets[za0001].Service)
+		// string "weight"
+		o = append(o, 0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
+		o = msgp.AppendInt(o, z.Targets[za0001].Weight)
+	}
+	// string "timeout_ms"
+	o = append(o, 0xaa, 0x74, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.TimeoutMs)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *RingDump) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Route) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8462,16 +10614,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "capacity":
-			z.Capacity, bts, err = msgp.ReadIntBytes(bts)
+		case "host_name":
+			z.HostName, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Capacity")
+				err = msgp.WrapError(err, "HostName")
 				return
 			}
-		case "depth":
-			z.Depth, bts, err = msgp.ReadIntBytes(bts)
+		case "idempotent":
+			z.Idempotent, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Depth")
+				err = msgp.WrapError(err, "Idempotent")
+				return
+			}
+		case "max_attempts":
+			z.MaxAttempts, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxAttempts")
 				return
 			}
 		case "name":
@@ -8480,115 +10638,84 @@
 				err = msgp.WrapError(err, "Name")
 				return
 			}
-		default:
-			bts, err = msgp.Skip(bts)
+		case "prefix":
+			z.Prefix, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "Prefix")
 				return
 			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RingDump) Msgsize() (s int) {
-	s = 1 + 9 + msgp.IntSize + 6 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name)
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Room) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zf88ce922limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "free":
-			z.Free, err = dc.ReadInt()
+		case "priority":
+			z.Priority, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Free")
+				err = msgp.WrapError(err, "Priority")
 				return
 			}
-		default:
-			err = dc.Skip()
+		case "target_ms":
+			z.TargetMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "TargetMs")
 				return
 			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Room) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "free"
-	err = en.Append(0x81, 0xa4, 0x66, 0x72, 0x65, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Free)
-	if err != nil {
-		err = msgp.WrapError(err, "Free")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z Room) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "free"
-	o = append(o, 0x81, 0xa4, 0x66, 0x72, 0x65, 0x65)
-	o = msgp.AppendInt(o, z.Free)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Room) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > zf88ce922limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "free":
-			z.Free, bts, err = msgp.ReadIntBytes(bts)
+		case "targets":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Free")
+				err = msgp.WrapError(err, "Targets")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Targets) >= int(zb0002) {
+				z.Targets = (z.Targets)[:zb0002]
+			} else {
+				z.Targets = make([]RouteTarget, zb0002)
+			}
+			for za0001 := range z.Targets {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Targets", za0001)
+					return
+				}
+				if zb0003 > zf88ce922limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Targets", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "service":
+						z.Targets[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Targets", za0001, "Service")
+							return
+						}
+					case "weight":
+						z.Targets[za0001].Weight, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Targets", za0001, "Weight")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Targets", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "timeout_ms":
+			z.TimeoutMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TimeoutMs")
 				return
 			}
 		default:
@@ -8604,13 +10731,17 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Room) Msgsize() (s int) {
-	s = 1 + 5 + msgp.IntSize
+func (z *Route) Msgsize() (s int) {
+	s = 1 + 10 + msgp.StringPrefixSize + len(z.HostName) + 11 + msgp.BoolSize + 13 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name) + 7 + msgp.StringPrefixSize + len(z.Prefix) + 9 + msgp.IntSize + 10 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Targets {
+		s += 1 + 8 + msgp.StringPrefixSize + len(z.Targets[za0001].Service) + 7 + msgp.IntSize
+	}
+	s += 11 + msgp.IntSize
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *RoomRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *RouteTarget) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8631,18 +10762,18 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "data_centre":
-			z.DataCentre, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
 		case "service":
 			z.Service, err = dc.ReadString()
 			if err != nil {
 				err = msgp.WrapError(err, "Service")
 				return
 			}
+		case "weight":
+			z.Weight, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Weight")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -8655,46 +10786,46 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z RoomRequest) EncodeMsg(en *msgp.Writer) (err error) {
+func (z RouteTarget) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 2
-	// write "data_centre"
-	err = en.Append(0x82, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
+	// write "service"
+	err = en.Append(0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.DataCentre)
+	err = en.WriteString(z.Service)
 	if err != nil {
-		err = msgp.WrapError(err, "DataCentre")
+		err = msgp.WrapError(err, "Service")
 		return
 	}
-	// write "service"
-	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	// write "weight"
+	err = en.Append(0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Service)
+	err = en.WriteInt(z.Weight)
 	if err != nil {
-		err = msgp.WrapError(err, "Service")
+		err = msgp.WrapError(err, "Weight")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z RoomRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z RouteTarget) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 2
-	// string "data_centre"
-	o = append(o, 0x82, 0xab, 0x64, 0x61, 0x74, 0x61, 0x5f, 0x63, 0x65, 0x6e, 0x74, 0x72, 0x65)
-	o = msgp.AppendString(o, z.DataCentre)
 	// string "service"
-	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x82, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
+	// string "weight"
+	o = append(o, 0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
+	o = msgp.AppendInt(o, z.Weight)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *RoomRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *RouteTarget) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -8715,18 +10846,18 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "data_centre":
-			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "DataCentre")
-				return
-			}
 		case "service":
 			z.Service, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Service")
 				return
 			}
+		case "weight":
+			z.Weight, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Weight")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -8740,8 +10871,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RoomRequest) Msgsize() (s int) {
-	s = 1 + 12 + msgp.StringPrefixSize + len(z.DataCentre) + 8 + msgp.StringPrefixSize + len(z.Service)
+func (z RouteTarget) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 7 + msgp.IntSize
 	return
 }
 
@@ -9837,12 +11968,167 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *RunRecord) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.IntSize + 10 + msgp.IntSize + 20 + msgp.IntSize + 8 + msgp.IntSize + 10 + msgp.IntSize + 10 + msgp.IntSize + 10 + msgp.ArrayHeaderSize + (len(z.Intervals) * (15 + msgp.IntSize + msgp.IntSize)) + 16 + msgp.IntSize + 17 + msgp.IntSize + 15 + msgp.IntSize + 7 + msgp.ArrayHeaderSize
-	for za0002 := range z.Orders {
-		s += 1 + 6 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Orders[za0002].Order) + 5 + msgp.StringPrefixSize + len(z.Orders[za0002].Path)
-	}
-	s += 7 + msgp.IntSize + 5 + msgp.IntSize + 6 + msgp.IntSize
+func (z *RunRecord) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Address) + 6 + msgp.IntSize + 10 + msgp.IntSize + 20 + msgp.IntSize + 8 + msgp.IntSize + 10 + msgp.IntSize + 10 + msgp.IntSize + 10 + msgp.ArrayHeaderSize + (len(z.Intervals) * (15 + msgp.IntSize + msgp.IntSize)) + 16 + msgp.IntSize + 17 + msgp.IntSize + 15 + msgp.IntSize + 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Orders {
+		s += 1 + 6 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Orders[za0002].Order) + 5 + msgp.StringPrefixSize + len(z.Orders[za0002].Path)
+	}
+	s += 7 + msgp.IntSize + 5 + msgp.IntSize + 6 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ServerLoad) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.AgeMs, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	z.ColdLeftMs, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "ColdLeftMs")
+		return
+	}
+	z.Failing, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Failing")
+		return
+	}
+	z.InFlight, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	z.PacePercent, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "PacePercent")
+		return
+	}
+	z.ServerHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "ServerHash")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ServerLoad) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 6
+	err = en.Append(0x96)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.AgeMs)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	err = en.WriteInt(z.ColdLeftMs)
+	if err != nil {
+		err = msgp.WrapError(err, "ColdLeftMs")
+		return
+	}
+	err = en.WriteBool(z.Failing)
+	if err != nil {
+		err = msgp.WrapError(err, "Failing")
+		return
+	}
+	err = en.WriteInt(z.InFlight)
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	err = en.WriteInt(z.PacePercent)
+	if err != nil {
+		err = msgp.WrapError(err, "PacePercent")
+		return
+	}
+	err = en.WriteInt(z.ServerHash)
+	if err != nil {
+		err = msgp.WrapError(err, "ServerHash")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ServerLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendInt(o, z.AgeMs)
+	o = msgp.AppendInt(o, z.ColdLeftMs)
+	o = msgp.AppendBool(o, z.Failing)
+	o = msgp.AppendInt(o, z.InFlight)
+	o = msgp.AppendInt(o, z.PacePercent)
+	o = msgp.AppendInt(o, z.ServerHash)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServerLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.AgeMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	z.ColdLeftMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ColdLeftMs")
+		return
+	}
+	z.Failing, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Failing")
+		return
+	}
+	z.InFlight, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "InFlight")
+		return
+	}
+	z.PacePercent, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PacePercent")
+		return
+	}
+	z.ServerHash, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ServerHash")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ServerLoad) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
 	return
 }
 
@@ -10007,6 +12293,217 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ServiceRule) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "cold_ms":
+			z.ColdMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "ColdMs")
+				return
+			}
+		case "cold_per_second":
+			z.ColdPerSecond, err = dc.ReadFloat64()
+			if err != nil {
+				err = msgp.WrapError(err, "ColdPerSecond")
+				return
+			}
+		case "health_path":
+			z.HealthPath, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "HealthPath")
+				return
+			}
+		case "max_connections":
+			z.MaxConnections, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "MaxConnections")
+				return
+			}
+		case "name":
+			z.Name, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ServiceRule) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "cold_ms"
+	err = en.Append(0x85, 0xa7, 0x63, 0x6f, 0x6c, 0x64, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.ColdMs)
+	if err != nil {
+		err = msgp.WrapError(err, "ColdMs")
+		return
+	}
+	// write "cold_per_second"
+	err = en.Append(0xaf, 0x63, 0x6f, 0x6c, 0x64, 0x5f, 0x70, 0x65, 0x72, 0x5f, 0x73, 0x65, 0x63, 0x6f, 0x6e, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.ColdPerSecond)
+	if err != nil {
+		err = msgp.WrapError(err, "ColdPerSecond")
+		return
+	}
+	// write "health_path"
+	err = en.Append(0xab, 0x68, 0x65, 0x61, 0x6c, 0x74, 0x68, 0x5f, 0x70, 0x61, 0x74, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.HealthPath)
+	if err != nil {
+		err = msgp.WrapError(err, "HealthPath")
+		return
+	}
+	// write "max_connections"
+	err = en.Append(0xaf, 0x6d, 0x61, 0x78, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.MaxConnections)
+	if err != nil {
+		err = msgp.WrapError(err, "MaxConnections")
+		return
+	}
+	// write "name"
+	err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ServiceRule) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "cold_ms"
+	o = append(o, 0x85, 0xa7, 0x63, 0x6f, 0x6c, 0x64, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.ColdMs)
+	// string "cold_per_second"
+	o = append(o, 0xaf, 0x63, 0x6f, 0x6c, 0x64, 0x5f, 0x70, 0x65, 0x72, 0x5f, 0x73, 0x65, 0x63, 0x6f, 0x6e, 0x64)
+	o = msgp.AppendFloat64(o, z.ColdPerSecond)
+	// string "health_path"
+	o = append(o, 0xab, 0x68, 0x65, 0x61, 0x6c, 0x74, 0x68, 0x5f, 0x70, 0x61, 0x74, 0x68)
+	o = msgp.AppendString(o, z.HealthPath)
+	// string "max_connections"
+	o = append(o, 0xaf, 0x6d, 0x61, 0x78, 0x5f, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.MaxConnections)
+	// string "name"
+	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServiceRule) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "cold_ms":
+			z.ColdMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ColdMs")
+				return
+			}
+		case "cold_per_second":
+			z.ColdPerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ColdPerSecond")
+				return
+			}
+		case "health_path":
+			z.HealthPath, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HealthPath")
+				return
+			}
+		case "max_connections":
+			z.MaxConnections, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxConnections")
+				return
+			}
+		case "name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ServiceRule) Msgsize() (s int) {
+	s = 1 + 8 + msgp.IntSize + 16 + msgp.Float64Size + 12 + msgp.StringPrefixSize + len(z.HealthPath) + 16 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Snapshot) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -77,6 +77,50 @@
 	Slots int `json:"slots" msg:"slots"`
 }
 
+// Beacon is the datagram by which an entry host tells the others that it lives and
+// what it knows.
+type Beacon struct {
+	// CallerAddress is the sender's ip:port for callers.
+	CallerAddress string `json:"caller_address" msg:"caller_address"`
+
+	// Calls is the number of calls a second that callers send to it.
+	Calls int `json:"calls" msg:"calls"`
+
+	// Capacity is the number of calls a second that the sender can carry.
+	Capacity int `json:"capacity" msg:"capacity"`
+
+	// DataCentre is where the sender runs.
+	DataCentre string `json:"data_centre" msg:"data_centre"`
+
+	// DeclaredHash identifies what the sender knows to be declared.
+	DeclaredHash int `json:"declared_hash" msg:"declared_hash"`
+
+	// Loads are what the sender measured and has in flight.
+	Loads []ServerLoad `json:"loads" msg:"loads"`
+
+	// Name is the sender's name.
+	Name string `json:"name" msg:"name"`
+
+	// OrdersAt is the store's version of the sender's declaration.
+	OrdersAt int `json:"orders_at" msg:"orders_at"`
+
+	// PeerAddress is the sender's ip:port for beacons and for peers' requests.
+	PeerAddress string `json:"peer_address" msg:"peer_address"`
+
+	// Ready says that the sender serves calls and does not stop.
+	Ready bool `json:"ready" msg:"ready"`
+
+	// RegistrationsAt is the store's version of the sender's registrations.
+	RegistrationsAt int `json:"registrations_at" msg:"registrations_at"`
+
+	// Sequence grows with each beacon of an incarnation.
+	Sequence int `json:"sequence" msg:"sequence"`
+
+	// StartedMs tells incarnations of the sender apart; it is the start in Unix
+	// milliseconds.
+	StartedMs int `json:"started_ms" msg:"started_ms"`
+}
+
 // CallInterval counts the calls that a backend server stand-in started within 100
 // ms.
 type CallInterval struct {
@@ -87,6 +131,21 @@
 	FromMs int `json:"from_ms" msg:"from_ms"`
 }
 
+// CallerLimits bound what a caller may send.
+type CallerLimits struct {
+	// BodyBytes bounds the body of a request.
+	BodyBytes int `json:"body_bytes" msg:"body_bytes"`
+
+	// HeaderBytes bounds the head of a request.
+	HeaderBytes int `json:"header_bytes" msg:"header_bytes"`
+
+	// HeaderTimeoutMs bounds the time to send a head in milliseconds.
+	HeaderTimeoutMs int `json:"header_timeout_ms" msg:"header_timeout_ms"`
+
+	// IdleTimeoutMs is how long a connection may stay idle in milliseconds.
+	IdleTimeoutMs int `json:"idle_timeout_ms" msg:"idle_timeout_ms"`
+}
+
 // CellDump is the dispatch duty's view of one cell.
 type CellDump struct {
 	// BackendServers are sorted by address.
@@ -179,6 +238,48 @@
 const DataCentreStateIn DataCentreState = "in"
 const DataCentreStateOut DataCentreState = "out"
 
+// Declaration is one version of what operators declared.
+type Declaration struct {
+	// Limits corresponds to the JSON schema field "limits".
+	Limits CallerLimits `json:"limits" msg:"limits"`
+
+	// Routes are sorted by name.
+	Routes []Route `json:"routes" msg:"routes"`
+
+	// Services are sorted by name.
+	Services []ServiceRule `json:"services" msg:"services"`
+
+	// Version grows with each declaration; 0 means none.
+	Version int `json:"version" msg:"version"`
+}
+
+// Declared is all that operators and backend servers have declared, as of two
+// reads of the store.
+type Declared struct {
+	// Declaration corresponds to the JSON schema field "declaration".
+	Declaration Declaration `json:"declaration" msg:"declaration"`
+
+	// Evacuated are the data centres that get no new work.
+	Evacuated []string `json:"evacuated" msg:"evacuated"`
+
+	// OrdersAt is the store's version as of which the declaration and the evacuations
+	// hold; 0 means never read.
+	OrdersAt int `json:"orders_at" msg:"orders_at"`
+
+	// Registrations are sorted by ID.
+	Registrations []Registration `json:"registrations" msg:"registrations"`
+
+	// RegistrationsAt is the store's version as of which the registrations hold; 0
+	// means never read.
+	RegistrationsAt int `json:"registrations_at" msg:"registrations_at"`
+}
+
+// DeclaredRequest asks an entry host for what it knows to be declared.
+type DeclaredRequest struct {
+	// Sender names the host that asks.
+	Sender string `json:"sender" msg:"sender"`
+}
+
 // Digest is one half of the periodic exchange between two hosts.
 type Digest struct {
 	// ConfigurationVersion is the sender's version in force.
@@ -455,6 +556,16 @@
 	Started int `json:"started" msg:"started"`
 }
 
+// Member is what an entry host keeps about itself in the store so that others find
+// it.
+type Member struct {
+	// Name is unique among the entry hosts.
+	Name string `json:"name" msg:"name"`
+
+	// PeerAddress is its ip:port for beacons and for peers' requests.
+	PeerAddress string `json:"peer_address" msg:"peer_address"`
+}
+
 // OrderStatus says what an entry host knows about an order.
 type OrderStatus struct {
 	// Address is the ip:port of the host that knows, or empty.
@@ -589,6 +700,33 @@
 	Violations int `json:"violations" msg:"violations"`
 }
 
+// Registration is what a backend server says about itself.
+type Registration struct {
+	// Address is its ip:port, which another one may get later.
+	Address string `json:"address" msg:"address"`
+
+	// ColdLeftMs is how much longer it stays cold in milliseconds.
+	ColdLeftMs int `json:"cold_left_ms" msg:"cold_left_ms"`
+
+	// DataCentre is where it runs.
+	DataCentre string `json:"data_centre" msg:"data_centre"`
+
+	// Draining excludes it from new work.
+	Draining bool `json:"draining" msg:"draining"`
+
+	// ID names the backend server and no other.
+	ID string `json:"id" msg:"id"`
+
+	// Service names the service that it serves.
+	Service string `json:"service" msg:"service"`
+
+	// Slots is the number of calls that it runs at once.
+	Slots int `json:"slots" msg:"slots"`
+
+	// StartedMs is its start in Unix milliseconds by its own clock.
+	StartedMs int `json:"started_ms" msg:"started_ms"`
+}
+
 // RingDump is the state of one ring.
 type RingDump struct {
 	// Capacity is the bound.
@@ -616,6 +754,45 @@
 	Service string `json:"service" msg:"service"`
 }
 
+// Route says which services run the calls for a host name and path prefix.
+type Route struct {
+	// HostName is the host name that callers state.
+	HostName string `json:"host_name" msg:"host_name"`
+
+	// Idempotent allows calls to run more than once.
+	Idempotent bool `json:"idempotent" msg:"idempotent"`
+
+	// MaxAttempts bounds the backend servers that one call may be sent to.
+	MaxAttempts int `json:"max_attempts" msg:"max_attempts"`
+
+	// Name is unique in a declaration.
+	Name string `json:"name" msg:"name"`
+
+	// Prefix begins the paths of the route; the longest one that matches is used.
+	Prefix string `json:"prefix" msg:"prefix"`
+
+	// Priority is the rank of the calls; 0 is the highest.
+	Priority int `json:"priority" msg:"priority"`
+
+	// TargetMs is the latency objective in milliseconds.
+	TargetMs int `json:"target_ms" msg:"target_ms"`
+
+	// Targets share the calls by weight.
+	Targets []RouteTarget `json:"targets" msg:"targets"`
+
+	// TimeoutMs is the longest time that a call may be kept waiting in milliseconds.
+	TimeoutMs int `json:"timeout_ms" msg:"timeout_ms"`
+}
+
+// RouteTarget is a service that a route sends calls to.
+type RouteTarget struct {
+	// Service names the service.
+	Service string `json:"service" msg:"service"`
+
+	// Weight is its share relative to the route's other targets.
+	Weight int `json:"weight" msg:"weight"`
+}
+
 // Row is one row of the platform's transactional table.
 type Row struct {
 	// ChangeID identifies the last write.
@@ -693,6 +870,27 @@
 	UpMs int `json:"up_ms" msg:"up_ms"`
 }
 
+// ServerLoad is what one entry host knows about the load of a backend server.
+type ServerLoad struct {
+	// AgeMs is the age of the pace in milliseconds.
+	AgeMs int `json:"age_ms" msg:"age_ms"`
+
+	// ColdLeftMs is how much longer it stays cold in milliseconds.
+	ColdLeftMs int `json:"cold_left_ms" msg:"cold_left_ms"`
+
+	// Failing says that the sender sends it no work because of failures.
+	Failing bool `json:"failing" msg:"failing"`
+
+	// InFlight counts the sender's own attempts there.
+	InFlight int `json:"in_flight" msg:"in_flight"`
+
+	// PacePercent is how long work takes there now; 100 is usual and 0 is unknown.
+	PacePercent int `json:"pace_percent" msg:"pace_percent"`
+
+	// ServerHash is the 32-bit hash of the backend server's ID.
+	ServerHash int `json:"server_hash" msg:"server_hash"`
+}
+
 // Service is a named set of interchangeable backend servers.
 type Service struct {
 	// Idempotent allows GET, HEAD and OPTIONS calls to be hedged and retried.
@@ -706,6 +904,25 @@
 	ProbeRateMilli int `json:"probe_rate_milli" msg:"probe_rate_milli"`
 }
 
+// ServiceRule says how the backend servers of a service may be used.
+type ServiceRule struct {
+	// ColdMs is how long a backend server is cold after its start in milliseconds.
+	ColdMs int `json:"cold_ms" msg:"cold_ms"`
+
+	// ColdPerSecond is the number of calls a second that a cold backend server bears
+	// from all hosts together.
+	ColdPerSecond float64 `json:"cold_per_second" msg:"cold_per_second"`
+
+	// HealthPath answers probes.
+	HealthPath string `json:"health_path" msg:"health_path"`
+
+	// MaxConnections is what each backend server accepts from all hosts together.
+	MaxConnections int `json:"max_connections" msg:"max_connections"`
+
+	// Name is unique in a declaration.
+	Name string `json:"name" msg:"name"`
+}
+
 // Snapshot is a copy of an accepted configuration in the platform's object store.
 type Snapshot struct {
 	// Checksum is the xxhash of the value in hexadecimal digits.
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -113,6 +113,47 @@
 	return settings, c.faults
 }
 
+// EdgeFlags holds the raw settings of an entry host on the users' platform.
+type EdgeFlags struct {
+	Senders       string `long:"senders" env:"BAOBABDRUM_EDGE_SENDERS" default:"192" value-name:"integer" description:"number of sender duties, each of which runs one attempt at a time, in threads (1 to 65536)"`
+	Probers       string `long:"probers" env:"BAOBABDRUM_EDGE_PROBERS" default:"12" value-name:"integer" description:"number of prober duties, each of which runs one probe at a time, in threads (1 to 1024)"`
+	ProbeInterval string `long:"probe-interval" env:"BAOBABDRUM_EDGE_PROBE_INTERVAL" default:"100ms" value-name:"duration" description:"time between probes of a backend server that is in use (20ms to 1m)"`
+	CrossingCost  string `long:"crossing-cost" env:"BAOBABDRUM_EDGE_CROSSING_COST" default:"4ms" value-name:"duration" description:"longer expected duration, for each KiB of an answer, that is accepted to keep a call in its data centre (0s to 1s)"`
+	Seed          string `long:"seed" env:"BAOBABDRUM_EDGE_SEED" default:"0" value-name:"integer" description:"seed of random choices; 0 draws one at start (0 to 9223372036854775807)"`
+	LogLevel      string `long:"log-level" env:"BAOBABDRUM_EDGE_LOG_LEVEL" default:"info" value-name:"level" description:"lowest level that is logged: error, warning, info or debug"`
+}
+
+// EdgeSettings holds the checked settings of an entry host on the users' platform.
+type EdgeSettings struct {
+	// Senders is set by --senders: number of sender duties, each of which runs one attempt at a time, in threads (1 to 65536).
+	Senders int
+	// Probers is set by --probers: number of prober duties, each of which runs one probe at a time, in threads (1 to 1024).
+	Probers int
+	// ProbeInterval is set by --probe-interval: time between probes of a backend server that is in use (20ms to 1m).
+	ProbeInterval time.Duration
+	// CrossingCost is set by --crossing-cost: longer expected duration, for each KiB of an answer, that is accepted to keep a call in its data centre (0s to 1s).
+	CrossingCost time.Duration
+	// Seed is set by --seed: seed of random choices; 0 draws one at start (0 to 9223372036854775807).
+	Seed int
+	// LogLevel is set by --log-level: lowest level that is logged: error, warning, info or debug.
+	LogLevel string
+}
+
+// Check returns the typed settings and a fault for each value that is rejected.
+func (f EdgeFlags) Check() (EdgeSettings, []Fault) {
+	c := checker{}
+	settings := EdgeSettings{
+		Senders:       c.integer("senders", f.Senders, "1", "65536"),
+		Probers:       c.integer("probers", f.Probers, "1", "1024"),
+		ProbeInterval: c.duration("probe-interval", f.ProbeInterval, "20ms", "1m"),
+		CrossingCost:  c.duration("crossing-cost", f.CrossingCost, "0s", "1s"),
+		Seed:          c.integer("seed", f.Seed, "0", "9223372036854775807"),
+		LogLevel:      c.level("log-level", f.LogLevel),
+	}
+
+	return settings, c.faults
+}
+
 // ClientFlags holds the raw settings of a command that talks to an entry host.
 type ClientFlags struct {
 	HostAddress string `long:"host-address" env:"BAOBABDRUM_HOST_ADDRESS" default:"127.0.0.1:8082" value-name:"address" description:"IP and port of an entry host: its operator address for operators' commands, its caller address for callers' commands"`
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -6,8 +6,8 @@
 
 	"github.com/gofiber/fiber/v3"
 
-	"github.com/baobabdrum/baobabdrum/tablehttp"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/tablehttp"
 )
 
 // ReadObject returns an object; an absent one is empty.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,9 +9,9 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/baobabdrum/baobabdrum/group"
-	"github.com/baobabdrum/baobabdrum/tablehttp"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/tablehttp"
 )
 
 // Kinds of faults of the platform.
--- a/table/circuit_test.go
+++ b/table/circuit_test.go
@@ -7,8 +7,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/table"
 )
 
 func TestCircuit(t *testing.T) {
--- a/table/claims_test.go
+++ b/table/claims_test.go
@@ -5,8 +5,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/table"
 )
 
 // claimTable is a table that loses the replies of some writes.
--- a/table/writer_test.go
+++ b/table/writer_test.go
@@ -13,9 +13,9 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/standin"
+	"github.com/baobabdrum/baobabdrum/table"
 )
 
 // value returns a configuration with the evidence of changes.
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -3,8 +3,10 @@
 package tcp
 
 import (
+	"errors"
 	"net"
 	"syscall"
+	"time"
 )
 
 // State is what waits on a connection.
@@ -83,3 +85,22 @@
 		}
 	}
 }
+
+// lossTimeout is how long sent bytes may stay unacknowledged until a connection
+// counts as lost: several round trips between data centres and retransmissions.
+const lossTimeout = 700 * time.Millisecond
+
+// userTimeout is the number of Linux's TCP_USER_TIMEOUT, which package syscall
+// does not name.
+const userTimeout = 18
+
+// DetectLoss makes a connection fail when the other side acknowledges nothing.
+// It fits the Control field of a net.Dialer.
+func DetectLoss(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(descriptor uintptr) {
+		failure = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, userTimeout, int(lossTimeout.Milliseconds()))
+	})
+
+	return errors.Join(err, failure)
+}
