Read the store by two hosts that wait for changes; reload settings

Ruled out: polling each 700 ms by one host (hosts without news read too). Change: the age of what a host knows travels in the beacon; two hosts read with waits of 2 s; the settings file is read again at SIGHUP and each 2 s; spare hosts send each other fewer beacons.

--- a/cmd/edge.go
+++ b/cmd/edge.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/sirupsen/logrus"
 
@@ -38,6 +40,9 @@
 	log := Output{Results: c.output.Messages, Messages: c.output.Results}.logger(settings.LogLevel, logrus.Fields{"host": site.Name, "data_centre": site.DataCentre})
 	ctx, cancel := signalled()
 	defer cancel()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 
-	return edge.New(settings, site, platform.New(path, store, log), log).Run(ctx)
+	return edge.New(settings, site, platform.New(path, store, log), log).Run(ctx, reload)
 }
--- a/declared/declared.go
+++ b/declared/declared.go
@@ -16,18 +16,25 @@
 )
 
 const (
-	// readInterval is the time between reads of the registrations. With the time
-	// that other hosts take to hear of a change it stays below the two seconds
-	// after which a draining backend server gets no more work.
-	readInterval = 700 * time.Millisecond
-	// staleAfter is how long a host does without news of the registrations until
-	// it reads them itself.
-	staleAfter = time.Second
-	// staleStep is what each rank waits longer, so that one host after the other
-	// begins to read.
-	staleStep = 200 * time.Millisecond
-	// LongestWait is how long a read of the orders waits for a change.
+	// LongestWait is how long a read waits for a change. A read that the store never
+	// answers ends less than three seconds after the store is back, when changes
+	// count again.
 	LongestWait = 2 * time.Second
+	// readers is the number of hosts that read the store, so that one that is
+	// turned away does not leave the others without news.
+	readers = 2
+	// staleAfter is how long what a host knows may be unconfirmed until it reads
+	// the store itself.
+	staleAfter = LongestWait + 200*time.Millisecond
+	// startAfter is the time for which a host that knows nothing waits for others
+	// to tell it.
+	startAfter = 100 * time.Millisecond
+	// rankStep is what each rank waits longer, so that one host after the other
+	// begins to read.
+	rankStep = 150 * time.Millisecond
+	// watchPause is the time between two reads of the orders, which bounds the calls
+	// when many changes come one after the other.
+	watchPause = 50 * time.Millisecond
 	// retryAfter is the time before a failed read is tried again.
 	retryAfter = 200 * time.Millisecond
 	// lostFailures is the number of reads in a row that must fail until the store
@@ -93,6 +100,8 @@
 	OrdersAt int
 	// RegistrationsAt is the store's version of its registrations.
 	RegistrationsAt int
+	// Age is the time since the store confirmed what it knows.
+	Age time.Duration
 }
 
 // PeerAnswered brings all that another host knows.
@@ -106,9 +115,7 @@
 
 // RoleChanged says how this host takes part in reading.
 type RoleChanged struct {
-	// Serving says that callers are told this host's address.
-	Serving bool
-	// Rank is this host's place among those that serve, or among all.
+	// Rank is this host's place among those that serve, or behind them.
 	Rank int
 }
 
@@ -192,8 +199,10 @@
 	reading       [2]bool
 	readAt        [2]time.Time
 	after         [2]int
-	newsAt        time.Time
-	newest        int
+	startedAt     time.Time
+	confirmed     [2]time.Time
+	told          time.Time
+	fetched       time.Time
 	holdUntil     time.Time
 	failures      int
 	failedAt      time.Time
@@ -210,12 +219,15 @@
 
 // Known reports whether both orders and registrations are known.
 func (b *Book) Known() bool {
-	return b.Declared.OrdersAt > 0 && b.Declared.RegistrationsAt > 0
+	return b.Declared.Declaration.Version > 0 && b.Declared.RegistrationsAt > 0
 }
 
 // Step reacts to one event.
 func (b *Book) Step(now time.Time, event Event) []Action {
 	b.changed = false
+	if b.startedAt.IsZero() {
+		b.startedAt = now
+	}
 	var actions []Action
 	switch event := event.(type) {
 	case OrdersRead:
@@ -232,7 +244,7 @@
 		actions = b.heard(now, event)
 	case PeerAnswered:
 		b.fetching = false
-		b.adoptPeer(now, event.Declared)
+		b.adoptPeer(event.Declared)
 	case FetchFailed:
 		b.fetching = false
 	case RoleChanged:
@@ -248,33 +260,60 @@
 	return append(actions, b.reads(now)...)
 }
 
+// ConfirmedAt returns when the store last confirmed what is in force, as far as
+// this host knows.
+func (b *Book) ConfirmedAt() time.Time {
+	own := b.confirmed[Orders]
+	if b.confirmed[Registrations].Before(own) {
+		own = b.confirmed[Registrations]
+	}
+	if b.told.After(own) {
+		return b.told
+	}
+
+	return own
+}
+
 // reads returns the reads that are due.
 func (b *Book) reads(now time.Time) []Action {
-	var actions []Action
-	stale := now.Sub(b.newsAt) > staleAfter+time.Duration(b.role.Rank)*staleStep
-	first := b.role.Serving && b.role.Rank == 0
-	if b.due(now, Registrations, readInterval) && (!b.Known() || first || stale) {
-		actions = append(actions, b.read(now, Registrations, 0))
+	if !b.reader(now) {
+		return nil
 	}
-	if b.due(now, Orders, 0) && (!b.Known() || b.role.Serving || stale) {
-		actions = append(actions, b.read(now, Orders, LongestWait))
+	var actions []Action
+	for _, table := range []Table{Orders, Registrations} {
+		if b.due(now, table) {
+			actions = append(actions, b.read(now, table))
+		}
 	}
 
 	return actions
 }
 
+// reader reports whether this host reads the store: the first ranks always, the
+// others while no one tells them what is in force.
+func (b *Book) reader(now time.Time) bool {
+	later := time.Duration(b.role.Rank) * rankStep
+	if !b.Known() {
+		return now.Sub(b.startedAt) >= startAfter+later
+	}
+
+	return b.role.Rank < readers || now.Sub(b.ConfirmedAt()) >= staleAfter+later
+}
+
 // due reports whether a table may be read again.
-func (b *Book) due(now time.Time, table Table, interval time.Duration) bool {
+func (b *Book) due(now time.Time, table Table) bool {
+	interval := watchPause
 	if b.failures > 0 {
-		interval = max(interval, retryAfter)
+		interval = retryAfter
 	}
 
 	return !b.reading[table] && now.Sub(b.readAt[table]) >= interval
 }
 
 // read begins a read.
-func (b *Book) read(now time.Time, table Table, wait time.Duration) Action {
+func (b *Book) read(now time.Time, table Table) Action {
 	b.reading[table], b.readAt[table] = true, now
+	wait := LongestWait
 	if b.after[table] == 0 {
 		wait = 0
 	}
@@ -284,7 +323,7 @@
 
 // regained notes that the store answered.
 func (b *Book) regained(now time.Time, table Table) []Action {
-	b.reading[table], b.failures = false, 0
+	b.reading[table], b.failures, b.confirmed[table] = false, 0, now
 	if b.lostAt.IsZero() {
 		return nil
 	}
@@ -331,9 +370,7 @@
 	if !slices.Equal(evacuated, b.Declared.Evacuated) {
 		b.Declared.Evacuated, b.changed = evacuated, true
 	}
-	if b.Declared.Declaration.Version > 0 {
-		b.Declared.OrdersAt = read.At
-	}
+	b.Declared.OrdersAt = read.At
 }
 
 // adoptRegistrations adopts what backend servers wrote. A registration that went
@@ -367,14 +404,6 @@
 	if len(b.missing) == 0 {
 		b.Declared.RegistrationsAt = read.At
 	}
-	b.news(now, read.At)
-}
-
-// news notes that registrations were read as of a version.
-func (b *Book) news(now time.Time, at int) {
-	if at > b.newest {
-		b.newest, b.newsAt = at, now
-	}
 }
 
 // remove drops a registration, or keeps it for a while if it may have lapsed
@@ -407,7 +436,10 @@
 
 // heard compares what another host knows with what this host knows.
 func (b *Book) heard(now time.Time, peer PeerHeard) []Action {
-	b.news(now, peer.RegistrationsAt)
+	confirmed := now.Add(-peer.Age)
+	if peer.Hash == b.Hash && confirmed.After(b.told) {
+		b.told = confirmed
+	}
 	newer := peer.OrdersAt > b.Declared.OrdersAt || peer.RegistrationsAt > b.Declared.RegistrationsAt
 	if !newer {
 		return nil
@@ -423,13 +455,13 @@
 	if b.fetching {
 		return nil
 	}
-	b.fetching = true
+	b.fetching, b.fetched = true, confirmed
 
 	return []Action{Fetch{Address: peer.Address}}
 }
 
 // adoptPeer adopts what another host knows where that is newer.
-func (b *Book) adoptPeer(now time.Time, peer schema.Declared) {
+func (b *Book) adoptPeer(peer schema.Declared) {
 	if peer.OrdersAt > b.Declared.OrdersAt && peer.Declaration.Version >= b.Declared.Declaration.Version {
 		b.changed = b.changed || peer.Declaration.Version > b.Declared.Declaration.Version ||
 			!slices.Equal(peer.Evacuated, b.Declared.Evacuated)
@@ -444,7 +476,9 @@
 	}
 	clear(b.missing)
 	b.Declared.RegistrationsAt, b.changed = peer.RegistrationsAt, true
-	b.news(now, peer.RegistrationsAt)
+	if b.fetched.After(b.told) {
+		b.told = b.fetched
+	}
 }
 
 // settle sorts the registrations in force and hashes all that is in force.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -19,15 +18,18 @@
 	tickBeacon = 50 * time.Millisecond
 	// servingBeacon is the time between beacons of serving hosts to all others.
 	servingBeacon = 200 * time.Millisecond
-	// idleBeacon is the time between beacons of other hosts.
+	// idleBeacon is the time between beacons of other hosts to those that serve.
 	idleBeacon = 500 * time.Millisecond
+	// spareBeacon is the time between beacons of hosts that do not serve to each
+	// other, which only choose by them who serves next.
+	spareBeacon = 2 * time.Second
 	// strangerBeacon is the time between beacons to hosts that are not heard.
 	strangerBeacon = 2 * time.Second
 	// servingTimeout is how long a serving host may be silent until it is left out:
 	// four beacons.
 	servingTimeout = 800 * time.Millisecond
-	// idleTimeout is how long another host may be silent: three beacons and a half.
-	idleTimeout = 1800 * time.Millisecond
+	// spareTimeout is how long another host may be silent: three beacons and a half.
+	spareTimeout = 7 * time.Second
 	// forgetAfter is how long a silent host is still sent beacons.
 	forgetAfter = 10 * time.Minute
 	// busyShare is the share of a host's capacity from which another one serves
@@ -35,6 +37,9 @@
 	busyShare = 0.6
 	// quietShare is the share below which it no longer does.
 	quietShare = 0.4
+	// manyHosts is the number of hosts from which beacons between spare hosts become
+	// rarer, so that the work of a host does not grow with their number.
+	manyHosts = 32
 	// keep is how long callers may keep an answer: as short as asking is cheap.
 	keep = time.Second
 	// mostAddresses bounds the addresses in an answer.
@@ -120,7 +125,10 @@
 type member struct {
 	beacon  schema.Beacon
 	heardAt time.Time
-	live    bool
+	// electedAt is when it began to serve; it may have been silent for longer than
+	// a serving host may.
+	electedAt time.Time
+	live      bool
 }
 
 // stranger is an address that was not heard yet.
@@ -164,7 +172,7 @@
 	case Ticked:
 	}
 	actions = append(actions, d.lose(now)...)
-	actions = append(actions, d.elect()...)
+	actions = append(actions, d.elect(now)...)
 
 	return append(actions, d.beacons(now)...)
 }
@@ -220,8 +228,8 @@
 	var actions []Action
 	for name, other := range d.members {
 		silent := now.Sub(other.heardAt)
-		timeout := idleTimeout
-		if d.serves(name) {
+		timeout := time.Duration(float64(spareTimeout) * d.stretch())
+		if d.serves(name) && now.Sub(other.electedAt) > servingTimeout {
 			timeout = servingTimeout
 		}
 		if other.live && silent > timeout {
@@ -250,7 +258,7 @@
 // servers' load better than many, so each data centre has as few as can carry
 // its calls. Those that run for longest are chosen, so that a host that
 // restarts does not take over at once.
-func (d *Directory) elect() []Action {
+func (d *Directory) elect(now time.Time) []Action {
 	ready := map[string][]schema.Beacon{}
 	all := []schema.Beacon{d.Self}
 	for _, other := range d.members {
@@ -275,6 +283,11 @@
 	same := func(a, b schema.Beacon) bool { return a.Name == b.Name && a.StartedMs == b.StartedMs }
 	hosts := len(d.members) + 1
 	changed := !slices.EqualFunc(serving, d.serving, same) || hosts != d.known
+	for _, beacon := range serving {
+		if other, known := d.members[beacon.Name]; known && !d.serves(beacon.Name) {
+			other.electedAt = now
+		}
+	}
 	d.serving, d.known = serving, hosts
 	if !changed {
 		return nil
@@ -334,11 +347,10 @@
 			strangers = append(strangers, address)
 		}
 	}
-	mateInterval, otherInterval := idleBeacon, idleBeacon
+	mateInterval, otherInterval := idleBeacon, time.Duration(float64(spareBeacon)*d.stretch())
 	if d.serves(d.Self.Name) {
 		mateInterval, otherInterval = tickBeacon, servingBeacon
 	}
-	otherInterval = time.Duration(float64(otherInterval) * math.Max(1, float64(len(d.members))/manyHosts))
 	var actions []Action
 	actions = d.beacon(actions, now, 0, mateInterval, mates, true)
 	actions = d.beacon(actions, now, 1, otherInterval, others, false)
@@ -350,9 +362,11 @@
 	return actions
 }
 
-// manyHosts is the number of hosts from which beacons become rarer, so that the
-// work of a host does not grow with their number.
-const manyHosts = 32
+// stretch returns how much rarer beacons between spare hosts are than among few
+// hosts.
+func (d *Directory) stretch() float64 {
+	return max(1, float64(len(d.members))/manyHosts)
+}
 
 // beacon adds a beacon to some hosts if it is due.
 func (d *Directory) beacon(actions []Action, now time.Time, kind int, interval time.Duration, addresses []string, loads bool) []Action {
--- a/edge/control.go
+++ b/edge/control.go
@@ -23,6 +23,8 @@
 	// frozenAfter is the gap between ticks after which a host that stood still
 	// refuses to serve until it has news.
 	frozenAfter = 2 * time.Second
+	// longestAge bounds the age that a beacon states for what was never confirmed.
+	longestAge = time.Hour
 )
 
 // controlDuty owns what is declared and which hosts serve.
@@ -44,7 +46,7 @@
 	serving  bool
 	stopping bool
 	tickedAt time.Time
-	thawedAt int
+	thawedAt time.Time
 }
 
 // run takes inputs until the context ends.
@@ -80,7 +82,7 @@
 // tick carries out what the passing of time brings.
 func (d *controlDuty) tick(ctx context.Context, now time.Time) error {
 	if !d.tickedAt.IsZero() && now.Sub(d.tickedAt) > frozenAfter {
-		d.thawedAt = d.book.Declared.RegistrationsAt
+		d.thawedAt = now
 		d.log.Event(eventlog.Warning, "host_frozen", "this host stood still", eventlog.Duration("for", now.Sub(d.tickedAt)))
 	}
 	d.tickedAt = now
@@ -93,7 +95,7 @@
 
 // ready reports whether this host serves calls.
 func (d *controlDuty) ready() bool {
-	thawed := d.thawedAt == 0 || d.book.Declared.RegistrationsAt > d.thawedAt
+	thawed := d.thawedAt.IsZero() || d.book.ConfirmedAt().After(d.thawedAt)
 
 	return d.book.Known() && !d.stopping && thawed
 }
@@ -139,6 +141,7 @@
 
 	return d.declare(ctx, now, declared.PeerHeard{
 		Address: heard.PeerAddress, Hash: heard.DeclaredHash, OrdersAt: heard.OrdersAt, RegistrationsAt: heard.RegistrationsAt,
+		Age: time.Duration(heard.DeclaredAgeMs) * time.Millisecond,
 	})
 }
 
@@ -198,7 +201,7 @@
 	for _, action := range d.directory.Step(now, event) {
 		switch action := action.(type) {
 		case directory.SendBeacon:
-			d.send(action)
+			d.send(now, action)
 		case directory.ServingChanged:
 			if err := d.serve(ctx, now, action); err != nil {
 				return err
@@ -214,11 +217,12 @@
 }
 
 // send gives a beacon to the duty that sends them.
-func (d *controlDuty) send(action directory.SendBeacon) {
+func (d *controlDuty) send(now time.Time, action directory.SendBeacon) {
 	d.sequence++
 	told := d.directory.Self
 	told.Sequence, told.Calls, told.Loads = d.sequence, d.callRate, d.loads
 	told.DeclaredHash, told.OrdersAt, told.RegistrationsAt = d.book.Hash, d.book.Declared.OrdersAt, d.book.Declared.RegistrationsAt
+	told.DeclaredAgeMs = int(min(now.Sub(d.book.ConfirmedAt()), longestAge).Milliseconds())
 	if d.beacons.Offer(beacon.Datagram{Beacon: told, Addresses: action.Addresses}) != nil {
 		d.metrics.Dropped("beacons")
 	}
@@ -242,5 +246,5 @@
 		return err
 	}
 
-	return d.declare(ctx, now, declared.RoleChanged{Serving: action.Self, Rank: action.Rank})
+	return d.declare(ctx, now, declared.RoleChanged{Rank: action.Rank})
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -39,12 +39,8 @@
 	Seeds []string
 	// Grace is the time from a request to stop until the kill.
 	Grace time.Duration
-	// RetryRatio is the number of repeated sends that each call may cause.
-	RetryRatio float64
-	// RetrySlack is the number of repeated sends in a window beyond the ratio.
-	RetrySlack float64
-	// RetryWindow is the span in which repeated sends are counted.
-	RetryWindow time.Duration
+	// Budget bounds repeated sends.
+	Budget placement.Budget
 	// Capacity is the number of calls a second that the host can carry.
 	Capacity int
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"errors"
 	"net"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -60,6 +62,7 @@
 	requests *ring.Ring[peerrpc.Request]
 	front    *callerFront
 	asker    *asker
+	grace    atomic.Int64
 }
 
 // New returns a host with empty rings.
@@ -83,6 +86,7 @@
 	}
 	h.front = newCallerFront(adapter, h.inputs, h.Metrics)
 	h.asker = &asker{control: h.control}
+	h.grace.Store(int64(site.Grace))
 	h.Metrics.Gauge("baobabdrum_dropped_log_lines", func() float64 { return float64(h.Log.Dropped()) })
 
 	return h
@@ -129,8 +133,9 @@
 }
 
 // Run runs the host until a planned stop is finished or a duty fails. The end
-// of the context starts a planned stop.
-func (h *Host) Run(interrupted context.Context) error {
+// of the context starts a planned stop; a signal to reload has the settings file
+// read again at once.
+func (h *Host) Run(interrupted context.Context, reload <-chan os.Signal) error {
 	open, err := h.listen()
 	if err != nil {
 		return err
@@ -144,6 +149,7 @@
 	h.startControl(duties, open)
 	h.startFronts(duties, closing, open)
 	duties.Go("stop", func(ctx context.Context) error { return h.runStop(ctx, interrupted, closeFront) })
+	duties.Go("settings", func(ctx context.Context) error { return h.runSettings(ctx, reload) })
 	duties.Go("log", h.Log.Run)
 
 	var stopped *StoppedError
@@ -171,8 +177,7 @@
 	calls := &callsDuty{
 		placer: placement.New(placement.Options{
 			Host: h.Site.Name, DataCentre: h.Site.DataCentre, Seed: h.seed(),
-			RetryRatio: h.Site.RetryRatio, RetrySlack: h.Site.RetrySlack, RetryWindow: h.Site.RetryWindow,
-			ProbeInterval: h.Settings.ProbeInterval, CrossingCost: h.Settings.CrossingCost,
+			Budget: h.Site.Budget, ProbeInterval: h.Settings.ProbeInterval, CrossingCost: h.Settings.CrossingCost,
 		}),
 		inputs: h.inputs, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
 		calls: map[placement.CallID]*open{}, running: map[placement.AttemptID]*Attempt{}, since: time.Now(),
--- /dev/null
+++ b/edge/settings.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"context"
+	"os"
+	"reflect"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/placement"
+)
+
+// settingsInterval is the time between looks at the settings file, which may
+// change without a signal.
+const settingsInterval = 2 * time.Second
+
+// runSettings takes up a changed settings file.
+func (h *Host) runSettings(ctx context.Context, reload <-chan os.Signal) error {
+	inForce := h.Site
+	timer := time.NewTimer(settingsInterval)
+	defer timer.Stop()
+	for {
+		signalled := false
+		select {
+		case <-reload:
+			signalled = true
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		timer.Reset(settingsInterval)
+		site, err := h.Adapter.ReadSite()
+		if err != nil {
+			h.Log.Event(eventlog.Error, "settings_rejected", "the settings in force stay", eventlog.Text("error", err.Error()))
+
+			continue
+		}
+		if !signalled && reflect.DeepEqual(site, inForce) {
+			continue
+		}
+		if err := h.adopt(ctx, inForce, site); err != nil {
+			return err
+		}
+		inForce = site
+	}
+}
+
+// adopt puts in force what may change while the host runs and tells what may
+// not.
+func (h *Host) adopt(ctx context.Context, before, site Site) error {
+	h.grace.Store(int64(site.Grace))
+	h.Log.Event(eventlog.Info, "settings_reloaded", "the settings file was read again",
+		eventlog.Duration("grace", site.Grace), eventlog.Number("retry_ratio", site.Budget.Ratio),
+		eventlog.Number("retry_slack", site.Budget.Slack), eventlog.Integer("seeds", len(site.Seeds)),
+		eventlog.Flag("restart_needed", fixed(before) != fixed(site)))
+	if err := h.control.Put(ctx, MembersRead{Addresses: site.Seeds}); err != nil {
+		return err
+	}
+
+	return h.inputs.Put(ctx, Told{Event: placement.BudgetChanged{Budget: site.Budget}})
+}
+
+// identity is what stays the same while a host runs.
+type identity struct {
+	name, dataCentre, caller, ready, directory, control, peer string
+	capacity                                                  int
+}
+
+// fixed returns what needs a restart to change.
+func fixed(site Site) identity {
+	return identity{
+		name: site.Name, dataCentre: site.DataCentre, caller: site.CallerAddress, ready: site.ReadyAddress,
+		directory: site.DirectoryAddress, control: site.ControlAddress, peer: site.PeerAddress, capacity: site.Capacity,
+	}
+}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -32,13 +32,13 @@
 	}
 	began := time.Now()
 	h.front.stopping.Store(true)
-	h.Log.Event(eventlog.Info, "host_stopping", "callers are told other hosts", eventlog.Duration("grace", h.Site.Grace))
+	h.Log.Event(eventlog.Info, "host_stopping", "callers are told other hosts", eventlog.Duration("grace", time.Duration(h.grace.Load())))
 	if err := h.control.Put(ctx, Stopping{}); err != nil {
 		return err
 	}
 	h.awaitQuiet(ctx, began)
 	closeFront()
-	for h.front.active.Load() > 0 && time.Since(began) < h.Site.Grace-stopMargin && ctx.Err() == nil {
+	for h.front.active.Load() > 0 && time.Since(began) < time.Duration(h.grace.Load())-stopMargin && ctx.Err() == nil {
 		pause(ctx, stopPoll/10)
 	}
 	h.Log.Event(eventlog.Info, "host_stopped", "the planned stop is finished",
--- a/placement/budget.go
+++ b/placement/budget.go
@@ -14,13 +14,22 @@
 	hedgeShare = 0.8
 )
 
+// Budget is what was agreed on repeated sends to one service.
+type Budget struct {
+	// Ratio is the number of repeated sends that each call earns.
+	Ratio float64
+	// Slack is the number of repeated sends in one window that all hosts together
+	// may make beyond the ratio.
+	Slack float64
+	// Window is the span over which repeated sends are counted.
+	Window time.Duration
+}
+
 // budget bounds the repeated sends to one service in any window. Each host
 // earns by the calls that it receives itself, so the sum over all hosts stays
 // within the ratio without any agreement; a new incarnation begins with nothing.
 type budget struct {
-	ratio  float64
-	slack  float64
-	bucket time.Duration
+	agreed Budget
 
 	calls   [budgetBuckets]int
 	repeats [budgetBuckets]int
@@ -29,11 +38,18 @@
 }
 
 // newBudget returns an unused budget.
-func newBudget(options Options) *budget {
-	return &budget{
-		ratio:  options.RetryRatio * budgetMargin,
-		slack:  options.RetrySlack * budgetMargin,
-		bucket: max(options.RetryWindow/budgetBuckets, time.Millisecond),
+func newBudget(agreed Budget) *budget {
+	made := &budget{}
+	made.adopt(agreed)
+
+	return made
+}
+
+// adopt changes what was agreed.
+func (b *budget) adopt(agreed Budget) {
+	b.agreed = Budget{
+		Ratio: agreed.Ratio * budgetMargin, Slack: agreed.Slack * budgetMargin,
+		Window: max(agreed.Window, budgetBuckets*time.Millisecond),
 	}
 }
 
@@ -42,7 +58,7 @@
 	if b.origin.IsZero() {
 		b.origin = now
 	}
-	current := int64(now.Sub(b.origin) / b.bucket)
+	current := int64(now.Sub(b.origin) / (b.agreed.Window / budgetBuckets))
 	for b.current < current {
 		b.current = max(b.current+1, current-budgetBuckets)
 		b.calls[b.current%budgetBuckets], b.repeats[b.current%budgetBuckets] = 0, 0
@@ -60,9 +76,9 @@
 // where hosts share the slack.
 func (b *budget) left(now time.Time, hosts int) float64 {
 	b.turn(now)
-	left := b.slack / float64(max(hosts, 1))
+	left := b.agreed.Slack / float64(max(hosts, 1))
 	for i := range budgetBuckets {
-		left += b.ratio*float64(b.calls[i]) - float64(b.repeats[i])
+		left += b.agreed.Ratio*float64(b.calls[i]) - float64(b.repeats[i])
 	}
 
 	return left
@@ -82,7 +98,7 @@
 func (b *budget) hedge(now time.Time, hosts int) bool {
 	earned := 0.0
 	for i := range budgetBuckets {
-		earned += b.ratio * float64(b.calls[i])
+		earned += b.agreed.Ratio * float64(b.calls[i])
 	}
 	if b.left(now, hosts) < 1+(1-hedgeShare)*earned {
 		return false
--- a/placement/events.go
+++ b/placement/events.go
@@ -79,6 +79,12 @@
 	Peers Peers
 }
 
+// BudgetChanged says that another budget of repeated sends was agreed.
+type BudgetChanged struct {
+	// Budget is the budget.
+	Budget Budget
+}
+
 // Ticked says that time passed.
 type Ticked struct{}
 
@@ -89,6 +95,7 @@
 func (DeclaredChanged) event() {}
 func (LoadsHeard) event()      {}
 func (PeersChanged) event()    {}
+func (BudgetChanged) event()   {}
 func (Ticked) event()          {}
 
 // Load is what a backend server reports about itself.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -22,13 +22,8 @@
 	DataCentre string
 	// Seed seeds the random choices.
 	Seed uint64
-	// RetryRatio is the number of repeated sends that each call to a service earns.
-	RetryRatio float64
-	// RetryWindow is the span over which repeated sends are counted.
-	RetryWindow time.Duration
-	// RetrySlack is the number of repeated sends in one window that all hosts
-	// together may make beyond the ratio.
-	RetrySlack float64
+	// Budget bounds repeated sends to each service.
+	Budget Budget
 	// ProbeInterval is the time between probes of a backend server that is in use.
 	ProbeInterval time.Duration
 	// CrossingCost is the longer expected duration, for each KiB of an answer, that
@@ -100,6 +95,11 @@
 		p.hear(now, event)
 	case PeersChanged:
 		p.peers = event.Peers
+	case BudgetChanged:
+		p.Options.Budget = event.Budget
+		for _, service := range p.services {
+			service.budget.adopt(event.Budget)
+		}
 	case Ticked:
 		p.tick(now)
 	}
--- a/placement/service.go
+++ b/placement/service.go
@@ -37,7 +37,7 @@
 
 // newService returns a service without backend servers.
 func newService(name string, options Options) *service {
-	return &service{Name: name, budget: newBudget(options)}
+	return &service{Name: name, budget: newBudget(options.Budget)}
 }
 
 // throughput returns the number of calls a second that the usable backend
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -916,8 +916,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 13 {
-		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
+	if zb0001 != 14 {
+		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
 		return
 	}
 	z.CallerAddress, err = dc.ReadString()
@@ -940,6 +940,11 @@
 		err = msgp.WrapError(err, "DataCentre")
 		return
 	}
+	z.DeclaredAgeMs, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "DeclaredAgeMs")
+		return
+	}
 	z.DeclaredHash, err = dc.ReadInt()
 	if err != nil {
 		err = msgp.WrapError(err, "DeclaredHash")
@@ -1007,8 +1012,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Beacon) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 13
-	err = en.Append(0x9d)
+	// array header, size 14
+	err = en.Append(0x9e)
 	if err != nil {
 		return
 	}
@@ -1032,6 +1037,11 @@
 		err = msgp.WrapError(err, "DataCentre")
 		return
 	}
+	err = en.WriteInt(z.DeclaredAgeMs)
+	if err != nil {
+		err = msgp.WrapError(err, "DeclaredAgeMs")
+		return
+	}
 	err = en.WriteInt(z.DeclaredHash)
 	if err != nil {
 		err = msgp.WrapError(err, "DeclaredHash")
@@ -1090,12 +1100,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beacon) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 13
-	o = append(o, 0x9d)
+	// array header, size 14
+	o = append(o, 0x9e)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendInt(o, z.Calls)
 	o = msgp.AppendInt(o, z.Capacity)
 	o = msgp.AppendString(o, z.DataCentre)
+	o = msgp.AppendInt(o, z.DeclaredAgeMs)
 	o = msgp.AppendInt(o, z.DeclaredHash)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
 	for za0001 := range z.Loads {
@@ -1123,8 +1134,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 13 {
-		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
+	if zb0001 != 14 {
+		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
 		return
 	}
 	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
@@ -1147,6 +1158,11 @@
 		err = msgp.WrapError(err, "DataCentre")
 		return
 	}
+	z.DeclaredAgeMs, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DeclaredAgeMs")
+		return
+	}
 	z.DeclaredHash, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "DeclaredHash")
@@ -1215,7 +1231,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Beacon) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.DataCentre) + msgp.IntSize + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.DataCentre) + msgp.IntSize + msgp.IntSize + msgp.ArrayHeaderSize
 	for za0001 := range z.Loads {
 		s += z.Loads[za0001].Msgsize()
 	}
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -92,6 +92,10 @@
 	// DataCentre is where the sender runs.
 	DataCentre string `json:"data_centre" msg:"data_centre"`
 
+	// DeclaredAgeMs is the time since the store confirmed what the sender knows to be
+	// declared in milliseconds.
+	DeclaredAgeMs int `json:"declared_age_ms" msg:"declared_age_ms"`
+
 	// DeclaredHash identifies what the sender knows to be declared.
 	DeclaredHash int `json:"declared_hash" msg:"declared_hash"`
 
