Choose by the risk of a late answer, with crossings priced by size

Change: cost is the risk of a late answer plus a share for each KiB that crosses, in place of a duration for each KiB.

--- a/edge/host.go
+++ b/edge/host.go
@@ -35,6 +35,8 @@
 	// usualConnections bounds the connections to an address that has no limit of
 	// its own.
 	usualConnections = 64
+	// perMille is the number of thousandths in a whole.
+	perMille = 1000
 )
 
 // Host is an entry host with its rings.
@@ -177,7 +179,7 @@
 	calls := &callsDuty{
 		placer: placement.New(placement.Options{
 			Host: h.Site.Name, DataCentre: h.Site.DataCentre, Seed: h.seed(),
-			Budget: h.Site.Budget, ProbeInterval: h.Settings.ProbeInterval, CrossingCost: h.Settings.CrossingCost,
+			Budget: h.Site.Budget, ProbeInterval: h.Settings.ProbeInterval, CrossingCost: float64(h.Settings.CrossingCost) / perMille,
 		}),
 		inputs: h.inputs, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
 		calls: map[placement.CallID]*open{}, running: map[placement.AttemptID]*Attempt{}, since: time.Now(),
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -16,8 +16,16 @@
 	// neglectedAfter is how long a backend server goes without calls until it is
 	// preferred, so that each new one gets some.
 	neglectedAfter = 1500 * time.Millisecond
-	// neglectedBonus is the expected duration that this preference outweighs.
-	neglectedBonus = 40 * time.Millisecond
+	// neglectedBonus is the risk that this preference outweighs.
+	neglectedBonus = 0.1
+	// safeShare is the share of the time left up to which an expected duration
+	// bears no risk of a late answer, because work varies and machines turn slow.
+	safeShare = 0.45
+	// lostShare is the share of the time left from which a late answer is certain.
+	lostShare = 1.35
+	// durationWeight is what an expected duration of the whole time left adds to the
+	// risk, so that of two safe choices the quicker one is taken.
+	durationWeight = 0.15
 	// kibibyte is the number of bytes in a KiB.
 	kibibyte = 1024
 )
@@ -27,8 +35,9 @@
 	server *Server
 	// expected is the expected time until the answer, failures included.
 	expected time.Duration
-	// cost is expected with what it costs to leave the data centre.
-	cost time.Duration
+	// cost is the risk of a late answer with what it costs to leave the data
+	// centre.
+	cost float64
 	// free says that a slot is free.
 	free bool
 }
@@ -95,18 +104,28 @@
 		penalty *= 2 // it cannot be sent again
 	}
 	expected += time.Duration(server.FailureRatio(now) * float64(penalty))
-	cost := expected
+	cost := 0.0
 	if server.DataCentre != p.Options.DataCentre {
 		expected += crossingDelay
-		cost += crossingDelay + time.Duration(c.route.Size/kibibyte*float64(p.Options.CrossingCost))
+		cost = c.route.Size / kibibyte * p.Options.CrossingCost
 	}
 	if now.Sub(server.SentAt) > neglectedAfter {
 		cost -= neglectedBonus
 	}
+	cost += risk(expected, max(c.targetAt.Sub(now), c.route.Target()/4))
 
 	return candidate{server: server, expected: expected, cost: cost, free: server.Taken(now) < server.Slots}
 }
 
+// risk returns the risk of an answer that comes too late, with a little for the
+// duration itself.
+func risk(expected, left time.Duration) float64 {
+	share := float64(expected) / float64(max(left, 1))
+	late := (share - safeShare) / (lostShare - safeShare)
+
+	return min(max(late, 0), 1) + durationWeight*share
+}
+
 // measures reports whether this host measures the backend server: one serving
 // host does, of the same data centre if there is one.
 func (p *Placer) measures(server *Server) bool {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -26,9 +26,9 @@
 	Budget Budget
 	// ProbeInterval is the time between probes of a backend server that is in use.
 	ProbeInterval time.Duration
-	// CrossingCost is the longer expected duration, for each KiB of an answer, that
-	// is accepted to keep the call in this host's data centre.
-	CrossingCost time.Duration
+	// CrossingCost is the risk of a late answer that is accepted for each KiB of an
+	// answer to keep the call in this host's data centre.
+	CrossingCost float64
 }
 
 // Placer is one host's knowledge of backend servers and its open calls.
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -118,7 +118,7 @@
 	Senders       string `long:"senders" env:"BAOBABDRUM_EDGE_SENDERS" default:"192" value-name:"integer" description:"number of sender duties, each of which runs one attempt at a time, in threads (1 to 65536)"`
 	Probers       string `long:"probers" env:"BAOBABDRUM_EDGE_PROBERS" default:"12" value-name:"integer" description:"number of prober duties, each of which runs one probe at a time, in threads (1 to 1024)"`
 	ProbeInterval string `long:"probe-interval" env:"BAOBABDRUM_EDGE_PROBE_INTERVAL" default:"100ms" value-name:"duration" description:"time between probes of a backend server that is in use (20ms to 1m)"`
-	CrossingCost  string `long:"crossing-cost" env:"BAOBABDRUM_EDGE_CROSSING_COST" default:"4ms" value-name:"duration" description:"longer expected duration, for each KiB of an answer, that is accepted to keep a call in its data centre (0s to 1s)"`
+	CrossingCost  string `long:"crossing-cost" env:"BAOBABDRUM_EDGE_CROSSING_COST" default:"15" value-name:"integer" description:"risk of a late answer that is accepted for each KiB of an answer to keep a call in its data centre, in ‰ (0 to 1000)"`
 	Seed          string `long:"seed" env:"BAOBABDRUM_EDGE_SEED" default:"0" value-name:"integer" description:"seed of random choices; 0 draws one at start (0 to 9223372036854775807)"`
 	LogLevel      string `long:"log-level" env:"BAOBABDRUM_EDGE_LOG_LEVEL" default:"info" value-name:"level" description:"lowest level that is logged: error, warning, info or debug"`
 }
@@ -131,8 +131,8 @@
 	Probers int
 	// ProbeInterval is set by --probe-interval: time between probes of a backend server that is in use (20ms to 1m).
 	ProbeInterval time.Duration
-	// CrossingCost is set by --crossing-cost: longer expected duration, for each KiB of an answer, that is accepted to keep a call in its data centre (0s to 1s).
-	CrossingCost time.Duration
+	// CrossingCost is set by --crossing-cost: risk of a late answer that is accepted for each KiB of an answer to keep a call in its data centre, in ‰ (0 to 1000).
+	CrossingCost int
 	// Seed is set by --seed: seed of random choices; 0 draws one at start (0 to 9223372036854775807).
 	Seed int
 	// LogLevel is set by --log-level: lowest level that is logged: error, warning, info or debug.
@@ -146,7 +146,7 @@
 		Senders:       c.integer("senders", f.Senders, "1", "65536"),
 		Probers:       c.integer("probers", f.Probers, "1", "1024"),
 		ProbeInterval: c.duration("probe-interval", f.ProbeInterval, "20ms", "1m"),
-		CrossingCost:  c.duration("crossing-cost", f.CrossingCost, "0s", "1s"),
+		CrossingCost:  c.integer("crossing-cost", f.CrossingCost, "0", "1000"),
 		Seed:          c.integer("seed", f.Seed, "0", "9223372036854775807"),
 		LogLevel:      c.level("log-level", f.LogLevel),
 	}
