Replay the loads that placement answers in simulated time

Cause: decisions had no test that needs no bench. Found by the properties over several hosts: with no beacons heard, a cold backend server got calls from every host; refused callers came back at three times only. Change: bench.Fleet simulates hosts and backend servers; a host that is not told of a backend server measures it itself; returns of refused callers are spread over the capacity that is left; an answer's size is guessed before the first. After: go test ./placement passes.

--- /dev/null
+++ b/bench/fleet.go
@@ -0,0 +1,507 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// fleetStep is the time between two looks at a simulated fleet.
+	fleetStep = time.Millisecond
+	// fleetTick is the time between ticks of each host.
+	fleetTick = 10 * time.Millisecond
+	// fleetBeacon is the time between the hosts' reports to each other.
+	fleetBeacon = 50 * time.Millisecond
+	// fleetDelay is the time between a host and a backend server, one way.
+	fleetDelay = time.Millisecond
+	// fleetHostName is the host name of the only route.
+	fleetHostName = "fleet.example"
+)
+
+// Fleet is a simulated set of entry hosts and backend servers of one service.
+// The hosts are the product's decisions; the backend servers shift their speed,
+// turn cold, refuse, reset and lose answers as they are told.
+type Fleet struct {
+	// Seed seeds all random choices.
+	Seed uint64
+	// DataCentres is the number of data centres, each with one serving host.
+	DataCentres int
+	// Servers is the number of backend servers, spread over the data centres.
+	Servers int
+	// Slots is the number of calls that each runs at once.
+	Slots int
+	// Queue is the number of calls that wait at each; more are refused or reset.
+	Queue int
+	// ResetWhenFull resets further calls instead of refusing them.
+	ResetWhenFull bool
+	// Work is the mean duration of a call at usual pace.
+	Work time.Duration
+	// Spread is the relative deviation of the work.
+	Spread float64
+	// SlowShare is the share of time in which a backend server is slow.
+	SlowShare float64
+	// SlowFactor is how much longer work takes then.
+	SlowFactor float64
+	// ShiftEvery is the mean time between changes of pace.
+	ShiftEvery time.Duration
+	// Rate is the number of calls a second, over all hosts.
+	Rate float64
+	// Burst is the factor of the rate in the middle third of the time.
+	Burst float64
+	// Length is the simulated time.
+	Length time.Duration
+	// Route is the only route; its targets are set by the simulation.
+	Route schema.Route
+	// Options are those of each host but for its name and data centre.
+	Options placement.Options
+	// ColdPerSecond is the number of calls a second that a cold backend server
+	// bears; more make it fall over.
+	ColdPerSecond float64
+	// ColdAt is when a third of the backend servers turns cold, or 0.
+	ColdAt time.Duration
+	// ColdFor is how long they stay cold.
+	ColdFor time.Duration
+	// Refusing is the share of calls that every second backend server refuses in
+	// the middle third of the time.
+	Refusing float64
+	// Losing is the share of answers that are lost in the middle third.
+	Losing float64
+	// NoLoad hides the load reports.
+	NoLoad bool
+	// Deafness is the share of reports between hosts that are lost.
+	Deafness float64
+
+	now     time.Time
+	begun   time.Time
+	random  *rand.Rand
+	hosts   []*placement.Placer
+	servers []*fleetServer
+	calls   map[fleetCall]*fleetState
+	last    placement.CallID
+	beaconAt,
+	tickAt time.Time
+	due    float64
+	result FleetResult
+	sends  []time.Time
+	asked  []time.Time
+}
+
+// FleetResult is what callers and backend servers of a fleet saw.
+type FleetResult struct {
+	// Calls is the number of calls that arrived.
+	Calls int
+	// InTime counts answers within the latency objective.
+	InTime int
+	// Late counts later answers.
+	Late int
+	// NotRun counts calls that were refused.
+	NotRun int
+	// Unknown counts calls that may have run without an answer.
+	Unknown int
+	// Sends counts sends.
+	Sends int
+	// Repeats counts sends beyond the first of each call.
+	Repeats int
+	// WorstRepeats is the largest excess of repeats over the agreed budget in any
+	// window; it must not be positive.
+	WorstRepeats float64
+	// RanTwice counts calls that ran more than once and may not.
+	RanTwice int
+	// UntrueRefusals counts refused calls that had run.
+	UntrueRefusals int
+	// FellOver counts cold backend servers with more work than they bear.
+	FellOver int
+	// Crossed counts sends to another data centre.
+	Crossed int
+	// Probes counts probes.
+	Probes int
+	// OverAttempts counts calls that were sent more often than allowed.
+	OverAttempts int
+	// LongestWait is the longest time after which a refusal was told.
+	LongestWait time.Duration
+	// Returns are the times after which refused callers were asked to return.
+	Returns []time.Duration
+}
+
+// Share returns the share of calls that were answered in time.
+func (r FleetResult) Share() float64 {
+	return float64(r.InTime) / float64(max(r.Calls, 1))
+}
+
+// fleetCall identifies a call of one host.
+type fleetCall struct {
+	host int
+	call placement.CallID
+}
+
+// fleetState is what the simulation remembers of a call.
+type fleetState struct {
+	at    time.Time
+	sends int
+	runs  int
+}
+
+// fleetJob is a send at a backend server.
+type fleetJob struct {
+	host      int
+	send      placement.Send
+	state     *fleetState
+	arrivesAt time.Time
+	work      time.Duration
+	running   bool
+	cancelled bool
+}
+
+// fleetServer is a simulated backend server.
+type fleetServer struct {
+	registration schema.Registration
+	jobs         []*fleetJob
+	pace         float64
+	shiftAt      time.Time
+	coldUntil    time.Time
+	coldArrivals []time.Time
+	refuses      bool
+}
+
+// Run runs the simulation.
+func (f *Fleet) Run() FleetResult {
+	f.begin()
+	for f.now.Before(f.begun.Add(f.Length)) {
+		f.now = f.now.Add(fleetStep)
+		f.shift()
+		f.arrive()
+		f.serve()
+		f.talk()
+	}
+	f.result.WorstRepeats = f.excess()
+
+	return f.result
+}
+
+// begin makes hosts and backend servers.
+func (f *Fleet) begin() {
+	f.begun = time.Unix(0, 0)
+	f.now = f.begun
+	f.random = rand.New(rand.NewPCG(f.Seed, f.Seed)) //nolint:gosec // a simulation
+	f.calls = map[fleetCall]*fleetState{}
+	f.Route.Name, f.Route.HostName, f.Route.Prefix = "route", fleetHostName, "/"
+	f.Route.Targets = []schema.RouteTarget{{Service: "service", Weight: 1}}
+	declared := schema.Declared{OrdersAt: 1, RegistrationsAt: 1, Declaration: schema.Declaration{
+		Version: 1, Routes: []schema.Route{f.Route},
+		Services: []schema.ServiceRule{{Name: "service", HealthPath: "/health", MaxConnections: 200, ColdMs: 3000, ColdPerSecond: f.ColdPerSecond}},
+	}}
+	for i := range f.Servers {
+		server := &fleetServer{pace: 1, registration: schema.Registration{
+			ID: fmt.Sprintf("server-%d", i), Service: "service", Address: fmt.Sprintf("10.0.0.%d:80", i+1),
+			DataCentre: f.dataCentre(i), Slots: f.Slots,
+		}}
+		f.servers = append(f.servers, server)
+		declared.Registrations = append(declared.Registrations, server.registration)
+	}
+	peers := placement.Peers{Hosts: f.DataCentres}
+	for i := range f.DataCentres {
+		peers.Serving = append(peers.Serving, placement.Peer{Name: f.hostName(i), DataCentre: f.dataCentre(i)})
+	}
+	for i := range f.DataCentres {
+		options := f.Options
+		options.Host, options.DataCentre, options.Seed = f.hostName(i), f.dataCentre(i), f.Seed+uint64(i) //nolint:gosec // a small number
+		f.hosts = append(f.hosts, placement.New(options))
+		f.step(i, placement.PeersChanged{Peers: peers})
+		f.step(i, placement.DeclaredChanged{Declared: declared})
+	}
+}
+
+// dataCentre names the data centre of the host or backend server i.
+func (f *Fleet) dataCentre(i int) string {
+	return fmt.Sprintf("dc-%d", i%f.DataCentres)
+}
+
+// hostName names the host i.
+func (*Fleet) hostName(i int) string {
+	return fmt.Sprintf("host-%d", i)
+}
+
+// middle reports whether the middle third of the time runs.
+func (f *Fleet) middle() bool {
+	elapsed := f.now.Sub(f.begun)
+
+	return elapsed > f.Length/3 && elapsed < 2*f.Length/3
+}
+
+// shift changes the pace of backend servers and turns some cold.
+func (f *Fleet) shift() {
+	turnsCold := f.ColdAt > 0 && f.now.Sub(f.begun) == f.ColdAt
+	for i, server := range f.servers {
+		if f.ShiftEvery > 0 && !f.now.Before(server.shiftAt) {
+			server.pace = 1
+			if f.random.Float64() < f.SlowShare {
+				server.pace = f.SlowFactor
+			}
+			server.shiftAt = f.now.Add(time.Duration(f.random.ExpFloat64() * float64(f.ShiftEvery)))
+		}
+		if turnsCold && i%3 == 0 {
+			server.coldUntil = f.now.Add(f.ColdFor)
+		}
+		server.refuses = f.Refusing > 0 && i%2 == 0 && f.middle()
+	}
+}
+
+// arrive lets callers call.
+func (f *Fleet) arrive() {
+	rate := f.Rate
+	if f.Burst > 0 && f.middle() {
+		rate *= f.Burst
+	}
+	f.due += rate * fleetStep.Seconds() * f.random.ExpFloat64()
+	for ; f.due >= 1; f.due-- {
+		host := f.random.IntN(len(f.hosts))
+		f.last++
+		f.calls[fleetCall{host, f.last}] = &fleetState{at: f.now}
+		f.result.Calls++
+		f.asked = append(f.asked, f.now)
+		f.step(host, placement.CallArrived{Call: f.last, HostName: fleetHostName, Path: "/x", Deadline: f.now.Add(5 * f.target())})
+	}
+}
+
+// serve lets backend servers work.
+func (f *Fleet) serve() {
+	for _, server := range f.servers {
+		running := 0
+		for _, job := range slices.Clone(server.jobs) {
+			if f.now.Before(job.arrivesAt) {
+				continue
+			}
+			if !job.running {
+				if running >= f.Slots {
+					continue
+				}
+				job.running = true
+				job.state.runs++
+			}
+			running++
+			job.work -= time.Duration(float64(fleetStep) / server.rate(f.now))
+			if job.work <= 0 {
+				f.answer(server, job)
+			}
+		}
+	}
+}
+
+// rate returns how long work takes at a backend server.
+func (s *fleetServer) rate(now time.Time) float64 {
+	if now.Before(s.coldUntil) {
+		return 2 * s.pace
+	}
+
+	return s.pace
+}
+
+// load returns what a backend server reports.
+func (f *Fleet) load(server *fleetServer) *placement.Load {
+	if f.NoLoad {
+		return nil
+	}
+	running := min(len(server.jobs), f.Slots)
+
+	return &placement.Load{Running: running, Waiting: len(server.jobs) - running, Pace: server.pace}
+}
+
+// answer ends a job.
+func (f *Fleet) answer(server *fleetServer, job *fleetJob) {
+	f.drop(server, job)
+	var result placement.Result = placement.Whole{Status: http.StatusOK, Size: kibi}
+	if f.Losing > 0 && f.middle() && f.random.Float64() < f.Losing {
+		result = placement.Cut{}
+	}
+	f.ended(job, result, f.load(server))
+}
+
+// kibi is the size of every answer in bytes.
+const kibi = 1024
+
+// drop removes a job from its backend server.
+func (*Fleet) drop(server *fleetServer, job *fleetJob) {
+	server.jobs = slices.DeleteFunc(server.jobs, func(other *fleetJob) bool { return other == job })
+}
+
+// ended tells a host how a send ended.
+func (f *Fleet) ended(job *fleetJob, result placement.Result, load *placement.Load) {
+	if job.cancelled {
+		return
+	}
+	job.cancelled = true
+	f.step(job.host, placement.AttemptEnded{Attempt: job.send.Attempt, Result: result, Load: load})
+}
+
+// talk lets hosts tick and tell each other what they know.
+func (f *Fleet) talk() {
+	if f.now.Sub(f.tickAt) >= fleetTick {
+		f.tickAt = f.now
+		for i := range f.hosts {
+			f.step(i, placement.Ticked{})
+		}
+	}
+	if f.now.Sub(f.beaconAt) < fleetBeacon {
+		return
+	}
+	f.beaconAt = f.now
+	for i, from := range f.hosts {
+		loads := from.Loads(f.now)
+		for j := range f.hosts {
+			if i != j && f.random.Float64() >= f.Deafness {
+				f.step(j, placement.LoadsHeard{Host: f.hostName(i), Loads: loads})
+			}
+		}
+	}
+}
+
+// step steps a host and carries out its actions.
+func (f *Fleet) step(host int, event placement.Event) {
+	for _, action := range slices.Clone(f.hosts[host].Step(f.now, event)) {
+		switch action := action.(type) {
+		case placement.Send:
+			f.send(host, action)
+		case placement.Cancel:
+			f.cancel(host, action.Attempt)
+		case placement.Finish:
+			f.finish(host, action)
+		case placement.Probe:
+			f.probe(host, action)
+		case placement.Believe:
+		}
+	}
+}
+
+// server returns a backend server.
+func (f *Fleet) server(id string) *fleetServer {
+	return f.servers[slices.IndexFunc(f.servers, func(server *fleetServer) bool { return server.registration.ID == id })]
+}
+
+// send gives a send to its backend server.
+func (f *Fleet) send(host int, send placement.Send) {
+	server := f.server(send.Server)
+	state := f.calls[fleetCall{host, send.Call}]
+	job := &fleetJob{host: host, send: send, state: state, arrivesAt: f.now.Add(fleetDelay)}
+	job.work = time.Duration(float64(f.Work) * math.Exp(f.Spread*f.random.NormFloat64()))
+	f.result.Sends++
+	state.sends++
+	if state.sends > 1 {
+		f.result.Repeats++
+		f.sends = append(f.sends, f.now)
+	}
+	if state.sends > f.Route.MaxAttempts {
+		f.result.OverAttempts++
+	}
+	if server.registration.DataCentre != f.dataCentre(host) {
+		f.result.Crossed++
+	}
+	f.arriveCold(server)
+	switch {
+	case server.refuses && f.random.Float64() < f.Refusing:
+		f.ended(job, placement.Refused{}, f.load(server))
+	case len(server.jobs) >= f.Slots+f.Queue && f.ResetWhenFull:
+		state.runs++ // a reset does not say that nothing ran
+		f.ended(job, placement.Cut{}, nil)
+	case len(server.jobs) >= f.Slots+f.Queue:
+		f.ended(job, placement.Refused{}, f.load(server))
+	default:
+		server.jobs = append(server.jobs, job)
+	}
+}
+
+// arriveCold counts what a cold backend server gets and lets it fall over.
+func (f *Fleet) arriveCold(server *fleetServer) {
+	if !f.now.Before(server.coldUntil) {
+		return
+	}
+	server.coldArrivals = slices.DeleteFunc(append(server.coldArrivals, f.now), func(at time.Time) bool {
+		return f.now.Sub(at) >= time.Second
+	})
+	if float64(len(server.coldArrivals)) > f.ColdPerSecond*1.5+5 {
+		f.result.FellOver++
+		server.coldArrivals = nil
+	}
+}
+
+// cancel gives up a send.
+func (f *Fleet) cancel(host int, attempt placement.AttemptID) {
+	for _, server := range f.servers {
+		for _, job := range slices.Clone(server.jobs) {
+			if job.host == host && job.send.Attempt == attempt {
+				f.drop(server, job)
+				f.ended(job, placement.Cancelled{}, nil)
+			}
+		}
+	}
+}
+
+// probe answers a probe.
+func (f *Fleet) probe(host int, probe placement.Probe) {
+	server := f.server(probe.Server)
+	f.result.Probes++
+	f.step(host, placement.ProbeEnded{
+		Server: probe.Server, Answered: true, Healthy: true, ColdLeft: max(server.coldUntil.Sub(f.now), 0), Load: f.load(server),
+	})
+}
+
+// finish counts how a call ended.
+func (f *Fleet) finish(host int, action placement.Finish) {
+	key := fleetCall{host, action.Call}
+	state := f.calls[key]
+	delete(f.calls, key)
+	if !f.Route.Idempotent && state.runs > 1 {
+		f.result.RanTwice++
+	}
+	switch outcome := action.Outcome.(type) {
+	case placement.Answered:
+		if f.now.Sub(state.at) <= f.target() {
+			f.result.InTime++
+		} else {
+			f.result.Late++
+		}
+	case placement.NotRun:
+		f.result.NotRun++
+		f.result.LongestWait = max(f.result.LongestWait, f.now.Sub(state.at))
+		f.result.Returns = append(f.result.Returns, outcome.RetryAfter)
+		if state.runs > 0 {
+			f.result.UntrueRefusals++
+		}
+	case placement.Unknown:
+		f.result.Unknown++
+	case placement.NoRoute, placement.Abandoned:
+	}
+}
+
+// excess returns the largest number of repeats in any window beyond what was
+// agreed.
+func (f *Fleet) excess() float64 {
+	budget, worst := f.Options.Budget, math.Inf(-1)
+	for _, end := range f.sends {
+		from := end.Add(-budget.Window)
+		within := func(list []time.Time) float64 {
+			count := 0.0
+			for _, at := range list {
+				if at.After(from) && !at.After(end) {
+					count++
+				}
+			}
+
+			return count
+		}
+		worst = max(worst, within(f.sends)-budget.Ratio*within(f.asked)-budget.Slack)
+	}
+
+	return worst
+}
+
+// target returns the latency objective.
+func (f *Fleet) target() time.Duration {
+	return time.Duration(f.Route.TargetMs) * time.Millisecond
+}
--- a/placement/measure.go
+++ b/placement/measure.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/schema"
@@ -16,6 +17,9 @@
 	// missesEject is the number of probes in a row without an answer that eject a
 	// backend server.
 	missesEject = 2
+	// untoldAfter is the age of another host's measurement from which this host
+	// measures the backend server itself.
+	untoldAfter = 600 * time.Millisecond
 	// toldFor is the age up to which a measurement is told to other hosts.
 	toldFor = time.Second
 )
@@ -29,7 +33,7 @@
 		}
 		for _, server := range service.servers {
 			due := !server.probing && now.Sub(server.probedAt) >= interval
-			if due && !server.Draining && !p.evacuated[server.DataCentre] && p.measures(server) {
+			if due && !server.Draining && !p.evacuated[server.DataCentre] && (p.measures(server) || p.untold(now, server)) {
 				server.probing, server.probedAt = true, now
 				p.act(Probe{
 					Server: server.ID, Address: server.Address, Path: service.Rule.HealthPath,
@@ -40,6 +44,17 @@
 	}
 }
 
+// untold reports whether this host serves and the host that measures the backend
+// server does not tell.
+func (p *Placer) untold(now time.Time, server *Server) bool {
+	return p.serves() && now.Sub(server.toldAt) > untoldAfter && now.Sub(server.probedAt) > untoldAfter/2
+}
+
+// serves reports whether callers are told this host's address.
+func (p *Placer) serves() bool {
+	return slices.ContainsFunc(p.peers.Serving, func(peer Peer) bool { return peer.Name == p.Options.Host })
+}
+
 // probed learns from a probe. A report of ill health alone changes nothing,
 // because such reports are often false: calls show whether they are.
 func (p *Placer) probed(now time.Time, event ProbeEnded) {
@@ -56,7 +71,7 @@
 
 		return
 	}
-	server.misses = 0
+	server.misses, server.answeredAt = 0, now
 	server.readmit()
 	if event.Load != nil {
 		server.report(now, event.Load.Pace)
@@ -77,11 +92,11 @@
 func (p *Placer) Loads(now time.Time) []schema.ServerLoad {
 	var loads []schema.ServerLoad
 	for _, server := range p.servers {
-		measured := server.Pace > 0 && now.Sub(server.PacedAt) < toldFor && p.measures(server)
+		measured := now.Sub(server.answeredAt) < toldFor && p.measures(server)
 		if !measured && server.InFlight == 0 {
 			continue
 		}
-		load := schema.ServerLoad{ServerHash: Hash(server.ID), InFlight: server.InFlight, Failing: server.Ejected(now)}
+		load := schema.ServerLoad{ServerHash: Hash(server.ID), InFlight: server.InFlight, Failing: server.Ejected(now), AgeMs: notMeasured}
 		if measured {
 			load.PacePercent = int(server.Pace * percent)
 			load.AgeMs = int(now.Sub(server.PacedAt).Milliseconds())
@@ -93,8 +108,12 @@
 	return loads
 }
 
-// percent turns a pace into hundredths.
-const percent = 100
+const (
+	// percent turns a pace into hundredths.
+	percent = 100
+	// notMeasured is the age of what a host did not measure.
+	notMeasured = -1
+)
 
 // hear adopts what another host knows about backend servers.
 func (p *Placer) hear(now time.Time, event LoadsHeard) {
@@ -109,7 +128,8 @@
 		if load.InFlight > 0 {
 			server.others[event.Host] = heard{inFlight: load.InFlight, at: now}
 		}
-		if load.PacePercent > 0 {
+		if load.AgeMs != notMeasured {
+			server.toldAt = now
 			server.report(now.Add(-time.Duration(load.AgeMs)*time.Millisecond), float64(load.PacePercent)/percent)
 			server.ColdUntil = now.Add(time.Duration(load.ColdLeftMs) * time.Millisecond)
 		}
--- /dev/null
+++ b/placement/replay_test.go
@@ -0,0 +1,146 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/baobabdrum/baobabdrum/bench"
+	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// agreed is the budget of repeated sends in the replays.
+var agreed = placement.Budget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+
+// usual returns a fleet at half of its capacity, whose backend servers are
+// slowed by their neighbours a quarter of the time.
+func usual(seed uint64) *bench.Fleet {
+	return &bench.Fleet{
+		Seed: seed, DataCentres: 3, Servers: 18, Slots: 4, Queue: 16, Work: 160 * time.Millisecond, Spread: 0.3,
+		SlowShare: 0.25, SlowFactor: 7, ShiftEvery: 500 * time.Millisecond, Rate: 90, Length: 15 * time.Second,
+		Route:   schema.Route{Idempotent: true, TimeoutMs: 1000, TargetMs: 400, MaxAttempts: 2},
+		Options: placement.Options{Budget: agreed, ProbeInterval: 100 * time.Millisecond}, ColdPerSecond: 7,
+	}
+}
+
+// share returns the mean share of calls that are answered in time over seeds.
+func share(change func(fleet *bench.Fleet)) float64 {
+	const seeds = 3
+	total := 0.0
+	for seed := range uint64(seeds) {
+		fleet := usual(seed + 1)
+		change(fleet)
+		total += fleet.Run().Share()
+	}
+
+	return total / seeds
+}
+
+func TestReplays(t *testing.T) {
+	tests := map[string]struct {
+		// load is the load that the decision answers.
+		load func(fleet *bench.Fleet)
+		// without takes the decision away, or is nil.
+		without func(fleet *bench.Fleet)
+		// least is the share of calls in time that the product reaches.
+		least float64
+		// gain is what the decision adds at least.
+		gain float64
+	}{
+		"load reports keep calls off machines that are slow now": {
+			load:    func(*bench.Fleet) {},
+			without: func(fleet *bench.Fleet) { fleet.NoLoad, fleet.Route.MaxAttempts = true, 1 },
+			least:   0.95, gain: 0.01,
+		},
+		"second sends rescue calls whose machine turned slow": {
+			load:    func(fleet *bench.Fleet) { fleet.ShiftEvery = 250 * time.Millisecond },
+			without: func(fleet *bench.Fleet) { fleet.Route.MaxAttempts = 1 },
+			least:   0.95, gain: 0.01,
+		},
+		"fresh probes place calls better than rare ones": {
+			load:    func(fleet *bench.Fleet) { fleet.Route.Idempotent = false },
+			without: func(fleet *bench.Fleet) { fleet.Options.ProbeInterval = 2 * time.Second },
+			least:   0.9, gain: 0.01,
+		},
+		"a burst beyond capacity is served up to capacity": {
+			load:  func(fleet *bench.Fleet) { fleet.Burst = 5 },
+			least: 0.5,
+		},
+		"backend servers that refuse half of all calls are avoided": {
+			load:  func(fleet *bench.Fleet) { fleet.Refusing = 0.55 },
+			least: 0.85,
+		},
+		"lost answers of calls that may run twice are sent again": {
+			load:    func(fleet *bench.Fleet) { fleet.Losing = 0.1 },
+			without: func(fleet *bench.Fleet) { fleet.Route.MaxAttempts = 1 },
+			least:   0.93, gain: 0.02,
+		},
+		"backend servers that reset when full are not filled": {
+			load:  func(fleet *bench.Fleet) { fleet.Queue, fleet.ResetWhenFull, fleet.Rate = 2, true, 150 },
+			least: 0.9,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			with := share(test.load)
+			assert.Assert(t, with >= test.least, "share in time %.3f", with)
+			if test.without == nil {
+				return
+			}
+			without := share(func(fleet *bench.Fleet) {
+				test.load(fleet)
+				test.without(fleet)
+			})
+			assert.Assert(t, with-without >= test.gain, "share in time %.3f with and %.3f without", with, without)
+		})
+	}
+}
+
+func TestRefusalsAreSoonTrueAndSpread(t *testing.T) {
+	fleet := usual(1)
+	fleet.Burst, fleet.Route.Idempotent = 6, false
+	result := fleet.Run()
+	assert.Assert(t, result.NotRun > 50, "only %d refusals", result.NotRun)
+	assert.Equal(t, result.UntrueRefusals, 0)
+	assert.Assert(t, result.LongestWait <= fleetPatience, "a refusal took %s", result.LongestWait)
+	distinct := map[time.Duration]bool{}
+	for _, after := range result.Returns {
+		distinct[after.Truncate(10*time.Millisecond)] = true
+	}
+	assert.Assert(t, len(distinct) > 10, "refused callers come back at %d different times", len(distinct))
+}
+
+// fleetPatience is an eighth of the latency objective of the replays and a tick.
+const fleetPatience = 400*time.Millisecond/8 + 11*time.Millisecond
+
+func TestBoundsOverAllHosts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := usual(rapid.Uint64Range(1, 1<<40).Draw(t, "seed"))
+		fleet.DataCentres = rapid.IntRange(1, 5).Draw(t, "data centres")
+		fleet.Servers = rapid.IntRange(fleet.DataCentres, 24).Draw(t, "servers")
+		fleet.Length = 6 * time.Second
+		fleet.Rate = rapid.Float64Range(10, 300).Draw(t, "rate")
+		fleet.Route.Idempotent = rapid.Bool().Draw(t, "idempotent")
+		fleet.Losing = rapid.Float64Range(0, 0.4).Draw(t, "losing")
+		fleet.Refusing = rapid.Float64Range(0, 0.6).Draw(t, "refusing")
+		fleet.Deafness = rapid.Float64Range(0, 1).Draw(t, "deafness")
+		fleet.Burst = rapid.Float64Range(0, 4).Draw(t, "burst")
+		fleet.ColdAt, fleet.ColdFor = time.Second, 3*time.Second
+		fleet.ResetWhenFull = rapid.Bool().Draw(t, "reset when full")
+		fleet.Queue = rapid.IntRange(0, 16).Draw(t, "queue")
+		result := fleet.Run()
+		if result.WorstRepeats > 0 {
+			t.Fatalf("%.1f repeated sends beyond the budget", result.WorstRepeats)
+		}
+		if result.RanTwice+result.UntrueRefusals+result.OverAttempts > 0 {
+			t.Fatalf("ran twice %d, refused though run %d, sent too often %d", result.RanTwice, result.UntrueRefusals, result.OverAttempts)
+		}
+		if result.FellOver > 0 {
+			t.Fatalf("%d cold backend servers fell over", result.FellOver)
+		}
+	})
+}
--- a/placement/routes.go
+++ b/placement/routes.go
@@ -12,6 +12,9 @@
 	// firstWork is the share of a route's latency objective that a call is expected
 	// to take until calls were answered.
 	firstWork = 0.4
+	// firstSize is the length in bytes that an answer is expected to have until
+	// calls were answered.
+	firstSize = 8 << 10
 	// workWeight is the share of the newest answer in the smoothed work and size.
 	workWeight = 0.05
 )
@@ -33,6 +36,7 @@
 	return &Route{
 		Route:   declared,
 		Work:    time.Duration(firstWork * float64(declared.TargetMs) * float64(time.Millisecond)),
+		Size:    firstSize,
 		credits: make([]int, len(declared.Targets)),
 	}
 }
@@ -65,9 +69,6 @@
 // learn adopts what an answer showed.
 func (r *Route) learn(work time.Duration, size int) {
 	r.Work += time.Duration(workWeight * float64(work-r.Work))
-	if r.Size == 0 {
-		r.Size = float64(size)
-	}
 	r.Size += workWeight * (float64(size) - r.Size)
 }
 
--- a/placement/server.go
+++ b/placement/server.go
@@ -66,12 +66,14 @@
 	// Unreachable says that it was ejected because nothing could be sent.
 	Unreachable bool
 
-	streak    int
-	ejections int
-	others    map[string]heard
-	probing   bool
-	probedAt  time.Time
-	misses    int
+	streak     int
+	ejections  int
+	others     map[string]heard
+	probing    bool
+	probedAt   time.Time
+	misses     int
+	toldAt     time.Time
+	answeredAt time.Time
 }
 
 // heard is what another host said of a backend server.
--- a/placement/service.go
+++ b/placement/service.go
@@ -13,6 +13,9 @@
 	shortestReturn = 30 * time.Millisecond
 	// longestReturn is the longest such time. Callers stop waiting within seconds.
 	longestReturn = time.Second
+	// returnShare is the share of the service's throughput that is taken to be left
+	// for callers that come back.
+	returnShare = 0.25
 	// returnSpread is the share by which that time varies between callers, so that
 	// they do not come back together.
 	returnSpread = 0.25
@@ -56,7 +59,7 @@
 // refuse counts a refused call and returns when its caller may come back. The
 // refused calls form a queue that the service works off in order.
 func (s *service) refuse(now time.Time, work time.Duration, random float64) time.Duration {
-	rate := s.throughput(now, work)
+	rate := returnShare * s.throughput(now, work)
 	if rate == 0 {
 		return longestReturn
 	}
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -876,7 +876,8 @@
 
 // ServerLoad is what one entry host knows about the load of a backend server.
 type ServerLoad struct {
-	// AgeMs is the age of the pace in milliseconds.
+	// AgeMs is the age of the pace in milliseconds; -1 says that the sender does not
+	// measure the backend server.
 	AgeMs int `json:"age_ms" msg:"age_ms"`
 
 	// ColdLeftMs is how much longer it stays cold in milliseconds.
