Let the first hosts that the store answers read it, and tell what they learn

The two readers were turned away; the next host read once in 2.2 s only, because its own read made it feel told; and when a reader came back, it held back all news while it kept what might have lapsed. Ruled out: late application at the placer (it stopped within 15 ms of hearing). Change: a beacon says whether its sender reads; the first two hosts that do are enough; revisions have room for what a host drops itself, so nothing is held back; registrations are kept only by hosts that had no news for 3 s.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -266,7 +266,7 @@
 		f.calls[fleetCall{host, f.last}] = &fleetState{at: f.now}
 		f.result.Calls++
 		f.asked = append(f.asked, f.now)
-		f.step(host, placement.CallArrived{Call: f.last, HostName: fleetHostName, Path: "/x", Deadline: f.now.Add(5 * f.target())})
+		f.step(host, placement.CallArrived{Call: f.last, HostName: fleetHostName, Path: "/x", Wait: 5 * f.target()})
 	}
 }
 
--- a/declared/declared.go
+++ b/declared/declared.go
@@ -29,14 +29,27 @@
 	// startAfter is the time for which a host that knows nothing waits for others
 	// to tell it.
 	startAfter = 100 * time.Millisecond
+	// readerTimeout is how long after it was last heard a host that reads counts as
+	// one.
+	readerTimeout = time.Second
 	// rankStep is what each rank waits longer, so that one host after the other
 	// begins to read.
 	rankStep = 150 * time.Millisecond
 	// watchPause is the time between two reads of the orders, which bounds the calls
 	// when many changes come one after the other.
 	watchPause = 50 * time.Millisecond
-	// retryAfter is the time before a failed read is tried again.
+	// retryAfter is the time before a failed read is tried again; it doubles with
+	// each failure up to retryLongest.
 	retryAfter = 200 * time.Millisecond
+	// retryLongest bounds that time.
+	retryLongest = 800 * time.Millisecond
+	// RevisionBits is the number of bits by which a store's version is shifted in
+	// Declared.RegistrationsAt, so that what a host drops by itself has a place
+	// between two versions of the store.
+	RevisionBits = 10
+	// lapseAfter is how long a host must have been without news until registrations
+	// that went missing may have lapsed: less than three heartbeats.
+	lapseAfter = 3 * time.Second
 	// lostFailures is the number of reads in a row that must fail until the store
 	// counts as away; a single one may be an idle connection that was closed.
 	lostFailures = 2
@@ -46,6 +59,9 @@
 	lapseHold = 2200 * time.Millisecond
 )
 
+// revisionMask are the bits of a revision that do not come from the store.
+const revisionMask = 1<<RevisionBits - 1
+
 // Event is what the book reacts to.
 //
 //sumtype:decl
@@ -92,13 +108,17 @@
 
 // PeerHeard says what another host knows.
 type PeerHeard struct {
+	// Name is the host's name.
+	Name string
+	// Reads says that it reads the store and is answered.
+	Reads bool
 	// Address is its ip:port for peers' requests.
 	Address string
 	// Hash identifies what it knows.
 	Hash int
 	// OrdersAt is the store's version of its orders.
 	OrdersAt int
-	// RegistrationsAt is the store's version of its registrations.
+	// RegistrationsAt is the revision of its registrations.
 	RegistrationsAt int
 	// Age is the time since the store confirmed what it knows.
 	Age time.Duration
@@ -115,8 +135,8 @@
 
 // RoleChanged says how this host takes part in reading.
 type RoleChanged struct {
-	// Rank is this host's place among those that serve, or behind them.
-	Rank int
+	// Ahead are the hosts that read before this one does.
+	Ahead []string
 }
 
 // Ticked says that time passed.
@@ -209,12 +229,13 @@
 	lostAt        time.Time
 	fetching      bool
 	role          RoleChanged
+	readers       map[string]time.Time
 	changed       bool
 }
 
 // NewBook returns a book that knows nothing and reads the store at once.
 func NewBook() *Book {
-	return &Book{registrations: map[string]schema.Registration{}, missing: map[string]time.Time{}}
+	return &Book{registrations: map[string]schema.Registration{}, missing: map[string]time.Time{}, readers: map[string]time.Time{}}
 }
 
 // Known reports whether both orders and registrations are known.
@@ -289,22 +310,34 @@
 	return actions
 }
 
-// reader reports whether this host reads the store: the first ranks always, the
-// others while no one tells them what is in force.
+// reader reports whether this host reads the store: the first hosts that the
+// store answers do, and any host while no one tells it what is in force.
 func (b *Book) reader(now time.Time) bool {
-	later := time.Duration(b.role.Rank) * rankStep
+	rank := len(b.role.Ahead)
+	later := time.Duration(rank) * rankStep
 	if !b.Known() {
 		return now.Sub(b.startedAt) >= startAfter+later
 	}
+	reading := 0
+	for _, name := range b.role.Ahead {
+		if now.Sub(b.readers[name]) < readerTimeout {
+			reading++
+		}
+	}
+
+	return reading < readers || now.Sub(b.ConfirmedAt()) >= staleAfter+later
+}
 
-	return b.role.Rank < readers || now.Sub(b.ConfirmedAt()) >= staleAfter+later
+// Reads reports whether this host reads the store and is answered.
+func (b *Book) Reads(now time.Time) bool {
+	return b.Known() && b.failures == 0 && b.reader(now)
 }
 
 // due reports whether a table may be read again.
 func (b *Book) due(now time.Time, table Table) bool {
 	interval := watchPause
 	if b.failures > 0 {
-		interval = retryAfter
+		interval = min(retryAfter<<min(b.failures-1, 8), retryLongest)
 	}
 
 	return !b.reading[table] && now.Sub(b.readAt[table]) >= interval
@@ -323,12 +356,16 @@
 
 // regained notes that the store answered.
 func (b *Book) regained(now time.Time, table Table) []Action {
+	silent := now.Sub(b.ConfirmedAt())
 	b.reading[table], b.failures, b.confirmed[table] = false, 0, now
 	if b.lostAt.IsZero() {
 		return nil
 	}
 	away := now.Sub(b.lostAt)
-	b.lostAt, b.holdUntil = time.Time{}, now.Add(lapseHold)
+	b.lostAt = time.Time{}
+	if silent >= lapseAfter {
+		b.holdUntil = now.Add(lapseHold)
+	}
 
 	return []Action{StoreRegained{Away: away}}
 }
@@ -377,7 +414,7 @@
 // missing while the store was away is kept for some time.
 func (b *Book) adoptRegistrations(now time.Time, read RegistrationsRead) {
 	b.after[Registrations] = read.At
-	if read.At < b.Declared.RegistrationsAt {
+	if read.At<<RevisionBits < b.Declared.RegistrationsAt&^revisionMask {
 		return
 	}
 	listed := map[string]bool{}
@@ -401,9 +438,7 @@
 			}
 		}
 	}
-	if len(b.missing) == 0 {
-		b.Declared.RegistrationsAt = read.At
-	}
+	b.Declared.RegistrationsAt = max(b.Declared.RegistrationsAt, read.At<<RevisionBits)
 }
 
 // remove drops a registration, or keeps it for a while if it may have lapsed
@@ -429,6 +464,7 @@
 		if !now.Before(until) {
 			delete(b.missing, id)
 			delete(b.registrations, id)
+			b.Declared.RegistrationsAt++
 			b.changed = true
 		}
 	}
@@ -436,6 +472,10 @@
 
 // heard compares what another host knows with what this host knows.
 func (b *Book) heard(now time.Time, peer PeerHeard) []Action {
+	delete(b.readers, peer.Name)
+	if peer.Reads {
+		b.readers[peer.Name] = now
+	}
 	confirmed := now.Add(-peer.Age)
 	if peer.Hash == b.Hash && confirmed.After(b.told) {
 		b.told = confirmed
@@ -446,9 +486,7 @@
 	}
 	if peer.Hash == b.Hash && b.Known() {
 		b.Declared.OrdersAt = max(b.Declared.OrdersAt, peer.OrdersAt)
-		if len(b.missing) == 0 {
-			b.Declared.RegistrationsAt = max(b.Declared.RegistrationsAt, peer.RegistrationsAt)
-		}
+		b.Declared.RegistrationsAt = max(b.Declared.RegistrationsAt, peer.RegistrationsAt)
 
 		return nil
 	}
--- /dev/null
+++ b/declared/declared_test.go
@@ -0,0 +1,380 @@
+package declared_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/baobabdrum/baobabdrum/declared"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// begin is when the tests begin.
+var begin = time.Unix(1000, 0)
+
+// at returns a time after the beginning.
+func at(offset time.Duration) time.Time {
+	return begin.Add(offset)
+}
+
+// server returns a registration.
+func server(id string) schema.Registration {
+	return schema.Registration{ID: id, Service: "stock", Address: "10.0.0.1:80", DataCentre: "north", Slots: 4, StartedMs: 1}
+}
+
+// draining returns the registration of a backend server that drains.
+func draining(id string) schema.Registration {
+	registration := server(id)
+	registration.Draining = true
+
+	return registration
+}
+
+// version returns a declaration.
+func version(number int) schema.Declaration {
+	return schema.Declaration{Version: number}
+}
+
+// step is an event at a time.
+type step struct {
+	at    time.Duration
+	event declared.Event
+}
+
+// ids returns the registered IDs with a mark for those that drain.
+func ids(book *declared.Book) string {
+	list := ""
+	for _, registration := range book.Declared.Registrations {
+		list += registration.ID
+		if registration.Draining {
+			list += "-"
+		}
+		list += " "
+	}
+
+	return list
+}
+
+func TestBook(t *testing.T) {
+	known := []step{
+		{0, declared.OrdersRead{At: 5, Full: true, Declarations: []schema.Declaration{version(3)}}},
+		{0, declared.RegistrationsRead{At: 6, Full: true, Registered: []schema.Registration{server("a"), server("b")}}},
+	}
+	lost := []step{
+		{time.Second, declared.ReadFailed{Table: declared.Registrations}},
+		{2 * time.Second, declared.ReadFailed{Table: declared.Registrations}},
+	}
+	tests := map[string]struct {
+		steps     [][]step
+		version   int
+		servers   string
+		evacuated []string
+	}{
+		"what was read is in force": {steps: [][]step{known}, version: 3, servers: "a b "},
+		"versions never go back": {
+			steps:   [][]step{known, {{1, declared.OrdersRead{At: 9, Declarations: []schema.Declaration{version(2)}}}}},
+			version: 3, servers: "a b ",
+		},
+		"a change adds, replaces and removes": {
+			steps: [][]step{known, {{1, declared.RegistrationsRead{
+				At: 7, Registered: []schema.Registration{server("c"), draining("a")}, Gone: []string{"b"},
+			}}}},
+			version: 3, servers: "a- c ",
+		},
+		"the late write of an earlier incarnation changes nothing": {
+			steps: [][]step{known, {{1, declared.RegistrationsRead{At: 7, Registered: []schema.Registration{{
+				ID: "a", Service: "stock", Draining: true, Slots: 4, StartedMs: 0,
+			}}}}}},
+			version: 3, servers: "a b ",
+		},
+		"evacuations come and go": {
+			steps: [][]step{known, {
+				{1, declared.OrdersRead{At: 8, Evacuated: []string{"north", "south"}}},
+				{2, declared.OrdersRead{At: 9, Returned: []string{"north"}}},
+			}},
+			version: 3, servers: "a b ", evacuated: []string{"south"},
+		},
+		"a full read without a server removes it at once while the store was there": {
+			steps: [][]step{known, {
+				{1, declared.HistoryLost{Table: declared.Registrations}},
+				{2, declared.RegistrationsRead{At: 8, Full: true, Registered: []schema.Registration{server("a")}}},
+			}},
+			version: 3, servers: "a ",
+		},
+		"what lapsed while the store was away is kept for a while": {
+			steps: [][]step{known, lost, {
+				{9 * time.Second, declared.RegistrationsRead{At: 8, Gone: []string{"a"}}},
+				{10 * time.Second, declared.Ticked{}},
+			}},
+			version: 3, servers: "a b ",
+		},
+		"what does not come back after that is gone": {
+			steps: [][]step{known, lost, {
+				{9 * time.Second, declared.RegistrationsRead{At: 8, Gone: []string{"a"}}},
+				{11500 * time.Millisecond, declared.Ticked{}},
+			}},
+			version: 3, servers: "b ",
+		},
+		"what comes back stays": {
+			steps: [][]step{known, lost, {
+				{9 * time.Second, declared.RegistrationsRead{At: 8, Gone: []string{"a"}}},
+				{10 * time.Second, declared.RegistrationsRead{At: 9, Registered: []schema.Registration{server("a")}}},
+				{12 * time.Second, declared.Ticked{}},
+			}},
+			version: 3, servers: "a b ",
+		},
+		"a host that others told meanwhile keeps nothing": {
+			steps: [][]step{known, lost, {
+				{8900 * time.Millisecond, declared.PeerHeard{Address: "p", Hash: -1, OrdersAt: 5, RegistrationsAt: 8 << declared.RevisionBits, Age: 100 * time.Millisecond}},
+				{8950 * time.Millisecond, declared.PeerAnswered{Declared: schema.Declared{
+					Declaration: version(3), OrdersAt: 5, RegistrationsAt: 8 << declared.RevisionBits, Registrations: []schema.Registration{server("a"), server("b")},
+				}}},
+				{9 * time.Second, declared.RegistrationsRead{At: 9, Gone: []string{"a"}}},
+			}},
+			version: 3, servers: "b ",
+		},
+		"a peer's older knowledge changes nothing": {
+			steps:   [][]step{known, {{1, declared.PeerAnswered{Declared: schema.Declared{Declaration: version(2), OrdersAt: 4, RegistrationsAt: 5}}}}},
+			version: 3, servers: "a b ",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			book := declared.NewBook()
+			for _, steps := range test.steps {
+				for _, step := range steps {
+					book.Step(at(step.at), step.event)
+				}
+			}
+			assert.Equal(t, book.Declared.Declaration.Version, test.version)
+			assert.Equal(t, ids(book), test.servers)
+			assert.DeepEqual(t, append([]string(nil), book.Declared.Evacuated...), test.evacuated)
+		})
+	}
+}
+
+// cluster is some hosts that read a store and tell each other.
+type cluster struct {
+	now     time.Time
+	books   []*declared.Book
+	turned  []bool
+	rows    map[string]schema.Registration
+	version int
+	since   map[string]int
+	reads   []map[declared.Table]pending
+	fetches []string
+	calls   int
+}
+
+// pending is a read that waits at the store.
+type pending struct {
+	read  declared.Read
+	until time.Time
+}
+
+// newCluster returns hosts that know nothing.
+func newCluster(hosts int) *cluster {
+	c := &cluster{now: begin, rows: map[string]schema.Registration{}, since: map[string]int{}, turned: make([]bool, hosts), fetches: make([]string, hosts)}
+	for rank := range hosts {
+		c.books = append(c.books, declared.NewBook())
+		c.reads = append(c.reads, map[declared.Table]pending{})
+		var ahead []string
+		for other := range rank {
+			ahead = append(ahead, fmt.Sprint(other))
+		}
+		c.step(rank, declared.RoleChanged{Ahead: ahead})
+	}
+
+	return c
+}
+
+// write changes a row.
+func (c *cluster) write(registration schema.Registration) {
+	c.version++
+	c.rows[registration.ID] = registration
+	c.since[registration.ID] = c.version
+}
+
+// remove removes a row.
+func (c *cluster) remove(id string) {
+	c.version++
+	delete(c.rows, id)
+	c.since[id] = c.version
+}
+
+// step steps a host.
+func (c *cluster) step(host int, event declared.Event) {
+	for _, action := range c.books[host].Step(c.now, event) {
+		switch action := action.(type) {
+		case declared.Read:
+			c.calls++
+			c.reads[host][action.Table] = pending{read: action, until: c.now.Add(action.Wait)}
+		case declared.Fetch:
+			c.fetches[host] = action.Address
+		case declared.Changed, declared.StoreLost, declared.StoreRegained:
+		}
+	}
+}
+
+// run lets time pass.
+func (c *cluster) run(length time.Duration) {
+	const tick = 50 * time.Millisecond
+	for end := c.now.Add(length); c.now.Before(end); c.now = c.now.Add(tick) {
+		for host := range c.books {
+			for table, waiting := range c.reads[host] {
+				c.answer(host, table, waiting)
+			}
+			c.step(host, declared.Ticked{})
+		}
+		for from := range c.books {
+			for to := range c.books {
+				c.tell(from, to)
+			}
+		}
+	}
+}
+
+// answer lets the store answer a read.
+func (c *cluster) answer(host int, table declared.Table, waiting pending) {
+	if c.turned[host] {
+		delete(c.reads[host], table)
+		c.step(host, declared.ReadFailed{Table: table})
+
+		return
+	}
+	if table == declared.Orders {
+		if !c.now.Before(waiting.until) {
+			delete(c.reads[host], table)
+			c.step(host, declared.OrdersRead{At: 1, Full: true, Declarations: []schema.Declaration{version(1)}})
+		}
+
+		return
+	}
+	read := declared.RegistrationsRead{At: c.version, Full: waiting.read.After == 0}
+	for id, changed := range c.since {
+		if changed <= waiting.read.After {
+			continue
+		}
+		if row, present := c.rows[id]; present {
+			read.Registered = append(read.Registered, row)
+		} else {
+			read.Gone = append(read.Gone, id)
+		}
+	}
+	if len(read.Registered)+len(read.Gone) > 0 || !c.now.Before(waiting.until) {
+		delete(c.reads[host], table)
+		c.step(host, read)
+	}
+}
+
+// tell lets a host hear of another and fetch what it knows.
+func (c *cluster) tell(from, to int) {
+	if from == to {
+		return
+	}
+	book := c.books[from]
+	c.step(to, declared.PeerHeard{
+		Name: fmt.Sprint(from), Reads: book.Reads(c.now), Address: fmt.Sprint(from), Hash: book.Hash, OrdersAt: book.Declared.OrdersAt, RegistrationsAt: book.Declared.RegistrationsAt,
+		Age: c.now.Sub(book.ConfirmedAt()),
+	})
+	if c.fetches[to] == fmt.Sprint(from) {
+		c.fetches[to] = ""
+		c.step(to, declared.PeerAnswered{Declared: book.Declared})
+	}
+}
+
+// The run that broke it: cmmf-portail trouble-1, --no-cpu. The two hosts that
+// read were turned away for nine seconds; when they came back, they kept what
+// had changed meanwhile to themselves.
+func TestEveryHostHearsOfADrainingServerSoon(t *testing.T) {
+	tests := map[string]struct {
+		turned []bool
+		away   time.Duration
+	}{
+		"all are served":                    {turned: make([]bool, 5)},
+		"the first reader is turned away":   {turned: []bool{true, false, false, false, false}, away: 9 * time.Second},
+		"both readers are turned away":      {turned: []bool{true, true, false, false, false}, away: 9 * time.Second},
+		"all are turned away and come back": {turned: []bool{true, true, true, true, true}, away: 9 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(5)
+			for _, id := range []string{"a", "b", "c"} {
+				c.write(server(id))
+			}
+			c.run(5 * time.Second)
+			c.turned = test.turned
+			c.run(test.away / 2)
+			c.remove("c")
+			c.run(test.away / 2)
+			c.turned = make([]bool, 5)
+			c.run(300 * time.Millisecond)
+			c.write(draining("a"))
+			c.run(1500 * time.Millisecond)
+			for host, book := range c.books {
+				assert.Assert(t, strings.HasPrefix(ids(book), "a- b "), "host %d knows %s", host, ids(book))
+			}
+			c.run(3 * time.Second)
+			for host, book := range c.books {
+				assert.Equal(t, ids(book), "a- b ", "host %d", host)
+			}
+		})
+	}
+}
+
+// The run that broke it: cmmf-portail trouble-1, --no-cpu. While the hosts that
+// read first were turned away, the next one read once in two seconds only.
+func TestChangesAreHeardWhileReadersAreTurnedAway(t *testing.T) {
+	c := newCluster(5)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		c.write(server(id))
+	}
+	c.run(5 * time.Second)
+	c.turned = []bool{true, true, false, false, false}
+	c.run(4 * time.Second)
+	for i, id := range []string{"a", "b", "c", "d"} {
+		c.write(draining(id))
+		c.run(time.Duration(700+100*i) * time.Millisecond)
+		for host, book := range c.books {
+			assert.Assert(t, strings.Contains(ids(book), id+"-"), "host %d knows %s", host, ids(book))
+		}
+	}
+}
+
+func TestFewHostsReadTheStore(t *testing.T) {
+	c := newCluster(15)
+	c.write(server("a"))
+	c.run(10 * time.Second)
+	calls := c.calls
+	c.run(10 * time.Second)
+	assert.Assert(t, c.calls-calls <= 24, "%d calls in ten seconds", c.calls-calls)
+}
+
+func TestVersionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		book := declared.NewBook()
+		newest, now := 0, begin
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			number, store := rapid.IntRange(1, 20).Draw(t, "version"), rapid.IntRange(1, 50).Draw(t, "store version")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				book.Step(now, declared.OrdersRead{At: store, Full: rapid.Bool().Draw(t, "full"), Declarations: []schema.Declaration{version(number)}})
+			case 1:
+				book.Step(now, declared.PeerAnswered{Declared: schema.Declared{Declaration: version(number), OrdersAt: store, RegistrationsAt: store}})
+			case 2:
+				book.Step(now, declared.ReadFailed{Table: declared.Orders})
+			case 3:
+				book.Step(now, declared.HistoryLost{Table: declared.Orders})
+			}
+			if book.Declared.Declaration.Version < newest {
+				t.Fatalf("version %d after %d", book.Declared.Declaration.Version, newest)
+			}
+			newest = book.Declared.Declaration.Version
+		}
+	})
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -94,8 +94,9 @@
 type ServingChanged struct {
 	// Serving are the hosts that they are told, by data centre and name.
 	Serving []schema.Beacon
-	// Rank is this host's place among them, or its place among all hosts.
-	Rank int
+	// Ahead are the hosts that come before this one in what only a few hosts do:
+	// first those that serve, then the others.
+	Ahead []string
 	// Self says that this host is one of them.
 	Self bool
 	// Hosts is the number of known hosts.
@@ -293,11 +294,14 @@
 		return nil
 	}
 	d.urgent = true
-	isSelf := func(beacon schema.Beacon) bool { return beacon.Name == d.Self.Name }
-	rank := slices.IndexFunc(serving, isSelf)
-	action := ServingChanged{Serving: serving, Rank: rank, Self: rank >= 0, Hosts: hosts}
-	if rank < 0 {
-		action.Rank = len(serving) + slices.IndexFunc(all, isSelf)
+	action := ServingChanged{Serving: serving, Self: d.serves(d.Self.Name), Hosts: hosts}
+	for _, beacon := range append(slices.Clone(serving), all...) {
+		if beacon.Name == d.Self.Name {
+			break
+		}
+		if !slices.Contains(action.Ahead, beacon.Name) {
+			action.Ahead = append(action.Ahead, beacon.Name)
+		}
 	}
 
 	return []Action{action}
--- a/edge/calls.go
+++ b/edge/calls.go
@@ -118,7 +118,7 @@
 		d.arrived++
 		d.calls[input.Call] = &open{request: input.Request, reply: input.Reply}
 		d.act(now, d.placer.Step(now, placement.CallArrived{
-			Call: input.Call, HostName: input.Request.HostName, Path: input.Request.Path, Deadline: input.Request.Deadline,
+			Call: input.Call, HostName: input.Request.HostName, Path: input.Request.Path, Wait: input.Request.Wait,
 		}))
 	case Left:
 		d.act(now, d.placer.Step(now, placement.CallerLeft{Call: input.Call}))
--- a/edge/control.go
+++ b/edge/control.go
@@ -140,7 +140,7 @@
 	}
 
 	return d.declare(ctx, now, declared.PeerHeard{
-		Address: heard.PeerAddress, Hash: heard.DeclaredHash, OrdersAt: heard.OrdersAt, RegistrationsAt: heard.RegistrationsAt,
+		Name: heard.Name, Reads: heard.Reads, Address: heard.PeerAddress, Hash: heard.DeclaredHash, OrdersAt: heard.OrdersAt, RegistrationsAt: heard.RegistrationsAt,
 		Age: time.Duration(heard.DeclaredAgeMs) * time.Millisecond,
 	})
 }
@@ -222,6 +222,7 @@
 	told := d.directory.Self
 	told.Sequence, told.Calls, told.Loads = d.sequence, d.callRate, d.loads
 	told.DeclaredHash, told.OrdersAt, told.RegistrationsAt = d.book.Hash, d.book.Declared.OrdersAt, d.book.Declared.RegistrationsAt
+	told.Reads = d.book.Reads(now)
 	told.DeclaredAgeMs = int(min(now.Sub(d.book.ConfirmedAt()), longestAge).Milliseconds())
 	if d.beacons.Offer(beacon.Datagram{Beacon: told, Addresses: action.Addresses}) != nil {
 		d.metrics.Dropped("beacons")
@@ -246,5 +247,5 @@
 		return err
 	}
 
-	return d.declare(ctx, now, declared.RoleChanged{Rank: action.Rank})
+	return d.declare(ctx, now, declared.RoleChanged{Ahead: action.Ahead})
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -83,6 +83,8 @@
 	HostName string
 	// Path is the path without the query.
 	Path string
+	// Wait is how long the caller waits, as it said.
+	Wait time.Duration
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 }
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -8,8 +8,10 @@
 
 const (
 	// patience is the share of the latency objective that a call waits in this host
-	// for a backend server that may answer in time.
+	// for a slot although it is not expected to be answered in time.
 	patience = 0.125
+	// spareShare is the share of taken slots up to which late work is taken on.
+	spareShare = 0.6
 	// answerGrace is how long after the end of a call an answer is awaited that
 	// may be on its way.
 	answerGrace = 40 * time.Millisecond
@@ -30,6 +32,8 @@
 	sends    int
 	unsent   int
 	waiting  bool
+	// returned says that the caller was refused before or that its call failed.
+	returned bool
 	// ran says that a backend server may have run the call.
 	ran bool
 	// failed is the send that was answered with a failure, which is delivered if
@@ -50,8 +54,11 @@
 
 		return
 	}
-	c := &call{id: event.Call, route: route, service: p.service(route.next()), arrived: now, targetAt: now.Add(route.Target())}
-	c.endsAt = event.Deadline
+	spent := route.patience.Spent(event.Wait)
+	c := &call{
+		id: event.Call, route: route, service: p.service(route.next()), arrived: now,
+		targetAt: now.Add(route.Target() - spent), endsAt: now.Add(event.Wait), returned: spent > 0,
+	}
 	if end := now.Add(route.Timeout()); route.TimeoutMs > 0 && end.Before(c.endsAt) {
 		c.endsAt = end
 	}
@@ -59,53 +66,64 @@
 	p.order = append(p.order, c)
 	c.service.budget.call(now)
 	c.service.calledAt = now
-	if len(c.service.waiting) > 0 && p.hopeless(now, c) {
-		p.refuse(now, c, ReasonOverloaded)
-
-		return
-	}
 	if !p.place(now, c) {
 		c.service.enqueue(c)
 	}
 }
 
-// hopeless reports whether more calls wait already than the service can start
-// before the call would be refused.
-func (p *Placer) hopeless(now time.Time, c *call) bool {
-	ahead := 0
-	for _, other := range c.service.waiting {
-		if other.route.Priority <= c.route.Priority {
-			ahead++
-		}
+// place sends or refuses a call, or reports that it has to wait. A call that
+// can be answered in time gets the best slot. One that can be so after a wait
+// waits. One that cannot is served late from slots that no other call needs, and
+// refused otherwise, so that late work does not make more calls late.
+func (p *Placer) place(now time.Time, c *call) bool {
+	best := p.choose(now, c)
+	left := c.targetAt.Sub(now)
+	switch {
+	case best != nil && best.expected <= left:
+		p.send(now, c, best)
+	case p.mayStillFit(now, c, left):
+		return false
+	case best != nil && best.free && p.spare(now, c.service):
+		p.send(now, c, best)
+	case now.Sub(c.arrived) < p.patience(c):
+		return false
+	default:
+		p.refuse(now, c, p.without(c.service))
 	}
 
-	return float64(ahead) > c.service.throughput(now, c.route.Work)*p.patience(c).Seconds()
+	return true
 }
 
-// patience returns how long a call waits for a backend server that may answer
-// in time.
+// patience returns how long a call waits in this host that is not expected to
+// be answered in time.
 func (*Placer) patience(c *call) time.Duration {
 	return time.Duration(patience * float64(c.route.Target()))
 }
 
-// place sends or refuses a call, or reports that it has to wait.
-func (p *Placer) place(now time.Time, c *call) bool {
-	best := p.choose(now, c)
-	waits := now.Sub(c.arrived) < p.patience(c)
-	switch {
-	case best != nil && best.expected <= c.targetAt.Sub(now):
-		p.send(now, c, best)
-	case waits:
+// mayStillFit reports whether a call that waits is likely to start early enough
+// to be answered in time.
+func (p *Placer) mayStillFit(now time.Time, c *call, left time.Duration) bool {
+	rate := c.service.throughput(now, c.route.Work)
+	if rate == 0 {
 		return false
-	case best == nil:
-		p.refuse(now, c, p.without(c.service))
-	case best.free:
-		p.send(now, c, best)
-	default:
-		p.refuse(now, c, ReasonOverloaded)
 	}
+	wait := float64(c.service.ahead(c)+1) / rate
 
-	return true
+	return time.Duration(wait*float64(time.Second))+c.route.Work <= left
+}
+
+// spare reports whether a service has slots that no call needs that can still be
+// answered in time.
+func (p *Placer) spare(now time.Time, service *service) bool {
+	slots, taken := 0, 0
+	for _, server := range service.servers {
+		if server.usable(now) && !server.Cold(now) && !p.evacuated[server.DataCentre] {
+			slots += server.Slots
+			taken += server.Taken(now)
+		}
+	}
+
+	return float64(taken) < spareShare*float64(slots)
 }
 
 // without returns why there is no backend server for a call.
--- a/placement/events.go
+++ b/placement/events.go
@@ -25,8 +25,8 @@
 	HostName string
 	// Path is the path of the request.
 	Path string
-	// Deadline is when the caller stops waiting.
-	Deadline time.Time
+	// Wait is how long the caller waits from now on, as it said.
+	Wait time.Duration
 }
 
 // CallerLeft says that the caller of a call went away.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -51,7 +51,7 @@
 
 // call lets a call arrive and returns what the placer does.
 func call(placer *placement.Placer, at time.Time, id placement.CallID) []placement.Action {
-	return placer.Step(at, placement.CallArrived{Call: id, HostName: "a.example", Path: "/x/1", Deadline: at.Add(2 * time.Second)})
+	return placer.Step(at, placement.CallArrived{Call: id, HostName: "a.example", Path: "/x/1", Wait: 2 * time.Second})
 }
 
 // of returns the first action of a kind.
@@ -208,7 +208,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			placer := newPlacer(test.declared)
-			actions := placer.Step(begin, placement.CallArrived{Call: 1, HostName: "a.example", Path: test.path, Deadline: begin.Add(time.Second)})
+			actions := placer.Step(begin, placement.CallArrived{Call: 1, HostName: "a.example", Path: test.path, Wait: time.Second})
 			if _, ended := of[placement.Finish](actions); !ended {
 				actions = placer.Step(begin.Add(60*time.Millisecond), placement.Ticked{})
 			}
--- a/placement/routes.go
+++ b/placement/routes.go
@@ -28,16 +28,18 @@
 	// Size is the smoothed length of an answer in bytes.
 	Size float64
 
-	credits []int
+	patience *Patience
+	credits  []int
 }
 
 // newRoute returns a route whose calls were not seen yet.
 func newRoute(declared schema.Route) *Route {
 	return &Route{
-		Route:   declared,
-		Work:    time.Duration(firstWork * float64(declared.TargetMs) * float64(time.Millisecond)),
-		Size:    firstSize,
-		credits: make([]int, len(declared.Targets)),
+		Route:    declared,
+		Work:     time.Duration(firstWork * float64(declared.TargetMs) * float64(time.Millisecond)),
+		Size:     firstSize,
+		patience: NewPatience(),
+		credits:  make([]int, len(declared.Targets)),
 	}
 }
 
@@ -88,7 +90,7 @@
 	for _, entry := range declared {
 		route := newRoute(entry)
 		if old, ok := known[entry.Name]; ok {
-			route.Work, route.Size = old.Work, old.Size
+			route.Work, route.Size, route.patience = old.Work, old.Size, old.patience
 		}
 		made[entry.HostName] = append(made[entry.HostName], route)
 	}
--- a/placement/service.go
+++ b/placement/service.go
@@ -85,6 +85,18 @@
 	waiting.waiting = true
 }
 
+// ahead returns the number of waiting calls that start before a call.
+func (s *service) ahead(c *call) int {
+	count := 0
+	for _, other := range s.waiting {
+		if other != c && (other.route.Priority < c.route.Priority || other.route.Priority == c.route.Priority && !other.arrived.After(c.arrived)) {
+			count++
+		}
+	}
+
+	return count
+}
+
 // dequeue removes a call from those that wait.
 func (s *service) dequeue(waiting *call) {
 	if waiting.waiting {
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -916,8 +916,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 14 {
-		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
+	if zb0001 != 15 {
+		err = msgp.ArrayError{Wanted: 15, Got: zb0001}
 		return
 	}
 	z.CallerAddress, err = dc.ReadString()
@@ -987,6 +987,11 @@
 		err = msgp.WrapError(err, "PeerAddress")
 		return
 	}
+	z.Reads, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Reads")
+		return
+	}
 	z.Ready, err = dc.ReadBool()
 	if err != nil {
 		err = msgp.WrapError(err, "Ready")
@@ -1012,8 +1017,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Beacon) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 14
-	err = en.Append(0x9e)
+	// array header, size 15
+	err = en.Append(0x9f)
 	if err != nil {
 		return
 	}
@@ -1074,6 +1079,11 @@
 		err = msgp.WrapError(err, "PeerAddress")
 		return
 	}
+	err = en.WriteBool(z.Reads)
+	if err != nil {
+		err = msgp.WrapError(err, "Reads")
+		return
+	}
 	err = en.WriteBool(z.Ready)
 	if err != nil {
 		err = msgp.WrapError(err, "Ready")
@@ -1100,8 +1110,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beacon) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 14
-	o = append(o, 0x9e)
+	// array header, size 15
+	o = append(o, 0x9f)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendInt(o, z.Calls)
 	o = msgp.AppendInt(o, z.Capacity)
@@ -1119,6 +1129,7 @@
 	o = msgp.AppendString(o, z.Name)
 	o = msgp.AppendInt(o, z.OrdersAt)
 	o = msgp.AppendString(o, z.PeerAddress)
+	o = msgp.AppendBool(o, z.Reads)
 	o = msgp.AppendBool(o, z.Ready)
 	o = msgp.AppendInt(o, z.RegistrationsAt)
 	o = msgp.AppendInt(o, z.Sequence)
@@ -1134,8 +1145,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 14 {
-		err = msgp.ArrayError{Wanted: 14, Got: zb0001}
+	if zb0001 != 15 {
+		err = msgp.ArrayError{Wanted: 15, Got: zb0001}
 		return
 	}
 	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
@@ -1205,6 +1216,11 @@
 		err = msgp.WrapError(err, "PeerAddress")
 		return
 	}
+	z.Reads, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Reads")
+		return
+	}
 	z.Ready, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Ready")
@@ -1235,7 +1251,7 @@
 	for za0001 := range z.Loads {
 		s += z.Loads[za0001].Msgsize()
 	}
-	s += msgp.StringPrefixSize + len(z.Name) + msgp.IntSize + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.BoolSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	s += msgp.StringPrefixSize + len(z.Name) + msgp.IntSize + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.BoolSize + msgp.BoolSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
 	return
 }
 
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -111,10 +111,13 @@
 	// PeerAddress is the sender's ip:port for beacons and for peers' requests.
 	PeerAddress string `json:"peer_address" msg:"peer_address"`
 
+	// Reads says that the sender reads the store and is answered.
+	Reads bool `json:"reads" msg:"reads"`
+
 	// Ready says that the sender serves calls and does not stop.
 	Ready bool `json:"ready" msg:"ready"`
 
-	// RegistrationsAt is the store's version of the sender's registrations.
+	// RegistrationsAt is the revision of the sender's registrations.
 	RegistrationsAt int `json:"registrations_at" msg:"registrations_at"`
 
 	// Sequence grows with each beacon of an incarnation.
@@ -273,8 +276,7 @@
 	// Registrations are sorted by ID.
 	Registrations []Registration `json:"registrations" msg:"registrations"`
 
-	// RegistrationsAt is the store's version as of which the registrations hold; 0
-	// means never read.
+	// RegistrationsAt is the revision of the registrations; 0 means never read.
 	RegistrationsAt int `json:"registrations_at" msg:"registrations_at"`
 }
 
