Leave refused first attempts to their callers' return while few repeats are left

Cause: while all backend servers of a service refuse half of all calls, the budget of repeated sends went to first attempts, whose callers come back for free, and was gone when callers had come back for the last time. Change: a refused first attempt that can return in time is refused at once when less than half of the earned repeats is left.

--- a/declared/declared.go
+++ b/declared/declared.go
@@ -28,7 +28,7 @@
 	staleAfter = LongestWait + 200*time.Millisecond
 	// startAfter is the time for which a host that knows nothing waits for others
 	// to tell it.
-	startAfter = 100 * time.Millisecond
+	startAfter = 40 * time.Millisecond
 	// readerTimeout is how long after it was last heard a host that reads counts as
 	// one.
 	readerTimeout = time.Second
@@ -42,7 +42,7 @@
 	// each failure up to retryLongest.
 	retryAfter = 200 * time.Millisecond
 	// retryLongest bounds that time.
-	retryLongest = 800 * time.Millisecond
+	retryLongest = 1500 * time.Millisecond
 	// RevisionBits is the number of bits by which a store's version is shifted in
 	// Declared.RegistrationsAt, so that what a host drops by itself has a place
 	// between two versions of the store.
--- a/placement/budget.go
+++ b/placement/budget.go
@@ -12,6 +12,9 @@
 	// hedgeShare is the share of the retry budget that second sends of slow calls
 	// may use; the rest is left for failed ones.
 	hedgeShare = 0.8
+	// scarceShare is the share of the earned repeated sends below which those left
+	// count as few.
+	scarceShare = 0.5
 )
 
 // Budget is what was agreed on repeated sends to one service.
@@ -94,13 +97,25 @@
 	return true
 }
 
-// hedge takes a repeated send of a slow call, if enough are left.
-func (b *budget) hedge(now time.Time, hosts int) bool {
+// earned returns the number of repeated sends that the calls in the window
+// earned.
+func (b *budget) earned() float64 {
 	earned := 0.0
 	for i := range budgetBuckets {
 		earned += b.agreed.Ratio * float64(b.calls[i])
 	}
-	if b.left(now, hosts) < 1+(1-hedgeShare)*earned {
+
+	return earned
+}
+
+// scarce reports whether few repeated sends are left.
+func (b *budget) scarce(now time.Time, hosts int) bool {
+	return b.left(now, hosts) < 1+scarceShare*b.earned()
+}
+
+// hedge takes a repeated send of a slow call, if enough are left.
+func (b *budget) hedge(now time.Time, hosts int) bool {
+	if b.left(now, hosts) < 1+(1-hedgeShare)*b.earned() {
 		return false
 	}
 	b.repeats[b.turn(now)]++
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -230,7 +230,7 @@
 
 		return
 	}
-	if c.sends > 0 && !c.service.budget.retry(now, p.peers.Hosts) {
+	if c.sends > 0 && (p.saves(now, c) || !c.service.budget.retry(now, p.peers.Hosts)) {
 		p.conclude(now, c, reason)
 
 		return
@@ -238,6 +238,15 @@
 	p.send(now, c, best)
 }
 
+// saves reports whether a refused call is left to its caller's own return,
+// which costs no repeated send. While few are left, they are kept for callers
+// that came back already and may not do so again.
+func (p *Placer) saves(now time.Time, c *call) bool {
+	returnsInTime := shortestReturn+2*c.route.Work < c.targetAt.Sub(now)
+
+	return !c.ran && !c.returned && returnsInTime && c.service.budget.scarce(now, p.peers.Hosts)
+}
+
 // ended learns from a send that ended and settles its call.
 func (p *Placer) ended(now time.Time, event AttemptEnded) {
 	running, known := p.attempts[event.Attempt]
