--- a/edge/control.go
+++ b/edge/control.go
@@ -220,7 +220,10 @@
 func (d *controlDuty) send(now time.Time, action directory.SendBeacon) {
 	d.sequence++
 	told := d.directory.Self
-	told.Sequence, told.Calls, told.Loads = d.sequence, d.callRate, d.loads
+	told.Sequence, told.Calls = d.sequence, d.callRate
+	if action.Loads {
+		told.Loads = d.loads
+	}
 	told.DeclaredHash, told.OrdersAt, told.RegistrationsAt = d.book.Hash, d.book.Declared.OrdersAt, d.book.Declared.RegistrationsAt
 	told.Reads = d.book.Reads(now)
 	told.DeclaredAgeMs = int(min(now.Sub(d.book.ConfirmedAt()), longestAge).Milliseconds())
