--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -117,8 +117,8 @@
 type EdgeFlags struct {
 	Senders       string `long:"senders" env:"BAOBABDRUM_EDGE_SENDERS" default:"192" value-name:"integer" description:"number of sender duties, each of which runs one attempt at a time, in threads (1 to 65536)"`
 	Probers       string `long:"probers" env:"BAOBABDRUM_EDGE_PROBERS" default:"12" value-name:"integer" description:"number of prober duties, each of which runs one probe at a time, in threads (1 to 1024)"`
-	ProbeInterval string `long:"probe-interval" env:"BAOBABDRUM_EDGE_PROBE_INTERVAL" default:"100ms" value-name:"duration" description:"time between probes of a backend server that is in use (20ms to 1m)"`
-	CrossingCost  string `long:"crossing-cost" env:"BAOBABDRUM_EDGE_CROSSING_COST" default:"15" value-name:"integer" description:"risk of a late answer that is accepted for each KiB of an answer to keep a call in its data centre, in ‰ (0 to 1000)"`
+	ProbeInterval string `long:"probe-interval" env:"BAOBABDRUM_EDGE_PROBE_INTERVAL" default:"50ms" value-name:"duration" description:"time between load reports of a backend server that is in use, by answers or else by probes (20ms to 1m)"`
+	CrossingCost  string `long:"crossing-cost" env:"BAOBABDRUM_EDGE_CROSSING_COST" default:"50" value-name:"integer" description:"risk of a late answer that is accepted for each KiB of an answer to keep a call in its data centre, in ‰ (0 to 1000)"`
 	Seed          string `long:"seed" env:"BAOBABDRUM_EDGE_SEED" default:"0" value-name:"integer" description:"seed of random choices; 0 draws one at start (0 to 9223372036854775807)"`
 	LogLevel      string `long:"log-level" env:"BAOBABDRUM_EDGE_LOG_LEVEL" default:"info" value-name:"level" description:"lowest level that is logged: error, warning, info or debug"`
 }
@@ -129,7 +129,7 @@
 	Senders int
 	// Probers is set by --probers: number of prober duties, each of which runs one probe at a time, in threads (1 to 1024).
 	Probers int
-	// ProbeInterval is set by --probe-interval: time between probes of a backend server that is in use (20ms to 1m).
+	// ProbeInterval is set by --probe-interval: time between load reports of a backend server that is in use, by answers or else by probes (20ms to 1m).
 	ProbeInterval time.Duration
 	// CrossingCost is set by --crossing-cost: risk of a late answer that is accepted for each KiB of an answer to keep a call in its data centre, in ‰ (0 to 1000).
 	CrossingCost int
