Learn at which age machines turn slow, and prefer those that just became quick

Change: hazard by age, learnt over all backend servers, as a risk in the choice; a cold backend server's reported pace counts as it is; a call with only cold backend servers is not refused for want of spare slots.

--- a/placement/attempts.go
+++ b/placement/attempts.go
@@ -69,7 +69,7 @@
 	server := ended.server
 	server.InFlight--
 	if event.Load != nil {
-		server.report(now, event.Load.Pace)
+		server.report(now, event.Load.Pace, p.tempo)
 	}
 	switch result := event.Result.(type) {
 	case Whole:
@@ -101,7 +101,7 @@
 	ended.call.route.learn(ended.progress, result.Size)
 	if load == nil || load.Pace == 0 {
 		work := ended.call.route.Work
-		ended.server.report(now, float64(now.Sub(ended.started))/float64(max(work, time.Millisecond)))
+		ended.server.report(now, float64(now.Sub(ended.started))/float64(max(work, time.Millisecond)), p.tempo)
 	}
 }
 
@@ -144,7 +144,9 @@
 	lost := float64(running.progress) > lateFactor*float64(work)
 	left := max(work-running.progress, time.Duration(leastLeft*float64(work)))
 
-	return running.server.duration(left, running.server.rate(now, running.server.Taken(now))), lost
+	duration, _ := running.server.duration(now, left, running.server.rate(now, running.server.Taken(now)), p.tempo)
+
+	return duration, lost
 }
 
 // hedgeAll sends calls a second time that may run twice, when their backend
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -83,7 +83,7 @@
 		p.send(now, c, best)
 	case p.mayStillFit(now, c, left):
 		return false
-	case best != nil && best.free && p.spare(now, c.service):
+	case best != nil && best.free && (best.server.Cold(now) || p.spare(now, c.service)):
 		p.send(now, c, best)
 	case now.Sub(c.arrived) < p.patience(c):
 		return false
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -26,6 +26,11 @@
 	// durationWeight is what an expected duration of the whole time left adds to the
 	// risk, so that of two safe choices the quicker one is taken.
 	durationWeight = 0.15
+	// turnedIdempotent is the risk of a late answer of a call that may be sent again
+	// when its machine turns slow.
+	turnedIdempotent = 0.1
+	// turnedOnce is that risk of a call that may run once.
+	turnedOnce = 0.8
 	// kibibyte is the number of bytes in a KiB.
 	kibibyte = 1024
 )
@@ -98,7 +103,7 @@
 
 // assess returns what to expect of a call on a backend server.
 func (p *Placer) assess(now time.Time, c *call, server *Server) candidate {
-	expected := server.Expected(now, c.route.Work)
+	expected, turns := server.Expected(now, c.route.Work, p.tempo)
 	penalty := c.route.Target()
 	if !c.route.Idempotent {
 		penalty *= 2 // it cannot be sent again
@@ -112,11 +117,21 @@
 	if now.Sub(server.SentAt) > neglectedAfter {
 		cost -= neglectedBonus
 	}
-	cost += risk(expected, max(c.targetAt.Sub(now), c.route.Target()/4))
+	cost += risk(expected, max(c.targetAt.Sub(now), c.route.Target()/4)) + turns*turnCost(c.route)
 
 	return candidate{server: server, expected: expected, cost: cost, free: server.Taken(now) < server.Slots}
 }
 
+// turnCost returns the risk of a late answer when the machine turns slow. A call
+// that may run twice is sent again then.
+func turnCost(route *Route) float64 {
+	if route.Idempotent && route.MaxAttempts > 1 {
+		return turnedIdempotent
+	}
+
+	return turnedOnce
+}
+
 // risk returns the risk of an answer that comes too late, with a little for the
 // duration itself.
 func risk(expected, left time.Duration) float64 {
--- a/placement/measure.go
+++ b/placement/measure.go
@@ -78,7 +78,7 @@
 	server.misses, server.answeredAt = 0, now
 	server.readmit()
 	if event.Load != nil {
-		server.report(now, event.Load.Pace)
+		server.report(now, event.Load.Pace, p.tempo)
 	}
 	p.adoptCold(now, server, event.ColdLeft)
 }
@@ -134,7 +134,7 @@
 		}
 		if load.AgeMs != notMeasured {
 			server.toldAt = now
-			server.report(now.Add(-time.Duration(load.AgeMs)*time.Millisecond), float64(load.PacePercent)/percent)
+			server.report(now.Add(-time.Duration(load.AgeMs)*time.Millisecond), float64(load.PacePercent)/percent, p.tempo)
 			server.ColdUntil = now.Add(time.Duration(load.ColdLeftMs) * time.Millisecond)
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -47,6 +47,7 @@
 	attempts  map[AttemptID]*attempt
 	order     []*call
 	random    *rand.Rand
+	tempo     *Tempo
 	last      AttemptID
 	ticked    time.Time
 	actions   []Action
@@ -62,6 +63,7 @@
 		evacuated: map[string]bool{},
 		calls:     map[CallID]*call{},
 		attempts:  map[AttemptID]*attempt{},
+		tempo:     NewTempo(),
 		random:    rand.New(rand.NewPCG(options.Seed, options.Seed)), //nolint:gosec // placement needs no secrets
 	}
 }
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -22,7 +22,7 @@
 		Seed: seed, DataCentres: 3, Servers: 18, Slots: 4, Queue: 16, Work: 160 * time.Millisecond, Spread: 0.3,
 		SlowShare: 0.25, SlowFactor: 7, ShiftEvery: 500 * time.Millisecond, Rate: 90, Length: 15 * time.Second,
 		Route:   schema.Route{Idempotent: true, TimeoutMs: 1000, TargetMs: 400, MaxAttempts: 2},
-		Options: placement.Options{Budget: agreed, ProbeInterval: 100 * time.Millisecond}, ColdPerSecond: 7,
+		Options: placement.Options{Budget: agreed, ProbeInterval: 50 * time.Millisecond}, ColdPerSecond: 7,
 	}
 }
 
--- a/placement/server.go
+++ b/placement/server.go
@@ -11,13 +11,17 @@
 	// paceMemory is the time in which a reported pace loses 63% of its weight to
 	// the server's usual pace.
 	paceMemory = 400 * time.Millisecond
-	// paceHold is how long a pace is expected to last from now on.
-	paceHold = 250 * time.Millisecond
 	// usualWeight is the share of the newest report in the usual pace.
 	usualWeight = 0.02
 	// firstUsual is the usual pace until reports were heard.
 	firstUsual = 1.5
-	// coldFactor is how much longer work takes on a cold backend server.
+	// paceHold is how long a pace is expected to last from now on at least.
+	paceHold = 250 * time.Millisecond
+	// unseenAge is the age of a pace of which no change was seen: one that older
+	// paces share.
+	unseenAge = tempoBins * tempoBin
+	// coldFactor is how much longer work takes on a cold backend server that does
+	// not report its pace.
 	coldFactor = 2
 	// crowdedShare is the share of taken slots from which some backend servers
 	// slow down.
@@ -49,6 +53,9 @@
 	Pace float64
 	// PacedAt is when the pace was measured.
 	PacedAt time.Time
+	// PacedSince is when this pace was first reported after another one, or zero if
+	// no change was seen.
+	PacedSince time.Time
 	// Usual is the smoothed pace.
 	Usual float64
 	// InFlight is the number of this host's attempts there.
@@ -140,7 +147,7 @@
 // so many attempts running.
 func (s *Server) rate(now time.Time, running int) float64 {
 	rate := s.PaceNow(now)
-	if s.Cold(now) {
+	if s.Cold(now) && s.Pace == 0 {
 		rate *= coldFactor
 	}
 	if float64(running) > crowdedShare*float64(s.Slots) {
@@ -150,19 +157,36 @@
 	return rate
 }
 
-// Expected returns the time until work is done that is sent now. A pace that
-// lasts longer than paceHold is expected to return to the usual one.
-func (s *Server) Expected(now time.Time, work time.Duration) time.Duration {
+// Expected returns the time until work is done that is sent now, and the
+// probability that the machine turns slow before.
+func (s *Server) Expected(now time.Time, work time.Duration, tempo *Tempo) (time.Duration, float64) {
 	taken := s.Taken(now)
 	rate := s.rate(now, taken+1)
 	queued := max(taken+1-s.Slots, 0)
 	wait := float64(queued) * float64(work) * rate / float64(s.Slots)
+	duration, turns := s.duration(now, work, rate, tempo)
 
-	return time.Duration(wait) + s.duration(work, rate)
+	return time.Duration(wait) + duration, turns
 }
 
-// duration returns the time that work takes at a rate that lasts for paceHold.
-func (s *Server) duration(work time.Duration, rate float64) time.Duration {
+// duration returns the time that work takes from now on and the probability
+// that the machine turns slow before it is done.
+func (s *Server) duration(now time.Time, work time.Duration, rate float64, tempo *Tempo) (time.Duration, float64) {
+	held := s.held(work, rate)
+	if s.Pace == 0 || s.Pace > paceStep {
+		return held, 0
+	}
+	age := unseenAge
+	if !s.PacedSince.IsZero() {
+		age = now.Sub(s.PacedSince)
+	}
+
+	return held, tempo.TurnsSlow(age, held)
+}
+
+// held returns the time that work takes at a rate that lasts for paceHold. A
+// machine that may turn quick at any moment is not counted on to do so sooner.
+func (s *Server) held(work time.Duration, rate float64) time.Duration {
 	whole := time.Duration(float64(work) * rate)
 	if whole <= paceHold {
 		return whole
@@ -173,10 +197,16 @@
 }
 
 // report adopts a reported load that was measured at a time.
-func (s *Server) report(at time.Time, pace float64) {
+func (s *Server) report(at time.Time, pace float64, tempo *Tempo) {
 	if pace <= 0 || at.Before(s.PacedAt) {
 		return
 	}
+	if s.Pace > 0 && !s.PacedSince.IsZero() {
+		tempo.Observe(s.PacedSince, s.PacedAt, at, s.Pace, pace)
+	}
+	if s.Pace > 0 && paceChanged(s.Pace, pace) {
+		s.PacedSince = at
+	}
 	s.Pace, s.PacedAt = pace, at
 	s.Usual += usualWeight * (pace - s.Usual)
 }
