--- a/placement/tempo.go
+++ b/placement/tempo.go
@@ -67,7 +67,7 @@
 func (t *Tempo) hazard(age int) float64 {
 	mean := (t.changed + firstHazard*tempoPrior) / (t.exposure + tempoPrior)
 
-	return (t.changes[age] + mean*tempoPrior) / (t.exposed[age] + tempoPrior)
+	return min((t.changes[age]+mean*tempoPrior)/(t.exposed[age]+tempoPrior), 1)
 }
 
 // bin returns the place of an age.
