Tell losses and news at once and send other beacons rarely; tests of the path

Change: serving hosts send each other 10 beacons a second, others one a second or less; a serving host that loses another says so at once, as it does for a changed declaration. An answer that arrives just after the route's timeout is read and delivered while the call is open.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -211,7 +211,7 @@
 	}
 	for i := range f.DataCentres {
 		options := f.Options
-		options.Host, options.DataCentre, options.Seed = f.hostName(i), f.dataCentre(i), f.Seed+uint64(i) //nolint:gosec // a small number
+		options.Host, options.DataCentre, options.Seed = f.hostName(i), f.dataCentre(i), f.Seed+uint64(i)
 		f.hosts = append(f.hosts, placement.New(options))
 		f.step(i, placement.PeersChanged{Peers: peers})
 		f.step(i, placement.DeclaredChanged{Declared: declared})
--- a/declared/declared.go
+++ b/declared/declared.go
@@ -6,8 +6,8 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,13 +25,13 @@
 	readers = 2
 	// staleAfter is how long what a host knows may be unconfirmed until it reads
 	// the store itself.
-	staleAfter = LongestWait + 200*time.Millisecond
+	staleAfter = LongestWait + 1500*time.Millisecond
 	// startAfter is the time for which a host that knows nothing waits for others
 	// to tell it.
 	startAfter = 40 * time.Millisecond
 	// readerTimeout is how long after it was last heard a host that reads counts as
 	// one.
-	readerTimeout = time.Second
+	readerTimeout = 2500 * time.Millisecond
 	// rankStep is what each rank waits longer, so that one host after the other
 	// begins to read.
 	rankStep = 150 * time.Millisecond
@@ -539,11 +539,16 @@
 // hash identifies what is declared in 32 bits.
 func hash(declared schema.Declared) int {
 	digest := xxhash.New()
-	encoder := json.NewEncoder(digest)
-	_ = encoder.Encode(declared.Declaration.Version) // a digest takes every write
-	_ = encoder.Encode(declared.Evacuated)           // as above
+	write := func(parts ...string) {
+		for _, part := range parts {
+			_, _ = digest.WriteString(part + "\x00") // a digest takes every write
+		}
+	}
+	write(strconv.Itoa(declared.Declaration.Version))
+	write(declared.Evacuated...)
 	for _, registration := range declared.Registrations {
-		_ = encoder.Encode(material(registration)) // as above
+		write(registration.ID, registration.Service, registration.Address, registration.DataCentre, strconv.Itoa(registration.Slots),
+			strconv.FormatBool(registration.Draining), strconv.Itoa(registration.StartedMs))
 	}
 
 	return int(uint32(digest.Sum64())) //nolint:gosec // it is meant to be cut
--- a/declared/declared_test.go
+++ b/declared/declared_test.go
@@ -182,7 +182,7 @@
 	for rank := range hosts {
 		c.books = append(c.books, declared.NewBook())
 		c.reads = append(c.reads, map[declared.Table]pending{})
-		var ahead []string
+		ahead := make([]string, 0, rank)
 		for other := range rank {
 			ahead = append(ahead, fmt.Sprint(other))
 		}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -13,23 +13,29 @@
 )
 
 const (
-	// tickBeacon is the time between beacons of serving hosts to each other, which
-	// carry loads that change within as little.
-	tickBeacon = 50 * time.Millisecond
-	// servingBeacon is the time between beacons of serving hosts to all others.
-	servingBeacon = 200 * time.Millisecond
-	// idleBeacon is the time between beacons of other hosts to those that serve.
-	idleBeacon = 500 * time.Millisecond
+	// mateBeacon is the time between beacons of serving hosts to each other, which
+	// carry loads.
+	mateBeacon = 100 * time.Millisecond
+	// otherBeacon is the time between beacons of serving hosts to all others, and of
+	// others to those that serve. News goes at once.
+	otherBeacon = time.Second
 	// spareBeacon is the time between beacons of hosts that do not serve to each
 	// other, which only choose by them who serves next.
-	spareBeacon = 2 * time.Second
+	spareBeacon = 4 * time.Second
 	// strangerBeacon is the time between beacons to hosts that are not heard.
 	strangerBeacon = 2 * time.Second
-	// servingTimeout is how long a serving host may be silent until it is left out:
-	// four beacons.
-	servingTimeout = 800 * time.Millisecond
-	// spareTimeout is how long another host may be silent: three beacons and a half.
-	spareTimeout = 7 * time.Second
+	// firstBeacon is the time between beacons to strangers while there is news.
+	firstBeacon = 500 * time.Millisecond
+	// mateTimeout is how long a serving host may be silent until another one that
+	// serves leaves it out and tells the others: five beacons.
+	mateTimeout = 500 * time.Millisecond
+	// otherTimeout is how long a host may be silent that sends a beacon each
+	// otherBeacon: three and a half of them.
+	otherTimeout = 3500 * time.Millisecond
+	// spareTimeout is the same for those that send one each spareBeacon.
+	spareTimeout = 14 * time.Second
+	// lostFor is how long a beacon names a host that was lost.
+	lostFor = 500 * time.Millisecond
 	// forgetAfter is how long a silent host is still sent beacons.
 	forgetAfter = 10 * time.Minute
 	// busyShare is the share of a host's capacity from which another one serves
@@ -69,12 +75,17 @@
 	Ready bool
 }
 
+// NewsArrived says that this host knows something that the others should hear
+// at once.
+type NewsArrived struct{}
+
 // Ticked says that time passed.
 type Ticked struct{}
 
 func (BeaconHeard) event()     {}
 func (AddressesLearnt) event() {}
 func (ReadyChanged) event()    {}
+func (NewsArrived) event()     {}
 func (Ticked) event()          {}
 
 // Action is what the directory wants done.
@@ -129,6 +140,7 @@
 	// electedAt is when it began to serve; it may have been silent for longer than
 	// a serving host may.
 	electedAt time.Time
+	lostAt    time.Time
 	live      bool
 }
 
@@ -170,6 +182,8 @@
 	case ReadyChanged:
 		d.urgent = d.urgent || d.Self.Ready != event.Ready
 		d.Self.Ready = event.Ready
+	case NewsArrived:
+		d.urgent = true
 	case Ticked:
 	}
 	actions = append(actions, d.lose(now)...)
@@ -205,14 +219,43 @@
 	} else if older(beacon, known.beacon) {
 		return nil
 	}
-	beacon.Loads = nil
+	lost := beacon.Lost
+	beacon.Loads, beacon.Lost = nil, nil
 	known.beacon, known.heardAt = beacon, now
+	actions := d.hearLost(now, lost)
 	if known.live {
-		return nil
+		return actions
 	}
 	known.live = true
 
-	return []Action{PeerFound{Name: beacon.Name}}
+	return append(actions, PeerFound{Name: beacon.Name})
+}
+
+// hearLost leaves out hosts that a serving host has lost. One that lives is
+// heard again within a second.
+func (d *Directory) hearLost(now time.Time, names []string) []Action {
+	var actions []Action
+	for _, name := range names {
+		other, known := d.members[name]
+		if known && other.live && now.Sub(other.heardAt) > mateBeacon {
+			other.live = false
+			actions = append(actions, PeerLost{Name: name, Silent: now.Sub(other.heardAt)})
+		}
+	}
+
+	return actions
+}
+
+// Lost returns the hosts that this host lost a moment ago.
+func (d *Directory) Lost(now time.Time) []string {
+	var names []string
+	for name, other := range d.members {
+		if !other.live && now.Sub(other.lostAt) < lostFor {
+			names = append(names, name)
+		}
+	}
+
+	return names
 }
 
 // older reports whether a beacon was sent before another one of the same host.
@@ -229,12 +272,9 @@
 	var actions []Action
 	for name, other := range d.members {
 		silent := now.Sub(other.heardAt)
-		timeout := time.Duration(float64(spareTimeout) * d.stretch())
-		if d.serves(name) && now.Sub(other.electedAt) > servingTimeout {
-			timeout = servingTimeout
-		}
-		if other.live && silent > timeout {
-			other.live = false
+		if other.live && silent > d.timeout(now, name, other) {
+			other.live, other.lostAt = false, now
+			d.urgent = d.urgent || d.serves(name)
 			actions = append(actions, PeerLost{Name: name, Silent: silent})
 		}
 		if silent > forgetAfter {
@@ -250,6 +290,20 @@
 	return actions
 }
 
+// timeout returns how long a host may be silent. One that was just chosen to
+// serve gets the time to notice it.
+func (d *Directory) timeout(now time.Time, name string, other *member) time.Duration {
+	self, serving := d.serves(d.Self.Name), d.serves(name) && now.Sub(other.electedAt) > otherBeacon
+	switch {
+	case self && serving:
+		return mateTimeout
+	case self || serving:
+		return otherTimeout
+	default:
+		return time.Duration(float64(spareTimeout) * d.stretch())
+	}
+}
+
 // serves reports whether callers are told a host's address.
 func (d *Directory) serves(name string) bool {
 	return slices.ContainsFunc(d.serving, func(beacon schema.Beacon) bool { return beacon.Name == name })
@@ -346,14 +400,14 @@
 		}
 	}
 	for address, other := range d.strangers {
-		if now.Sub(other.sentAt) >= strangerBeacon || d.urgent && now.Sub(other.sentAt) >= idleBeacon {
+		if now.Sub(other.sentAt) >= strangerBeacon || d.urgent && now.Sub(other.sentAt) >= firstBeacon {
 			other.sentAt = now
 			strangers = append(strangers, address)
 		}
 	}
-	mateInterval, otherInterval := idleBeacon, time.Duration(float64(spareBeacon)*d.stretch())
+	mateInterval, otherInterval := otherBeacon, time.Duration(float64(spareBeacon)*d.stretch())
 	if d.serves(d.Self.Name) {
-		mateInterval, otherInterval = tickBeacon, servingBeacon
+		mateInterval, otherInterval = mateBeacon, otherBeacon
 	}
 	var actions []Action
 	actions = d.beacon(actions, now, 0, mateInterval, mates, true)
--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,218 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/baobabdrum/baobabdrum/directory"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// begin is when the tests begin.
+var begin = time.Unix(1000, 0)
+
+// beacon returns the beacon of a host that is ready.
+func beacon(name, dataCentre string, started int) schema.Beacon {
+	return schema.Beacon{
+		Name: name, DataCentre: dataCentre, StartedMs: started, CallerAddress: name + ":1", PeerAddress: name + ":2", Ready: true, Capacity: 100,
+	}
+}
+
+// with returns a beacon with a change.
+func with(changed schema.Beacon, change func(beacon *schema.Beacon)) schema.Beacon {
+	change(&changed)
+
+	return changed
+}
+
+func TestAnswer(t *testing.T) {
+	unready := func(beacon *schema.Beacon) { beacon.Ready = false }
+	tests := map[string]struct {
+		self   schema.Beacon
+		heard  []schema.Beacon
+		after  time.Duration
+		asks   string
+		answer []string
+	}{
+		"the host that runs for longest": {
+			self: beacon("a", "north", 5), heard: []schema.Beacon{beacon("b", "north", 3), beacon("c", "north", 4)}, asks: "north", answer: []string{"b:1"},
+		},
+		"the host of the caller's data centre": {
+			self: beacon("a", "north", 5), heard: []schema.Beacon{beacon("b", "south", 3)}, asks: "south", answer: []string{"b:1"},
+		},
+		"all hosts when the data centre has none": {
+			self: beacon("a", "north", 5), heard: []schema.Beacon{beacon("b", "south", 3)}, asks: "west", answer: []string{"a:1", "b:1"},
+		},
+		"no host that is not ready": {
+			self: beacon("a", "north", 5), heard: []schema.Beacon{with(beacon("b", "north", 3), unready)}, asks: "north", answer: []string{"a:1"},
+		},
+		"no host that is silent": {
+			self: beacon("a", "north", 5), heard: []schema.Beacon{beacon("b", "north", 3)}, after: 5 * time.Second, asks: "north", answer: []string{"a:1"},
+		},
+		"the larger host": {
+			self: beacon("a", "north", 1), heard: []schema.Beacon{with(beacon("b", "north", 3), func(beacon *schema.Beacon) { beacon.Capacity = 300 })}, asks: "north", answer: []string{"b:1"},
+		},
+		"two hosts when one is busy": {
+			self:  with(beacon("a", "north", 1), func(beacon *schema.Beacon) { beacon.Calls = 10 }),
+			heard: []schema.Beacon{with(beacon("b", "north", 3), func(beacon *schema.Beacon) { beacon.Calls = 80 })}, asks: "north", answer: []string{"a:1", "b:1"},
+		},
+		"not the earlier incarnation": {
+			self: beacon("a", "north", 5), heard: []schema.Beacon{
+				with(beacon("b", "north", 9), func(beacon *schema.Beacon) { beacon.Sequence = 1 }), with(beacon("b", "north", 3), func(beacon *schema.Beacon) { beacon.Sequence = 7 }),
+			}, asks: "north", answer: []string{"a:1"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			view := directory.New(test.self)
+			view.Step(begin, directory.ReadyChanged{Ready: true})
+			for _, heard := range test.heard {
+				view.Step(begin, directory.BeaconHeard{Beacon: heard})
+			}
+			for at := time.Duration(0); at <= test.after; at += 50 * time.Millisecond {
+				view.Step(begin.Add(at), directory.Ticked{})
+			}
+			answer, keep := view.Answer(test.asks)
+			assert.DeepEqual(t, answer, test.answer)
+			assert.Assert(t, keep > 0 && keep <= 5*time.Second)
+		})
+	}
+}
+
+// fleet is some hosts that send each other beacons.
+type fleet struct {
+	now   time.Time
+	views []*directory.Directory
+	down  map[int]bool
+	sent  int
+	seq   int
+}
+
+// newFleet returns hosts that know those that registered before them.
+func newFleet(hosts int) *fleet {
+	f := &fleet{now: begin, down: map[int]bool{}}
+	for i := range hosts {
+		view := directory.New(beacon(fmt.Sprint("h", i), fmt.Sprint("dc", i%3), 100+i))
+		for earlier := range i {
+			view.Step(begin, directory.AddressesLearnt{Addresses: []string{fmt.Sprint("h", earlier, ":2")}})
+		}
+		view.Step(begin, directory.ReadyChanged{Ready: true})
+		f.views = append(f.views, view)
+	}
+
+	return f
+}
+
+// run lets time pass.
+func (f *fleet) run(length time.Duration) {
+	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(50 * time.Millisecond) {
+		for i, view := range f.views {
+			if !f.down[i] {
+				f.act(view, view.Step(f.now, directory.Ticked{}))
+			}
+		}
+	}
+}
+
+// act delivers beacons and what follows from them.
+func (f *fleet) act(from *directory.Directory, actions []directory.Action) {
+	type delivery struct {
+		to     *directory.Directory
+		beacon schema.Beacon
+	}
+	var waiting []delivery
+	enqueue := func(from *directory.Directory, actions []directory.Action) {
+		for _, action := range actions {
+			send, is := action.(directory.SendBeacon)
+			if !is {
+				continue
+			}
+			f.seq++
+			for _, address := range send.Addresses {
+				f.sent++
+				for i, view := range f.views {
+					if view.Self.PeerAddress == address && !f.down[i] {
+						waiting = append(waiting, delivery{view, with(from.Self, func(beacon *schema.Beacon) { beacon.Sequence, beacon.Lost = f.seq, from.Lost(f.now) })})
+					}
+				}
+			}
+		}
+	}
+	enqueue(from, actions)
+	for len(waiting) > 0 {
+		next := waiting[0]
+		waiting = waiting[1:]
+		enqueue(next.to, next.to.Step(f.now, directory.BeaconHeard{Beacon: next.beacon}))
+	}
+}
+
+// named returns the host that all live hosts name for a data centre, or nothing
+// if they differ.
+func (f *fleet) named(dataCentre string) string {
+	named := ""
+	for i, view := range f.views {
+		if f.down[i] {
+			continue
+		}
+		answer, _ := view.Answer(dataCentre)
+		if named == "" {
+			named = fmt.Sprint(answer)
+		}
+		if named != fmt.Sprint(answer) {
+			return ""
+		}
+	}
+
+	return named
+}
+
+func TestALostHostIsLeftOutSoon(t *testing.T) {
+	f := newFleet(15)
+	f.run(3 * time.Second)
+	assert.Equal(t, f.named("dc1"), "[h1:1]")
+	f.down[1] = true
+	f.run(700 * time.Millisecond)
+	assert.Equal(t, f.named("dc1"), "[h4:1]")
+	f.run(1200 * time.Millisecond)
+	f.down[4] = true
+	f.run(700 * time.Millisecond)
+	assert.Equal(t, f.named("dc1"), "[h7:1]")
+}
+
+func TestFewBeaconsAreSent(t *testing.T) {
+	f := newFleet(15)
+	f.run(5 * time.Second)
+	sent := f.sent
+	f.run(10 * time.Second)
+	// A host spends at most 3 KB a second on control; a beacon has about 200 bytes.
+	assert.Assert(t, f.sent-sent < 15*10*3000/200, "%d beacons in ten seconds", f.sent-sent)
+}
+
+func TestAStoppingHostIsLeftOutAtOnce(t *testing.T) {
+	f := newFleet(6)
+	f.run(3 * time.Second)
+	f.act(f.views[0], f.views[0].Step(f.now, directory.ReadyChanged{Ready: false}))
+	f.run(50 * time.Millisecond)
+	assert.Equal(t, f.named("dc0"), "[h3:1]")
+}
+
+func TestSomeHostIsAlwaysNamedWhileOneIsReady(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 9).Draw(t, "hosts"))
+		f.run(3 * time.Second)
+		for range rapid.IntRange(1, 6).Draw(t, "changes") {
+			host := rapid.IntRange(0, len(f.views)-1).Draw(t, "host")
+			f.down[host] = !f.down[host]
+			f.run(time.Duration(rapid.IntRange(100, 4000).Draw(t, "ms")) * time.Millisecond)
+			for i, view := range f.views {
+				if answer, _ := view.Answer("dc0"); !f.down[i] && len(answer) == 0 {
+					t.Fatalf("host %d names no one", i)
+				}
+			}
+		}
+	})
+}
--- a/edge/control.go
+++ b/edge/control.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// controlTick is the time between ticks of a serving host, that of its beacons
-	// to the others that serve.
+	// controlTick is the time between ticks of a serving host, half of that between
+	// its beacons to the others that serve.
 	controlTick = 50 * time.Millisecond
-	// controlIdleTick is the time between ticks of any other host: a quarter of the
-	// time after which a serving host counts as lost.
+	// controlIdleTick is the time between ticks of any other host, which hears of
+	// news and losses at once.
 	controlIdleTick = 200 * time.Millisecond
 	// frozenAfter is the gap between ticks after which a host that stood still
 	// refuses to serve until it has news.
@@ -160,6 +160,9 @@
 			if err := d.calls.Put(ctx, declare(action.Declared)); err != nil {
 				return err
 			}
+			if err := d.direct(ctx, now, directory.NewsArrived{}); err != nil {
+				return err
+			}
 		case declared.StoreLost:
 			d.log.Event(eventlog.Warning, "store_lost", "the store does not answer")
 		case declared.StoreRegained:
@@ -225,7 +228,7 @@
 		told.Loads = d.loads
 	}
 	told.DeclaredHash, told.OrdersAt, told.RegistrationsAt = d.book.Hash, d.book.Declared.OrdersAt, d.book.Declared.RegistrationsAt
-	told.Reads = d.book.Reads(now)
+	told.Reads, told.Lost = d.book.Reads(now), d.directory.Lost(now)
 	told.DeclaredAgeMs = int(min(now.Sub(d.book.ConfirmedAt()), longestAge).Milliseconds())
 	if d.beacons.Offer(beacon.Datagram{Beacon: told, Addresses: action.Addresses}) != nil {
 		d.metrics.Dropped("beacons")
--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -81,7 +81,7 @@
 
 // run serves callers until the context ends, and then until no request is in
 // flight.
-func (f *callerFront) run(ctx context.Context, closing context.Context, listener net.Listener) error {
+func (f *callerFront) run(ctx, closing context.Context, listener net.Listener) error {
 	finished := ring.New[error]("shutdown", 1)
 	stop := context.AfterFunc(closing, func() {
 		_ = finished.Offer(f.server.ShutdownWithContext(ctx)) // the ring has room
--- a/edge/host.go
+++ b/edge/host.go
@@ -149,7 +149,7 @@
 	defer closeFront()
 	h.startCalls(duties)
 	h.startControl(duties, open)
-	h.startFronts(duties, closing, open)
+	h.startFronts(closing, duties, open)
 	duties.Go("stop", func(ctx context.Context) error { return h.runStop(ctx, interrupted, closeFront) })
 	duties.Go("settings", func(ctx context.Context) error { return h.runSettings(ctx, reload) })
 	duties.Go("log", h.Log.Run)
@@ -234,7 +234,7 @@
 
 // startFronts starts the duties that serve callers, peers and operators. The
 // callers' front finishes when closing ends.
-func (h *Host) startFronts(duties *group.Group, closing context.Context, open *listeners) {
+func (h *Host) startFronts(closing context.Context, duties *group.Group, open *listeners) {
 	duties.Go("caller front", func(ctx context.Context) error { return h.front.run(ctx, closing, open.caller) })
 	ready, ask, control := newApp(), newApp(), newApp()
 	h.Adapter.MountReadiness(ready, h.asker.ready)
--- a/edge/lines.go
+++ b/edge/lines.go
@@ -22,7 +22,7 @@
 func (d *callsDuty) logSend(_ time.Time, request *Request, action placement.Send) {
 	reason := action.Reason
 	d.log.Event(eventlog.Info, "call_sent", "a call was sent to a backend server",
-		eventlog.Text("request_id", request.ID), eventlog.Integer("attempt", int(action.Attempt)),
+		eventlog.Text("request_id", request.ID), eventlog.Count("attempt", uint64(action.Attempt)),
 		eventlog.Text("backend_server", action.Server), eventlog.Text("address", action.Address),
 		eventlog.Text("data_centre", reason.DataCentre), eventlog.Text("route", reason.Route), eventlog.Text("service", reason.Service),
 		eventlog.Integer("version", reason.Version), eventlog.Flag("repeat", reason.Repeat), eventlog.Flag("hedge", reason.Hedge),
@@ -48,7 +48,7 @@
 		outcome = "cancelled"
 	}
 	fields := []eventlog.Field{
-		eventlog.Text("request_id", attempt.Request.ID), eventlog.Integer("attempt", int(attempt.Attempt)),
+		eventlog.Text("request_id", attempt.Request.ID), eventlog.Count("attempt", uint64(attempt.Attempt)),
 		eventlog.Text("backend_server", attempt.Server), eventlog.Text("outcome", outcome),
 	}
 	if cause != nil {
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -18,6 +18,9 @@
 	answerLimit = 64 << 20
 	// dialShare is the share of the time left that opening a connection may take.
 	dialShare = 0.25
+	// readGrace is how long after its deadline an attempt is still read; the calls
+	// duty gives it up before.
+	readGrace = 200 * time.Millisecond
 	// keepUsual is how long an idle connection is used again when the backend
 	// server does not say how long it keeps it.
 	keepUsual = 8 * time.Second
@@ -75,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(attempt.Context, max(time.Duration(dialShare*float64(left)), time.Millisecond))
 	defer cancel()
 
-	return connection.Open(ctx, attempt.Deadline)
+	return connection.Open(ctx, attempt.Deadline.Add(readGrace))
 }
 
 // exchange sends the request and receives the answer. It reports whether the
--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -49,6 +49,9 @@
 // Integer returns a field with a whole number.
 func Integer(key string, value int) Field { return Field{Key: key, Value: value} }
 
+// Count returns a field with a number that only grows.
+func Count(key string, value uint64) Field { return Field{Key: key, Value: value} }
+
 // Number returns a field with a number.
 func Number(key string, value float64) Field {
 	return Field{Key: key, Value: float64(int(value*1000)) / 1000}
--- /dev/null
+++ b/eventlog/eventlog_test.go
@@ -0,0 +1,57 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/eventlog"
+)
+
+// logger returns a log and what it writes.
+func logger() (*eventlog.Log, *bytes.Buffer) {
+	var written bytes.Buffer
+	target := logrus.New()
+	target.SetOutput(&written)
+	target.SetFormatter(&logrus.TextFormatter{DisableColors: true, DisableTimestamp: true})
+
+	return eventlog.New(logrus.NewEntry(target)), &written
+}
+
+func TestEvents(t *testing.T) {
+	tests := map[string]struct {
+		fields []eventlog.Field
+		line   string
+	}{
+		"a text and a number": {
+			fields: []eventlog.Field{eventlog.Text("request_id", "x"), eventlog.Number("pace", 1.23456)}, line: "event=call_sent pace=1.234 request_id=x",
+		},
+		"a time and a flag": {
+			fields: []eventlog.Field{eventlog.Duration("took", 1234567*time.Nanosecond), eventlog.Flag("hedge", true)}, line: "event=call_sent hedge=true took=1.235ms",
+		},
+		"nothing for an empty text": {fields: []eventlog.Field{eventlog.Text("reason", "")}, line: "event=call_sent\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			log, written := logger()
+			log.Event(eventlog.Info, "call_sent", "a call was sent", test.fields...)
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			assert.ErrorIs(t, log.Run(ctx), context.Canceled)
+			assert.Assert(t, strings.Contains(written.String(), test.line), "%s", written)
+		})
+	}
+}
+
+func TestAFullLogDropsAndCounts(t *testing.T) {
+	log, _ := logger()
+	for range 5000 {
+		log.Event(eventlog.Info, "call_sent", "a call was sent")
+	}
+	assert.Assert(t, log.Dropped() > 0)
+}
--- a/peerrpc/codec_test.go
+++ b/peerrpc/codec_test.go
@@ -42,6 +42,8 @@
 				_ = request.Reply.Offer(schema.Digest{ConfigurationVersion: request.Digest.ConfigurationVersion + 1})
 			case peerrpc.RoomRequest:
 				_ = request.Reply.Offer(schema.Room{Free: len(request.Cell.Service)})
+			case peerrpc.DeclaredRequest:
+				_ = request.Reply.Offer(schema.Declared{OrdersAt: len(request.Sender)})
 			case peerrpc.ConfigurationRequest:
 				// It is left without a reply.
 			}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -49,7 +49,6 @@
 	random    *rand.Rand
 	tempo     *Tempo
 	last      AttemptID
-	ticked    time.Time
 	actions   []Action
 }
 
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -916,8 +916,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 15 {
-		err = msgp.ArrayError{Wanted: 15, Got: zb0001}
+	if zb0001 != 16 {
+		err = msgp.ArrayError{Wanted: 16, Got: zb0001}
 		return
 	}
 	z.CallerAddress, err = dc.ReadString()
@@ -972,6 +972,28 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Lost")
+		return
+	}
+	if zb0003 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Lost) >= int(zb0003) {
+		z.Lost = (z.Lost)[:zb0003]
+	} else {
+		z.Lost = make([]string, zb0003)
+	}
+	for za0002 := range z.Lost {
+		z.Lost[za0002], err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Lost", za0002)
+			return
+		}
+	}
 	z.Name, err = dc.ReadString()
 	if err != nil {
 		err = msgp.WrapError(err, "Name")
@@ -1017,8 +1039,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Beacon) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 15
-	err = en.Append(0x9f)
+	// array header, size 16
+	err = en.Append(0xdc, 0x0, 0x10)
 	if err != nil {
 		return
 	}
@@ -1064,6 +1086,18 @@
 			return
 		}
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Lost)))
+	if err != nil {
+		err = msgp.WrapError(err, "Lost")
+		return
+	}
+	for za0002 := range z.Lost {
+		err = en.WriteString(z.Lost[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Lost", za0002)
+			return
+		}
+	}
 	err = en.WriteString(z.Name)
 	if err != nil {
 		err = msgp.WrapError(err, "Name")
@@ -1110,8 +1144,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beacon) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 15
-	o = append(o, 0x9f)
+	// array header, size 16
+	o = append(o, 0xdc, 0x0, 0x10)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendInt(o, z.Calls)
 	o = msgp.AppendInt(o, z.Capacity)
@@ -1126,6 +1160,10 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Lost)))
+	for za0002 := range z.Lost {
+		o = msgp.AppendString(o, z.Lost[za0002])
+	}
 	o = msgp.AppendString(o, z.Name)
 	o = msgp.AppendInt(o, z.OrdersAt)
 	o = msgp.AppendString(o, z.PeerAddress)
@@ -1145,8 +1183,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 15 {
-		err = msgp.ArrayError{Wanted: 15, Got: zb0001}
+	if zb0001 != 16 {
+		err = msgp.ArrayError{Wanted: 16, Got: zb0001}
 		return
 	}
 	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
@@ -1201,6 +1239,28 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Lost")
+		return
+	}
+	if zb0003 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Lost) >= int(zb0003) {
+		z.Lost = (z.Lost)[:zb0003]
+	} else {
+		z.Lost = make([]string, zb0003)
+	}
+	for za0002 := range z.Lost {
+		z.Lost[za0002], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Lost", za0002)
+			return
+		}
+	}
 	z.Name, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Name")
@@ -1247,10 +1307,14 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Beacon) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.DataCentre) + msgp.IntSize + msgp.IntSize + msgp.ArrayHeaderSize
+	s = 3 + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.DataCentre) + msgp.IntSize + msgp.IntSize + msgp.ArrayHeaderSize
 	for za0001 := range z.Loads {
 		s += z.Loads[za0001].Msgsize()
 	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Lost {
+		s += msgp.StringPrefixSize + len(z.Lost[za0002])
+	}
 	s += msgp.StringPrefixSize + len(z.Name) + msgp.IntSize + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.BoolSize + msgp.BoolSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
 	return
 }
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -102,6 +102,9 @@
 	// Loads are what the sender measured and has in flight.
 	Loads []ServerLoad `json:"loads" msg:"loads"`
 
+	// Lost names hosts that the sender heard until a moment ago.
+	Lost []string `json:"lost" msg:"lost"`
+
 	// Name is the sender's name.
 	Name string `json:"name" msg:"name"`
 
