--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -73,6 +73,8 @@
 	Refusing float64
 	// Losing is the share of answers that are lost in the middle third.
 	Losing float64
+	// Dark silences every fourth backend server in the middle third of the time.
+	Dark bool
 	// NoLoad hides the load reports.
 	NoLoad bool
 	// Deafness is the share of reports between hosts that are lost.
@@ -91,6 +93,7 @@
 	result FleetResult
 	sends  []time.Time
 	asked  []time.Time
+	misses []fleetMiss
 }
 
 // FleetResult is what callers and backend servers of a fleet saw.
@@ -168,6 +171,7 @@
 	coldUntil    time.Time
 	coldArrivals []time.Time
 	refuses      bool
+	dark         bool
 }
 
 // Run runs the simulation.
@@ -178,6 +182,7 @@
 		f.shift()
 		f.arrive()
 		f.serve()
+		f.miss()
 		f.talk()
 	}
 	f.result.WorstRepeats = f.excess()
@@ -249,6 +254,7 @@
 		if turnsCold && i%3 == 0 {
 			server.coldUntil = f.now.Add(f.ColdFor)
 		}
+		server.dark = f.Dark && i%4 == 0 && f.middle()
 		server.refuses = f.Refusing > 0 && i%2 == 0 && f.middle()
 	}
 }
@@ -273,6 +279,9 @@
 // serve lets backend servers work.
 func (f *Fleet) serve() {
 	for _, server := range f.servers {
+		if server.dark {
+			continue
+		}
 		running := 0
 		for _, job := range slices.Clone(server.jobs) {
 			if f.now.Before(job.arrivesAt) {
@@ -446,11 +455,32 @@
 func (f *Fleet) probe(host int, probe placement.Probe) {
 	server := f.server(probe.Server)
 	f.result.Probes++
+	if server.dark {
+		f.misses = append(f.misses, fleetMiss{host: host, server: probe.Server, at: f.now.Add(probe.Timeout)})
+
+		return
+	}
 	f.step(host, placement.ProbeEnded{
 		Server: probe.Server, Answered: true, Healthy: true, ColdLeft: max(server.coldUntil.Sub(f.now), 0), Load: f.load(server),
 	})
 }
 
+// fleetMiss is a probe that is not answered.
+type fleetMiss struct {
+	host   int
+	server string
+	at     time.Time
+}
+
+// miss ends the probes that were not answered in time.
+func (f *Fleet) miss() {
+	for len(f.misses) > 0 && !f.now.Before(f.misses[0].at) {
+		next := f.misses[0]
+		f.misses = f.misses[1:]
+		f.step(next.host, placement.ProbeEnded{Server: next.server})
+	}
+}
+
 // finish counts how a call ended.
 func (f *Fleet) finish(host int, action placement.Finish) {
 	key := fleetCall{host, action.Call}
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -18,6 +18,9 @@
 	answerLimit = 64 << 20
 	// dialShare is the share of the time left that opening a connection may take.
 	dialShare = 0.25
+	// dialLongest bounds that time: a lost first packet is sent again only after a
+	// second, when another backend server has answered long since.
+	dialLongest = 150 * time.Millisecond
 	// readGrace is how long after its deadline an attempt is still read; the calls
 	// duty gives it up before.
 	readGrace = 200 * time.Millisecond
@@ -75,7 +78,8 @@
 // openFor makes a connection ready.
 func openFor(attempt *Attempt, connection *backendhttp.Connection) error {
 	left := time.Until(attempt.Deadline)
-	ctx, cancel := context.WithTimeout(attempt.Context, max(time.Duration(dialShare*float64(left)), time.Millisecond))
+	wait := min(max(time.Duration(dialShare*float64(left)), time.Millisecond), dialLongest)
+	ctx, cancel := context.WithTimeout(attempt.Context, wait)
 	defer cancel()
 
 	return connection.Open(ctx, attempt.Deadline.Add(readGrace))
--- a/placement/measure.go
+++ b/placement/measure.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// probeTimeout bounds a probe.
-	probeTimeout = 500 * time.Millisecond
+	// probeTimeout bounds a probe, which is answered at once whatever the load.
+	probeTimeout = 250 * time.Millisecond
 	// idleFactor stretches the time between probes of a service that gets no calls.
 	idleFactor = 5
 	// idleAfter is how long a service goes without calls until it counts as idle.
@@ -71,6 +71,8 @@
 		server.misses++
 		if server.misses >= missesEject {
 			p.ejectNow(now, server, true)
+		} else {
+			p.blame(now, server)
 		}
 
 		return
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -73,6 +73,11 @@
 			load:  func(fleet *bench.Fleet) { fleet.Refusing = 0.55 },
 			least: 0.85,
 		},
+		"backend servers that fall silent are left out": {
+			load:    func(fleet *bench.Fleet) { fleet.Dark, fleet.Route.Idempotent = true, false },
+			without: func(fleet *bench.Fleet) { fleet.Options.ProbeInterval = 2 * time.Second },
+			least:   0.9, gain: 0.02,
+		},
 		"lost answers of calls that may run twice are sent again": {
 			load:    func(fleet *bench.Fleet) { fleet.Losing = 0.1 },
 			without: func(fleet *bench.Fleet) { fleet.Route.MaxAttempts = 1 },
