--- a/edge/lines.go
+++ b/edge/lines.go
@@ -24,7 +24,7 @@
 	d.log.Event(eventlog.Info, "call_sent", "a call was sent to a backend server",
 		eventlog.Text("request_id", request.ID), eventlog.Count("attempt", uint64(action.Attempt)),
 		eventlog.Text("backend_server", action.Server), eventlog.Text("address", action.Address),
-		eventlog.Text("data_centre", reason.DataCentre), eventlog.Text("route", reason.Route), eventlog.Text("service", reason.Service),
+		eventlog.Text("server_data_centre", reason.DataCentre), eventlog.Text("route", reason.Route), eventlog.Text("service", reason.Service),
 		eventlog.Integer("version", reason.Version), eventlog.Flag("repeat", reason.Repeat), eventlog.Flag("hedge", reason.Hedge),
 		eventlog.Number("pace", reason.Pace), eventlog.Duration("pace_age", reason.PaceAge),
 		eventlog.Integer("in_flight", reason.InFlight), eventlog.Duration("expected", reason.Expected), eventlog.Duration("waited", reason.Waited))
@@ -68,7 +68,8 @@
 		eventlog.Text("request_id", request.ID), eventlog.Text("outcome", outcome), eventlog.Text("reason", string(reason)),
 		eventlog.Integer("status", status), eventlog.Text("route", action.Route), eventlog.Text("service", action.Service),
 		eventlog.Integer("version", action.Version), eventlog.Integer("sends", action.Sends),
-		eventlog.Duration("took", action.Took), eventlog.Duration("retry_after", after))
+		eventlog.Duration("took", action.Took), eventlog.Duration("retry_after", after),
+		eventlog.Integer("waiting", action.Waiting), eventlog.Integer("slots_taken", action.Taken), eventlog.Integer("slots", action.Slots))
 }
 
 // describe returns stable words for an outcome.
--- /dev/null
+++ b/edge/metrics_test.go
@@ -0,0 +1,44 @@
+package edge_test
+
+import (
+	"bytes"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/edge"
+	"github.com/baobabdrum/baobabdrum/placement"
+)
+
+func TestPageListsEveryMetric(t *testing.T) {
+	page, err := os.ReadFile("../docs/METRICS.md")
+	assert.NilError(t, err)
+	_, section, found := strings.Cut(string(page), "## On the users' platform")
+	assert.Assert(t, found)
+	metrics := edge.NewMetrics()
+	metrics.Gauge("baobabdrum_dropped_log_lines", func() float64 { return 0 })
+	metrics.Sent(placement.Choice{Service: "s", PaceAge: time.Millisecond})
+	metrics.Finished(placement.Finish{Service: "s", Outcome: placement.NoRoute{}, Took: time.Millisecond})
+	metrics.Believed("ejected")
+	metrics.Store("orders", "read", time.Millisecond)
+	metrics.Dropped("loads")
+	metrics.Declared(1, 2)
+	var text bytes.Buffer
+	metrics.Write(&text)
+
+	names := func(pattern, text string) []string {
+		var list []string
+		for _, match := range regexp.MustCompile(pattern).FindAllStringSubmatch(text, -1) {
+			list = append(list, regexp.MustCompile(`_(bucket|sum|count)$`).ReplaceAllString(match[1], ""))
+		}
+		slices.Sort(list)
+
+		return slices.Compact(list)
+	}
+	assert.DeepEqual(t, names(`(?m)^(baobabdrum_\w+)`, text.String()), names("(?m)^\\| `(\\w+)`", section))
+}
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -73,6 +73,12 @@
 	Sends int
 	// Took is the time since the call arrived.
 	Took time.Duration
+	// Waiting is the number of calls that waited for the service then.
+	Waiting int
+	// Taken is the number of slots of its usable backend servers that were taken.
+	Taken int
+	// Slots is the number of those slots.
+	Slots int
 }
 
 // Probe asks a backend server for its health and load. It ends with a
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -115,7 +115,14 @@
 // spare reports whether a service has slots that no call needs that can still be
 // answered in time.
 func (p *Placer) spare(now time.Time, service *service) bool {
-	slots, taken := 0, 0
+	taken, slots := p.slots(now, service)
+
+	return float64(taken) < spareShare*float64(slots)
+}
+
+// slots returns how many slots of the usable, warm backend servers are taken and
+// how many there are.
+func (p *Placer) slots(now time.Time, service *service) (taken, slots int) {
 	for _, server := range service.servers {
 		if server.usable(now) && !server.Cold(now) && !p.evacuated[server.DataCentre] {
 			slots += server.Slots
@@ -123,7 +130,7 @@
 		}
 	}
 
-	return float64(taken) < spareShare*float64(slots)
+	return taken, slots
 }
 
 // without returns why there is no backend server for a call.
@@ -158,9 +165,11 @@
 	delete(p.calls, c.id)
 	p.order = slices.DeleteFunc(p.order, func(other *call) bool { return other == c })
 	p.giveUp(c)
+	taken, slots := p.slots(now, c.service)
 	p.act(Finish{
 		Call: c.id, Outcome: outcome, Route: c.route.Name, Service: c.service.Name,
 		Version: p.declared.Declaration.Version, Sends: c.sends, Took: now.Sub(c.arrived),
+		Waiting: len(c.service.waiting), Taken: taken, Slots: slots,
 	})
 }
 
--- a/prometheus/prometheus_test.go
+++ b/prometheus/prometheus_test.go
@@ -90,7 +90,8 @@
 		name := regexp.MustCompile(`^\w+`).FindString(line)
 		inCode = append(inCode, histogram.ReplaceAllString(name, ""))
 	}
-	rows := regexp.MustCompile("(?m)^\\| `(\\w+)`").FindAllStringSubmatch(string(page), -1)
+	own, _, _ := strings.Cut(string(page), "## On the users' platform")
+	rows := regexp.MustCompile("(?m)^\\| `(\\w+)`").FindAllStringSubmatch(own, -1)
 	onPage := make([]string, 0, len(rows))
 	for _, found := range rows {
 		onPage = append(onPage, found[1])
--- a/scripts/docs-check.sh
+++ b/scripts/docs-check.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 source scripts/lib.sh
 trap stop_all EXIT
-PAGES=${PAGES:-examples/README.md docs/CALLERS.md docs/OPERATORS.md}
+PAGES=${PAGES:-examples/README.md docs/CALLERS.md docs/OPERATIONS.md}
 
 # blocks PAGE: writes each sh block of a page to $out/blocks, named in order.
 blocks() {
