Have callers that cannot be in time any more return when a third of their time is over

Cause: a call refused after 227 ms of waiting was asked to return after 24 ms, into the same load, which used up its caller's last attempt.

--- a/placement/calls.go
+++ b/placement/calls.go
@@ -12,6 +12,10 @@
 	patience = 0.125
 	// spareShare is the share of taken slots up to which late work is taken on.
 	spareShare = 0.6
+	// lateReturn is the share of the caller's time left after which a refused call
+	// returns that cannot be in time any more. The load that it met has passed by
+	// then more likely than at once, and there is time left to serve it.
+	lateReturn = 0.3
 	// answerGrace is how long after the end of a call an answer is awaited that
 	// may be on its way.
 	answerGrace = 40 * time.Millisecond
@@ -27,6 +31,7 @@
 	arrived  time.Time
 	targetAt time.Time
 	endsAt   time.Time
+	leavesAt time.Time
 	running  []*attempt
 	tried    []string
 	sends    int
@@ -57,7 +62,7 @@
 	spent := route.patience.Spent(event.Wait)
 	c := &call{
 		id: event.Call, route: route, service: p.service(route.next()), arrived: now,
-		targetAt: now.Add(route.Target() - spent), endsAt: now.Add(event.Wait), returned: spent > 0,
+		targetAt: now.Add(route.Target() - spent), endsAt: now.Add(event.Wait), leavesAt: now.Add(event.Wait), returned: spent > 0,
 	}
 	if end := now.Add(route.Timeout()); route.TimeoutMs > 0 && end.Before(c.endsAt) {
 		c.endsAt = end
@@ -156,6 +161,9 @@
 // refuse ends a call that no backend server ran.
 func (p *Placer) refuse(now time.Time, c *call, reason Reason) {
 	after := c.service.refuse(now, c.route.Work, p.random.Float64())
+	if c.targetAt.Sub(now) < after+c.route.Work {
+		after = max(after, time.Duration(lateReturn*float64(c.leavesAt.Sub(now))))
+	}
 	p.finish(now, c, NotRun{Reason: reason, RetryAfter: after})
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -311,3 +311,39 @@
 	}
 	assert.Assert(t, sends > 0 && sends <= 6, "%d calls in a second", sends)
 }
+
+func TestWhenRefusedCallersReturn(t *testing.T) {
+	tests := map[string]struct {
+		servers     []schema.Registration
+		refused     int
+		taken       int
+		least, most time.Duration
+	}{
+		"soon, when the call can still be in time": {
+			servers: []schema.Registration{registration("a"), registration("b"), registration("c"), registration("d")}, refused: 2, least: 10 * time.Millisecond, most: 160 * time.Millisecond,
+		},
+		"when a third of its time is over, when it cannot": {
+			servers: []schema.Registration{registration("a")}, taken: 4, least: 450 * time.Millisecond, most: 600 * time.Millisecond,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			placer := newPlacer(declaration(schema.Route{}, test.servers...))
+			placer.Step(begin, placement.LoadsHeard{Host: "other", Loads: []schema.ServerLoad{{ServerHash: placement.Hash("a"), InFlight: test.taken, AgeMs: -1}}})
+			actions := call(placer, begin, 1)
+			for range test.refused {
+				send, ok := of[placement.Send](actions)
+				assert.Assert(t, ok)
+				actions = placer.Step(begin.Add(5*time.Millisecond), placement.AttemptEnded{Attempt: send.Attempt, Result: placement.Refused{}})
+			}
+			for at := 10 * time.Millisecond; placer.Open() > 0; at += 10 * time.Millisecond {
+				actions = placer.Step(begin.Add(at), placement.Ticked{})
+			}
+			finish, ok := of[placement.Finish](actions)
+			assert.Assert(t, ok)
+			refused, ok := finish.Outcome.(placement.NotRun)
+			assert.Assert(t, ok, "%#v", finish.Outcome)
+			assert.Assert(t, refused.RetryAfter >= test.least && refused.RetryAfter <= test.most, "%s", refused.RetryAfter)
+		})
+	}
+}
