--- a/Makefile
+++ b/Makefile
@@ -19,12 +19,12 @@
 	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
 generate: bin/go-jsonschema bin/msgp bin/settingsgen
-	go generate ./schema
+	go generate ./schema ./platform
 
 .PHONY: check fmt lint test race thin
 
 # check is what .ci/run calls.
-check: tools lint generated race
+check: tools lint wire-names generated race
 
 fmt: bin/golangci-lint
 	bin/golangci-lint fmt ./...
@@ -35,7 +35,11 @@
 
 .PHONY: generated
 generated: generate
-	git diff --exit-code -- schema
+	git diff --exit-code -- schema platform/wire_gen.go
+
+.PHONY: wire-names
+wire-names:
+	scripts/wire-names.sh
 
 test: check
 
