--- a/directory/directory.go
+++ b/directory/directory.go
@@ -348,7 +348,28 @@
 		return nil
 	}
 	d.outdated = false
-	ready := map[string][]schema.Beacon{}
+	all := d.alive()
+	serving := d.choose(all)
+	hosts := len(d.members) + 1
+	same := func(a, b schema.Beacon) bool { return a.Name == b.Name && a.StartedMs == b.StartedMs }
+	changed := !slices.EqualFunc(serving, d.serving, same) || hosts != d.known
+	for _, beacon := range serving {
+		if other, known := d.members[beacon.Name]; known && !d.serves(beacon.Name) {
+			other.electedAt = now
+		}
+	}
+	served := d.serves(d.Self.Name)
+	d.serving, d.known = serving, hosts
+	if !changed {
+		return nil
+	}
+	d.urgent = d.urgent || served != d.serves(d.Self.Name)
+
+	return []Action{ServingChanged{Serving: serving, Ahead: d.ahead(all), Self: d.serves(d.Self.Name), Hosts: hosts}}
+}
+
+// alive returns the beacons of all live hosts, the best to serve first.
+func (d *Directory) alive() []schema.Beacon {
 	all := []schema.Beacon{d.Self}
 	for _, other := range d.members {
 		if other.live {
@@ -356,6 +377,13 @@
 		}
 	}
 	slices.SortFunc(all, before)
+
+	return all
+}
+
+// choose returns the hosts that serve, by data centre and name.
+func (d *Directory) choose(all []schema.Beacon) []schema.Beacon {
+	ready := map[string][]schema.Beacon{}
 	for _, beacon := range all {
 		if beacon.Ready {
 			ready[beacon.DataCentre] = append(ready[beacon.DataCentre], beacon)
@@ -363,37 +391,28 @@
 	}
 	var serving []schema.Beacon
 	for dataCentre, candidates := range ready {
-		count := d.count(dataCentre, candidates)
-		serving = append(serving, candidates[:count]...)
+		serving = append(serving, candidates[:d.count(dataCentre, candidates)]...)
 	}
 	slices.SortFunc(serving, func(a, b schema.Beacon) int {
 		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Name, b.Name))
 	})
-	same := func(a, b schema.Beacon) bool { return a.Name == b.Name && a.StartedMs == b.StartedMs }
-	hosts := len(d.members) + 1
-	changed := !slices.EqualFunc(serving, d.serving, same) || hosts != d.known
-	for _, beacon := range serving {
-		if other, known := d.members[beacon.Name]; known && !d.serves(beacon.Name) {
-			other.electedAt = now
-		}
-	}
-	served := d.serves(d.Self.Name)
-	d.serving, d.known = serving, hosts
-	if !changed {
-		return nil
-	}
-	d.urgent = d.urgent || served != d.serves(d.Self.Name)
-	action := ServingChanged{Serving: serving, Self: d.serves(d.Self.Name), Hosts: hosts}
-	for _, beacon := range append(slices.Clone(serving), all...) {
+
+	return serving
+}
+
+// ahead returns the hosts that come before this one: first those that serve.
+func (d *Directory) ahead(all []schema.Beacon) []string {
+	var names []string
+	for _, beacon := range append(slices.Clone(d.serving), all...) {
 		if beacon.Name == d.Self.Name {
 			break
 		}
-		if !slices.Contains(action.Ahead, beacon.Name) {
-			action.Ahead = append(action.Ahead, beacon.Name)
+		if !slices.Contains(names, beacon.Name) {
+			names = append(names, beacon.Name)
 		}
 	}
 
-	return []Action{action}
+	return names
 }
 
 // before orders hosts by capacity and then by age.
@@ -426,8 +445,9 @@
 
 // beacons sends beacons that are due.
 func (d *Directory) beacons(now time.Time) []Action {
-	greets := append(d.greets, d.strangersDue(now)...)
+	greets := d.greets
 	d.greets = nil
+	greets = append(greets, d.strangersDue(now)...)
 	mates, others := d.due(now)
 	if mates || others {
 		greets = append(greets, d.addresses(mates, others)...)
--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -32,8 +32,9 @@
 	metrics.Write(&text)
 
 	names := func(pattern, text string) []string {
-		var list []string
-		for _, match := range regexp.MustCompile(pattern).FindAllStringSubmatch(text, -1) {
+		matches := regexp.MustCompile(pattern).FindAllStringSubmatch(text, -1)
+		list := make([]string, 0, len(matches))
+		for _, match := range matches {
 			list = append(list, regexp.MustCompile(`_(bucket|sum|count)$`).ReplaceAllString(match[1], ""))
 		}
 		slices.Sort(list)
