--- a/directory/directory.go
+++ b/directory/directory.go
@@ -389,7 +389,7 @@
 			ready[beacon.DataCentre] = append(ready[beacon.DataCentre], beacon)
 		}
 	}
-	var serving []schema.Beacon
+	serving := make([]schema.Beacon, 0, len(ready))
 	for dataCentre, candidates := range ready {
 		serving = append(serving, candidates[:d.count(dataCentre, candidates)]...)
 	}
