--- /dev/null
+++ b/directory/election.go
@@ -0,0 +1,150 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// relevance is what of a beacon decides whom callers are told.
+type relevance struct {
+	started, capacity, calls int
+	dataCentre, address      string
+	ready                    bool
+}
+
+// matters returns what of a beacon decides whom callers are told.
+func matters(beacon schema.Beacon) relevance {
+	return relevance{
+		started: beacon.StartedMs, capacity: beacon.Capacity, calls: beacon.Calls, dataCentre: beacon.DataCentre,
+		address: beacon.CallerAddress, ready: beacon.Ready,
+	}
+}
+
+// serves reports whether callers are told a host's address.
+func (d *Directory) serves(name string) bool {
+	return slices.ContainsFunc(d.serving, func(beacon schema.Beacon) bool { return beacon.Name == name })
+}
+
+// elect chooses the hosts that callers are told. Few hosts know the backend
+// servers' load better than many, so each data centre has as few as can carry
+// its calls. Those that run for longest are chosen, so that a host that
+// restarts does not take over at once.
+func (d *Directory) elect(now time.Time) []Action {
+	if !d.outdated {
+		return nil
+	}
+	d.outdated = false
+	all := d.alive()
+	serving := d.choose(all)
+	hosts := len(d.members) + 1
+	same := func(a, b schema.Beacon) bool { return a.Name == b.Name && a.StartedMs == b.StartedMs }
+	changed := !slices.EqualFunc(serving, d.serving, same) || hosts != d.known
+	for _, beacon := range serving {
+		if other, known := d.members[beacon.Name]; known && !d.serves(beacon.Name) {
+			other.electedAt = now
+		}
+	}
+	served := d.serves(d.Self.Name)
+	d.serving, d.known = serving, hosts
+	if !changed {
+		return nil
+	}
+	d.urgent = d.urgent || served != d.serves(d.Self.Name)
+
+	return []Action{ServingChanged{Serving: serving, Ahead: d.ahead(all), Self: d.serves(d.Self.Name), Hosts: hosts}}
+}
+
+// alive returns the beacons of all live hosts, the best to serve first.
+func (d *Directory) alive() []schema.Beacon {
+	all := []schema.Beacon{d.Self}
+	for _, other := range d.members {
+		if other.live {
+			all = append(all, other.beacon)
+		}
+	}
+	slices.SortFunc(all, before)
+
+	return all
+}
+
+// choose returns the hosts that serve, by data centre and name.
+func (d *Directory) choose(all []schema.Beacon) []schema.Beacon {
+	ready := map[string][]schema.Beacon{}
+	for _, beacon := range all {
+		if beacon.Ready {
+			ready[beacon.DataCentre] = append(ready[beacon.DataCentre], beacon)
+		}
+	}
+	serving := make([]schema.Beacon, 0, len(ready))
+	for dataCentre, candidates := range ready {
+		serving = append(serving, candidates[:d.count(dataCentre, candidates)]...)
+	}
+	slices.SortFunc(serving, func(a, b schema.Beacon) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Name, b.Name))
+	})
+
+	return serving
+}
+
+// ahead returns the hosts that come before this one: first those that serve.
+func (d *Directory) ahead(all []schema.Beacon) []string {
+	var names []string
+	for _, beacon := range append(slices.Clone(d.serving), all...) {
+		if beacon.Name == d.Self.Name {
+			break
+		}
+		if !slices.Contains(names, beacon.Name) {
+			names = append(names, beacon.Name)
+		}
+	}
+
+	return names
+}
+
+// before orders hosts by capacity and then by age.
+func before(a, b schema.Beacon) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.StartedMs, b.StartedMs), cmp.Compare(a.Name, b.Name))
+}
+
+// count returns how many of the candidates carry a data centre's calls.
+func (d *Directory) count(dataCentre string, candidates []schema.Beacon) int {
+	calls := 0
+	for _, beacon := range candidates {
+		calls += beacon.Calls
+	}
+	needed := func(share float64) int {
+		capacity := 0.0
+		for i, beacon := range candidates {
+			capacity += share * float64(beacon.Capacity)
+			if float64(calls) <= capacity {
+				return i + 1
+			}
+		}
+
+		return len(candidates)
+	}
+	count := min(max(d.counts[dataCentre], needed(busyShare)), needed(quietShare))
+	d.counts[dataCentre] = count
+
+	return count
+}
+
+// Answer returns the addresses for a caller in a data centre and how long it
+// may keep them: the hosts of its data centre, or all if there are none.
+func (d *Directory) Answer(dataCentre string) ([]string, time.Duration) {
+	var local, all []string
+	for _, beacon := range d.serving {
+		all = append(all, beacon.CallerAddress)
+		if beacon.DataCentre == dataCentre {
+			local = append(local, beacon.CallerAddress)
+		}
+	}
+	if len(local) > 0 {
+		all = local
+	}
+
+	return all[:min(len(all), mostAddresses)], keep
+}
