Estimate the pace of backend servers that report no load

Change: the pace is smoothed over answers, a send that is overdue counts at once, and probes only ask for health and cold time.

--- a/placement/attempts.go
+++ b/placement/attempts.go
@@ -100,8 +100,7 @@
 	p.follow(now, ended)
 	ended.call.route.learn(ended.progress, result.Size)
 	if load == nil || load.Pace == 0 {
-		work := ended.call.route.Work
-		ended.server.report(now, float64(now.Sub(ended.started))/float64(max(work, time.Millisecond)), p.tempo)
+		ended.server.estimate(now, float64(now.Sub(ended.started))/float64(max(ended.call.route.Work, time.Millisecond)))
 	}
 }
 
@@ -121,8 +120,15 @@
 
 // advance follows the work of all sends.
 func (p *Placer) advance(now time.Time) {
+	for _, server := range p.servers {
+		server.Overdue = 0
+	}
 	for _, running := range p.attempts {
 		p.follow(now, running)
+		if server := running.server; server.Unreported {
+			took := float64(now.Sub(running.started)) / float64(max(running.call.route.Work, time.Millisecond))
+			server.Overdue = max(server.Overdue, took)
+		}
 	}
 }
 
--- a/placement/measure.go
+++ b/placement/measure.go
@@ -35,6 +35,10 @@
 			interval *= idleFactor
 		}
 		for _, server := range service.servers {
+			interval := interval
+			if server.Unreported {
+				interval = max(interval, coldInterval)
+			}
 			due := !server.probing && now.Sub(server.probedAt) >= interval &&
 				(now.Sub(server.PacedAt) >= interval || now.Sub(server.probedAt) >= coldInterval)
 			if due && !server.Draining && !p.evacuated[server.DataCentre] && (p.measures(server) || p.untold(now, server)) {
@@ -79,8 +83,10 @@
 	}
 	server.misses, server.answeredAt = 0, now
 	server.readmit()
-	if event.Load != nil {
+	if event.Load != nil && event.Load.Pace > 0 {
 		server.report(now, event.Load.Pace, p.tempo)
+	} else {
+		server.Unreported = true
 	}
 	p.adoptCold(now, server, event.ColdLeft)
 }
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -55,6 +55,10 @@
 			without: func(fleet *bench.Fleet) { fleet.NoLoad, fleet.Route.MaxAttempts = true, 1 },
 			least:   0.95, gain: 0.01,
 		},
+		"durations stand in for reports that backend servers do not give": {
+			load:  func(fleet *bench.Fleet) { fleet.NoLoad, fleet.ShiftEvery = true, 3*time.Second },
+			least: 0.9,
+		},
 		"second sends rescue calls whose machine turned slow": {
 			load:    func(fleet *bench.Fleet) { fleet.ShiftEvery = 250 * time.Millisecond },
 			without: func(fleet *bench.Fleet) { fleet.Route.MaxAttempts = 1 },
--- a/placement/server.go
+++ b/placement/server.go
@@ -13,6 +13,9 @@
 	paceMemory = 400 * time.Millisecond
 	// usualWeight is the share of the newest report in the usual pace.
 	usualWeight = 0.02
+	// estimateWeight is the share of the newest answer in a pace that is estimated
+	// from answers, whose work varies.
+	estimateWeight = 0.4
 	// firstUsual is the usual pace until reports were heard.
 	firstUsual = 1.5
 	// paceHold is how long a pace is expected to last from now on at least.
@@ -70,6 +73,12 @@
 	FailedAt time.Time
 	// EjectedUntil is when it may get work again.
 	EjectedUntil time.Time
+	// Unreported says that it does not report its load, so that its pace is
+	// estimated from answers.
+	Unreported bool
+	// Overdue is how long its slowest running attempt has taken, relative to the
+	// usual work; it counts if the load is not reported.
+	Overdue float64
 	// Unreachable says that it was ejected because nothing could be sent.
 	Unreachable bool
 
@@ -136,11 +145,11 @@
 // PaceNow returns the pace to expect now. An old report counts less and less.
 func (s *Server) PaceNow(now time.Time) float64 {
 	if s.Pace == 0 {
-		return s.Usual
+		return max(s.Usual, s.Overdue)
 	}
 	weight := math.Exp(-float64(now.Sub(s.PacedAt)) / float64(paceMemory))
 
-	return s.Pace*weight + s.Usual*(1-weight)
+	return max(s.Pace*weight+s.Usual*(1-weight), s.Overdue)
 }
 
 // rate returns how long work takes there now, relative to the usual time, with
@@ -207,10 +216,22 @@
 	if s.Pace > 0 && paceChanged(s.Pace, pace) {
 		s.PacedSince = at
 	}
-	s.Pace, s.PacedAt = pace, at
+	s.Pace, s.PacedAt, s.Unreported, s.Overdue = pace, at, false, 0
 	s.Usual += usualWeight * (pace - s.Usual)
 }
 
+// estimate adopts how long an answer took relative to the usual work, for want
+// of a report.
+func (s *Server) estimate(now time.Time, ratio float64) {
+	s.Unreported = true
+	if s.Pace == 0 {
+		s.Pace = ratio
+	}
+	s.Pace += estimateWeight * (ratio - s.Pace)
+	s.PacedAt = now
+	s.Usual += usualWeight * (ratio - s.Usual)
+}
+
 // FailureRatio returns the share of calls that are expected to fail.
 func (s *Server) FailureRatio(now time.Time) float64 {
 	return s.Failures * math.Exp(-float64(now.Sub(s.FailedAt))/float64(failureMemory))
