Take a thousand free ports for the scripts' deployments

Cause: make demo failed once because another process held 127.0.0.1:24204. Before: a held port in 24000 to 24999 fails the scripts. After: with that port held, make demo passes on 25000.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,10 +1,34 @@
 # Functions that start and stop the processes of one deployment on this machine.
 # Sourced by the other scripts, after `set -euo pipefail` and from the root of
-# the repository. BASE_PORT moves all ports; the examples use 24000 to 24999.
+# the repository. The examples use ports 24000 to 24999. BASE_PORT moves all of
+# them; unless it is set, the first thousand that no socket uses is taken.
 
-BASE_PORT=${BASE_PORT:-24000}
 EXAMPLES_PORT=24000
 
+# used_ports: prints the local ports of all TCP sockets.
+used_ports() {
+  local address
+  while read -r _ address _; do
+    echo $((16#${address##*:}))
+  done < <(tail -q -n +2 /proc/net/tcp /proc/net/tcp6 2>/dev/null)
+}
+
+# free_base: prints the first port of a thousand that no socket uses.
+free_base() {
+  local base used
+  used=$(used_ports)
+  for base in $(seq "$EXAMPLES_PORT" 1000 31000); do
+    if awk -v first="$base" '$1 >= first && $1 < first + 1000 { used = 1 } END { exit used }' <<<"$used"; then
+      echo "$base"
+      return
+    fi
+  done
+  echo "no thousand ports from $EXAMPLES_PORT to 32000 are free" >&2
+  return 1
+}
+
+BASE_PORT=${BASE_PORT:-$(free_base)}
+
 # The process ids that this script started, by name.
 declare -A pids=()
 
