Dump what a host believes of backend servers; bound connections to each

Cause: the dump showed the declaration only. A host made room for as many connections as a backend server accepts from all hosts together (1,160 on the grown site, for 319 of them), which took most of its 241 MB there. Change: /dump has each backend server's pace, attempts, failures and times; 32 connections at most from one host to a backend server.

--- a/edge/calls.go
+++ b/edge/calls.go
@@ -128,6 +128,8 @@
 		d.act(now, d.placer.Step(now, input.Event))
 	case Serve:
 		d.serving = input.Serving
+	case DumpAsked:
+		_ = input.Reply.Offer(d.placer.Dump(now)) // the ring has room by contract
 	}
 }
 
@@ -143,8 +145,8 @@
 	}))
 }
 
-// act carries out actions. Ended attempts are handed over first, so that the
-// actions of one step are never mixed with those of another.
+// act carries out the actions of one step, and then ends the attempts that no
+// sender could take, which leads to further steps.
 func (d *callsDuty) act(now time.Time, actions []placement.Action) {
 	var unsent []*Attempt
 	for _, action := range actions {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -173,6 +173,14 @@
 	Serving bool
 }
 
+// DumpAsked asks for the state of the host.
+type DumpAsked struct {
+	// Reply receives one reply; it must have room.
+	Reply *ring.Ring[schema.EdgeDump]
+}
+
+func (DumpAsked) input() {}
+
 func (Arrived) input() {}
 func (Left) input()    {}
 func (Ended) input()   {}
--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -144,18 +144,20 @@
 	}
 }
 
-// asker lets HTTP handlers ask the control duty.
+// asker lets HTTP handlers ask duties.
 type asker struct {
 	control *ring.Ring[ControlInput]
+	calls   *ring.Ring[Input]
 }
 
-// ask offers a question and returns the reply, or the zero value in time.
-func ask[T any](a *asker, question func(reply *ring.Ring[T]) ControlInput) T {
+// ask offers a question to a duty and returns the reply, or the zero value if
+// there is none in time.
+func ask[In, Out any](duty *ring.Ring[In], question func(reply *ring.Ring[Out]) In) Out {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	reply := ring.New[T]("answer", 1)
-	var none T
-	if a.control.Offer(question(reply)) != nil {
+	reply := ring.New[Out]("answer", 1)
+	var none Out
+	if duty.Offer(question(reply)) != nil {
 		return none
 	}
 	answer, err := reply.Take(ctx)
@@ -168,12 +170,12 @@
 
 // ready asks whether this host serves calls.
 func (a *asker) ready() bool {
-	return ask(a, func(reply *ring.Ring[bool]) ControlInput { return ReadyAsked{Reply: reply} })
+	return ask(a.control, func(reply *ring.Ring[bool]) ControlInput { return ReadyAsked{Reply: reply} })
 }
 
 // addresses asks which hosts a caller should use.
 func (a *asker) addresses(dataCentre string) ([]string, time.Duration) {
-	answer := ask(a, func(reply *ring.Ring[Addresses]) ControlInput {
+	answer := ask(a.control, func(reply *ring.Ring[Addresses]) ControlInput {
 		return AddressesAsked{DataCentre: dataCentre, Reply: reply}
 	})
 
@@ -193,7 +195,7 @@
 	return eris.Wrap(app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}), "serving questions")
 }
 
-// declared asks for all that this host knows to be declared.
-func (a *asker) declared() schema.Declared {
-	return ask(a, func(reply *ring.Ring[schema.Declared]) ControlInput { return DeclaredAsked{Reply: reply} })
+// dump asks for the state of the host.
+func (a *asker) dump() schema.EdgeDump {
+	return ask(a.calls, func(reply *ring.Ring[schema.EdgeDump]) Input { return DumpAsked{Reply: reply} })
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -87,7 +87,7 @@
 		requests: ring.New[peerrpc.Request]("peer_requests", controlRing),
 	}
 	h.front = newCallerFront(adapter, h.inputs, h.Metrics)
-	h.asker = &asker{control: h.control}
+	h.asker = &asker{control: h.control, calls: h.inputs}
 	h.grace.Store(int64(site.Grace))
 	h.Metrics.Gauge("baobabdrum_dropped_log_lines", func() float64 { return float64(h.Log.Dropped()) })
 
@@ -244,7 +244,7 @@
 
 		return nil
 	})
-	control.Get("/dump", func(c fiber.Ctx) error { return c.JSON(h.asker.declared()) })
+	control.Get("/dump", func(c fiber.Ctx) error { return c.JSON(h.asker.dump()) })
 	duties.Go("readiness", func(ctx context.Context) error { return serveApp(ctx, ready, open.ready) })
 	duties.Go("directory", func(ctx context.Context) error { return serveApp(ctx, ask, open.directory) })
 	duties.Go("operator front", func(ctx context.Context) error { return serveApp(ctx, control, open.control) })
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -24,6 +24,9 @@
 	// readGrace is how long after its deadline an attempt is still read; the calls
 	// duty gives it up before.
 	readGrace = 200 * time.Millisecond
+	// addressConnections bounds this host's connections to a backend server: several
+	// times its slots, and far fewer than backend servers accept from all hosts.
+	addressConnections = 32
 	// keepUsual is how long an idle connection is used again when the backend
 	// server does not say how long it keeps it.
 	keepUsual = 8 * time.Second
@@ -58,7 +61,7 @@
 	if attempt.Context.Err() != nil || !time.Now().Before(attempt.Deadline) {
 		return Decoded{Result: placement.Unsent{Local: true, Cause: context.DeadlineExceeded}}
 	}
-	s.connections.Declare(attempt.Address, attempt.Connections)
+	s.connections.Declare(attempt.Address, min(attempt.Connections, addressConnections))
 	connection, err := s.connections.Acquire(attempt.Address)
 	if err != nil {
 		return Decoded{Result: placement.Unsent{Local: true, Cause: err}}
@@ -149,7 +152,7 @@
 // probe runs a probe. A backend server whose connections are all in use is not
 // blamed for that.
 func (p *prober) probe(ctx context.Context, probe placement.Probe) placement.ProbeEnded {
-	p.connections.Declare(probe.Address, probe.Connections)
+	p.connections.Declare(probe.Address, min(probe.Connections, addressConnections))
 	connection, err := p.connections.Acquire(probe.Address)
 	if err != nil {
 		return placement.ProbeEnded{Server: probe.Server, Answered: true}
--- /dev/null
+++ b/placement/dump.go
@@ -0,0 +1,30 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// Dump returns what this host believes of every backend server and which hosts
+// callers are told.
+func (p *Placer) Dump(now time.Time) schema.EdgeDump {
+	dump := schema.EdgeDump{
+		Declared: p.declared, OpenCalls: len(p.calls), Serving: []string{}, BackendServers: make([]schema.ServerState, 0, len(p.servers)),
+	}
+	for _, peer := range p.peers.Serving {
+		dump.Serving = append(dump.Serving, peer.Name)
+	}
+	for _, server := range p.servers {
+		dump.BackendServers = append(dump.BackendServers, schema.ServerState{
+			Registration: server.Registration, Pace: server.Pace, PaceAgeMs: int(age(now, server.PacedAt).Milliseconds()),
+			Taken: server.Taken(now), FailureRatio: server.FailureRatio(now), Measured: p.measures(server),
+			EjectedMs: int(max(server.EjectedUntil.Sub(now), 0).Milliseconds()), ColdMs: int(max(server.ColdUntil.Sub(now), 0).Milliseconds()),
+		})
+	}
+	slices.SortFunc(dump.BackendServers, func(a, b schema.ServerState) int { return cmp.Compare(a.Registration.ID, b.Registration.ID) })
+
+	return dump
+}
--- a/placement/measure.go
+++ b/placement/measure.go
@@ -108,7 +108,7 @@
 		if !measured && server.InFlight == 0 {
 			continue
 		}
-		load := schema.ServerLoad{ServerHash: Hash(server.ID), InFlight: server.InFlight, Failing: server.Ejected(now), AgeMs: notMeasured}
+		load := schema.ServerLoad{ServerHash: Hash(server.ID), InFlight: server.InFlight, AgeMs: notMeasured}
 		if measured {
 			load.PacePercent = int(server.Pace * percent)
 			load.AgeMs = int(now.Sub(server.PacedAt).Milliseconds())
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -5086,6 +5086,295 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *EdgeDump) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "backend_servers":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "BackendServers")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.BackendServers) >= int(zb0002) {
+				z.BackendServers = (z.BackendServers)[:zb0002]
+			} else {
+				z.BackendServers = make([]ServerState, zb0002)
+			}
+			for za0001 := range z.BackendServers {
+				err = z.BackendServers[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "BackendServers", za0001)
+					return
+				}
+			}
+		case "declared":
+			err = z.Declared.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Declared")
+				return
+			}
+		case "open_calls":
+			z.OpenCalls, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OpenCalls")
+				return
+			}
+		case "serving":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Serving")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Serving) >= int(zb0003) {
+				z.Serving = (z.Serving)[:zb0003]
+			} else {
+				z.Serving = make([]string, zb0003)
+			}
+			for za0002 := range z.Serving {
+				z.Serving[za0002], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Serving", za0002)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *EdgeDump) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "backend_servers"
+	err = en.Append(0x84, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.BackendServers)))
+	if err != nil {
+		err = msgp.WrapError(err, "BackendServers")
+		return
+	}
+	for za0001 := range z.BackendServers {
+		err = z.BackendServers[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "BackendServers", za0001)
+			return
+		}
+	}
+	// write "declared"
+	err = en.Append(0xa8, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = z.Declared.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Declared")
+		return
+	}
+	// write "open_calls"
+	err = en.Append(0xaa, 0x6f, 0x70, 0x65, 0x6e, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OpenCalls)
+	if err != nil {
+		err = msgp.WrapError(err, "OpenCalls")
+		return
+	}
+	// write "serving"
+	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x6e, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Serving)))
+	if err != nil {
+		err = msgp.WrapError(err, "Serving")
+		return
+	}
+	for za0002 := range z.Serving {
+		err = en.WriteString(z.Serving[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Serving", za0002)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *EdgeDump) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "backend_servers"
+	o = append(o, 0x84, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.BackendServers)))
+	for za0001 := range z.BackendServers {
+		o, err = z.BackendServers[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "BackendServers", za0001)
+			return
+		}
+	}
+	// string "declared"
+	o = append(o, 0xa8, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x65, 0x64)
+	o, err = z.Declared.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Declared")
+		return
+	}
+	// string "open_calls"
+	o = append(o, 0xaa, 0x6f, 0x70, 0x65, 0x6e, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x73)
+	o = msgp.AppendInt(o, z.OpenCalls)
+	// string "serving"
+	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x6e, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Serving)))
+	for za0002 := range z.Serving {
+		o = msgp.AppendString(o, z.Serving[za0002])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *EdgeDump) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "backend_servers":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BackendServers")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.BackendServers) >= int(zb0002) {
+				z.BackendServers = (z.BackendServers)[:zb0002]
+			} else {
+				z.BackendServers = make([]ServerState, zb0002)
+			}
+			for za0001 := range z.BackendServers {
+				bts, err = z.BackendServers[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "BackendServers", za0001)
+					return
+				}
+			}
+		case "declared":
+			bts, err = z.Declared.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Declared")
+				return
+			}
+		case "open_calls":
+			z.OpenCalls, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OpenCalls")
+				return
+			}
+		case "serving":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Serving")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Serving) >= int(zb0003) {
+				z.Serving = (z.Serving)[:zb0003]
+			} else {
+				z.Serving = make([]string, zb0003)
+			}
+			for za0002 := range z.Serving {
+				z.Serving[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Serving", za0002)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *EdgeDump) Msgsize() (s int) {
+	s = 1 + 16 + msgp.ArrayHeaderSize
+	for za0001 := range z.BackendServers {
+		s += z.BackendServers[za0001].Msgsize()
+	}
+	s += 9 + z.Declared.Msgsize() + 11 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Serving {
+		s += msgp.StringPrefixSize + len(z.Serving[za0002])
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Failure) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -12085,8 +12374,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.AgeMs, err = dc.ReadInt()
@@ -12099,11 +12388,6 @@
 		err = msgp.WrapError(err, "ColdLeftMs")
 		return
 	}
-	z.Failing, err = dc.ReadBool()
-	if err != nil {
-		err = msgp.WrapError(err, "Failing")
-		return
-	}
 	z.InFlight, err = dc.ReadInt()
 	if err != nil {
 		err = msgp.WrapError(err, "InFlight")
@@ -12124,8 +12408,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ServerLoad) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 6
-	err = en.Append(0x96)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -12139,11 +12423,6 @@
 		err = msgp.WrapError(err, "ColdLeftMs")
 		return
 	}
-	err = en.WriteBool(z.Failing)
-	if err != nil {
-		err = msgp.WrapError(err, "Failing")
-		return
-	}
 	err = en.WriteInt(z.InFlight)
 	if err != nil {
 		err = msgp.WrapError(err, "InFlight")
@@ -12165,11 +12444,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ServerLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendInt(o, z.AgeMs)
 	o = msgp.AppendInt(o, z.ColdLeftMs)
-	o = msgp.AppendBool(o, z.Failing)
 	o = msgp.AppendInt(o, z.InFlight)
 	o = msgp.AppendInt(o, z.PacePercent)
 	o = msgp.AppendInt(o, z.ServerHash)
@@ -12184,8 +12462,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.AgeMs, bts, err = msgp.ReadIntBytes(bts)
@@ -12198,11 +12476,6 @@
 		err = msgp.WrapError(err, "ColdLeftMs")
 		return
 	}
-	z.Failing, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Failing")
-		return
-	}
 	z.InFlight, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "InFlight")
@@ -12224,7 +12497,297 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ServerLoad) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ServerState) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "cold_ms":
+			z.ColdMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "ColdMs")
+				return
+			}
+		case "ejected_ms":
+			z.EjectedMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "EjectedMs")
+				return
+			}
+		case "failure_ratio":
+			z.FailureRatio, err = dc.ReadFloat64()
+			if err != nil {
+				err = msgp.WrapError(err, "FailureRatio")
+				return
+			}
+		case "measured":
+			z.Measured, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Measured")
+				return
+			}
+		case "pace":
+			z.Pace, err = dc.ReadFloat64()
+			if err != nil {
+				err = msgp.WrapError(err, "Pace")
+				return
+			}
+		case "pace_age_ms":
+			z.PaceAgeMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "PaceAgeMs")
+				return
+			}
+		case "registration":
+			err = z.Registration.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Registration")
+				return
+			}
+		case "taken":
+			z.Taken, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Taken")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ServerState) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 8
+	// write "cold_ms"
+	err = en.Append(0x88, 0xa7, 0x63, 0x6f, 0x6c, 0x64, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.ColdMs)
+	if err != nil {
+		err = msgp.WrapError(err, "ColdMs")
+		return
+	}
+	// write "ejected_ms"
+	err = en.Append(0xaa, 0x65, 0x6a, 0x65, 0x63, 0x74, 0x65, 0x64, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.EjectedMs)
+	if err != nil {
+		err = msgp.WrapError(err, "EjectedMs")
+		return
+	}
+	// write "failure_ratio"
+	err = en.Append(0xad, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x5f, 0x72, 0x61, 0x74, 0x69, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.FailureRatio)
+	if err != nil {
+		err = msgp.WrapError(err, "FailureRatio")
+		return
+	}
+	// write "measured"
+	err = en.Append(0xa8, 0x6d, 0x65, 0x61, 0x73, 0x75, 0x72, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Measured)
+	if err != nil {
+		err = msgp.WrapError(err, "Measured")
+		return
+	}
+	// write "pace"
+	err = en.Append(0xa4, 0x70, 0x61, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.Pace)
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
+	// write "pace_age_ms"
+	err = en.Append(0xab, 0x70, 0x61, 0x63, 0x65, 0x5f, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.PaceAgeMs)
+	if err != nil {
+		err = msgp.WrapError(err, "PaceAgeMs")
+		return
+	}
+	// write "registration"
+	err = en.Append(0xac, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = z.Registration.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Registration")
+		return
+	}
+	// write "taken"
+	err = en.Append(0xa5, 0x74, 0x61, 0x6b, 0x65, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Taken)
+	if err != nil {
+		err = msgp.WrapError(err, "Taken")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ServerState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "cold_ms"
+	o = append(o, 0x88, 0xa7, 0x63, 0x6f, 0x6c, 0x64, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.ColdMs)
+	// string "ejected_ms"
+	o = append(o, 0xaa, 0x65, 0x6a, 0x65, 0x63, 0x74, 0x65, 0x64, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.EjectedMs)
+	// string "failure_ratio"
+	o = append(o, 0xad, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x5f, 0x72, 0x61, 0x74, 0x69, 0x6f)
+	o = msgp.AppendFloat64(o, z.FailureRatio)
+	// string "measured"
+	o = append(o, 0xa8, 0x6d, 0x65, 0x61, 0x73, 0x75, 0x72, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Measured)
+	// string "pace"
+	o = append(o, 0xa4, 0x70, 0x61, 0x63, 0x65)
+	o = msgp.AppendFloat64(o, z.Pace)
+	// string "pace_age_ms"
+	o = append(o, 0xab, 0x70, 0x61, 0x63, 0x65, 0x5f, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.PaceAgeMs)
+	// string "registration"
+	o = append(o, 0xac, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o, err = z.Registration.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Registration")
+		return
+	}
+	// string "taken"
+	o = append(o, 0xa5, 0x74, 0x61, 0x6b, 0x65, 0x6e)
+	o = msgp.AppendInt(o, z.Taken)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServerState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "cold_ms":
+			z.ColdMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ColdMs")
+				return
+			}
+		case "ejected_ms":
+			z.EjectedMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EjectedMs")
+				return
+			}
+		case "failure_ratio":
+			z.FailureRatio, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FailureRatio")
+				return
+			}
+		case "measured":
+			z.Measured, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Measured")
+				return
+			}
+		case "pace":
+			z.Pace, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pace")
+				return
+			}
+		case "pace_age_ms":
+			z.PaceAgeMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PaceAgeMs")
+				return
+			}
+		case "registration":
+			bts, err = z.Registration.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Registration")
+				return
+			}
+		case "taken":
+			z.Taken, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Taken")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ServerState) Msgsize() (s int) {
+	s = 1 + 8 + msgp.IntSize + 11 + msgp.IntSize + 14 + msgp.Float64Size + 9 + msgp.BoolSize + 5 + msgp.Float64Size + 12 + msgp.IntSize + 13 + z.Registration.Msgsize() + 6 + msgp.IntSize
 	return
 }
 
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -345,6 +345,21 @@
 	SharesHeld int `json:"shares_held" msg:"shares_held"`
 }
 
+// EdgeDump is the state of an entry host on the users' platform.
+type EdgeDump struct {
+	// BackendServers are sorted by ID.
+	BackendServers []ServerState `json:"backend_servers" msg:"backend_servers"`
+
+	// Declared corresponds to the JSON schema field "declared".
+	Declared Declared `json:"declared" msg:"declared"`
+
+	// OpenCalls counts the calls without an outcome.
+	OpenCalls int `json:"open_calls" msg:"open_calls"`
+
+	// Serving names the hosts that callers are told.
+	Serving []string `json:"serving" msg:"serving"`
+}
+
 // Failure is the body of every response that is not a backend server's answer.
 type Failure struct {
 	// Addresses are other hosts to use.
@@ -888,9 +903,6 @@
 	// ColdLeftMs is how much longer it stays cold in milliseconds.
 	ColdLeftMs int `json:"cold_left_ms" msg:"cold_left_ms"`
 
-	// Failing says that the sender sends it no work because of failures.
-	Failing bool `json:"failing" msg:"failing"`
-
 	// InFlight counts the sender's own attempts there.
 	InFlight int `json:"in_flight" msg:"in_flight"`
 
@@ -901,6 +913,33 @@
 	ServerHash int `json:"server_hash" msg:"server_hash"`
 }
 
+// ServerState is what an entry host believes of a backend server.
+type ServerState struct {
+	// ColdMs is how much longer it bears little work in milliseconds.
+	ColdMs int `json:"cold_ms" msg:"cold_ms"`
+
+	// EjectedMs is how much longer it gets no work in milliseconds.
+	EjectedMs int `json:"ejected_ms" msg:"ejected_ms"`
+
+	// FailureRatio is the share of recent calls that failed there.
+	FailureRatio float64 `json:"failure_ratio" msg:"failure_ratio"`
+
+	// Measured says that this host measures it.
+	Measured bool `json:"measured" msg:"measured"`
+
+	// Pace is how long work takes there now; 1 is usual and 0 is unknown.
+	Pace float64 `json:"pace" msg:"pace"`
+
+	// PaceAgeMs is the age of the pace in milliseconds.
+	PaceAgeMs int `json:"pace_age_ms" msg:"pace_age_ms"`
+
+	// Registration corresponds to the JSON schema field "registration".
+	Registration Registration `json:"registration" msg:"registration"`
+
+	// Taken counts the attempts there by all hosts.
+	Taken int `json:"taken" msg:"taken"`
+}
+
 // Service is a named set of interchangeable backend servers.
 type Service struct {
 	// Idempotent allows GET, HEAD and OPTIONS calls to be hedged and retried.
