Wait at a planned stop for requests that are still being sent

The host looked for open calls only; a request whose last byte was on the way had none, and the process ended while it came in. Ruled out: a call that was dropped after it was read (no call_sent, no open call at host_stopped). Change: the stop waits until the front has no connection left, bounded by the grace period.

--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -48,11 +48,13 @@
 	active   atomic.Int64
 	last     atomic.Uint64
 	server   *fasthttp.Server
+	// finished receives one item when no connection is left after closing.
+	finished *ring.Ring[error]
 }
 
 // newCallerFront returns a front that is not started.
 func newCallerFront(adapter Adapter, inputs *ring.Ring[Input], metrics *Metrics) *callerFront {
-	front := &callerFront{adapter: adapter, inputs: inputs, metrics: metrics}
+	front := &callerFront{adapter: adapter, inputs: inputs, metrics: metrics, finished: ring.New[error]("finished", 1)}
 	front.server = &fasthttp.Server{
 		Handler:                      front.serve,
 		ReadBufferSize:               headLimit,
@@ -79,17 +81,15 @@
 // Printf drops a line.
 func (discard) Printf(string, ...any) {}
 
-// run serves callers until the context ends, and then until no request is in
-// flight.
+// run serves callers until closing ends, and then until no connection is left. It
+// returns when the context ends.
 func (f *callerFront) run(ctx, closing context.Context, listener net.Listener) error {
-	finished := ring.New[error]("shutdown", 1)
 	stop := context.AfterFunc(closing, func() {
-		_ = finished.Offer(f.server.ShutdownWithContext(ctx)) // the ring has room
+		_ = f.finished.Offer(f.server.ShutdownWithContext(ctx)) // the ring has room
 	})
 	if err := f.server.Serve(listener); stop() {
 		return eris.Wrap(err, "serving callers")
 	}
-	_, _ = finished.Take(ctx) // a group that stops does not wait for callers
 	<-ctx.Done()
 
 	return ctx.Err()
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -38,15 +38,24 @@
 	}
 	h.awaitQuiet(ctx, began)
 	closeFront()
-	for h.front.active.Load() > 0 && time.Since(began) < time.Duration(h.grace.Load())-stopMargin && ctx.Err() == nil {
-		pause(ctx, stopPoll/10)
-	}
+	h.awaitFront(ctx, began.Add(time.Duration(h.grace.Load())-stopMargin))
 	h.Log.Event(eventlog.Info, "host_stopped", "the planned stop is finished",
 		eventlog.Duration("took", time.Since(began)), eventlog.Integer("open_calls", int(h.front.active.Load())))
 
 	return &StoppedError{}
 }
 
+// awaitFront returns when the front has no connection left, not even one on which
+// a request is still being sent, or at the latest time.
+func (h *Host) awaitFront(ctx context.Context, latest time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, latest)
+	defer cancel()
+	if _, err := h.front.finished.Take(ctx); err != nil {
+		h.Log.Event(eventlog.Warning, "front_not_finished", "callers' connections are left at the end of the grace period",
+			eventlog.Integer("open_calls", int(h.front.active.Load())))
+	}
+}
+
 // awaitQuiet returns when callers seem to have left.
 func (h *Host) awaitQuiet(ctx context.Context, began time.Time) {
 	busyAt := began
