--- a/declared/adopting.go
+++ b/declared/adopting.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/baobabdrum/baobabdrum/schema"
 )
 
 // adoptOrders adopts what operators wrote. Versions of the declaration only
@@ -47,16 +45,19 @@
 		if ok && known.StartedMs > registration.StartedMs {
 			continue // an earlier incarnation's late write
 		}
-		b.changed = b.changed || !ok || material(known) != material(registration)
+		if !ok || material(known) != material(registration) {
+			b.changed = true
+			b.history.put(registration.ID, read.At<<RevisionBits)
+		}
 		b.registrations[registration.ID] = registration
 	}
 	for _, id := range read.Gone {
-		b.remove(now, id)
+		b.remove(now, id, read.At<<RevisionBits)
 	}
 	if read.Full {
 		for id := range b.registrations {
 			if !listed[id] {
-				b.remove(now, id)
+				b.remove(now, id, read.At<<RevisionBits)
 			}
 		}
 	}
@@ -65,7 +66,7 @@
 
 // remove drops a registration, or keeps it for a while if it may have lapsed
 // because the store was away.
-func (b *Book) remove(now time.Time, id string) {
+func (b *Book) remove(now time.Time, id string, at int) {
 	if _, ok := b.registrations[id]; !ok {
 		return
 	}
@@ -77,6 +78,7 @@
 		return
 	}
 	delete(b.registrations, id)
+	b.history.put(id, at)
 	b.changed = true
 }
 
@@ -87,6 +89,7 @@
 			delete(b.missing, id)
 			delete(b.registrations, id)
 			b.Declared.RegistrationsAt++
+			b.history.put(id, b.Declared.RegistrationsAt)
 			b.changed = true
 		}
 	}
@@ -115,28 +118,7 @@
 	if b.fetching {
 		return nil
 	}
-	b.fetching, b.fetched = true, confirmed
-
-	return []Action{Fetch{Address: peer.Address}}
-}
+	b.fetched = confirmed
 
-// adoptPeer adopts what another host knows where that is newer.
-func (b *Book) adoptPeer(peer schema.Declared) {
-	if peer.OrdersAt > b.Declared.OrdersAt && peer.Declaration.Version >= b.Declared.Declaration.Version {
-		b.changed = b.changed || peer.Declaration.Version > b.Declared.Declaration.Version ||
-			!slices.Equal(peer.Evacuated, b.Declared.Evacuated)
-		b.Declared.Declaration, b.Declared.Evacuated, b.Declared.OrdersAt = peer.Declaration, peer.Evacuated, peer.OrdersAt
-	}
-	if peer.RegistrationsAt <= b.Declared.RegistrationsAt {
-		return
-	}
-	b.registrations = make(map[string]schema.Registration, len(peer.Registrations))
-	for _, registration := range peer.Registrations {
-		b.registrations[registration.ID] = registration
-	}
-	clear(b.missing)
-	b.Declared.RegistrationsAt, b.changed = peer.RegistrationsAt, true
-	if b.fetched.After(b.told) {
-		b.told = b.fetched
-	}
+	return []Action{b.fetch(peer.Address)}
 }
--- a/declared/declared.go
+++ b/declared/declared.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -35,9 +36,15 @@
 	// rankStep is what each rank waits longer, so that one host after the other
 	// begins to read.
 	rankStep = 150 * time.Millisecond
-	// watchPause is the time between two reads of the orders, which bounds the calls
+	// meetFor is the time after its start in which a host meets the others, so that
+	// it knows whether they read.
+	meetFor = 300 * time.Millisecond
+	// hearFor is the time after its start in which a host hears from those that
+	// read: beacons to hosts that do not serve come each second.
+	hearFor = 1500 * time.Millisecond
+	// watchPause is the time between two reads of a table, which bounds the calls
 	// when many changes come one after the other.
-	watchPause = 50 * time.Millisecond
+	watchPause = 150 * time.Millisecond
 	// retryAfter is the time before a failed read is tried again; it doubles with
 	// each failure up to retryLongest.
 	retryAfter = 200 * time.Millisecond
@@ -71,26 +78,33 @@
 
 	registrations map[string]schema.Registration
 	missing       map[string]time.Time
-	reading       [2]bool
-	readAt        [2]time.Time
-	after         [2]int
-	startedAt     time.Time
-	confirmed     [2]time.Time
-	told          time.Time
-	fetched       time.Time
-	holdUntil     time.Time
-	failures      int
-	failedAt      time.Time
-	lostAt        time.Time
-	fetching      bool
-	role          RoleChanged
-	readers       map[string]time.Time
-	changed       bool
+	history       history
+	// unfit says that a peer's changes did not fit what this host knows.
+	unfit       bool
+	reading     [2]bool
+	readAt      [2]time.Time
+	after       [2]int
+	startedAt   time.Time
+	confirmed   [2]time.Time
+	told        time.Time
+	fetched     time.Time
+	holdUntil   time.Time
+	failures    int
+	failedAt    time.Time
+	lostAt      time.Time
+	fetching    bool
+	fetchedFrom string
+	role        RoleChanged
+	readers     map[string]time.Time
+	changed     bool
 }
 
 // NewBook returns a book that knows nothing and reads the store at once.
 func NewBook() *Book {
-	return &Book{registrations: map[string]schema.Registration{}, missing: map[string]time.Time{}, readers: map[string]time.Time{}}
+	return &Book{
+		registrations: map[string]schema.Registration{}, missing: map[string]time.Time{}, readers: map[string]time.Time{},
+		history: newHistory(0),
+	}
 }
 
 // Known reports whether both orders and registrations are known.
@@ -119,8 +133,7 @@
 	case PeerHeard:
 		actions = b.heard(now, event)
 	case PeerAnswered:
-		b.fetching = false
-		b.adoptPeer(event.Declared)
+		actions = b.answered(event.Answer)
 	case FetchFailed:
 		b.fetching = false
 	case RoleChanged:
@@ -138,14 +151,18 @@
 
 // settle sorts the registrations in force and hashes all that is in force.
 func (b *Book) settle() {
-	b.Declared.Registrations = make([]schema.Registration, 0, len(b.registrations))
-	for _, registration := range b.registrations {
-		b.Declared.Registrations = append(b.Declared.Registrations, registration)
-	}
-	slices.SortFunc(b.Declared.Registrations, func(a, c schema.Registration) int { return cmp.Compare(a.ID, c.ID) })
+	b.Declared.Registrations = sorted(b.registrations)
 	b.Hash = hash(b.Declared)
 }
 
+// sorted returns registrations by their ID.
+func sorted(registrations map[string]schema.Registration) []schema.Registration {
+	list := slices.Collect(maps.Values(registrations))
+	slices.SortFunc(list, func(a, c schema.Registration) int { return cmp.Compare(a.ID, c.ID) })
+
+	return list
+}
+
 // material returns what matters of a registration to those that send work.
 func material(registration schema.Registration) schema.Registration {
 	registration.ColdLeftMs = 0
@@ -156,17 +173,32 @@
 // hash identifies what is declared in 32 bits.
 func hash(declared schema.Declared) int {
 	digest := xxhash.New()
-	write := func(parts ...string) {
-		for _, part := range parts {
-			_, _ = digest.WriteString(part + "\x00") // a digest takes every write
-		}
-	}
-	write(strconv.Itoa(declared.Declaration.Version))
-	write(declared.Evacuated...)
-	for _, registration := range declared.Registrations {
-		write(registration.ID, registration.Service, registration.Address, registration.DataCentre, strconv.Itoa(registration.Slots),
+	write(digest, strconv.Itoa(declared.Declaration.Version))
+	write(digest, declared.Evacuated...)
+	write(digest, strconv.Itoa(hashRegistrations(declared.Registrations)))
+
+	return cut(digest)
+}
+
+// hashRegistrations identifies registrations, which are sorted, in 32 bits.
+func hashRegistrations(registrations []schema.Registration) int {
+	digest := xxhash.New()
+	for _, registration := range registrations {
+		write(digest, registration.ID, registration.Service, registration.Address, registration.DataCentre, strconv.Itoa(registration.Slots),
 			strconv.FormatBool(registration.Draining), strconv.Itoa(registration.StartedMs))
 	}
 
+	return cut(digest)
+}
+
+// write adds texts to a digest.
+func write(digest *xxhash.Digest, texts ...string) {
+	for _, text := range texts {
+		_, _ = digest.WriteString(text + "\x00") // a digest takes every write
+	}
+}
+
+// cut returns the lower 32 bits of a digest.
+func cut(digest *xxhash.Digest) int {
 	return int(uint32(digest.Sum64())) //nolint:gosec // it is meant to be cut
 }
--- a/declared/declared_test.go
+++ b/declared/declared_test.go
@@ -39,6 +39,15 @@
 	return schema.Declaration{Version: number}
 }
 
+// answered returns the answer of a host that read this from the store.
+func answered(declaration schema.Declaration, ordersAt, registeredAt int, servers ...schema.Registration) declared.Event {
+	peer := declared.NewBook()
+	peer.Step(begin, declared.OrdersRead{At: ordersAt, Full: true, Declarations: []schema.Declaration{declaration}})
+	peer.Step(begin, declared.RegistrationsRead{At: registeredAt, Full: true, Registered: servers})
+
+	return declared.PeerAnswered{Answer: peer.Tell(schema.DeclaredRequest{})}
+}
+
 // step is an event at a time.
 type step struct {
 	at    time.Duration
@@ -130,15 +139,13 @@
 		"a host that others told meanwhile keeps nothing": {
 			steps: [][]step{known, lost, {
 				{8900 * time.Millisecond, declared.PeerHeard{Address: "p", Hash: -1, OrdersAt: 5, RegistrationsAt: 8 << declared.RevisionBits, Age: 100 * time.Millisecond}},
-				{8950 * time.Millisecond, declared.PeerAnswered{Declared: schema.Declared{
-					Declaration: version(3), OrdersAt: 5, RegistrationsAt: 8 << declared.RevisionBits, Registrations: []schema.Registration{server("a"), server("b")},
-				}}},
+				{8950 * time.Millisecond, answered(version(3), 5, 8, server("a"), server("b"))},
 				{9 * time.Second, declared.RegistrationsRead{At: 9, Gone: []string{"a"}}},
 			}},
 			version: 3, servers: "b ",
 		},
 		"a peer's older knowledge changes nothing": {
-			steps:   [][]step{known, {{1, declared.PeerAnswered{Declared: schema.Declared{Declaration: version(2), OrdersAt: 4, RegistrationsAt: 5}}}}},
+			steps:   [][]step{known, {{1, answered(version(2), 4, 5)}}},
 			version: 3, servers: "a b ",
 		},
 	}
@@ -166,8 +173,12 @@
 	version int
 	since   map[string]int
 	reads   []map[declared.Table]pending
-	fetches []string
-	calls   int
+	fetches []declared.Fetch
+	// deaf says that hosts do not hear each other.
+	deaf bool
+	// told counts the registrations that hosts told each other.
+	told  int
+	calls int
 }
 
 // pending is a read that waits at the store.
@@ -176,20 +187,34 @@
 	until time.Time
 }
 
-// newCluster returns hosts that know nothing.
+// newCluster returns hosts that know each other and nothing else.
 func newCluster(hosts int) *cluster {
-	c := &cluster{now: begin, rows: map[string]schema.Registration{}, since: map[string]int{}, turned: make([]bool, hosts), fetches: make([]string, hosts)}
-	for rank := range hosts {
+	c := newStrangers(hosts)
+	c.introduce()
+
+	return c
+}
+
+// newStrangers returns hosts that know nothing.
+func newStrangers(hosts int) *cluster {
+	c := &cluster{now: begin, rows: map[string]schema.Registration{}, since: map[string]int{}, turned: make([]bool, hosts), fetches: make([]declared.Fetch, hosts)}
+	for range hosts {
 		c.books = append(c.books, declared.NewBook())
 		c.reads = append(c.reads, map[declared.Table]pending{})
+	}
+
+	return c
+}
+
+// introduce lets the hosts know each other.
+func (c *cluster) introduce() {
+	for rank := range c.books {
 		ahead := make([]string, 0, rank)
 		for other := range rank {
 			ahead = append(ahead, fmt.Sprint(other))
 		}
 		c.step(rank, declared.RoleChanged{Ahead: ahead})
 	}
-
-	return c
 }
 
 // write changes a row.
@@ -214,7 +239,7 @@
 			c.calls++
 			c.reads[host][action.Table] = pending{read: action, until: c.now.Add(action.Wait)}
 		case declared.Fetch:
-			c.fetches[host] = action.Address
+			c.fetches[host] = action
 		case declared.Changed, declared.StoreLost, declared.StoreRegained:
 		}
 	}
@@ -273,7 +298,7 @@
 
 // tell lets a host hear of another and fetch what it knows.
 func (c *cluster) tell(from, to int) {
-	if from == to {
+	if from == to || c.deaf {
 		return
 	}
 	book := c.books[from]
@@ -281,9 +306,11 @@
 		Name: fmt.Sprint(from), Reads: book.Reads(c.now), Address: fmt.Sprint(from), Hash: book.Hash, OrdersAt: book.Declared.OrdersAt, RegistrationsAt: book.Declared.RegistrationsAt,
 		Age: c.now.Sub(book.ConfirmedAt()),
 	})
-	if c.fetches[to] == fmt.Sprint(from) {
-		c.fetches[to] = ""
-		c.step(to, declared.PeerAnswered{Declared: book.Declared})
+	if wanted := c.fetches[to]; wanted.Address == fmt.Sprint(from) {
+		c.fetches[to] = declared.Fetch{}
+		answer := book.Tell(schema.DeclaredRequest{Version: wanted.Version, RegistrationsAt: wanted.RegistrationsAt})
+		c.told += len(answer.Registrations)
+		c.step(to, declared.PeerAnswered{Answer: answer})
 	}
 }
 
@@ -354,6 +381,77 @@
 	assert.Assert(t, c.calls-calls <= 24, "%d calls in ten seconds", c.calls-calls)
 }
 
+// The run that broke it: cmmf-portail-grown quiet-1, --no-cpu. Each of 138 hosts
+// that started together had a second read wait at the store, because none had
+// heard yet that others read.
+func TestHostsThatStartTogetherReadOnce(t *testing.T) {
+	c := newStrangers(40)
+	c.write(server("a"))
+	c.deaf = true
+	c.run(100 * time.Millisecond)
+	c.introduce()
+	c.run(time.Second)
+	c.deaf = false
+	c.run(3 * time.Second)
+	assert.Assert(t, c.calls <= 2*40+12, "%d calls in four seconds", c.calls)
+	for host, book := range c.books {
+		assert.Equal(t, ids(book), "a ", "host %d", host)
+	}
+}
+
+func TestHostsTellEachOtherWhatChanged(t *testing.T) {
+	const servers, changes = 100, 20
+	c := newCluster(15)
+	for i := range servers {
+		c.write(server(fmt.Sprint(i)))
+	}
+	c.run(5 * time.Second)
+	before := c.told
+	for i := range changes {
+		c.write(draining(fmt.Sprint(i)))
+		c.run(200 * time.Millisecond)
+	}
+	told := c.told - before
+	assert.Assert(t, told > 0 && told <= 2*changes*len(c.books), "%d registrations were told", told)
+	for host, book := range c.books {
+		assert.Equal(t, ids(book), ids(c.books[0]), "host %d", host)
+	}
+}
+
+func TestHostsAgreeAfterAnyChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(4)
+		c.write(server("a"))
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			id := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "id")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				c.write(server(id))
+			case 1:
+				c.write(draining(id))
+			case 2:
+				c.remove(id)
+			case 3:
+				c.turned[rapid.IntRange(0, 3).Draw(t, "host")] = rapid.Bool().Draw(t, "turned")
+			}
+			c.run(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+		}
+		c.turned = make([]bool, 4)
+		c.run(8 * time.Second)
+		want := ""
+		for _, id := range []string{"a", "b", "c", "d", "e"} {
+			if row, present := c.rows[id]; present {
+				want += id + map[bool]string{true: "- ", false: " "}[row.Draining]
+			}
+		}
+		for host, book := range c.books {
+			if got := ids(book); got != want {
+				t.Fatalf("host %d knows %q, the store %q", host, got, want)
+			}
+		}
+	})
+}
+
 func TestVersionsNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		book := declared.NewBook()
@@ -365,7 +463,7 @@
 			case 0:
 				book.Step(now, declared.OrdersRead{At: store, Full: rapid.Bool().Draw(t, "full"), Declarations: []schema.Declaration{version(number)}})
 			case 1:
-				book.Step(now, declared.PeerAnswered{Declared: schema.Declared{Declaration: version(number), OrdersAt: store, RegistrationsAt: store}})
+				book.Step(now, answered(version(number), store, store))
 			case 2:
 				book.Step(now, declared.ReadFailed{Table: declared.Orders})
 			case 3:
--- a/declared/events.go
+++ b/declared/events.go
@@ -68,10 +68,10 @@
 	Age time.Duration
 }
 
-// PeerAnswered brings all that another host knows.
+// PeerAnswered brings what another host knows beyond what this host knew.
 type PeerAnswered struct {
-	// Declared is what it knows.
-	Declared schema.Declared
+	// Answer is what it knows.
+	Answer schema.DeclaredAnswer
 }
 
 // FetchFailed says that another host did not answer.
@@ -123,11 +123,16 @@
 	Wait time.Duration
 }
 
-// Fetch asks another host for all that it knows. It ends with PeerAnswered or
-// FetchFailed.
+// Fetch asks another host for what it knows beyond what this host knows. It ends
+// with PeerAnswered or FetchFailed.
 type Fetch struct {
 	// Address is the other host's ip:port for peers' requests.
 	Address string
+	// Version is the declaration that this host knows.
+	Version int
+	// RegistrationsAt is the revision of the registrations that this host knows, or
+	// 0 to get all.
+	RegistrationsAt int
 }
 
 // Changed says that something else is in force.
--- a/declared/reading.go
+++ b/declared/reading.go
@@ -41,6 +41,9 @@
 	if !b.Known() {
 		return now.Sub(b.startedAt) >= startAfter+later
 	}
+	if age := now.Sub(b.startedAt); age < meetFor || age < hearFor && rank >= readers {
+		return false
+	}
 	reading := 0
 	for _, name := range b.role.Ahead {
 		if now.Sub(b.readers[name]) < readerTimeout {
--- a/directory/beacons.go
+++ b/directory/beacons.go
@@ -4,21 +4,25 @@
 	"time"
 )
 
-// beacons sends beacons that are due.
+// beacons sends beacons that are due. Only serving hosts place calls, so only they
+// are told loads, and at once what else changed.
 func (d *Directory) beacons(now time.Time) []Action {
-	greets := d.greets
+	others := d.greets
 	d.greets = nil
-	greets = append(greets, d.strangersDue(now)...)
-	mates, others := d.due(now)
-	if mates || others {
-		greets = append(greets, d.addresses(mates, others)...)
+	others = append(others, d.strangersDue(now)...)
+	toMates, toOthers := d.due(now)
+	if toOthers {
+		others = append(others, d.addresses(false)...)
 	}
-	d.urgent = false
-	if len(greets) == 0 {
-		return nil
+	var actions []Action
+	if len(others) > 0 {
+		actions = append(actions, SendBeacon{Addresses: others})
+	}
+	if mates := d.addresses(true); toMates && len(mates) > 0 {
+		actions = append(actions, SendBeacon{Addresses: mates, Loads: d.serves(d.Self.Name)})
 	}
 
-	return []Action{SendBeacon{Addresses: greets, Loads: mates && d.serves(d.Self.Name)}}
+	return actions
 }
 
 // due reports whether beacons to serving hosts and to others are due, and notes
@@ -28,10 +32,14 @@
 	if d.serves(d.Self.Name) {
 		mateInterval, otherInterval = mateBeacon, otherBeacon
 	}
+	if d.news {
+		mateInterval = min(mateInterval, newsBeacon)
+	}
 	mates = d.urgent || now.Sub(d.sentAt[0]) >= mateInterval
 	others = d.urgent || now.Sub(d.sentAt[1]) >= otherInterval
+	d.urgent = false
 	if mates {
-		d.sentAt[0] = now
+		d.sentAt[0], d.news = now, false
 	}
 	if others {
 		d.sentAt[1] = now
@@ -40,11 +48,11 @@
 	return mates, others
 }
 
-// addresses returns the addresses of the serving hosts, of the others or of both.
-func (d *Directory) addresses(mates, others bool) []string {
+// addresses returns the addresses of the serving hosts or of the others.
+func (d *Directory) addresses(serving bool) []string {
 	var addresses []string
 	for name, other := range d.members {
-		if serves := d.serves(name); serves && mates || !serves && others {
+		if d.serves(name) == serving {
 			addresses = append(addresses, other.beacon.PeerAddress)
 		}
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -14,8 +14,11 @@
 	// mateBeacon is the time between beacons of serving hosts to each other, which
 	// carry loads.
 	mateBeacon = 100 * time.Millisecond
+	// newsBeacon is the least time between beacons with news to serving hosts, so
+	// that many changes in a row are told together.
+	newsBeacon = 50 * time.Millisecond
 	// otherBeacon is the time between beacons of serving hosts to all others, and of
-	// others to those that serve. News goes at once.
+	// others to those that serve. Losses are told at once.
 	otherBeacon = time.Second
 	// spareBeacon is the time between beacons of hosts that do not serve to each
 	// other, which only choose by them who serves next.
@@ -75,17 +78,21 @@
 	members   map[string]*member
 	strangers map[string]*stranger
 	serving   []schema.Beacon
-	counts    map[string]int
+	// electedAt is when this host began to serve.
+	electedAt time.Time
 	sentAt    [2]time.Time
 	greets    []string
-	urgent    bool
-	outdated  bool
-	known     int
+	// urgent says that all others are to hear something at once, news that those
+	// that serve are.
+	urgent   bool
+	news     bool
+	outdated bool
+	known    int
 }
 
 // New returns the view of a host that knows no other and is not ready.
 func New(self schema.Beacon) *Directory {
-	return &Directory{Self: self, members: map[string]*member{}, strangers: map[string]*stranger{}, counts: map[string]int{}, outdated: true}
+	return &Directory{Self: self, members: map[string]*member{}, strangers: map[string]*stranger{}, outdated: true}
 }
 
 // Step reacts to one event.
@@ -107,6 +114,8 @@
 		d.outdated = d.outdated || d.Self.Calls != event.Calls
 		d.Self.Calls = event.Calls
 	case NewsArrived:
+		d.news = true
+	case ReadsChanged:
 		d.urgent = true
 	case Ticked:
 	}
@@ -147,7 +156,10 @@
 	beacon.Loads, beacon.Lost = nil, nil
 	d.outdated = d.outdated || !known.live || matters(beacon) != matters(known.beacon)
 	known.beacon, known.heardAt = beacon, now
-	actions := d.hearLost(now, lost)
+	var actions []Action
+	if d.serves(beacon.Name) {
+		actions = d.hearLost(now, lost)
+	}
 	if known.live {
 		return actions
 	}
@@ -215,14 +227,19 @@
 	return actions
 }
 
-// timeout returns how long a host may be silent. One that was just chosen to
-// serve gets the time to notice it.
+// timeout returns how long a host may be silent. Hosts that were just chosen to
+// serve get the time to notice it: until then, others tell them as rarely as
+// hosts that do not serve.
 func (d *Directory) timeout(now time.Time, name string, other *member) time.Duration {
-	self, serving := d.serves(d.Self.Name), d.serves(name) && now.Sub(other.electedAt) > otherBeacon
+	serving := d.serves(name) && now.Sub(other.electedAt) > otherBeacon
+	self := time.Duration(0)
+	if d.serves(d.Self.Name) {
+		self = now.Sub(d.electedAt)
+	}
 	switch {
-	case self && serving:
+	case self > otherBeacon && serving:
 		return mateTimeout
-	case self || serving:
+	case self > otherTimeout || serving:
 		return otherTimeout
 	default:
 		return time.Duration(float64(spareTimeout) * d.stretch())
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -89,7 +89,9 @@
 	views []*directory.Directory
 	down  map[int]bool
 	sent  int
-	seq   int
+	// lost counts the hosts that others held for lost.
+	lost int
+	seq  int
 }
 
 // newFleet returns hosts that know those that registered before them.
@@ -118,36 +120,53 @@
 	}
 }
 
+// delivery is a beacon on its way.
+type delivery struct {
+	to     *directory.Directory
+	beacon schema.Beacon
+}
+
 // act delivers beacons and what follows from them.
 func (f *fleet) act(from *directory.Directory, actions []directory.Action) {
-	type delivery struct {
-		to     *directory.Directory
-		beacon schema.Beacon
+	waiting := f.deliveries(from, actions)
+	for len(waiting) > 0 {
+		next := waiting[0]
+		waiting = append(waiting[1:], f.deliveries(next.to, next.to.Step(f.now, directory.BeaconHeard{Beacon: next.beacon}))...)
 	}
-	var waiting []delivery
-	enqueue := func(from *directory.Directory, actions []directory.Action) {
-		for _, action := range actions {
-			send, is := action.(directory.SendBeacon)
-			if !is {
-				continue
-			}
+}
+
+// deliveries returns the beacons that a host sends to others that live.
+func (f *fleet) deliveries(from *directory.Directory, actions []directory.Action) []delivery {
+	var all []delivery
+	for _, action := range actions {
+		switch action := action.(type) {
+		case directory.PeerLost:
+			f.lost++
+		case directory.SendBeacon:
 			f.seq++
-			for _, address := range send.Addresses {
+			told := with(from.Self, func(beacon *schema.Beacon) { beacon.Sequence, beacon.Lost = f.seq, from.Lost(f.now) })
+			for _, address := range action.Addresses {
 				f.sent++
-				for i, view := range f.views {
-					if view.Self.PeerAddress == address && !f.down[i] {
-						waiting = append(waiting, delivery{view, with(from.Self, func(beacon *schema.Beacon) { beacon.Sequence, beacon.Lost = f.seq, from.Lost(f.now) })})
-					}
+				if to := f.at(address); to != nil {
+					all = append(all, delivery{to, told})
 				}
 			}
+		case directory.ServingChanged, directory.PeerFound:
 		}
 	}
-	enqueue(from, actions)
-	for len(waiting) > 0 {
-		next := waiting[0]
-		waiting = waiting[1:]
-		enqueue(next.to, next.to.Step(f.now, directory.BeaconHeard{Beacon: next.beacon}))
+
+	return all
+}
+
+// at returns the live host with an address, or nil.
+func (f *fleet) at(address string) *directory.Directory {
+	for i, view := range f.views {
+		if view.Self.PeerAddress == address && !f.down[i] {
+			return view
+		}
 	}
+
+	return nil
 }
 
 // named returns the host that all live hosts name for a data centre, or nothing
@@ -216,3 +235,32 @@
 		}
 	})
 }
+
+// The run that broke it: cmmf-portail-grown quiet-1, --no-cpu. A burst made a
+// second host of a data centre serve, which then held every host for silent
+// that had had no reason to send it beacons, and told all others so.
+func TestAHostThatBeginsToServeLosesNoLiveHost(t *testing.T) {
+	f := newFleet(70)
+	f.run(20 * time.Second)
+	f.lost = 0
+	f.act(f.views[1], f.views[1].Step(f.now, directory.CallsCounted{Calls: 90}))
+	f.run(30 * time.Second)
+	assert.Equal(t, f.named("dc1"), "[h1:1 h4:1]")
+	assert.Equal(t, f.lost, 0)
+}
+
+// The run that broke it: cmmf-portail-grown trouble-1, --no-cpu. A host that had
+// heard of a short rise alone took itself for one that serves. The others sent it
+// few beacons, so it held them for lost and told everyone so.
+func TestHostsAgreeOnHowManyServe(t *testing.T) {
+	f := newFleet(12)
+	f.run(3 * time.Second)
+	f.act(f.views[1], f.views[1].Step(f.now, directory.CallsCounted{Calls: 50}))
+	f.run(3 * time.Second)
+	busy := with(f.views[1].Self, func(beacon *schema.Beacon) { beacon.Calls, beacon.Sequence = 70, f.seq+1 })
+	f.act(f.views[4], f.views[4].Step(f.now, directory.BeaconHeard{Beacon: busy}))
+	f.lost = 0
+	f.run(20 * time.Second)
+	assert.Assert(t, f.named("dc1") != "", "hosts name different hosts")
+	assert.Equal(t, f.lost, 0)
+}
--- a/directory/election.go
+++ b/directory/election.go
@@ -12,14 +12,14 @@
 type relevance struct {
 	started, capacity, calls int
 	dataCentre, address      string
-	ready                    bool
+	ready, serves            bool
 }
 
 // matters returns what of a beacon decides whom callers are told.
 func matters(beacon schema.Beacon) relevance {
 	return relevance{
 		started: beacon.StartedMs, capacity: beacon.Capacity, calls: beacon.Calls, dataCentre: beacon.DataCentre,
-		address: beacon.CallerAddress, ready: beacon.Ready,
+		address: beacon.CallerAddress, ready: beacon.Ready, serves: beacon.Serves,
 	}
 }
 
@@ -49,12 +49,16 @@
 	}
 	served := d.serves(d.Self.Name)
 	d.serving, d.known = serving, hosts
+	d.Self.Serves = d.serves(d.Self.Name)
+	if !served && d.Self.Serves {
+		d.electedAt = now
+	}
 	if !changed {
 		return nil
 	}
-	d.urgent = d.urgent || served != d.serves(d.Self.Name)
+	d.urgent = d.urgent || served != d.Self.Serves
 
-	return []Action{ServingChanged{Serving: serving, Ahead: d.ahead(all), Self: d.serves(d.Self.Name), Hosts: hosts}}
+	return []Action{ServingChanged{Serving: serving, Ahead: d.ahead(all), Self: d.Self.Serves, Hosts: hosts}}
 }
 
 // alive returns the beacons of all live hosts, the best to serve first.
@@ -79,8 +83,8 @@
 		}
 	}
 	serving := make([]schema.Beacon, 0, len(ready))
-	for dataCentre, candidates := range ready {
-		serving = append(serving, candidates[:d.count(dataCentre, candidates)]...)
+	for _, candidates := range ready {
+		serving = append(serving, candidates[:count(candidates)]...)
 	}
 	slices.SortFunc(serving, func(a, b schema.Beacon) int {
 		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Name, b.Name))
@@ -109,11 +113,15 @@
 	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.StartedMs, b.StartedMs), cmp.Compare(a.Name, b.Name))
 }
 
-// count returns how many of the candidates carry a data centre's calls.
-func (d *Directory) count(dataCentre string, candidates []schema.Beacon) int {
-	calls := 0
-	for _, beacon := range candidates {
+// count returns how many of the candidates carry a data centre's calls. Those that
+// serve already go on while they are not too many, which all hosts know alike.
+func count(candidates []schema.Beacon) int {
+	calls, serving := 0, 0
+	for i, beacon := range candidates {
 		calls += beacon.Calls
+		if beacon.Serves {
+			serving = i + 1
+		}
 	}
 	needed := func(share float64) int {
 		capacity := 0.0
@@ -126,10 +134,8 @@
 
 		return len(candidates)
 	}
-	count := min(max(d.counts[dataCentre], needed(busyShare)), needed(quietShare))
-	d.counts[dataCentre] = count
 
-	return count
+	return min(max(serving, needed(busyShare)), needed(quietShare))
 }
 
 // Answer returns the addresses for a caller in a data centre and how long it
--- a/directory/events.go
+++ b/directory/events.go
@@ -35,10 +35,14 @@
 	Calls int
 }
 
-// NewsArrived says that this host knows something that the others should hear
-// at once.
+// NewsArrived says that this host knows something that those who serve should
+// hear at once.
 type NewsArrived struct{}
 
+// ReadsChanged says that this host began or ceased to read the store, on which
+// all others rely.
+type ReadsChanged struct{}
+
 // Ticked says that time passed.
 type Ticked struct{}
 
@@ -47,6 +51,7 @@
 func (ReadyChanged) event()    {}
 func (CallsCounted) event()    {}
 func (NewsArrived) event()     {}
+func (ReadsChanged) event()    {}
 func (Ticked) event()          {}
 
 // Action is what the directory wants done.
--- a/edge/control.go
+++ b/edge/control.go
@@ -43,6 +43,7 @@
 	loads    []schema.ServerLoad
 	sequence int
 	serving  bool
+	reads    bool
 	stopping bool
 	tickedAt time.Time
 	thawedAt time.Time
@@ -89,6 +90,13 @@
 		return err
 	}
 
+	if reads := d.book.Reads(now); reads != d.reads {
+		d.reads = reads
+		if err := d.direct(ctx, now, directory.ReadsChanged{}); err != nil {
+			return err
+		}
+	}
+
 	return d.direct(ctx, now, directory.ReadyChanged{Ready: d.ready()})
 }
 
@@ -118,7 +126,7 @@
 	case ReadyAsked:
 		_ = input.Reply.Offer(d.ready()) // as above
 	case DeclaredAsked:
-		_ = input.Reply.Offer(d.book.Declared) // as above
+		_ = input.Reply.Offer(d.book.Tell(input.Request)) // as above
 	case Stopping:
 		d.stopping = true
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -240,12 +240,12 @@
 	Reply *ring.Ring[bool]
 }
 
-// DeclaredAsked asks for all that this host knows to be declared.
+// DeclaredAsked asks for what this host knows to be declared.
 type DeclaredAsked struct {
-	// Sender names the host that asks.
-	Sender string
+	// Request says what the other host knows.
+	Request schema.DeclaredRequest
 	// Reply receives one reply; it must have room.
-	Reply *ring.Ring[schema.Declared]
+	Reply *ring.Ring[schema.DeclaredAnswer]
 }
 
 // Stopping says that this host stops.
--- a/edge/reads.go
+++ b/edge/reads.go
@@ -97,15 +97,15 @@
 			return err
 		}
 		var (
-			known   schema.Declared
+			answer  schema.DeclaredAnswer
 			event   declared.Event = declared.FetchFailed{}
-			request                = schema.DeclaredRequest{Sender: h.Site.Name}
+			request                = schema.DeclaredRequest{Sender: h.Site.Name, Version: wanted.Version, RegistrationsAt: wanted.RegistrationsAt}
 		)
-		if err := peerrpc.Call(ctx, client, wanted.Address, peerrpc.MethodDeclared, &request, &known); err != nil {
+		if err := peerrpc.Call(ctx, client, wanted.Address, peerrpc.MethodDeclared, &request, &answer); err != nil {
 			h.Log.Event(eventlog.Warning, "fetch_failed", "another host did not say what it knows",
 				eventlog.Text("address", wanted.Address), eventlog.Text("error", err.Error()))
 		} else {
-			event = declared.PeerAnswered{Declared: known}
+			event = declared.PeerAnswered{Answer: answer}
 		}
 		if err := h.control.Put(ctx, StoreAnswered{Event: event}); err != nil {
 			return err
@@ -120,7 +120,7 @@
 		if err != nil {
 			return err
 		}
-		if wanted, ok := next.(peerrpc.DeclaredRequest); ok && h.control.Offer(DeclaredAsked{Sender: wanted.Sender, Reply: wanted.Reply}) != nil {
+		if wanted, ok := next.(peerrpc.DeclaredRequest); ok && h.control.Offer(DeclaredAsked{Request: wanted.DeclaredRequest, Reply: wanted.Reply}) != nil {
 			h.Metrics.Dropped("peer_requests")
 		}
 	}
--- a/host/peers.go
+++ b/host/peers.go
@@ -101,7 +101,7 @@
 			h.Log.WithField("event", "configuration_not_served").Warn(err)
 		}
 	case peerrpc.DeclaredRequest:
-		_ = request.Reply.Offer(schema.Declared{}) // hosts on the users' platform ask, and none of them is a peer
+		_ = request.Reply.Offer(schema.DeclaredAnswer{}) // hosts on the users' platform ask, and none of them is a peer
 	case peerrpc.RoomRequest:
 		h.offerOr("room_not_told", h.dispatch.Offer(dispatch.RoomAsked{Cell: cellOf(request.Cell), Reply: request.Reply}))
 	}
--- a/peerrpc/codec_test.go
+++ b/peerrpc/codec_test.go
@@ -43,7 +43,7 @@
 			case peerrpc.RoomRequest:
 				_ = request.Reply.Offer(schema.Room{Free: len(request.Cell.Service)})
 			case peerrpc.DeclaredRequest:
-				_ = request.Reply.Offer(schema.Declared{OrdersAt: len(request.Sender)})
+				_ = request.Reply.Offer(schema.DeclaredAnswer{OrdersAt: len(request.Sender)})
 			case peerrpc.ConfigurationRequest:
 				// It is left without a reply.
 			}
--- a/peerrpc/peerrpc.go
+++ b/peerrpc/peerrpc.go
@@ -49,12 +49,12 @@
 	Reply *ring.Ring[schema.Room]
 }
 
-// DeclaredRequest asks for all that the host knows to be declared.
+// DeclaredRequest asks for what the host knows to be declared beyond what the
+// sender knows.
 type DeclaredRequest struct {
-	// Sender names the host that asks.
-	Sender string
+	schema.DeclaredRequest
 	// Reply receives it; it must have room.
-	Reply *ring.Ring[schema.Declared]
+	Reply *ring.Ring[schema.DeclaredAnswer]
 }
 
 func (DeclaredRequest) request()      {}
@@ -88,11 +88,12 @@
 	return serve(p.requests, RoomRequest{Cell: *cell, Reply: reply}, reply, out)
 }
 
-// Declared returns all that this host knows to be declared.
-func (p *Peer) Declared(request *schema.DeclaredRequest, out *schema.Declared) error {
-	reply := ring.New[schema.Declared]("declared", 1)
+// Declared returns what this host knows to be declared beyond what the sender
+// knows.
+func (p *Peer) Declared(request *schema.DeclaredRequest, out *schema.DeclaredAnswer) error {
+	reply := ring.New[schema.DeclaredAnswer]("declared", 1)
 
-	return serve(p.requests, DeclaredRequest{Sender: request.Sender, Reply: reply}, reply, out)
+	return serve(p.requests, DeclaredRequest{DeclaredRequest: *request, Reply: reply}, reply, out)
 }
 
 // serve offers a request to a duty and waits for its reply.
@@ -135,6 +136,6 @@
 	MethodConfiguration = "Configuration"
 	// MethodRoom returns how many calls a cell takes from another cell.
 	MethodRoom = "Room"
-	// MethodDeclared returns all that a host knows to be declared.
+	// MethodDeclared returns what a host knows to be declared.
 	MethodDeclared = "Declared"
 )
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -916,8 +916,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 16 {
-		err = msgp.ArrayError{Wanted: 16, Got: zb0001}
+	if zb0001 != 17 {
+		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
 		return
 	}
 	z.CallerAddress, err = dc.ReadString()
@@ -1029,6 +1029,11 @@
 		err = msgp.WrapError(err, "Sequence")
 		return
 	}
+	z.Serves, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Serves")
+		return
+	}
 	z.StartedMs, err = dc.ReadInt()
 	if err != nil {
 		err = msgp.WrapError(err, "StartedMs")
@@ -1039,8 +1044,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Beacon) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 16
-	err = en.Append(0xdc, 0x0, 0x10)
+	// array header, size 17
+	err = en.Append(0xdc, 0x0, 0x11)
 	if err != nil {
 		return
 	}
@@ -1133,6 +1138,11 @@
 		err = msgp.WrapError(err, "Sequence")
 		return
 	}
+	err = en.WriteBool(z.Serves)
+	if err != nil {
+		err = msgp.WrapError(err, "Serves")
+		return
+	}
 	err = en.WriteInt(z.StartedMs)
 	if err != nil {
 		err = msgp.WrapError(err, "StartedMs")
@@ -1144,8 +1154,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beacon) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 16
-	o = append(o, 0xdc, 0x0, 0x10)
+	// array header, size 17
+	o = append(o, 0xdc, 0x0, 0x11)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendInt(o, z.Calls)
 	o = msgp.AppendInt(o, z.Capacity)
@@ -1171,6 +1181,7 @@
 	o = msgp.AppendBool(o, z.Ready)
 	o = msgp.AppendInt(o, z.RegistrationsAt)
 	o = msgp.AppendInt(o, z.Sequence)
+	o = msgp.AppendBool(o, z.Serves)
 	o = msgp.AppendInt(o, z.StartedMs)
 	return
 }
@@ -1183,8 +1194,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 16 {
-		err = msgp.ArrayError{Wanted: 16, Got: zb0001}
+	if zb0001 != 17 {
+		err = msgp.ArrayError{Wanted: 17, Got: zb0001}
 		return
 	}
 	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
@@ -1296,6 +1307,11 @@
 		err = msgp.WrapError(err, "Sequence")
 		return
 	}
+	z.Serves, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Serves")
+		return
+	}
 	z.StartedMs, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "StartedMs")
@@ -1315,7 +1331,7 @@
 	for za0002 := range z.Lost {
 		s += msgp.StringPrefixSize + len(z.Lost[za0002])
 	}
-	s += msgp.StringPrefixSize + len(z.Name) + msgp.IntSize + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.BoolSize + msgp.BoolSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	s += msgp.StringPrefixSize + len(z.Name) + msgp.IntSize + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.BoolSize + msgp.BoolSize + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.IntSize
 	return
 }
 
@@ -3965,6 +3981,469 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *DeclaredAnswer) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "declaration":
+			err = z.Declaration.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Declaration")
+				return
+			}
+		case "declared_version":
+			z.DeclaredVersion, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "DeclaredVersion")
+				return
+			}
+		case "evacuated":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Evacuated) >= int(zb0002) {
+				z.Evacuated = (z.Evacuated)[:zb0002]
+			} else {
+				z.Evacuated = make([]string, zb0002)
+			}
+			for za0001 := range z.Evacuated {
+				z.Evacuated[za0001], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuated", za0001)
+					return
+				}
+			}
+		case "gone":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Gone")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Gone) >= int(zb0003) {
+				z.Gone = (z.Gone)[:zb0003]
+			} else {
+				z.Gone = make([]string, zb0003)
+			}
+			for za0002 := range z.Gone {
+				z.Gone[za0002], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Gone", za0002)
+					return
+				}
+			}
+		case "orders_at":
+			z.OrdersAt, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersAt")
+				return
+			}
+		case "registrations":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Registrations")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Registrations) >= int(zb0004) {
+				z.Registrations = (z.Registrations)[:zb0004]
+			} else {
+				z.Registrations = make([]Registration, zb0004)
+			}
+			for za0003 := range z.Registrations {
+				err = z.Registrations[za0003].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Registrations", za0003)
+					return
+				}
+			}
+		case "registrations_after":
+			z.RegistrationsAfter, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "RegistrationsAfter")
+				return
+			}
+		case "registrations_at":
+			z.RegistrationsAt, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "RegistrationsAt")
+				return
+			}
+		case "registrations_hash":
+			z.RegistrationsHash, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "RegistrationsHash")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *DeclaredAnswer) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 9
+	// write "declaration"
+	err = en.Append(0x89, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = z.Declaration.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Declaration")
+		return
+	}
+	// write "declared_version"
+	err = en.Append(0xb0, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x65, 0x64, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.DeclaredVersion)
+	if err != nil {
+		err = msgp.WrapError(err, "DeclaredVersion")
+		return
+	}
+	// write "evacuated"
+	err = en.Append(0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Evacuated)))
+	if err != nil {
+		err = msgp.WrapError(err, "Evacuated")
+		return
+	}
+	for za0001 := range z.Evacuated {
+		err = en.WriteString(z.Evacuated[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Evacuated", za0001)
+			return
+		}
+	}
+	// write "gone"
+	err = en.Append(0xa4, 0x67, 0x6f, 0x6e, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Gone)))
+	if err != nil {
+		err = msgp.WrapError(err, "Gone")
+		return
+	}
+	for za0002 := range z.Gone {
+		err = en.WriteString(z.Gone[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Gone", za0002)
+			return
+		}
+	}
+	// write "orders_at"
+	err = en.Append(0xa9, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x61, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OrdersAt)
+	if err != nil {
+		err = msgp.WrapError(err, "OrdersAt")
+		return
+	}
+	// write "registrations"
+	err = en.Append(0xad, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Registrations)))
+	if err != nil {
+		err = msgp.WrapError(err, "Registrations")
+		return
+	}
+	for za0003 := range z.Registrations {
+		err = z.Registrations[za0003].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Registrations", za0003)
+			return
+		}
+	}
+	// write "registrations_after"
+	err = en.Append(0xb3, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.RegistrationsAfter)
+	if err != nil {
+		err = msgp.WrapError(err, "RegistrationsAfter")
+		return
+	}
+	// write "registrations_at"
+	err = en.Append(0xb0, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.RegistrationsAt)
+	if err != nil {
+		err = msgp.WrapError(err, "RegistrationsAt")
+		return
+	}
+	// write "registrations_hash"
+	err = en.Append(0xb2, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.RegistrationsHash)
+	if err != nil {
+		err = msgp.WrapError(err, "RegistrationsHash")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *DeclaredAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 9
+	// string "declaration"
+	o = append(o, 0x89, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o, err = z.Declaration.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Declaration")
+		return
+	}
+	// string "declared_version"
+	o = append(o, 0xb0, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x65, 0x64, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.DeclaredVersion)
+	// string "evacuated"
+	o = append(o, 0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
+	for za0001 := range z.Evacuated {
+		o = msgp.AppendString(o, z.Evacuated[za0001])
+	}
+	// string "gone"
+	o = append(o, 0xa4, 0x67, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
+	for za0002 := range z.Gone {
+		o = msgp.AppendString(o, z.Gone[za0002])
+	}
+	// string "orders_at"
+	o = append(o, 0xa9, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x61, 0x74)
+	o = msgp.AppendInt(o, z.OrdersAt)
+	// string "registrations"
+	o = append(o, 0xad, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Registrations)))
+	for za0003 := range z.Registrations {
+		o, err = z.Registrations[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Registrations", za0003)
+			return
+		}
+	}
+	// string "registrations_after"
+	o = append(o, 0xb3, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72)
+	o = msgp.AppendInt(o, z.RegistrationsAfter)
+	// string "registrations_at"
+	o = append(o, 0xb0, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x74)
+	o = msgp.AppendInt(o, z.RegistrationsAt)
+	// string "registrations_hash"
+	o = append(o, 0xb2, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
+	o = msgp.AppendInt(o, z.RegistrationsHash)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DeclaredAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "declaration":
+			bts, err = z.Declaration.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Declaration")
+				return
+			}
+		case "declared_version":
+			z.DeclaredVersion, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DeclaredVersion")
+				return
+			}
+		case "evacuated":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Evacuated) >= int(zb0002) {
+				z.Evacuated = (z.Evacuated)[:zb0002]
+			} else {
+				z.Evacuated = make([]string, zb0002)
+			}
+			for za0001 := range z.Evacuated {
+				z.Evacuated[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuated", za0001)
+					return
+				}
+			}
+		case "gone":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gone")
+				return
+			}
+			if zb0003 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Gone) >= int(zb0003) {
+				z.Gone = (z.Gone)[:zb0003]
+			} else {
+				z.Gone = make([]string, zb0003)
+			}
+			for za0002 := range z.Gone {
+				z.Gone[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Gone", za0002)
+					return
+				}
+			}
+		case "orders_at":
+			z.OrdersAt, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OrdersAt")
+				return
+			}
+		case "registrations":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Registrations")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Registrations) >= int(zb0004) {
+				z.Registrations = (z.Registrations)[:zb0004]
+			} else {
+				z.Registrations = make([]Registration, zb0004)
+			}
+			for za0003 := range z.Registrations {
+				bts, err = z.Registrations[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Registrations", za0003)
+					return
+				}
+			}
+		case "registrations_after":
+			z.RegistrationsAfter, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RegistrationsAfter")
+				return
+			}
+		case "registrations_at":
+			z.RegistrationsAt, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RegistrationsAt")
+				return
+			}
+		case "registrations_hash":
+			z.RegistrationsHash, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RegistrationsHash")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DeclaredAnswer) Msgsize() (s int) {
+	s = 1 + 12 + z.Declaration.Msgsize() + 17 + msgp.IntSize + 10 + msgp.ArrayHeaderSize
+	for za0001 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0001])
+	}
+	s += 5 + msgp.ArrayHeaderSize
+	for za0002 := range z.Gone {
+		s += msgp.StringPrefixSize + len(z.Gone[za0002])
+	}
+	s += 10 + msgp.IntSize + 14 + msgp.ArrayHeaderSize
+	for za0003 := range z.Registrations {
+		s += z.Registrations[za0003].Msgsize()
+	}
+	s += 20 + msgp.IntSize + 17 + msgp.IntSize + 19 + msgp.IntSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *DeclaredRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -3987,12 +4466,24 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "registrations_at":
+			z.RegistrationsAt, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "RegistrationsAt")
+				return
+			}
 		case "sender":
 			z.Sender, err = dc.ReadString()
 			if err != nil {
 				err = msgp.WrapError(err, "Sender")
 				return
 			}
+		case "version":
+			z.Version, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4006,9 +4497,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z DeclaredRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
+	// map header, size 3
+	// write "registrations_at"
+	err = en.Append(0x83, 0xb0, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.RegistrationsAt)
+	if err != nil {
+		err = msgp.WrapError(err, "RegistrationsAt")
+		return
+	}
 	// write "sender"
-	err = en.Append(0x81, 0xa6, 0x73, 0x65, 0x6e, 0x64, 0x65, 0x72)
+	err = en.Append(0xa6, 0x73, 0x65, 0x6e, 0x64, 0x65, 0x72)
 	if err != nil {
 		return
 	}
@@ -4017,16 +4518,32 @@
 		err = msgp.WrapError(err, "Sender")
 		return
 	}
+	// write "version"
+	err = en.Append(0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z DeclaredRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 3
+	// string "registrations_at"
+	o = append(o, 0x83, 0xb0, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x74)
+	o = msgp.AppendInt(o, z.RegistrationsAt)
 	// string "sender"
-	o = append(o, 0x81, 0xa6, 0x73, 0x65, 0x6e, 0x64, 0x65, 0x72)
+	o = append(o, 0xa6, 0x73, 0x65, 0x6e, 0x64, 0x65, 0x72)
 	o = msgp.AppendString(o, z.Sender)
+	// string "version"
+	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.Version)
 	return
 }
 
@@ -4052,12 +4569,24 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "registrations_at":
+			z.RegistrationsAt, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RegistrationsAt")
+				return
+			}
 		case "sender":
 			z.Sender, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Sender")
 				return
 			}
+		case "version":
+			z.Version, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4072,7 +4601,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z DeclaredRequest) Msgsize() (s int) {
-	s = 1 + 7 + msgp.StringPrefixSize + len(z.Sender)
+	s = 1 + 17 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Sender) + 8 + msgp.IntSize
 	return
 }
 
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -126,6 +126,10 @@
 	// Sequence grows with each beacon of an incarnation.
 	Sequence int `json:"sequence" msg:"sequence"`
 
+	// Serves says that the sender takes itself for one of those that callers are
+	// told.
+	Serves bool `json:"serves" msg:"serves"`
+
 	// StartedMs tells incarnations of the sender apart; it is the start in Unix
 	// milliseconds.
 	StartedMs int `json:"started_ms" msg:"started_ms"`
@@ -283,10 +287,52 @@
 	RegistrationsAt int `json:"registrations_at" msg:"registrations_at"`
 }
 
-// DeclaredRequest asks an entry host for what it knows to be declared.
+// DeclaredAnswer is what an entry host knows to be declared beyond what the asking
+// one knows.
+type DeclaredAnswer struct {
+	// Declaration corresponds to the JSON schema field "declaration".
+	Declaration Declaration `json:"declaration" msg:"declaration"`
+
+	// DeclaredVersion is the declaration in force; the declaration itself is left out
+	// if the asking host knows it.
+	DeclaredVersion int `json:"declared_version" msg:"declared_version"`
+
+	// Evacuated are the data centres that get no new work.
+	Evacuated []string `json:"evacuated" msg:"evacuated"`
+
+	// Gone are the IDs of the registrations that were dropped.
+	Gone []string `json:"gone" msg:"gone"`
+
+	// OrdersAt is the store's version as of which the declaration and the evacuations
+	// hold.
+	OrdersAt int `json:"orders_at" msg:"orders_at"`
+
+	// Registrations are those that changed.
+	Registrations []Registration `json:"registrations" msg:"registrations"`
+
+	// RegistrationsAfter is the revision from which the registrations changed as
+	// told; 0 means that all are told.
+	RegistrationsAfter int `json:"registrations_after" msg:"registrations_after"`
+
+	// RegistrationsAt is the revision that results.
+	RegistrationsAt int `json:"registrations_at" msg:"registrations_at"`
+
+	// RegistrationsHash identifies the registrations that result.
+	RegistrationsHash int `json:"registrations_hash" msg:"registrations_hash"`
+}
+
+// DeclaredRequest asks an entry host for what it knows to be declared beyond what
+// the sender knows.
 type DeclaredRequest struct {
+	// RegistrationsAt is the revision of the registrations that the sender knows; 0
+	// asks for all.
+	RegistrationsAt int `json:"registrations_at" msg:"registrations_at"`
+
 	// Sender names the host that asks.
 	Sender string `json:"sender" msg:"sender"`
+
+	// Version is the declaration that the sender knows.
+	Version int `json:"version" msg:"version"`
 }
 
 // Digest is one half of the periodic exchange between two hosts.
