Go by what each host says of serving

Ruled out: lost datagrams; the silent hosts sent to those that they took for serving all the time. Change: a host decides for itself alone; others name those that say they serve, or the best candidate if none says so yet.

--- a/directory/election.go
+++ b/directory/election.go
@@ -74,7 +74,9 @@
 	return all
 }
 
-// choose returns the hosts that serve, by data centre and name.
+// choose returns the hosts that serve, by data centre and name. Each host decides
+// for itself whether it does, and all others go by what it says: they would not
+// all see the same numbers at the same time.
 func (d *Directory) choose(all []schema.Beacon) []schema.Beacon {
 	ready := map[string][]schema.Beacon{}
 	for _, beacon := range all {
@@ -82,9 +84,9 @@
 			ready[beacon.DataCentre] = append(ready[beacon.DataCentre], beacon)
 		}
 	}
-	serving := make([]schema.Beacon, 0, len(ready))
+	var serving []schema.Beacon
 	for _, candidates := range ready {
-		serving = append(serving, candidates[:count(candidates)]...)
+		serving = append(serving, d.chooseOf(candidates)...)
 	}
 	slices.SortFunc(serving, func(a, b schema.Beacon) int {
 		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Name, b.Name))
@@ -93,6 +95,23 @@
 	return serving
 }
 
+// chooseOf returns those of a data centre's candidates that serve: the best one
+// if none says so yet.
+func (d *Directory) chooseOf(candidates []schema.Beacon) []schema.Beacon {
+	needed := count(candidates)
+	serving := make([]schema.Beacon, 0, needed)
+	for i, beacon := range candidates {
+		if self := beacon.Name == d.Self.Name; self && i < needed || !self && beacon.Serves {
+			serving = append(serving, beacon)
+		}
+	}
+	if len(serving) == 0 {
+		return candidates[:1]
+	}
+
+	return serving
+}
+
 // ahead returns the hosts that come before this one: first those that serve.
 func (d *Directory) ahead(all []schema.Beacon) []string {
 	var names []string
