Soak the edge hosts as processes behind a faulty loopback

Settings come from the schema. Ruled out: a driver that starts processes itself, which no process of ours does. Not covered: the network between hosts, whose addresses are announced by the hosts themselves, and clocks, which cannot be set without root.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 .PHONY: build tools generate
 
 build:
-	go build -o bin/ . ./standin/...
+	go build -o bin/ . ./standin/... ./platform/soak/...
 
 tools: bin/go-jsonschema bin/msgp bin/settingsgen bin/golangci-lint
 
@@ -54,7 +54,7 @@
 slopes: build
 	scripts/slopes.sh
 
-.PHONY: demo faults soak docs-check
+.PHONY: demo faults soak edge-soak docs-check
 
 # demo runs both example deployments with a data centre that leaves and returns.
 demo: build
@@ -68,6 +68,11 @@
 soak: build
 	scripts/soak.sh
 
+# edge-soak plays seeded faults around entry hosts of the users' platform:
+# make edge-soak SEED=1 RUNS=50
+edge-soak: build
+	scripts/edge-soak.sh
+
 # docs-check runs the commands of the users' pages as written.
 docs-check: build
 	scripts/docs-check.sh
--- a/directory/election.go
+++ b/directory/election.go
@@ -84,7 +84,7 @@
 			ready[beacon.DataCentre] = append(ready[beacon.DataCentre], beacon)
 		}
 	}
-	var serving []schema.Beacon
+	serving := make([]schema.Beacon, 0, len(ready))
 	for _, candidates := range ready {
 		serving = append(serving, d.chooseOf(candidates)...)
 	}
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -492,3 +492,48 @@
 
 	return settings, c.faults
 }
+
+// SoakFlags holds the raw settings of the fault soak on the users' platform.
+type SoakFlags struct {
+	Directory      string `long:"directory" env:"BAOBABDRUM_SOAK_DIRECTORY" default:"out/soak" value-name:"text" description:"directory of the hosts' settings files and of the list of signals that they were sent"`
+	BasePort       string `long:"base-port" env:"BAOBABDRUM_SOAK_BASE_PORT" default:"26000" value-name:"integer" description:"first of the ports on the loopback addresses, in ports (1024 to 60000)"`
+	Seed           string `long:"seed" env:"BAOBABDRUM_SOAK_SEED" default:"1" value-name:"integer" description:"seed of the random choices (1 to 1000000000)"`
+	Hosts          string `long:"hosts" env:"BAOBABDRUM_SOAK_HOSTS" default:"6" value-name:"integer" description:"number of entry hosts, in hosts (1 to 99)"`
+	BackendServers string `long:"backend-servers" env:"BAOBABDRUM_SOAK_BACKEND_SERVERS" default:"8" value-name:"integer" description:"number of backend servers, in backend servers (1 to 99)"`
+	Callers        string `long:"callers" env:"BAOBABDRUM_SOAK_CALLERS" default:"24" value-name:"integer" description:"number of callers, each with one call at a time, in callers (1 to 1000)"`
+	Duration       string `long:"duration" env:"BAOBABDRUM_SOAK_DURATION" default:"15s" value-name:"duration" description:"time of the run; the last part is without faults (8s to 1h)"`
+}
+
+// SoakSettings holds the checked settings of the fault soak on the users' platform.
+type SoakSettings struct {
+	// Directory is set by --directory: directory of the hosts' settings files and of the list of signals that they were sent.
+	Directory string
+	// BasePort is set by --base-port: first of the ports on the loopback addresses, in ports (1024 to 60000).
+	BasePort int
+	// Seed is set by --seed: seed of the random choices (1 to 1000000000).
+	Seed int
+	// Hosts is set by --hosts: number of entry hosts, in hosts (1 to 99).
+	Hosts int
+	// BackendServers is set by --backend-servers: number of backend servers, in backend servers (1 to 99).
+	BackendServers int
+	// Callers is set by --callers: number of callers, each with one call at a time, in callers (1 to 1000).
+	Callers int
+	// Duration is set by --duration: time of the run; the last part is without faults (8s to 1h).
+	Duration time.Duration
+}
+
+// Check returns the typed settings and a fault for each value that is rejected.
+func (f SoakFlags) Check() (SoakSettings, []Fault) {
+	c := checker{}
+	settings := SoakSettings{
+		Directory:      c.text("directory", f.Directory),
+		BasePort:       c.integer("base-port", f.BasePort, "1024", "60000"),
+		Seed:           c.integer("seed", f.Seed, "1", "1000000000"),
+		Hosts:          c.integer("hosts", f.Hosts, "1", "99"),
+		BackendServers: c.integer("backend-servers", f.BackendServers, "1", "99"),
+		Callers:        c.integer("callers", f.Callers, "1", "1000"),
+		Duration:       c.duration("duration", f.Duration, "8s", "1h"),
+	}
+
+	return settings, c.faults
+}
--- /dev/null
+++ b/scripts/edge-soak.sh
@@ -0,0 +1,101 @@
+#!/usr/bin/env bash
+# Runs entry hosts as processes of the users' platform and sends them signals, in
+# series and overlapping, while bin/platform-soak breaks their network, drains and
+# replaces backend servers, and checks what callers and backend servers see.
+# Settings: SEED, RUNS (seeds SEED, SEED+1 and so on), DURATION in seconds, HOSTS,
+# BASE_PORT. Exits 1 if a run broke a promise; its logs stay in out/soak-SEED.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/lib.sh
+trap stop_all EXIT
+SEED=${SEED:-1}
+RUNS=${RUNS:-1}
+DURATION=${DURATION:-15}
+HOSTS=${HOSTS:-6}
+
+# start_edge HOST: starts an entry host unless it runs.
+start_edge() {
+  [[ -v "pids[edge-$1]" ]] && return
+  BAOBABDRUM_NODE_FILE=$out/host-$1.json start "edge-$1" bin/baobabdrum edge
+}
+
+# send HOST SIGNAL: signals an entry host that runs, and notes it for the verdict.
+send() {
+  [[ -v "pids[edge-$1]" ]] || return 0
+  echo "$(now_ms) $2 $1" >>"$out/signals"
+  signal "edge-$1" "$2" 2>/dev/null || true
+}
+
+# restart HOST SIGNAL: stops an entry host; the next beat starts it again.
+restart() {
+  [[ -v "pids[edge-$1]" ]] || return 0
+  send "$1" CONT
+  send "$1" "$2"
+  stopping+=("$1")
+}
+
+# restarted: starts the entry hosts again that have ended.
+restarted() {
+  local host left=()
+  for host in "${stopping[@]}"; do
+    if kill -0 "${pids[edge-$host]}" 2>/dev/null; then
+      left+=("$host")
+      continue
+    fi
+    finish "edge-$host" || true
+    start_edge "$host"
+  done
+  stopping=("${left[@]}")
+}
+
+# disturb: sends a seeded choice of signals.
+disturb() {
+  local host=$((RANDOM % HOSTS))
+  [[ " ${stopping[*]} " == *" $host "* ]] && return
+  case $((RANDOM % 6)) in
+    0) restart "$host" TERM ;;
+    1) restart "$host" KILL ;;
+    2) send "$host" STOP ;;
+    3) send "$host" CONT ;;
+    4) send "$host" HUP ;;
+    5) for host in $(seq 0 2 $((HOSTS - 1))); do
+      [[ " ${stopping[*]} " == *" $host "* ]] || restart "$host" KILL
+    done ;;
+  esac
+}
+
+# run_seed SEED: plays one run.
+run_seed() {
+  local host code=0
+  out=out/soak-$1
+  rm -rf "$out"
+  mkdir -p "$out"
+  : >"$out/signals"
+  RANDOM=$1
+  stopping=()
+  start soak bin/platform-soak --directory "$out" --seed "$1" --hosts "$HOSTS" --duration "${DURATION}s" --base-port "$BASE_PORT"
+  retry 5 test -e "$out/ready"
+  for host in $(seq 0 $((HOSTS - 1))); do start_edge "$host"; done
+  local end=$(($(now_ms) + (DURATION - 8) * 1000))
+  sleep 1.5
+  while (($(now_ms) < end)); do
+    disturb
+    restarted
+    sleep "0.$((RANDOM % 8 + 1))"
+  done
+  for host in $(seq 0 $((HOSTS - 1))); do send "$host" CONT; done
+  while ((${#stopping[@]} > 0)); do
+    restarted
+    sleep 0.1
+  done
+  finish soak || code=1
+  stop_all
+  tail -n 5 "$out/soak.log"
+  return "$code"
+}
+
+failed=0
+for seed in $(seq "$SEED" $((SEED + RUNS - 1))); do
+  run_seed "$seed" || failed=1
+done
+exit "$failed"
