Leave a slot free where full backend servers get less done

Cause: on the Consortium a backend server whose four slots are taken works 1.7 times as long on each (knee in the site file), so four calls get less done than three; no report shows it. The placer took 1.3 everywhere and filled them. Change: calls that ran beside others in all slots are compared with those that did not, per route and on machines that were not slow; a service's last slots are left free once that shows a loss beyond what they gain. A call waits only while a tenth more than its work is left.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -37,6 +37,9 @@
 	Slots int
 	// Queue is the number of calls that wait at each; more are refused or reset.
 	Queue int
+	// Crowding is how much longer work lasts while all slots of a backend server
+	// are taken, or 0 if it does not.
+	Crowding float64
 	// ResetWhenFull resets further calls instead of refusing them.
 	ResetWhenFull bool
 	// Work is the mean duration of a call at usual pace.
--- a/bench/fleet_servers.go
+++ b/bench/fleet_servers.go
@@ -59,7 +59,7 @@
 		if server.dark {
 			continue
 		}
-		running := 0
+		running, crowding := 0, f.crowding(server)
 		for _, job := range slices.Clone(server.jobs) {
 			if f.now.Before(job.arrivesAt) {
 				continue
@@ -72,7 +72,7 @@
 				job.state.runs++
 			}
 			running++
-			job.work -= time.Duration(float64(fleetStep) / server.rate(f.now))
+			job.work -= time.Duration(float64(fleetStep) / (server.rate(f.now) * crowding))
 			if job.work <= 0 {
 				f.answer(server, job)
 			}
@@ -80,6 +80,15 @@
 	}
 }
 
+// crowding returns how much longer work lasts because all slots are taken.
+func (f *Fleet) crowding(server *fleetServer) float64 {
+	if f.Crowding > 0 && len(server.jobs) >= f.Slots {
+		return f.Crowding
+	}
+
+	return 1
+}
+
 // rate returns how long work takes at a backend server.
 func (s *fleetServer) rate(now time.Time) float64 {
 	if now.Before(s.coldUntil) {
--- a/placement/attempts.go
+++ b/placement/attempts.go
@@ -22,12 +22,16 @@
 
 // attempt is one send of a call.
 type attempt struct {
-	id        AttemptID
-	call      *call
-	server    *Server
-	started   time.Time
-	advanced  time.Time
-	progress  time.Duration
+	id       AttemptID
+	call     *call
+	server   *Server
+	started  time.Time
+	advanced time.Time
+	progress time.Duration
+	// plain is the progress without regard to other sends.
+	plain time.Duration
+	// crowded is the time spent beside others in all slots.
+	crowded   time.Duration
 	cancelled bool
 	suspected bool
 }
@@ -99,6 +103,7 @@
 	ended.server.readmit()
 	p.follow(now, ended)
 	ended.call.route.learn(ended.progress, result.Size)
+	p.observeCrowding(now, ended)
 	if load == nil || load.Pace == 0 {
 		ended.server.estimate(now, float64(now.Sub(ended.started))/float64(max(ended.call.route.Work, time.Millisecond)))
 	}
@@ -135,8 +140,13 @@
 // follow credits a send with the work done since it was last followed.
 func (*Placer) follow(now time.Time, running *attempt) {
 	step := min(now.Sub(running.advanced), longestStep)
-	rate := running.server.rate(now, running.server.Taken(now))
-	running.progress += time.Duration(float64(step) / max(rate, minimumRate))
+	server := running.server
+	taken := server.Taken(now)
+	running.progress += time.Duration(float64(step) / max(server.rate(now, taken), minimumRate))
+	running.plain += time.Duration(float64(step) / max(server.PaceNow(now), minimumRate))
+	if server.crowds(taken) {
+		running.crowded += step
+	}
 	running.advanced = now
 }
 
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -10,6 +10,9 @@
 	// patience is the share of the latency objective that a call waits in this host
 	// for a slot although it is not expected to be answered in time.
 	patience = 0.125
+	// fitFactor is the multiple of the usual work that must be left for a call to
+	// wait on: one that starts later is more likely late than not.
+	fitFactor = 1.1
 	// spareShare is the share of taken slots up to which late work is taken on.
 	spareShare = 0.6
 	// lateReturn is the share of the caller's time left after which a refused call
@@ -114,7 +117,7 @@
 	}
 	wait := float64(c.service.ahead(c)+1) / rate
 
-	return time.Duration(wait*float64(time.Second))+c.route.Work <= left
+	return time.Duration(wait*float64(time.Second)+fitFactor*float64(c.route.Work)) <= left
 }
 
 // spare reports whether a service has slots that no call needs that can still be
@@ -130,7 +133,7 @@
 func (p *Placer) slots(now time.Time, service *service) (taken, slots int) {
 	for _, server := range service.servers {
 		if server.usable(now) && !server.Cold(now) && !p.evacuated[server.DataCentre] {
-			slots += server.Slots
+			slots += server.Room()
 			taken += server.Taken(now)
 		}
 	}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -82,7 +82,7 @@
 	if server.Ejected(now) && (!ejected || server.Unreachable) {
 		return false
 	}
-	if server.Taken(now) >= server.Slots+upstreamQueue {
+	if server.Taken(now) >= server.Room()+upstreamQueue {
 		return false
 	}
 
@@ -119,7 +119,7 @@
 	}
 	cost += risk(expected, max(c.targetAt.Sub(now), c.route.Target()/4)) + turns*turnCost(c.route)
 
-	return candidate{server: server, expected: expected, cost: cost, free: server.Taken(now) < server.Slots}
+	return candidate{server: server, expected: expected, cost: cost, free: server.Taken(now) < server.Room()}
 }
 
 // turnCost returns the risk of a late answer when the machine turns slow. A call
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -187,7 +187,7 @@
 			if known {
 				p.unregister(server)
 			}
-			server = newServer(now, registration)
+			server = newServer(now, registration, service)
 			p.servers[registration.ID] = server
 			p.byHash[Hash(registration.ID)] = server
 			service.servers = append(service.servers, server)
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -69,6 +69,10 @@
 			without: func(fleet *bench.Fleet) { fleet.Options.ProbeInterval = 2 * time.Second },
 			least:   0.9, gain: 0.01,
 		},
+		"backend servers that get less done when full are not filled": {
+			load:  func(fleet *bench.Fleet) { fleet.Crowding, fleet.SlowShare, fleet.Rate = 1.7, 0, 280 },
+			least: 0.8,
+		},
 		"a burst beyond capacity is served up to capacity": {
 			load:  func(fleet *bench.Fleet) { fleet.Burst = 5 },
 			least: 0.5,
--- a/placement/routes.go
+++ b/placement/routes.go
@@ -28,6 +28,9 @@
 	// Size is the smoothed length of an answer in bytes.
 	Size float64
 
+	// alone is the smoothed duration on backend servers with a free slot at usual
+	// pace, or 0 until calls were answered.
+	alone    time.Duration
 	patience *Patience
 	credits  []int
 }
@@ -74,6 +77,14 @@
 	r.Size += workWeight * (float64(size) - r.Size)
 }
 
+// learnAlone adopts how long a call lasted on a backend server with a free slot.
+func (r *Route) learnAlone(duration time.Duration) {
+	if r.alone == 0 {
+		r.alone = duration
+	}
+	r.alone += time.Duration(workWeight * float64(duration-r.alone))
+}
+
 // routes finds the route of a call. The lists are sorted by falling length of
 // the prefix.
 type routes map[string][]*Route
@@ -90,7 +101,7 @@
 	for _, entry := range declared {
 		route := newRoute(entry)
 		if old, ok := known[entry.Name]; ok {
-			route.Work, route.Size, route.patience = old.Work, old.Size, old.patience
+			route.Work, route.Size, route.alone, route.patience = old.Work, old.Size, old.alone, old.patience
 		}
 		made[entry.HostName] = append(made[entry.HostName], route)
 	}
--- a/placement/server.go
+++ b/placement/server.go
@@ -26,11 +26,6 @@
 	// coldFactor is how much longer work takes on a cold backend server that does
 	// not report its pace.
 	coldFactor = 2
-	// crowdedShare is the share of taken slots from which some backend servers
-	// slow down.
-	crowdedShare = 0.8
-	// crowdedFactor is how much longer work is taken to last from there on.
-	crowdedFactor = 1.3
 	// heardFor is how long another host's attempts in flight count after it was
 	// last heard.
 	heardFor = 600 * time.Millisecond
@@ -82,6 +77,7 @@
 	// Unreachable says that it was ejected because nothing could be sent.
 	Unreachable bool
 
+	crowding   *Crowding
 	streak     int
 	ejections  int
 	others     map[string]heard
@@ -98,12 +94,13 @@
 	at       time.Time
 }
 
-// newServer returns a backend server that registered.
-func newServer(now time.Time, registration schema.Registration) *Server {
+// newServer returns a backend server of a service that registered.
+func newServer(now time.Time, registration schema.Registration, of *service) *Server {
 	return &Server{
 		Registration: registration,
 		Usual:        firstUsual,
 		ColdUntil:    now.Add(time.Duration(registration.ColdLeftMs) * time.Millisecond),
+		crowding:     &of.crowding,
 		others:       map[string]heard{},
 	}
 }
@@ -152,6 +149,16 @@
 	return max(s.Pace*weight+s.Usual*(1-weight), s.Overdue)
 }
 
+// Room returns the number of its slots that are worth taking.
+func (s *Server) Room() int {
+	return s.crowding.Room(s.Slots)
+}
+
+// crowds reports whether so many attempts there may slow each other down.
+func (s *Server) crowds(running int) bool {
+	return float64(running) > crowdedShare*float64(s.Slots)
+}
+
 // rate returns how long work takes there now, relative to the usual time, with
 // so many attempts running.
 func (s *Server) rate(now time.Time, running int) float64 {
@@ -159,8 +166,8 @@
 	if s.Cold(now) && s.Pace == 0 {
 		rate *= coldFactor
 	}
-	if float64(running) > crowdedShare*float64(s.Slots) {
-		rate *= crowdedFactor
+	if s.crowds(running) {
+		rate *= s.crowding.Factor()
 	}
 
 	return rate
@@ -171,8 +178,8 @@
 func (s *Server) Expected(now time.Time, work time.Duration, tempo *Tempo) (time.Duration, float64) {
 	taken := s.Taken(now)
 	rate := s.rate(now, taken+1)
-	queued := max(taken+1-s.Slots, 0)
-	wait := float64(queued) * float64(work) * rate / float64(s.Slots)
+	queued := max(taken+1-s.Room(), 0)
+	wait := float64(queued) * float64(work) * rate / float64(s.Room())
 	duration, turns := s.duration(now, work, rate, tempo)
 
 	return time.Duration(wait) + duration, turns
--- a/placement/service.go
+++ b/placement/service.go
@@ -29,6 +29,7 @@
 	Rule schema.ServiceRule
 
 	servers  []*Server
+	crowding Crowding
 	waiting  []*call
 	budget   *budget
 	calledAt time.Time
@@ -50,7 +51,7 @@
 	rate := 0.0
 	for _, server := range s.servers {
 		if server.usable(now) && !server.Cold(now) {
-			rate += float64(server.Slots) / (server.Usual * work.Seconds())
+			rate += float64(server.Room()) / (server.Usual * work.Seconds())
 		}
 	}
 
