Prefer backend servers that this host measures among those of its data centre

Ruled out: a wrong knee, which the fourth call shows alone where one host serves. Change: a small risk for backend servers of this data centre that another host measures; who measures is worked out once when hosts or backend servers change.

--- a/placement/choice.go
+++ b/placement/choice.go
@@ -31,6 +31,10 @@
 	turnedIdempotent = 0.1
 	// turnedOnce is that risk of a call that may run once.
 	turnedOnce = 0.8
+	// hearsayCost is the risk added for a backend server of this data centre that
+	// another host measures: its load is known from the last beacon only, and that
+	// host places calls there meanwhile.
+	hearsayCost = 0.05
 	// kibibyte is the number of bytes in a KiB.
 	kibibyte = 1024
 )
@@ -93,7 +97,7 @@
 // host that measures it sends it any, evenly spaced, so that the sum over all
 // hosts stays within what it bears.
 func (p *Placer) bearsCold(now time.Time, service *service, server *Server) bool {
-	if service.Rule.ColdPerSecond <= 0 || !p.measures(server) {
+	if service.Rule.ColdPerSecond <= 0 || !server.Measured {
 		return false
 	}
 	spacing := time.Duration(float64(time.Second) / service.Rule.ColdPerSecond)
@@ -110,9 +114,12 @@
 	}
 	expected += time.Duration(server.FailureRatio(now) * float64(penalty))
 	cost := 0.0
-	if server.DataCentre != p.Options.DataCentre {
+	switch {
+	case server.DataCentre != p.Options.DataCentre:
 		expected += crossingDelay
 		cost = c.route.Size / kibibyte * p.Options.CrossingCost
+	case !server.Measured:
+		cost = hearsayCost
 	}
 	if now.Sub(server.SentAt) > neglectedAfter {
 		cost -= neglectedBonus
@@ -141,9 +148,16 @@
 	return min(max(late, 0), 1) + durationWeight*share
 }
 
-// measures reports whether this host measures the backend server: one serving
-// host does, of the same data centre if there is one.
-func (p *Placer) measures(server *Server) bool {
+// assign determines which backend servers this host measures: one serving host
+// does, of the same data centre if there is one.
+func (p *Placer) assign() {
+	for _, server := range p.servers {
+		server.Measured = p.measurer(server) == p.Options.Host
+	}
+}
+
+// measurer names the host that measures a backend server, if any serves.
+func (p *Placer) measurer(server *Server) string {
 	local := slices.ContainsFunc(p.peers.Serving, func(peer Peer) bool { return peer.DataCentre == server.DataCentre })
 	best, highest := "", uint64(0)
 	for _, peer := range p.peers.Serving {
@@ -155,5 +169,5 @@
 		}
 	}
 
-	return best == p.Options.Host
+	return best
 }
--- a/placement/measure.go
+++ b/placement/measure.go
@@ -41,7 +41,7 @@
 			}
 			due := !server.probing && now.Sub(server.probedAt) >= interval &&
 				(now.Sub(server.PacedAt) >= interval || now.Sub(server.probedAt) >= coldInterval)
-			if due && !server.Draining && !p.evacuated[server.DataCentre] && (p.measures(server) || p.untold(now, server)) {
+			if due && !server.Draining && !p.evacuated[server.DataCentre] && (server.Measured || p.untold(now, server)) {
 				server.probing, server.probedAt = true, now
 				p.act(Probe{
 					Server: server.ID, Address: server.Address, Path: service.Rule.HealthPath,
@@ -107,7 +107,7 @@
 func (p *Placer) Loads(now time.Time) []schema.ServerLoad {
 	var loads []schema.ServerLoad
 	for _, server := range p.servers {
-		measured := now.Sub(server.answeredAt) < toldFor && p.measures(server)
+		measured := now.Sub(server.answeredAt) < toldFor && server.Measured
 		if !measured && server.InFlight == 0 {
 			continue
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -100,6 +100,7 @@
 		p.hear(now, event)
 	case PeersChanged:
 		p.peers = event.Peers
+		p.assign()
 	case BudgetChanged:
 		p.Options.Budget = event.Budget
 		for _, service := range p.services {
@@ -169,6 +170,7 @@
 		p.service(rule.Name).Rule = rule
 	}
 	p.register(now, declared.Registrations)
+	p.assign()
 	for _, server := range p.servers {
 		if before[server.DataCentre] && !p.evacuated[server.DataCentre] {
 			server.suspectCold(now, p.services[server.Service].Rule)
--- a/placement/server.go
+++ b/placement/server.go
@@ -74,6 +74,8 @@
 	// Overdue is how long its slowest running attempt has taken, relative to the
 	// usual work; it counts if the load is not reported.
 	Overdue float64
+	// Measured says that this host measures it.
+	Measured bool
 	// Unreachable says that it was ejected because nothing could be sent.
 	Unreachable bool
 
