Let no small host serve beside large ones

Callers use all addresses that they are told alike, so hosts of a tenth of the size got as many calls as the large ones: 50 to 55 hosts were named, their links were full, beacons came late and live hosts were held for lost. Ruled out: lost datagrams between healthy hosts; wrong load figures. Change: the smallest serving host bounds what each may get. The first number of hosts that carries the calls so is taken, or the one that comes closest. The case in TestAnswer fails before. Sites whose hosts are alike see the same choice as before.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -60,6 +60,12 @@
 			self:  with(beacon("a", "north", 1), func(beacon *schema.Beacon) { beacon.Calls = 10 }),
 			heard: []schema.Beacon{with(beacon("b", "north", 3), func(beacon *schema.Beacon) { beacon.Calls, beacon.Serves = 80, true })}, asks: "north", answer: []string{"a:1", "b:1"},
 		},
+		"no small host that callers would use as much as a large one": {
+			self: with(beacon("a", "north", 1), func(beacon *schema.Beacon) { beacon.Capacity = 20 }),
+			heard: []schema.Beacon{with(beacon("b", "north", 3), func(beacon *schema.Beacon) {
+				beacon.Capacity, beacon.Calls, beacon.Serves = 400, 300, true
+			})}, asks: "north", answer: []string{"b:1"},
+		},
 		"not the earlier incarnation": {
 			self: beacon("a", "north", 5), heard: []schema.Beacon{
 				with(beacon("b", "north", 9), func(beacon *schema.Beacon) { beacon.Sequence = 1 }), with(beacon("b", "north", 3), func(beacon *schema.Beacon) { beacon.Sequence = 7 }),
--- a/directory/election.go
+++ b/directory/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -142,19 +143,25 @@
 			serving = i + 1
 		}
 	}
-	needed := func(share float64) int {
-		capacity := 0.0
-		for i, beacon := range candidates {
-			capacity += share * float64(beacon.Capacity)
-			if float64(calls) <= capacity {
-				return i + 1
-			}
-		}
+	return min(max(serving, needed(candidates, calls, busyShare)), needed(candidates, calls, quietShare))
+}
 
-		return len(candidates)
+// needed returns how many of the candidates, the largest first, carry calls with a
+// share of their capacity, or as many as come closest to that. Callers use all
+// that they are told alike, so the smallest one bounds what each may get.
+func needed(candidates []schema.Beacon, calls int, share float64) int {
+	best, lowest := 1, math.Inf(1)
+	for i, beacon := range candidates {
+		used := float64(calls) / float64((i+1)*max(beacon.Capacity, 1))
+		if used <= share {
+			return i + 1
+		}
+		if used < lowest {
+			best, lowest = i+1, used
+		}
 	}
 
-	return min(max(serving, needed(busyShare)), needed(quietShare))
+	return best
 }
 
 // Answer returns the addresses for a caller in a data centre and how long it
