Remove what nothing uses and a word that is not ours

Connection.Reused and its counter had no caller since hedges follow progress. The queue at a backend server bore the platform's word for it. No change in behaviour; tests of both packages pass.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -61,9 +61,7 @@
 	writer *bufio.Writer
 	sent   int
 	until  time.Time
-	// exchanges counts those on the open connection.
-	exchanges int
-	home      *addressPool
+	home   *addressPool
 }
 
 // NewConnection returns a connection that is not open yet.
@@ -77,11 +75,6 @@
 	c.until = until
 }
 
-// Reused reports whether the connection has carried an exchange before.
-func (c *Connection) Reused() bool {
-	return c.exchanges > 0
-}
-
 // Open makes the connection ready for a request and returns when it is open. A
 // connection that the other side closed, or on which bytes wait that belong to
 // no request, is replaced. The deadline then holds for the next exchange. After
@@ -91,13 +84,11 @@
 	if c.conn != nil {
 		expired := !c.until.IsZero() && time.Now().After(c.until)
 		if !expired && c.conn.SetDeadline(deadline) == nil && c.usable() {
-			c.exchanges++
-
 			return nil
 		}
 		c.Close()
 	}
-	c.until, c.exchanges = time.Time{}, 0
+	c.until = time.Time{}
 	dialer := net.Dialer{Timeout: dialTimeout, Deadline: deadline, Control: tcp.DetectLoss}
 	conn, err := dialer.DialContext(ctx, "tcp", c.Address)
 	if err != nil {
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -10,9 +10,9 @@
 const (
 	// crossingDelay is what a round trip to another data centre adds.
 	crossingDelay = 2 * time.Millisecond
-	// upstreamQueue is the number of calls that may wait at a backend server beyond
+	// serverQueue is the number of calls that may wait at a backend server beyond
 	// its slots; more would be refused or reset there.
-	upstreamQueue = 2
+	serverQueue = 2
 	// neglectedAfter is how long a backend server goes without calls until it is
 	// preferred, so that each new one gets some.
 	neglectedAfter = 1500 * time.Millisecond
@@ -86,7 +86,7 @@
 	if server.Ejected(now) && (!ejected || server.Unreachable) {
 		return false
 	}
-	if server.Taken(now) >= server.Room()+upstreamQueue {
+	if server.Taken(now) >= server.Room()+serverQueue {
 		return false
 	}
 
