Learn crowding from twelve answers

Cause: after all hosts are started anew, callers come back together; hosts needed thirty crowded answers to leave a slot free, and what those were compared with began at the first answer alone. Change: twelve answers, against a running mean of at least six others.

--- a/placement/crowding.go
+++ b/placement/crowding.go
@@ -12,8 +12,12 @@
 	// crowdedFactor is how much longer work is taken to last from there on until
 	// answers told.
 	crowdedFactor = 1.3
-	// crowdedCount is the number of answers that tell.
-	crowdedCount = 30
+	// crowdedCount is the number of answers that tell: work varies by a third, so
+	// their mean is known to a tenth, and a loss that matters is 1.4 times the work.
+	crowdedCount = 12
+	// aloneCount is the number of answers of other backend servers that they are
+	// compared with.
+	aloneCount = 6
 	// crowdedWeight is the share of the newest answer in what was learnt.
 	crowdedWeight = 0.02
 	// crowdedMost is the share of its time for which a send ran beside others in
@@ -71,7 +75,7 @@
 	switch {
 	case crowded < aloneMost:
 		route.learnAlone(ended.plain)
-	case crowded > crowdedMost && route.alone > 0:
+	case crowded > crowdedMost && route.alones >= aloneCount:
 		server.crowding.Observe(float64(ended.plain) / float64(route.alone))
 	}
 }
--- a/placement/routes.go
+++ b/placement/routes.go
@@ -29,8 +29,9 @@
 	Size float64
 
 	// alone is the smoothed duration on backend servers with a free slot at usual
-	// pace, or 0 until calls were answered.
+	// pace, from so many answers.
 	alone    time.Duration
+	alones   int
 	patience *Patience
 	credits  []int
 }
@@ -79,10 +80,8 @@
 
 // learnAlone adopts how long a call lasted on a backend server with a free slot.
 func (r *Route) learnAlone(duration time.Duration) {
-	if r.alone == 0 {
-		r.alone = duration
-	}
-	r.alone += time.Duration(workWeight * float64(duration-r.alone))
+	r.alones++
+	r.alone += time.Duration(max(workWeight, 1/float64(r.alones)) * float64(duration-r.alone))
 }
 
 // routes finds the route of a call. The lists are sorted by falling length of
@@ -101,7 +100,8 @@
 	for _, entry := range declared {
 		route := newRoute(entry)
 		if old, ok := known[entry.Name]; ok {
-			route.Work, route.Size, route.alone, route.patience = old.Work, old.Size, old.alone, old.patience
+			route.Work, route.Size, route.patience = old.Work, old.Size, old.patience
+			route.alone, route.alones = old.alone, old.alones
 		}
 		made[entry.HostName] = append(made[entry.HostName], route)
 	}
