Property: answers of other hosts that do not fit change nothing

Draws answers of peers with any versions, revisions, changes and a hash that is not theirs: versions and revisions never go back and no registration is taken.

--- a/declared/declared_test.go
+++ b/declared/declared_test.go
@@ -452,14 +452,26 @@
 	})
 }
 
+// unfit draws an answer whose registrations are not those that its hash says.
+func unfit(t *rapid.T) schema.DeclaredAnswer {
+	return schema.DeclaredAnswer{
+		DeclaredVersion: rapid.IntRange(-3, 30).Draw(t, "told version"), OrdersAt: rapid.IntRange(-3, 60).Draw(t, "told at"),
+		RegistrationsAfter: rapid.IntRange(-1, 60<<declared.RevisionBits).Draw(t, "told after"),
+		RegistrationsAt:    rapid.IntRange(-1, 60<<declared.RevisionBits).Draw(t, "told revision"),
+		Registrations:      []schema.Registration{server(rapid.StringMatching("[a-c]?").Draw(t, "told"))},
+		Gone:               rapid.SliceOf(rapid.SampledFrom([]string{"a", "b", ""})).Draw(t, "gone"),
+		RegistrationsHash:  -1,
+	}
+}
+
 func TestVersionsNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		book := declared.NewBook()
-		newest, now := 0, begin
+		newest, revision, now := 0, 0, begin
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			number, store := rapid.IntRange(1, 20).Draw(t, "version"), rapid.IntRange(1, 50).Draw(t, "store version")
-			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
 			case 0:
 				book.Step(now, declared.OrdersRead{At: store, Full: rapid.Bool().Draw(t, "full"), Declarations: []schema.Declaration{version(number)}})
 			case 1:
@@ -468,11 +480,20 @@
 				book.Step(now, declared.ReadFailed{Table: declared.Orders})
 			case 3:
 				book.Step(now, declared.HistoryLost{Table: declared.Orders})
+			case 4:
+				before := ids(book)
+				book.Step(now, declared.PeerAnswered{Answer: unfit(t)})
+				if ids(book) != before {
+					t.Fatalf("changes that do not fit were adopted: %s after %s", ids(book), before)
+				}
 			}
 			if book.Declared.Declaration.Version < newest {
 				t.Fatalf("version %d after %d", book.Declared.Declaration.Version, newest)
 			}
-			newest = book.Declared.Declaration.Version
+			if book.Declared.RegistrationsAt < revision {
+				t.Fatalf("revision %d after %d", book.Declared.RegistrationsAt, revision)
+			}
+			newest, revision = book.Declared.Declaration.Version, book.Declared.RegistrationsAt
 		}
 	})
 }
