Let hosts ask a store that is away one after the other

Ruled out: the ranks; they staggered only the start and the time-out. Change: hosts beyond the two readers wait for their turn, 150 ms apart for the first four and twice as long for each further one.

--- a/declared/declared.go
+++ b/declared/declared.go
@@ -36,6 +36,12 @@
 	// rankStep is what each rank waits longer, so that one host after the other
 	// begins to read.
 	rankStep = 150 * time.Millisecond
+	// evenTurns is the number of hosts that follow each other by rankStep when too
+	// few are answered; the wait doubles from there on. A store that turns every
+	// second host away answers one of them but for one time in sixteen.
+	evenTurns = 4
+	// longestTurn bounds that wait.
+	longestTurn = 10 * time.Second
 	// meetFor is the time after its start in which a host meets the others, so that
 	// it knows whether they read.
 	meetFor = 300 * time.Millisecond
@@ -96,7 +102,10 @@
 	fetchedFrom string
 	role        RoleChanged
 	readers     map[string]time.Time
-	changed     bool
+	// shortSince is since when fewer hosts than readers ahead of this one read the
+	// store, or zero.
+	shortSince time.Time
+	changed    bool
 }
 
 // NewBook returns a book that knows nothing and reads the store at once.
--- a/declared/declared_test.go
+++ b/declared/declared_test.go
@@ -381,6 +381,26 @@
 	assert.Assert(t, c.calls-calls <= 24, "%d calls in ten seconds", c.calls-calls)
 }
 
+// The run that showed it: fpf-gateway-grown inc-36e9. When the store went away,
+// all 93 hosts asked it at once and went on until it was back.
+func TestFewHostsAskAStoreThatIsAway(t *testing.T) {
+	c := newCluster(60)
+	c.write(server("a"))
+	c.run(5 * time.Second)
+	for host := range c.turned {
+		c.turned[host] = true
+	}
+	calls := c.calls
+	c.run(8 * time.Second)
+	assert.Assert(t, c.calls-calls <= 2*12*8, "%d calls in eight seconds", c.calls-calls)
+	c.turned = make([]bool, 60)
+	c.write(draining("a"))
+	c.run(2 * time.Second)
+	for host, book := range c.books {
+		assert.Equal(t, ids(book), "a- ", "host %d", host)
+	}
+}
+
 // The run that broke it: cmmf-portail-grown quiet-1, --no-cpu. Each of 138 hosts
 // that started together had a second read wait at the store, because none had
 // heard yet that others read.
--- a/declared/reading.go
+++ b/declared/reading.go
@@ -37,13 +37,24 @@
 // store answers do, and any host while no one tells it what is in force.
 func (b *Book) reader(now time.Time) bool {
 	rank := len(b.role.Ahead)
-	later := time.Duration(rank) * rankStep
 	if !b.Known() {
-		return now.Sub(b.startedAt) >= startAfter+later
+		return now.Sub(b.startedAt) >= startAfter+time.Duration(rank)*rankStep
 	}
 	if age := now.Sub(b.startedAt); age < meetFor || age < hearFor && rank >= readers {
 		return false
 	}
+	if b.heardReading(now) >= readers {
+		b.shortSince = time.Time{}
+	} else if b.shortSince.IsZero() {
+		b.shortSince = now
+	}
+	short := !b.shortSince.IsZero() && now.Sub(b.shortSince) >= turn(rank)
+
+	return short || now.Sub(b.ConfirmedAt()) >= staleAfter+turn(rank)
+}
+
+// heardReading returns the number of hosts ahead that read the store.
+func (b *Book) heardReading(now time.Time) int {
 	reading := 0
 	for _, name := range b.role.Ahead {
 		if now.Sub(b.readers[name]) < readerTimeout {
@@ -51,7 +62,23 @@
 		}
 	}
 
-	return reading < readers || now.Sub(b.ConfirmedAt()) >= staleAfter+later
+	return reading
+}
+
+// turn returns how long a host of a rank lets those ahead try to read the store
+// first: one after the other, and from the first few on ever more rarely, so that
+// a store that answers no one is not asked by all.
+func turn(rank int) time.Duration {
+	place := max(rank-readers+1, 0)
+	if rank < readers {
+		return 0
+	}
+	wait := time.Duration(min(place, evenTurns)) * rankStep
+	for range max(place-evenTurns, 0) {
+		wait = min(2*wait, longestTurn)
+	}
+
+	return wait
 }
 
 // Reads reports whether this host reads the store and is answered.
