--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -349,3 +349,24 @@
 		})
 	}
 }
+
+func TestCallsPreferBackendServersThatThisHostMeasures(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	for first := range ids {
+		servers := make([]schema.Registration, 0, len(ids))
+		for i := range ids {
+			servers = append(servers, registration(ids[(first+i)%len(ids)]))
+		}
+		placer := newPlacer(declaration(schema.Route{Idempotent: true}, servers...))
+		placer.Step(begin, placement.PeersChanged{Peers: placement.Peers{Hosts: 2, Serving: []placement.Peer{
+			{Name: "host", DataCentre: "north"}, {Name: "mate", DataCentre: "north"},
+		}}})
+		measured := map[string]bool{}
+		for _, state := range placer.Dump(begin).BackendServers {
+			measured[state.Registration.ID] = state.Measured
+		}
+		send, ok := of[placement.Send](call(placer, begin, 1))
+		assert.Assert(t, ok)
+		assert.Assert(t, measured[send.Server], "a call went to %s of %v", send.Server, measured)
+	}
+}
