--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -63,6 +63,8 @@
 	ended  bool
 	// limitDescriptors limits the descriptors of a process to those of its settings.
 	limitDescriptors bool
+	// cpuShare is the share of a core that the settings state.
+	cpuShare float64
 }
 
 func newFleet(hosts int) (*fleet, error) {
@@ -72,7 +74,7 @@
 	}
 	folder, err := os.MkdirTemp("", "review-")
 
-	f := &fleet{ports: free, folder: folder}
+	f := &fleet{ports: free, folder: folder, cpuShare: 0.32}
 	fleets = append(fleets, f)
 
 	return f, err
@@ -95,7 +97,7 @@
 		"ip": ip, "zone": zone, "region": "island", "zones": map[string]string{"north": "island", "south": "island"},
 		"listen":         map[string]string{"front": h.front, "ready": h.ready, "directory": h.directory, "control": at(f.ports.control)},
 		"internal_ports": []int{f.ports.internal, f.ports.internal}, "seeds": seeds, "bootstrap": true, "counts_as_loss": false,
-		"limits":   map[string]any{"cpu_share": 0.32, "cpus": 1, "memory_mb": 284, "max_fds": maxDescriptors, "bandwidth_mbps": 1000.0, "disk_mb": 0},
+		"limits":   map[string]any{"cpu_share": f.cpuShare, "cpus": 1, "memory_mb": 284, "max_fds": maxDescriptors, "bandwidth_mbps": 1000.0, "disk_mb": 0},
 		"data_dir": nil, "discovery": "platform", "entry": "directory", "heartbeat": "1500ms",
 		"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "health", "places", "platform"},
 		"fault_tolerance": map[string]int{"machines": 2, "zones": 1, "regions": 0},
--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -12,7 +12,7 @@
 
 const (
 	// lookUpRate is the number of look-ups a second on new connections.
-	lookUpRate = 140
+	lookUpRate = 320
 	// lookUpTime is the longest duration of the traffic.
 	lookUpTime = 90 * time.Second
 	// leaveShare is the share of consumers that leave, and leaveWithin the time within
@@ -43,16 +43,17 @@
 		return false, err
 	}
 	defer s.fleet.end()
+	s.fleet.cpuShare = 0.8
 	s.routes = []route{{"r-stock", "/stock/", "safe", "stock", "1000ms", "200ms"}}
 	s.declare("stock")
-	const upstreams = 20
+	const upstreams = 24
 	for i := range upstreams {
 		u, err := s.join("stock", "north", 4, 0)
 		if err != nil {
 			return false, err
 		}
-		u.work = func(*http.Request) time.Duration { return 99*time.Millisecond + rand.N(3*time.Millisecond) }
-		if trouble && i < loseServers*upstreams {
+		u.work = func(*http.Request) time.Duration { return 98700*time.Microsecond + rand.N(1500*time.Microsecond) }
+		if trouble && float64(i) < loseServers*upstreams {
 			u.lose = func() bool { return rand.Float64() < loseShare }
 		}
 	}
