--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -75,7 +75,8 @@
 // run runs the traffic until the process ends, or for visitTime, and returns the
 // number of requests from kept connections that were passed on and not answered.
 func (v *visitors) run(trouble bool) int {
-	until := time.Now().Add(visitTime)
+	began := time.Now()
+	until := began.Add(visitTime)
 	var consumers sync.WaitGroup
 	var lost atomic.Int64
 	for i := range regulars {
@@ -86,7 +87,7 @@
 		if i%(5*visitorRate) == 0 {
 			v.log.line("%d consumers have connected", v.opened.Load())
 		}
-		time.Sleep(time.Second / visitorRate)
+		time.Sleep(time.Until(began.Add(time.Duration(i+1) * time.Second / visitorRate)))
 	}
 	if v.hasEnded() {
 		v.log.line("the process has ended by itself after %d consumers had connected: %v", v.opened.Load(), v.fleet.hosts[0].process.ProcessState)
--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -74,10 +74,10 @@
 	for i := range keepers {
 		consumers.Go(func() { t.keep(i) })
 	}
-	sent := 0
+	sent, began := 0, time.Now()
 	for ; !t.over(); sent++ {
 		consumers.Go(func() { t.lookUp(sent) })
-		time.Sleep(time.Second / lookUpRate)
+		time.Sleep(time.Until(began.Add(time.Duration(sent+1) * time.Second / lookUpRate)))
 	}
 	select {
 	case <-t.host.exited:
