review: case 1 counts requests at sound upstreams only

Cause: the rule speaks of sound upstreams, and the script counted look-ups at those that lose answers too. Change: only upstreams that lose no answers count; 30 kept connections, 240 look-ups a second on new ones.

--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -12,7 +12,7 @@
 
 const (
 	// lookUpRate is the number of look-ups a second on new connections.
-	lookUpRate = 320
+	lookUpRate = 240
 	// lookUpTime is the longest duration of the traffic.
 	lookUpTime = 90 * time.Second
 	// leaveShare is the share of consumers that leave, and leaveWithin the time within
@@ -22,7 +22,7 @@
 	// of their answers that are lost.
 	loseServers, loseShare = 0.6, 0.4
 	// keepers is the number of consumers that keep a connection for all look-ups.
-	keepers = 16
+	keepers = 30
 )
 
 // lookUps is the traffic of the case.
@@ -138,9 +138,9 @@
 
 			continue
 		}
-		ran := len(t.runs()[id])
-		t.log.line("%s, request %d of its connection: connection closed without an answer (%v), begun by upstreams: %d", id, n, result.err, ran)
-		if n > 1 && ran > 0 {
+		sound := t.runsAtSound(id)
+		t.log.line("%s, request %d of its connection: connection closed without an answer (%v), begun by sound upstreams: %d", id, n, result.err, sound)
+		if n > 1 && sound > 0 {
 			t.lost.Add(1)
 			t.log.line("%s: LOST", id)
 		}
@@ -148,3 +148,22 @@
 		return
 	}
 }
+
+// runsAtSound returns how often upstreams that lose no answers began a look-up.
+func (t *lookUps) runsAtSound(id string) int {
+	count := 0
+	for _, u := range t.upstreams {
+		if u.lose != nil {
+			continue
+		}
+		u.mu.Lock()
+		for _, r := range u.runs {
+			if r.id == id {
+				count++
+			}
+		}
+		u.mu.Unlock()
+	}
+
+	return count
+}
