Failing tests: stale refusals, joined heads and trailers

- backendhttp.TestMalformedHeadsAreRejected and TestTrailersAreNotFieldsOfTheHead fail each time.

backendhttp.TestCutResponsesAreNeverComplete and TestSenderNeverReportsCutResponsesAsComplete, which cut answers at each byte, pass on the unchanged code.

--- /dev/null
+++ b/backendhttp/cut_test.go
@@ -0,0 +1,267 @@
+package backendhttp_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
+)
+
+// stallTimeout is the deadline of an exchange whose response stalls.
+const stallTimeout = 20 * time.Millisecond
+
+// bodySize is the size in bytes of a body that exceeds the read buffer.
+const bodySize = 20 << 10
+
+// cuttable is a complete response that the tests cut.
+type cuttable struct {
+	raw    string
+	method string
+	// endsWithConnection is true if the body has no length, so that a cut behind the
+	// head cannot be told from its end.
+	endsWithConnection bool
+	// step is the distance of cuts within the body.
+	step int
+}
+
+// cuttables are complete responses by their framing.
+var cuttables = map[string]cuttable{
+	"length":                   {raw: "HTTP/1.1 200 OK\r\nId: wanted\r\nContent-Length: 12\r\n\r\ntwelve bytes"},
+	"length before the id":     {raw: "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nId: wanted\r\n\r\ntwelve bytes"},
+	"no body":                  {raw: "HTTP/1.1 200 OK\r\nId: wanted\r\nContent-Length: 0\r\n\r\n"},
+	"no reason":                {raw: "HTTP/1.1 200\r\nId: wanted\r\nContent-Length: 4\r\n\r\nbody"},
+	"chunks":                   {raw: "HTTP/1.1 200 OK\r\nId: wanted\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n2\r\nxy\r\n0\r\n\r\n"},
+	"chunks and trailers":      {raw: "HTTP/1.1 200 OK\r\nId: wanted\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n4;a=b\r\nbody\r\n0\r\nX-Sum: 1\r\nX-More: 2\r\n\r\n"},
+	"end of the connection":    {raw: "HTTP/1.1 200 OK\r\nId: wanted\r\nConnection: close\r\n\r\nbody", endsWithConnection: true},
+	"interim responses before": {raw: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nId: wanted\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nId: wanted\r\nContent-Length: 4\r\n\r\nbody"},
+	"failure":                  {raw: "HTTP/1.1 500 Internal Server Error\r\nId: wanted\r\nContent-Length: 4\r\n\r\nbody"},
+	"no content":               {raw: "HTTP/1.1 204 No Content\r\nId: wanted\r\n\r\n"},
+	"not modified":             {raw: "HTTP/1.1 304 Not Modified\r\nId: wanted\r\nContent-Length: 4\r\n\r\n"},
+	"to HEAD":                  {raw: "HTTP/1.1 200 OK\r\nId: wanted\r\nContent-Length: 4\r\n\r\n", method: http.MethodHead},
+	"line ends before":         {raw: "\r\n\r\nHTTP/1.1 200 OK\r\nId: wanted\r\nContent-Length: 4\r\n\r\nbody"},
+	"larger than the buffer":   {raw: "HTTP/1.1 200 OK\r\nId: wanted\r\nContent-Length: 20480\r\n\r\n" + strings.Repeat("x", bodySize), step: 1021},
+	"chunks beyond the buffer": {raw: "HTTP/1.1 200 OK\r\nId: wanted\r\nTransfer-Encoding: chunked\r\n\r\n5000\r\n" + strings.Repeat("x", bodySize) + "\r\n0\r\n\r\n", step: 1021},
+}
+
+// cuts returns the positions at which the tests cut the response: each byte of its
+// heads, and of its body in steps.
+func (c cuttable) cuts() []int {
+	var positions []int
+	head := strings.LastIndex(c.raw[:min(len(c.raw), 400)], "\r\n\r\n") + 4
+	for at := 0; at < len(c.raw); at++ {
+		if at <= head || c.step == 0 || (at-head)%c.step == 0 || len(c.raw)-at < 10 {
+			positions = append(positions, at)
+		}
+	}
+
+	return positions
+}
+
+// headLength returns the number of bytes up to the end of the last head.
+func (c cuttable) headLength() int {
+	return strings.LastIndex(c.raw, "\r\n\r\n") + 4
+}
+
+// cutEnds are the ways in which a cut response ends.
+var cutEnds = map[string]func(conn *net.TCPConn){
+	"closed":      func(conn *net.TCPConn) { _ = conn.Close() },
+	"half closed": func(conn *net.TCPConn) { _ = conn.CloseWrite() },
+	"reset":       reset,
+	"stalled":     func(*net.TCPConn) {},
+}
+
+// exchangeCut sends a request on a connection and reads a response that the backend
+// server cuts.
+func exchangeCut(t *testing.T, connection *backendhttp.Connection, method string, timeout time.Duration) (string, error) {
+	t.Helper()
+	assert.NilError(t, connection.Open(t.Context(), time.Now().Add(timeout)))
+	var request fasthttp.Request
+	var response fasthttp.Response
+	request.Header.SetMethod(method)
+	request.SetRequestURI("/")
+	request.Header.SetHost("a.example")
+	err := connection.ExchangeWhole(&request, &response, backendhttp.LimitBody(maxBodySize), matchesRequest)
+
+	return string(response.Body()), err
+}
+
+// Guards against a response that the backend server broke off at any byte, and that
+// is taken for a complete one.
+func TestCutResponsesAreNeverComplete(t *testing.T) {
+	for name, whole := range cuttables {
+		for end, finish := range cutEnds {
+			for _, kept := range []bool{false, true} {
+				t.Run(name+", "+end+map[bool]string{true: ", kept connection"}[kept], func(t *testing.T) {
+					t.Parallel()
+					checkCuts(t, whole, end, finish, kept)
+				})
+			}
+		}
+	}
+}
+
+// checkCuts cuts a response at each position.
+func checkCuts(t *testing.T, whole cuttable, end string, finish func(*net.TCPConn), kept bool) {
+	t.Helper()
+	positions := whole.cuts()
+	handlers := make([]connHandler, 0, len(positions))
+	for _, at := range positions {
+		handlers = append(handlers, func(conn *net.TCPConn, requests *bufio.Reader) {
+			if kept {
+				receive(requests)
+				writeRaw(conn, "HTTP/1.1 200 OK\r\nId: wanted\r\nContent-Length: 5\r\n\r\nfirst")
+			}
+			receive(requests)
+			writeRaw(conn, whole.raw[:at])
+			finish(conn)
+		})
+	}
+	address := listen(t, handlers...)
+	timeout := time.Second
+	if end == "stalled" {
+		timeout = stallTimeout
+	}
+	for _, at := range positions {
+		connection := backendhttp.NewConnection(address)
+		if kept {
+			body, err := exchangeCut(t, connection, http.MethodGet, time.Second)
+			assert.NilError(t, err)
+			assert.Equal(t, body, "first")
+		}
+		body, err := exchangeCut(t, connection, whole.method, timeout)
+		if whole.endsWithConnection && at >= whole.headLength() && strings.HasSuffix(end, "closed") {
+			assert.NilError(t, err, "cut at byte %d", at)
+			assert.Equal(t, body, whole.raw[whole.headLength():at])
+		} else {
+			assert.Assert(t, err != nil, "cut at byte %d of %q, and taken as %q", at, whole.raw[:min(at, 400)], body)
+		}
+		connection.Close()
+	}
+}
+
+// Guards against a check of cut responses that passes because nothing is accepted.
+func TestUncutResponsesAreComplete(t *testing.T) {
+	for name, whole := range cuttables {
+		t.Run(name, func(t *testing.T) {
+			connection := backendhttp.NewConnection(listen(t, func(conn *net.TCPConn, requests *bufio.Reader) {
+				receive(requests)
+				writeRaw(conn, whole.raw)
+				closeConn(conn)
+			}))
+			defer connection.Close()
+			_, err := exchangeCut(t, connection, whole.method, time.Second)
+			assert.NilError(t, err)
+		})
+	}
+}
+
+// Guards against heads that are read as something else than was sent: bytes that
+// belong to two responses, or a status that is none.
+func TestMalformedHeadsAreRejected(t *testing.T) {
+	const rest = "Id: wanted\r\nContent-Length: 4\r\n\r\nbody"
+	tests := map[string]string{
+		"cut head before a response":            "HTTP/1.1 503 Busy\r\nX-Refused: 1\r\nX-" + "HTTP/1.1 200 OK\r\n" + rest,
+		"cut value before a response":           "HTTP/1.1 503 Busy\r\nX-Refused: 1HTTP/1.1 200 OK\r\n" + rest,
+		"cut name before a response":            "HTTP/1.1 503 Busy\r\nX-Refused: 1\r\nX-Odd:HTTP/1.1 200 OK\r\n" + rest,
+		"cut status line before a response":     "HTTP/1.1 503 HTTP/1.1 200 OK\r\n" + rest,
+		"status 0":                              "HTTP/1.1 000 None\r\n" + rest,
+		"status below 100":                      "HTTP/1.1 099 None\r\n" + rest,
+		"chunks that HTTP/1.0 does not know":    "HTTP/1.0 200 OK\r\nId: wanted\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+		"bare line feeds":                       "HTTP/1.1 200 OK\nId: wanted\nContent-Length: 4\n\nbody",
+		"empty line that is a bare line feed":   "HTTP/1.1 200 OK\r\nId: wanted\r\n\nContent-Length: 4\r\n\r\nbody",
+		"bare line feed at the end of a line":   "HTTP/1.1 200 OK\r\nId: wanted\nContent-Length: 4\r\n\r\nbody",
+		"length in the middle of its digits":    "HTTP/1.1 200 OK\r\nId: wanted\r\nContent-Length: 4 4\r\n\r\nbody",
+		"two lengths":                           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + rest,
+		"interim response with a body":          "HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\n" + rest,
+		"interim response that is cut":          "HTTP/1.1 100 Continue\r\nHTTP/1.1 200 OK\r\n" + rest,
+		"more interim responses than are usual": strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 200) + "HTTP/1.1 200 OK\r\n" + rest,
+	}
+	for name, raw := range tests {
+		t.Run(name, func(t *testing.T) {
+			body, err := exchangeWith(t, raw, false, matchesRequest)
+			assert.Assert(t, err != nil, "taken as %q", body)
+		})
+	}
+}
+
+// Guards against trailers that are taken for fields of the head, in which a backend
+// server says to which request a response belongs.
+func TestTrailersAreNotFieldsOfTheHead(t *testing.T) {
+	tests := map[string]string{
+		"announced":     "Trailer: Id\r\n",
+		"not announced": "",
+	}
+	for name, announced := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := exchangeWith(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"+announced+"\r\n4\r\nbody\r\n0\r\nId: wanted\r\n\r\n", false, matchesRequest)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
+
+// Guards against a response that the backend server broke off at any byte, and that
+// a sender reports as complete or as shed.
+func TestSenderNeverReportsCutResponsesAsComplete(t *testing.T) {
+	wholes := map[string]cuttable{
+		"length": cuttables["length"], "chunks": cuttables["chunks"], "chunks and trailers": cuttables["chunks and trailers"],
+		"interim responses before": cuttables["interim responses before"], "failure": cuttables["failure"],
+		"larger than the buffer": cuttables["larger than the buffer"],
+		"streamed":               {raw: "HTTP/1.1 200 OK\r\nContent-Length: 700000\r\n\r\n" + strings.Repeat("x", 700_000), step: 99_991},
+		"shed":                   {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nContent-Length: 4\r\n\r\nbusy"},
+	}
+	for name, whole := range wholes {
+		for _, end := range []string{"closed", "reset"} {
+			t.Run(name+", "+end, func(t *testing.T) {
+				t.Parallel()
+				positions := whole.cuts()
+				handlers := make([]connHandler, 0, len(positions))
+				for _, at := range positions {
+					handlers = append(handlers, func(conn *net.TCPConn, requests *bufio.Reader) {
+						receive(requests)
+						writeRaw(conn, whole.raw[:at])
+						cutEnds[end](conn)
+					})
+				}
+				s := newSender(t, listen(t, handlers...))
+				for _, at := range positions {
+					s.start(t, http.MethodPost, "/", time.Second)
+					got := s.wait(t)
+					result := resultName(got.result)
+					shedHead := name == "shed" && at >= whole.headLength()
+					assert.Assert(t, result == "Cut" || shedHead && result == "Shed", "%s after a cut at byte %d", result, at)
+					assert.Assert(t, !got.whole, "cut at byte %d", at)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a second copy of a shed response that is taken for the response to
+// the next request: responses to this front end name no request.
+func TestSenderClosesTheConnectionOfAShedResponse(t *testing.T) {
+	const shed = "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nContent-Length: 0\r\n\r\n"
+	tests := map[string]time.Duration{"at once": 0, "while the next request runs": settleTime}
+	for name, delay := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSender(t, listen(t, func(conn *net.TCPConn, requests *bufio.Reader) {
+				receive(requests)
+				writeRaw(conn, shed)
+				time.Sleep(delay)
+				writeRaw(conn, shed)
+			}, respondAfter(0)))
+			s.start(t, http.MethodPost, "/one", time.Second)
+			assert.Equal(t, resultName(s.wait(t).result), "Shed")
+			s.start(t, http.MethodPost, "/two", time.Second)
+			got := s.wait(t)
+			assert.Equal(t, resultName(got.result), "Whole")
+			assert.Equal(t, got.body, "/two")
+		})
+	}
+}
