Connections carry a request ID once

Callers saw 503, a promise that a request has not run, for requests that ran.

Cause: answers name their request by its ID. A request that is sent again on the same kept connection, because the address belongs to another backend server now (421) or because its caller repeats it, takes a second copy of its own earlier refusal for the answer.

Change: a connection remembers the IDs that it has carried, at most 256, and is replaced for a request whose ID is among them. A request without an ID gets a new connection, on which the answer need not name it.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
@@ -24,6 +26,8 @@
 	writeBufferSize = 4 << 10
 	// maxAnswers is the maximum number of responses read for one request.
 	maxAnswers = 4
+	// maxRequestIDs is the maximum number of requests with an ID on a connection.
+	maxRequestIDs = 256
 )
 
 // UnframedError reports a response whose truncation could not be detected, because
@@ -63,6 +67,7 @@
 	writer      *bufio.Writer
 	sent        int
 	exchanges   int
+	requestIDs  []uint64 // hashes
 	usableUntil time.Time
 	pool        *addressPool
 }
@@ -97,7 +102,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "connecting to %s", c.Address)
 	}
-	c.conn, c.peeker, c.exchanges = conn, tcp.NewPeeker(conn), 0
+	c.conn, c.peeker, c.exchanges, c.requestIDs = conn, tcp.NewPeeker(conn), 0, c.requestIDs[:0]
 	if c.reader == nil {
 		c.reader, c.writer = bufio.NewReaderSize(conn, maxHeadSize), bufio.NewWriterSize(c, writeBufferSize)
 	}
@@ -113,6 +118,22 @@
 	return nil
 }
 
+// OpenFor is like Open for a request whose response repeats its ID. It replaces a
+// connection on which the ID was sent before: a second copy of the earlier response
+// could not be told from the response to this request.
+func (c *Connection) OpenFor(ctx context.Context, deadline time.Time, id string) error {
+	hash := xxhash.Sum64String(id)
+	if id == "" || len(c.requestIDs) == maxRequestIDs || slices.Contains(c.requestIDs, hash) {
+		c.Close()
+	}
+	if err := c.Open(ctx, deadline); err != nil {
+		return err
+	}
+	c.requestIDs = append(c.requestIDs, hash)
+
+	return nil
+}
+
 // usable reports whether a request may be sent on the open connection.
 func (c *Connection) usable() bool {
 	return c.reader.Buffered() == 0 && c.peeker.Peek() == tcp.Idle
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -92,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(attempt.Context, wait)
 	defer cancel()
 
-	return connection.Open(ctx, attempt.Deadline.Add(readGrace))
+	return connection.OpenFor(ctx, attempt.Deadline.Add(readGrace), attempt.Request.ID)
 }
 
 // exchange sends the request and reads the answer. It also reports whether the
