Response heads are checked before they are read

Callers saw 503 for requests that ran, and a request ran at a second backend server, when a backend server wrote an earlier refusal once more on a kept connection and broke it off: the truncated head and the head of the answer were read as one, with the status of the first and the request ID of the second.

Cause: the HTTP library reads lines up to an empty one, whatever they hold. It also reads the status 000 as 200, and chunks of an HTTP/1.0 answer as its body.

Change: a head is complete when its empty line has arrived. It must have exactly one status line, at its beginning and with a status from 100, line ends with a carriage return, and no transfer coding under HTTP/1.0. Anything else ends the exchange with an unknown result.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -161,14 +161,14 @@
 	response.StreamBody = true
 	response.SkipBody = request.Header.IsHead()
 	if err := c.send(request); err != nil {
-		if c.sent == 0 || response.ReadLimitBody(c.reader, 0) != nil || len(response.Header.Peek(HeaderShed)) == 0 {
+		if c.sent == 0 || c.readHead(response) != nil || len(response.Header.Peek(HeaderShed)) == 0 {
 			return err
 		}
 		response.SetConnectionClose()
 
 		return nil
 	}
-	if err := response.ReadLimitBody(c.reader, 0); err != nil {
+	if err := c.readHead(response); err != nil {
 		return err
 	}
 	unframed := response.Header.ContentLength() < -1 && response.BodyStream() != nil
@@ -249,11 +249,20 @@
 	return &ForeignAnswerError{Answers: maxAnswers}
 }
 
+// readHead reads the head of a response, whose body follows as a stream.
+func (c *Connection) readHead(response *fasthttp.Response) error {
+	if err := awaitHead(c.reader); err != nil {
+		return err
+	}
+
+	return response.ReadLimitBody(c.reader, 0)
+}
+
 // readWhole reads a response with its body.
 func (c *Connection) readWhole(response *fasthttp.Response, withoutBody bool, read BodyReader) error {
 	response.Reset()
 	response.StreamBody, response.SkipBody = true, withoutBody
-	if err := response.ReadLimitBody(c.reader, 0); err != nil {
+	if err := c.readHead(response); err != nil {
 		return err
 	}
 	stream := response.BodyStream()
