Trailers are not looked up as fields of the head

A success could reach a caller without its signature, or an answer count as refused or as that of the request, by what its trailers said.

Cause: the HTTP library looks up fields among the trailers, too, but does not pass them on.

Change: the head of a chunked answer is kept as it was before its body.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -269,6 +269,12 @@
 	if stream == nil {
 		return nil
 	}
+	if response.Header.ContentLength() == -1 {
+		// Fields would be looked up among the trailers, too.
+		var head fasthttp.ResponseHeader
+		response.Header.CopyTo(&head)
+		defer head.CopyTo(&response.Header)
+	}
 	body, err := read(stream, max(response.Header.ContentLength(), -1))
 	if err != nil {
 		_ = c.conn.Close() // releasing the response must not wait for the rest of the body
