A cancelled attempt may have run

A call that may run once was sent to a second backend server, or refused as not run, when its attempt ended as Cancelled without the placer having cancelled it. An attempt of which no byte was sent ends as Unsent, so a cancelled one may have run. No path on which this happens was found: today the placer itself cancels all attempts of open calls.

Evidence: the new case of TestOutcomes failed before.

Change: Cancelled counts like Cut.

Result: the tests of placement pass.

--- a/placement/calls.go
+++ b/placement/calls.go
@@ -345,10 +345,8 @@
 			return
 		}
 		p.retry(now, c, ReasonUnreachable)
-	case Cut:
+	case Cut, Cancelled:
 		c.mayHaveRun = true
 		p.retry(now, c, ReasonCut)
-	case Cancelled:
-		p.retry(now, c, ReasonCut)
 	}
 }
--- a/placement/events.go
+++ b/placement/events.go
@@ -157,7 +157,7 @@
 	Cause error
 }
 
-// Cancelled says that this host cancelled the attempt.
+// Cancelled says that this host cancelled the attempt after it was sent.
 type Cancelled struct{}
 
 func (Whole) result()       {}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -89,6 +89,9 @@
 		"a call that may run once is not retried after it may have run": {
 			results: []placement.Result{placement.Cut{}}, sends: 1, outcome: placement.Unknown{Reason: placement.ReasonCut},
 		},
+		"a call that may run once is not retried after its attempt was cancelled": {
+			results: []placement.Result{placement.Cancelled{}}, sends: 1, outcome: placement.Unknown{Reason: placement.ReasonCut},
+		},
 		"a failure of a call that may run once is delivered": {
 			results: []placement.Result{placement.Whole{Status: 500}}, sends: 1, outcome: placement.Answered{Attempt: 1},
 		},
