Answers without an ID are foreign behind other foreign ones

A call was refused as not run, although it ran, when a backend server sent answers to other requests on a new connection and then a refusal without an ID.

Cause: a connection counted as new until its first exchange ended, also when answers had been skipped on it.

Evidence: TestUnnamedRefusalAmongForeignAnswers failed before (503, not 200).

Change: each answer that is read makes the connection a used one.

Result: the test passes, as does TestLateSecondAnswers.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -66,7 +66,7 @@
 	reader      *bufio.Reader
 	writer      *bufio.Writer
 	sent        int
-	exchanges   int
+	answers     int
 	requestIDs  []uint64 // hashes
 	usableUntil time.Time
 	pool        *addressPool
@@ -102,7 +102,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "connecting to %s", c.Address)
 	}
-	c.conn, c.peeker, c.exchanges, c.requestIDs = conn, tcp.NewPeeker(conn), 0, c.requestIDs[:0]
+	c.conn, c.peeker, c.answers, c.requestIDs = conn, tcp.NewPeeker(conn), 0, c.requestIDs[:0]
 	if c.reader == nil {
 		c.reader, c.writer = bufio.NewReaderSize(conn, maxHeadSize), bufio.NewWriterSize(c, writeBufferSize)
 	}
@@ -215,7 +215,6 @@
 // connection is closed. After an error the connection is closed.
 func (c *Connection) ExchangeWhole(request *fasthttp.Request, response *fasthttp.Response, read BodyReader, accept func(*fasthttp.Response) bool) error {
 	err := c.exchangeWhole(request, response, read, accept)
-	c.exchanges++
 	if err != nil {
 		c.Close()
 	}
@@ -241,7 +240,9 @@
 		if response.StatusCode() == fasthttp.StatusSwitchingProtocols {
 			return &UnframedError{Status: response.StatusCode()}
 		}
-		if accept(response) {
+		accepted := accept(response)
+		c.answers++
+		if accepted {
 			return nil
 		}
 	}
@@ -289,10 +290,10 @@
 	return nil
 }
 
-// Reused reports whether an exchange has ended on the open connection before, so
-// that an answer to an earlier request may still arrive.
+// Reused reports whether a response was read on the open connection before, so that
+// a second copy of it may still arrive.
 func (c *Connection) Reused() bool {
-	return c.exchanges > 0
+	return c.answers > 0
 }
 
 func (c *Connection) send(request *fasthttp.Request) error {
