Health checks skip the answers to calls

A backend server got no calls, or counted as healthy, by what the answer to an earlier call says: health checks share connections with calls and took whatever answer came first.

Evidence: TestStaleRefusalsAreNotTakenForHealthChecks failed before (503, not 200: a stale Retry-After paused the only backend server).

Change: a health check takes only an answer without a request ID.

Result: the test passes.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -72,6 +72,8 @@
 	EncodeSend func(request *fasthttp.Request, attempt *Attempt, now time.Time)
 	// DecodeAnswer decodes a backend server's answer.
 	DecodeAnswer func(response *fasthttp.Response, attempt *Attempt) DecodedAnswer
+	// AnswersProbe reports whether an answer belongs to a probe and not to a call.
+	AnswersProbe func(response *fasthttp.Response) bool
 	// DecodeProbe decodes the answer to a probe.
 	DecodeProbe func(response *fasthttp.Response, server string) placement.ProbeEnded
 	// MountReadiness adds the route of the readiness check.
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -192,8 +192,7 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI(probe.Path)
 	request.Header.SetHost(probe.Address)
-	acceptAny := func(*fasthttp.Response) bool { return true }
-	if connection.ExchangeWhole(request, response, backendhttp.LimitBody(maxProbeAnswerBytes), acceptAny) != nil {
+	if connection.ExchangeWhole(request, response, backendhttp.LimitBody(maxProbeAnswerBytes), p.adapter.AnswersProbe) != nil {
 		return placement.ProbeEnded{Server: probe.Server}
 	}
 	if response.ConnectionClose() {
