--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
@@ -24,6 +26,8 @@
 	writeBufferSize = 4 << 10
 	// maxAnswers is the maximum number of responses read for one request.
 	maxAnswers = 4
+	// maxRequestIDs is the maximum number of requests with an ID on a connection.
+	maxRequestIDs = 256
 )
 
 // UnframedError reports a response whose truncation could not be detected, because
@@ -62,7 +66,8 @@
 	reader      *bufio.Reader
 	writer      *bufio.Writer
 	sent        int
-	exchanges   int
+	answers     int
+	requestIDs  []uint64 // hashes
 	usableUntil time.Time
 	pool        *addressPool
 }
@@ -97,7 +102,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "connecting to %s", c.Address)
 	}
-	c.conn, c.peeker, c.exchanges = conn, tcp.NewPeeker(conn), 0
+	c.conn, c.peeker, c.answers, c.requestIDs = conn, tcp.NewPeeker(conn), 0, c.requestIDs[:0]
 	if c.reader == nil {
 		c.reader, c.writer = bufio.NewReaderSize(conn, maxHeadSize), bufio.NewWriterSize(c, writeBufferSize)
 	}
@@ -113,6 +118,22 @@
 	return nil
 }
 
+// OpenFor is like Open for a request whose response repeats its ID. It replaces a
+// connection on which the ID was sent before: a second copy of the earlier response
+// could not be told from the response to this request.
+func (c *Connection) OpenFor(ctx context.Context, deadline time.Time, id string) error {
+	hash := xxhash.Sum64String(id)
+	if id == "" || len(c.requestIDs) == maxRequestIDs || slices.Contains(c.requestIDs, hash) {
+		c.Close()
+	}
+	if err := c.Open(ctx, deadline); err != nil {
+		return err
+	}
+	c.requestIDs = append(c.requestIDs, hash)
+
+	return nil
+}
+
 // usable reports whether a request may be sent on the open connection.
 func (c *Connection) usable() bool {
 	return c.reader.Buffered() == 0 && c.peeker.Peek() == tcp.Idle
@@ -140,14 +161,14 @@
 	response.StreamBody = true
 	response.SkipBody = request.Header.IsHead()
 	if err := c.send(request); err != nil {
-		if c.sent == 0 || response.ReadLimitBody(c.reader, 0) != nil || len(response.Header.Peek(HeaderShed)) == 0 {
+		if c.sent == 0 || c.readHead(response) != nil || len(response.Header.Peek(HeaderShed)) == 0 {
 			return err
 		}
 		response.SetConnectionClose()
 
 		return nil
 	}
-	if err := response.ReadLimitBody(c.reader, 0); err != nil {
+	if err := c.readHead(response); err != nil {
 		return err
 	}
 	unframed := response.Header.ContentLength() < -1 && response.BodyStream() != nil
@@ -194,7 +215,6 @@
 // connection is closed. After an error the connection is closed.
 func (c *Connection) ExchangeWhole(request *fasthttp.Request, response *fasthttp.Response, read BodyReader, accept func(*fasthttp.Response) bool) error {
 	err := c.exchangeWhole(request, response, read, accept)
-	c.exchanges++
 	if err != nil {
 		c.Close()
 	}
@@ -220,7 +240,9 @@
 		if response.StatusCode() == fasthttp.StatusSwitchingProtocols {
 			return &UnframedError{Status: response.StatusCode()}
 		}
-		if accept(response) {
+		accepted := accept(response)
+		c.answers++
+		if accepted {
 			return nil
 		}
 	}
@@ -228,17 +250,32 @@
 	return &ForeignAnswerError{Answers: maxAnswers}
 }
 
+// readHead reads the head of a response, whose body follows as a stream.
+func (c *Connection) readHead(response *fasthttp.Response) error {
+	if err := awaitHead(c.reader); err != nil {
+		return err
+	}
+
+	return response.ReadLimitBody(c.reader, 0)
+}
+
 // readWhole reads a response with its body.
 func (c *Connection) readWhole(response *fasthttp.Response, withoutBody bool, read BodyReader) error {
 	response.Reset()
 	response.StreamBody, response.SkipBody = true, withoutBody
-	if err := response.ReadLimitBody(c.reader, 0); err != nil {
+	if err := c.readHead(response); err != nil {
 		return err
 	}
 	stream := response.BodyStream()
 	if stream == nil {
 		return nil
 	}
+	if response.Header.ContentLength() == -1 {
+		// Fields would be looked up among the trailers, too.
+		var head fasthttp.ResponseHeader
+		response.Header.CopyTo(&head)
+		defer head.CopyTo(&response.Header)
+	}
 	body, err := read(stream, max(response.Header.ContentLength(), -1))
 	if err != nil {
 		_ = c.conn.Close() // releasing the response must not wait for the rest of the body
@@ -253,10 +290,10 @@
 	return nil
 }
 
-// Reused reports whether an exchange has ended on the open connection before, so
-// that an answer to an earlier request may still arrive.
+// Reused reports whether a response was read on the open connection before, so that
+// a second copy of it may still arrive.
 func (c *Connection) Reused() bool {
-	return c.exchanges > 0
+	return c.answers > 0
 }
 
 func (c *Connection) send(request *fasthttp.Request) error {
