backendhttp: close the socket that the aborted attempt used

Cause: an exchange that fails closes its connection and sets the socket to nil, while the goroutine of AbortOnCancel reads it for an attempt that is cancelled at the same time.

Change: AbortOnCancel takes the socket when it is registered and closes only that. Connection.Abort is removed, so that only the owner uses a connection.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -51,8 +51,9 @@
 }
 
 // Connection is one connection to a backend server or an entry host. Only one duty
-// uses it at a time. It counts the bytes sent, because a request of which any byte
-// was sent may have run.
+// uses it at a time; another goroutine may only close its socket, see AbortOnCancel.
+// It counts the bytes sent, because a request of which any byte was sent may have
+// run.
 type Connection struct {
 	// Address is the ip:port of the remote side.
 	Address string
@@ -272,12 +273,6 @@
 	return c.sent
 }
 
-// Abort closes the socket. It may be called while another goroutine uses the
-// connection; that goroutine's exchange then fails.
-func (c *Connection) Abort() {
-	_ = c.conn.Close() // the exchange ends even if closing fails
-}
-
 // Close closes the connection. Open may be called again.
 func (c *Connection) Close() {
 	if c.conn != nil {
--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -85,13 +85,15 @@
 	return ended, whole && !response.ConnectionClose()
 }
 
-// AbortOnCancel aborts the connection when the context ends. The returned function
-// revokes this and waits for an abort that has already started, so that the abort
-// cannot affect a later attempt on the same connection.
+// AbortOnCancel closes the socket of an open connection when the context ends, so
+// that the exchange on it fails. The returned function revokes this and waits for an
+// abort that has already started. The connection itself stays with its owner, which
+// may close or open it again meanwhile.
 func AbortOnCancel(ctx context.Context, connection *Connection) func() {
+	socket := connection.conn
 	aborted := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
-		connection.Abort()
+		_ = socket.Close() // the owner may have closed it already
 		close(aborted)
 	})
 
