--- a/backendhttp/cut_test.go
+++ b/backendhttp/cut_test.go
@@ -191,6 +191,49 @@
 	}
 }
 
+// Guards against a refusal that breaks off at any byte, and whose status is taken for
+// that of the response behind it.
+func TestCutRefusalBeforeAResponse(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nId: wanted\r\nContent-Length: 4\r\n\r\nbody"
+	refusals := map[string]string{
+		"unnamed, no body":   "HTTP/1.1 503 Busy\r\nX-Refused: 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+		"unnamed, body":      "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\nX-Refused: 1\r\n\r\nbusy",
+		"unnamed, chunks":    "HTTP/1.1 429 Busy\r\nTransfer-Encoding: chunked\r\nX-Refused: 1\r\n\r\n4\r\nbusy\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"of another request": "HTTP/1.1 503 Busy\r\nX-Refused: 1\r\nContent-Length: 0\r\nId: other\r\n\r\n",
+		"behind an interim":  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 421 Misdirected\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n",
+	}
+	for name, refusal := range refusals {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			handlers := make([]connHandler, 0, len(refusal)+1)
+			for at := range len(refusal) + 1 {
+				handlers = append(handlers, func(conn *net.TCPConn, requests *bufio.Reader) {
+					receive(requests)
+					writeRaw(conn, refusal[:at]+response)
+					_ = conn.CloseWrite()
+				})
+			}
+			address, whole := listen(t, handlers...), 0
+			for at := range len(refusal) + 1 {
+				connection := backendhttp.NewConnection(address)
+				status := 0
+				assert.NilError(t, connection.Open(t.Context(), time.Now().Add(time.Second)))
+				var request fasthttp.Request
+				var got fasthttp.Response
+				request.SetRequestURI("/")
+				request.Header.SetHost("a.example")
+				if connection.ExchangeWhole(&request, &got, backendhttp.LimitBody(maxBodySize), matchesRequest) == nil {
+					status = got.StatusCode()
+					whole++
+				}
+				assert.Assert(t, status == 0 || status == http.StatusOK && string(got.Body()) == "body", "status %d, cut at byte %d", status, at)
+				connection.Close()
+			}
+			assert.Assert(t, whole >= 2, "%d responses were read", whole)
+		})
+	}
+}
+
 // Guards against trailers that are taken for fields of the head, in which a backend
 // server says to which request a response belongs.
 func TestTrailersAreNotFieldsOfTheHead(t *testing.T) {
