--- a/backendhttp/head.go
+++ b/backendhttp/head.go
@@ -121,10 +121,14 @@
 // statusAt returns the status if the text begins with a status line.
 func statusAt(text []byte) (int, bool) {
 	rest, found := bytes.CutPrefix(text, versionPrefix)
-	if !found || len(rest) < len("1 200 ") || rest[0] != '0' && rest[0] != '1' || rest[1] != ' ' || rest[5] != ' ' && rest[5] != '\r' {
+	if !found || len(rest) < len("1 200 ") {
 		return 0, false
 	}
-	status, err := strconv.Atoi(string(rest[2:5]))
+	minor, digits, end := rest[0], rest[2:5], rest[5]
+	if minor != '0' && minor != '1' || rest[1] != ' ' || end != ' ' && end != '\r' {
+		return 0, false
+	}
+	status, err := strconv.Atoi(string(digits))
 
 	return status, err == nil && status >= http.StatusContinue
 }
