--- a/backendhttp/cut_test.go
+++ b/backendhttp/cut_test.go
@@ -234,6 +234,47 @@
 	}
 }
 
+// Guards against a response that is taken for that to a request whose sending failed,
+// although it is truncated or belongs to another request.
+func TestResponsesToUnfinishedRequests(t *testing.T) {
+	const wanted = "HTTP/1.1 503 Busy\r\nId: wanted\r\nContent-Length: 4\r\n\r\nbusy"
+	tests := map[string]struct {
+		raw   string
+		taken bool
+	}{
+		"to this request":           {raw: wanted, taken: true},
+		"interim responses before":  {raw: "HTTP/1.1 100 Continue\r\n\r\n" + wanted, taken: true},
+		"to another request":        {raw: strings.Replace(wanted, "wanted", "other", 1)},
+		"to no request":             {raw: strings.Replace(wanted, "Id: wanted\r\n", "", 1)},
+		"truncated head":            {raw: wanted[:30]},
+		"truncated body":            {raw: wanted[:len(wanted)-1]},
+		"truncated one before this": {raw: wanted[:30] + wanted},
+		"none":                      {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			connection := backendhttp.NewConnection(listen(t, func(conn *net.TCPConn, requests *bufio.Reader) {
+				receive(requests)
+				writeRaw(conn, test.raw)
+				time.Sleep(settleTime)
+				_ = conn.Close()
+			}))
+			defer connection.Close()
+			assert.NilError(t, connection.Open(t.Context(), time.Now().Add(5*time.Second)))
+			var request fasthttp.Request
+			var response fasthttp.Response
+			request.Header.SetMethod(http.MethodPost)
+			request.SetRequestURI("/")
+			request.Header.SetHost("a.example")
+			request.SetBodyRaw(make([]byte, 64<<20))
+			err := connection.ExchangeWhole(&request, &response, backendhttp.LimitBody(maxBodySize), matchesRequest)
+			assert.Equal(t, err == nil, test.taken, "%v", err)
+			assert.Assert(t, connection.Sent() > 0 && connection.Sent() < 64<<20)
+			assert.Assert(t, err != nil || response.ConnectionClose())
+		})
+	}
+}
+
 // Guards against trailers that are taken for fields of the head, in which a backend
 // server says to which request a response belongs.
 func TestTrailersAreNotFieldsOfTheHead(t *testing.T) {
