--- a/beacon/decode_test.go
+++ b/beacon/decode_test.go
@@ -50,6 +50,18 @@
 	}
 }
 
+// Guards against a beacon that is longer than the receiver's buffer, and whose part is
+// taken for the whole.
+func TestCutBeaconsAreNotTaken(t *testing.T) {
+	sent := validBeacon()
+	raw, err := sent.MarshalMsg(nil)
+	assert.NilError(t, err)
+	for cut := range raw {
+		_, err := beacon.Decode(raw[:cut])
+		assert.Assert(t, err != nil, "%d bytes of %d were taken", cut, len(raw))
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	valid := validBeacon()
 	raw, err := valid.MarshalMsg(nil)
