Test of cut responses: the deadline of a stalled exchange does not cover the dial

TestCutResponsesAreNeverComplete failed three of its stalled cases once, beside four busy runs: the 20 ms after which a stalled exchange ends also bounded the opening of the connection (i/o timeout of the dial), so the exchange under test did not begin.

The connection is opened first, and the deadline of the exchange stays at 20 ms. The checks are unchanged.

--- a/backendhttp/cut_test.go
+++ b/backendhttp/cut_test.go
@@ -17,6 +17,9 @@
 // stallTimeout is the deadline of an exchange whose response stalls.
 const stallTimeout = 20 * time.Millisecond
 
+// dialTimeout is the time in which a connection to a fake backend server opens.
+const dialTimeout = 10 * time.Second
+
 // bodySize is the size in bytes of a body that exceeds the read buffer.
 const bodySize = 20 << 10
 
@@ -81,7 +84,8 @@
 // server cuts.
 func exchangeCut(t *testing.T, connection *backendhttp.Connection, method string, timeout time.Duration) (string, error) {
 	t.Helper()
-	assert.NilError(t, connection.Open(t.Context(), time.Now().Add(timeout)))
+	assert.NilError(t, connection.Open(t.Context(), time.Now().Add(dialTimeout)))
+	assert.NilError(t, connection.Open(t.Context(), time.Now().Add(timeout))) // sets the deadline of the exchange only
 	var request fasthttp.Request
 	var response fasthttp.Response
 	request.Header.SetMethod(method)
