Tests for late state: any hosts lose the store, fetches fail, hosts return

The simulated hosts of directory/ get a store, as in the product: without one, two hosts that are alone in their data centres could not find each other, which is what TestHostsAgreeAfterAnyLosses showed. TestHostsWithStaleSeedsUseTheStore keeps its figures with a store that names no host.

The control duty takes the time from its caller; nothing else changes.

--- a/declared/declared_test.go
+++ b/declared/declared_test.go
@@ -421,6 +421,68 @@
 	}
 }
 
+// Guards against backend servers that return to the state in force. A host that had
+// been cut off retained one that had left meanwhile, and a sound host that had
+// dropped it fetched it from there.
+func TestRetainedRegistrationsStayAtTheirHost(t *testing.T) {
+	known := []step{
+		{0, declared.OrdersRead{At: 5, Full: true, Declarations: []schema.Declaration{newDeclaration(3)}}},
+		{0, declared.RegistrationsRead{At: 6, Full: true, Registered: []schema.Registration{server("a"), server("b")}}},
+	}
+	returned, sound := declared.NewReplica(), declared.NewReplica()
+	for _, step := range append(known, []step{
+		{time.Second, declared.ReadFailed{Table: declared.Registrations}},
+		{2 * time.Second, declared.ReadFailed{Table: declared.Registrations}},
+		{9 * time.Second, declared.RegistrationsRead{At: 8, Gone: []string{"a"}}},
+		{9100 * time.Millisecond, declared.RegistrationsRead{At: 9, Registered: []schema.Registration{server("c")}}},
+	}...) {
+		returned.Step(at(step.at), step.event)
+	}
+	for _, step := range append(known,
+		step{5 * time.Second, declared.OrdersRead{At: 8}},
+		step{5 * time.Second, declared.RegistrationsRead{At: 8, Gone: []string{"a"}}},
+	) {
+		sound.Step(at(step.at), step.event)
+	}
+	assert.Equal(t, ids(returned), "a b c ")
+	actions := sound.Step(at(9200*time.Millisecond), declared.PeerStateReceived{
+		Name: "returned", Hash: returned.Hash, OrdersAt: returned.Declared.OrdersAt, RegistrationsAt: returned.Declared.RegistrationsAt,
+	})
+	for len(actions) > 0 {
+		fetch, fetches := actions[0].(declared.Fetch)
+		actions = actions[1:]
+		if fetches {
+			answer := returned.Answer(schema.DeclaredRequest{Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt})
+			actions = append(actions, sound.Step(at(9300*time.Millisecond), declared.PeerAnswered{Answer: answer})...)
+		}
+	}
+	assert.Equal(t, ids(sound), "b c ")
+}
+
+// Guards against hosts that do not read the store and drop the registrations that
+// lapsed while it was unavailable, before the backend servers have registered again.
+func TestLapsedRegistrationsAreRetainedAtAllHosts(t *testing.T) {
+	c := newCluster(5)
+	c.write(server("a"))
+	c.write(server("b"))
+	c.advance(5 * time.Second)
+	c.rejected = []bool{true, true, true, true, true}
+	c.advance(8 * time.Second)
+	c.remove("b")
+	c.rejected = make([]bool, 5)
+	for range 30 {
+		c.advance(50 * time.Millisecond)
+		for host, replica := range c.replicas {
+			assert.Equal(t, ids(replica), "a b ", "host %d", host)
+		}
+	}
+	c.write(server("b"))
+	c.advance(4 * time.Second)
+	for host, replica := range c.replicas {
+		assert.Equal(t, ids(replica), "a b ", "host %d", host)
+	}
+}
+
 func TestPeersSendOnlyChangedRegistrations(t *testing.T) {
 	const servers, changes = 100, 20
 	c := newCluster(15)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -109,6 +110,11 @@
 	// asked counts the requests for members, joined those that use the store.
 	asked, joined int
 	asks          []pendingAsk
+	// registered are the peer addresses in the store, joining the hosts that read them.
+	registered []string
+	// emptyStore leaves out all hosts from the answers of the store.
+	emptyStore bool
+	joining    []*directory.Directory
 	// lostCount counts the losses that hosts reported.
 	lostCount int
 	seq       int
@@ -165,6 +171,19 @@
 		f.asks = f.asks[1:]
 		f.ask(next.from, next.ask)
 	}
+	for len(f.joining) > 0 {
+		next := f.joining[0]
+		f.joining = f.joining[1:]
+		f.perform(next, next.Step(f.now, directory.AddressesAdded{Addresses: slices.Clone(f.registered)}))
+	}
+}
+
+// register adds a host to the store.
+func (f *fleet) register(host *directory.Directory) {
+	f.joined++
+	if !f.emptyStore && !slices.Contains(f.registered, host.Self.PeerAddress) {
+		f.registered = append(f.registered, host.Self.PeerAddress)
+	}
 }
 
 // ask carries out a request of a host for the hosts that another one knows.
@@ -198,8 +217,11 @@
 					all = append(all, delivery{to, sent})
 				}
 			}
-		case directory.JoinStore, directory.Register:
-			f.joined++
+		case directory.JoinStore:
+			f.register(from)
+			f.joining = append(f.joining, from)
+		case directory.Register:
+			f.register(from)
 		case directory.AskMembers:
 			f.asks = append(f.asks, pendingAsk{from: from, ask: action})
 		case directory.ServingChanged, directory.PeerFound:
--- a/directory/joining_test.go
+++ b/directory/joining_test.go
@@ -147,6 +147,15 @@
 			},
 			within: 3 * time.Second,
 		},
+		// The hosts that remain know no host of another data centre.
+		"serving hosts and seeds of all data centres": {
+			lost: func(f *fleet) {
+				for dataCentre := range dataCentres {
+					f.kill(dataCentre, func(view *directory.Directory) bool { return serving(view) || len(view.Self.Name) < 3 })
+				}
+			},
+			within: 20 * time.Second,
+		},
 		"seeds": {lost: func(f *fleet) { f.down[0], f.down[1], f.down[2] = true, true, true }, within: time.Second},
 	}
 	for name, test := range tests {
@@ -168,6 +177,7 @@
 // settings are stale: they look in the store, and only then.
 func TestHostsWithStaleSeedsUseTheStore(t *testing.T) {
 	f := newSeededFleet(0)
+	f.emptyStore = true
 	f.views, f.down = make([]*directory.Directory, 3), map[int]bool{0: true, 1: true}
 	f.restart(2)
 	f.run(700 * time.Millisecond)
@@ -189,6 +199,17 @@
 	assert.Equal(t, f.agreedAnswer("dc2"), "[h2:1]")
 }
 
+// Guards against hosts that remain alone although the store names the others.
+func TestHostsThatAreAloneFindEachOtherInTheStore(t *testing.T) {
+	f := newSeededFleet(0)
+	f.views, f.down = make([]*directory.Directory, 5), map[int]bool{0: true, 1: true, 2: true}
+	f.restart(3)
+	f.restart(4)
+	f.run(3 * time.Second)
+	assert.Equal(t, f.agreedAnswer("dc3"), "[h3:1]")
+	assert.Equal(t, f.agreedAnswer("dc4"), "[h4:1]")
+}
+
 // Guards against callers that are sent from host to host after a restart of all
 // hosts: each host that became ready took over from the one before it.
 func TestReadyHostsDoNotTakeOverFromEachOther(t *testing.T) {
--- a/edge/control.go
+++ b/edge/control.go
@@ -76,7 +76,7 @@
 			if err := d.tick(ctx, time.Now()); err != nil {
 				return err
 			}
-			timer.Reset(d.interval())
+			timer.Reset(d.interval(time.Now()))
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -84,8 +84,8 @@
 }
 
 // interval returns the time until the next tick.
-func (d *controlDuty) interval() time.Duration {
-	if d.serving || time.Since(d.startedAt) < startPeriod {
+func (d *controlDuty) interval(now time.Time) time.Duration {
+	if d.serving || now.Sub(d.startedAt) < startPeriod {
 		return controlTickInterval
 	}
 
@@ -111,7 +111,7 @@
 		}
 	}
 
-	if err := d.stepDirectory(ctx, now, directory.ReadyChanged{Ready: d.ready()}); err != nil {
+	if err := d.stepDirectory(ctx, now, directory.ReadyChanged{Ready: d.ready(now)}); err != nil {
 		return err
 	}
 
@@ -119,10 +119,10 @@
 }
 
 // ready reports whether this host can serve calls.
-func (d *controlDuty) ready() bool {
+func (d *controlDuty) ready(now time.Time) bool {
 	confirmed := d.resumedAt.IsZero() || d.replica.ConfirmedAt().After(d.resumedAt)
 
-	return d.replica.HasState() && !d.stopping && confirmed && d.directory.Settled(time.Now())
+	return d.replica.HasState() && !d.stopping && confirmed && d.directory.Settled(now)
 }
 
 // step handles one input.
@@ -150,7 +150,7 @@
 		list, ttl := d.directory.Answer(input.DataCentre)
 		_ = input.Reply.Offer(Addresses{List: list, TTL: ttl}) // the sender of the query guarantees room
 	case ReadyQuery:
-		_ = input.Reply.Offer(d.ready()) // as above
+		_ = input.Reply.Offer(d.ready(now)) // as above
 	case DeclaredQuery:
 		_ = input.Reply.Offer(d.replica.Answer(input.Request)) // as above
 	case Stopping:
