directory: isolated serving hosts look for each other in the store

Cause: a host looks into the store only while it knows no live host. When the serving hosts and seeds are lost together, the spare hosts of a data centre know each other and nobody else, and never look there. Evidence: TestTakeover, serving hosts and seeds of all data centres, failed. Change: a serving host that has known no other one for 2.5 s looks there too.

--- a/directory/joining.go
+++ b/directory/joining.go
@@ -29,8 +29,11 @@
 	aloneTimeout = 800 * time.Millisecond
 	// earlyAloneTimeout is how long a host that is likely to serve waits for that.
 	earlyAloneTimeout = 120 * time.Millisecond
+	// isolatedTimeout is how long a host that serves asks those that it knows for other
+	// serving hosts before it looks for them in the store.
+	isolatedTimeout = 2500 * time.Millisecond
 	// rejoinInterval is the time between two looks into the store while a host is
-	// alone: the hosts that it knew may all have been replaced.
+	// alone or isolated: the hosts that it knew may all have been replaced.
 	rejoinInterval = 30 * time.Second
 	// earlyCapacity is the capacity in calls per second from which a host is likely to
 	// serve. After a restart of all hosts, callers wait for such hosts to find each
@@ -58,6 +61,8 @@
 	asking     bool
 	joinedAt   time.Time
 	registered bool
+	// isolatedSince is the time since which this host is isolated, or zero.
+	isolatedSince time.Time
 	// preferred says that the last answer named no host of this data centre that is
 	// preferred to this one.
 	preferred bool
@@ -76,14 +81,23 @@
 }
 
 // dueJoining returns what this host does to be known and to know others. It asks
-// hosts from which it has received beacons, and uses the store only while there are
-// none. A host that serves registers in the store, so that others find it there.
+// hosts from which it has received beacons, and looks into the store while there are
+// none, or while they know no other serving host. A host that serves registers in the
+// store, so that others find it there.
 func (d *Directory) dueJoining(now time.Time) []Action {
 	var actions []Action
 	if d.Self.Serves && !d.joining.registered {
 		d.joining.registered = true
 		actions = append(actions, Register{})
 	}
+	if !d.isolated() {
+		d.joining.isolatedSince = time.Time{}
+	} else if d.joining.isolatedSince.IsZero() {
+		d.joining.isolatedSince = now
+	}
+	if since := d.joining.isolatedSince; !since.IsZero() && now.Sub(since) >= isolatedTimeout && d.mayJoin(now) {
+		return append(actions, d.joinStore(now)...)
+	}
 	if d.joining.asking || now.Before(d.joining.nextAskAt) {
 		return actions
 	}
@@ -94,14 +108,25 @@
 	if LikelyToServe(d.Self.Capacity) {
 		patience = earlyAloneTimeout
 	}
-	if now.Sub(d.joining.startedAt) >= patience && now.Sub(d.joining.joinedAt) >= rejoinInterval {
-		d.joining.joinedAt, d.joining.registered = now, true
-		actions = append(actions, JoinStore{})
+	if now.Sub(d.joining.startedAt) >= patience && d.mayJoin(now) {
+		actions = append(actions, d.joinStore(now)...)
 	}
 
 	return actions
 }
 
+// mayJoin reports whether this host may look into the store again.
+func (d *Directory) mayJoin(now time.Time) bool {
+	return now.Sub(d.joining.joinedAt) >= rejoinInterval
+}
+
+// joinStore returns a look into the store.
+func (d *Directory) joinStore(now time.Time) []Action {
+	d.joining.joinedAt, d.joining.registered = now, true
+
+	return []Action{JoinStore{}}
+}
+
 // ask returns an ask and schedules the next one. Serving hosts need to know all
 // hosts, the others only those of their data centre and the serving hosts.
 func (d *Directory) ask(now time.Time, contact string) Action {
