declared: fetch from another host when one does not answer

Cause: one fetch runs at a time, and what other hosts announced meanwhile was dropped; after a fetch that failed, or that was answered with an older state, a host waited for the next beacon, a second at a spare host. It never read the store itself for 3.5 s. A call between hosts could take its time-out twice. Change: a replica keeps which hosts have a newer state and fetches from the next one; after half a second of trying it reads the store. Connecting and call share one time-out.

--- a/declared/adopt.go
+++ b/declared/adopt.go
@@ -120,20 +120,22 @@
 	if peer.Hash == r.Hash && confirmed.After(r.peerConfirmedAt) {
 		r.peerConfirmedAt = confirmed
 	}
-	newer := peer.OrdersAt > r.Declared.OrdersAt || peer.RegistrationsAt > r.Declared.RegistrationsAt
-	if !newer {
+	state := peerState{name: peer.Name, address: peer.Address, ordersAt: peer.OrdersAt, registrationsAt: peer.RegistrationsAt, confirmedAt: confirmed}
+	delete(r.newer, peer.Name)
+	if !r.isNewer(state) {
 		return nil
 	}
 	if peer.Hash == r.Hash && r.HasState() {
 		r.Declared.OrdersAt = max(r.Declared.OrdersAt, peer.OrdersAt)
 		r.Declared.RegistrationsAt = max(r.Declared.RegistrationsAt, peer.RegistrationsAt)
+		r.behindSince = time.Time{}
 
 		return nil
 	}
-	if r.fetching {
-		return nil
+	r.newer[peer.Name] = state
+	if r.behindSince.IsZero() {
+		r.behindSince = now
 	}
-	r.fetchConfirmedAt = confirmed
 
-	return []Action{r.startFetch(peer.Address)}
+	return r.nextFetch()
 }
--- a/declared/declared.go
+++ b/declared/declared.go
@@ -27,6 +27,9 @@
 	// staleAfter is how long a host's state may stay unconfirmed before the host
 	// reads the store itself.
 	staleAfter = MaxReadWait + 1500*time.Millisecond
+	// behindTimeout is how long a host tries to fetch a newer state from others before
+	// it reads the store itself.
+	behindTimeout = 500 * time.Millisecond
 	// earlyReadDelay is how long an early host waits for its peers before it reads the
 	// store.
 	earlyReadDelay = 40 * time.Millisecond
@@ -105,20 +108,23 @@
 	startedAt         time.Time
 	readConfirmedAt   [2]time.Time
 	peerConfirmedAt   time.Time
-	fetchConfirmedAt  time.Time
 	retainLapsedUntil time.Time
 	failures          int
 	failedAt          time.Time
 	lostAt            time.Time
 	fetching          bool
-	fetchedFrom       string
+	fetchedFrom       peerState
 	rank              RankChanged
 	ahead             map[string]bool
 	readerSeenAt      map[string]time.Time
 	// readersShortSince is the time since which fewer than targetReaders hosts ahead of
 	// this one read the store, or zero.
 	readersShortSince time.Time
-	changed           bool
+	// newer are the states of peers that are newer than this host's, by name.
+	newer map[string]peerState
+	// behindSince is the time since which this host knows of a newer state, or zero.
+	behindSince time.Time
+	changed     bool
 }
 
 // NewReplica returns an empty replica. Unless a peer provides the state first, it
@@ -126,7 +132,7 @@
 func NewReplica() *Replica {
 	return &Replica{
 		registrations: newRegistrationSet(nil), missing: map[string]time.Time{}, readerSeenAt: map[string]time.Time{},
-		history: newHistory(0),
+		newer: map[string]peerState{}, history: newHistory(0),
 	}
 }
 
@@ -157,9 +163,11 @@
 	case PeerStateReceived:
 		actions = r.comparePeer(now, event)
 	case PeerAnswered:
-		actions = r.adoptAnswer(event.Answer)
+		actions = r.adoptAnswer(now, event.Answer)
 	case FetchFailed:
 		r.fetching = false
+		delete(r.newer, r.fetchedFrom.name)
+		actions = r.nextFetch()
 	case RankChanged:
 		r.rank = event
 		r.ahead = make(map[string]bool, len(event.Ahead))
--- a/declared/poll.go
+++ b/declared/poll.go
@@ -54,8 +54,9 @@
 		r.readersShortSince = now
 	}
 	short := !r.readersShortSince.IsZero() && now.Sub(r.readersShortSince) >= rankDelay(rank)
+	behind := !r.behindSince.IsZero() && now.Sub(r.behindSince) >= behindTimeout
 
-	return short || now.Sub(r.ConfirmedAt()) >= staleAfter+rankDelay(rank)
+	return short || behind || now.Sub(r.ConfirmedAt()) >= staleAfter+rankDelay(rank)
 }
 
 // countReadersAhead returns the number of hosts ahead that read the store.
@@ -118,7 +119,7 @@
 // retained.
 func (r *Replica) noteReadSuccess(now time.Time, table Table) []Action {
 	silent := now.Sub(r.ConfirmedAt())
-	r.reading[table], r.failures, r.readConfirmedAt[table] = false, 0, now
+	r.reading[table], r.failures, r.readConfirmedAt[table], r.behindSince = false, 0, now, time.Time{}
 	if r.lostAt.IsZero() {
 		return nil
 	}
--- a/declared/sync.go
+++ b/declared/sync.go
@@ -1,7 +1,9 @@
 package declared
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -62,11 +64,48 @@
 	return answer
 }
 
+// peerState is the summary of a peer's state.
+type peerState struct {
+	name, address             string
+	ordersAt, registrationsAt int
+	// confirmedAt is when the store last confirmed the state.
+	confirmedAt time.Time
+}
+
+// isNewer reports whether a part of a peer's state is newer than this host's.
+func (r *Replica) isNewer(peer peerState) bool {
+	return peer.ordersAt > r.Declared.OrdersAt || peer.registrationsAt > r.Declared.RegistrationsAt
+}
+
+// nextFetch returns a fetch from the peer with the newest state, if one has a newer
+// state and no fetch is running.
+func (r *Replica) nextFetch() []Action {
+	if r.fetching {
+		return nil
+	}
+	var newest *peerState
+	for name, peer := range r.newer {
+		if !r.isNewer(peer) {
+			delete(r.newer, name)
+
+			continue
+		}
+		if newest == nil || cmp.Or(cmp.Compare(peer.ordersAt, newest.ordersAt), cmp.Compare(peer.registrationsAt, newest.registrationsAt), cmp.Compare(newest.name, name)) > 0 {
+			newest = &peer
+		}
+	}
+	if newest == nil {
+		return nil
+	}
+
+	return []Action{r.startFetch(*newest)}
+}
+
 // startFetch returns a fetch of the state that this host lacks, or of all
 // registrations after a mismatch.
-func (r *Replica) startFetch(address string) Action {
-	r.fetching, r.fetchedFrom = true, address
-	fetch := Fetch{Address: address, Version: r.Declared.Declaration.Version, RegistrationsAt: r.Declared.RegistrationsAt}
+func (r *Replica) startFetch(peer peerState) Action {
+	r.fetching, r.fetchedFrom = true, peer
+	fetch := Fetch{Address: peer.address, Version: r.Declared.Declaration.Version, RegistrationsAt: r.Declared.RegistrationsAt}
 	if r.deltaMismatch {
 		fetch.RegistrationsAt = 0
 	}
@@ -75,16 +114,24 @@
 }
 
 // adoptAnswer applies a peer's answer. If its changes do not fit this replica, all
-// registrations are fetched from the same peer.
-func (r *Replica) adoptAnswer(peer schema.DeclaredAnswer) []Action {
+// registrations are fetched from the same peer. A newer state that was announced
+// meanwhile is fetched next.
+func (r *Replica) adoptAnswer(now time.Time, peer schema.DeclaredAnswer) []Action {
 	before := r.deltaMismatch
 	r.fetching, r.deltaMismatch = false, false
 	r.adoptPeer(peer)
 	if r.deltaMismatch && !before {
 		return []Action{r.startFetch(r.fetchedFrom)}
 	}
+	if r.changed {
+		r.behindSince = time.Time{}
+	}
+	actions := r.nextFetch()
+	if r.fetching && r.behindSince.IsZero() {
+		r.behindSince = now
+	}
 
-	return nil
+	return actions
 }
 
 // adoptPeer applies the parts of a peer's answer that are newer.
@@ -132,8 +179,8 @@
 	r.registrations.apply(peer.Registrations, gone)
 	clear(r.missing)
 	r.Declared.RegistrationsAt, r.changed = peer.RegistrationsAt, true
-	if r.fetchConfirmedAt.After(r.peerConfirmedAt) {
-		r.peerConfirmedAt = r.fetchConfirmedAt
+	if r.fetchedFrom.confirmedAt.After(r.peerConfirmedAt) {
+		r.peerConfirmedAt = r.fetchedFrom.confirmedAt
 	}
 }
 
--- a/peerrpc/client.go
+++ b/peerrpc/client.go
@@ -24,7 +24,7 @@
 type Client struct {
 	// Token is the shared secret, sent when a connection opens.
 	Token string
-	// Timeout limits connecting and each call.
+	// Timeout limits each call, with the time for connecting.
 	Timeout time.Duration
 
 	connections map[string]*connection
@@ -45,11 +45,12 @@
 // Call sends a request to a host and reads the response into out. A failed call
 // closes the connection.
 func Call[In, Out any](ctx context.Context, client *Client, address, method string, in *In, out *Out) error {
+	deadline := time.Now().Add(client.Timeout)
 	open, err := client.connect(ctx, address)
 	if err != nil {
 		return err
 	}
-	if err := open.conn.SetDeadline(time.Now().Add(client.Timeout)); err != nil {
+	if err := open.conn.SetDeadline(deadline); err != nil {
 		client.drop(address)
 
 		return eris.Wrapf(err, "setting the deadline of a call to peer %s", address)
