declared: retained registrations stay with the host that retains them

Cause: after an outage a host keeps registrations that went missing meanwhile for 2.2 s, as they may only have lapsed. It cannot tell an outage from its own cut, and put them into the state that other hosts fetch, with the newest revision: hosts that had dropped a backend server took it back. A host that had failed only one read before the outage ended retained nothing. Evidence: TestRetainedRegistrationsStayAtTheirHost and TestLapsedRegistrationsAreRetainedAtAllHosts failed. Change: hosts exchange what the store has. Each decides by the time for which the state of the store has not reached it what it retains beside that; a peer's answer states how long the peer retains, and ends the retention of a host that alone was cut off.

--- a/declared/adopt.go
+++ b/declared/adopt.go
@@ -32,9 +32,7 @@
 	r.Declared.OrdersAt = read.At
 }
 
-// adoptRegistrations applies a read of the backend servers' registrations. A
-// registration that went missing while the store was unavailable is kept for
-// lapsedRetention.
+// adoptRegistrations applies a read of the backend servers' registrations.
 func (r *Replica) adoptRegistrations(now time.Time, read RegistrationsRead) {
 	r.historyLost[Registrations] = false
 	if read.At<<RevisionBits < r.Declared.RegistrationsAt&^revisionMask {
@@ -45,67 +43,86 @@
 	var registered []schema.Registration
 	for _, registration := range read.Registered {
 		listed[registration.ID] = true
-		delete(r.missing, registration.ID)
 		known, ok := r.registrations.byID[registration.ID]
 		if ok && known.StartedMs > registration.StartedMs {
 			continue // late write of an earlier incarnation
 		}
 		if !ok || withoutVolatileFields(known) != withoutVolatileFields(registration) {
-			r.changed = true
 			r.history.record(registration.ID, at)
 			registered = append(registered, registration)
 		}
 	}
-	removed := r.withoutRetained(now, read.Gone)
+	gone := slices.Clone(read.Gone)
 	if read.Full {
-		var unlisted []string
 		for id := range r.registrations.byID {
 			if !listed[id] {
-				unlisted = append(unlisted, id)
+				gone = append(gone, id)
 			}
 		}
-		removed = append(removed, r.withoutRetained(now, unlisted)...)
 	}
-	for _, id := range removed {
+	gone = slices.DeleteFunc(gone, func(id string) bool { _, known := r.registrations.byID[id]; return !known })
+	for _, id := range gone {
 		r.history.record(id, at)
-		r.changed = true
 	}
-	r.registrations.apply(registered, removed)
+	r.applyRegistrations(now, registered, gone)
 	r.Declared.RegistrationsAt = max(r.Declared.RegistrationsAt, at)
 }
 
-// withoutRetained returns the registered ones of some IDs that were removed, and
-// retains those that may have lapsed because the store was unavailable until
-// retainLapsedUntil.
-func (r *Replica) withoutRetained(now time.Time, gone []string) []string {
-	var removed []string
-	for _, id := range gone {
-		if _, ok := r.registrations.byID[id]; !ok {
-			continue
+// applyRegistrations adds or replaces registrations and removes others. Those that
+// may have lapsed because the store was unavailable stay in force at this host until
+// retainLapsedUntil; other hosts do not learn of them.
+func (r *Replica) applyRegistrations(now time.Time, registered []schema.Registration, gone []string) {
+	for _, registration := range registered {
+		delete(r.retained, registration.ID)
+	}
+	if now.Before(r.retainLapsedUntil) {
+		for _, id := range gone {
+			if known, ok := r.registrations.byID[id]; ok {
+				r.retained[id] = retainedRegistration{registration: known, until: r.retainLapsedUntil}
+			}
 		}
-		if !now.Before(r.retainLapsedUntil) {
-			removed = append(removed, id)
+	}
+	r.registrations.apply(registered, gone)
+	r.changed = r.changed || len(registered)+len(gone) > 0
+}
 
-			continue
-		}
-		if _, retained := r.missing[id]; !retained {
-			r.missing[id] = r.retainLapsedUntil
+// dropRetained drops retained registrations whose retention has ended.
+func (r *Replica) dropRetained(now time.Time) {
+	for id, retained := range r.retained {
+		if !now.Before(retained.until) {
+			delete(r.retained, id)
+			r.changed = true
 		}
 	}
+}
+
+// inForce returns the registrations of the store together with the retained ones.
+func (r *Replica) inForce() []schema.Registration {
+	if len(r.retained) == 0 {
+		return r.registrations.list
+	}
+	retained := make([]schema.Registration, 0, len(r.retained))
+	for _, next := range r.retained {
+		retained = append(retained, next.registration)
+	}
+	slices.SortFunc(retained, compareIDs)
 
-	return removed
+	return merge(r.registrations.list, retained, nil)
 }
 
-// dropMissing drops missing registrations whose retention has ended.
-func (r *Replica) dropMissing(now time.Time) {
-	for id, until := range r.missing {
-		if !now.Before(until) {
-			delete(r.missing, id)
-			r.registrations.apply(nil, []string{id})
-			r.Declared.RegistrationsAt++
-			r.history.record(id, r.Declared.RegistrationsAt)
-			r.changed = true
-		}
+// noteHeard records that the state of the store at some time has reached this host.
+// After lapseThreshold without that, registrations that are missing now may have
+// lapsed because the store was unavailable.
+func (r *Replica) noteHeard(now, stateAt time.Time) {
+	if last := r.ConfirmedAt(); !last.IsZero() && stateAt.Sub(last) >= lapseThreshold {
+		r.retainLapsedUntil = now.Add(lapsedRetention)
+	}
+}
+
+// notePeerConfirmed records when the store confirmed this host's state to a peer.
+func (r *Replica) notePeerConfirmed(confirmed time.Time) {
+	if confirmed.After(r.peerConfirmedAt) {
+		r.peerConfirmedAt = confirmed
 	}
 }
 
@@ -118,8 +135,9 @@
 		r.readerSeenAt[peer.Name] = now
 	}
 	confirmed := now.Add(-peer.Age)
-	if peer.Hash == r.Hash && confirmed.After(r.peerConfirmedAt) {
-		r.peerConfirmedAt = confirmed
+	if peer.Hash == r.Hash {
+		r.noteHeard(now, confirmed)
+		r.notePeerConfirmed(confirmed)
 	}
 	state := peerState{name: peer.Name, address: peer.Address, ordersAt: peer.OrdersAt, registrationsAt: peer.RegistrationsAt, confirmedAt: confirmed}
 	delete(r.newer, peer.Name)
--- a/declared/declared.go
+++ b/declared/declared.go
@@ -68,17 +68,16 @@
 	// maxRetryDelay bounds the back-off after failed reads.
 	maxRetryDelay = 1500 * time.Millisecond
 	// RevisionBits is the number of bits by which a store version is shifted in
-	// Declared.RegistrationsAt. The low bits number the registrations that a host
-	// drops by itself between two store versions.
+	// Declared.RegistrationsAt. Hosts of earlier releases use the low bits.
 	RevisionBits = 10
 	// lapseThreshold is the time without confirmation from which missing registrations
-	// may have lapsed because of the outage: less than three heartbeats.
+	// may have lapsed because of an outage: less than three heartbeats.
 	lapseThreshold = 3 * time.Second
 	// failuresUntilLost is the number of consecutive failed reads from which the store
 	// counts as unavailable; a single failure may be a closed idle connection.
 	failuresUntilLost = 2
-	// lapsedRetention is how long after the store's return a host keeps a registration
-	// that went missing during the outage. Live backend servers register again within
+	// lapsedRetention is how long after an outage a host keeps a registration that went
+	// missing meanwhile. Live backend servers register again within
 	// two seconds.
 	lapsedRetention = 2200 * time.Millisecond
 )
@@ -111,6 +110,13 @@
 	}
 }
 
+// retainedRegistration is a registration that may have lapsed only because the store
+// was unavailable.
+type retainedRegistration struct {
+	registration schema.Registration
+	until        time.Time
+}
+
 // Replica is one host's replica of the declared state.
 type Replica struct {
 	// Declared is the state in force.
@@ -123,8 +129,9 @@
 
 	timing        timing
 	registrations registrationSet
-	missing       map[string]time.Time
-	history       history
+	// retained are registrations that the store no longer has and that stay in force.
+	retained map[string]retainedRegistration
+	history  history
 	// deltaMismatch is set if a peer's changes, applied to this replica, did not yield
 	// the peer's registrations.
 	deltaMismatch     bool
@@ -166,7 +173,7 @@
 // firstReadDelay plus rankDelayStep for each host ahead.
 func NewReplica(bound time.Duration) *Replica {
 	return &Replica{
-		timing: newTiming(bound), registrations: newRegistrationSet(nil), missing: map[string]time.Time{},
+		timing: newTiming(bound), registrations: newRegistrationSet(nil), retained: map[string]retainedRegistration{},
 		readerSeenAt: map[string]time.Time{}, newer: map[string]peerState{}, history: newHistory(0),
 	}
 }
@@ -211,7 +218,7 @@
 		}
 	case Ticked:
 	}
-	r.dropMissing(now)
+	r.dropRetained(now)
 	if r.changed {
 		r.updateHash()
 		actions = append(actions, Changed{Declared: r.Declared, Late: r.late})
@@ -220,9 +227,10 @@
 	return append(actions, r.dueReads(now)...)
 }
 
-// updateHash hashes the state in force.
+// updateHash updates the state in force and its hash, which leaves out what only this
+// host retains.
 func (r *Replica) updateHash() {
-	r.Declared.Registrations = r.registrations.list
+	r.Declared.Registrations = r.inForce()
 	r.Hash = hash(r.Declared.Declaration.Version, r.Declared.Evacuated, r.registrations.hash())
 }
 
--- a/declared/declared_test.go
+++ b/declared/declared_test.go
@@ -46,7 +46,7 @@
 	peer.Step(start, declared.OrdersRead{At: ordersAt, Full: true, Declarations: []schema.Declaration{declaration}})
 	peer.Step(start, declared.RegistrationsRead{At: registeredAt, Full: true, Registered: servers})
 
-	return declared.PeerAnswered{Answer: peer.Answer(schema.DeclaredRequest{})}
+	return declared.PeerAnswered{Answer: peer.Answer(start, schema.DeclaredRequest{})}
 }
 
 // step is an event with its time after the start.
@@ -310,7 +310,7 @@
 	})
 	if fetch := c.fetches[to]; fetch.Address == fmt.Sprint(from) {
 		c.fetches[to] = declared.Fetch{}
-		answer := replica.Answer(schema.DeclaredRequest{Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt})
+		answer := replica.Answer(c.now, schema.DeclaredRequest{Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt})
 		c.sentRegistrations += len(answer.Registrations)
 		c.step(to, declared.PeerAnswered{Answer: answer})
 	}
@@ -455,7 +455,7 @@
 		fetch, fetches := actions[0].(declared.Fetch)
 		actions = actions[1:]
 		if fetches {
-			answer := returned.Answer(schema.DeclaredRequest{Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt})
+			answer := returned.Answer(at(9300*time.Millisecond), schema.DeclaredRequest{Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt})
 			actions = append(actions, sound.Step(at(9300*time.Millisecond), declared.PeerAnswered{Answer: answer})...)
 		}
 	}
--- a/declared/poll.go
+++ b/declared/poll.go
@@ -169,20 +169,15 @@
 	return read
 }
 
-// noteReadSuccess records that the store answered, and ends an outage. If this host's
-// state was unconfirmed for at least lapseThreshold before, missing registrations are
-// retained.
+// noteReadSuccess records that the store answered, and ends an outage.
 func (r *Replica) noteReadSuccess(now time.Time, table Table) []Action {
-	silent := now.Sub(r.ConfirmedAt())
+	r.noteHeard(now, now)
 	r.reading[table], r.failures, r.readConfirmedAt[table], r.behindSince = false, 0, now, time.Time{}
 	if r.lostAt.IsZero() {
 		return nil
 	}
 	outage := now.Sub(r.lostAt)
 	r.lostAt = time.Time{}
-	if silent >= lapseThreshold {
-		r.retainLapsedUntil = now.Add(lapsedRetention)
-	}
 
 	return []Action{StoreRegained{Outage: outage}}
 }
--- a/declared/sync.go
+++ b/declared/sync.go
@@ -35,17 +35,18 @@
 
 // Answer returns the declared state that the requesting host lacks. It contains
 // only the changed registrations if the history reaches back far enough, and all
-// of them otherwise.
-func (r *Replica) Answer(request schema.DeclaredRequest) schema.DeclaredAnswer {
+// of them otherwise, and none that this host retains.
+func (r *Replica) Answer(now time.Time, request schema.DeclaredRequest) schema.DeclaredAnswer {
 	answer := schema.DeclaredAnswer{
 		DeclaredVersion: r.Declared.Declaration.Version, Evacuated: r.Declared.Evacuated, OrdersAt: r.Declared.OrdersAt,
 		RegistrationsAt: r.Declared.RegistrationsAt, RegistrationsHash: r.registrations.hash(),
+		RetainLapsedMs: int(max(r.retainLapsedUntil.Sub(now), 0).Milliseconds()),
 	}
 	if request.Version != answer.DeclaredVersion {
 		answer.Declaration = r.Declared.Declaration
 	}
 	if request.RegistrationsAt < max(r.history.completeFrom, 1) || request.RegistrationsAt > answer.RegistrationsAt {
-		answer.Registrations = r.Declared.Registrations
+		answer.Registrations = r.registrations.list
 
 		return answer
 	}
@@ -119,7 +120,7 @@
 func (r *Replica) adoptAnswer(now time.Time, peer schema.DeclaredAnswer) []Action {
 	before := r.deltaMismatch
 	r.fetching, r.deltaMismatch = false, false
-	r.adoptPeer(peer)
+	r.adoptPeer(now, peer)
 	if r.deltaMismatch && !before {
 		return []Action{r.startFetch(r.fetchedFrom)}
 	}
@@ -135,10 +136,10 @@
 }
 
 // adoptPeer applies the parts of a peer's answer that are newer.
-func (r *Replica) adoptPeer(peer schema.DeclaredAnswer) {
+func (r *Replica) adoptPeer(now time.Time, peer schema.DeclaredAnswer) {
 	r.adoptPeerOrders(peer)
 	if peer.RegistrationsAt > r.Declared.RegistrationsAt {
-		r.adoptPeerRegistrations(peer)
+		r.adoptPeerRegistrations(now, peer)
 	}
 }
 
@@ -161,7 +162,7 @@
 
 // adoptPeerRegistrations applies a peer's newer registrations. If the result does
 // not match the peer's hash, it sets deltaMismatch and changes nothing else.
-func (r *Replica) adoptPeerRegistrations(peer schema.DeclaredAnswer) {
+func (r *Replica) adoptPeerRegistrations(now time.Time, peer schema.DeclaredAnswer) {
 	gone := peer.Gone
 	if peer.RegistrationsAfter == 0 {
 		listed := newRegistrationSet(peer.Registrations)
@@ -176,12 +177,14 @@
 		return
 	}
 	r.recordPeerChanges(peer, gone)
-	r.registrations.apply(peer.Registrations, gone)
-	clear(r.missing)
-	r.Declared.RegistrationsAt, r.changed = peer.RegistrationsAt, true
-	if r.fetchedFrom.confirmedAt.After(r.peerConfirmedAt) {
-		r.peerConfirmedAt = r.fetchedFrom.confirmedAt
+	r.noteHeard(now, now)
+	r.notePeerConfirmed(r.fetchedFrom.confirmedAt)
+	// The peer knows better whether the store was unavailable or only this host was cut off.
+	if until := now.Add(time.Duration(peer.RetainLapsedMs) * time.Millisecond); until.Before(r.retainLapsedUntil) {
+		r.retainLapsedUntil = until
 	}
+	r.applyRegistrations(now, peer.Registrations, gone)
+	r.Declared.RegistrationsAt, r.changed = peer.RegistrationsAt, true
 }
 
 // recordPeerChanges records in the history the registrations that a peer's answer
--- a/edge/control.go
+++ b/edge/control.go
@@ -152,7 +152,7 @@
 	case ReadyQuery:
 		_ = input.Reply.Offer(d.ready(now)) // as above
 	case DeclaredQuery:
-		_ = input.Reply.Offer(d.replica.Answer(input.Request)) // as above
+		_ = input.Reply.Offer(d.replica.Answer(now, input.Request)) // as above
 	case Stopping:
 		d.stopping = true
 
--- a/edge/propagation_test.go
+++ b/edge/propagation_test.go
@@ -236,7 +236,7 @@
 
 		return
 	}
-	answer := to.duty.replica.Answer(schema.DeclaredRequest{Sender: host.address, Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt})
+	answer := to.duty.replica.Answer(s.now, schema.DeclaredRequest{Sender: host.address, Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt})
 	s.deliver(host, 2*simulatedStep, DeclaredEvent{Event: declared.PeerAnswered{Answer: answer}})
 }
 
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -4285,6 +4285,12 @@
 				err = msgp.WrapError(err, "RegistrationsHash")
 				return
 			}
+		case "retain_lapsed_ms":
+			z.RetainLapsedMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "RetainLapsedMs")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4298,9 +4304,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *DeclaredAnswer) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "declaration"
-	err = en.Append(0x89, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x8a, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -4410,15 +4416,25 @@
 		err = msgp.WrapError(err, "RegistrationsHash")
 		return
 	}
+	// write "retain_lapsed_ms"
+	err = en.Append(0xb0, 0x72, 0x65, 0x74, 0x61, 0x69, 0x6e, 0x5f, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.RetainLapsedMs)
+	if err != nil {
+		err = msgp.WrapError(err, "RetainLapsedMs")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *DeclaredAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "declaration"
-	o = append(o, 0x89, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x8a, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o, err = z.Declaration.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Declaration")
@@ -4461,6 +4477,9 @@
 	// string "registrations_hash"
 	o = append(o, 0xb2, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x68, 0x61, 0x73, 0x68)
 	o = msgp.AppendInt(o, z.RegistrationsHash)
+	// string "retain_lapsed_ms"
+	o = append(o, 0xb0, 0x72, 0x65, 0x74, 0x61, 0x69, 0x6e, 0x5f, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.RetainLapsedMs)
 	return
 }
 
@@ -4591,6 +4610,12 @@
 				err = msgp.WrapError(err, "RegistrationsHash")
 				return
 			}
+		case "retain_lapsed_ms":
+			z.RetainLapsedMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RetainLapsedMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4617,7 +4642,7 @@
 	for za0003 := range z.Registrations {
 		s += z.Registrations[za0003].Msgsize()
 	}
-	s += 20 + msgp.IntSize + 17 + msgp.IntSize + 19 + msgp.IntSize
+	s += 20 + msgp.IntSize + 17 + msgp.IntSize + 19 + msgp.IntSize + 17 + msgp.IntSize
 	return
 }
 
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -347,6 +347,11 @@
 	// RegistrationsHash is the 32-bit hash of the registrations that result, by which
 	// the requesting host checks its own.
 	RegistrationsHash int `json:"registrations_hash" msg:"registrations_hash"`
+
+	// RetainLapsedMs is how much longer the answering host retains registrations that
+	// may have lapsed while the store was unavailable; they are not among those in
+	// the answer.
+	RetainLapsedMs int `json:"retain_lapsed_ms" msg:"retain_lapsed_ms"`
 }
 
 // DeclaredRequest asks an entry host for the declared state that the requesting
