--- a/declared/declared.go
+++ b/declared/declared.go
@@ -163,9 +163,9 @@
 	// behindSince is the time since which this host knows of a newer state, or zero.
 	behindSince time.Time
 	changed     bool
-	// late is set if the store had not confirmed this host's state in time before the
+	// unconfirmed is the time since the store had confirmed this host's state before the
 	// event being applied.
-	late bool
+	unconfirmed time.Duration
 }
 
 // NewReplica returns an empty replica of a host at which a change must be in force
@@ -186,7 +186,7 @@
 // Step applies one event and returns the actions that follow from it, including
 // the reads that are due.
 func (r *Replica) Step(now time.Time, event Event) []Action {
-	r.changed, r.late = false, now.Sub(r.ConfirmedAt()) > r.timing.readWait+answerAllowance
+	r.changed, r.unconfirmed = false, now.Sub(r.ConfirmedAt())
 	if r.startedAt.IsZero() {
 		r.startedAt = now
 	}
@@ -221,12 +221,22 @@
 	r.dropRetained(now)
 	if r.changed {
 		r.updateHash()
-		actions = append(actions, Changed{Declared: r.Declared, Late: r.late})
+		actions = append(actions, r.changedBy(event))
 	}
 
 	return append(actions, r.dueReads(now)...)
 }
 
+// changedBy returns the report of a change that an event caused.
+func (r *Replica) changedBy(event Event) Action {
+	changed := Changed{Declared: r.Declared, Late: r.unconfirmed > r.timing.readWait+answerAllowance, Unconfirmed: r.unconfirmed}
+	if _, fetched := event.(PeerAnswered); fetched {
+		changed.Peer = r.fetchedFrom.name
+	}
+
+	return changed
+}
+
 // updateHash updates the state in force and its hash, which leaves out what only this
 // host retains.
 func (r *Replica) updateHash() {
--- a/edge/control.go
+++ b/edge/control.go
@@ -104,8 +104,11 @@
 		return err
 	}
 
+	d.metrics.Confirmed(min(now.Sub(d.replica.ConfirmedAt()), maxDeclaredAge))
 	if reads := d.replica.Reads(now); reads != d.readsStore {
 		d.readsStore = reads
+		d.log.Event(eventlog.Info, "reads_changed", "this host began or ceased to read the store with answers",
+			eventlog.Flag("reads", reads), eventlog.Duration("unconfirmed", min(now.Sub(d.replica.ConfirmedAt()), maxDeclaredAge)))
 		if err := d.stepDirectory(ctx, now, directory.ReadsChanged{}); err != nil {
 			return err
 		}
@@ -194,7 +197,7 @@
 				d.metrics.Dropped("fetches")
 			}
 		case declared.Changed:
-			d.logDeclared(action.Declared)
+			d.logDeclared(event, action)
 			if err := d.calls.Put(ctx, declaredChanged(action.Declared)); err != nil {
 				return err
 			}
@@ -234,8 +237,8 @@
 }
 
 // logDeclared records the declared state in force in the log and the metrics.
-func (d *controlDuty) logDeclared(inForce schema.Declared) {
-	draining := 0
+func (d *controlDuty) logDeclared(event declared.Event, change declared.Changed) {
+	inForce, draining := change.Declared, 0
 	for _, registration := range inForce.Registrations {
 		if registration.Draining {
 			draining++
@@ -245,7 +248,22 @@
 	d.log.Event(eventlog.Info, "declared_changed", "new declared state is in force",
 		eventlog.Integer("version", inForce.Declaration.Version), eventlog.Integer("orders_at", inForce.OrdersAt),
 		eventlog.Integer("evacuated", len(inForce.Evacuated)), eventlog.Integer("backend_servers", len(inForce.Registrations)),
-		eventlog.Integer("draining", draining), eventlog.Integer("registrations_at", inForce.RegistrationsAt))
+		eventlog.Integer("draining", draining), eventlog.Integer("registrations_at", inForce.RegistrationsAt),
+		eventlog.Text("source", sourceOf(event)), eventlog.Text("peer", change.Peer), eventlog.Integer("hash", d.replica.Hash),
+		eventlog.Duration("unconfirmed", min(change.Unconfirmed, maxDeclaredAge)))
+}
+
+// sourceOf names what an event that changed the declared state came from.
+func sourceOf(event declared.Event) string {
+	switch event.(type) {
+	case declared.OrdersRead, declared.RegistrationsRead:
+		return "store"
+	case declared.PeerAnswered:
+		return "peer"
+	case declared.HistoryLost, declared.ReadFailed, declared.PeerStateReceived, declared.FetchFailed, declared.RankChanged, declared.Ticked:
+	}
+
+	return "retention_ended"
 }
 
 // stepDirectory passes an event to the directory and carries out the resulting
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -15,6 +15,7 @@
 	set      *metrics.Set
 	declared *metrics.Gauge
 	servers  *metrics.Gauge
+	age      *metrics.Gauge
 }
 
 // NewMetrics returns metrics in a set of their own.
@@ -25,6 +26,7 @@
 		set:      set,
 		declared: set.NewGauge("baobabdrum_declaration_version", nil),
 		servers:  set.NewGauge("baobabdrum_backend_servers", nil),
+		age:      set.NewGauge("baobabdrum_declared_age_seconds", nil),
 	}
 }
 
@@ -81,6 +83,11 @@
 	m.servers.Set(float64(servers))
 }
 
+// Confirmed records the time since the store confirmed the declared state in force.
+func (m *Metrics) Confirmed(age time.Duration) {
+	m.age.Set(age.Seconds())
+}
+
 // Exhausted counts bodies for which there was no memory.
 func (m *Metrics) Exhausted(use string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_memory_exhausted_total{use=%q}`, use)).Inc()
