declared: tests of take-over, alerts and failed fetches that fail without them

The tests added here fail without the take-over at once, without the second alert and without the fetch from the next host. The announcement of late changes is dropped: the beacon of a host that begins to read already tells all hosts of the new state.

--- a/declared/declared.go
+++ b/declared/declared.go
@@ -229,7 +229,7 @@
 
 // changedBy returns the report of a change that an event caused.
 func (r *Replica) changedBy(event Event) Action {
-	changed := Changed{Declared: r.Declared, Late: r.unconfirmed > r.timing.readWait+answerAllowance, Unconfirmed: r.unconfirmed}
+	changed := Changed{Declared: r.Declared, Unconfirmed: r.unconfirmed}
 	if _, fetched := event.(PeerAnswered); fetched {
 		changed.Peer = r.fetchedFrom.name
 	}
--- a/declared/declared_test.go
+++ b/declared/declared_test.go
@@ -424,6 +424,31 @@
 	}
 }
 
+// Guards against a host that waits for the next beacon after a failed fetch, although
+// it knows another host with the newer state.
+func TestNextHostIsAskedAfterAFailedFetch(t *testing.T) {
+	replica := declared.NewReplica(declared.DefaultBound)
+	fetched := func(event declared.Event) string {
+		for _, action := range replica.Step(start, event) {
+			if fetch, fetches := action.(declared.Fetch); fetches {
+				return fetch.Address
+			}
+		}
+
+		return ""
+	}
+	peer := func(name string) declared.Event {
+		return declared.PeerStateReceived{Name: name, Address: name + ":1", Hash: 1, OrdersAt: 5, RegistrationsAt: 6 << declared.RevisionBits}
+	}
+	assert.Equal(t, fetched(peer("a")), "a:1")
+	assert.Equal(t, fetched(peer("b")), "")
+	assert.Equal(t, fetched(declared.FetchFailed{}), "b:1")
+	assert.Equal(t, fetched(declared.FetchFailed{}), "")
+	assert.Equal(t, fetched(peer("a")), "a:1")
+	assert.Equal(t, fetched(peer("b")), "")
+	assert.Equal(t, fetched(peerAnswer(newDeclaration(1), 4, 5)), "a:1") // the answer is older than announced
+}
+
 // Guards against backend servers that return to the state in force. A host that had
 // been cut off retained one that had left meanwhile, and a sound host that had
 // dropped it fetched it from there.
--- a/declared/events.go
+++ b/declared/events.go
@@ -145,9 +145,6 @@
 type Changed struct {
 	// Declared is the complete state in force.
 	Declared schema.Declared
-	// Late is set if the store had not confirmed this host's state in time, so that the
-	// change may be in force late at other hosts too.
-	Late bool
 	// Peer is the name of the host whose answer caused the change, or empty.
 	Peer string
 	// Unconfirmed is the time since the store had confirmed the state before.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -180,9 +180,6 @@
 		d.Self.Calls = event.Calls
 	case UpdateArrived:
 		d.updatePending = true
-		if event.Late {
-			d.alertAll(now)
-		}
 	case ReadsChanged:
 		d.alertAll(now)
 	case Ticked:
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -307,6 +307,29 @@
 	})
 }
 
+// Guards against hosts that wait for a reader which has lost the store, because the
+// beacon that said so was lost.
+func TestChangeOfReadingIsSentTwiceToAllHosts(t *testing.T) {
+	f := newFleet(6)
+	f.advance(5 * time.Second)
+	view, sentTo := f.views[0], map[string]int{}
+	count := func(actions []directory.Action) {
+		for _, action := range actions {
+			if send, sends := action.(directory.SendBeacon); sends {
+				for _, address := range send.Addresses {
+					sentTo[address]++
+				}
+			}
+		}
+	}
+	count(view.Step(f.now, directory.ReadsChanged{}))
+	count(view.Step(f.now.Add(50*time.Millisecond), directory.Ticked{}))
+	for i := 1; i < len(f.views); i++ {
+		address := f.views[i].Self.PeerAddress
+		assert.Assert(t, sentTo[address] >= 2, "%d beacons were sent to %s", sentTo[address], address)
+	}
+}
+
 // Guards against false losses when a host begins to serve. A burst made a second
 // host of a data centre serve; it considered every host silent that had had no
 // reason to send it beacons, and announced those losses to all others.
--- a/directory/events.go
+++ b/directory/events.go
@@ -46,10 +46,7 @@
 
 // UpdateArrived reports a change at this host that serving hosts need to receive
 // promptly.
-type UpdateArrived struct {
-	// Late is set if all other hosts need to receive it at once.
-	Late bool
-}
+type UpdateArrived struct{}
 
 // ReadsChanged reports that this host began or ceased to read the store. All other
 // hosts depend on the readers.
--- a/edge/control.go
+++ b/edge/control.go
@@ -201,7 +201,7 @@
 			if err := d.calls.Put(ctx, declaredChanged(action.Declared)); err != nil {
 				return err
 			}
-			if err := d.announceDeclared(ctx, now, event, action.Late); err != nil {
+			if err := d.announceDeclared(ctx, now, event); err != nil {
 				return err
 			}
 		case declared.StoreLost:
@@ -217,12 +217,12 @@
 // announceDeclared has the directory send a beacon about a new declared state
 // at once. A host that does not serve sends none for a state that it fetched
 // from a peer, because that peer announces the state itself.
-func (d *controlDuty) announceDeclared(ctx context.Context, now time.Time, event declared.Event, late bool) error {
+func (d *controlDuty) announceDeclared(ctx context.Context, now time.Time, event declared.Event) error {
 	if _, fromPeer := event.(declared.PeerAnswered); fromPeer && !d.serving {
 		return nil
 	}
 
-	return d.stepDirectory(ctx, now, directory.UpdateArrived{Late: late})
+	return d.stepDirectory(ctx, now, directory.UpdateArrived{})
 }
 
 // requestRead passes a read to the duty that reads its table.
--- a/edge/propagation_test.go
+++ b/edge/propagation_test.go
@@ -409,6 +409,34 @@
 	}
 }
 
+// Guards against hosts that wait for others which read the store without an answer:
+// all hosts but one lose it together.
+func TestTheLastHostThatReachesTheStoreHasChanges(t *testing.T) {
+	tests := map[string]struct {
+		hosts, dataCentres int
+		cut                simulatedCut
+	}{
+		"fifteen hosts, no answer":                   {hosts: 15, dataCentres: 3, cut: cutSilent},
+		"fifteen hosts, rejected":                    {hosts: 15, dataCentres: 3, cut: cutRejected},
+		"fifteen hosts, cut from all":                {hosts: 15, dataCentres: 3, cut: cutAll},
+		"sixty hosts of a data centre, cut from all": {hosts: 60, dataCentres: 1, cut: cutAll},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for phase := range 10 {
+				s := newSimulation(test.hosts, test.dataCentres, uint64(phase))
+				s.run(8*time.Second + time.Duration(phase)*250*time.Millisecond)
+				for _, host := range s.hosts[:test.hosts-1] {
+					host.cut = test.cut
+				}
+				s.change()
+				s.run(simulatedBound)
+				assert.Equal(t, len(s.outdated()), 0, "phase %d: %v", phase, s.outdated())
+			}
+		})
+	}
+}
+
 // TestChangesPropagateWhateverHostsAreCutOff cuts off any hosts at any moment around
 // a change. All others have the change in force within the bound.
 func TestChangesPropagateWhateverHostsAreCutOff(t *testing.T) {
