placement: a tick does not grow with the number of late calls

Cause: each tick (10 ms) looked for a second backend server for every call that is late, among all backend servers of its service, also with an empty retry budget. With 445 of them a tick took longer than its interval from 50 late calls on; calls and changes of the declared state then waited behind the ticks, which made all calls late, until the host was lost. Change: a hedge is considered only if the budget allows one, for four calls a tick, in turn. When an attempt ends, the queue is drained until three calls cannot be placed; ticks consider all of it as before.

--- a/placement/attempts.go
+++ b/placement/attempts.go
@@ -15,6 +15,10 @@
 	// hedgeGain is the share of the remaining time of an attempt that a hedge
 	// must be expected to undercut.
 	hedgeGain = 0.7
+	// maxHedgesPerTick bounds the calls for which a tick looks for a second backend
+	// server. Each takes time for all backend servers of the service, and a tick must not
+	// take longer the more calls are late.
+	maxHedgesPerTick = 4
 	// maxProgressStep bounds the time for which progress is credited at once,
 	// because the pace is not known for longer.
 	maxProgressStep = 200 * time.Millisecond
@@ -176,32 +180,45 @@
 }
 
 // hedgeAll hedges the calls that may run twice and whose backend server has
-// slowed down or stopped answering since it was chosen.
+// slowed down or stopped answering since it was chosen. A tick considers at most
+// maxHedgesPerTick of them, each tick others.
 func (p *Placer) hedgeAll(now time.Time) {
-	for _, c := range p.openCalls {
-		if len(c.inFlight) == 1 && c.route.Idempotent && c.sends < c.route.MaxAttempts {
-			p.hedge(now, c)
+	considered, from := 0, p.hedgeFrom
+	for i := range p.openCalls {
+		index := (from + i) % len(p.openCalls)
+		c := p.openCalls[index]
+		if len(c.inFlight) != 1 || !c.route.Idempotent || c.sends >= c.route.MaxAttempts {
+			continue
 		}
+		remaining, lost := p.observeRemaining(now, c.inFlight[0])
+		late := lost || remaining > c.targetDeadline.Sub(now)
+		if !late || considered >= maxHedgesPerTick || !c.service.budget.allowsHedge(now, p.peers.Hosts) {
+			continue
+		}
+		considered, p.hedgeFrom = considered+1, index+1
+		p.hedge(now, c, remaining, lost)
 	}
 }
 
-// hedge sends one call to a second backend server if that is likely to help.
-func (p *Placer) hedge(now time.Time, c *call) {
-	running := c.inFlight[0]
+// observeRemaining returns the remaining time of an attempt and whether it counts as
+// lost, which is recorded as a failure of the backend server once.
+func (p *Placer) observeRemaining(now time.Time, running *attempt) (time.Duration, bool) {
 	remaining, lost := p.remainingTime(now, running)
 	if lost && !running.lossRecorded {
 		running.lossRecorded = true
 		p.recordFailure(now, running.server)
 	}
-	left := c.targetDeadline.Sub(now)
-	if !lost && remaining <= left {
-		return
-	}
+
+	return remaining, lost
+}
+
+// hedge sends one call to a second backend server if that is likely to help.
+func (p *Placer) hedge(now time.Time, c *call, remaining time.Duration, lost bool) {
 	best := p.choose(now, c)
 	if best == nil || !best.hasFreeSlot || best.expected >= c.deadline.Sub(now) {
 		return
 	}
-	helps := best.expected <= left && float64(best.expected) < hedgeGain*float64(remaining)
+	helps := best.expected <= c.targetDeadline.Sub(now) && float64(best.expected) < hedgeGain*float64(remaining)
 	if (lost || helps) && c.service.budget.takeHedge(now, p.peers.Hosts) {
 		p.send(now, c, best)
 	}
--- a/placement/budget.go
+++ b/placement/budget.go
@@ -118,9 +118,14 @@
 	return b.remaining(now, hosts) < 1+scarceShare*b.earned()
 }
 
+// allowsHedge reports whether enough is left for a hedge.
+func (b *budget) allowsHedge(now time.Time, hosts int) bool {
+	return b.remaining(now, hosts) >= 1+(1-hedgeShare)*b.earned()
+}
+
 // takeHedge takes a hedge from the budget and reports whether enough was left.
 func (b *budget) takeHedge(now time.Time, hosts int) bool {
-	if b.remaining(now, hosts) < 1+(1-hedgeShare)*b.earned() {
+	if !b.allowsHedge(now, hosts) {
 		return false
 	}
 	b.repeats[b.rotate(now)]++
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -25,6 +25,10 @@
 	// answerGrace is how long after the deadline of a call an answer is awaited
 	// that may already be on its way.
 	answerGrace = 40 * time.Millisecond
+	// maxFreedFailures bounds the queued calls that are considered in vain when an
+	// attempt ends: each takes time for all backend servers of the service, and one
+	// attempt frees one slot. Each tick considers all.
+	maxFreedFailures = 3
 	// maxUnsentTries bounds the number of attempts of a call that never left
 	// this host.
 	maxUnsentTries = 3
@@ -186,11 +190,17 @@
 }
 
 // drainQueue sends or refuses the queued calls that can be settled now, the
-// most urgent first.
-func (p *Placer) drainQueue(now time.Time, service *service) {
+// most urgent first. It ends after a number of calls that cannot.
+func (p *Placer) drainQueue(now time.Time, service *service, maxFailures int) {
+	failures := 0
 	for _, waiting := range slices.Clone(service.queue) {
+		if failures >= maxFailures {
+			return
+		}
 		if p.place(now, waiting) {
 			service.dequeue(waiting)
+		} else {
+			failures++
 		}
 	}
 }
@@ -320,7 +330,7 @@
 	}
 	c.inFlight = slices.DeleteFunc(c.inFlight, func(other *attempt) bool { return other == running })
 	p.settle(now, c, event)
-	p.drainQueue(now, c.service)
+	p.drainQueue(now, c.service, maxFreedFailures)
 }
 
 // settle ends or retries a call according to the result of one of its attempts.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -71,10 +71,12 @@
 	paused        map[string]pausedServer
 	// reportedBy are the backend servers with attempts in flight by the newest report
 	// of each other host.
-	reportedBy  map[string][]*Server
-	peers       Peers
-	calls       map[CallID]*call
-	attempts    map[AttemptID]*attempt
+	reportedBy map[string][]*Server
+	peers      Peers
+	calls      map[CallID]*call
+	attempts   map[AttemptID]*attempt
+	// hedgeFrom is the position in openCalls at which the next tick looks for hedges.
+	hedgeFrom   int
 	openCalls   []*call
 	random      *rand.Rand
 	slowdowns   *SlowdownEstimator
@@ -181,7 +183,7 @@
 	p.updateProgress(now)
 	p.expire(now)
 	for _, service := range p.services {
-		p.drainQueue(now, service)
+		p.drainQueue(now, service, len(service.queue))
 	}
 	p.hedgeAll(now)
 	p.probe(now)
