edge: changes of the declared state overtake the calls that wait

Cause: changes reached the calls duty through the ring of calls and ended attempts, up to 4,096 of them, and waited behind these. Change: a ring of their own, which the calls duty empties before each input.

--- a/edge/calls.go
+++ b/edge/calls.go
@@ -36,8 +36,10 @@
 
 // callsDuty owns every call from its arrival to its reply.
 type callsDuty struct {
-	placer   *placement.Placer
-	inputs   *ring.Ring[Input]
+	placer *placement.Placer
+	inputs *ring.Ring[Input]
+	// changes are taken before inputs.
+	changes  *ring.Ring[Input]
 	attempts *ring.Ring[*Attempt]
 	probes   *ring.Ring[placement.Probe]
 	control  *ring.Ring[ControlInput]
@@ -62,7 +64,10 @@
 	delay := idleTickInterval
 	for {
 		select {
+		case change := <-d.changes.Items():
+			d.step(time.Now(), change)
 		case input := <-d.inputs.Items():
+			d.takeChanges()
 			d.step(time.Now(), input)
 			if interval := d.interval(); interval < delay {
 				delay = interval
@@ -78,6 +83,14 @@
 	}
 }
 
+// takeChanges handles the changes that wait, so that calls are placed by the newest
+// declared state however many inputs wait before them.
+func (d *callsDuty) takeChanges() {
+	for change, found := d.changes.Poll(); found; change, found = d.changes.Poll() {
+		d.step(time.Now(), change)
+	}
+}
+
 // interval returns the time until the next tick.
 func (d *callsDuty) interval() time.Duration {
 	switch {
--- /dev/null
+++ b/edge/calls_test.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// declaredService returns a declared state whose only route leads to a service with
+// one backend server of the same name.
+func declaredService(version int, service string) schema.Declared {
+	return schema.Declared{
+		OrdersAt: version, RegistrationsAt: version,
+		Registrations: []schema.Registration{{ID: service, Service: service, Address: "10.0.0.1:80", DataCentre: "north", Slots: 64, StartedMs: 1}},
+		Declaration: schema.Declaration{Version: version, Services: []schema.ServiceRule{{Name: service}}, Routes: []schema.Route{{
+			Name: "route", HostName: "a.example", Prefix: "/", MaxAttempts: 1, TargetMs: 1000, TimeoutMs: 4000,
+			Targets: []schema.RouteTarget{{Service: service, Weight: 1}},
+		}}},
+	}
+}
+
+// Guards against calls that are placed by an old state because the newer one waits
+// behind them: a host that had fallen behind sent calls to backend servers that had
+// left seconds before.
+func TestChangesOvertakeWaitingCalls(t *testing.T) {
+	const calls = 50
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	duty := &callsDuty{
+		placer: placement.New(placement.Options{Host: "h", DataCentre: "north"}),
+		inputs: ring.New[Input]("calls", calls), changes: ring.New[Input]("changes", 2), attempts: ring.New[*Attempt]("senders", calls),
+		probes: ring.New[placement.Probe]("probers", calls), control: ring.New[ControlInput]("control", calls),
+		log: eventlog.New(logrus.NewEntry(logger)), metrics: NewMetrics(),
+		calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
+	}
+	duty.step(time.Now(), declaredChanged(declaredService(1, "old")))
+	for i := range calls {
+		assert.NilError(t, duty.inputs.Offer(CallArrived{
+			Call: placement.CallID(i + 1), Request: &Request{HostName: "a.example", Path: "/", Wait: time.Second}, Reply: ring.New[Reply]("reply", 1),
+		}))
+	}
+	assert.NilError(t, duty.changes.Offer(declaredChanged(declaredService(2, "new"))))
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, duty.run(ctx), context.DeadlineExceeded)
+	sent := 0
+	for attempt, found := duty.attempts.Poll(); found; attempt, found = duty.attempts.Poll() {
+		assert.Equal(t, attempt.Server, "new", fmt.Sprint("call ", attempt.Call))
+		sent++
+	}
+	assert.Equal(t, sent, calls)
+}
--- a/edge/control.go
+++ b/edge/control.go
@@ -38,6 +38,7 @@
 	directory     *directory.Directory
 	inputs        *ring.Ring[ControlInput]
 	calls         *ring.Ring[Input]
+	changes       *ring.Ring[Input]
 	orders        *ring.Ring[declared.Read]
 	registrations *ring.Ring[declared.Read]
 	fetches       *ring.Ring[declared.Fetch]
@@ -198,7 +199,7 @@
 			}
 		case declared.Changed:
 			d.logDeclared(event, action)
-			if err := d.calls.Put(ctx, declaredChanged(action.Declared)); err != nil {
+			if err := d.changes.Put(ctx, declaredChanged(action.Declared)); err != nil {
 				return err
 			}
 			if err := d.announceDeclared(ctx, now, event); err != nil {
@@ -324,10 +325,10 @@
 	}
 	d.log.Event(eventlog.Info, "serving_changed", "set of serving hosts changed",
 		eventlog.Text("hosts", names), eventlog.Flag("self", action.Self), eventlog.Integer("known_hosts", action.Hosts))
-	if err := d.calls.Put(ctx, PlacementEvent{Event: placement.PeersChanged{Peers: peers}}); err != nil {
+	if err := d.changes.Put(ctx, PlacementEvent{Event: placement.PeersChanged{Peers: peers}}); err != nil {
 		return err
 	}
-	if err := d.calls.Put(ctx, ServingChanged{Serving: action.Self}); err != nil {
+	if err := d.changes.Put(ctx, ServingChanged{Serving: action.Self}); err != nil {
 		return err
 	}
 
--- a/edge/host.go
+++ b/edge/host.go
@@ -33,6 +33,9 @@
 	// callsRingCapacity is the capacity of the ring of the calls duty: more than
 	// all senders and callers of a host offer at once.
 	callsRingCapacity = 4096
+	// changesRingCapacity is the capacity of the ring of changes that the calls duty
+	// takes before its other inputs.
+	changesRingCapacity = 16
 	// controlRingCapacity is the capacity of rings that carry no calls.
 	controlRingCapacity = 512
 	// storeMembersCapacity is the number of requests that a host makes to be known in
@@ -66,6 +69,7 @@
 
 	started       time.Time
 	inputs        *ring.Ring[Input]
+	changes       *ring.Ring[Input]
 	attempts      *ring.Ring[*Attempt]
 	probes        *ring.Ring[placement.Probe]
 	control       *ring.Ring[ControlInput]
@@ -92,6 +96,7 @@
 		Metrics:       NewMetrics(),
 		started:       time.Now(),
 		inputs:        ring.New[Input]("calls", callsRingCapacity),
+		changes:       ring.New[Input]("changes", changesRingCapacity),
 		attempts:      ring.New[*Attempt]("senders", settings.Senders),
 		probes:        ring.New[placement.Probe]("probers", controlRingCapacity),
 		control:       ring.New[ControlInput]("control", controlRingCapacity),
@@ -242,7 +247,7 @@
 			Host: h.Site.Name, DataCentre: h.Site.DataCentre, Seed: h.seed(),
 			Budget: h.Site.Budget, ProbeInterval: h.Settings.ProbeInterval, CrossingCost: float64(h.Settings.CrossingCost) / perMille,
 		}),
-		inputs: h.inputs, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
+		inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
 		calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
 	}
 	duties.Go("calls", calls.run)
@@ -267,7 +272,7 @@
 	replica := declared.NewReplica(cmp.Or(h.Site.Propagation, declared.DefaultBound))
 	replica.Early = h.Site.Seed || directory.LikelyToServe(h.Site.Capacity)
 	control := &controlDuty{
-		replica: replica, directory: view, inputs: h.control, calls: h.inputs, orders: h.orders, registrations: h.registrations,
+		replica: replica, directory: view, inputs: h.control, calls: h.inputs, changes: h.changes, orders: h.orders, registrations: h.registrations,
 		fetches: h.fetches, beacons: h.beacons, asks: h.asks, storeMembers: h.storeMembers, log: h.Log, metrics: h.Metrics, startedAt: h.started, seeds: h.Site.Seeds,
 	}
 	duties.Go("control", control.run)
--- a/edge/propagation_test.go
+++ b/edge/propagation_test.go
@@ -125,7 +125,7 @@
 			Name: fmt.Sprint("h", i), StartedMs: int(started.UnixMilli()), DataCentre: fmt.Sprint("dc", i%dataCentres),
 			CallerAddress: address, PeerAddress: address, Capacity: capacity,
 		}),
-		inputs: ring.New[ControlInput]("control", 1), calls: ring.New[Input]("calls", callsRingCapacity),
+		inputs: ring.New[ControlInput]("control", 1), calls: ring.New[Input]("calls", callsRingCapacity), changes: ring.New[Input]("changes", changesRingCapacity),
 		orders: ring.New[declared.Read]("orders", 1), registrations: ring.New[declared.Read]("registrations", 1),
 		fetches: ring.New[declared.Fetch]("fetches", 1), beacons: ring.New[beacon.Datagram]("beacons", controlRingCapacity),
 		asks: ring.New[directory.AskMembers]("asks", 1), storeMembers: ring.New[directory.Action]("store_members", storeMembersCapacity),
@@ -213,8 +213,10 @@
 			}
 		}
 	}
-	for _, found := host.duty.calls.Poll(); found; {
-		_, found = host.duty.calls.Poll()
+	for _, inputs := range []*ring.Ring[Input]{host.duty.calls, host.duty.changes} {
+		for _, found := inputs.Poll(); found; {
+			_, found = inputs.Poll()
+		}
 	}
 }
 
