edge: calls that waited for a sender are placed again

Cause: a large host has 192 senders, one for each request in flight, and is expected to carry 480 calls a second. When work takes long, attempts wait for a sender after they were placed, and are then sent on the old decision. Change: an attempt that has waited for 250 ms is unsent, and its call is placed again on the state in force. A host has as many senders as calls per second that it can carry, if that is more. Result: TestAttemptThatWaitedForASenderIsPlacedAgain passes; it fails without the check.

--- a/edge/calls.go
+++ b/edge/calls.go
@@ -199,7 +199,7 @@
 // send offers an attempt to the senders and returns it if all of them are busy.
 func (d *callsDuty) send(now time.Time, action placement.Send) *Attempt {
 	call := d.calls[action.Call]
-	attempt := newAttempt(action, call.request)
+	attempt := newAttempt(now, action, call.request)
 	call.attempts = append(call.attempts, attempt)
 	d.inFlight[action.Attempt] = attempt
 	d.metrics.Sent(action.Reason)
--- a/edge/calls_test.go
+++ b/edge/calls_test.go
@@ -60,3 +60,14 @@
 	}
 	assert.Equal(t, sent, calls)
 }
+
+// Guards against requests that reach a backend server which left while they waited
+// for one of the senders, all of which were busy.
+func TestAttemptThatWaitedForASenderIsPlacedAgain(t *testing.T) {
+	attempt := newAttempt(time.Now().Add(-maxSenderWait-time.Millisecond), placement.Send{Address: "10.0.0.1:80", Deadline: time.Now().Add(time.Minute)}, &Request{})
+	decoded := (&sender{}).send(attempt)
+	result, unsent := decoded.Result.(placement.Unsent)
+	assert.Assert(t, unsent, "the result is %#v", decoded.Result)
+	assert.Assert(t, result.Local)
+	assert.ErrorIs(t, result.Cause, errSendersBusy)
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -117,15 +117,16 @@
 	// Context ends when the calls duty cancels the attempt.
 	Context context.Context //nolint:containedctx // one context for each attempt, created by the duty and read by a sender
 
-	cancel context.CancelFunc
-	answer *dispatch.Answer
+	cancel    context.CancelFunc
+	offeredAt time.Time
+	answer    *dispatch.Answer
 	// memory is what the answer holds of the budget.
 	memory *memory.Reservation
 }
 
 // newAttempt returns an attempt with a context of its own.
-func newAttempt(send placement.Send, request *Request) *Attempt {
-	attempt := &Attempt{Send: send, Request: request}
+func newAttempt(now time.Time, send placement.Send, request *Request) *Attempt {
+	attempt := &Attempt{Send: send, Request: request, offeredAt: now}
 	attempt.Context, attempt.cancel = context.WithCancel(context.Background())
 
 	return attempt
--- a/edge/host.go
+++ b/edge/host.go
@@ -97,7 +97,7 @@
 		started:       time.Now(),
 		inputs:        ring.New[Input]("calls", callsRingCapacity),
 		changes:       ring.New[Input]("changes", changesRingCapacity),
-		attempts:      ring.New[*Attempt]("senders", settings.Senders),
+		attempts:      ring.New[*Attempt]("senders", senderCount(settings, site)),
 		probes:        ring.New[placement.Probe]("probers", controlRingCapacity),
 		control:       ring.New[ControlInput]("control", controlRingCapacity),
 		orders:        ring.New[declared.Read]("orders", 1),
@@ -251,7 +251,7 @@
 		calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
 	}
 	duties.Go("calls", calls.run)
-	for range h.Settings.Senders {
+	for range senderCount(h.Settings, h.Site) {
 		duty := &sender{adapter: h.Adapter, attempts: h.attempts, reports: h.inputs, connections: connections, budget: h.budget}
 		duties.Go("sender", duty.run)
 	}
@@ -261,6 +261,12 @@
 	}
 }
 
+// senderCount returns the number of senders: the configured one, or more on a host
+// that can carry more calls, of which each may take a second.
+func senderCount(settings schema.EdgeSettings, site Site) int {
+	return max(settings.Senders, site.Capacity)
+}
+
 // startControl starts the duties that maintain the declared state and the set
 // of serving hosts.
 func (h *Host) startControl(duties *group.Group, open *listeners) {
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -25,6 +25,9 @@
 	// first packet only after a second; by then another backend server has long
 	// answered.
 	maxDialTimeout = 150 * time.Millisecond
+	// maxSenderWait is how long an attempt may wait for a sender. After that, the call
+	// is placed again, because its backend server may be leaving by now.
+	maxSenderWait = 250 * time.Millisecond
 	// readGrace is how long after its deadline an attempt may still read. The
 	// calls duty cancels the attempt before that.
 	readGrace = 200 * time.Millisecond
@@ -67,6 +70,9 @@
 	if attempt.Context.Err() != nil || !time.Now().Before(attempt.Deadline) {
 		return DecodedAnswer{Result: placement.Unsent{Local: true, Cause: context.DeadlineExceeded}}
 	}
+	if time.Since(attempt.offeredAt) > maxSenderWait {
+		return DecodedAnswer{Result: placement.Unsent{Local: true, Cause: errSendersBusy}}
+	}
 	s.connections.Declare(attempt.Address, min(attempt.Connections, maxConnectionsPerServer))
 	connection, err := s.connections.Acquire(attempt.Address)
 	if err != nil {
