--- a/declared/declared_test.go
+++ b/declared/declared_test.go
@@ -42,11 +42,11 @@
 // peerAnswer returns the full answer of a peer that read the arguments from the
 // store.
 func peerAnswer(declaration schema.Declaration, ordersAt, registeredAt int, servers ...schema.Registration) declared.Event {
-	peer := declared.NewReplica()
+	peer := declared.NewReplica(declared.DefaultBound)
 	peer.Step(start, declared.OrdersRead{At: ordersAt, Full: true, Declarations: []schema.Declaration{declaration}})
 	peer.Step(start, declared.RegistrationsRead{At: registeredAt, Full: true, Registered: servers})
 
-	return declared.PeerAnswered{Answer: peer.Answer(schema.DeclaredRequest{})}
+	return declared.PeerAnswered{Answer: peer.Answer(start, schema.DeclaredRequest{})}
 }
 
 // step is an event with its time after the start.
@@ -152,7 +152,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			replica := declared.NewReplica()
+			replica := declared.NewReplica(declared.DefaultBound)
 			for _, steps := range test.steps {
 				for _, step := range steps {
 					replica.Step(at(step.at), step.event)
@@ -200,7 +200,7 @@
 func newUnconnectedCluster(hosts int) *cluster {
 	c := &cluster{now: start, rows: map[string]schema.Registration{}, changedAt: map[string]int{}, rejected: make([]bool, hosts), fetches: make([]declared.Fetch, hosts)}
 	for range hosts {
-		c.replicas = append(c.replicas, declared.NewReplica())
+		c.replicas = append(c.replicas, declared.NewReplica(declared.DefaultBound))
 		c.reads = append(c.reads, map[declared.Table]pending{})
 	}
 
@@ -310,7 +310,7 @@
 	})
 	if fetch := c.fetches[to]; fetch.Address == fmt.Sprint(from) {
 		c.fetches[to] = declared.Fetch{}
-		answer := replica.Answer(schema.DeclaredRequest{Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt})
+		answer := replica.Answer(c.now, schema.DeclaredRequest{Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt})
 		c.sentRegistrations += len(answer.Registrations)
 		c.step(to, declared.PeerAnswered{Answer: answer})
 	}
@@ -379,8 +379,11 @@
 	c.write(server("a"))
 	c.advance(10 * time.Second)
 	calls := c.calls
-	c.advance(10 * time.Second)
-	assert.Assert(t, c.calls-calls <= 24, "%d calls in ten seconds", c.calls-calls)
+	const seconds = 10
+	c.advance(seconds * time.Second)
+	// Two hosts read two tables once in half of the bound; a fifth more is allowed.
+	limit := 2 * 2 * seconds * int(time.Second) / int(declared.DefaultBound/2) * 6 / 5
+	assert.Assert(t, c.calls-calls <= limit, "%d calls in %d seconds, more than %d", c.calls-calls, seconds, limit)
 }
 
 // Guards against a surge of reads during an outage: when the store became
@@ -421,6 +424,93 @@
 	}
 }
 
+// Guards against a host that waits for the next beacon after a failed fetch, although
+// it knows another host with the newer state.
+func TestNextHostIsAskedAfterAFailedFetch(t *testing.T) {
+	replica := declared.NewReplica(declared.DefaultBound)
+	fetched := func(event declared.Event) string {
+		for _, action := range replica.Step(start, event) {
+			if fetch, fetches := action.(declared.Fetch); fetches {
+				return fetch.Address
+			}
+		}
+
+		return ""
+	}
+	peer := func(name string) declared.Event {
+		return declared.PeerStateReceived{Name: name, Address: name + ":1", Hash: 1, OrdersAt: 5, RegistrationsAt: 6 << declared.RevisionBits}
+	}
+	assert.Equal(t, fetched(peer("a")), "a:1")
+	assert.Equal(t, fetched(peer("b")), "")
+	assert.Equal(t, fetched(declared.FetchFailed{}), "b:1")
+	assert.Equal(t, fetched(declared.FetchFailed{}), "")
+	assert.Equal(t, fetched(peer("a")), "a:1")
+	assert.Equal(t, fetched(peer("b")), "")
+	assert.Equal(t, fetched(peerAnswer(newDeclaration(1), 4, 5)), "a:1") // the answer is older than announced
+}
+
+// Guards against backend servers that return to the state in force. A host that had
+// been cut off retained one that had left meanwhile, and a sound host that had
+// dropped it fetched it from there.
+func TestRetainedRegistrationsStayAtTheirHost(t *testing.T) {
+	known := []step{
+		{0, declared.OrdersRead{At: 5, Full: true, Declarations: []schema.Declaration{newDeclaration(3)}}},
+		{0, declared.RegistrationsRead{At: 6, Full: true, Registered: []schema.Registration{server("a"), server("b")}}},
+	}
+	returned, sound := declared.NewReplica(declared.DefaultBound), declared.NewReplica(declared.DefaultBound)
+	for _, step := range append(known, []step{
+		{time.Second, declared.ReadFailed{Table: declared.Registrations}},
+		{2 * time.Second, declared.ReadFailed{Table: declared.Registrations}},
+		{9 * time.Second, declared.RegistrationsRead{At: 8, Gone: []string{"a"}}},
+		{9100 * time.Millisecond, declared.RegistrationsRead{At: 9, Registered: []schema.Registration{server("c")}}},
+	}...) {
+		returned.Step(at(step.at), step.event)
+	}
+	for _, step := range append(known,
+		step{5 * time.Second, declared.OrdersRead{At: 8}},
+		step{5 * time.Second, declared.RegistrationsRead{At: 8, Gone: []string{"a"}}},
+	) {
+		sound.Step(at(step.at), step.event)
+	}
+	assert.Equal(t, ids(returned), "a b c ")
+	actions := sound.Step(at(9200*time.Millisecond), declared.PeerStateReceived{
+		Name: "returned", Hash: returned.Hash, OrdersAt: returned.Declared.OrdersAt, RegistrationsAt: returned.Declared.RegistrationsAt,
+	})
+	for len(actions) > 0 {
+		fetch, fetches := actions[0].(declared.Fetch)
+		actions = actions[1:]
+		if fetches {
+			answer := returned.Answer(at(9300*time.Millisecond), schema.DeclaredRequest{Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt})
+			actions = append(actions, sound.Step(at(9300*time.Millisecond), declared.PeerAnswered{Answer: answer})...)
+		}
+	}
+	assert.Equal(t, ids(sound), "b c ")
+}
+
+// Guards against hosts that do not read the store and drop the registrations that
+// lapsed while it was unavailable, before the backend servers have registered again.
+func TestLapsedRegistrationsAreRetainedAtAllHosts(t *testing.T) {
+	c := newCluster(5)
+	c.write(server("a"))
+	c.write(server("b"))
+	c.advance(5 * time.Second)
+	c.rejected = []bool{true, true, true, true, true}
+	c.advance(8 * time.Second)
+	c.remove("b")
+	c.rejected = make([]bool, 5)
+	for range 30 {
+		c.advance(50 * time.Millisecond)
+		for host, replica := range c.replicas {
+			assert.Equal(t, ids(replica), "a b ", "host %d", host)
+		}
+	}
+	c.write(server("b"))
+	c.advance(4 * time.Second)
+	for host, replica := range c.replicas {
+		assert.Equal(t, ids(replica), "a b ", "host %d", host)
+	}
+}
+
 func TestPeersSendOnlyChangedRegistrations(t *testing.T) {
 	const servers, changes = 100, 20
 	c := newCluster(15)
@@ -488,7 +578,7 @@
 
 func TestVersionsNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		replica := declared.NewReplica()
+		replica := declared.NewReplica(declared.DefaultBound)
 		newest, revision, now := 0, 0, start
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
--- a/declared/events.go
+++ b/declared/events.go
@@ -145,6 +145,10 @@
 type Changed struct {
 	// Declared is the complete state in force.
 	Declared schema.Declared
+	// Peer is the name of the host whose answer caused the change, or empty.
+	Peer string
+	// Unconfirmed is the time since the store had confirmed the state before.
+	Unconfirmed time.Duration
 }
 
 // StoreLost reports that the store has become unavailable.
--- a/declared/sync.go
+++ b/declared/sync.go
@@ -1,7 +1,9 @@
 package declared
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -33,17 +35,18 @@
 
 // Answer returns the declared state that the requesting host lacks. It contains
 // only the changed registrations if the history reaches back far enough, and all
-// of them otherwise.
-func (r *Replica) Answer(request schema.DeclaredRequest) schema.DeclaredAnswer {
+// of them otherwise, and none that this host retains.
+func (r *Replica) Answer(now time.Time, request schema.DeclaredRequest) schema.DeclaredAnswer {
 	answer := schema.DeclaredAnswer{
 		DeclaredVersion: r.Declared.Declaration.Version, Evacuated: r.Declared.Evacuated, OrdersAt: r.Declared.OrdersAt,
 		RegistrationsAt: r.Declared.RegistrationsAt, RegistrationsHash: r.registrations.hash(),
+		RetainLapsedMs: int(max(r.retainLapsedUntil.Sub(now), 0).Milliseconds()),
 	}
 	if request.Version != answer.DeclaredVersion {
 		answer.Declaration = r.Declared.Declaration
 	}
 	if request.RegistrationsAt < max(r.history.completeFrom, 1) || request.RegistrationsAt > answer.RegistrationsAt {
-		answer.Registrations = r.Declared.Registrations
+		answer.Registrations = r.registrations.list
 
 		return answer
 	}
@@ -62,11 +65,48 @@
 	return answer
 }
 
+// peerState is the summary of a peer's state.
+type peerState struct {
+	name, address             string
+	ordersAt, registrationsAt int
+	// confirmedAt is when the store last confirmed the state.
+	confirmedAt time.Time
+}
+
+// isNewer reports whether a part of a peer's state is newer than this host's.
+func (r *Replica) isNewer(peer peerState) bool {
+	return peer.ordersAt > r.Declared.OrdersAt || peer.registrationsAt > r.Declared.RegistrationsAt
+}
+
+// nextFetch returns a fetch from the peer with the newest state, if one has a newer
+// state and no fetch is running.
+func (r *Replica) nextFetch() []Action {
+	if r.fetching {
+		return nil
+	}
+	var newest *peerState
+	for name, peer := range r.newer {
+		if !r.isNewer(peer) {
+			delete(r.newer, name)
+
+			continue
+		}
+		if newest == nil || cmp.Or(cmp.Compare(peer.ordersAt, newest.ordersAt), cmp.Compare(peer.registrationsAt, newest.registrationsAt), cmp.Compare(newest.name, name)) > 0 {
+			newest = &peer
+		}
+	}
+	if newest == nil {
+		return nil
+	}
+
+	return []Action{r.startFetch(*newest)}
+}
+
 // startFetch returns a fetch of the state that this host lacks, or of all
 // registrations after a mismatch.
-func (r *Replica) startFetch(address string) Action {
-	r.fetching, r.fetchedFrom = true, address
-	fetch := Fetch{Address: address, Version: r.Declared.Declaration.Version, RegistrationsAt: r.Declared.RegistrationsAt}
+func (r *Replica) startFetch(peer peerState) Action {
+	r.fetching, r.fetchedFrom = true, peer
+	fetch := Fetch{Address: peer.address, Version: r.Declared.Declaration.Version, RegistrationsAt: r.Declared.RegistrationsAt}
 	if r.deltaMismatch {
 		fetch.RegistrationsAt = 0
 	}
@@ -75,23 +115,31 @@
 }
 
 // adoptAnswer applies a peer's answer. If its changes do not fit this replica, all
-// registrations are fetched from the same peer.
-func (r *Replica) adoptAnswer(peer schema.DeclaredAnswer) []Action {
+// registrations are fetched from the same peer. A newer state that was announced
+// meanwhile is fetched next.
+func (r *Replica) adoptAnswer(now time.Time, peer schema.DeclaredAnswer) []Action {
 	before := r.deltaMismatch
 	r.fetching, r.deltaMismatch = false, false
-	r.adoptPeer(peer)
+	r.adoptPeer(now, peer)
 	if r.deltaMismatch && !before {
 		return []Action{r.startFetch(r.fetchedFrom)}
 	}
+	if r.changed {
+		r.behindSince = time.Time{}
+	}
+	actions := r.nextFetch()
+	if r.fetching && r.behindSince.IsZero() {
+		r.behindSince = now
+	}
 
-	return nil
+	return actions
 }
 
 // adoptPeer applies the parts of a peer's answer that are newer.
-func (r *Replica) adoptPeer(peer schema.DeclaredAnswer) {
+func (r *Replica) adoptPeer(now time.Time, peer schema.DeclaredAnswer) {
 	r.adoptPeerOrders(peer)
 	if peer.RegistrationsAt > r.Declared.RegistrationsAt {
-		r.adoptPeerRegistrations(peer)
+		r.adoptPeerRegistrations(now, peer)
 	}
 }
 
@@ -114,7 +162,7 @@
 
 // adoptPeerRegistrations applies a peer's newer registrations. If the result does
 // not match the peer's hash, it sets deltaMismatch and changes nothing else.
-func (r *Replica) adoptPeerRegistrations(peer schema.DeclaredAnswer) {
+func (r *Replica) adoptPeerRegistrations(now time.Time, peer schema.DeclaredAnswer) {
 	gone := peer.Gone
 	if peer.RegistrationsAfter == 0 {
 		listed := newRegistrationSet(peer.Registrations)
@@ -129,12 +177,14 @@
 		return
 	}
 	r.recordPeerChanges(peer, gone)
-	r.registrations.apply(peer.Registrations, gone)
-	clear(r.missing)
-	r.Declared.RegistrationsAt, r.changed = peer.RegistrationsAt, true
-	if r.fetchConfirmedAt.After(r.peerConfirmedAt) {
-		r.peerConfirmedAt = r.fetchConfirmedAt
+	r.noteHeard(now, now)
+	r.notePeerConfirmed(r.fetchedFrom.confirmedAt)
+	// The peer knows better whether the store was unavailable or only this host was cut off.
+	if until := now.Add(time.Duration(peer.RetainLapsedMs) * time.Millisecond); until.Before(r.retainLapsedUntil) {
+		r.retainLapsedUntil = until
 	}
+	r.applyRegistrations(now, peer.Registrations, gone)
+	r.Declared.RegistrationsAt, r.changed = peer.RegistrationsAt, true
 }
 
 // recordPeerChanges records in the history the registrations that a peer's answer
--- a/edge/control.go
+++ b/edge/control.go
@@ -38,6 +38,7 @@
 	directory     *directory.Directory
 	inputs        *ring.Ring[ControlInput]
 	calls         *ring.Ring[Input]
+	changes       *ring.Ring[Input]
 	orders        *ring.Ring[declared.Read]
 	registrations *ring.Ring[declared.Read]
 	fetches       *ring.Ring[declared.Fetch]
@@ -76,7 +77,7 @@
 			if err := d.tick(ctx, time.Now()); err != nil {
 				return err
 			}
-			timer.Reset(d.interval())
+			timer.Reset(d.interval(time.Now()))
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -84,8 +85,8 @@
 }
 
 // interval returns the time until the next tick.
-func (d *controlDuty) interval() time.Duration {
-	if d.serving || time.Since(d.startedAt) < startPeriod {
+func (d *controlDuty) interval(now time.Time) time.Duration {
+	if d.serving || d.replica.Unread() || now.Sub(d.startedAt) < startPeriod {
 		return controlTickInterval
 	}
 
@@ -104,14 +105,17 @@
 		return err
 	}
 
+	d.metrics.Confirmed(min(now.Sub(d.replica.ConfirmedAt()), maxDeclaredAge))
 	if reads := d.replica.Reads(now); reads != d.readsStore {
 		d.readsStore = reads
+		d.log.Event(eventlog.Info, "reads_changed", "this host began or ceased to read the store with answers",
+			eventlog.Flag("reads", reads), eventlog.Duration("unconfirmed", min(now.Sub(d.replica.ConfirmedAt()), maxDeclaredAge)))
 		if err := d.stepDirectory(ctx, now, directory.ReadsChanged{}); err != nil {
 			return err
 		}
 	}
 
-	if err := d.stepDirectory(ctx, now, directory.ReadyChanged{Ready: d.ready()}); err != nil {
+	if err := d.stepDirectory(ctx, now, directory.ReadyChanged{Ready: d.ready(now)}); err != nil {
 		return err
 	}
 
@@ -119,10 +123,10 @@
 }
 
 // ready reports whether this host can serve calls.
-func (d *controlDuty) ready() bool {
+func (d *controlDuty) ready(now time.Time) bool {
 	confirmed := d.resumedAt.IsZero() || d.replica.ConfirmedAt().After(d.resumedAt)
 
-	return d.replica.HasState() && !d.stopping && confirmed && d.directory.Settled(time.Now())
+	return d.replica.HasState() && !d.stopping && confirmed && d.directory.Settled(now)
 }
 
 // step handles one input.
@@ -150,9 +154,9 @@
 		list, ttl := d.directory.Answer(input.DataCentre)
 		_ = input.Reply.Offer(Addresses{List: list, TTL: ttl}) // the sender of the query guarantees room
 	case ReadyQuery:
-		_ = input.Reply.Offer(d.ready()) // as above
+		_ = input.Reply.Offer(d.ready(now)) // as above
 	case DeclaredQuery:
-		_ = input.Reply.Offer(d.replica.Answer(input.Request)) // as above
+		_ = input.Reply.Offer(d.replica.Answer(now, input.Request)) // as above
 	case Stopping:
 		d.stopping = true
 
@@ -194,8 +198,8 @@
 				d.metrics.Dropped("fetches")
 			}
 		case declared.Changed:
-			d.logDeclared(action.Declared)
-			if err := d.calls.Put(ctx, declaredChanged(action.Declared)); err != nil {
+			d.logDeclared(event, action)
+			if err := d.changes.Put(ctx, declaredChanged(action.Declared)); err != nil {
 				return err
 			}
 			if err := d.announceDeclared(ctx, now, event); err != nil {
@@ -234,8 +238,8 @@
 }
 
 // logDeclared records the declared state in force in the log and the metrics.
-func (d *controlDuty) logDeclared(inForce schema.Declared) {
-	draining := 0
+func (d *controlDuty) logDeclared(event declared.Event, change declared.Changed) {
+	inForce, draining := change.Declared, 0
 	for _, registration := range inForce.Registrations {
 		if registration.Draining {
 			draining++
@@ -245,7 +249,22 @@
 	d.log.Event(eventlog.Info, "declared_changed", "new declared state is in force",
 		eventlog.Integer("version", inForce.Declaration.Version), eventlog.Integer("orders_at", inForce.OrdersAt),
 		eventlog.Integer("evacuated", len(inForce.Evacuated)), eventlog.Integer("backend_servers", len(inForce.Registrations)),
-		eventlog.Integer("draining", draining), eventlog.Integer("registrations_at", inForce.RegistrationsAt))
+		eventlog.Integer("draining", draining), eventlog.Integer("registrations_at", inForce.RegistrationsAt),
+		eventlog.Text("source", sourceOf(event)), eventlog.Text("peer", change.Peer), eventlog.Integer("hash", d.replica.Hash),
+		eventlog.Duration("unconfirmed", min(change.Unconfirmed, maxDeclaredAge)))
+}
+
+// sourceOf names what an event that changed the declared state came from.
+func sourceOf(event declared.Event) string {
+	switch event.(type) {
+	case declared.OrdersRead, declared.RegistrationsRead:
+		return "store"
+	case declared.PeerAnswered:
+		return "peer"
+	case declared.HistoryLost, declared.ReadFailed, declared.PeerStateReceived, declared.FetchFailed, declared.RankChanged, declared.Ticked:
+	}
+
+	return "retention_ended"
 }
 
 // stepDirectory passes an event to the directory and carries out the resulting
@@ -306,10 +325,10 @@
 	}
 	d.log.Event(eventlog.Info, "serving_changed", "set of serving hosts changed",
 		eventlog.Text("hosts", names), eventlog.Flag("self", action.Self), eventlog.Integer("known_hosts", action.Hosts))
-	if err := d.calls.Put(ctx, PlacementEvent{Event: placement.PeersChanged{Peers: peers}}); err != nil {
+	if err := d.changes.Put(ctx, PlacementEvent{Event: placement.PeersChanged{Peers: peers}}); err != nil {
 		return err
 	}
-	if err := d.calls.Put(ctx, ServingChanged{Serving: action.Self}); err != nil {
+	if err := d.changes.Put(ctx, ServingChanged{Serving: action.Self}); err != nil {
 		return err
 	}
 
