Log why attempts are cancelled and what a planned stop breaks off

attempt_failed outcome=cancelled did not say whether the caller had left, another attempt was answered, or the time was over, and a call that the end of the process breaks off was logged nowhere.

attempt_failed has cancelled_for, host_stopped counts the open calls by state and the calls since SIGTERM with the time of the last one, and each call that gets no answer is logged as call_unanswered. Two counters show the same.

--- a/edge/calllog.go
+++ b/edge/calllog.go
@@ -59,12 +59,27 @@
 		eventlog.Text("request_id", attempt.Request.ID), eventlog.Count("attempt", uint64(attempt.Attempt)),
 		eventlog.Text("backend_server", attempt.Server), eventlog.Text("outcome", outcome),
 	}
+	if attempt.cancelledFor != "" {
+		fields = append(fields, eventlog.Text("cancelled_for", string(attempt.cancelledFor)))
+		d.metrics.Cancelled(attempt.cancelledFor)
+	}
 	if cause != nil {
 		fields = append(fields, eventlog.Text("error", cause.Error()))
 	}
 	d.log.Event(eventlog.Info, "attempt_failed", "attempt ended without a usable answer", fields...)
 }
 
+// logUnanswered logs a call that gets no answer because the process ends.
+func (d *callsDuty) logUnanswered(call *openCall, inFlight bool) {
+	fields := []eventlog.Field{eventlog.Text("request_id", call.request.ID), eventlog.Flag("in_flight", inFlight)}
+	if sends := len(call.attempts); sends > 0 {
+		last := call.attempts[sends-1]
+		fields = append(fields, eventlog.Text("route", last.Reason.Route), eventlog.Text("service", last.Reason.Service),
+			eventlog.Integer("sends", sends), eventlog.Text("backend_server", last.Server))
+	}
+	d.log.Event(eventlog.Warning, "call_unanswered", "process ends before the call has an outcome", fields...)
+}
+
 // logFinish logs how a call ended.
 func (d *callsDuty) logFinish(request *Request, action placement.Finish, reply Reply) {
 	outcome, reason, after := outcomeLabels(action.Outcome)
--- a/edge/calls.go
+++ b/edge/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/dispatch"
@@ -133,6 +134,8 @@
 		d.serving = input.Serving
 	case DumpQuery:
 		_ = input.Reply.Offer(d.placer.Dump(now)) // the sender of the query guarantees room
+	case OpenCallsQuery:
+		_ = input.Reply.Offer(d.countOpenCalls()) // as above
 	}
 }
 
@@ -164,6 +167,7 @@
 			}
 		case placement.Cancel:
 			if attempt, running := d.inFlight[action.Attempt]; running {
+				attempt.cancelledFor = action.Reason
 				attempt.cancel()
 			}
 		case placement.Finish:
@@ -217,6 +221,22 @@
 	_ = call.reply.Offer(reply) // the caller front guarantees room
 }
 
+// countOpenCalls counts and logs the calls without an outcome.
+func (d *callsDuty) countOpenCalls() OpenCalls {
+	var open OpenCalls
+	for _, call := range d.calls {
+		inFlight := slices.ContainsFunc(call.attempts, func(attempt *Attempt) bool { return d.inFlight[attempt.Attempt] != nil })
+		if inFlight {
+			open.InFlight++
+		} else {
+			open.Queued++
+		}
+		d.logUnanswered(call, inFlight)
+	}
+
+	return open
+}
+
 // takeAnswer returns the answer to one of a call's attempts, or nil, and what it
 // holds of the memory budget.
 func takeAnswer(call *openCall, id placement.AttemptID) (*dispatch.Answer, *memory.Reservation) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -115,7 +115,9 @@
 	Context context.Context //nolint:containedctx // one context for each attempt, created by the duty and read by a sender
 
 	cancel context.CancelFunc
-	answer *dispatch.Answer
+	// cancelledFor is empty until the calls duty cancels the attempt.
+	cancelledFor placement.CancelReason
+	answer       *dispatch.Answer
 	// memory is what the answer holds of the budget.
 	memory *memory.Reservation
 }
@@ -197,7 +199,23 @@
 	Reply *ring.Ring[schema.EdgeDump]
 }
 
-func (DumpQuery) input() {}
+// OpenCallsQuery requests the number of calls without an outcome and has each of
+// them logged.
+type OpenCallsQuery struct {
+	// Reply receives one reply and must have room for it.
+	Reply *ring.Ring[OpenCalls]
+}
+
+// OpenCalls are the calls of a host without an outcome.
+type OpenCalls struct {
+	// Queued is the number of calls without an attempt in flight.
+	Queued int
+	// InFlight is the number of calls with an attempt in flight.
+	InFlight int
+}
+
+func (DumpQuery) input()      {}
+func (OpenCallsQuery) input() {}
 
 func (CallArrived) input()    {}
 func (CallerLeft) input()     {}
--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -60,6 +60,10 @@
 	stopping   atomic.Bool
 	active     atomic.Int64
 	lastCallID atomic.Uint64
+	// lateCalls and lastCallAt, in Unix nanoseconds, are the number of calls that
+	// arrived after the request to stop and the time of the last one.
+	lateCalls  atomic.Int64
+	lastCallAt atomic.Int64
 	server     *fasthttp.Server
 	// finished receives one item when the server has closed its last connection.
 	finished *ring.Ring[error]
@@ -114,6 +118,11 @@
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	arrived := time.Now()
+	if f.stopping.Load() {
+		f.metrics.ArrivedStopping()
+		f.lateCalls.Add(1)
+		f.lastCallAt.Store(arrived.UnixNano())
+	}
 	request := f.adapter.DecodeCall(ctx, arrived)
 	held := f.budget.Reserve(memory.Requests)
 	defer held.Release()
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -68,6 +68,16 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`baobabdrum_call_duration_seconds{service=%q,outcome=%q}`, action.Service, outcome)).Update(action.Took.Seconds())
 }
 
+// Cancelled counts a cancelled attempt.
+func (m *Metrics) Cancelled(reason placement.CancelReason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_cancelled_attempts_total{reason=%q}`, reason)).Inc()
+}
+
+// ArrivedStopping counts a call that arrived after the request to stop.
+func (m *Metrics) ArrivedStopping() {
+	m.set.GetOrCreateCounter("baobabdrum_calls_while_stopping_total").Inc()
+}
+
 // StateChanged counts a backend server's change to a state, as seen by this
 // host.
 func (m *Metrics) StateChanged(state string) {
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/ring"
 )
 
 const (
@@ -41,12 +42,26 @@
 	h.awaitDrained(ctx, startedAt)
 	closeFront()
 	h.awaitConnectionsClosed(ctx, startedAt.Add(time.Duration(h.grace.Load())-killMargin))
-	h.Log.Event(eventlog.Info, "host_stopped", "planned stop finished",
-		eventlog.Duration("took", time.Since(startedAt)), eventlog.Integer("open_calls", int(h.front.active.Load())))
+	h.logStopped(startedAt)
 
 	return &StoppedError{}
 }
 
+// logStopped logs the calls that the end of the process breaks off, and when the
+// last call arrived.
+func (h *Host) logStopped(startedAt time.Time) {
+	open := queryDuty(h.inputs, func(reply *ring.Ring[OpenCalls]) Input { return OpenCallsQuery{Reply: reply} })
+	fields := []eventlog.Field{
+		eventlog.Duration("took", time.Since(startedAt)), eventlog.Integer("open_calls", int(h.front.active.Load())),
+		eventlog.Integer("calls_queued", open.Queued), eventlog.Integer("calls_in_flight", open.InFlight),
+		eventlog.Integer("late_calls", int(h.front.lateCalls.Load())),
+	}
+	if last := h.front.lastCallAt.Load(); last > 0 {
+		fields = append(fields, eventlog.Duration("last_call_after", time.Unix(0, last).Sub(startedAt)))
+	}
+	h.Log.Event(eventlog.Info, "host_stopped", "planned stop finished", fields...)
+}
+
 // awaitConnectionsClosed returns when the caller front has closed its last
 // connection, including connections on which a request is still being sent, or
 // when the latest time is reached.
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -58,6 +58,43 @@
 type Cancel struct {
 	// Attempt identifies the attempt.
 	Attempt AttemptID
+	// Reason says why the attempt is not needed any more.
+	Reason CancelReason
+}
+
+// CancelReason says why an attempt is cancelled. Its values leave the process and
+// stay stable.
+type CancelReason string
+
+// The reasons to cancel an attempt.
+const (
+	// CancelCallerLeft says that the caller disconnected.
+	CancelCallerLeft CancelReason = "caller_left"
+	// CancelAnswered says that another attempt of the call was answered.
+	CancelAnswered CancelReason = "answered_elsewhere"
+	// CancelTimeout says that the deadline of the caller or of the route passed.
+	CancelTimeout CancelReason = "timeout"
+	// CancelUnreachable says that the call ended because later attempts could not be
+	// sent.
+	CancelUnreachable CancelReason = "unreachable"
+)
+
+// cancelReason returns why the attempts in flight of a call with an outcome are
+// cancelled.
+func cancelReason(outcome Outcome) CancelReason {
+	switch outcome := outcome.(type) {
+	case Answered:
+		return CancelAnswered
+	case Abandoned:
+		return CancelCallerLeft
+	case Unknown:
+		if outcome.Reason == ReasonTimeout {
+			return CancelTimeout
+		}
+	case NotRun, NoRoute:
+	}
+
+	return CancelUnreachable
 }
 
 // Finish ends a call and is the last action for it.
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -212,7 +212,7 @@
 	c.service.dequeue(c)
 	delete(p.calls, c.id)
 	p.openCalls = slices.DeleteFunc(p.openCalls, func(other *call) bool { return other == c })
-	p.cancelAttempts(c)
+	p.cancelAttempts(c, cancelReason(outcome))
 	taken, slots := p.slotUsage(now, c.service)
 	p.emit(Finish{
 		Call: c.id, Outcome: outcome, Route: c.route.Name, Service: c.service.Name,
@@ -222,11 +222,11 @@
 }
 
 // cancelAttempts cancels the attempts of a call that are still in flight.
-func (p *Placer) cancelAttempts(c *call) {
+func (p *Placer) cancelAttempts(c *call, reason CancelReason) {
 	for _, running := range c.inFlight {
 		if !running.cancelled {
 			running.cancelled = true
-			p.emit(Cancel{Attempt: running.id})
+			p.emit(Cancel{Attempt: running.id, Reason: reason})
 		}
 	}
 }
