--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -502,6 +502,12 @@
 	BackendServers string `long:"backend-servers" env:"BAOBABDRUM_SOAK_BACKEND_SERVERS" default:"8" value-name:"integer" description:"number of backend servers, in backend servers (1 to 99)"`
 	Callers        string `long:"callers" env:"BAOBABDRUM_SOAK_CALLERS" default:"24" value-name:"integer" description:"number of callers, each with one call at a time, in callers (1 to 1000)"`
 	Duration       string `long:"duration" env:"BAOBABDRUM_SOAK_DURATION" default:"15s" value-name:"duration" description:"time of the run; the last part is without faults (8s to 1h)"`
+	Planned        string `long:"planned" env:"BAOBABDRUM_SOAK_PLANNED" default:"false" value-name:"boolean" description:"whether only planned work happens: stops, reloads, changes of the declaration and drains"`
+	Work           string `long:"work" env:"BAOBABDRUM_SOAK_WORK" default:"30ms" value-name:"duration" description:"mean duration of a request at a backend server (1ms to 1m)"`
+	LongestWork    string `long:"longest-work" env:"BAOBABDRUM_SOAK_LONGEST_WORK" default:"45ms" value-name:"duration" description:"duration of the longest requests (1ms to 1m)"`
+	RouteTimeout   string `long:"route-timeout" env:"BAOBABDRUM_SOAK_ROUTE_TIMEOUT" default:"1500ms" value-name:"duration" description:"declared timeout of the routes (1ms to 1m)"`
+	CallTimeout    string `long:"call-timeout" env:"BAOBABDRUM_SOAK_CALL_TIMEOUT" default:"2s" value-name:"duration" description:"deadline of a call, counted from its start (1ms to 1m)"`
+	Grace          string `long:"grace" env:"BAOBABDRUM_SOAK_GRACE" default:"3s" value-name:"duration" description:"time between SIGTERM and the kill of an entry host (1s to 1m)"`
 }
 
 // SoakSettings holds the checked settings of the fault soak on the users' platform.
@@ -520,6 +526,18 @@
 	Callers int
 	// Duration is set by --duration: time of the run; the last part is without faults (8s to 1h).
 	Duration time.Duration
+	// Planned is set by --planned: whether only planned work happens: stops, reloads, changes of the declaration and drains.
+	Planned bool
+	// Work is set by --work: mean duration of a request at a backend server (1ms to 1m).
+	Work time.Duration
+	// LongestWork is set by --longest-work: duration of the longest requests (1ms to 1m).
+	LongestWork time.Duration
+	// RouteTimeout is set by --route-timeout: declared timeout of the routes (1ms to 1m).
+	RouteTimeout time.Duration
+	// CallTimeout is set by --call-timeout: deadline of a call, counted from its start (1ms to 1m).
+	CallTimeout time.Duration
+	// Grace is set by --grace: time between SIGTERM and the kill of an entry host (1s to 1m).
+	Grace time.Duration
 }
 
 // Check returns the typed settings and a fault for each value that is rejected.
@@ -533,6 +551,12 @@
 		BackendServers: c.integer("backend-servers", f.BackendServers, "1", "99"),
 		Callers:        c.integer("callers", f.Callers, "1", "1000"),
 		Duration:       c.duration("duration", f.Duration, "8s", "1h"),
+		Planned:        c.boolean("planned", f.Planned),
+		Work:           c.duration("work", f.Work, "1ms", "1m"),
+		LongestWork:    c.duration("longest-work", f.LongestWork, "1ms", "1m"),
+		RouteTimeout:   c.duration("route-timeout", f.RouteTimeout, "1ms", "1m"),
+		CallTimeout:    c.duration("call-timeout", f.CallTimeout, "1ms", "1m"),
+		Grace:          c.duration("grace", f.Grace, "1s", "1m"),
 	}
 
 	return settings, c.faults
