Admit calls at a stopping host only if they end before its exit

Callers saw calls, among them orders that may not be repeated, closed without an answer at the end of the grace period of a host that was stopped as planned.

Cause: a stopping host took and passed on every call until it exited 0.25 s before the kill, and the exit broke off those in flight. The decision did not know of the stop at all: the front only added Connection: close. So a call on a connection that was opened before was begun seconds before the exit, whatever its work and timeout.

The placer now gets StopBegun: until when calls may run, and until when callers may know no other host. The check holds for new, queued and retried calls. Others are rejected at once as not run, with a short Retry-After. Calls that are still open 0.5 s before the kill are concluded, so that their callers get an answer before the exit.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -60,9 +60,9 @@
 	// its spare hosts become less frequent, so that a host's work does not grow with
 	// the number of hosts.
 	fullRateHosts = 64
-	// answerTTL is how long callers may cache an answer. It is short because lookups
+	// AnswerTTL is how long callers may cache an answer. It is short because lookups
 	// are cheap.
-	answerTTL = time.Second
+	AnswerTTL = time.Second
 	// maxAnswerAddresses bounds the addresses in an answer.
 	maxAnswerAddresses = 64
 )
--- a/directory/selection.go
+++ b/directory/selection.go
@@ -192,5 +192,5 @@
 		all = local
 	}
 
-	return all[:min(len(all), maxAnswerAddresses)], answerTTL
+	return all[:min(len(all), maxAnswerAddresses)], AnswerTTL
 }
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -4,29 +4,36 @@
 	"context"
 	"time"
 
+	"github.com/baobabdrum/baobabdrum/directory"
 	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/ring"
 )
 
 const (
 	// minDrainTime is the shortest time for which a stopping host still accepts
-	// calls, so that callers learn of other hosts before its listener closes.
+	// connections, so that callers learn of other hosts before its listener closes.
 	minDrainTime = 1200 * time.Millisecond
-	// maxDrainTime is the longest such time. Callers keep a list of hosts for
-	// three times as long as they are told.
+	// maxDrainTime is the longest such time.
 	maxDrainTime = 3300 * time.Millisecond
+	// onlyHostTime is how long callers may know no other host: they keep a list of
+	// hosts for three times as long as they are told.
+	onlyHostTime = 3 * directory.AnswerTTL
 	// quietPeriod is how long no call may be open until the host counts as
 	// drained.
 	quietPeriod = 600 * time.Millisecond
 	// stopPollInterval is the time between checks for open calls.
 	stopPollInterval = 100 * time.Millisecond
-	// killMargin is how long before the kill the host exits in any case.
-	killMargin = 250 * time.Millisecond
+	// exitMargin is how long before the kill the host exits in any case.
+	exitMargin = 300 * time.Millisecond
+	// deliveryTime is how long before the exit the open calls are concluded, so that
+	// callers receive the outcome.
+	deliveryTime = 200 * time.Millisecond
 )
 
 // runStop waits for the request to stop, withdraws this host from the
 // directory, waits until callers have left, closes the caller front and ends
-// the duties.
+// the duties. Meanwhile calls are admitted as long as they end before the exit.
 func (h *Host) runStop(ctx, interrupted context.Context, closeFront func()) error {
 	select {
 	case <-interrupted.Done():
@@ -34,14 +41,20 @@
 		return ctx.Err()
 	}
 	startedAt := time.Now()
+	grace := time.Duration(h.grace.Load())
+	exitAt := startedAt.Add(grace - exitMargin)
+	workUntil := exitAt.Add(-deliveryTime)
 	h.front.stopping.Store(true)
-	h.Log.Event(eventlog.Info, "host_stopping", "planned stop begins; directing callers to other hosts", eventlog.Duration("grace", time.Duration(h.grace.Load())))
+	h.Log.Event(eventlog.Info, "host_stopping", "planned stop begins; directing callers to other hosts", eventlog.Duration("grace", grace))
 	if err := h.control.Put(ctx, Stopping{}); err != nil {
 		return err
 	}
-	h.awaitDrained(ctx, startedAt)
+	if err := h.inputs.Put(ctx, PlacementEvent{Event: placement.StopBegun{WorkUntil: workUntil, OnlyHostUntil: startedAt.Add(onlyHostTime)}}); err != nil {
+		return err
+	}
+	h.awaitDrained(ctx, startedAt, min(maxDrainTime, workUntil.Sub(startedAt)))
 	closeFront()
-	h.awaitConnectionsClosed(ctx, startedAt.Add(time.Duration(h.grace.Load())-killMargin))
+	h.awaitConnectionsClosed(ctx, exitAt)
 	h.logStopped(startedAt)
 
 	return &StoppedError{}
@@ -74,9 +87,9 @@
 	}
 }
 
-// awaitDrained returns after maxDrainTime, or after minDrainTime once no call
+// awaitDrained returns after the longest time, or after minDrainTime once no call
 // has been open for quietPeriod.
-func (h *Host) awaitDrained(ctx context.Context, startedAt time.Time) {
+func (h *Host) awaitDrained(ctx context.Context, startedAt time.Time, longest time.Duration) {
 	lastActiveAt := startedAt
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -84,7 +97,7 @@
 			lastActiveAt = now
 		}
 		drained := now.Sub(startedAt) >= minDrainTime && now.Sub(lastActiveAt) >= quietPeriod
-		if drained || now.Sub(startedAt) >= maxDrainTime {
+		if drained || now.Sub(startedAt) >= longest {
 			return
 		}
 		pause(ctx, stopPollInterval)
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -74,6 +74,8 @@
 	CancelAnswered CancelReason = "answered_elsewhere"
 	// CancelTimeout says that the deadline of the caller or of the route passed.
 	CancelTimeout CancelReason = "timeout"
+	// CancelStopping says that this host stops.
+	CancelStopping CancelReason = "stopping"
 	// CancelUnreachable says that the call ended because later attempts could not be
 	// sent.
 	CancelUnreachable CancelReason = "unreachable"
@@ -91,6 +93,9 @@
 		if outcome.Reason == ReasonTimeout {
 			return CancelTimeout
 		}
+		if outcome.Reason == ReasonStopping {
+			return CancelStopping
+		}
 	case NotRun, NoRoute:
 	}
 
@@ -198,6 +203,8 @@
 	ReasonUnreachable Reason = "unreachable"
 	// ReasonCut says that the answer was lost after the request was sent.
 	ReasonCut Reason = "cut"
+	// ReasonStopping says that this host stops before the call would have ended.
+	ReasonStopping Reason = "stopping"
 	// ReasonTimeout says that the deadline of the caller or of the route
 	// passed.
 	ReasonTimeout Reason = "timeout"
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -103,8 +103,13 @@
 // backend server, and one that can be in time after a wait is queued. Any other
 // call is sent late if a cold backend server accepts it or there are spare
 // slots, and refused once it has waited for maxLateWait, so that late work does
-// not make more calls late.
+// not make more calls late. A stopping host refuses calls that may not end in time.
 func (p *Placer) place(now time.Time, c *call) bool {
+	if !p.endsInTime(now, c) {
+		p.refuse(now, c, ReasonStopping)
+
+		return true
+	}
 	best := p.choose(now, c)
 	left := c.targetDeadline.Sub(now)
 	switch {
@@ -201,7 +206,9 @@
 	if c.targetDeadline.Sub(now) < after+c.route.Work {
 		after = max(after, time.Duration(lateRetryAfterShare*float64(c.callerDeadline.Sub(now))))
 	}
-	if pause, paused := p.shortestPause(now, c.service); paused {
+	if reason == ReasonStopping {
+		after = time.Duration(float64(stopRetryAfter) * (1 + retryAfterJitter*(2*p.random.Float64()-1)))
+	} else if pause, paused := p.shortestPause(now, c.service); paused {
 		after = time.Duration(float64(pause) * (1 + pauseJitter*p.random.Float64()))
 	}
 	p.finish(now, c, NotRun{Reason: reason, RetryAfter: after})
@@ -283,7 +290,7 @@
 	}
 	best := p.choose(now, c)
 	left := c.deadline.Sub(now)
-	if best == nil || !best.hasFreeSlot || best.expected >= left || c.sends >= c.route.MaxAttempts {
+	if best == nil || !best.hasFreeSlot || best.expected >= left || c.sends >= c.route.MaxAttempts || !p.endsInTime(now, c) {
 		p.conclude(now, c, reason)
 
 		return
--- a/placement/events.go
+++ b/placement/events.go
@@ -96,6 +96,14 @@
 	Budget Budget
 }
 
+// StopBegun says that this host begins a planned stop.
+type StopBegun struct {
+	// WorkUntil is when the calls that are still open are concluded.
+	WorkUntil time.Time
+	// OnlyHostUntil is the time until which callers may know no other host.
+	OnlyHostUntil time.Time
+}
+
 // Ticked says that time has passed.
 type Ticked struct{}
 
@@ -107,6 +115,7 @@
 func (LoadsReceived) event()   {}
 func (PeersChanged) event()    {}
 func (BudgetChanged) event()   {}
+func (StopBegun) event()       {}
 func (Ticked) event()          {}
 
 // Load is a load report of a backend server.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -82,7 +82,9 @@
 	startedAt   time.Time
 	steppedAt   time.Time
 	resumedAt   time.Time
-	actions     []Action
+	// stop is zero unless this host stops.
+	stop    StopBegun
+	actions []Action
 }
 
 // New returns a placer without a declaration, which refuses every call.
@@ -141,6 +143,8 @@
 		for _, service := range p.services {
 			service.budget.adopt(event.Budget)
 		}
+	case StopBegun:
+		p.stop = event
 	case Ticked:
 		p.tick(now)
 	}
@@ -180,6 +184,7 @@
 func (p *Placer) tick(now time.Time) {
 	p.updateProgress(now)
 	p.expire(now)
+	p.concludeAll(now)
 	for _, service := range p.services {
 		p.drainQueue(now, service)
 	}
