End waits for the store when the host stops

A host that reads the store stayed for up to 2.8 s after it had finished its planned stop and was killed at the end of its grace period. Requests that it read meanwhile were closed without an answer.

Cause: the duties that read the store wait for changes in a request without a context, and the group of duties waits for them.

The client of the store can be closed, which ends its requests; the duties that use it close it when the group stops.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -62,6 +62,8 @@
 	Register func(schema.Member) error
 	// Members returns the hosts that have registered in the store.
 	Members func() ([]schema.Member, error)
+	// CloseStore ends the exchanges with the store in progress; later ones fail.
+	CloseStore func()
 	// ReadSite reads the settings file again.
 	ReadSite func() (Site, error)
 	// DecodeCall decodes the head of a caller's request.
--- a/edge/reads.go
+++ b/edge/reads.go
@@ -24,6 +24,7 @@
 
 // runReads reads a table of the store whenever the control duty requests it.
 func (h *Host) runReads(ctx context.Context, requests *ring.Ring[declared.Read], table string, read func(declared.Read) declared.Event) error {
+	defer context.AfterFunc(ctx, h.Adapter.CloseStore)()
 	for {
 		next, err := requests.Take(ctx)
 		if err != nil {
@@ -53,6 +54,7 @@
 // runStoreMembers registers this host in the store, or joins the hosts registered
 // there, when the control duty requests it.
 func (h *Host) runStoreMembers(ctx context.Context) error {
+	defer context.AfterFunc(ctx, h.Adapter.CloseStore)()
 	for {
 		request, err := h.storeMembers.Take(ctx)
 		if err != nil {
--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -5,9 +5,12 @@
 package jsonhttp
 
 import (
+	"cmp"
+	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -44,17 +47,58 @@
 	// Timeout is the maximum time for one request and its response.
 	Timeout time.Duration
 
-	http fasthttp.HostClient
+	http    fasthttp.HostClient
+	closing context.Context //nolint:containedctx // fasthttp passes none to the function that opens connections
+	close   context.CancelFunc
 }
 
 // NewClient returns a client for the address that opens connections on demand.
 func NewClient(address, token string, timeout time.Duration) *Client {
-	return &Client{Address: address, Token: token, Timeout: timeout, http: fasthttp.HostClient{
+	client := &Client{Address: address, Token: token, Timeout: timeout}
+	client.closing, client.close = context.WithCancel(context.Background())
+	client.http = fasthttp.HostClient{
 		Addr:                      address,
+		DialTimeout:               client.dial,
 		DisablePathNormalizing:    true,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	}
+
+	return client
+}
+
+// Close closes all connections. Requests in progress and later ones fail.
+func (c *Client) Close() {
+	c.close()
+}
+
+// Closed reports whether Close was called.
+func (c *Client) Closed() bool {
+	return c.closing.Err() != nil
+}
+
+// dial opens a connection that is closed with the client.
+func (c *Client) dial(address string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: cmp.Or(timeout, fasthttp.DefaultDialTimeout)}
+	conn, err := dialer.DialContext(c.closing, "tcp4", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connecting to %s", address)
+	}
+
+	return &clientConn{Conn: conn, stop: context.AfterFunc(c.closing, func() { _ = conn.Close() })}, nil // it may be closed already
+}
+
+// clientConn is a connection that is closed with its client.
+type clientConn struct {
+	net.Conn
+	stop func() bool
+}
+
+// Close closes the connection.
+func (c *clientConn) Close() error {
+	c.stop()
+
+	return c.Conn.Close()
 }
 
 // Get requests a path and decodes the response as a message.
