Drop new connections while the caller listener drains

Callers whose connection the kernel accepted while a stopping host closed its listener were reset, sometimes after they had sent a request (none was read).

Cause: new connections kept coming while the queue of the listener was accepted, so one could arrive between the last empty Accept and the close. The shorter queue made the kernel drop the last packet of handshakes, too. A socket filter could not be set at all: Go listens with Multipath TCP, whose sockets support none.

While the listener drains, a filter drops the first packet of new connections; handshakes in progress complete and are accepted. Callers that hit these 20 ms send the packet again after a second and are refused, or connect elsewhere. Where no filter can be set, the queue is shortened as before.

--- a/edge/host.go
+++ b/edge/host.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
@@ -27,6 +26,7 @@
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
 const (
@@ -157,11 +157,11 @@
 			return nil, &AddressConflictError{Address: next.address, First: first, Second: next.name}
 		}
 		named[next.address] = next.name
-		listener, err := net.Listen("tcp4", next.address)
+		listener, err := tcp.Listen(context.Background(), next.address)
 		if err != nil {
 			open.close()
 
-			return nil, eris.Wrapf(err, "listening on %s", next.address)
+			return nil, err
 		}
 		*next.target = listener
 	}
--- a/tcp/linger.go
+++ b/tcp/linger.go
@@ -53,9 +53,8 @@
 	// drainPoll is how long a draining listener waits for another connection.
 	drainPoll = 2 * time.Millisecond
 	// drainPolls is the number of such waits in a row, without a connection, after
-	// which the queue counts as empty. One may end because this process was not
-	// scheduled.
-	drainPolls = 3
+	// which the queue counts as empty. Handshakes in progress complete meanwhile.
+	drainPolls = 10
 	// maxDrainTime bounds the draining of a listener that callers keep connecting to.
 	maxDrainTime = time.Second
 )
@@ -75,16 +74,16 @@
 
 // Drain makes Accept return the connections in the queue of the kernel and then
 // close the listener. Closing it with connections in the queue would reset them,
-// although their callers may have sent a request. The kernel queues fewer from now
-// on.
+// although their callers may have sent a request. The kernel drops new connections
+// from now on, or queues fewer if it can't.
 func (l *LingeringListener) Drain() error {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return err
 	}
 	l.drainUntil.Store(time.Now().Add(maxDrainTime).UnixNano())
-	if err := raw.Control(func(descriptor uintptr) { _ = syscall.Listen(int(descriptor), 0) }); err != nil { // a longer queue only takes longer to drain
-		return err
+	if dropNewConnections(raw) != nil {
+		_ = raw.Control(func(descriptor uintptr) { _ = syscall.Listen(int(descriptor), 0) }) // a longer queue only takes longer to drain
 	}
 
 	return l.SetDeadline(time.Now())
