--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -506,6 +506,7 @@
 	Work           string `long:"work" env:"BAOBABDRUM_SOAK_WORK" default:"30ms" value-name:"duration" description:"mean duration of a request at a backend server (1ms to 1m)"`
 	LongestWork    string `long:"longest-work" env:"BAOBABDRUM_SOAK_LONGEST_WORK" default:"45ms" value-name:"duration" description:"duration of the longest requests (1ms to 1m)"`
 	RouteTimeout   string `long:"route-timeout" env:"BAOBABDRUM_SOAK_ROUTE_TIMEOUT" default:"1500ms" value-name:"duration" description:"declared timeout of the routes (1ms to 1m)"`
+	Objective      string `long:"objective" env:"BAOBABDRUM_SOAK_OBJECTIVE" default:"300ms" value-name:"duration" description:"declared latency objective of the routes (1ms to 1m)"`
 	CallTimeout    string `long:"call-timeout" env:"BAOBABDRUM_SOAK_CALL_TIMEOUT" default:"2s" value-name:"duration" description:"deadline of a call, counted from its start (1ms to 1m)"`
 	Grace          string `long:"grace" env:"BAOBABDRUM_SOAK_GRACE" default:"3s" value-name:"duration" description:"time between SIGTERM and the kill of an entry host (1s to 1m)"`
 }
@@ -534,6 +535,8 @@
 	LongestWork time.Duration
 	// RouteTimeout is set by --route-timeout: declared timeout of the routes (1ms to 1m).
 	RouteTimeout time.Duration
+	// Objective is set by --objective: declared latency objective of the routes (1ms to 1m).
+	Objective time.Duration
 	// CallTimeout is set by --call-timeout: deadline of a call, counted from its start (1ms to 1m).
 	CallTimeout time.Duration
 	// Grace is set by --grace: time between SIGTERM and the kill of an entry host (1s to 1m).
@@ -555,6 +558,7 @@
 		Work:           c.duration("work", f.Work, "1ms", "1m"),
 		LongestWork:    c.duration("longest-work", f.LongestWork, "1ms", "1m"),
 		RouteTimeout:   c.duration("route-timeout", f.RouteTimeout, "1ms", "1m"),
+		Objective:      c.duration("objective", f.Objective, "1ms", "1m"),
 		CallTimeout:    c.duration("call-timeout", f.CallTimeout, "1ms", "1m"),
 		Grace:          c.duration("grace", f.Grace, "1s", "1m"),
 	}
--- a/scripts/edge-soak.sh
+++ b/scripts/edge-soak.sh
@@ -18,9 +18,9 @@
 GRACE_MS=3000
 case $PLANNED in
   '') options=() ;;
-  small) GRACE_MS=6000 options=(--work 210ms --longest-work 1600ms --route-timeout 2s --call-timeout 4s) ;;
-  grown) GRACE_MS=6000 options=(--work 340ms --longest-work 2600ms --route-timeout 4s --call-timeout 8s) ;;
-  large) GRACE_MS=10000 options=(--work 730ms --longest-work 4400ms --route-timeout 5s --call-timeout 10s) ;;
+  small) GRACE_MS=6000 options=(--work 210ms --longest-work 1600ms --objective 500ms --route-timeout 2s --call-timeout 4s) ;;
+  grown) GRACE_MS=6000 options=(--work 340ms --longest-work 2600ms --objective 800ms --route-timeout 4s --call-timeout 8s) ;;
+  large) GRACE_MS=10000 options=(--work 730ms --longest-work 4400ms --objective 2s --route-timeout 5s --call-timeout 10s) ;;
   *) echo "no such deployment: $PLANNED" >&2 && exit 2 ;;
 esac
 [[ -n $PLANNED ]] && options+=(--planned true --grace "${GRACE_MS}ms" --backend-servers 40 --callers 160)
