--- a/edge/stop.go
+++ b/edge/stop.go
@@ -29,6 +29,9 @@
 	// deliveryTime is how long before the exit the open calls are concluded, so that
 	// callers receive the outcome.
 	deliveryTime = 200 * time.Millisecond
+	// exitMarginDivisor and deliveryDivisor bound these times to a part of the grace
+	// period.
+	exitMarginDivisor, deliveryDivisor = 10, 15
 )
 
 // runStop waits for the request to stop, withdraws this host from the
@@ -42,8 +45,8 @@
 	}
 	startedAt := time.Now()
 	grace := time.Duration(h.grace.Load())
-	exitAt := startedAt.Add(grace - exitMargin)
-	workUntil := exitAt.Add(-deliveryTime)
+	exitAt := startedAt.Add(grace - min(exitMargin, grace/exitMarginDivisor))
+	workUntil := exitAt.Add(-min(deliveryTime, grace/deliveryDivisor))
 	h.front.stopping.Store(true)
 	h.Log.Event(eventlog.Info, "host_stopping", "planned stop begins; directing callers to other hosts", eventlog.Duration("grace", grace))
 	if err := h.control.Put(ctx, Stopping{}); err != nil {
