--- a/edge/edge.go
+++ b/edge/edge.go
@@ -65,6 +65,8 @@
 	Register func(schema.Member) error
 	// Members returns the hosts that have registered in the store.
 	Members func() ([]schema.Member, error)
+	// CloseStore ends the exchanges with the store in progress; later ones fail.
+	CloseStore func()
 	// ReadSite reads the settings file again.
 	ReadSite func() (Site, error)
 	// DecodeCall decodes the head of a caller's request.
@@ -121,7 +123,9 @@
 
 	cancel    context.CancelFunc
 	offeredAt time.Time
-	answer    *dispatch.Answer
+	// cancelledFor is empty until the calls duty cancels the attempt.
+	cancelledFor placement.CancelReason
+	answer       *dispatch.Answer
 	// memory is what the answer holds of the budget.
 	memory *memory.Reservation
 }
@@ -203,7 +207,23 @@
 	Reply *ring.Ring[schema.EdgeDump]
 }
 
-func (DumpQuery) input() {}
+// OpenCallsQuery requests the number of calls without an outcome and has each of
+// them logged.
+type OpenCallsQuery struct {
+	// Reply receives one reply and must have room for it.
+	Reply *ring.Ring[OpenCalls]
+}
+
+// OpenCalls are the calls of a host without an outcome.
+type OpenCalls struct {
+	// Queued is the number of calls without an attempt in flight.
+	Queued int
+	// InFlight is the number of calls with an attempt in flight.
+	InFlight int
+}
+
+func (DumpQuery) input()      {}
+func (OpenCallsQuery) input() {}
 
 func (CallArrived) input()    {}
 func (CallerLeft) input()     {}
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -58,6 +58,48 @@
 type Cancel struct {
 	// Attempt identifies the attempt.
 	Attempt AttemptID
+	// Reason says why the attempt is not needed any more.
+	Reason CancelReason
+}
+
+// CancelReason says why an attempt is cancelled. Its values leave the process and
+// stay stable.
+type CancelReason string
+
+// The reasons to cancel an attempt.
+const (
+	// CancelCallerLeft says that the caller disconnected.
+	CancelCallerLeft CancelReason = "caller_left"
+	// CancelAnswered says that another attempt of the call was answered.
+	CancelAnswered CancelReason = "answered_elsewhere"
+	// CancelTimeout says that the deadline of the caller or of the route passed.
+	CancelTimeout CancelReason = "timeout"
+	// CancelStopping says that this host stops.
+	CancelStopping CancelReason = "stopping"
+	// CancelUnreachable says that the call ended because later attempts could not be
+	// sent.
+	CancelUnreachable CancelReason = "unreachable"
+)
+
+// cancelReason returns why the attempts in flight of a call with an outcome are
+// cancelled.
+func cancelReason(outcome Outcome) CancelReason {
+	switch outcome := outcome.(type) {
+	case Answered:
+		return CancelAnswered
+	case Abandoned:
+		return CancelCallerLeft
+	case Unknown:
+		if outcome.Reason == ReasonTimeout {
+			return CancelTimeout
+		}
+		if outcome.Reason == ReasonStopping {
+			return CancelStopping
+		}
+	case NotRun, NoRoute:
+	}
+
+	return CancelUnreachable
 }
 
 // Finish ends a call and is the last action for it.
@@ -161,6 +203,8 @@
 	ReasonUnreachable Reason = "unreachable"
 	// ReasonCut says that the answer was lost after the request was sent.
 	ReasonCut Reason = "cut"
+	// ReasonStopping says that this host stops before the call would have ended.
+	ReasonStopping Reason = "stopping"
 	// ReasonTimeout says that the deadline of the caller or of the route
 	// passed.
 	ReasonTimeout Reason = "timeout"
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -107,8 +107,13 @@
 // backend server, and one that can be in time after a wait is queued. Any other
 // call is sent late if a cold backend server accepts it or there are spare
 // slots, and refused once it has waited for maxLateWait, so that late work does
-// not make more calls late.
+// not make more calls late. A stopping host refuses calls that may not end in time.
 func (p *Placer) place(now time.Time, c *call) bool {
+	if !p.endsInTime(now, c) {
+		p.refuse(now, c, ReasonStopping)
+
+		return true
+	}
 	best := p.choose(now, c)
 	left := c.targetDeadline.Sub(now)
 	switch {
@@ -211,7 +216,9 @@
 	if c.targetDeadline.Sub(now) < after+c.route.Work {
 		after = max(after, time.Duration(lateRetryAfterShare*float64(c.callerDeadline.Sub(now))))
 	}
-	if pause, paused := p.shortestPause(now, c.service); paused {
+	if reason == ReasonStopping {
+		after = time.Duration(float64(stopRetryAfter) * (1 + retryAfterJitter*(2*p.random.Float64()-1)))
+	} else if pause, paused := p.shortestPause(now, c.service); paused {
 		after = time.Duration(float64(pause) * (1 + pauseJitter*p.random.Float64()))
 	}
 	p.finish(now, c, NotRun{Reason: reason, RetryAfter: after})
@@ -222,7 +229,7 @@
 	c.service.dequeue(c)
 	delete(p.calls, c.id)
 	p.openCalls = slices.DeleteFunc(p.openCalls, func(other *call) bool { return other == c })
-	p.cancelAttempts(c)
+	p.cancelAttempts(c, cancelReason(outcome))
 	taken, slots := p.slotUsage(now, c.service)
 	p.emit(Finish{
 		Call: c.id, Outcome: outcome, Route: c.route.Name, Service: c.service.Name,
@@ -232,11 +239,11 @@
 }
 
 // cancelAttempts cancels the attempts of a call that are still in flight.
-func (p *Placer) cancelAttempts(c *call) {
+func (p *Placer) cancelAttempts(c *call, reason CancelReason) {
 	for _, running := range c.inFlight {
 		if !running.cancelled {
 			running.cancelled = true
-			p.emit(Cancel{Attempt: running.id})
+			p.emit(Cancel{Attempt: running.id, Reason: reason})
 		}
 	}
 }
@@ -293,7 +300,7 @@
 	}
 	best := p.choose(now, c)
 	left := c.deadline.Sub(now)
-	if best == nil || !best.hasFreeSlot || best.expected >= left || c.sends >= c.route.MaxAttempts {
+	if best == nil || !best.hasFreeSlot || best.expected >= left || c.sends >= c.route.MaxAttempts || !p.endsInTime(now, c) {
 		p.conclude(now, c, reason)
 
 		return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -84,7 +84,9 @@
 	startedAt   time.Time
 	steppedAt   time.Time
 	resumedAt   time.Time
-	actions     []Action
+	// stop is zero unless this host stops.
+	stop    StopBegun
+	actions []Action
 }
 
 // New returns a placer without a declaration, which refuses every call.
@@ -143,6 +145,8 @@
 		for _, service := range p.services {
 			service.budget.adopt(event.Budget)
 		}
+	case StopBegun:
+		p.stop = event
 	case Ticked:
 		p.tick(now)
 	}
@@ -182,6 +186,7 @@
 func (p *Placer) tick(now time.Time) {
 	p.updateProgress(now)
 	p.expire(now)
+	p.concludeAll(now)
 	for _, service := range p.services {
 		p.drainQueue(now, service, len(service.queue))
 	}
