edge: apply the declared limits, bound callers' connections, survive accept errors

Cause: the declared limits were decoded and not applied, so that idle connections stayed for 60 s; nothing bounded their number below the descriptors of the process; and an error of accept ended the duty of the listener and with it the group.

Change: the limits of the declaration in force hold at the caller front, with 431, 413 and 408 counted by reason. Listeners for callers, the directory, readiness and operators have bounds derived from max_fds. At its bound, a listener closes the connection that has been idle longest, or rejects the new one with 503. Errors of accept that pass are survived with a back-off at all listeners, also those of the product's own hosts.

--- a/edge/control.go
+++ b/edge/control.go
@@ -44,6 +44,7 @@
 	beacons       *ring.Ring[beacon.Datagram]
 	asks          *ring.Ring[directory.AskMembers]
 	storeMembers  *ring.Ring[directory.Action]
+	limits        *callerLimits
 	log           *eventlog.Log
 	metrics       *Metrics
 
@@ -195,6 +196,7 @@
 			}
 		case declared.Changed:
 			d.logDeclared(action.Declared)
+			d.applyLimits(action.Declared.Declaration.Limits)
 			if err := d.calls.Put(ctx, declaredChanged(action.Declared)); err != nil {
 				return err
 			}
@@ -248,6 +250,15 @@
 		eventlog.Integer("draining", draining), eventlog.Integer("registrations_at", inForce.RegistrationsAt))
 }
 
+// applyLimits puts declared limits on callers' requests in force.
+func (d *controlDuty) applyLimits(declared schema.CallerLimits) {
+	if d.limits.apply(declared) {
+		d.log.Event(eventlog.Info, "caller_limits_changed", "new limits on callers' requests are in force",
+			eventlog.Integer("header_bytes", d.limits.headerBytes()), eventlog.Integer("body_bytes", d.limits.bodyBytes()),
+			eventlog.Duration("header_timeout", d.limits.headerTimeout()), eventlog.Duration("idle_timeout", d.limits.idleTimeout()))
+	}
+}
+
 // stepDirectory passes an event to the directory and carries out the resulting
 // actions.
 func (d *controlDuty) stepDirectory(ctx context.Context, now time.Time, event directory.Event) error {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -49,6 +49,9 @@
 	Capacity int
 	// MemoryBytes is the memory that the process may use, or 0 if it is unknown.
 	MemoryBytes int
+	// Descriptors is the number of descriptors that the process may use, or 0 if it is
+	// unknown.
+	Descriptors int
 }
 
 // Adapter translates between the wire format of a platform and the types of
--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/baobabdrum/baobabdrum/backendhttp"
 	"github.com/baobabdrum/baobabdrum/memory"
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/ring"
@@ -26,9 +28,6 @@
 	// replyGrace is how long after its deadline the front still waits for the
 	// outcome of a call.
 	replyGrace = time.Second
-	// maxHeaderBytes is the largest request head in bytes: the largest limit that
-	// operators declare, plus room for the line end.
-	maxHeaderBytes = 17 << 10
 	// maxPrefetchBytes is the number of bytes of a request body that are read before
 	// the memory budget is asked.
 	maxPrefetchBytes = 8 << 10
@@ -37,11 +36,8 @@
 	heldBodyBytes = 32 << 10
 	// memoryRetryAfter is the retry delay of calls for which there was no memory.
 	memoryRetryAfter = 500 * time.Millisecond
-	// readTimeout is the time in which a caller must send a request.
-	readTimeout = 10 * time.Second
-	// idleTimeout is how long a caller's connection may stay idle. It exceeds the
-	// time for which callers keep idle connections.
-	idleTimeout = 60 * time.Second
+	// bodyTimeout is the time in which a caller must send the body of a request.
+	bodyTimeout = 10 * time.Second
 	// queryTimeout is the longest wait for the answer of a duty.
 	queryTimeout = 500 * time.Millisecond
 	// writeTimeout is the time in which a caller must read an answer.
@@ -53,30 +49,34 @@
 
 // callerFront is the HTTP server for callers.
 type callerFront struct {
-	adapter    Adapter
-	inputs     *ring.Ring[Input]
-	metrics    *Metrics
-	budget     *memory.Budget
-	stopping   atomic.Bool
-	active     atomic.Int64
-	lastCallID atomic.Uint64
-	server     *fasthttp.Server
+	adapter     Adapter
+	inputs      *ring.Ring[Input]
+	metrics     *Metrics
+	budget      *memory.Budget
+	limits      *callerLimits
+	connections *connectionSet
+	stopping    atomic.Bool
+	active      atomic.Int64
+	lastCallID  atomic.Uint64
+	server      *fasthttp.Server
 	// finished receives one item when the server has closed its last connection.
 	finished *ring.Ring[error]
 }
 
 // newCallerFront returns a front that does not serve yet.
-func newCallerFront(adapter Adapter, inputs *ring.Ring[Input], metrics *Metrics, budget *memory.Budget) *callerFront {
-	front := &callerFront{adapter: adapter, inputs: inputs, metrics: metrics, budget: budget, finished: ring.New[error]("finished", 1)}
+func newCallerFront(adapter Adapter, inputs *ring.Ring[Input], metrics *Metrics, budget *memory.Budget, connections *connectionSet) *callerFront {
+	front := &callerFront{
+		adapter: adapter, inputs: inputs, metrics: metrics, budget: budget, limits: connections.limits, connections: connections,
+		finished: ring.New[error]("finished", 1),
+	}
 	front.server = &fasthttp.Server{
 		Handler:                      front.serve,
+		ErrorHandler:                 front.rejectHead,
 		ReadBufferSize:               maxHeaderBytes,
 		WriteBufferSize:              writeBufferSize,
 		MaxRequestBodySize:           maxPrefetchBytes,
 		StreamRequestBody:            true,
-		ReadTimeout:                  readTimeout,
 		WriteTimeout:                 writeTimeout,
-		IdleTimeout:                  idleTimeout,
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
@@ -84,6 +84,7 @@
 		CloseOnShutdown:              true,
 		Logger:                       discardLogger{},
 	}
+	connections.attach(front.server)
 
 	return front
 }
@@ -100,7 +101,7 @@
 func (f *callerFront) run(ctx, closing context.Context, listener *net.TCPListener) error {
 	accepting := tcp.NewLingeringListener(listener)
 	stop := context.AfterFunc(closing, func() { _ = accepting.Drain() }) // fails only on a closed listener
-	if err := f.server.Serve(accepting); stop() {
+	if err := f.server.Serve(newBoundedListener(accepting, f.connections)); stop() {
 		return eris.Wrap(err, "serving calls")
 	}
 	_ = f.finished.Offer(f.server.ShutdownWithContext(ctx)) // the ring has room
@@ -113,11 +114,19 @@
 func (f *callerFront) serve(ctx *fasthttp.RequestCtx) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
+	if !ctx.Conn().(*servedConnection).begin() {
+		f.reply(ctx, Reply{Outcome: placement.NotRun{Reason: placement.ReasonOverloaded, RetryAfter: rejectRetryAfter}})
+
+		return
+	}
+	if f.rejectOverLimit(ctx) {
+		return
+	}
 	arrived := time.Now()
 	request := f.adapter.DecodeCall(ctx, arrived)
 	held := f.budget.Reserve(memory.Requests)
 	defer held.Release()
-	if err := readBody(ctx, request, held); err != nil {
+	if err := readBody(ctx, request, held, f.limits.bodyBytes()); err != nil {
 		f.rejectBody(ctx, err)
 
 		return
@@ -133,13 +142,69 @@
 	f.reply(ctx, f.wait(ctx, call, request, reply))
 }
 
-// readBody reads the body of a request into memory of the budget.
-func readBody(ctx *fasthttp.RequestCtx, request *Request, held *memory.Reservation) error {
+// rejectOverLimit ends a request whose head is too large or announces a body that is,
+// and reports whether it did.
+func (f *callerFront) rejectOverLimit(ctx *fasthttp.RequestCtx) bool {
+	header := &ctx.Request.Header
+	requestLine := len(header.Method()) + len(header.RequestURI()) + len(header.Protocol()) + len("  \r\n")
+	switch limit := f.limits.bodyBytes(); {
+	case requestLine+len(header.RawHeaders()) > f.limits.headerBytes():
+		f.reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, rejectedHeaderBytes)
+	case limit > 0 && header.ContentLength() > limit:
+		f.reject(ctx, fasthttp.StatusRequestEntityTooLarge, rejectedBodyBytes)
+	default:
+		return false
+	}
+
+	return true
+}
+
+// rejectHead ends a request whose head could not be read.
+func (f *callerFront) rejectHead(ctx *fasthttp.RequestCtx, err error) {
+	var (
+		tooLarge *fasthttp.ErrSmallBuffer
+		slow     net.Error
+	)
+	switch {
+	case errors.As(err, &tooLarge):
+		f.reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, rejectedHeaderBytes)
+	case errors.As(err, &slow) && slow.Timeout():
+		f.reject(ctx, fasthttp.StatusRequestTimeout, rejectedHeaderTimeout)
+	default:
+		f.reject(ctx, fasthttp.StatusBadRequest, rejectedMalformed)
+	}
+}
+
+// reject ends a request that was not read to its end and closes the connection when
+// the caller has read the answer.
+func (f *callerFront) reject(ctx *fasthttp.RequestCtx, status int, reason string) {
+	f.metrics.Rejected(reason)
+	ctx.SetStatusCode(status)
+	ctx.SetConnectionClose()
+	linger(ctx)
+}
+
+// linger keeps the connection open until the caller has read the answer.
+func linger(ctx *fasthttp.RequestCtx) {
+	if lingering, ok := ctx.Conn().(interface{ Linger() }); ok {
+		lingering.Linger()
+	}
+}
+
+// readBody reads the body of a request into memory of the budget. A limit of 0 is
+// none.
+func readBody(ctx *fasthttp.RequestCtx, request *Request, held *memory.Reservation, limit int) error {
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
 		return nil
 	}
+	if limit > 0 {
+		stream = io.LimitReader(stream, int64(limit)+1)
+	}
 	body, err := memory.ReadAll(stream, max(ctx.Request.Header.ContentLength(), -1), held.Grow)
+	if limit > 0 && len(body) > limit {
+		return &backendhttp.BodyLimitError{Limit: limit}
+	}
 	request.Body = body
 
 	return err
@@ -151,19 +216,20 @@
 	ctx.SetConnectionClose()
 	var (
 		exhausted *memory.ExhaustedError
+		tooLarge  *backendhttp.BodyLimitError
 		slow      net.Error
 	)
 	switch {
 	case errors.As(err, &exhausted):
 		f.metrics.Exhausted(exhausted.Use.String())
 		f.reply(ctx, Reply{Outcome: placement.NotRun{Reason: placement.ReasonMemory, RetryAfter: memoryRetryAfter}})
-		if lingering, ok := ctx.Conn().(*tcp.LingeringConn); ok {
-			lingering.Linger()
-		}
+		linger(ctx)
+	case errors.As(err, &tooLarge):
+		f.reject(ctx, fasthttp.StatusRequestEntityTooLarge, rejectedBodyBytes)
 	case errors.As(err, &slow) && slow.Timeout():
-		ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
+		f.reject(ctx, fasthttp.StatusRequestTimeout, rejectedBodyTimeout)
 	default:
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		f.reject(ctx, fasthttp.StatusBadRequest, rejectedMalformed)
 	}
 }
 
@@ -267,15 +333,17 @@
 
 // newApp returns an HTTP application without routes.
 func newApp() *fiber.App {
-	return fiber.New(fiber.Config{AppName: "baobabdrum", CaseSensitive: true, IdleTimeout: idleTimeout, ReadTimeout: readTimeout})
+	return fiber.New(fiber.Config{AppName: "baobabdrum", CaseSensitive: true})
 }
 
 // serveApp serves an HTTP application until the context ends.
-func serveApp(ctx context.Context, app *fiber.App, listener net.Listener) error {
+func serveApp(ctx context.Context, app *fiber.App, listener *net.TCPListener, connections *connectionSet) error {
 	stop := context.AfterFunc(ctx, func() { _ = app.ShutdownWithTimeout(queryTimeout) }) // the process exits in any case
 	defer stop()
+	connections.attach(app.Server())
+	bounded := newBoundedListener(tcp.NewLingeringListener(listener), connections)
 
-	return eris.Wrap(app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}), "serving requests")
+	return eris.Wrap(app.Listener(bounded, fiber.ListenConfig{DisableStartupMessage: true}), "serving requests")
 }
 
 // dump returns a dump of the host's state.
--- a/edge/host.go
+++ b/edge/host.go
@@ -27,6 +27,7 @@
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
 const (
@@ -77,6 +78,7 @@
 	beacons       *ring.Ring[beacon.Datagram]
 	requests      *ring.Ring[peerrpc.Request]
 	budget        *memory.Budget
+	limits        *callerLimits
 	front         *callerFront
 	queries       *dutyClient
 	grace         atomic.Int64
@@ -104,7 +106,8 @@
 		requests:      ring.New[peerrpc.Request]("peer_requests", controlRingCapacity),
 	}
 	h.budget = memory.NewBudget(int(bodyMemoryShare * float64(cmp.Or(site.MemoryBytes, defaultMemoryBytes))))
-	h.front = newCallerFront(adapter, h.inputs, h.Metrics, h.budget)
+	h.limits = newCallerLimits()
+	h.front = newCallerFront(adapter, h.inputs, h.Metrics, h.budget, h.newConnections("caller", callerSocketShare, h.limits))
 	h.queries = &dutyClient{control: h.control, calls: h.inputs}
 	h.grace.Store(int64(site.Grace))
 	h.Metrics.Gauge("baobabdrum_body_bytes", func() float64 { return float64(h.budget.Used()) })
@@ -113,6 +116,15 @@
 	return h
 }
 
+// newConnections returns the connections of a listener, bounded by a share of the
+// sockets of the process.
+func (h *Host) newConnections(listener string, share float64, limits *callerLimits) *connectionSet {
+	connections := newConnectionSet(connectionBound(h.Site.Descriptors, share), limits, newListenerEvents(listener, h.Log, h.Metrics))
+	h.Metrics.Gauge(fmt.Sprintf(`baobabdrum_open_connections{listener=%q}`, listener), func() float64 { return float64(connections.count()) })
+
+	return connections
+}
+
 // listeners are the open sockets of a host.
 type listeners struct {
 	caller    net.Listener
@@ -268,7 +280,7 @@
 	replica.Early = h.Site.Seed || directory.LikelyToServe(h.Site.Capacity)
 	control := &controlDuty{
 		replica: replica, directory: view, inputs: h.control, calls: h.inputs, orders: h.orders, registrations: h.registrations,
-		fetches: h.fetches, beacons: h.beacons, asks: h.asks, storeMembers: h.storeMembers, log: h.Log, metrics: h.Metrics, startedAt: h.started, seeds: h.Site.Seeds,
+		fetches: h.fetches, beacons: h.beacons, asks: h.asks, storeMembers: h.storeMembers, limits: h.limits, log: h.Log, metrics: h.Metrics, startedAt: h.started, seeds: h.Site.Seeds,
 	}
 	duties.Go("control", control.run)
 	duties.Go("orders", func(ctx context.Context) error { return h.runReads(ctx, h.orders, "orders", h.Adapter.ReadOrders) })
@@ -309,8 +321,21 @@
 		return nil
 	})
 	control.Get("/dump", func(c fiber.Ctx) error { return c.JSON(h.queries.dump()) })
-	duties.Go("readiness", func(ctx context.Context) error { return serveApp(ctx, ready, open.ready) })
-	duties.Go("directory", func(ctx context.Context) error { return serveApp(ctx, resolve, open.directory) })
-	duties.Go("operator front", func(ctx context.Context) error { return serveApp(ctx, control, open.control) })
-	duties.Go("peer front", func(ctx context.Context) error { return peerrpc.Serve(ctx, open.peer, "", h.requests) })
+	for _, served := range []struct {
+		name     string
+		app      *fiber.App
+		listener net.Listener
+		share    float64
+	}{
+		{"readiness", ready, open.ready, 0},
+		{"directory", resolve, open.directory, directorySocketShare},
+		{"operator", control, open.control, 0},
+	} {
+		connections := h.newConnections(served.name, served.share, newCallerLimits())
+		duties.Go(served.name+" front", func(ctx context.Context) error {
+			return serveApp(ctx, served.app, served.listener.(*net.TCPListener), connections)
+		})
+	}
+	peers := tcp.NewLastingListener(open.peer, newListenerEvents("peer", h.Log, h.Metrics).failed)
+	duties.Go("peer front", func(ctx context.Context) error { return peerrpc.Serve(ctx, peers, "", h.requests) })
 }
--- /dev/null
+++ b/edge/limits.go
@@ -0,0 +1,80 @@
+package edge
+
+import (
+	"cmp"
+	"sync/atomic"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+const (
+	// maxHeaderBytes is the largest request head in bytes: the largest limit that can
+	// be declared, plus room for the line end.
+	maxHeaderBytes = maxDeclaredHeaderBytes + 1<<10
+	// maxDeclaredHeaderBytes is the largest limit of a request head in bytes. A larger
+	// declared one is lowered to it.
+	maxDeclaredHeaderBytes = 16 << 10
+	// defaultHeaderTimeout applies if operators declare none.
+	defaultHeaderTimeout = 10 * time.Second
+	// defaultIdleTimeout applies if operators declare none. It exceeds the time for
+	// which callers keep idle connections.
+	defaultIdleTimeout = 60 * time.Second
+)
+
+// Reasons for which a request is rejected before it becomes a call.
+const (
+	rejectedHeaderBytes   = "header_bytes"
+	rejectedHeaderTimeout = "header_timeout"
+	rejectedBodyBytes     = "body_bytes"
+	rejectedBodyTimeout   = "body_timeout"
+	rejectedMalformed     = "malformed"
+)
+
+// callerLimits are the limits on callers' requests in force. The control duty
+// replaces them, and the front reads them.
+type callerLimits struct {
+	inForce atomic.Pointer[schema.CallerLimits]
+}
+
+// newCallerLimits returns the limits that apply without a declaration.
+func newCallerLimits() *callerLimits {
+	limits := &callerLimits{}
+	limits.apply(schema.CallerLimits{})
+
+	return limits
+}
+
+// apply puts declared limits in force and reports whether they differ from the
+// previous ones. A limit of 0 is not declared; bodies then have none.
+func (l *callerLimits) apply(declared schema.CallerLimits) bool {
+	next := schema.CallerLimits{
+		HeaderBytes:     min(cmp.Or(declared.HeaderBytes, maxDeclaredHeaderBytes), maxDeclaredHeaderBytes),
+		BodyBytes:       declared.BodyBytes,
+		HeaderTimeoutMs: cmp.Or(declared.HeaderTimeoutMs, int(defaultHeaderTimeout.Milliseconds())),
+		IdleTimeoutMs:   cmp.Or(declared.IdleTimeoutMs, int(defaultIdleTimeout.Milliseconds())),
+	}
+	before := l.inForce.Swap(&next)
+
+	return before == nil || *before != next
+}
+
+// headerBytes returns the largest size of a request head.
+func (l *callerLimits) headerBytes() int {
+	return l.inForce.Load().HeaderBytes
+}
+
+// bodyBytes returns the largest size of a request body, or 0 if there is no limit.
+func (l *callerLimits) bodyBytes() int {
+	return l.inForce.Load().BodyBytes
+}
+
+// headerTimeout returns the time in which a request head must arrive.
+func (l *callerLimits) headerTimeout() time.Duration {
+	return time.Duration(l.inForce.Load().HeaderTimeoutMs) * time.Millisecond
+}
+
+// idleTimeout returns how long a connection may stay idle.
+func (l *callerLimits) idleTimeout() time.Duration {
+	return time.Duration(l.inForce.Load().IdleTimeoutMs) * time.Millisecond
+}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -98,3 +98,23 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_store_calls_total{call=%q,outcome=%q}`, call, outcome)).Inc()
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`baobabdrum_store_call_duration_seconds{call=%q}`, call)).Update(took.Seconds())
 }
+
+// Rejected counts requests that were rejected before they became calls.
+func (m *Metrics) Rejected(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_rejected_requests_total{reason=%q}`, reason)).Inc()
+}
+
+// AcceptFailed counts errors of accepting connections.
+func (m *Metrics) AcceptFailed(listener string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_accept_errors_total{listener=%q}`, listener)).Inc()
+}
+
+// ConnectionEvicted counts idle connections that were closed for new ones.
+func (m *Metrics) ConnectionEvicted(listener string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_evicted_connections_total{listener=%q}`, listener)).Inc()
+}
+
+// ConnectionRejected counts connections for which there was no room.
+func (m *Metrics) ConnectionRejected(listener string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_rejected_connections_total{listener=%q}`, listener)).Inc()
+}
--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -31,6 +31,11 @@
 	metrics.Invalid("orders", 1)
 	metrics.Exhausted("answers")
 	metrics.Gauge("baobabdrum_body_bytes", func() float64 { return 0 })
+	metrics.Gauge(`baobabdrum_open_connections{listener="caller"}`, func() float64 { return 0 })
+	metrics.Rejected("malformed")
+	metrics.AcceptFailed("caller")
+	metrics.ConnectionEvicted("caller")
+	metrics.ConnectionRejected("caller")
 	var text bytes.Buffer
 	metrics.Write(&text)
 
--- a/host/host.go
+++ b/host/host.go
@@ -30,6 +30,7 @@
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/tablehttp"
+	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
 const (
@@ -164,7 +165,9 @@
 
 			return listeners{}, eris.Wrapf(err, "listening on %s", address)
 		}
-		*target = listener
+		*target = tcp.NewLastingListener(listener, func(err error) {
+			h.Log.WithError(err).WithFields(logrus.Fields{"event": "accept_failed", "listener": address}).Warning("accepting a connection failed; trying again")
+		})
 	}
 
 	return open, nil
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -160,8 +160,8 @@
 	FromMs int `json:"from_ms" msg:"from_ms"`
 }
 
-// CallerLimits are the declared bounds of callers' requests. Hosts decode them and
-// do not apply them; the bounds of package edge are constants.
+// CallerLimits are the declared bounds of callers' requests. A value of 0 is not
+// declared.
 type CallerLimits struct {
 	// BodyBytes is the largest size of the body of a request in bytes.
 	BodyBytes int `json:"body_bytes" msg:"body_bytes"`
