edge: answer orders whose callers ended their sending side

A call that may not be repeated and is at work stays open when its caller leaves, is not sent again, and ends with its true outcome. Work that may be repeated is cancelled as before. docs/PLATFORM.md says why.

--- a/placement/calls.go
+++ b/placement/calls.go
@@ -47,6 +47,8 @@
 	// callerRetried says that this is a retry by the caller, whose earlier
 	// request was refused or failed.
 	callerRetried bool
+	// callerLeft says that the caller disconnected, so that the call is not sent again.
+	callerLeft bool
 	// mayHaveRun says that a backend server may have run the call.
 	mayHaveRun bool
 	// failedAttempt is the attempt that was answered with a server error. Its
@@ -231,15 +233,18 @@
 	}
 }
 
-// abandon ends a call whose caller disconnected. An attempt that may not be
-// repeated is not cancelled: its work has begun and runs to its end.
+// abandon ends a call whose caller disconnected. An attempt that may not be repeated
+// is not cancelled: its work has begun and runs to its end. Its caller may have ended
+// only its sending side, so the call stays open for its answer.
 func (p *Placer) abandon(now time.Time, id CallID) {
 	c, open := p.calls[id]
 	if !open {
 		return
 	}
-	if !c.route.Idempotent {
-		c.inFlight = nil
+	if !c.route.Idempotent && len(c.inFlight) > 0 {
+		c.callerLeft = true
+
+		return
 	}
 	p.finish(now, c, Abandoned{})
 }
@@ -276,7 +281,7 @@
 	if len(c.inFlight) > 0 {
 		return
 	}
-	if c.mayHaveRun && !c.route.Idempotent {
+	if c.callerLeft || c.mayHaveRun && !c.route.Idempotent {
 		p.conclude(now, c, reason)
 
 		return
