--- a/declared/declared_test.go
+++ b/declared/declared_test.go
@@ -424,6 +424,27 @@
 	}
 }
 
+// Guards against a host that waits for many others to read the store although it
+// hears from none of them.
+func TestAHostThatHearsNobodyReadsTheStore(t *testing.T) {
+	replica := declared.NewReplica(declared.DefaultBound)
+	ahead := make([]string, 40)
+	for i := range ahead {
+		ahead[i] = fmt.Sprint("h", i)
+	}
+	replica.Step(start, declared.RankChanged{Ahead: ahead})
+	replica.Step(start, peerAnswer(newDeclaration(1), 5, 6))
+	silentFrom := at(5 * time.Second)
+	for _, name := range ahead {
+		replica.Step(silentFrom, declared.PeerStateReceived{Name: name, Reads: true, Hash: replica.Hash})
+	}
+	reads := 0
+	for now := silentFrom; now.Before(silentFrom.Add(declared.DefaultBound * 9 / 10)); now = now.Add(50 * time.Millisecond) {
+		reads += len(replica.Step(now, declared.Ticked{}))
+	}
+	assert.Equal(t, reads, 2, "reads of the two tables")
+}
+
 // Guards against a host that waits for the next beacon after a failed fetch, although
 // it knows another host with the newer state.
 func TestNextHostIsAskedAfterAFailedFetch(t *testing.T) {
