edge: rejections of connections are duties of the host

Each connection for which a listener has no room was rejected by a goroutine of its own, outside the run group, which the end of the host did not wait for.

The listeners put such connections into a ring, which 32 rejecters empty; they stop with the group and then end the lingering. The bound on rejections at the same time and the tests of the bound are unchanged.

--- a/edge/connections.go
+++ b/edge/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -29,9 +30,9 @@
 	directorySocketShare = 0.05
 	// minServedConnections is the smallest bound of a listener.
 	minServedConnections = 16
-	// maxRejecting is the number of connections that are rejected at the same time.
-	// Others are closed without an answer.
-	maxRejecting = 32
+	// rejecters is the number of connections that are rejected at the same time, and of
+	// those that wait for it. Others are closed without an answer.
+	rejecters = 32
 	// rejectWriteTimeout is the time for writing a rejection.
 	rejectWriteTimeout = 100 * time.Millisecond
 	// rejectRetryAfter is the retry delay of rejected connections.
@@ -55,8 +56,9 @@
 	// Bound is the largest number of connections.
 	Bound int
 
-	limits *callerLimits
-	events *listenerEvents
+	limits    *callerLimits
+	events    *listenerEvents
+	rejecting *ring.Ring[*tcp.LingeringConn]
 
 	mutex sync.Mutex
 	open  int
@@ -64,9 +66,10 @@
 	idle *list.List
 }
 
-// newConnectionSet returns an empty set.
-func newConnectionSet(bound int, limits *callerLimits, events *listenerEvents) *connectionSet {
-	return &connectionSet{Bound: bound, limits: limits, events: events, idle: list.New()}
+// newConnectionSet returns an empty set. The connections for which it has no room go
+// to the ring, which runRejecter empties.
+func newConnectionSet(bound int, limits *callerLimits, events *listenerEvents, rejecting *ring.Ring[*tcp.LingeringConn]) *connectionSet {
+	return &connectionSet{Bound: bound, limits: limits, events: events, rejecting: rejecting, idle: list.New()}
 }
 
 // attach makes an HTTP server use the set. The set replaces the server's read
@@ -229,14 +232,12 @@
 	*tcp.LastingListener
 
 	connections *connectionSet
-	rejecting   *ring.Ring[struct{}]
 }
 
 // newBoundedListener returns a listener that takes over another one.
 func newBoundedListener(listener *tcp.LingeringListener, connections *connectionSet) *boundedListener {
 	return &boundedListener{
-		LastingListener: tcp.NewLastingListener(listener, connections.events.failed),
-		connections:     connections, rejecting: ring.New[struct{}]("rejecting", maxRejecting),
+		LastingListener: tcp.NewLastingListener(listener, connections.events.failed), connections: connections,
 	}
 }
 
@@ -252,15 +253,22 @@
 			return served, nil
 		}
 		l.connections.events.rejected(l.connections.Bound)
-		if l.rejecting.Offer(struct{}{}) != nil {
+		if l.connections.rejecting.Offer(accepted) != nil {
 			_ = accepted.Close() // it was never used
+		}
+	}
+}
 
-			continue
+// runRejecter rejects connections until the context ends.
+func runRejecter(ctx context.Context, rejecting *ring.Ring[*tcp.LingeringConn]) error {
+	for {
+		conn, err := rejecting.Take(ctx)
+		if err != nil {
+			return err
 		}
-		go func() {
-			reject(accepted)
-			l.rejecting.Poll()
-		}()
+		stop := context.AfterFunc(ctx, func() { _ = conn.TCPConn.Close() }) // ends the lingering
+		reject(conn)
+		stop()
 	}
 }
 
--- a/edge/connections_test.go
+++ b/edge/connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/group"
+	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/tcp"
 )
@@ -45,7 +48,12 @@
 	s := &boundedServer{address: listener.Addr().String(), metrics: NewMetrics(), hold: make(chan struct{})}
 	inForce := newCallerLimits()
 	inForce.apply(limits)
-	s.connections = newConnectionSet(testBound, inForce, newListenerEvents("test", eventlog.New(logrus.NewEntry(logger)), s.metrics))
+	rejecting := ring.New[*tcp.LingeringConn]("rejecting", rejecters)
+	s.connections = newConnectionSet(testBound, inForce, newListenerEvents("test", eventlog.New(logrus.NewEntry(logger)), s.metrics), rejecting)
+	duties := group.New(t.Context())
+	for range rejecters {
+		duties.Go("rejecter", func(ctx context.Context) error { return runRejecter(ctx, rejecting) })
+	}
 	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
 		s.handled.Add(1)
 		if string(ctx.Path()) == "/held" {
@@ -62,6 +70,7 @@
 		s.release()
 		assert.NilError(t, server.Shutdown())
 		assert.NilError(t, <-ended)
+		assert.NilError(t, duties.Wait())
 	})
 
 	return s
@@ -269,7 +278,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	events := newListenerEvents("test", eventlog.New(logrus.NewEntry(logger)), NewMetrics())
-	set := newConnectionSet(1, newCallerLimits(), events)
+	set := newConnectionSet(1, newCallerLimits(), events, ring.New[*tcp.LingeringConn]("rejecting", 1))
 	accepting := tcp.NewLingeringListener(listener.(*net.TCPListener))
 	pair := func() (near *tcp.LingeringConn, far net.Conn) {
 		far, err := net.Dial("tcp", listener.Addr().String())
--- a/edge/host.go
+++ b/edge/host.go
@@ -80,6 +80,7 @@
 	storeMembers  *ring.Ring[directory.Action]
 	beacons       *ring.Ring[beacon.Datagram]
 	requests      *ring.Ring[peerrpc.Request]
+	rejecting     *ring.Ring[*tcp.LingeringConn]
 	budget        *memory.Budget
 	limits        *callerLimits
 	front         *callerFront
@@ -108,6 +109,7 @@
 		storeMembers:  ring.New[directory.Action]("store_members", storeMembersCapacity),
 		beacons:       ring.New[beacon.Datagram]("beacons", controlRingCapacity),
 		requests:      ring.New[peerrpc.Request]("peer_requests", controlRingCapacity),
+		rejecting:     ring.New[*tcp.LingeringConn]("rejecting", rejecters),
 	}
 	h.budget = memory.NewBudget(int(bodyMemoryShare * float64(cmp.Or(site.MemoryBytes, defaultMemoryBytes))))
 	h.limits = newCallerLimits()
@@ -123,7 +125,7 @@
 // newConnections returns the connections of a listener, bounded by a share of the
 // sockets of the process.
 func (h *Host) newConnections(listener string, share float64, limits *callerLimits) *connectionSet {
-	connections := newConnectionSet(connectionBound(h.Site.Descriptors, share), limits, newListenerEvents(listener, h.Log, h.Metrics))
+	connections := newConnectionSet(connectionBound(h.Site.Descriptors, share), limits, newListenerEvents(listener, h.Log, h.Metrics), h.rejecting)
 	h.Metrics.Gauge(fmt.Sprintf(`baobabdrum_open_connections{listener=%q}`, listener), func() float64 { return float64(connections.count()) })
 
 	return connections
@@ -346,6 +348,9 @@
 			return serveApp(ctx, served.app, served.listener.(*net.TCPListener), connections)
 		})
 	}
+	for range rejecters {
+		duties.Go("rejecter", func(ctx context.Context) error { return runRejecter(ctx, h.rejecting) })
+	}
 	peers := tcp.NewLastingListener(open.peer, newListenerEvents("peer", h.Log, h.Metrics).failed)
 	duties.Go("peer front", func(ctx context.Context) error { return peerrpc.Serve(ctx, peers, "", h.requests) })
 }
