declared: lower limits of the times that follow from the bound

A bound below two seconds in the settings would have made all hosts read the store, as beacons to spare hosts come once a second. No such bound is agreed today; it was read in the code.

--- a/declared/declared.go
+++ b/declared/declared.go
@@ -20,8 +20,12 @@
 	// DefaultBound is the time within which a change must be in force if nothing else
 	// is agreed.
 	DefaultBound = 2 * time.Second
-	// maxReadWait limits how long a read waits for a change, whatever the bound.
+	// minReadWait and maxReadWait limit how long a read waits for a change, whatever the
+	// bound.
+	minReadWait = 250 * time.Millisecond
 	maxReadWait = 2 * time.Second
+	// minReaderTimeout exceeds the interval of beacons to hosts that do not serve.
+	minReaderTimeout = 1250 * time.Millisecond
 	// targetReaders is the number of hosts that read the store. With more than one,
 	// the other hosts still get changes if the store rejects a reader.
 	targetReaders = 2
@@ -93,7 +97,7 @@
 	// readWait is how long a read waits for a change.
 	readWait time.Duration
 	// readerTimeout is how long a host counts as a reader after it last reported that
-	// it reads. It exceeds the interval of beacons to hosts that do not serve.
+	// it reads.
 	readerTimeout time.Duration
 	// behindTimeout is how long a host tries to fetch a newer state from others before
 	// it reads the store itself.
@@ -106,7 +110,8 @@
 // newTiming returns the times for a bound.
 func newTiming(bound time.Duration) timing {
 	return timing{
-		readWait: min(bound/2, maxReadWait), readerTimeout: bound * 5 / 8, behindTimeout: bound / 4, staleAfter: bound * 3 / 2,
+		readWait: min(max(bound/2, minReadWait), maxReadWait), readerTimeout: max(bound*5/8, minReaderTimeout),
+		behindTimeout: bound / 4, staleAfter: bound * 3 / 2,
 	}
 }
 
