edge: failing test of a planned stop that waits behind calls

StopBegun takes its place behind all inputs of the calls duty. A host that has fallen behind passes on the calls that wait before it, without regard to the time that is left, and its exit breaks them off.

--- a/edge/calls_test.go
+++ b/edge/calls_test.go
@@ -61,6 +61,41 @@
 	assert.Equal(t, sent, calls)
 }
 
+// Guards against a planned stop that waits behind the calls which it is to refuse: a
+// host that had fallen behind passed them on and broke them off at its exit.
+func TestAPlannedStopOvertakesWaitingCalls(t *testing.T) {
+	const calls = 50
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	h := New(schema.EdgeSettings{Senders: calls}, Site{Name: "h", DataCentre: "north"}, Adapter{}, logrus.NewEntry(logger))
+	h.grace.Store(int64(time.Second))
+	duty := &callsDuty{
+		placer: placement.New(placement.Options{Host: "h", DataCentre: "north"}),
+		inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
+		calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
+	}
+	duty.step(time.Now(), declaredChanged(declaredService(1, "a")))
+	for i := range calls {
+		assert.NilError(t, h.inputs.Offer(CallArrived{
+			Call: placement.CallID(i + 1), Request: &Request{HostName: "a.example", Path: "/", Wait: 4 * time.Second}, Reply: ring.New[Reply]("reply", 1),
+		}))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	interrupted, interrupt := context.WithCancel(ctx)
+	interrupt()
+	stopped := ring.New[error]("stopped", 1)
+	go func() { _ = stopped.Offer(h.runStop(ctx, interrupted, func() {})) }()
+	_, err := h.control.Take(ctx) // the stop is announced
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	assert.ErrorIs(t, duty.run(ctx), context.DeadlineExceeded)
+	_, sent := duty.attempts.Poll()
+	assert.Assert(t, !sent, "a stopping host sent a call that outlasts its grace period")
+	_, err = stopped.Take(context.Background())
+	assert.NilError(t, err)
+}
+
 // Guards against requests that reach a backend server which left while they waited
 // for one of the senders, all of which were busy.
 func TestAttemptThatWaitedForASenderIsPlacedAgain(t *testing.T) {
