edge: a planned stop overtakes the calls that wait

Callers saw calls that a stopping host took and broke off at its exit. The begin of the stop went through the ring of the calls duty, behind the calls that it is to refuse, and the duty may be seconds behind. It now goes through the ring of changes, like declared states. TestAPlannedStopOvertakesWaitingCalls failed before and passes now (race tests of edge, 3 runs).

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -52,7 +52,7 @@
 	if err := h.control.Put(ctx, Stopping{}); err != nil {
 		return err
 	}
-	if err := h.inputs.Put(ctx, PlacementEvent{Event: placement.StopBegun{WorkUntil: workUntil, OnlyHostUntil: startedAt.Add(onlyHostTime)}}); err != nil {
+	if err := h.changes.Put(ctx, PlacementEvent{Event: placement.StopBegun{WorkUntil: workUntil, OnlyHostUntil: startedAt.Add(onlyHostTime)}}); err != nil {
 		return err
 	}
 	h.awaitDrained(ctx, startedAt, min(maxDrainTime, workUntil.Sub(startedAt)))
