edge: failing test of calls taken after a late SIGTERM

The host had begun its stop 0.14 s after the signal was sent, and admits calls that may outlast it for 3 s from then on.

--- a/edge/calls_test.go
+++ b/edge/calls_test.go
@@ -96,6 +96,48 @@
 	assert.NilError(t, err)
 }
 
+// Guards against calls that a stopping host takes although they may outlast it and
+// were sent later than it assumes: it had received SIGTERM 150 ms late.
+func TestAPlannedStopAllowsForALateSignal(t *testing.T) {
+	const signalDelay = 150 * time.Millisecond
+	tests := map[string]struct {
+		sentAfter time.Duration // the signal was sent
+		sent      bool
+	}{
+		"callers may know no other host": {sentAfter: 2600 * time.Millisecond, sent: true},
+		"callers know other hosts":       {sentAfter: 3010 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			logger := logrus.New()
+			logger.SetOutput(io.Discard)
+			h := New(schema.EdgeSettings{Senders: 1}, Site{Name: "h", DataCentre: "north"}, Adapter{}, logrus.NewEntry(logger))
+			h.grace.Store(int64(6 * time.Second))
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			interrupted, interrupt := context.WithCancel(ctx)
+			interrupt()
+			signalAt := time.Now().Add(-signalDelay)
+			_ = h.runStop(ctx, interrupted, func() {}) // ends with the context
+			placer := placement.New(placement.Options{Host: "h", DataCentre: "north"})
+			duty := &callsDuty{
+				placer: placer, inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
+				calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
+			}
+			sentAt := signalAt.Add(test.sentAfter)
+			duty.takeChanges()
+			declared := declaredService(1, "a")
+			declared.Declaration.Routes[0].TargetMs = 250
+			duty.step(sentAt, declaredChanged(declared))
+			duty.step(sentAt, CallArrived{
+				Call: 1, Request: &Request{HostName: "a.example", Path: "/", Wait: 8 * time.Second}, Reply: ring.New[Reply]("reply", 1),
+			})
+			_, sent := duty.attempts.Poll()
+			assert.Equal(t, sent, test.sent)
+		})
+	}
+}
+
 // Guards against requests that reach a backend server which left while they waited
 // for one of the senders, all of which were busy.
 func TestAttemptThatWaitedForASenderIsPlacedAgain(t *testing.T) {
