edge: a planned stop allows for a signal that is handled late

Callers saw an order that had run answered with 502 around SIGTERM. A stopping host takes calls that may outlast it while callers may know no other host: for 3 s, counted from when it handles the signal. That was 0.14 s after the signal was sent, so it took a call that was sent 3.11 s after SIGTERM, and broke it off. The time is now less by the margin that the exit has for the same delay.

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -17,8 +17,9 @@
 	// maxDrainTime is the longest such time.
 	maxDrainTime = 3300 * time.Millisecond
 	// onlyHostTime is how long callers may know no other host: they keep a list of
-	// hosts for three times as long as they are told.
-	onlyHostTime = 3 * directory.AnswerTTL
+	// hosts for three times as long as they are told. The time counts from the signal,
+	// which may be handled late.
+	onlyHostTime = 3*directory.AnswerTTL - exitMargin
 	// quietPeriod is how long no call may be open until the host counts as
 	// drained.
 	quietPeriod = 600 * time.Millisecond
