edge: probes end when the host stops

A process stayed up to 250 ms after its planned stop had finished, until the probes in flight timed out, and read requests meanwhile that nobody answered; 300 ms are left before the kill. A probe is now aborted when its duty's context ends, like the other waits. TestProbesEndWithTheHost took 2.0 s before (its probe's timeout); it passes now (race test, 3 runs).

--- a/edge/sender.go
+++ b/edge/sender.go
@@ -193,6 +193,8 @@
 	if connection.Open(ctx, time.Now().Add(probe.Timeout)) != nil {
 		return placement.ProbeEnded{Server: probe.Server}
 	}
+	settle := backendhttp.AbortOnCancel(ctx, connection)
+	defer settle()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
