edge: failing test of a stop that waits for its log line

At its exit a host asks the calls duty for the open calls that host_stopped states. The query waits behind all inputs of the duty, for 0.5 s at most; 0.3 s are left before the kill. With one input waiting, a stop with a grace period of 1 s took 1.4 s.

--- a/edge/calls_test.go
+++ b/edge/calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"testing"
@@ -96,6 +97,34 @@
 	assert.NilError(t, err)
 }
 
+// Guards against a process that is killed because it waits for the count of open calls,
+// which its log states, from a calls duty that has fallen behind.
+func TestAPlannedStopEndsInTimeBehindWaitingCalls(t *testing.T) {
+	const grace = time.Second
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	h := New(schema.EdgeSettings{Senders: 1}, Site{Name: "h", DataCentre: "north"}, Adapter{}, logrus.NewEntry(logger))
+	h.grace.Store(int64(grace))
+	assert.NilError(t, h.inputs.Offer(CallArrived{Call: 1})) // the duty does not come to it
+	go func() {
+		for {
+			change, err := h.changes.Take(t.Context())
+			if err != nil {
+				return
+			}
+			if query, ok := change.(OpenCallsQuery); ok {
+				_ = query.Reply.Offer(OpenCalls{}) // the sender guarantees room
+			}
+		}
+	}()
+	interrupted, interrupt := context.WithCancel(t.Context())
+	interrupt()
+	began := time.Now()
+	var stopped *StoppedError
+	assert.Assert(t, errors.As(h.runStop(t.Context(), interrupted, func() {}), &stopped))
+	assert.Assert(t, time.Since(began) < grace, "the stop took %s", time.Since(began))
+}
+
 // Guards against calls that a stopping host takes although they may outlast it and
 // were sent later than it assumes: it had received SIGTERM 150 ms late.
 func TestAPlannedStopAllowsForALateSignal(t *testing.T) {
