edge: the log of a planned stop does not delay the exit

A process could be killed at the end of its grace period, and read requests until then that nobody answered: host_stopped waited up to 0.5 s for the count of open calls, behind the inputs of the calls duty. The query now overtakes them.

--- a/edge/calls.go
+++ b/edge/calls.go
@@ -39,8 +39,8 @@
 type callsDuty struct {
 	placer *placement.Placer
 	inputs *ring.Ring[Input]
-	// changes are taken before inputs: declared states, the hosts that serve, and the
-	// begin of a planned stop.
+	// changes are taken before inputs: declared states, the hosts that serve, and what a
+	// planned stop needs.
 	changes  *ring.Ring[Input]
 	attempts *ring.Ring[*Attempt]
 	probes   *ring.Ring[placement.Probe]
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -67,7 +67,7 @@
 // logStopped logs the calls that the end of the process breaks off, and when the
 // last call arrived.
 func (h *Host) logStopped(startedAt time.Time) {
-	open := queryDuty(h.inputs, func(reply *ring.Ring[OpenCalls]) Input { return OpenCallsQuery{Reply: reply} })
+	open := queryDuty(h.changes, func(reply *ring.Ring[OpenCalls]) Input { return OpenCallsQuery{Reply: reply} })
 	fields := []eventlog.Field{
 		eventlog.Duration("took", time.Since(startedAt)), eventlog.Integer("open_calls", int(h.front.active.Load())),
 		eventlog.Integer("calls_queued", open.Queued), eventlog.Integer("calls_in_flight", open.InFlight),
