--- a/edge/calls_test.go
+++ b/edge/calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"testing"
@@ -61,6 +62,111 @@
 	assert.Equal(t, sent, calls)
 }
 
+// Guards against a planned stop that waits behind the calls which it is to refuse: a
+// host that had fallen behind passed them on and broke them off at its exit.
+func TestAPlannedStopOvertakesWaitingCalls(t *testing.T) {
+	const calls = 50
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	h := New(schema.EdgeSettings{Senders: calls}, Site{Name: "h", DataCentre: "north"}, Adapter{}, logrus.NewEntry(logger))
+	h.grace.Store(int64(time.Second))
+	duty := &callsDuty{
+		placer: placement.New(placement.Options{Host: "h", DataCentre: "north"}),
+		inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
+		calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
+	}
+	duty.step(time.Now(), declaredChanged(declaredService(1, "a")))
+	for i := range calls {
+		assert.NilError(t, h.inputs.Offer(CallArrived{
+			Call: placement.CallID(i + 1), Request: &Request{HostName: "a.example", Path: "/", Wait: 4 * time.Second}, Reply: ring.New[Reply]("reply", 1),
+		}))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	interrupted, interrupt := context.WithCancel(ctx)
+	interrupt()
+	stopped := ring.New[error]("stopped", 1)
+	go func() { _ = stopped.Offer(h.runStop(ctx, interrupted, func() {})) }()
+	_, err := h.control.Take(ctx) // the stop is announced
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	assert.ErrorIs(t, duty.run(ctx), context.DeadlineExceeded)
+	_, sent := duty.attempts.Poll()
+	assert.Assert(t, !sent, "a stopping host sent a call that outlasts its grace period")
+	_, err = stopped.Take(context.Background())
+	assert.NilError(t, err)
+}
+
+// Guards against a process that is killed because it waits for the count of open calls,
+// which its log states, from a calls duty that has fallen behind.
+func TestAPlannedStopEndsInTimeBehindWaitingCalls(t *testing.T) {
+	const grace = time.Second
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	h := New(schema.EdgeSettings{Senders: 1}, Site{Name: "h", DataCentre: "north"}, Adapter{}, logrus.NewEntry(logger))
+	h.grace.Store(int64(grace))
+	assert.NilError(t, h.inputs.Offer(CallArrived{Call: 1})) // the duty does not come to it
+	go func() {
+		for {
+			change, err := h.changes.Take(t.Context())
+			if err != nil {
+				return
+			}
+			if query, ok := change.(OpenCallsQuery); ok {
+				_ = query.Reply.Offer(OpenCalls{}) // the sender guarantees room
+			}
+		}
+	}()
+	interrupted, interrupt := context.WithCancel(t.Context())
+	interrupt()
+	began := time.Now()
+	var stopped *StoppedError
+	assert.Assert(t, errors.As(h.runStop(t.Context(), interrupted, func() {}), &stopped))
+	assert.Assert(t, time.Since(began) < grace, "the stop took %s", time.Since(began))
+}
+
+// Guards against calls that a stopping host takes although they may outlast it and
+// were sent later than it assumes: it had received SIGTERM 150 ms late.
+func TestAPlannedStopAllowsForALateSignal(t *testing.T) {
+	const signalDelay = 150 * time.Millisecond
+	tests := map[string]struct {
+		sentAfter time.Duration // the signal was sent
+		sent      bool
+	}{
+		"callers may know no other host": {sentAfter: 2600 * time.Millisecond, sent: true},
+		"callers know other hosts":       {sentAfter: 3010 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			logger := logrus.New()
+			logger.SetOutput(io.Discard)
+			h := New(schema.EdgeSettings{Senders: 1}, Site{Name: "h", DataCentre: "north"}, Adapter{}, logrus.NewEntry(logger))
+			h.grace.Store(int64(6 * time.Second))
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			interrupted, interrupt := context.WithCancel(ctx)
+			interrupt()
+			signalAt := time.Now().Add(-signalDelay)
+			_ = h.runStop(ctx, interrupted, func() {}) // ends with the context
+			placer := placement.New(placement.Options{Host: "h", DataCentre: "north"})
+			duty := &callsDuty{
+				placer: placer, inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
+				calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
+			}
+			sentAt := signalAt.Add(test.sentAfter)
+			duty.takeChanges()
+			declared := declaredService(1, "a")
+			declared.Declaration.Routes[0].TargetMs = 250
+			duty.step(sentAt, declaredChanged(declared))
+			duty.step(sentAt, CallArrived{
+				Call: 1, Request: &Request{HostName: "a.example", Path: "/", Wait: 8 * time.Second}, Reply: ring.New[Reply]("reply", 1),
+			})
+			_, sent := duty.attempts.Poll()
+			assert.Equal(t, sent, test.sent)
+		})
+	}
+}
+
 // Guards against requests that reach a backend server which left while they waited
 // for one of the senders, all of which were busy.
 func TestAttemptThatWaitedForASenderIsPlacedAgain(t *testing.T) {
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -17,8 +17,9 @@
 	// maxDrainTime is the longest such time.
 	maxDrainTime = 3300 * time.Millisecond
 	// onlyHostTime is how long callers may know no other host: they keep a list of
-	// hosts for three times as long as they are told.
-	onlyHostTime = 3 * directory.AnswerTTL
+	// hosts for three times as long as they are told. The time counts from the signal,
+	// which may be handled late.
+	onlyHostTime = 3*directory.AnswerTTL - exitMargin
 	// quietPeriod is how long no call may be open until the host counts as
 	// drained.
 	quietPeriod = 600 * time.Millisecond
@@ -52,7 +53,7 @@
 	if err := h.control.Put(ctx, Stopping{}); err != nil {
 		return err
 	}
-	if err := h.inputs.Put(ctx, PlacementEvent{Event: placement.StopBegun{WorkUntil: workUntil, OnlyHostUntil: startedAt.Add(onlyHostTime)}}); err != nil {
+	if err := h.changes.Put(ctx, PlacementEvent{Event: placement.StopBegun{WorkUntil: workUntil, OnlyHostUntil: startedAt.Add(onlyHostTime)}}); err != nil {
 		return err
 	}
 	h.awaitDrained(ctx, startedAt, min(maxDrainTime, workUntil.Sub(startedAt)))
@@ -66,7 +67,7 @@
 // logStopped logs the calls that the end of the process breaks off, and when the
 // last call arrived.
 func (h *Host) logStopped(startedAt time.Time) {
-	open := queryDuty(h.inputs, func(reply *ring.Ring[OpenCalls]) Input { return OpenCallsQuery{Reply: reply} })
+	open := queryDuty(h.changes, func(reply *ring.Ring[OpenCalls]) Input { return OpenCallsQuery{Reply: reply} })
 	fields := []eventlog.Field{
 		eventlog.Duration("took", time.Since(startedAt)), eventlog.Integer("open_calls", int(h.front.active.Load())),
 		eventlog.Integer("calls_queued", open.Queued), eventlog.Integer("calls_in_flight", open.InFlight),
