edge: slow callers read whole answers beyond the exit

Cause: the process holds what the kernel's buffer has no room for, and takes it along. With segments of 1,400 bytes that buffer holds a small part of a download of 540 kB.

Change: a stopping host raises the buffer of each caller's connection to 4 MiB, or what the kernel allows, and never lowers it. What the kernel has taken is delivered although the process has ended.

A kernel that allows less than an answer still cuts it.

--- a/edge/connections.go
+++ b/edge/connections.go
@@ -35,6 +35,9 @@
 	rejecters = 32
 	// rejectWriteTimeout is the time for writing a rejection.
 	rejectWriteTimeout = 100 * time.Millisecond
+	// finishingBufferBytes is the size in bytes of the kernel's buffer for an answer when
+	// the process ends soon. The kernel may allow less.
+	finishingBufferBytes = 4 << 20
 	// rejectRetryAfter is the retry delay of rejected connections.
 	rejectRetryAfter = time.Second
 )
@@ -61,7 +64,9 @@
 	rejecting *ring.Ring[*tcp.LingeringConn]
 
 	mutex sync.Mutex
-	open  int
+	open  map[*servedConnection]struct{}
+	// finishing is set when the process ends soon.
+	finishing bool
 	// idle holds *servedConnection, that which has been idle longest first.
 	idle *list.List
 }
@@ -69,7 +74,7 @@
 // newConnectionSet returns an empty set. The connections for which it has no room go
 // to the ring, which runRejecter empties.
 func newConnectionSet(bound int, limits *callerLimits, events *listenerEvents, rejecting *ring.Ring[*tcp.LingeringConn]) *connectionSet {
-	return &connectionSet{Bound: bound, limits: limits, events: events, rejecting: rejecting, idle: list.New()}
+	return &connectionSet{Bound: bound, limits: limits, events: events, rejecting: rejecting, open: map[*servedConnection]struct{}{}, idle: list.New()}
 }
 
 // attach makes an HTTP server use the set. The set replaces the server's read
@@ -95,11 +100,14 @@
 func (s *connectionSet) admit(conn *tcp.LingeringConn) (*servedConnection, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.open >= s.Bound && !s.evict() {
+	if len(s.open) >= s.Bound && !s.evict() {
 		return nil, false
 	}
-	s.open++
 	served := &servedConnection{LingeringConn: conn, set: s}
+	s.open[served] = struct{}{}
+	if s.finishing {
+		tcp.RaiseWriteBuffer(served.TCPConn, finishingBufferBytes)
+	}
 	s.restLocked(served)
 
 	return served, true
@@ -136,7 +144,7 @@
 		return
 	}
 	served.forgotten = true
-	s.open--
+	delete(s.open, served)
 	if served.idle != nil {
 		s.idle.Remove(served.idle)
 		served.idle = nil
@@ -148,7 +156,18 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	return s.open
+	return len(s.open)
+}
+
+// finish makes the kernel take as much of each answer as it can, because what it has
+// taken is delivered although the process ends meanwhile.
+func (s *connectionSet) finish() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.finishing = true
+	for served := range s.open {
+		tcp.RaiseWriteBuffer(served.TCPConn, finishingBufferBytes)
+	}
 }
 
 // servedConnection is a connection of a connectionSet. It is idle, busy with a
--- a/edge/connections_test.go
+++ b/edge/connections_test.go
@@ -86,7 +86,7 @@
 	s.connections.mutex.Lock()
 	defer s.connections.mutex.Unlock()
 
-	return s.connections.open - s.connections.idle.Len()
+	return len(s.connections.open) - s.connections.idle.Len()
 }
 
 // waitBusy waits until a number of connections are not idle.
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -105,3 +105,17 @@
 
 	return errors.Join(err, failure)
 }
+
+// RaiseWriteBuffer raises the kernel's buffer for bytes that the remote side has not
+// acknowledged. It never lowers it. The kernel limits its size.
+func RaiseWriteBuffer(conn *net.TCPConn, bytes int) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(descriptor uintptr) { // fails only on a closed connection
+		if size, err := syscall.GetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF); err == nil && size < bytes {
+			_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF, bytes) // a smaller buffer works too
+		}
+	})
+}
