tcp: the bound on connections moves out of package edge

Cause: only the listeners of edge hosts could use it; those of other hosts and of baobabdrum host have no bound.

Change: connectionSet, boundedListener and the rejecters become exported types of package tcp. Timeouts and events are functions, the refusal is a text. No change of behaviour. The test counts busy connections in one call as before.

--- a/edge/connections_test.go
+++ b/edge/connections_test.go
@@ -30,7 +30,8 @@
 // boundedServer is an HTTP server with a bounded set of connections.
 type boundedServer struct {
 	address     string
-	connections *connectionSet
+	connections *tcp.ConnectionSet
+	limits      *callerLimits
 	metrics     *Metrics
 	// hold delays the answers to requests for /held until it is closed.
 	hold        chan struct{}
@@ -48,11 +49,15 @@
 	s := &boundedServer{address: listener.Addr().String(), metrics: NewMetrics(), hold: make(chan struct{})}
 	inForce := newCallerLimits()
 	inForce.apply(limits)
-	rejecting := ring.New[*tcp.LingeringConn]("rejecting", rejecters)
-	s.connections = newConnectionSet(testBound, inForce, newListenerEvents("test", eventlog.New(logrus.NewEntry(logger)), s.metrics), rejecting)
+	rejecting := ring.New[*tcp.LingeringConn]("rejecting", tcp.Rejecters)
+	s.limits = inForce
+	events := newListenerEvents("test", eventlog.New(logrus.NewEntry(logger)), s.metrics).connectionEvents()
+	s.connections = tcp.NewConnectionSet(testBound, inForce.timeouts, events, rejecting)
 	duties := group.New(t.Context())
-	for range rejecters {
-		duties.Go("rejecter", func(ctx context.Context) error { return runRejecter(ctx, rejecting) })
+	for range tcp.Rejecters {
+		duties.Go("rejecter", func(ctx context.Context) error {
+			return tcp.RunRejecter(ctx, rejecting, tcp.HTTPRefusal(rejectRetryAfter))
+		})
 	}
 	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
 		s.handled.Add(1)
@@ -61,10 +66,10 @@
 		}
 		ctx.SetBodyString("done")
 	}}
-	s.connections.attach(server)
+	s.connections.Attach(server)
 	ended := make(chan error, 1)
 	go func() {
-		ended <- server.Serve(newBoundedListener(tcp.NewLingeringListener(listener.(*net.TCPListener)), s.connections))
+		ended <- server.Serve(tcp.NewBoundedListener(tcp.NewLingeringListener(listener.(*net.TCPListener)), s.connections))
 	}()
 	t.Cleanup(func() {
 		s.release()
@@ -83,10 +88,7 @@
 
 // busy returns the number of connections that are not idle.
 func (s *boundedServer) busy() int {
-	s.connections.mutex.Lock()
-	defer s.connections.mutex.Unlock()
-
-	return len(s.connections.open) - s.connections.idle.Len()
+	return s.connections.Busy()
 }
 
 // waitBusy waits until a number of connections are not idle.
@@ -278,7 +280,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	events := newListenerEvents("test", eventlog.New(logrus.NewEntry(logger)), NewMetrics())
-	set := newConnectionSet(1, newCallerLimits(), events, ring.New[*tcp.LingeringConn]("rejecting", 1))
+	set := tcp.NewConnectionSet(1, newCallerLimits().timeouts, events.connectionEvents(), ring.New[*tcp.LingeringConn]("rejecting", 1))
 	accepting := tcp.NewLingeringListener(listener.(*net.TCPListener))
 	pair := func() (near *tcp.LingeringConn, far net.Conn) {
 		far, err := net.Dial("tcp", listener.Addr().String())
@@ -291,15 +293,15 @@
 		return conn.(*tcp.LingeringConn), far
 	}
 	near, far := pair()
-	first, ok := set.admit(near)
+	first, ok := set.Admit(near)
 	assert.Assert(t, ok)
 	_, err = far.Write([]byte("GET / HTTP/1.1\r\n"))
 	assert.NilError(t, err)
 	time.Sleep(20 * time.Millisecond)
 	next, _ := pair()
-	_, ok = set.admit(next)
+	_, ok = set.Admit(next)
 	assert.Assert(t, !ok, "a connection with a request was closed")
-	assert.Assert(t, first.begin())
+	assert.Assert(t, first.Begin())
 }
 
 func TestIdleTimeFollowsTheDeclaration(t *testing.T) {
@@ -319,7 +321,7 @@
 			caller.ask(t)
 			began := time.Now()
 			time.Sleep(50 * time.Millisecond)
-			s.connections.limits.apply(schema.CallerLimits{IdleTimeoutMs: test.later})
+			s.limits.apply(schema.CallerLimits{IdleTimeoutMs: test.later})
 			caller.assertClosed(t)
 			idle := time.Since(began)
 			assert.Assert(t, idle > test.least-50*time.Millisecond && idle < test.atMost, "closed after %s", idle)
--- a/edge/control.go
+++ b/edge/control.go
@@ -278,7 +278,7 @@
 	if d.limits.apply(declared) {
 		d.log.Event(eventlog.Info, "caller_limits_changed", "new limits on callers' requests are in force",
 			eventlog.Integer("header_bytes", d.limits.headerBytes()), eventlog.Integer("body_bytes", d.limits.bodyBytes()),
-			eventlog.Duration("header_timeout", d.limits.headerTimeout()), eventlog.Duration("idle_timeout", d.limits.idleTimeout()))
+			eventlog.Duration("header_timeout", d.limits.timeouts().Header), eventlog.Duration("idle_timeout", d.limits.timeouts().Idle))
 	}
 }
 
--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -36,8 +36,6 @@
 	heldBodyBytes = 32 << 10
 	// memoryRetryAfter is the retry delay of calls for which there was no memory.
 	memoryRetryAfter = 500 * time.Millisecond
-	// bodyTimeout is the time in which a caller must send the body of a request.
-	bodyTimeout = 10 * time.Second
 	// queryTimeout is the longest wait for the answer of a duty.
 	queryTimeout = 500 * time.Millisecond
 	// writeTimeout is the time in which a caller must read an answer.
@@ -54,7 +52,7 @@
 	metrics     *Metrics
 	budget      *memory.Budget
 	limits      *callerLimits
-	connections *connectionSet
+	connections *tcp.ConnectionSet
 	stopping    atomic.Bool
 	active      atomic.Int64
 	lastCallID  atomic.Uint64
@@ -68,9 +66,9 @@
 }
 
 // newCallerFront returns a front that does not serve yet.
-func newCallerFront(adapter Adapter, inputs *ring.Ring[Input], metrics *Metrics, budget *memory.Budget, connections *connectionSet) *callerFront {
+func newCallerFront(adapter Adapter, inputs *ring.Ring[Input], metrics *Metrics, budget *memory.Budget, limits *callerLimits, connections *tcp.ConnectionSet) *callerFront {
 	front := &callerFront{
-		adapter: adapter, inputs: inputs, metrics: metrics, budget: budget, limits: connections.limits, connections: connections,
+		adapter: adapter, inputs: inputs, metrics: metrics, budget: budget, limits: limits, connections: connections,
 		finished: ring.New[error]("finished", 1),
 	}
 	front.server = &fasthttp.Server{
@@ -88,7 +86,7 @@
 		CloseOnShutdown:              true,
 		Logger:                       discardLogger{},
 	}
-	connections.attach(front.server)
+	connections.Attach(front.server)
 
 	return front
 }
@@ -105,7 +103,7 @@
 func (f *callerFront) run(ctx, closing context.Context, listener *net.TCPListener) error {
 	accepting := tcp.NewLingeringListener(listener)
 	stop := context.AfterFunc(closing, func() { _ = accepting.Drain() }) // fails only on a closed listener
-	if err := f.server.Serve(newBoundedListener(accepting, f.connections)); stop() {
+	if err := f.server.Serve(tcp.NewBoundedListener(accepting, f.connections)); stop() {
 		return eris.Wrap(err, "serving calls")
 	}
 	_ = f.finished.Offer(f.server.ShutdownWithContext(ctx)) // the ring has room
@@ -118,7 +116,7 @@
 func (f *callerFront) serve(ctx *fasthttp.RequestCtx) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	if !ctx.Conn().(*servedConnection).begin() {
+	if !ctx.Conn().(*tcp.ServedConn).Begin() {
 		f.reply(ctx, Reply{Outcome: placement.NotRun{Reason: placement.ReasonOverloaded, RetryAfter: rejectRetryAfter}})
 
 		return
@@ -346,11 +344,11 @@
 }
 
 // serveApp serves an HTTP application until the context ends.
-func serveApp(ctx context.Context, app *fiber.App, listener *net.TCPListener, connections *connectionSet) error {
+func serveApp(ctx context.Context, app *fiber.App, listener *net.TCPListener, connections *tcp.ConnectionSet) error {
 	stop := context.AfterFunc(ctx, func() { _ = app.ShutdownWithTimeout(queryTimeout) }) // the process exits in any case
 	defer stop()
-	connections.attach(app.Server())
-	bounded := newBoundedListener(tcp.NewLingeringListener(listener), connections)
+	connections.Attach(app.Server())
+	bounded := tcp.NewBoundedListener(tcp.NewLingeringListener(listener), connections)
 
 	return eris.Wrap(app.Listener(bounded, fiber.ListenConfig{DisableStartupMessage: true}), "serving requests")
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -110,11 +110,11 @@
 		storeMembers:  ring.New[directory.Action]("store_members", storeMembersCapacity),
 		beacons:       ring.New[beacon.Datagram]("beacons", controlRingCapacity),
 		requests:      ring.New[peerrpc.Request]("peer_requests", controlRingCapacity),
-		rejecting:     ring.New[*tcp.LingeringConn]("rejecting", rejecters),
+		rejecting:     ring.New[*tcp.LingeringConn]("rejecting", tcp.Rejecters),
 	}
 	h.budget = memory.NewBudget(int(bodyMemoryShare * float64(cmp.Or(site.MemoryBytes, defaultMemoryBytes))))
 	h.limits = newCallerLimits()
-	h.front = newCallerFront(adapter, h.inputs, h.Metrics, h.budget, h.newConnections("caller", callerSocketShare, h.limits))
+	h.front = newCallerFront(adapter, h.inputs, h.Metrics, h.budget, h.limits, h.newConnections("caller", callerSocketShare, h.limits))
 	h.queries = &dutyClient{control: h.control, calls: h.inputs}
 	h.grace.Store(int64(site.Grace))
 	h.Metrics.Gauge("baobabdrum_body_bytes", func() float64 { return float64(h.budget.Used()) })
@@ -125,9 +125,11 @@
 
 // newConnections returns the connections of a listener, bounded by a share of the
 // sockets of the process.
-func (h *Host) newConnections(listener string, share float64, limits *callerLimits) *connectionSet {
-	connections := newConnectionSet(connectionBound(h.Site.Descriptors, share), limits, newListenerEvents(listener, h.Log, h.Metrics), h.rejecting)
-	h.Metrics.Gauge(fmt.Sprintf(`baobabdrum_open_connections{listener=%q}`, listener), func() float64 { return float64(connections.count()) })
+func (h *Host) newConnections(listener string, share float64, limits *callerLimits) *tcp.ConnectionSet {
+	connections := tcp.NewConnectionSet(
+		connectionBound(h.Site.Descriptors, share), limits.timeouts, newListenerEvents(listener, h.Log, h.Metrics).connectionEvents(), h.rejecting,
+	)
+	h.Metrics.Gauge(fmt.Sprintf(`baobabdrum_open_connections{listener=%q}`, listener), func() float64 { return float64(connections.Open()) })
 
 	return connections
 }
@@ -349,8 +351,9 @@
 			return serveApp(ctx, served.app, served.listener.(*net.TCPListener), connections)
 		})
 	}
-	for range rejecters {
-		duties.Go("rejecter", func(ctx context.Context) error { return runRejecter(ctx, h.rejecting) })
+	refusal := tcp.HTTPRefusal(rejectRetryAfter)
+	for range tcp.Rejecters {
+		duties.Go("rejecter", func(ctx context.Context) error { return tcp.RunRejecter(ctx, h.rejecting, refusal) })
 	}
 	peers := tcp.NewLastingListener(open.peer, newListenerEvents("peer", h.Log, h.Metrics).failed)
 	duties.Go("peer front", func(ctx context.Context) error { return peerrpc.Serve(ctx, peers, "", h.requests) })
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
 const (
@@ -69,12 +70,11 @@
 	return l.inForce.Load().BodyBytes
 }
 
-// headerTimeout returns the time in which a request head must arrive.
-func (l *callerLimits) headerTimeout() time.Duration {
-	return time.Duration(l.inForce.Load().HeaderTimeoutMs) * time.Millisecond
-}
+// timeouts returns for how long a connection waits for bytes.
+func (l *callerLimits) timeouts() tcp.ConnectionTimeouts {
+	limits := l.inForce.Load()
 
-// idleTimeout returns how long a connection may stay idle.
-func (l *callerLimits) idleTimeout() time.Duration {
-	return time.Duration(l.inForce.Load().IdleTimeoutMs) * time.Millisecond
+	return tcp.ConnectionTimeouts{
+		Header: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond, Idle: time.Duration(limits.IdleTimeoutMs) * time.Millisecond,
+	}
 }
--- a/edge/listeners.go
+++ b/edge/listeners.go
@@ -5,11 +5,38 @@
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
-// listenerLogInterval is the shortest time between log lines of one kind about one
-// listener.
-const listenerLogInterval = time.Second
+const (
+	// listenerLogInterval is the shortest time between log lines of one kind about one
+	// listener.
+	listenerLogInterval = time.Second
+	// defaultDescriptors is the number of descriptors of the process if the platform
+	// states none.
+	defaultDescriptors = 4096
+	// fileDescriptors is the number of descriptors reserved for files.
+	fileDescriptors = 200
+	// callerSocketShare is the share of the other descriptors for callers. The rest is
+	// for backend servers, the store, other hosts and the other listeners.
+	callerSocketShare = 0.6
+	// directorySocketShare is the share for callers that look up entry hosts.
+	directorySocketShare = 0.05
+	// minServedConnections is the smallest bound of a listener.
+	minServedConnections = 16
+	// rejectRetryAfter is the retry delay of rejected connections.
+	rejectRetryAfter = time.Second
+)
+
+// connectionBound returns the largest number of connections of a listener that may
+// use a share of the sockets of the process.
+func connectionBound(descriptors int, share float64) int {
+	if descriptors == 0 {
+		descriptors = defaultDescriptors
+	}
+
+	return max(int(share*float64(descriptors-fileDescriptors)), minServedConnections)
+}
 
 // listenerEvents counts and logs what happens to the connections of one listener.
 type listenerEvents struct {
@@ -25,6 +52,11 @@
 	return &listenerEvents{name: name, log: log, metrics: metrics}
 }
 
+// connectionEvents returns the events that a set of connections reports.
+func (e *listenerEvents) connectionEvents() tcp.ConnectionEvents {
+	return tcp.ConnectionEvents{Failed: e.failed, Evicted: e.evicted, Rejected: e.rejected}
+}
+
 // failed records an error of Accept.
 func (e *listenerEvents) failed(err error) {
 	e.metrics.AcceptFailed(e.name)
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -55,7 +55,7 @@
 	}
 	workUntil := exitAt.Add(-delivery)
 	h.front.stopping.Store(true)
-	h.front.connections.finish()
+	h.front.connections.Finish()
 	h.Log.Event(eventlog.Info, "host_stopping", "planned stop begins; directing callers to other hosts",
 		eventlog.Duration("grace", grace), eventlog.Duration("signal_delay", handledAt.Sub(startedAt)))
 	if err := h.control.Put(ctx, Stopping{}); err != nil {
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -1,6 +1,6 @@
-// Package tcp inspects TCP connections without reading from them, and configures
-// the detection of lost connections. Change this package to learn more about a
-// connection before it is used or closed.
+// Package tcp accepts, bounds and inspects TCP connections. A ConnectionSet bounds the
+// connections of a listener, a Peeker inspects one without reading from it. Change this
+// package to change which connections a host accepts, keeps or gives up.
 package tcp
 
 import (
