peerrpc: messages without end cost bounded memory and time

Report of other operators: bytes without end exhausted the memory of the machine that had called. Between hosts this could happen in part.

Cause: messages had limits for each list and string, and none for the whole. A body of a method that the host does not know was skipped for as long as it lasted, without a deadline; a list was allocated at its announced length of up to 1,048,576 records; a client read answers to requests that it had not sent.

Change: a message ends its connection at a limit: 16 KiB for requests to entry hosts, 1 MiB to hosts with digests, 8 MiB for answers. Lists have 65,536 elements at most. An answer without a request ends the connection. Entry hosts of a platform offer only the two methods that they answer.

--- a/edge/host.go
+++ b/edge/host.go
@@ -50,6 +50,9 @@
 	bodyMemoryShare = 0.33
 	// defaultMemoryBytes is the memory of the process if the platform states none.
 	defaultMemoryBytes = 256e6
+	// maxPeerRequestBytes is the largest size in bytes of a request of another host,
+	// which names hosts and revisions.
+	maxPeerRequestBytes = 16 << 10
 	// perMille converts thousandths to a fraction.
 	perMille = 1000
 )
@@ -356,5 +359,6 @@
 		duties.Go("rejecter", func(ctx context.Context) error { return tcp.RunRejecter(ctx, h.rejecting, refusal) })
 	}
 	peers := tcp.NewLastingListener(open.peer, newListenerEvents("peer", h.Log, h.Metrics).failed)
-	duties.Go("peer front", func(ctx context.Context) error { return peerrpc.Serve(ctx, peers, "", h.requests) })
+	server := &peerrpc.Server{Receiver: peerrpc.NewEdgePeer(h.requests), MaxRequestBytes: maxPeerRequestBytes}
+	duties.Go("peer front", func(ctx context.Context) error { return server.Serve(ctx, peers) })
 }
--- a/host/host.go
+++ b/host/host.go
@@ -41,6 +41,9 @@
 	// connectionsPerHost is the largest number of connections to another entry
 	// host.
 	connectionsPerHost = 256
+	// maxPeerRequestBytes is the largest size in bytes of a request of another host,
+	// such as a digest with a bounded number of records.
+	maxPeerRequestBytes = 1 << 20
 	// proberCount is the number of prober duties. Each runs one probe at a time.
 	proberCount = 4
 )
@@ -267,7 +270,9 @@
 // caller front end finishes when closing ends.
 func (h *Host) startFrontEnds(closing context.Context, duties *group.Group, open listeners, metrics *prometheus.Metrics) {
 	duties.Go("peer front", func(ctx context.Context) error {
-		return peerrpc.Serve(ctx, open.peer, h.Settings.Token, h.requests)
+		server := &peerrpc.Server{Token: h.Settings.Token, Receiver: peerrpc.NewPeer(h.requests), MaxRequestBytes: maxPeerRequestBytes}
+
+		return server.Serve(ctx, open.peer)
 	})
 	duties.Go("caller front", func(ctx context.Context) error {
 		frontEnd := callerhttp.New(h.dispatch, h.Settings.CallTimeout, h.Settings.BodyLimit)
--- a/peerrpc/client.go
+++ b/peerrpc/client.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "connecting to peer %s", address)
 	}
-	open := &connection{conn: conn, rpc: rpc.NewClientWithCodec(newCodec(conn, c.Token)), lastUsed: time.Now()}
+	open := &connection{conn: conn, rpc: rpc.NewClientWithCodec(newCodec(conn, c.Token, maxAnswerBytes)), lastUsed: time.Now()}
 	c.connections[address] = open
 
 	return open, nil
--- a/peerrpc/codec.go
+++ b/peerrpc/codec.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/rpc"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 	"github.com/tinylib/msgp/msgp"
@@ -30,33 +31,86 @@
 }
 
 const (
-	// maxElements limits the elements of one list in a message.
-	maxElements = 1 << 20
+	// maxAnswerBytes is the largest size in bytes of an answer, which may contain all
+	// registrations of a deployment.
+	maxAnswerBytes = 8 << 20
+	// maxElements limits the elements of one list that is skipped. The generated code
+	// limits those that it decodes.
+	maxElements = 1 << 16
 	// maxStringBytes limits the length of one string in a message.
 	maxStringBytes = 1 << 16
 	// maxDepth limits the nesting depth of a message.
 	maxDepth = 32
 )
 
+// MessageLimitError reports a message that is larger than allowed.
+type MessageLimitError struct {
+	// Bytes is the limit.
+	Bytes int
+}
+
+// Error names the limit.
+func (e *MessageLimitError) Error() string {
+	return fmt.Sprintf("message has more than %d bytes", e.Bytes)
+}
+
+// UnrequestedError reports an answer without a request. It ends the connection, on which
+// such answers could follow each other without end.
+type UnrequestedError struct{}
+
+// Error describes the failure.
+func (*UnrequestedError) Error() string {
+	return "peer answered without a request"
+}
+
+// messageReader reads one message after the other and fails at the limit of each. What
+// it reads ahead counts as part of the message that is being read.
+type messageReader struct {
+	io.Reader
+
+	limit, left int
+}
+
+// begin starts a message.
+func (r *messageReader) begin() {
+	r.left = r.limit
+}
+
+// Read reads bytes of the message.
+func (r *messageReader) Read(buffer []byte) (int, error) {
+	if r.left == 0 {
+		return 0, &MessageLimitError{Bytes: r.limit}
+	}
+	count, err := r.Reader.Read(buffer[:min(len(buffer), r.left)])
+	r.left -= count
+
+	return count, err //nolint:wrapcheck // net/rpc compares it with io.EOF
+}
+
 // codec is a client and server codec of net/rpc that encodes messages with
 // MessagePack and opens each connection with a token.
 type codec struct {
 	token         string
 	authenticated bool
 	conn          io.ReadWriteCloser
+	received      *messageReader
 	in            *msgp.Reader
 	out           *msgp.Writer
+	// unanswered is the number of requests that this side sent and that were not answered.
+	unanswered atomic.Int64
 }
 
-// newCodec returns a codec over the connection. It limits the list lengths,
+// newCodec returns a codec over the connection. It limits the size, list lengths,
 // string lengths and nesting depth of incoming messages.
-func newCodec(conn io.ReadWriteCloser, token string) *codec {
-	in := msgp.NewReader(conn)
+func newCodec(conn io.ReadWriteCloser, token string, limit int) *codec {
+	received := &messageReader{Reader: conn, limit: limit}
+	in := msgp.NewReader(received)
 	in.SetMaxElements(maxElements)
 	in.SetMaxStringLength(maxStringBytes)
 	in.SetMaxRecursionDepth(maxDepth)
 
-	return &codec{token: token, conn: conn, in: in, out: msgp.NewWriter(conn)}
+	_ = 0
+	return &codec{token: token, conn: conn, received: received, in: in, out: msgp.NewWriter(conn)}
 }
 
 // WriteRequest writes the method, the sequence number and the body, preceded by
@@ -69,6 +123,8 @@
 		c.authenticated = true
 	}
 
+	c.unanswered.Add(1)
+
 	return c.write(request.ServiceMethod, request.Seq, "", body)
 }
 
@@ -88,6 +144,7 @@
 	if c.authenticated {
 		return nil
 	}
+	c.received.begin()
 	token, err := c.in.ReadString()
 	if err != nil {
 		return err //nolint:wrapcheck // net/rpc compares it with io.EOF
@@ -118,6 +175,9 @@
 // ReadResponseHeader reads a response up to its body.
 func (c *codec) ReadResponseHeader(response *rpc.Response) (err error) {
 	response.ServiceMethod, response.Seq, response.Error, err = c.readHeader()
+	if err == nil && c.unanswered.Add(-1) < 0 {
+		return &UnrequestedError{}
+	}
 
 	return err
 }
@@ -164,6 +224,7 @@
 
 // readHeader reads the method, the sequence number and the error text.
 func (c *codec) readHeader() (method string, sequence uint64, failure string, err error) {
+	c.received.begin()
 	if method, err = c.in.ReadString(); err != nil {
 		return "", 0, "", err //nolint:wrapcheck // net/rpc compares it with io.EOF
 	}
--- a/peerrpc/codec_test.go
+++ b/peerrpc/codec_test.go
@@ -22,6 +22,10 @@
 	timeout = 500 * time.Millisecond
 )
 
+// maxRequestBytes is the largest size in bytes of a request to the servers of these
+// tests.
+const maxRequestBytes = 64 << 10
+
 // startServer starts a server that answers requests, except for the
 // configuration, until the test ends, and returns its address.
 func startServer(t *testing.T) string {
@@ -31,7 +35,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	requests := ring.New[peerrpc.Request]("requests", 16)
 	duties := group.New(ctx)
-	duties.Go("front", func(ctx context.Context) error { return peerrpc.Serve(ctx, listener, token, requests) })
+	duties.Go("front", func(ctx context.Context) error {
+		return (&peerrpc.Server{Token: token, Receiver: peerrpc.NewPeer(requests), MaxRequestBytes: maxRequestBytes}).Serve(ctx, listener)
+	})
 	duties.Go("peers", func(ctx context.Context) error {
 		for {
 			request, err := requests.Take(ctx)
@@ -141,7 +147,9 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		duties := group.New(ctx)
 		requests := ring.New[peerrpc.Request]("requests", 1)
-		duties.Go("front", func(ctx context.Context) error { return peerrpc.Serve(ctx, listener, token, requests) })
+		duties.Go("front", func(ctx context.Context) error {
+			return (&peerrpc.Server{Token: token, Receiver: peerrpc.NewPeer(requests), MaxRequestBytes: maxRequestBytes}).Serve(ctx, listener)
+		})
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		assert.NilError(t, err)
 		_, _ = conn.Write(raw) // the server may close first
--- a/peerrpc/peerrpc.go
+++ b/peerrpc/peerrpc.go
@@ -72,9 +72,25 @@
 func (ConfigurationRequest) request() {}
 func (RoomRequest) request()          {}
 
+// EdgePeer holds the net/rpc methods that other entry hosts of a deployment platform
+// call.
+type EdgePeer struct {
+	requests *ring.Ring[Request]
+}
+
+// NewEdgePeer returns methods that pass requests to the duty of the ring.
+func NewEdgePeer(requests *ring.Ring[Request]) *EdgePeer {
+	return &EdgePeer{requests: requests}
+}
+
 // Peer holds the net/rpc methods that other hosts call.
 type Peer struct {
-	requests *ring.Ring[Request]
+	*EdgePeer
+}
+
+// NewPeer returns methods that pass requests to the duty of the ring.
+func NewPeer(requests *ring.Ring[Request]) *Peer {
+	return &Peer{EdgePeer: NewEdgePeer(requests)}
 }
 
 // Exchange takes another host's digest and returns this host's.
@@ -99,14 +115,14 @@
 }
 
 // Declared returns the declarations that this host has and the sender lacks.
-func (p *Peer) Declared(request *schema.DeclaredRequest, out *schema.DeclaredAnswer) error {
+func (p *EdgePeer) Declared(request *schema.DeclaredRequest, out *schema.DeclaredAnswer) error {
 	reply := ring.New[schema.DeclaredAnswer]("declared", 1)
 
 	return forward(p.requests, DeclaredRequest{DeclaredRequest: *request, Reply: reply}, reply, out)
 }
 
 // Members returns the entry hosts that this host knows.
-func (p *Peer) Members(request *schema.MembersRequest, out *schema.MembersAnswer) error {
+func (p *EdgePeer) Members(request *schema.MembersRequest, out *schema.MembersAnswer) error {
 	reply := ring.New[schema.MembersAnswer]("members", 1)
 
 	return forward(p.requests, MembersRequest{MembersRequest: *request, Reply: reply}, reply, out)
@@ -126,15 +142,25 @@
 	return err
 }
 
+// Server passes the requests of other hosts to a duty.
+type Server struct {
+	// Token is the shared secret with which connections begin.
+	Token string
+	// MaxRequestBytes is the largest size in bytes of a request.
+	MaxRequestBytes int
+	// Receiver is an *EdgePeer or a *Peer.
+	Receiver any
+}
+
 // Serve accepts and serves other hosts' connections until the context ends.
-func Serve(ctx context.Context, listener net.Listener, token string, requests *ring.Ring[Request]) error {
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Peer{requests: requests}); err != nil {
+	if err := server.RegisterName(serviceName, s.Receiver); err != nil {
 		return eris.Wrap(err, "registering the peer methods")
 	}
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() }) // Accept returns whether or not this fails
 	defer stop()
-	connections := newServerConnections(server, token)
+	connections := newServerConnections(server, s.Token, s.MaxRequestBytes)
 	defer connections.close()
 	for {
 		conn, err := listener.Accept()
--- a/peerrpc/server_connections.go
+++ b/peerrpc/server_connections.go
@@ -13,13 +13,14 @@
 type serverConnections struct {
 	server *rpc.Server
 	token  string
+	limit  int
 	open   sync.Map // net.Conn to struct{}
 	duties conc.WaitGroup
 }
 
 // newServerConnections returns an empty set of connections.
-func newServerConnections(server *rpc.Server, token string) *serverConnections {
-	return &serverConnections{server: server, token: token}
+func newServerConnections(server *rpc.Server, token string, limit int) *serverConnections {
+	return &serverConnections{server: server, token: token, limit: limit}
 }
 
 // add starts serving a connection on a goroutine of its own.
@@ -27,7 +28,7 @@
 	s.open.Store(conn, struct{}{})
 	s.duties.Go(func() {
 		defer s.open.Delete(conn)
-		s.server.ServeCodec(newCodec(conn, s.token))
+		s.server.ServeCodec(newCodec(conn, s.token, s.limit))
 	})
 }
 
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -8,7 +8,7 @@
 
 // Size limits for msgp deserialization
 const (
-	zf88ce922limitArrays = 1048576
+	zf88ce922limitArrays = 65536
 	zf88ce922limitMaps   = 64
 )
 
