beacon: a datagram allocates no more than it contains

Cause: decoding allocates each list at its announced length of up to 65,536 records before it reads one, so a datagram of 55 bytes cost 1,049,634 bytes. Change: the datagram is skipped through first, which allocates nothing and fails if it is shorter than its lists. Evidence: TestDecodeAllocatesNothingForAnnouncedLists measured 1,049,634 bytes before and is below its bound of 16 KiB now; tests of beacon pass under the race detector.

--- a/beacon/decode.go
+++ b/beacon/decode.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/tinylib/msgp/msgp"
 
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -42,6 +43,11 @@
 // Decode decodes and validates a datagram. Validation covers all that can be
 // checked without knowing the hosts.
 func Decode(datagram []byte) (schema.Beacon, error) {
+	// Decoding allocates lists of the length that they announce. Skipping does not, and
+	// fails if the datagram is shorter than that.
+	if _, err := msgp.Skip(datagram); err != nil {
+		return schema.Beacon{}, eris.Wrap(err, "decoding beacon")
+	}
 	var decoded schema.Beacon
 	if _, err := decoded.UnmarshalMsg(datagram); err != nil {
 		return schema.Beacon{}, eris.Wrap(err, "decoding beacon")
--- a/beacon/decode_test.go
+++ b/beacon/decode_test.go
@@ -1,6 +1,7 @@
 package beacon_test
 
 import (
+	"bytes"
 	"errors"
 	"testing"
 
@@ -80,3 +81,29 @@
 		}
 	})
 }
+
+// Guards against datagrams of a few bytes for which a host allocates lists of the
+// length that they announce.
+func TestDecodeAllocatesNothingForAnnouncedLists(t *testing.T) {
+	sent := validBeacon()
+	sent.Loads = nil
+	encoded, err := sent.MarshalMsg(nil)
+	assert.NilError(t, err)
+	lists := 0
+	for at, value := range encoded {
+		if value != 0x90 { // an empty list
+			continue
+		}
+		lists++
+		announced := append(append(bytes.Clone(encoded[:at]), 0xdd, 0x00, 0x00, 0xff, 0xff), encoded[at+1:]...)
+		result := testing.Benchmark(func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := beacon.Decode(announced)
+				assert.Assert(b, err != nil)
+			}
+		})
+		assert.Assert(t, result.AllocedBytesPerOp() < 16<<10, "%d bytes for a datagram of %d", result.AllocedBytesPerOp(), len(announced))
+	}
+	assert.Assert(t, lists > 0)
+}
