--- a/beacon/beacon.go
+++ b/beacon/beacon.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -19,6 +20,10 @@
 // maxDatagramBytes is the maximum size of a received datagram in bytes.
 const maxDatagramBytes = 60 << 10
 
+// receiveRetryDelay is the time after a failure to receive until the next try, so that a
+// failure that lasts does not keep the processor busy.
+const receiveRetryDelay = 20 * time.Millisecond
+
 // Datagram is a beacon with its receivers.
 type Datagram struct {
 	// Beacon is the beacon to encode and send.
@@ -64,6 +69,10 @@
 			return eris.Wrap(err, "receiving beacons")
 		case err != nil:
 			failed(err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(receiveRetryDelay):
+			}
 
 			continue
 		}
