Bound the framing of requests and answers

Report of other operators: bytes without end. Bodies and heads were bounded; what frames them was not.

Cause: chunks of one byte, empty lines before an answer, and bodies at the directory, the readiness check and the operator address were read for as long as they lasted, or up to 4 MiB each and connection.

Change: a message ends its connection when it has 128 KiB more framing than content (tcp.Overhead), at backend servers' connections and at all listeners for HTTP. What is not counted as content, such as a body at the directory, is framing.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -26,6 +26,9 @@
 	writeBufferSize = 4 << 10
 	// maxAnswers is the maximum number of responses read for one request.
 	maxAnswers = 4
+	// maxFramingSize is the maximum size in bytes of what a response has besides its body
+	// and as much framing: heads, and responses to earlier requests.
+	maxFramingSize = 8 * maxHeadSize
 	// maxRequestIDs is the maximum number of requests with an ID on a connection.
 	maxRequestIDs = 256
 )
@@ -66,6 +69,7 @@
 	peeker      *tcp.Peeker
 	reader      *bufio.Reader
 	writer      *bufio.Writer
+	overhead    tcp.Overhead
 	sent        int
 	answers     int
 	requestIDs  []uint64 // hashes
@@ -105,9 +109,9 @@
 	}
 	c.conn, c.peeker, c.answers, c.requestIDs = conn, tcp.NewPeeker(conn), 0, c.requestIDs[:0]
 	if c.reader == nil {
-		c.reader, c.writer = bufio.NewReaderSize(conn, maxHeadSize), bufio.NewWriterSize(c, writeBufferSize)
+		c.reader, c.writer = bufio.NewReaderSize(c, maxHeadSize), bufio.NewWriterSize(c, writeBufferSize)
 	}
-	c.reader.Reset(conn)
+	c.reader.Reset(c)
 	c.writer.Reset(c)
 
 	if err := conn.SetDeadline(deadline); err != nil {
@@ -147,6 +151,16 @@
 	}
 }
 
+// Read receives bytes within the bound on framing.
+func (c *Connection) Read(buffer []byte) (int, error) {
+	count, err := c.conn.Read(buffer)
+	if exceeded := c.overhead.Received(count); exceeded != nil {
+		return 0, exceeded
+	}
+
+	return count, err //nolint:wrapcheck // bufio compares it with io.EOF
+}
+
 // Write sends bytes and counts those that were sent.
 func (c *Connection) Write(data []byte) (int, error) {
 	count, err := c.conn.Write(data)
@@ -277,7 +291,7 @@
 		response.Header.CopyTo(&head)
 		defer head.CopyTo(&response.Header)
 	}
-	body, err := read(stream, max(response.Header.ContentLength(), -1))
+	body, err := read(&deliveredBody{Reader: stream, overhead: &c.overhead}, max(response.Header.ContentLength(), -1))
 	if err != nil {
 		_ = c.conn.Close() // releasing the response must not wait for the rest of the body
 
@@ -291,6 +305,25 @@
 	return nil
 }
 
+// deliveredBody is the body of a response. It counts the bytes that it delivers.
+type deliveredBody struct {
+	io.Reader
+	overhead *tcp.Overhead
+}
+
+// Read delivers bytes.
+func (b *deliveredBody) Read(buffer []byte) (int, error) {
+	count, err := b.Reader.Read(buffer)
+	b.overhead.Delivered(count)
+
+	return count, err //nolint:wrapcheck // readers compare it with io.EOF
+}
+
+// Body returns the body of the response of the last Exchange.
+func (c *Connection) Body(response *fasthttp.Response) io.Reader {
+	return &deliveredBody{Reader: response.BodyStream(), overhead: &c.overhead}
+}
+
 // Reused reports whether a response was read on the open connection before, so that
 // a second copy of it may still arrive.
 func (c *Connection) Reused() bool {
@@ -298,6 +331,7 @@
 }
 
 func (c *Connection) send(request *fasthttp.Request) error {
+	c.overhead.Reset(maxFramingSize)
 	if err := request.Write(c.writer); err != nil {
 		return err
 	}
--- a/backendhttp/prober.go
+++ b/backendhttp/prober.go
@@ -59,7 +59,7 @@
 	err = connection.Exchange(request, response)
 	whole := err == nil && response.BodyStream() == nil
 	if err == nil && response.BodyStream() != nil {
-		_, err = (&body{stream: response.BodyStream(), remaining: response.Header.ContentLength()}).read(maxBufferedBody)
+		_, err = (&body{stream: connection.Body(response), remaining: response.Header.ContentLength()}).read(maxBufferedBody)
 		whole = errors.Is(err, io.EOF)
 	}
 	if !whole || response.ConnectionClose() {
--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -113,7 +113,7 @@
 	if response.BodyStream() == nil {
 		return dispatch.Ended{Attempt: attempt, Result: backend.Whole{Status: answer.Status}, Answer: answer}
 	}
-	body := &body{stream: response.BodyStream(), remaining: answer.Length}
+	body := &body{stream: connection.Body(response), remaining: answer.Length}
 	first, err := body.read(maxBufferedBody)
 	answer.Body = first
 	if errors.Is(err, io.EOF) {
--- a/tcp/connections.go
+++ b/tcp/connections.go
@@ -17,6 +17,8 @@
 	// Rejecters is the number of connections that are rejected at the same time, and of
 	// those that wait for it. Others are closed without an answer.
 	Rejecters = 32
+	// DefaultRequestBytes is the usual size of ConnectionSet.RequestBytes.
+	DefaultRequestBytes = 128 << 10
 	// rejectWriteTimeout is the time for writing a rejection.
 	rejectWriteTimeout = 100 * time.Millisecond
 	// finishingBufferBytes is the size in bytes of the kernel's buffer for an answer when
@@ -48,6 +50,9 @@
 type ConnectionSet struct {
 	// Bound is the largest number of connections.
 	Bound int
+	// RequestBytes is the largest size in bytes of a request, without the content that
+	// ServedConn.Delivered counts and as much framing.
+	RequestBytes int
 	// Timeouts returns the timeouts in force.
 	Timeouts func() ConnectionTimeouts
 	// Events receives what happens to the connections.
@@ -67,7 +72,7 @@
 // to the ring, which RunRejecter empties, or are closed if the ring is nil.
 func NewConnectionSet(bound int, timeouts func() ConnectionTimeouts, events ConnectionEvents, rejecting *ring.Ring[*LingeringConn]) *ConnectionSet {
 	return &ConnectionSet{
-		Bound: bound, Timeouts: timeouts, Events: events, rejecting: rejecting, open: map[*ServedConn]struct{}{}, idle: list.New(),
+		Bound: bound, RequestBytes: DefaultRequestBytes, Timeouts: timeouts, Events: events, rejecting: rejecting, open: map[*ServedConn]struct{}{}, idle: list.New(),
 	}
 }
 
@@ -163,6 +168,8 @@
 	idle      *list.Element
 	idleSince time.Time
 	forgotten bool
+	// overhead belongs to the handler.
+	overhead Overhead
 }
 
 // Read reads bytes. The first bytes of a request end the idle time, unless the set
@@ -173,6 +180,9 @@
 		if count > 0 && !c.Begin() {
 			return 0, net.ErrClosed
 		}
+		if exceeded := c.overhead.Received(count); exceeded != nil {
+			return 0, exceeded
+		}
 		if count > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return count, err
 		}
@@ -193,12 +203,18 @@
 	if c.idle != nil {
 		c.set.idle.Remove(c.idle)
 		c.idle = nil
+		c.overhead.Reset(c.set.RequestBytes)
 		_ = c.SetReadDeadline(time.Now().Add(c.set.Timeouts().Header)) // fails only on a closed connection
 	}
 
 	return !c.forgotten
 }
 
+// Delivered allows a request more bytes, for content that was delivered.
+func (c *ServedConn) Delivered(bytes int) {
+	c.overhead.Delivered(bytes)
+}
+
 // Rest makes a connection idle.
 func (c *ServedConn) Rest() {
 	c.set.mutex.Lock()
