edge: the other listeners refuse bodies above 4 KiB

Cause: they inherited the library's limit of 4 MiB, although no request to them needs a body. The bound on framing ends such connections without an answer. Change: a body above 4 KiB gets 413 at once.

--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -31,6 +31,9 @@
 	// maxPrefetchBytes is the number of bytes of a request body that are read before
 	// the memory budget is asked.
 	maxPrefetchBytes = 8 << 10
+	// maxQueryBytes is the largest body in bytes of a request to the directory, the
+	// readiness check or the operator address, none of which needs one.
+	maxQueryBytes = 4 << 10
 	// heldBodyBytes is the size in bytes from which an answer holds its part of the
 	// memory budget until the caller has read it.
 	heldBodyBytes = 32 << 10
@@ -355,7 +358,7 @@
 
 // newApp returns an HTTP application without routes.
 func newApp() *fiber.App {
-	return fiber.New(fiber.Config{AppName: "baobabdrum", CaseSensitive: true})
+	return fiber.New(fiber.Config{AppName: "baobabdrum", CaseSensitive: true, BodyLimit: maxQueryBytes})
 }
 
 // serveApp serves an HTTP application until the context ends.
