jsonhttp: answers without end cost bounded memory and time

An answer with Content-Length made the HTTP client allocate its body at once: panic, and with it the end of an entry host (LOST).

Cause: the client of the HTTP library had no limit for bodies.

Change: the client uses backendhttp.Connection, which checks heads, bounds framing and reads bodies as they come, of 8 MiB at most.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -57,7 +57,7 @@
 	return fmt.Sprintf("received %d responses, all of them to other requests", e.Answers)
 }
 
-// Connection is one connection to a backend server or an entry host. Only one duty
+// Connection is one connection to a backend server, an entry host or a store. Only one duty
 // uses it at a time; another goroutine may only close its socket, see AbortOnCancel.
 // It counts the bytes sent, because a request of which any byte was sent may have
 // run.
--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -5,12 +5,10 @@
 package jsonhttp
 
 import (
-	"cmp"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -18,10 +16,18 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
+
+	"github.com/baobabdrum/baobabdrum/backendhttp"
 )
 
-// bearer is the prefix of the token in the Authorization header field.
-const bearer = "Bearer "
+const (
+	// MaxAnswerBytes is the largest body in bytes of a response.
+	MaxAnswerBytes = 8 << 20
+	// maxConnections is the largest number of connections of a client.
+	maxConnections = 64
+	// bearer is the prefix of the token in the Authorization header field.
+	bearer = "Bearer "
+)
 
 // StatusError reports a response that does not contain the expected message.
 type StatusError struct {
@@ -47,22 +53,15 @@
 	// Timeout is the maximum time for one request and its response.
 	Timeout time.Duration
 
-	http    fasthttp.HostClient
-	closing context.Context //nolint:containedctx // fasthttp passes none to the function that opens connections
-	close   context.CancelFunc
+	connections *backendhttp.Connections
+	closing     context.Context //nolint:containedctx // ends the requests in progress
+	close       context.CancelFunc
 }
 
 // NewClient returns a client for the address that opens connections on demand.
 func NewClient(address, token string, timeout time.Duration) *Client {
-	client := &Client{Address: address, Token: token, Timeout: timeout}
+	client := &Client{Address: address, Token: token, Timeout: timeout, connections: backendhttp.NewConnections(maxConnections)}
 	client.closing, client.close = context.WithCancel(context.Background())
-	client.http = fasthttp.HostClient{
-		Addr:                      address,
-		DialTimeout:               client.dial,
-		DisablePathNormalizing:    true,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}
 
 	return client
 }
@@ -70,6 +69,7 @@
 // Close closes all connections. Requests in progress and later ones fail.
 func (c *Client) Close() {
 	c.close()
+	c.connections.Close()
 }
 
 // Closed reports whether Close was called.
@@ -77,30 +77,6 @@
 	return c.closing.Err() != nil
 }
 
-// dial opens a connection that is closed with the client.
-func (c *Client) dial(address string, timeout time.Duration) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: cmp.Or(timeout, fasthttp.DefaultDialTimeout)}
-	conn, err := dialer.DialContext(c.closing, "tcp4", address)
-	if err != nil {
-		return nil, eris.Wrapf(err, "connecting to %s", address)
-	}
-
-	return &clientConn{Conn: conn, stop: context.AfterFunc(c.closing, func() { _ = conn.Close() })}, nil // it may be closed already
-}
-
-// clientConn is a connection that is closed with its client.
-type clientConn struct {
-	net.Conn
-	stop func() bool
-}
-
-// Close closes the connection.
-func (c *clientConn) Close() error {
-	c.stop()
-
-	return c.Conn.Close()
-}
-
 // Get requests a path and decodes the response as a message.
 func Get[Out any](client *Client, path string) (Out, error) {
 	var out Out
@@ -187,10 +163,10 @@
 		request.Header.Set(header.Name, header.Value)
 	}
 	request.SetBodyRaw(body)
-	if err := c.http.DoTimeout(request, response, c.Timeout); err != nil {
+	if err := c.exchange(request, response); err != nil {
 		return Response{}, eris.Wrapf(err, "%s %s%s", method, c.Address, path)
 	}
-	copied := Response{Status: response.StatusCode(), Body: append([]byte(nil), response.Body()...)}
+	copied := Response{Status: response.StatusCode(), Body: response.Body()}
 	for name, value := range response.Header.All() {
 		copied.Headers = append(copied.Headers, Header{Name: string(name), Value: string(value)})
 	}
@@ -198,6 +174,28 @@
 	return copied, nil
 }
 
+// exchange sends a request and reads the whole response within the timeout.
+func (c *Client) exchange(request *fasthttp.Request, response *fasthttp.Response) error {
+	connection, err := c.connections.Acquire(c.Address)
+	if err != nil {
+		return err
+	}
+	defer c.connections.Release(connection)
+	if err := connection.Open(c.closing, time.Now().Add(c.Timeout)); err != nil {
+		return err
+	}
+	defer backendhttp.AbortOnCancel(c.closing, connection)()
+	accept := func(*fasthttp.Response) bool { return true }
+	if err := connection.ExchangeWhole(request, response, backendhttp.LimitBody(MaxAnswerBytes), accept); err != nil {
+		return err
+	}
+	if response.ConnectionClose() {
+		connection.Close()
+	}
+
+	return nil
+}
+
 // Handle returns a handler that decodes a message, rejecting unknown fields, and
 // responds with the message that serve returns.
 func Handle[In, Out any](serve func(in In) (Out, error)) fiber.Handler {
