Connections of other hosts have a bound

Cause: the peer listener accepted any number of connections and kept idle ones for good.

A client whose kept connection was closed sends its request once more on a new one; requests between hosts may be repeated.

--- a/edge/host.go
+++ b/edge/host.go
@@ -117,7 +117,7 @@
 	}
 	h.budget = memory.NewBudget(int(bodyMemoryShare * float64(cmp.Or(site.MemoryBytes, defaultMemoryBytes))))
 	h.limits = newCallerLimits()
-	h.front = newCallerFront(adapter, h.inputs, h.Metrics, h.budget, h.limits, h.newConnections("caller", callerSocketShare, h.limits))
+	h.front = newCallerFront(adapter, h.inputs, h.Metrics, h.budget, h.limits, h.newConnections("caller", callerSocketShare, h.limits, h.rejecting))
 	h.queries = &dutyClient{control: h.control, calls: h.inputs}
 	h.grace.Store(int64(site.Grace))
 	h.Metrics.Gauge("baobabdrum_body_bytes", func() float64 { return float64(h.budget.Used()) })
@@ -127,10 +127,10 @@
 }
 
 // newConnections returns the connections of a listener, bounded by a share of the
-// sockets of the process.
-func (h *Host) newConnections(listener string, share float64, limits *callerLimits) *tcp.ConnectionSet {
+// sockets of the process. Those beyond it go to the ring, or are closed if it is nil.
+func (h *Host) newConnections(listener string, share float64, limits *callerLimits, rejecting *ring.Ring[*tcp.LingeringConn]) *tcp.ConnectionSet {
 	connections := tcp.NewConnectionSet(
-		connectionBound(h.Site.Descriptors, share), limits.timeouts, newListenerEvents(listener, h.Log, h.Metrics).connectionEvents(), h.rejecting,
+		connectionBound(h.Site.Descriptors, share), limits.timeouts, newListenerEvents(listener, h.Log, h.Metrics).connectionEvents(), rejecting,
 	)
 	h.Metrics.Gauge(fmt.Sprintf(`baobabdrum_open_connections{listener=%q}`, listener), func() float64 { return float64(connections.Open()) })
 
@@ -349,7 +349,7 @@
 		{"directory", resolve, open.directory, directorySocketShare},
 		{"operator", control, open.control, 0},
 	} {
-		connections := h.newConnections(served.name, served.share, newCallerLimits())
+		connections := h.newConnections(served.name, served.share, newCallerLimits(), h.rejecting)
 		duties.Go(served.name+" front", func(ctx context.Context) error {
 			return serveApp(ctx, served.app, served.listener.(*net.TCPListener), connections)
 		})
@@ -358,7 +358,9 @@
 	for range tcp.Rejecters {
 		duties.Go("rejecter", func(ctx context.Context) error { return tcp.RunRejecter(ctx, h.rejecting, refusal) })
 	}
-	peers := tcp.NewLastingListener(open.peer, newListenerEvents("peer", h.Log, h.Metrics).failed)
+	peers := tcp.NewBoundedListener(
+		tcp.NewLingeringListener(open.peer.(*net.TCPListener)), h.newConnections("peer", peerSocketShare, newCallerLimits(), nil),
+	)
 	server := &peerrpc.Server{Receiver: peerrpc.NewEdgePeer(h.requests), MaxRequestBytes: maxPeerRequestBytes}
 	duties.Go("peer front", func(ctx context.Context) error { return server.Serve(ctx, peers) })
 }
--- a/edge/listeners.go
+++ b/edge/listeners.go
@@ -22,6 +22,8 @@
 	callerSocketShare = 0.6
 	// directorySocketShare is the share for callers that look up entry hosts.
 	directorySocketShare = 0.05
+	// peerSocketShare is the share for other hosts.
+	peerSocketShare = 0.1
 	// minServedConnections is the smallest bound of a listener.
 	minServedConnections = 16
 	// rejectRetryAfter is the retry delay of rejected connections.
--- a/peerrpc/client.go
+++ b/peerrpc/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/rpc"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,9 +45,28 @@
 }
 
 // Call sends a request to a host and reads the response into out. A failed call
-// closes the connection.
+// closes the connection. Requests between hosts may be repeated: if a kept connection
+// turns out to be closed, the request is sent once more on a new one.
 func Call[In, Out any](ctx context.Context, client *Client, address, method string, in *In, out *Out) error {
 	deadline := time.Now().Add(client.Timeout)
+	_, kept := client.connections[address]
+	err := callOnce(ctx, client, address, method, in, out, deadline)
+	if kept && isClosed(err) {
+		return callOnce(ctx, client, address, method, in, out, deadline)
+	}
+
+	return err
+}
+
+// isClosed reports whether a call failed because the other host had closed the
+// connection.
+func isClosed(err error) bool {
+	return eris.Is(err, rpc.ErrShutdown) || eris.Is(err, io.EOF) || eris.Is(err, io.ErrUnexpectedEOF) ||
+		eris.Is(err, syscall.ECONNRESET) || eris.Is(err, syscall.EPIPE)
+}
+
+// callOnce sends a request on one connection.
+func callOnce[In, Out any](ctx context.Context, client *Client, address, method string, in *In, out *Out, deadline time.Time) error {
 	open, err := client.connect(ctx, address)
 	if err != nil {
 		return err
--- a/peerrpc/codec.go
+++ b/peerrpc/codec.go
@@ -9,6 +9,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/tinylib/msgp/msgp"
+
+	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
 // TokenError reports a peer that did not send the shared secret.
@@ -168,8 +170,12 @@
 	if response.Error != "" {
 		body = nil
 	}
+	err := c.write(response.ServiceMethod, response.Seq, response.Error, body)
+	if served, ok := c.conn.(*tcp.ServedConn); ok {
+		served.Rest()
+	}
 
-	return c.write(response.ServiceMethod, response.Seq, response.Error, body)
+	return err
 }
 
 // ReadResponseHeader reads a response up to its body.
--- a/peerrpc/codec_test.go
+++ b/peerrpc/codec_test.go
@@ -15,6 +15,7 @@
 	"github.com/baobabdrum/baobabdrum/peerrpc"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
 const (
@@ -109,6 +110,76 @@
 	assert.Assert(t, time.Since(began) < 10*timeout)
 }
 
+// startBoundedServer starts a server with a bounded set of connections, which it closes
+// when they have been idle. It answers requests for members until the test ends.
+func startBoundedServer(t *testing.T, bound int, idle time.Duration) (string, *tcp.ConnectionSet) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	requests := ring.New[peerrpc.Request]("requests", 16)
+	timeouts := tcp.ConnectionTimeouts{Header: time.Second, Idle: idle}
+	events := tcp.ConnectionEvents{Failed: func(error) {}, Evicted: func() {}, Rejected: func(int) {}}
+	set := tcp.NewConnectionSet(bound, func() tcp.ConnectionTimeouts { return timeouts }, events, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	duties := group.New(ctx)
+	duties.Go("front", func(ctx context.Context) error {
+		server := &peerrpc.Server{Token: token, Receiver: peerrpc.NewPeer(requests), MaxRequestBytes: maxRequestBytes}
+
+		return server.Serve(ctx, tcp.NewBoundedListener(tcp.NewLingeringListener(listener.(*net.TCPListener)), set))
+	})
+	duties.Go("peers", func(ctx context.Context) error {
+		for {
+			request, err := requests.Take(ctx)
+			if err != nil {
+				return err
+			}
+			_ = request.(peerrpc.MembersRequest).Reply.Offer(schema.MembersAnswer{Known: 1})
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, duties.Wait())
+	})
+
+	return listener.Addr().String(), set
+}
+
+// askMembers asks a server for its members.
+func askMembers(t *testing.T, client *peerrpc.Client, address string) {
+	t.Helper()
+	var answer schema.MembersAnswer
+	assert.NilError(t, peerrpc.Call(t.Context(), client, address, peerrpc.MethodMembers, &schema.MembersRequest{}, &answer))
+	assert.Equal(t, answer.Known, 1)
+}
+
+// Guards against a call that fails because the other host has closed a connection that
+// was idle.
+func TestCallOnAClosedConnectionIsRepeated(t *testing.T) {
+	address, _ := startBoundedServer(t, 2, 50*time.Millisecond)
+	client := peerrpc.NewClient(token, timeout)
+	defer client.Close()
+	for _, idle := range []time.Duration{0, 0, 200 * time.Millisecond, 0, 200 * time.Millisecond} {
+		time.Sleep(idle)
+		askMembers(t, client, address)
+	}
+}
+
+// Guards against a host whose descriptors other hosts use up: clients that keep their
+// connections, and strangers that send nothing.
+func TestConnectionsAreBounded(t *testing.T) {
+	const bound = 4
+	address, set := startBoundedServer(t, bound, time.Minute)
+	for range 3 * bound {
+		conn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		defer conn.Close()
+		client := peerrpc.NewClient(token, timeout)
+		defer client.Close()
+		askMembers(t, client, address)
+		assert.Assert(t, set.Open() <= bound, "%d connections are open", set.Open())
+	}
+}
+
 func FuzzDigest(f *testing.F) {
 	for _, digest := range []schema.Digest{
 		{},
