peerrpc: a call ends with its context

Change: the end of the context closes the connection of the call. Evidence: TestCallEndsWithItsContext fails without the change (1.0 s for 0.1 s) and passes with it.

--- a/peerrpc/client.go
+++ b/peerrpc/client.go
@@ -76,6 +76,7 @@
 
 		return eris.Wrapf(err, "setting the deadline of a call to peer %s", address)
 	}
+	defer context.AfterFunc(ctx, func() { _ = open.conn.Close() })() // ends the call
 	if err := open.rpc.Call(serviceName+"."+method, in, out); err != nil {
 		client.drop(address)
 
--- a/peerrpc/codec_test.go
+++ b/peerrpc/codec_test.go
@@ -110,6 +110,22 @@
 	assert.Assert(t, time.Since(began) < 10*timeout)
 }
 
+// Guards against a stopping host that waits for the answer of another one, until it is
+// killed.
+func TestCallEndsWithItsContext(t *testing.T) {
+	address := startServer(t)
+	const longTimeout = 10 * time.Second
+	client := peerrpc.NewClient(token, longTimeout)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	var read schema.Configuration
+	err := peerrpc.Call(ctx, client, address, peerrpc.MethodConfiguration, &schema.ConfigurationRequest{}, &read)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(began) < 500*time.Millisecond, "the call ended after %s", time.Since(began))
+}
+
 // startBoundedServer starts a server with a bounded set of connections, which it closes
 // when they have been idle. It answers requests for members until the test ends.
 func startBoundedServer(t *testing.T, bound int, idle time.Duration) (string, *tcp.ConnectionSet) {
