host: a planned stop answers every request that it accepts

What callers saw: in a planned stop of baobabdrum host, requests on kept connections got no answer, and connections in the kernel's queue were reset.

Cause: the front was closed at once at the end of the stop. Nothing told callers with kept connections to leave in the seconds in which the host announces its stop, and the listener was closed with connections in its queue.

Change: from the announcement on, each answer closes its connection. At the end the queue is accepted first, behind a filter for new connections; then the requests in flight finish. The listeners use tcp.ConnectionSet, as those of entry hosts do, so the fronts for operators and other hosts are bounded as well.

--- a/callerhttp/order_test.go
+++ b/callerhttp/order_test.go
@@ -24,12 +24,12 @@
 const testOrderID = "01JEAAAAAAAAAAAAAAAAAAAAAA-01JEV5XQ8R9W3N4K5M6P7Q8R9S"
 
 // listen returns a listener on a free port of the range for this package's tests.
-func listen(t *testing.T) net.Listener {
+func listen(t *testing.T) *net.TCPListener {
 	t.Helper()
 	for port := 21900; port < 22000; port++ {
 		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
 		if err == nil {
-			return listener
+			return listener.(*net.TCPListener)
 		}
 	}
 	t.Fatal("no port is free")
--- a/callerhttp/stack_test.go
+++ b/callerhttp/stack_test.go
@@ -88,7 +88,7 @@
 		front := callerhttp.New(s.inputs, callTimeout, bodyLimit)
 		front.Metrics = s.metrics
 
-		return front.Run(ctx, listener)
+		return front.Run(ctx, listener.(*net.TCPListener))
 	})
 	t.Cleanup(func() {
 		stop()
--- a/edge/connections_test.go
+++ b/edge/connections_test.go
@@ -56,7 +56,7 @@
 	duties := group.New(t.Context())
 	for range tcp.Rejecters {
 		duties.Go("rejecter", func(ctx context.Context) error {
-			return tcp.RunRejecter(ctx, rejecting, tcp.HTTPRefusal(rejectRetryAfter))
+			return tcp.RunRejecter(ctx, rejecting, tcp.HTTPRefusal(rejectRetryAfter, nil))
 		})
 	}
 	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
@@ -66,7 +66,7 @@
 		}
 		ctx.SetBodyString("done")
 	}}
-	s.connections.Attach(server)
+	s.connections.Attach(server, bodyTimeout)
 	ended := make(chan error, 1)
 	go func() {
 		ended <- server.Serve(tcp.NewBoundedListener(tcp.NewLingeringListener(listener.(*net.TCPListener)), s.connections))
--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -39,6 +39,8 @@
 	heldBodyBytes = 32 << 10
 	// memoryRetryAfter is the retry delay of calls for which there was no memory.
 	memoryRetryAfter = 500 * time.Millisecond
+	// bodyTimeout is the time in which a caller must send the body of a request.
+	bodyTimeout = 10 * time.Second
 	// queryTimeout is the longest wait for the answer of a duty.
 	queryTimeout = 500 * time.Millisecond
 	// writeTimeout is the time in which a caller must read an answer.
@@ -89,7 +91,7 @@
 		CloseOnShutdown:              true,
 		Logger:                       discardLogger{},
 	}
-	connections.Attach(front.server)
+	connections.Attach(front.server, bodyTimeout)
 
 	return front
 }
@@ -365,7 +367,7 @@
 func serveApp(ctx context.Context, app *fiber.App, listener *net.TCPListener, connections *tcp.ConnectionSet) error {
 	stop := context.AfterFunc(ctx, func() { _ = app.ShutdownWithTimeout(queryTimeout) }) // the process exits in any case
 	defer stop()
-	connections.Attach(app.Server())
+	connections.Attach(app.Server(), bodyTimeout)
 	bounded := tcp.NewBoundedListener(tcp.NewLingeringListener(listener), connections)
 
 	return eris.Wrap(app.Listener(bounded, fiber.ListenConfig{DisableStartupMessage: true}), "serving requests")
--- a/edge/host.go
+++ b/edge/host.go
@@ -354,7 +354,7 @@
 			return serveApp(ctx, served.app, served.listener.(*net.TCPListener), connections)
 		})
 	}
-	refusal := tcp.HTTPRefusal(rejectRetryAfter)
+	refusal := tcp.HTTPRefusal(rejectRetryAfter, nil)
 	for range tcp.Rejecters {
 		duties.Go("rejecter", func(ctx context.Context) error { return tcp.RunRejecter(ctx, h.rejecting, refusal) })
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -11,10 +11,10 @@
 	"net"
 	"net/netip"
 	"runtime"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/baobabdrum/baobabdrum/backend"
@@ -44,6 +44,16 @@
 	// maxPeerRequestBytes is the largest size in bytes of a request of another host,
 	// such as a digest with a bounded number of records.
 	maxPeerRequestBytes = 1 << 20
+	// maxPeerConnections is the largest number of connections of other hosts.
+	maxPeerConnections = 1024
+	// peerHeaderTimeout is the time in which a request of another host must arrive.
+	peerHeaderTimeout = 10 * time.Second
+	// peerIdleTimeout is the time after which an idle connection of another host is
+	// closed.
+	peerIdleTimeout = time.Minute
+	// connectionLogInterval is the shortest time between log lines of one kind about the
+	// connections of a listener.
+	connectionLogInterval = time.Second
 	// proberCount is the number of prober duties. Each runs one probe at a time.
 	proberCount = 4
 )
@@ -74,6 +84,7 @@
 	dumps           *ring.Ring[operatorhttp.DumpRequest]
 	claims          *ring.Ring[dispatch.Claim]
 	platform        *tablehttp.Client
+	front           *callerhttp.Front
 	seed            uint64
 }
 
@@ -114,7 +125,7 @@
 		seed = binary.LittleEndian.Uint64(drawn[:])
 	}
 
-	return &Host{
+	h := &Host{
 		Settings: settings,
 		Log:      log,
 		Self: schema.Host{
@@ -145,32 +156,33 @@
 		platform:        tablehttp.New(settings.PlatformAddress, platformTimeout),
 		seed:            seed,
 	}
+	h.front = callerhttp.New(h.dispatch, settings.CallTimeout, settings.BodyLimit)
+
+	return h
 }
 
 // listeners holds the listening sockets of the host's front ends.
 type listeners struct {
-	caller   net.Listener
-	peer     net.Listener
-	operator net.Listener
+	caller   *net.TCPListener
+	peer     *net.TCPListener
+	operator *net.TCPListener
 }
 
 // listen opens all listeners. If one fails, it closes the others.
 func (h *Host) listen() (listeners, error) {
 	var open listeners
-	for address, target := range map[string]*net.Listener{
+	for address, target := range map[string]**net.TCPListener{
 		h.Settings.CallerAddress:   &open.caller,
 		h.Settings.PeerAddress:     &open.peer,
 		h.Settings.OperatorAddress: &open.operator,
 	} {
-		listener, err := net.Listen("tcp", address)
+		listener, err := tcp.Listen(context.Background(), address)
 		if err != nil {
 			open.close()
 
-			return listeners{}, eris.Wrapf(err, "listening on %s", address)
+			return listeners{}, err
 		}
-		*target = tcp.NewLastingListener(listener, func(err error) {
-			h.Log.WithError(err).WithFields(logrus.Fields{"event": "accept_failed", "listener": address}).Warning("accepting a connection failed; trying again")
-		})
+		*target = listener.(*net.TCPListener)
 	}
 
 	return open, nil
@@ -178,7 +190,7 @@
 
 // close closes the listeners that are open.
 func (l listeners) close() {
-	for _, listener := range []net.Listener{l.caller, l.peer, l.operator} {
+	for _, listener := range []*net.TCPListener{l.caller, l.peer, l.operator} {
 		if listener != nil {
 			_ = listener.Close() // nothing uses the listener any more
 		}
@@ -219,6 +231,27 @@
 	return nil
 }
 
+// connectionEvents logs what happens to the connections of a listener, at most one line
+// of a kind in each connectionLogInterval.
+func (h *Host) connectionEvents(listener string) tcp.ConnectionEvents {
+	var failures, evictions, rejections atomic.Int64
+	line := func(last *atomic.Int64, event, text string, err error) {
+		now, before := time.Now().UnixNano(), last.Load()
+		if now-before < int64(connectionLogInterval) || !last.CompareAndSwap(before, now) {
+			return
+		}
+		h.Log.WithError(err).WithFields(logrus.Fields{"event": event, "listener": listener}).Warning(text)
+	}
+
+	return tcp.ConnectionEvents{
+		Failed:  func(err error) { line(&failures, "accept_failed", "accepting a connection failed; trying again", err) },
+		Evicted: func() { line(&evictions, "connection_evicted", "idle connection closed for a new one", nil) },
+		Rejected: func(int) {
+			line(&rejections, "connection_rejected", "no room for another connection, and none is idle", nil)
+		},
+	}
+}
+
 // newDispatch returns the dispatch duty with its router, pool and order book.
 func (h *Host) newDispatch(metrics *prometheus.Metrics) *dispatch.Duty {
 	router := caller.NewRouter(h.Self.Name, h.Settings.AnswerKeep)
@@ -272,17 +305,19 @@
 	duties.Go("peer front", func(ctx context.Context) error {
 		server := &peerrpc.Server{Token: h.Settings.Token, Receiver: peerrpc.NewPeer(h.requests), MaxRequestBytes: maxPeerRequestBytes}
 
-		return server.Serve(ctx, open.peer)
-	})
-	duties.Go("caller front", func(ctx context.Context) error {
-		frontEnd := callerhttp.New(h.dispatch, h.Settings.CallTimeout, h.Settings.BodyLimit)
-		frontEnd.Metrics = metrics
+		timeouts := tcp.ConnectionTimeouts{Header: peerHeaderTimeout, Idle: peerIdleTimeout}
+		connections := tcp.NewConnectionSet(maxPeerConnections, func() tcp.ConnectionTimeouts { return timeouts }, h.connectionEvents("peer"), nil)
+		connections.RequestBytes = maxPeerRequestBytes + tcp.DefaultRequestBytes
 
-		return runFrontEnd(ctx, closing, open.caller, frontEnd.Run)
+		return server.Serve(ctx, tcp.NewBoundedListener(tcp.NewLingeringListener(open.peer), connections))
 	})
-	duties.Go("operator front", func(ctx context.Context) error {
-		return operatorhttp.New(h.changes, h.dumps, h.stopRequests, h.Settings.Token).Run(ctx, open.operator)
+	h.front.Metrics, h.front.Events = metrics, h.connectionEvents("caller")
+	duties.Go("caller front", func(ctx context.Context) error {
+		return runFrontEnd(ctx, closing, open.caller, h.front.Run)
 	})
+	operators := operatorhttp.New(h.changes, h.dumps, h.stopRequests, h.Settings.Token)
+	operators.Events = h.connectionEvents("operator")
+	duties.Go("operator front", func(ctx context.Context) error { return operators.Run(ctx, open.operator) })
 }
 
 // withLockedThread locks a duty to an operating system thread if the settings
--- a/host/stop.go
+++ b/host/stop.go
@@ -70,6 +70,7 @@
 		switch action.(type) {
 		case operator.Leave:
 			h.Log.WithFields(logrus.Fields{"event": "stop_started"}).Info("planned stop started; forwarding calls to other hosts")
+			h.front.Leave()
 			if err := h.peers.Put(ctx, peerEvent{peer.LeaveStarted{}}); err != nil {
 				return err
 			}
@@ -86,7 +87,7 @@
 // closes the front end. After a planned stop it ends the group with a
 // *StoppedError once no call is in flight.
 func runFrontEnd(
-	ctx, closing context.Context, listener net.Listener, serve func(ctx context.Context, listener net.Listener) error,
+	ctx, closing context.Context, listener *net.TCPListener, serve func(ctx context.Context, listener *net.TCPListener) error,
 ) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/operatorhttp/operatorhttp.go
+++ b/operatorhttp/operatorhttp.go
@@ -23,6 +23,7 @@
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/sheetcsv"
 	"github.com/baobabdrum/baobabdrum/table"
+	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
 // Paths that operators use.
@@ -46,6 +47,12 @@
 	// replyTimeout limits the wait for a duty's reply, including the platform
 	// requests of a change.
 	replyTimeout = 30 * time.Second
+	// maxConnections is the largest number of operators' connections.
+	maxConnections = 16
+	// headerTimeout is the time in which the head of a request must arrive.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is the time after which an idle connection is closed.
+	idleTimeout = time.Minute
 	// maxSheetBytes limits the size of a sheet.
 	maxSheetBytes = 16 << 20
 )
@@ -87,6 +94,9 @@
 	// Stops carries requests to the stop duty.
 	Stops *ring.Ring[StopRequest]
 
+	// Events receives what happens to the connections.
+	Events tcp.ConnectionEvents
+
 	app *fiber.App
 }
 
@@ -95,7 +105,10 @@
 func New(
 	changes *ring.Ring[ChangeRequest], dumps *ring.Ring[DumpRequest], stops *ring.Ring[StopRequest], token string,
 ) *Front {
-	front := &Front{Changes: changes, Dumps: dumps, Stops: stops}
+	front := &Front{
+		Changes: changes, Dumps: dumps, Stops: stops,
+		Events: tcp.ConnectionEvents{Failed: func(error) {}, Evicted: func() {}, Rejected: func(int) {}},
+	}
 	front.app = fiber.New(fiber.Config{AppName: "baobabdrum operator", BodyLimit: maxSheetBytes, ErrorHandler: writeError})
 	front.app.Get("/live", func(c fiber.Ctx) error { return c.SendString("live\n") })
 	front.app.Get("/ready", front.ready)
@@ -115,9 +128,16 @@
 	return front
 }
 
-// Run serves operators on the listener until the context ends.
-func (f *Front) Run(ctx context.Context, listener net.Listener) error {
-	return f.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true, GracefulContext: ctx})
+// Run serves operators on the listener until the context ends. At the bound on
+// connections, one that is idle makes room, or the new one is closed.
+func (f *Front) Run(ctx context.Context, listener *net.TCPListener) error {
+	timeouts := tcp.ConnectionTimeouts{Header: headerTimeout, Idle: idleTimeout}
+	connections := tcp.NewConnectionSet(maxConnections, func() tcp.ConnectionTimeouts { return timeouts }, f.Events, nil)
+	connections.RequestBytes = 2*maxSheetBytes + tcp.DefaultRequestBytes
+	connections.Attach(f.app.Server(), replyTimeout)
+	bounded := tcp.NewBoundedListener(tcp.NewLingeringListener(listener), connections)
+
+	return f.app.Listener(bounded, fiber.ListenConfig{DisableStartupMessage: true, GracefulContext: ctx})
 }
 
 // sheet applies the sheet in the request's body.
--- a/operatorhttp/profile_test.go
+++ b/operatorhttp/profile_test.go
@@ -22,7 +22,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	duties := group.New(ctx)
 	duties.Go("operator front", func(ctx context.Context) error {
-		return operatorhttp.New(nil, nil, nil, token).Run(ctx, listener)
+		return operatorhttp.New(nil, nil, nil, token).Run(ctx, listener.(*net.TCPListener))
 	})
 	t.Cleanup(func() {
 		stop()
--- a/tcp/http.go
+++ b/tcp/http.go
@@ -9,15 +9,12 @@
 	"github.com/valyala/fasthttp"
 )
 
-// BodyTimeout is the time in which a caller must send the body of a request.
-const BodyTimeout = 10 * time.Second
-
-// Attach makes an HTTP server use the set. The set replaces the server's read timeouts
-// up to the end of the head of a request.
-func (s *ConnectionSet) Attach(server *fasthttp.Server) {
+// Attach makes an HTTP server use the set, which replaces the server's read timeouts up
+// to the end of the head of a request. The body must arrive within a time of its own.
+func (s *ConnectionSet) Attach(server *fasthttp.Server, bodyTimeout time.Duration) {
 	server.ReadTimeout, server.IdleTimeout = 0, 0
 	server.HeaderReceived = func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-		return fasthttp.RequestConfig{ReadTimeout: BodyTimeout}
+		return fasthttp.RequestConfig{ReadTimeout: bodyTimeout}
 	}
 	server.ConnState = func(conn net.Conn, state fasthttp.ConnState) {
 		served, ok := conn.(*ServedConn)
@@ -31,13 +28,17 @@
 	}
 }
 
-// HTTPRefusal returns an HTTP response that refuses a connection for lack of room.
-func HTTPRefusal(retryAfter time.Duration) []byte {
+// HTTPRefusal returns an HTTP response that refuses a connection for lack of room, with
+// further header fields.
+func HTTPRefusal(retryAfter time.Duration, fields map[string]string) []byte {
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	response.Header.SetNoDefaultContentType(true)
 	response.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+	for name, value := range fields {
+		response.Header.Set(name, value)
+	}
 	response.SetConnectionClose()
 	var text bytes.Buffer
 	_, _ = response.WriteTo(&text) // writing to a buffer does not fail
