host: callers' connections have a bound

Cause: callerhttp accepted any number. Change: the setting caller_connections, 2,048 unless set. At the bound a connection that is idle makes room; if none is, the new one gets 503, not_run, at once. Evidence: TestCallersConnectionsAreBounded, both cases; the code before has no bound to test. A run of host's TestOrdersRunAtMostOnce failed twice on the way: its settings leave the new one out, which made the bound 0. A bound that is not set is the default now.

--- a/host/host.go
+++ b/host/host.go
@@ -4,6 +4,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
@@ -157,6 +158,7 @@
 		seed:            seed,
 	}
 	h.front = callerhttp.New(h.dispatch, settings.CallTimeout, settings.BodyLimit)
+	h.front.MaxConnections = cmp.Or(settings.CallerConnections, h.front.MaxConnections)
 
 	return h
 }
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -6,29 +6,30 @@
 
 // HostFlags holds the raw settings of an entry host.
 type HostFlags struct {
-	Name             string `long:"name" env:"BAOBABDRUM_NAME" default:"" value-name:"name" description:"name of this entry host, unique among all entry hosts"`
-	DataCentre       string `long:"data-centre" env:"BAOBABDRUM_DATA_CENTRE" default:"" value-name:"name" description:"data centre where this entry host runs"`
-	CallerAddress    string `long:"caller-address" env:"BAOBABDRUM_CALLER_ADDRESS" default:"127.0.0.1:8080" value-name:"address" description:"IP and port for callers"`
-	PeerAddress      string `long:"peer-address" env:"BAOBABDRUM_PEER_ADDRESS" default:"127.0.0.1:8081" value-name:"address" description:"IP and port for other entry hosts"`
-	OperatorAddress  string `long:"operator-address" env:"BAOBABDRUM_OPERATOR_ADDRESS" default:"127.0.0.1:8082" value-name:"address" description:"IP and port for operators"`
-	PlatformAddress  string `long:"platform-address" env:"BAOBABDRUM_PLATFORM_ADDRESS" default:"127.0.0.1:8090" value-name:"address" description:"IP and port of the platform's table service"`
-	Token            string `long:"token" env:"BAOBABDRUM_TOKEN" default:"" value-name:"secret" description:"shared secret of operators and entry hosts; required unless every listening address is loopback"`
-	ConfiguredHosts  string `long:"configured-hosts" env:"BAOBABDRUM_CONFIGURED_HOSTS" default:"14" value-name:"integer" description:"number of entry hosts, by which shared budgets are split, in hosts (1 to 1000)"`
-	CallTimeout      string `long:"call-timeout" env:"BAOBABDRUM_CALL_TIMEOUT" default:"10s" value-name:"duration" description:"deadline of a call that states none, and time to read a request if longer than 1s (1ms to 10m)"`
-	AnswerKeep       string `long:"answer-keep" env:"BAOBABDRUM_ANSWER_KEEP" default:"2s" value-name:"duration" description:"how long a caller may keep an answer to ask (100ms to 1m)"`
-	OrderLifetime    string `long:"order-lifetime" env:"BAOBABDRUM_ORDER_LIFETIME" default:"10m" value-name:"duration" description:"how long an order id stays valid and its outcome is remembered (1s to 1h)"`
-	OrderCapacity    string `long:"order-capacity" env:"BAOBABDRUM_ORDER_CAPACITY" default:"100000" value-name:"integer" description:"number of orders remembered at once; further orders are refused, in orders (1 to 10000000)"`
-	Senders          string `long:"senders" env:"BAOBABDRUM_SENDERS" default:"256" value-name:"integer" description:"number of sender duties, each of which runs one attempt at a time, in threads (1 to 65536)"`
-	Processors       string `long:"processors" env:"BAOBABDRUM_PROCESSORS" default:"4" value-name:"integer" description:"cores that this process uses at once, at most those of the machine, in cores (1 to 1024)"`
-	LockThreads      string `long:"lock-threads" env:"BAOBABDRUM_LOCK_THREADS" default:"false" value-name:"boolean" description:"whether the dispatch duty and the senders each keep an operating system thread"`
-	DispatchRing     string `long:"dispatch-ring" env:"BAOBABDRUM_DISPATCH_RING" default:"8192" value-name:"integer" description:"capacity of the ring that the dispatch duty takes from, in items (16 to 1048576)"`
-	QueueLength      string `long:"queue-length" env:"BAOBABDRUM_QUEUE_LENGTH" default:"1024" value-name:"integer" description:"calls that may wait in one cell, in calls (1 to 1048576)"`
-	Spill            string `long:"spill" env:"BAOBABDRUM_SPILL" default:"true" value-name:"boolean" description:"whether calls that wait in a crowded cell move to another data centre's cell that has room"`
-	BodyLimit        string `long:"body-limit" env:"BAOBABDRUM_BODY_LIMIT" default:"4194304" value-name:"integer" description:"largest request body accepted, in bytes (1024 to 1073741824)"`
-	DigestInterval   string `long:"digest-interval" env:"BAOBABDRUM_DIGEST_INTERVAL" default:"250ms" value-name:"duration" description:"time between exchanges with other entry hosts (10ms to 10s)"`
-	PlatformInterval string `long:"platform-interval" env:"BAOBABDRUM_PLATFORM_INTERVAL" default:"500ms" value-name:"duration" description:"time between reads of the configuration from the platform (10ms to 1m)"`
-	Seed             string `long:"seed" env:"BAOBABDRUM_SEED" default:"0" value-name:"integer" description:"seed of random choices; 0 draws one at start (0 to 9223372036854775807)"`
-	LogLevel         string `long:"log-level" env:"BAOBABDRUM_LOG_LEVEL" default:"info" value-name:"level" description:"lowest level that is logged: error, warning, info or debug"`
+	Name              string `long:"name" env:"BAOBABDRUM_NAME" default:"" value-name:"name" description:"name of this entry host, unique among all entry hosts"`
+	DataCentre        string `long:"data-centre" env:"BAOBABDRUM_DATA_CENTRE" default:"" value-name:"name" description:"data centre where this entry host runs"`
+	CallerAddress     string `long:"caller-address" env:"BAOBABDRUM_CALLER_ADDRESS" default:"127.0.0.1:8080" value-name:"address" description:"IP and port for callers"`
+	PeerAddress       string `long:"peer-address" env:"BAOBABDRUM_PEER_ADDRESS" default:"127.0.0.1:8081" value-name:"address" description:"IP and port for other entry hosts"`
+	OperatorAddress   string `long:"operator-address" env:"BAOBABDRUM_OPERATOR_ADDRESS" default:"127.0.0.1:8082" value-name:"address" description:"IP and port for operators"`
+	PlatformAddress   string `long:"platform-address" env:"BAOBABDRUM_PLATFORM_ADDRESS" default:"127.0.0.1:8090" value-name:"address" description:"IP and port of the platform's table service"`
+	Token             string `long:"token" env:"BAOBABDRUM_TOKEN" default:"" value-name:"secret" description:"shared secret of operators and entry hosts; required unless every listening address is loopback"`
+	ConfiguredHosts   string `long:"configured-hosts" env:"BAOBABDRUM_CONFIGURED_HOSTS" default:"14" value-name:"integer" description:"number of entry hosts, by which shared budgets are split, in hosts (1 to 1000)"`
+	CallTimeout       string `long:"call-timeout" env:"BAOBABDRUM_CALL_TIMEOUT" default:"10s" value-name:"duration" description:"deadline of a call that states none, and time to read a request if longer than 1s (1ms to 10m)"`
+	AnswerKeep        string `long:"answer-keep" env:"BAOBABDRUM_ANSWER_KEEP" default:"2s" value-name:"duration" description:"how long a caller may keep an answer to ask (100ms to 1m)"`
+	OrderLifetime     string `long:"order-lifetime" env:"BAOBABDRUM_ORDER_LIFETIME" default:"10m" value-name:"duration" description:"how long an order id stays valid and its outcome is remembered (1s to 1h)"`
+	OrderCapacity     string `long:"order-capacity" env:"BAOBABDRUM_ORDER_CAPACITY" default:"100000" value-name:"integer" description:"number of orders remembered at once; further orders are refused, in orders (1 to 10000000)"`
+	Senders           string `long:"senders" env:"BAOBABDRUM_SENDERS" default:"256" value-name:"integer" description:"number of sender duties, each of which runs one attempt at a time, in threads (1 to 65536)"`
+	Processors        string `long:"processors" env:"BAOBABDRUM_PROCESSORS" default:"4" value-name:"integer" description:"cores that this process uses at once, at most those of the machine, in cores (1 to 1024)"`
+	LockThreads       string `long:"lock-threads" env:"BAOBABDRUM_LOCK_THREADS" default:"false" value-name:"boolean" description:"whether the dispatch duty and the senders each keep an operating system thread"`
+	DispatchRing      string `long:"dispatch-ring" env:"BAOBABDRUM_DISPATCH_RING" default:"8192" value-name:"integer" description:"capacity of the ring that the dispatch duty takes from, in items (16 to 1048576)"`
+	QueueLength       string `long:"queue-length" env:"BAOBABDRUM_QUEUE_LENGTH" default:"1024" value-name:"integer" description:"calls that may wait in one cell, in calls (1 to 1048576)"`
+	Spill             string `long:"spill" env:"BAOBABDRUM_SPILL" default:"true" value-name:"boolean" description:"whether calls that wait in a crowded cell move to another data centre's cell that has room"`
+	BodyLimit         string `long:"body-limit" env:"BAOBABDRUM_BODY_LIMIT" default:"4194304" value-name:"integer" description:"largest request body accepted, in bytes (1024 to 1073741824)"`
+	CallerConnections string `long:"caller-connections" env:"BAOBABDRUM_CALLER_CONNECTIONS" default:"2048" value-name:"integer" description:"open connections of callers; beyond it, one that is idle makes room, or the new one is refused, in connections (1 to 1048576)"`
+	DigestInterval    string `long:"digest-interval" env:"BAOBABDRUM_DIGEST_INTERVAL" default:"250ms" value-name:"duration" description:"time between exchanges with other entry hosts (10ms to 10s)"`
+	PlatformInterval  string `long:"platform-interval" env:"BAOBABDRUM_PLATFORM_INTERVAL" default:"500ms" value-name:"duration" description:"time between reads of the configuration from the platform (10ms to 1m)"`
+	Seed              string `long:"seed" env:"BAOBABDRUM_SEED" default:"0" value-name:"integer" description:"seed of random choices; 0 draws one at start (0 to 9223372036854775807)"`
+	LogLevel          string `long:"log-level" env:"BAOBABDRUM_LOG_LEVEL" default:"info" value-name:"level" description:"lowest level that is logged: error, warning, info or debug"`
 }
 
 // HostSettings holds the checked settings of an entry host.
@@ -71,6 +72,8 @@
 	Spill bool
 	// BodyLimit is set by --body-limit: largest request body accepted, in bytes (1024 to 1073741824).
 	BodyLimit int
+	// CallerConnections is set by --caller-connections: open connections of callers; beyond it, one that is idle makes room, or the new one is refused, in connections (1 to 1048576).
+	CallerConnections int
 	// DigestInterval is set by --digest-interval: time between exchanges with other entry hosts (10ms to 10s).
 	DigestInterval time.Duration
 	// PlatformInterval is set by --platform-interval: time between reads of the configuration from the platform (10ms to 1m).
@@ -85,29 +88,30 @@
 func (f HostFlags) Check() (HostSettings, []Fault) {
 	c := checker{}
 	settings := HostSettings{
-		Name:             c.name("name", f.Name),
-		DataCentre:       c.name("data-centre", f.DataCentre),
-		CallerAddress:    c.address("caller-address", f.CallerAddress),
-		PeerAddress:      c.address("peer-address", f.PeerAddress),
-		OperatorAddress:  c.address("operator-address", f.OperatorAddress),
-		PlatformAddress:  c.address("platform-address", f.PlatformAddress),
-		Token:            c.secret("token", f.Token),
-		ConfiguredHosts:  c.integer("configured-hosts", f.ConfiguredHosts, "1", "1000"),
-		CallTimeout:      c.duration("call-timeout", f.CallTimeout, "1ms", "10m"),
-		AnswerKeep:       c.duration("answer-keep", f.AnswerKeep, "100ms", "1m"),
-		OrderLifetime:    c.duration("order-lifetime", f.OrderLifetime, "1s", "1h"),
-		OrderCapacity:    c.integer("order-capacity", f.OrderCapacity, "1", "10000000"),
-		Senders:          c.integer("senders", f.Senders, "1", "65536"),
-		Processors:       c.integer("processors", f.Processors, "1", "1024"),
-		LockThreads:      c.boolean("lock-threads", f.LockThreads),
-		DispatchRing:     c.integer("dispatch-ring", f.DispatchRing, "16", "1048576"),
-		QueueLength:      c.integer("queue-length", f.QueueLength, "1", "1048576"),
-		Spill:            c.boolean("spill", f.Spill),
-		BodyLimit:        c.integer("body-limit", f.BodyLimit, "1024", "1073741824"),
-		DigestInterval:   c.duration("digest-interval", f.DigestInterval, "10ms", "10s"),
-		PlatformInterval: c.duration("platform-interval", f.PlatformInterval, "10ms", "1m"),
-		Seed:             c.integer("seed", f.Seed, "0", "9223372036854775807"),
-		LogLevel:         c.level("log-level", f.LogLevel),
+		Name:              c.name("name", f.Name),
+		DataCentre:        c.name("data-centre", f.DataCentre),
+		CallerAddress:     c.address("caller-address", f.CallerAddress),
+		PeerAddress:       c.address("peer-address", f.PeerAddress),
+		OperatorAddress:   c.address("operator-address", f.OperatorAddress),
+		PlatformAddress:   c.address("platform-address", f.PlatformAddress),
+		Token:             c.secret("token", f.Token),
+		ConfiguredHosts:   c.integer("configured-hosts", f.ConfiguredHosts, "1", "1000"),
+		CallTimeout:       c.duration("call-timeout", f.CallTimeout, "1ms", "10m"),
+		AnswerKeep:        c.duration("answer-keep", f.AnswerKeep, "100ms", "1m"),
+		OrderLifetime:     c.duration("order-lifetime", f.OrderLifetime, "1s", "1h"),
+		OrderCapacity:     c.integer("order-capacity", f.OrderCapacity, "1", "10000000"),
+		Senders:           c.integer("senders", f.Senders, "1", "65536"),
+		Processors:        c.integer("processors", f.Processors, "1", "1024"),
+		LockThreads:       c.boolean("lock-threads", f.LockThreads),
+		DispatchRing:      c.integer("dispatch-ring", f.DispatchRing, "16", "1048576"),
+		QueueLength:       c.integer("queue-length", f.QueueLength, "1", "1048576"),
+		Spill:             c.boolean("spill", f.Spill),
+		BodyLimit:         c.integer("body-limit", f.BodyLimit, "1024", "1073741824"),
+		CallerConnections: c.integer("caller-connections", f.CallerConnections, "1", "1048576"),
+		DigestInterval:    c.duration("digest-interval", f.DigestInterval, "10ms", "10s"),
+		PlatformInterval:  c.duration("platform-interval", f.PlatformInterval, "10ms", "1m"),
+		Seed:              c.integer("seed", f.Seed, "0", "9223372036854775807"),
+		LogLevel:          c.level("log-level", f.LogLevel),
 	}
 
 	return settings, c.faults
