declared: a store that answers nobody is queried by few hosts

What operators would see: in an outage of the store, all hosts of a large deployment query it again and again, and at its return all at once. docs/PLATFORM.md says that the wait of a host doubles with its rank. It does not: hosts that do not serve know few of the others, so all of them take themselves for about the twelfth.

Change: behind the first hosts, one that has failed waits for a time that grows with the number of hosts, 100 ms for each, up to 30 s, with a share of its own. That ends as soon as any host says that it reads the store, and does not hold for a host that hears from nobody.

--- a/declared/adopt.go
+++ b/declared/adopt.go
@@ -132,7 +132,7 @@
 	r.heardAt = now
 	delete(r.readerSeenAt, peer.Name)
 	if peer.Reads {
-		r.readerSeenAt[peer.Name] = now
+		r.readerSeenAt[peer.Name], r.readerHeardAt = now, now
 	}
 	confirmed := now.Add(-peer.Age)
 	if peer.Hash == r.Hash {
--- a/declared/declared.go
+++ b/declared/declared.go
@@ -71,6 +71,11 @@
 	minRetryDelay = 200 * time.Millisecond
 	// maxRetryDelay bounds the back-off after failed reads.
 	maxRetryDelay = 1500 * time.Millisecond
+	// retryStep is the mean time between the reads of all hosts behind the first ones while
+	// the store answers nobody.
+	retryStep = 100 * time.Millisecond
+	// maxSharedRetryDelay bounds the mean time between two reads of one such host.
+	maxSharedRetryDelay = 30 * time.Second
 	// RevisionBits is the number of bits by which a store version is shifted in
 	// Declared.RegistrationsAt. Hosts of earlier releases use the low bits.
 	RevisionBits = 10
@@ -148,13 +153,17 @@
 	peerConfirmedAt   time.Time
 	retainLapsedUntil time.Time
 	failures          int
-	failedAt          time.Time
-	lostAt            time.Time
-	fetching          bool
-	fetchedFrom       peerState
-	rank              RankChanged
-	ahead             map[string]bool
-	readerSeenAt      map[string]time.Time
+	// firstFailedAt and failedAt are when the first and the last of the consecutive failed
+	// reads ended.
+	firstFailedAt, failedAt time.Time
+	lostAt                  time.Time
+	fetching                bool
+	fetchedFrom             peerState
+	rank                    RankChanged
+	ahead                   map[string]bool
+	// readerHeardAt is when a host last said that it reads the store.
+	readerHeardAt time.Time
+	readerSeenAt  map[string]time.Time
 	// readersShortSince is the time since which fewer than targetReaders hosts ahead of
 	// this one read the store, or zero.
 	readersShortSince time.Time
--- a/declared/events.go
+++ b/declared/events.go
@@ -86,6 +86,10 @@
 type RankChanged struct {
 	// Ahead are the names of the hosts that read the store in preference to this one.
 	Ahead []string
+	// Hosts is the number of hosts.
+	Hosts int
+	// Share is between 0 and 1, and spreads what all hosts do over a time.
+	Share float64
 }
 
 // Ticked reports that time has passed.
--- a/declared/poll.go
+++ b/declared/poll.go
@@ -139,7 +139,7 @@
 	other := Orders + Registrations - table
 	interval, last := minReadInterval, r.readAt[table]
 	if r.failures > 0 {
-		interval = min(minRetryDelay<<min(r.failures-1, 8), maxRetryDelay)
+		interval = max(min(minRetryDelay<<min(r.failures-1, 8), maxRetryDelay), r.sharedRetryDelay(now))
 	}
 	if !r.lostAt.IsZero() {
 		if r.reading[other] || r.readAt[other].Before(last) {
@@ -151,6 +151,21 @@
 	return !r.reading[table] && now.Sub(last) >= interval
 }
 
+// sharedRetryDelay returns the back-off by which all hosts together query a store that
+// answers none of them about as often as the first hosts do. It is 0 for these, for a host
+// that hears from no other, and as soon as the store has answered another one.
+func (r *Replica) sharedRetryDelay(now time.Time) time.Duration {
+	first := len(r.rank.Ahead) < targetReaders+linearRanks
+	alone := now.Sub(r.heardAt) >= r.timing.readerTimeout
+	answered := r.readerHeardAt.After(r.failedAt)
+	if first || alone || answered {
+		return 0
+	}
+	mean := min(time.Duration(r.rank.Hosts)*retryStep, maxSharedRetryDelay)
+
+	return time.Duration((0.5 + r.rank.Share) * float64(mean))
+}
+
 // startRead returns a read and marks the table as being read. It waits for a change
 // only if the store confirmed the state just now.
 func (r *Replica) startRead(now time.Time, table Table) Action {
@@ -185,15 +200,15 @@
 // noteReadFailure records a failed read, and reports the store lost after
 // failuresUntilLost of them in a row.
 func (r *Replica) noteReadFailure(now time.Time, table Table) []Action {
-	r.reading[table] = false
+	r.reading[table], r.failedAt = false, now
 	if r.failures == 0 {
-		r.failedAt = now
+		r.firstFailedAt = now
 	}
 	r.failures++
 	if r.failures < failuresUntilLost || !r.lostAt.IsZero() {
 		return nil
 	}
-	r.lostAt = r.failedAt
+	r.lostAt = r.firstFailedAt
 
 	return []Action{StoreLost{}}
 }
--- a/edge/control.go
+++ b/edge/control.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabdrum/baobabdrum/beacon"
 	"github.com/baobabdrum/baobabdrum/declared"
 	"github.com/baobabdrum/baobabdrum/directory"
@@ -347,5 +350,7 @@
 		return err
 	}
 
-	return d.stepDeclared(ctx, now, declared.RankChanged{Ahead: action.Ahead})
+	return d.stepDeclared(ctx, now, declared.RankChanged{
+		Ahead: action.Ahead, Hosts: action.Hosts, Share: float64(xxhash.Sum64String(d.directory.Self.Name)) / math.MaxUint64,
+	})
 }
--- a/edge/propagation_test.go
+++ b/edge/propagation_test.go
@@ -29,6 +29,9 @@
 	simulatedStoreTimeout = 800 * time.Millisecond
 	// simulatedBound is the time within which an acknowledged change must be in force.
 	simulatedBound = 2 * time.Second
+	// simulatedTouch is the time after the return of the store from which changes must be
+	// in force in time again.
+	simulatedTouch = 3 * time.Second
 )
 
 // simulatedCut says how a host is cut off.
@@ -49,6 +52,8 @@
 type simulatedRead struct {
 	read      declared.Read
 	startedAt time.Time
+	// rejected is set if the store rejects the read.
+	rejected bool
 	// lost is set if the host was cut off meanwhile, so that no answer arrives.
 	lost bool
 }
@@ -77,8 +82,11 @@
 	byAddress map[string]*simulatedHost
 	inputs    []simulatedInput
 	random    *rand.Rand
-	// loss is the share of beacons that are lost, fetchLoss that of fetches.
-	loss, fetchLoss float64
+	// loss is the share of beacons that are lost, fetchLoss that of fetches, and rejections
+	// that of the reads that the store rejects.
+	loss, fetchLoss, rejections float64
+	// storeDelay is the time that the store takes for an answer, besides its wait.
+	storeDelay time.Duration
 
 	version       int
 	declaration   schema.Declaration
@@ -194,7 +202,7 @@
 	for _, reads := range []*ring.Ring[declared.Read]{host.duty.orders, host.duty.registrations} {
 		if read, found := reads.Poll(); found {
 			s.storeCalls++
-			host.reads[read.Table] = &simulatedRead{read: read, startedAt: s.now}
+			host.reads[read.Table] = &simulatedRead{read: read, startedAt: s.now, rejected: s.random.Float64() < s.rejections}
 		}
 	}
 	if fetch, found := host.duty.fetches.Poll(); found {
@@ -273,13 +281,13 @@
 	waited := s.now.Sub(pending.startedAt)
 	var event declared.Event
 	switch {
-	case pending.lost && waited >= pending.read.Wait+simulatedStoreTimeout, host.cut == cutRejected:
+	case pending.lost && waited >= pending.read.Wait+simulatedStoreTimeout, host.cut == cutRejected, pending.rejected:
 		event = declared.ReadFailed{Table: table}
-	case pending.lost || waited < simulatedStep:
+	case pending.lost || waited < simulatedStep+s.storeDelay:
 		return
 	default:
 		changes := s.changes(table, pending.read.After)
-		if changes == nil && waited < pending.read.Wait {
+		if changes == nil && waited < pending.read.Wait+s.storeDelay {
 			return
 		}
 		event = changes
@@ -411,6 +419,133 @@
 	}
 }
 
+// Guards against hosts that wait behind many others which lost the store, such as all
+// hosts of other data centres.
+func TestChangesPropagateBehindManyHostsThatLostTheStore(t *testing.T) {
+	tests := map[string]struct {
+		hosts, dataCentres int
+		// lost is the number of data centres that lose the store, and first that of the
+		// largest hosts that do, in whatever data centre.
+		lost, first int
+		cut         simulatedCut
+	}{
+		"the first twenty hosts":            {hosts: 60, dataCentres: 3, first: 20, cut: cutSilent},
+		"the first fifty hosts":             {hosts: 60, dataCentres: 3, first: 50, cut: cutSilent},
+		"the first hundred hosts":           {hosts: 150, dataCentres: 5, first: 100, cut: cutSilent},
+		"the first hundred hosts, rejected": {hosts: 150, dataCentres: 5, first: 100, cut: cutRejected},
+		"the first hundred, cut from all":   {hosts: 150, dataCentres: 5, first: 100, cut: cutAll},
+		"all but one":                       {hosts: 150, dataCentres: 5, first: 149, cut: cutSilent},
+		"one of three, no answer":           {hosts: 60, dataCentres: 3, lost: 1, cut: cutSilent},
+		"two of three, no answer":           {hosts: 60, dataCentres: 3, lost: 2, cut: cutSilent},
+		"two of three, rejected":            {hosts: 60, dataCentres: 3, lost: 2, cut: cutRejected},
+		"four of five, no answer":           {hosts: 150, dataCentres: 5, lost: 4, cut: cutSilent},
+		"four of five, rejected":            {hosts: 150, dataCentres: 5, lost: 4, cut: cutRejected},
+		"four of five, cut from all":        {hosts: 150, dataCentres: 5, lost: 4, cut: cutAll},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for phase := range 4 {
+				s := newSimulation(test.hosts, test.dataCentres, uint64(phase))
+				s.run(8*time.Second + time.Duration(phase)*250*time.Millisecond)
+				assert.Equal(t, len(s.outdated()), 0, "before the change: %v", s.outdated())
+				for i, host := range s.hosts {
+					if i%test.dataCentres < test.lost || i < test.first {
+						host.cut = test.cut
+					}
+				}
+				s.run(time.Duration(phase) * 300 * time.Millisecond)
+				s.change()
+				s.run(simulatedBound)
+				assert.Equal(t, len(s.outdated()), 0, "phase %d: hosts without the change after %v: %v", phase, simulatedBound, s.outdated())
+			}
+		})
+	}
+}
+
+// Guards against a store that all hosts query because it is slow: its readers counted as
+// hosts without answers.
+func TestASlowStoreIsReadByFewHosts(t *testing.T) {
+	for _, delay := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newSimulation(60, 3, 1)
+			s.run(6 * time.Second)
+			s.storeDelay = delay
+			s.run(6 * time.Second)
+			calls := s.storeCalls
+			s.run(10 * time.Second)
+			calls = s.storeCalls - calls
+			t.Logf("%d calls in 10 s, %d readers", calls, len(s.readers()))
+			// Two readers read two tables, and wait for changes for half the bound at most less
+			// the delay; a quarter of the reads may be on top.
+			interval := min(simulatedBound/2, simulatedBound/2+150*time.Millisecond-delay) + delay
+			assert.Assert(t, calls <= int(4*10*time.Second/interval)*5/4, "%d calls in 10 s", calls)
+			s.change()
+			s.run(simulatedBound)
+			assert.Equal(t, len(s.outdated()), 0, "hosts without the change: %v", s.outdated())
+		})
+	}
+}
+
+// Guards against a store that answers nobody and is queried by all hosts again and
+// again.
+func TestAStoreThatAnswersNobodyIsQueriedByFewHosts(t *testing.T) {
+	tests := map[string]struct {
+		hosts int
+		cut   simulatedCut
+	}{
+		"15 hosts, no answer":  {hosts: 15, cut: cutSilent},
+		"15 hosts, rejected":   {hosts: 15, cut: cutRejected},
+		"150 hosts, no answer": {hosts: 150, cut: cutSilent},
+		"150 hosts, rejected":  {hosts: 150, cut: cutRejected},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSimulation(test.hosts, 5, 1)
+			s.run(8 * time.Second)
+			for _, host := range s.hosts {
+				host.cut = test.cut
+			}
+			s.run(4 * time.Second)
+			calls := s.storeCalls
+			s.run(10 * time.Second)
+			calls = s.storeCalls - calls
+			t.Logf("%d calls in 10 s", calls)
+			assert.Assert(t, calls <= 300, "%d calls in 10 s", calls)
+			for _, host := range s.hosts {
+				host.cut = cutNothing
+			}
+			s.run(simulatedTouch)
+			s.change()
+			s.run(simulatedBound)
+			assert.Equal(t, len(s.outdated()), 0, "hosts without a change after the return: %v", s.outdated())
+			for _, host := range s.readers() {
+				host.cut = test.cut
+			}
+			s.change()
+			s.run(simulatedBound)
+			assert.Equal(t, len(s.outdated()), 0, "hosts without a change after the next loss: %v", s.outdated())
+		})
+	}
+}
+
+// Guards against hosts that lose the store because it rejects many of their reads.
+func TestChangesPropagateWhenTheStoreRejectsManyReads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(rapid.IntRange(2, 24).Draw(t, "hosts"), rapid.IntRange(1, 5).Draw(t, "data centres"), rapid.Uint64().Draw(t, "seed"))
+		s.run(6*time.Second + time.Duration(rapid.IntRange(0, 3000).Draw(t, "phase ms"))*time.Millisecond)
+		s.rejections = rapid.SampledFrom([]float64{0.1, 0.3, 0.5}).Draw(t, "rejections")
+		s.run(time.Duration(rapid.IntRange(0, 2000).Draw(t, "change after ms")) * time.Millisecond)
+		s.change()
+		s.run(simulatedBound)
+		if outdated := s.outdated(); len(outdated) > 0 {
+			t.Fatalf("hosts without the change after %v: %v", simulatedBound, outdated)
+		}
+	})
+}
+
 // Guards against hosts that wait for others which read the store without an answer:
 // all hosts but one lose it together.
 func TestTheLastHostThatReachesTheStoreHasChanges(t *testing.T) {
