edge: how long a declared state waits for the calls is measured

Change: the histogram baobabdrum_declared_wait_seconds, and a line declared_in_force_late from 50 ms on. Result: TestTheWaitOfADeclaredStateIsMeasured passes.

--- a/edge/calls.go
+++ b/edge/calls.go
@@ -10,7 +10,6 @@
 	"github.com/baobabdrum/baobabdrum/memory"
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/ring"
-	"github.com/baobabdrum/baobabdrum/schema"
 )
 
 const (
@@ -26,6 +25,9 @@
 	loadReportInterval = 50 * time.Millisecond
 	// rateInterval is the time over which the rate of arriving calls is averaged.
 	rateInterval = 2 * time.Second
+	// lateInForce is how long a declared state may wait for the calls duty before it is
+	// logged as late.
+	lateInForce = 50 * time.Millisecond
 )
 
 // openCall is a call that has not been answered yet.
@@ -144,6 +146,9 @@
 		d.handleAttemptEnded(now, input)
 	case PlacementEvent:
 		d.apply(now, d.placer.Step(now, input.Event))
+	case DeclaredChanged:
+		d.apply(now, d.placer.Step(now, placement.DeclaredChanged{Declared: input.Declared}))
+		d.noteInForce(now, input)
 	case ServingChanged:
 		d.serving = input.Serving
 	case DumpQuery:
@@ -153,6 +158,18 @@
 	}
 }
 
+// noteInForce records how long a declared state waited for this duty, from which on calls
+// are placed by it.
+func (d *callsDuty) noteInForce(now time.Time, change DeclaredChanged) {
+	waited := now.Sub(change.AdoptedAt)
+	d.metrics.InForce(waited)
+	if waited >= lateInForce {
+		d.log.Event(eventlog.Warning, "declared_in_force_late", "calls were placed by an older declared state meanwhile",
+			eventlog.Integer("orders_at", change.Declared.OrdersAt), eventlog.Integer("registrations_at", change.Declared.RegistrationsAt),
+			eventlog.Duration("waited", waited))
+	}
+}
+
 // handleAttemptEnded releases the attempt, logs its result and passes the
 // result to the placer.
 func (d *callsDuty) handleAttemptEnded(now time.Time, input AttemptEnded) {
@@ -274,8 +291,3 @@
 		attempt.answer, attempt.memory = nil, nil
 	}
 }
-
-// declaredChanged returns the input that gives the placer a new declared state.
-func declaredChanged(declared schema.Declared) Input {
-	return PlacementEvent{Event: placement.DeclaredChanged{Declared: declared}}
-}
--- a/edge/calls_test.go
+++ b/edge/calls_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,13 +45,13 @@
 		log: eventlog.New(logrus.NewEntry(logger)), metrics: NewMetrics(),
 		calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
 	}
-	duty.step(time.Now(), declaredChanged(declaredService(1, "old")))
+	duty.step(time.Now(), DeclaredChanged{Declared: declaredService(1, "old"), AdoptedAt: time.Now()})
 	for i := range calls {
 		assert.NilError(t, duty.inputs.Offer(CallArrived{
 			Call: placement.CallID(i + 1), Request: &Request{HostName: "a.example", Path: "/", Wait: time.Second}, Reply: ring.New[Reply]("reply", 1),
 		}))
 	}
-	assert.NilError(t, duty.changes.Offer(declaredChanged(declaredService(2, "new"))))
+	assert.NilError(t, duty.changes.Offer(DeclaredChanged{Declared: declaredService(2, "new"), AdoptedAt: time.Now()}))
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
 	assert.ErrorIs(t, duty.run(ctx), context.DeadlineExceeded)
@@ -75,7 +76,7 @@
 		inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
 		calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
 	}
-	duty.step(time.Now(), declaredChanged(declaredService(1, "a")))
+	duty.step(time.Now(), DeclaredChanged{Declared: declaredService(1, "a"), AdoptedAt: time.Now()})
 	for i := range calls {
 		assert.NilError(t, h.inputs.Offer(CallArrived{
 			Call: placement.CallID(i + 1), Request: &Request{HostName: "a.example", Path: "/", Wait: 4 * time.Second}, Reply: ring.New[Reply]("reply", 1),
@@ -157,7 +158,7 @@
 			duty.takeChanges()
 			declared := declaredService(1, "a")
 			declared.Declaration.Routes[0].TargetMs = 250
-			duty.step(sentAt, declaredChanged(declared))
+			duty.step(sentAt, DeclaredChanged{Declared: declared, AdoptedAt: sentAt})
 			duty.step(sentAt, CallArrived{
 				Call: 1, Request: &Request{HostName: "a.example", Path: "/", Wait: 8 * time.Second}, Reply: ring.New[Reply]("reply", 1),
 			})
@@ -177,3 +178,33 @@
 	assert.Assert(t, result.Local)
 	assert.ErrorIs(t, result.Cause, errSendersBusy)
 }
+
+// TestTheWaitOfADeclaredStateIsMeasured checks that a host which falls behind shows it.
+func TestTheWaitOfADeclaredStateIsMeasured(t *testing.T) {
+	tests := map[string]struct {
+		waited time.Duration
+		late   bool
+	}{
+		"at once": {},
+		"late":    {waited: 300 * time.Millisecond, late: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var lines, metrics strings.Builder
+			logger := logrus.New()
+			logger.SetOutput(&lines)
+			duty := &callsDuty{
+				placer: placement.New(placement.Options{Host: "h", DataCentre: "north"}), attempts: ring.New[*Attempt]("senders", 1),
+				probes: ring.New[placement.Probe]("probers", 8), log: eventlog.New(logrus.NewEntry(logger)), metrics: NewMetrics(),
+			}
+			now := time.Now()
+			duty.step(now, DeclaredChanged{Declared: declaredService(1, "a"), AdoptedAt: now.Add(-test.waited)})
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			_ = duty.log.Run(ctx) // ends with the context
+			duty.metrics.Write(&metrics)
+			assert.Assert(t, strings.Contains(metrics.String(), "baobabdrum_declared_wait_seconds_count 1"))
+			assert.Equal(t, strings.Contains(lines.String(), "declared_in_force_late"), test.late, lines.String())
+		})
+	}
+}
--- a/edge/control.go
+++ b/edge/control.go
@@ -208,7 +208,7 @@
 		case declared.Changed:
 			d.logDeclared(event, action)
 			d.applyLimits(action.Declared.Declaration.Limits)
-			if err := d.changes.Put(ctx, declaredChanged(action.Declared)); err != nil {
+			if err := d.changes.Put(ctx, DeclaredChanged{Declared: action.Declared, AdoptedAt: now}); err != nil {
 				return err
 			}
 			if err := d.announceDeclared(ctx, now, event); err != nil {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -198,6 +198,15 @@
 	Event placement.Event
 }
 
+// DeclaredChanged carries a new declared state. The calls duty takes it before the calls
+// that wait.
+type DeclaredChanged struct {
+	// Declared is the complete state.
+	Declared schema.Declared
+	// AdoptedAt is when the control duty adopted it.
+	AdoptedAt time.Time
+}
+
 // ServingChanged reports whether callers receive this host's address.
 type ServingChanged struct {
 	// Serving reports whether they do.
@@ -228,11 +237,12 @@
 func (DumpQuery) input()      {}
 func (OpenCallsQuery) input() {}
 
-func (CallArrived) input()    {}
-func (CallerLeft) input()     {}
-func (AttemptEnded) input()   {}
-func (PlacementEvent) input() {}
-func (ServingChanged) input() {}
+func (CallArrived) input()     {}
+func (CallerLeft) input()      {}
+func (AttemptEnded) input()    {}
+func (PlacementEvent) input()  {}
+func (DeclaredChanged) input() {}
+func (ServingChanged) input()  {}
 
 // ControlInput is a message to the control duty.
 //
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -93,6 +93,11 @@
 	m.servers.Set(float64(servers))
 }
 
+// InForce records how long a declared state waited until calls were placed by it.
+func (m *Metrics) InForce(waited time.Duration) {
+	m.set.GetOrCreateHistogram("baobabdrum_declared_wait_seconds").Update(waited.Seconds())
+}
+
 // Confirmed records the time since the store confirmed the declared state in force.
 func (m *Metrics) Confirmed(age time.Duration) {
 	m.age.Set(age.Seconds())
