--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -291,7 +291,7 @@
 		response.Header.CopyTo(&head)
 		defer head.CopyTo(&response.Header)
 	}
-	body, err := read(&deliveredBody{Reader: stream, overhead: &c.overhead}, max(response.Header.ContentLength(), -1))
+	body, err := read(&tcp.Content{Reader: stream, Delivered: c.overhead.Delivered}, max(response.Header.ContentLength(), -1))
 	if err != nil {
 		_ = c.conn.Close() // releasing the response must not wait for the rest of the body
 
@@ -305,23 +305,9 @@
 	return nil
 }
 
-// deliveredBody is the body of a response. It counts the bytes that it delivers.
-type deliveredBody struct {
-	io.Reader
-	overhead *tcp.Overhead
-}
-
-// Read delivers bytes.
-func (b *deliveredBody) Read(buffer []byte) (int, error) {
-	count, err := b.Reader.Read(buffer)
-	b.overhead.Delivered(count)
-
-	return count, err //nolint:wrapcheck // readers compare it with io.EOF
-}
-
 // Body returns the body of the response of the last Exchange.
 func (c *Connection) Body(response *fasthttp.Response) io.Reader {
-	return &deliveredBody{Reader: response.BodyStream(), overhead: &c.overhead}
+	return &tcp.Content{Reader: response.BodyStream(), Delivered: c.overhead.Delivered}
 }
 
 // Reused reports whether a response was read on the open connection before, so that
--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -213,7 +213,7 @@
 	if limit > 0 {
 		stream = io.LimitReader(stream, int64(limit)+1)
 	}
-	stream = &deliveredBody{Reader: stream, conn: ctx.Conn().(*tcp.ServedConn)}
+	stream = &tcp.Content{Reader: stream, Delivered: ctx.Conn().(*tcp.ServedConn).Delivered}
 	body, err := memory.ReadAll(stream, max(ctx.Request.Header.ContentLength(), -1), held.Grow)
 	if limit > 0 && len(body) > limit {
 		return &backendhttp.BodyLimitError{Limit: limit}
@@ -223,20 +223,6 @@
 	return err
 }
 
-// deliveredBody is the body of a request. It counts the bytes that it delivers.
-type deliveredBody struct {
-	io.Reader
-	conn *tcp.ServedConn
-}
-
-// Read delivers bytes.
-func (b *deliveredBody) Read(buffer []byte) (int, error) {
-	count, err := b.Reader.Read(buffer)
-	b.conn.Delivered(count)
-
-	return count, err //nolint:wrapcheck // readers compare it with io.EOF
-}
-
 // rejectBody ends a call whose body was not read. No backend server runs it. The
 // connection is closed, because the rest of the body is still to come.
 func (f *callerFront) rejectBody(ctx *fasthttp.RequestCtx, err error) {
--- a/jsonhttp/endless_test.go
+++ b/jsonhttp/endless_test.go
@@ -81,7 +81,7 @@
 			client := jsonhttp.NewClient(listener.Addr().String(), "", endlessTimeout)
 			began := time.Now()
 			grown := largestHeap(func() {
-				_, err := client.Do(http.MethodGet, "/v1/rows-get", nil)
+				_, err := client.Do(http.MethodGet, "/rows", nil)
 				assert.Assert(t, err != nil)
 			})
 			took := time.Since(began)
--- a/peerrpc/endless_test.go
+++ b/peerrpc/endless_test.go
@@ -145,28 +145,37 @@
 	return head("Peer."+method, "")
 }
 
-// Guards against a host that reads without end what another one sends on a connection
-// without a request.
-func TestAnswersWithoutARequestEndTheConnection(t *testing.T) {
-	answer := append(head("Peer."+peerrpc.MethodMembers, ""), message((&schema.MembersAnswer{Known: 1}).EncodeMsg)...)
+// answerWithoutEnd starts a host that sends a message to the first connection, and
+// returns its address. The channel receives how many bytes it sent.
+func answerWithoutEnd(t *testing.T, message endlessMessage) (address string, sent <-chan int) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer listener.Close()
-	sent := make(chan int, 1)
+	t.Cleanup(func() { _ = listener.Close() }) // no one else connects
+	count := make(chan int, 1)
 	go func() {
 		conn, err := listener.Accept()
 		if err != nil {
-			sent <- 0
+			count <- 0
 
 			return
 		}
 		defer conn.Close()
-		sent <- endlessMessage{first: answer, repeated: answer}.send(conn)
+		count <- message.send(conn)
 	}()
+
+	return listener.Addr().String(), count
+}
+
+// Guards against a host that reads without end what another one sends on a connection
+// without a request.
+func TestAnswersWithoutARequestEndTheConnection(t *testing.T) {
+	answer := append(head("Peer."+peerrpc.MethodMembers, ""), message((&schema.MembersAnswer{Known: 1}).EncodeMsg)...)
+	address, sent := answerWithoutEnd(t, endlessMessage{first: answer, repeated: answer})
 	client := peerrpc.NewClient(token, timeout)
 	defer client.Close()
 	var members schema.MembersAnswer
-	assert.NilError(t, peerrpc.Call(context.Background(), client, listener.Addr().String(), peerrpc.MethodMembers, &schema.MembersRequest{}, &members))
+	assert.NilError(t, peerrpc.Call(context.Background(), client, address, peerrpc.MethodMembers, &schema.MembersRequest{}, &members))
 	assert.Equal(t, members.Known, 1)
 	assert.Assert(t, <-sent < endlessBytes, "the host read on without a request")
 }
@@ -187,25 +196,12 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer listener.Close()
-			sent := make(chan int, 1)
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					sent <- 0
-
-					return
-				}
-				defer conn.Close()
-				sent <- test.send(conn)
-			}()
+			address, sent := answerWithoutEnd(t, test)
 			client := peerrpc.NewClient(token, timeout)
 			defer client.Close()
 			grown := largestHeap(func() {
 				var answer schema.MembersAnswer
-				err := peerrpc.Call(context.Background(), client, listener.Addr().String(), peerrpc.MethodMembers, &schema.MembersRequest{}, &answer)
+				err := peerrpc.Call(context.Background(), client, address, peerrpc.MethodMembers, &schema.MembersRequest{}, &answer)
 				assert.Assert(t, err != nil)
 				client.Close()
 			})
--- a/tcp/overhead.go
+++ b/tcp/overhead.go
@@ -1,5 +1,7 @@
 package tcp
 
+import "io"
+
 // overheadFactor is the number of bytes that may be received for each byte delivered: as
 // much framing as content. Only chunks of a few bytes have more.
 const overheadFactor = 2
@@ -37,3 +39,18 @@
 func (o *Overhead) Delivered(bytes int) {
 	o.left += overheadFactor * bytes
 }
+
+// Content is the content of a message. It counts the bytes that it delivers.
+type Content struct {
+	io.Reader
+	// Delivered is called with the number of bytes of each read.
+	Delivered func(bytes int)
+}
+
+// Read delivers bytes.
+func (c *Content) Read(buffer []byte) (int, error) {
+	count, err := c.Reader.Read(buffer)
+	c.Delivered(count)
+
+	return count, err
+}
