backendhttp: a body may be read after its connection was closed

A response that is released then reads the rest of its body: nil pointer dereference. Change: each socket has a reader of its own, which fails when the socket is closed, as before.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -108,10 +108,11 @@
 		return eris.Wrapf(err, "connecting to %s", c.Address)
 	}
 	c.conn, c.peeker, c.answers, c.requestIDs = conn, tcp.NewPeeker(conn), 0, c.requestIDs[:0]
+	received := &receiver{socket: conn, overhead: &c.overhead}
 	if c.reader == nil {
-		c.reader, c.writer = bufio.NewReaderSize(c, maxHeadSize), bufio.NewWriterSize(c, writeBufferSize)
+		c.reader, c.writer = bufio.NewReaderSize(received, maxHeadSize), bufio.NewWriterSize(c, writeBufferSize)
 	}
-	c.reader.Reset(c)
+	c.reader.Reset(received)
 	c.writer.Reset(c)
 
 	if err := conn.SetDeadline(deadline); err != nil {
@@ -151,10 +152,17 @@
 	}
 }
 
-// Read receives bytes within the bound on framing.
-func (c *Connection) Read(buffer []byte) (int, error) {
-	count, err := c.conn.Read(buffer)
-	if exceeded := c.overhead.Received(count); exceeded != nil {
+// receiver receives the bytes of one socket within the bound on framing. A body may be
+// read from it after its connection was closed, which fails.
+type receiver struct {
+	socket   net.Conn
+	overhead *tcp.Overhead
+}
+
+// Read receives bytes.
+func (r *receiver) Read(buffer []byte) (int, error) {
+	count, err := r.socket.Read(buffer)
+	if exceeded := r.overhead.Received(count); exceeded != nil {
 		return 0, exceeded
 	}
 
