--- a/callerhttp/callerhttp.go
+++ b/callerhttp/callerhttp.go
@@ -71,7 +71,7 @@
 func New(inputs *ring.Ring[dispatch.Input], callTimeout time.Duration, bodyLimit int) *Front {
 	front := &Front{
 		Inputs: inputs, CallTimeout: callTimeout, Metrics: prometheus.New(), MaxConnections: defaultMaxConnections,
-		Events: tcp.ConnectionEvents{Failed: func(error) {}, Evicted: func() {}, Rejected: func(int) {}},
+		Events: tcp.IgnoreConnections(),
 	}
 	front.app = fiber.New(fiber.Config{
 		AppName:                   "baobabdrum",
--- a/host/host.go
+++ b/host/host.go
@@ -242,7 +242,11 @@
 		if now-before < int64(connectionLogInterval) || !last.CompareAndSwap(before, now) {
 			return
 		}
-		h.Log.WithError(err).WithFields(logrus.Fields{"event": event, "listener": listener}).Warning(text)
+		fields := logrus.Fields{"event": event, "listener": listener}
+		if err != nil {
+			fields[logrus.ErrorKey] = err
+		}
+		h.Log.WithFields(fields).Warning(text)
 	}
 
 	return tcp.ConnectionEvents{
--- a/operatorhttp/operatorhttp.go
+++ b/operatorhttp/operatorhttp.go
@@ -105,10 +105,7 @@
 func New(
 	changes *ring.Ring[ChangeRequest], dumps *ring.Ring[DumpRequest], stops *ring.Ring[StopRequest], token string,
 ) *Front {
-	front := &Front{
-		Changes: changes, Dumps: dumps, Stops: stops,
-		Events: tcp.ConnectionEvents{Failed: func(error) {}, Evicted: func() {}, Rejected: func(int) {}},
-	}
+	front := &Front{Changes: changes, Dumps: dumps, Stops: stops, Events: tcp.IgnoreConnections()}
 	front.app = fiber.New(fiber.Config{AppName: "baobabdrum operator", BodyLimit: maxSheetBytes, ErrorHandler: writeError})
 	front.app.Get("/live", func(c fiber.Ctx) error { return c.SendString("live\n") })
 	front.app.Get("/ready", front.ready)
--- a/peerrpc/codec_test.go
+++ b/peerrpc/codec_test.go
@@ -134,7 +134,7 @@
 	assert.NilError(t, err)
 	requests := ring.New[peerrpc.Request]("requests", 16)
 	timeouts := tcp.ConnectionTimeouts{Header: time.Second, Idle: idle}
-	events := tcp.ConnectionEvents{Failed: func(error) {}, Evicted: func() {}, Rejected: func(int) {}}
+	events := tcp.IgnoreConnections()
 	set := tcp.NewConnectionSet(bound, func() tcp.ConnectionTimeouts { return timeouts }, events, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	duties := group.New(ctx)
--- a/peerrpc/peerrpc.go
+++ b/peerrpc/peerrpc.go
@@ -72,6 +72,11 @@
 func (ConfigurationRequest) request() {}
 func (RoomRequest) request()          {}
 
+// Receiver holds the net/rpc methods of one kind of host.
+//
+//sumtype:decl
+type Receiver interface{ receiver() }
+
 // EdgePeer holds the net/rpc methods that other entry hosts of a deployment platform
 // call.
 type EdgePeer struct {
@@ -83,6 +88,8 @@
 	return &EdgePeer{requests: requests}
 }
 
+func (*EdgePeer) receiver() {}
+
 // Peer holds the net/rpc methods that other hosts call.
 type Peer struct {
 	*EdgePeer
@@ -148,8 +155,8 @@
 	Token string
 	// MaxRequestBytes is the largest size in bytes of a request.
 	MaxRequestBytes int
-	// Receiver is an *EdgePeer or a *Peer.
-	Receiver any
+	// Receiver holds the methods that other hosts may call.
+	Receiver Receiver
 }
 
 // Serve accepts and serves other hosts' connections until the context ends.
--- a/tcp/connections.go
+++ b/tcp/connections.go
@@ -44,6 +44,11 @@
 	Rejected func(bound int)
 }
 
+// IgnoreConnections returns events that do nothing.
+func IgnoreConnections() ConnectionEvents {
+	return ConnectionEvents{Failed: func(error) {}, Evicted: func() {}, Rejected: func(int) {}}
+}
+
 // ConnectionSet holds the open connections of one listener. At its bound, the
 // connection that has been idle longest is closed for a new one. The accepting duty
 // and the handlers share it.
