--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -30,6 +30,7 @@
 	metrics.Store("orders", "read", time.Millisecond)
 	metrics.Dropped("loads")
 	metrics.Declared(1, 2)
+	metrics.InForce(time.Millisecond)
 	metrics.Invalid("orders", 1)
 	metrics.Exhausted("answers")
 	metrics.Gauge("baobabdrum_body_bytes", func() float64 { return 0 })
