--- a/declared/registrations.go
+++ b/declared/registrations.go
@@ -108,7 +108,7 @@
 	var digest xxhash.Digest
 	digest.Reset()
 	var number [24]byte
-	for _, text := range []string{registration.ID, registration.Service, registration.Address, registration.DataCentre} {
+	for _, text := range []string{registration.ID, registration.Service, registration.Address, registration.DataCentre, registration.Version} {
 		_, _ = digest.WriteString(text) // writing to a digest cannot fail
 		_, _ = digest.Write([]byte{0})
 	}
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -916,8 +916,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 18 {
-		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
+	if zb0001 != 19 {
+		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
 		return
 	}
 	z.CallerAddress, err = dc.ReadString()
@@ -1081,6 +1081,28 @@
 		err = msgp.WrapError(err, "RegistrationsAt")
 		return
 	}
+	var zb0006 uint32
+	zb0006, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Rollouts")
+		return
+	}
+	if zb0006 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Rollouts) >= int(zb0006) {
+		z.Rollouts = (z.Rollouts)[:zb0006]
+	} else {
+		z.Rollouts = make([]RolloutReport, zb0006)
+	}
+	for za0004 := range z.Rollouts {
+		err = z.Rollouts[za0004].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Rollouts", za0004)
+			return
+		}
+	}
 	z.Sequence, err = dc.ReadInt()
 	if err != nil {
 		err = msgp.WrapError(err, "Sequence")
@@ -1101,8 +1123,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Beacon) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 18
-	err = en.Append(0xdc, 0x0, 0x12)
+	// array header, size 19
+	err = en.Append(0xdc, 0x0, 0x13)
 	if err != nil {
 		return
 	}
@@ -1218,6 +1240,18 @@
 		err = msgp.WrapError(err, "RegistrationsAt")
 		return
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Rollouts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Rollouts")
+		return
+	}
+	for za0004 := range z.Rollouts {
+		err = z.Rollouts[za0004].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Rollouts", za0004)
+			return
+		}
+	}
 	err = en.WriteInt(z.Sequence)
 	if err != nil {
 		err = msgp.WrapError(err, "Sequence")
@@ -1239,8 +1273,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beacon) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 18
-	o = append(o, 0xdc, 0x0, 0x12)
+	// array header, size 19
+	o = append(o, 0xdc, 0x0, 0x13)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendInt(o, z.Calls)
 	o = msgp.AppendInt(o, z.Capacity)
@@ -1275,6 +1309,14 @@
 	o = msgp.AppendBool(o, z.Reads)
 	o = msgp.AppendBool(o, z.Ready)
 	o = msgp.AppendInt(o, z.RegistrationsAt)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rollouts)))
+	for za0004 := range z.Rollouts {
+		o, err = z.Rollouts[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Rollouts", za0004)
+			return
+		}
+	}
 	o = msgp.AppendInt(o, z.Sequence)
 	o = msgp.AppendBool(o, z.Serves)
 	o = msgp.AppendInt(o, z.StartedMs)
@@ -1289,8 +1331,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 18 {
-		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
+	if zb0001 != 19 {
+		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
 		return
 	}
 	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
@@ -1454,6 +1496,28 @@
 		err = msgp.WrapError(err, "RegistrationsAt")
 		return
 	}
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rollouts")
+		return
+	}
+	if zb0006 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Rollouts) >= int(zb0006) {
+		z.Rollouts = (z.Rollouts)[:zb0006]
+	} else {
+		z.Rollouts = make([]RolloutReport, zb0006)
+	}
+	for za0004 := range z.Rollouts {
+		bts, err = z.Rollouts[za0004].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Rollouts", za0004)
+			return
+		}
+	}
 	z.Sequence, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Sequence")
@@ -1483,7 +1547,11 @@
 	for za0003 := range z.Lost {
 		s += msgp.StringPrefixSize + len(z.Lost[za0003])
 	}
-	s += msgp.StringPrefixSize + len(z.Name) + msgp.IntSize + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.BoolSize + msgp.BoolSize + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.IntSize
+	s += msgp.StringPrefixSize + len(z.Name) + msgp.IntSize + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.BoolSize + msgp.BoolSize + msgp.IntSize + msgp.ArrayHeaderSize
+	for za0004 := range z.Rollouts {
+		s += z.Rollouts[za0004].Msgsize()
+	}
+	s += msgp.IntSize + msgp.BoolSize + msgp.IntSize
 	return
 }
 
@@ -3604,6 +3672,35 @@
 					return
 				}
 			}
+		case "tenants":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Tenants")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Tenants) >= int(zb0004) {
+				z.Tenants = (z.Tenants)[:zb0004]
+			} else {
+				z.Tenants = make([]Tenant, zb0004)
+			}
+			for za0003 := range z.Tenants {
+				err = z.Tenants[za0003].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Tenants", za0003)
+					return
+				}
+			}
+		case "tenants_incomplete":
+			z.TenantsIncomplete, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "TenantsIncomplete")
+				return
+			}
 		case "version":
 			z.Version, err = dc.ReadInt()
 			if err != nil {
@@ -3623,9 +3720,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Declaration) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 7
 	// write "incomplete"
-	err = en.Append(0x85, 0xaa, 0x69, 0x6e, 0x63, 0x6f, 0x6d, 0x70, 0x6c, 0x65, 0x74, 0x65)
+	err = en.Append(0x87, 0xaa, 0x69, 0x6e, 0x63, 0x6f, 0x6d, 0x70, 0x6c, 0x65, 0x74, 0x65)
 	if err != nil {
 		return
 	}
@@ -3678,6 +3775,33 @@
 			return
 		}
 	}
+	// write "tenants"
+	err = en.Append(0xa7, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Tenants)))
+	if err != nil {
+		err = msgp.WrapError(err, "Tenants")
+		return
+	}
+	for za0003 := range z.Tenants {
+		err = z.Tenants[za0003].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Tenants", za0003)
+			return
+		}
+	}
+	// write "tenants_incomplete"
+	err = en.Append(0xb2, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74, 0x73, 0x5f, 0x69, 0x6e, 0x63, 0x6f, 0x6d, 0x70, 0x6c, 0x65, 0x74, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.TenantsIncomplete)
+	if err != nil {
+		err = msgp.WrapError(err, "TenantsIncomplete")
+		return
+	}
 	// write "version"
 	err = en.Append(0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	if err != nil {
@@ -3694,9 +3818,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Declaration) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "incomplete"
-	o = append(o, 0x85, 0xaa, 0x69, 0x6e, 0x63, 0x6f, 0x6d, 0x70, 0x6c, 0x65, 0x74, 0x65)
+	o = append(o, 0x87, 0xaa, 0x69, 0x6e, 0x63, 0x6f, 0x6d, 0x70, 0x6c, 0x65, 0x74, 0x65)
 	o = msgp.AppendBool(o, z.Incomplete)
 	// string "limits"
 	o = append(o, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
@@ -3725,6 +3849,19 @@
 			return
 		}
 	}
+	// string "tenants"
+	o = append(o, 0xa7, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Tenants)))
+	for za0003 := range z.Tenants {
+		o, err = z.Tenants[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Tenants", za0003)
+			return
+		}
+	}
+	// string "tenants_incomplete"
+	o = append(o, 0xb2, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74, 0x73, 0x5f, 0x69, 0x6e, 0x63, 0x6f, 0x6d, 0x70, 0x6c, 0x65, 0x74, 0x65)
+	o = msgp.AppendBool(o, z.TenantsIncomplete)
 	// string "version"
 	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendInt(o, z.Version)
@@ -3811,6 +3948,35 @@
 					return
 				}
 			}
+		case "tenants":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tenants")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Tenants) >= int(zb0004) {
+				z.Tenants = (z.Tenants)[:zb0004]
+			} else {
+				z.Tenants = make([]Tenant, zb0004)
+			}
+			for za0003 := range z.Tenants {
+				bts, err = z.Tenants[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tenants", za0003)
+					return
+				}
+			}
+		case "tenants_incomplete":
+			z.TenantsIncomplete, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TenantsIncomplete")
+				return
+			}
 		case "version":
 			z.Version, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -3839,7 +4005,11 @@
 	for za0002 := range z.Services {
 		s += z.Services[za0002].Msgsize()
 	}
-	s += 8 + msgp.IntSize
+	s += 8 + msgp.ArrayHeaderSize
+	for za0003 := range z.Tenants {
+		s += z.Tenants[za0003].Msgsize()
+	}
+	s += 19 + msgp.BoolSize + 8 + msgp.IntSize
 	return
 }
 
@@ -3929,6 +4099,29 @@
 				err = msgp.WrapError(err, "RegistrationsAt")
 				return
 			}
+		case "rollouts":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Rollouts")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Rollouts) >= int(zb0004) {
+				z.Rollouts = (z.Rollouts)[:zb0004]
+			} else {
+				z.Rollouts = make([]RolloutOrder, zb0004)
+			}
+			for za0003 := range z.Rollouts {
+				err = z.Rollouts[za0003].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Rollouts", za0003)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3942,9 +4135,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Declared) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "declaration"
-	err = en.Append(0x85, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x86, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -4007,15 +4200,32 @@
 		err = msgp.WrapError(err, "RegistrationsAt")
 		return
 	}
+	// write "rollouts"
+	err = en.Append(0xa8, 0x72, 0x6f, 0x6c, 0x6c, 0x6f, 0x75, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Rollouts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Rollouts")
+		return
+	}
+	for za0003 := range z.Rollouts {
+		err = z.Rollouts[za0003].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Rollouts", za0003)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Declared) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "declaration"
-	o = append(o, 0x85, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x86, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o, err = z.Declaration.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Declaration")
@@ -4043,6 +4253,16 @@
 	// string "registrations_at"
 	o = append(o, 0xb0, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x74)
 	o = msgp.AppendInt(o, z.RegistrationsAt)
+	// string "rollouts"
+	o = append(o, 0xa8, 0x72, 0x6f, 0x6c, 0x6c, 0x6f, 0x75, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rollouts)))
+	for za0003 := range z.Rollouts {
+		o, err = z.Rollouts[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Rollouts", za0003)
+			return
+		}
+	}
 	return
 }
 
@@ -4132,6 +4352,29 @@
 				err = msgp.WrapError(err, "RegistrationsAt")
 				return
 			}
+		case "rollouts":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rollouts")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Rollouts) >= int(zb0004) {
+				z.Rollouts = (z.Rollouts)[:zb0004]
+			} else {
+				z.Rollouts = make([]RolloutOrder, zb0004)
+			}
+			for za0003 := range z.Rollouts {
+				bts, err = z.Rollouts[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rollouts", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4154,7 +4397,10 @@
 	for za0002 := range z.Registrations {
 		s += z.Registrations[za0002].Msgsize()
 	}
-	s += 17 + msgp.IntSize
+	s += 17 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
+	for za0003 := range z.Rollouts {
+		s += z.Rollouts[za0003].Msgsize()
+	}
 	return
 }
 
@@ -4291,6 +4537,29 @@
 				err = msgp.WrapError(err, "RetainLapsedMs")
 				return
 			}
+		case "rollouts":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Rollouts")
+				return
+			}
+			if zb0005 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Rollouts) >= int(zb0005) {
+				z.Rollouts = (z.Rollouts)[:zb0005]
+			} else {
+				z.Rollouts = make([]RolloutOrder, zb0005)
+			}
+			for za0004 := range z.Rollouts {
+				err = z.Rollouts[za0004].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Rollouts", za0004)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4304,9 +4573,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *DeclaredAnswer) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
+	// map header, size 11
 	// write "declaration"
-	err = en.Append(0x8a, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x8b, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -4426,15 +4695,32 @@
 		err = msgp.WrapError(err, "RetainLapsedMs")
 		return
 	}
+	// write "rollouts"
+	err = en.Append(0xa8, 0x72, 0x6f, 0x6c, 0x6c, 0x6f, 0x75, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Rollouts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Rollouts")
+		return
+	}
+	for za0004 := range z.Rollouts {
+		err = z.Rollouts[za0004].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Rollouts", za0004)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *DeclaredAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "declaration"
-	o = append(o, 0x8a, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x8b, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o, err = z.Declaration.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Declaration")
@@ -4480,6 +4766,16 @@
 	// string "retain_lapsed_ms"
 	o = append(o, 0xb0, 0x72, 0x65, 0x74, 0x61, 0x69, 0x6e, 0x5f, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt(o, z.RetainLapsedMs)
+	// string "rollouts"
+	o = append(o, 0xa8, 0x72, 0x6f, 0x6c, 0x6c, 0x6f, 0x75, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rollouts)))
+	for za0004 := range z.Rollouts {
+		o, err = z.Rollouts[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Rollouts", za0004)
+			return
+		}
+	}
 	return
 }
 
@@ -4616,6 +4912,29 @@
 				err = msgp.WrapError(err, "RetainLapsedMs")
 				return
 			}
+		case "rollouts":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rollouts")
+				return
+			}
+			if zb0005 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Rollouts) >= int(zb0005) {
+				z.Rollouts = (z.Rollouts)[:zb0005]
+			} else {
+				z.Rollouts = make([]RolloutOrder, zb0005)
+			}
+			for za0004 := range z.Rollouts {
+				bts, err = z.Rollouts[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rollouts", za0004)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4642,7 +4961,10 @@
 	for za0003 := range z.Registrations {
 		s += z.Registrations[za0003].Msgsize()
 	}
-	s += 20 + msgp.IntSize + 17 + msgp.IntSize + 19 + msgp.IntSize + 17 + msgp.IntSize
+	s += 20 + msgp.IntSize + 17 + msgp.IntSize + 19 + msgp.IntSize + 17 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
+	for za0004 := range z.Rollouts {
+		s += z.Rollouts[za0004].Msgsize()
+	}
 	return
 }
 
@@ -11556,8 +11878,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Address, err = dc.ReadString()
@@ -11600,13 +11922,18 @@
 		err = msgp.WrapError(err, "StartedMs")
 		return
 	}
+	z.Version, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Registration) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 8
-	err = en.Append(0x98)
+	// array header, size 9
+	err = en.Append(0x99)
 	if err != nil {
 		return
 	}
@@ -11650,14 +11977,19 @@
 		err = msgp.WrapError(err, "StartedMs")
 		return
 	}
+	err = en.WriteString(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Registration) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendString(o, z.Address)
 	o = msgp.AppendInt(o, z.ColdLeftMs)
 	o = msgp.AppendString(o, z.DataCentre)
@@ -11666,6 +11998,7 @@
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendInt(o, z.Slots)
 	o = msgp.AppendInt(o, z.StartedMs)
+	o = msgp.AppendString(o, z.Version)
 	return
 }
 
@@ -11677,8 +12010,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Address, bts, err = msgp.ReadStringBytes(bts)
@@ -11721,13 +12054,18 @@
 		err = msgp.WrapError(err, "StartedMs")
 		return
 	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Registration) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.IntSize + msgp.StringPrefixSize + len(z.DataCentre) + msgp.BoolSize + msgp.StringPrefixSize + len(z.ID) + msgp.StringPrefixSize + len(z.Service) + msgp.IntSize + msgp.IntSize
+	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.IntSize + msgp.StringPrefixSize + len(z.DataCentre) + msgp.BoolSize + msgp.StringPrefixSize + len(z.ID) + msgp.StringPrefixSize + len(z.Service) + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.Version)
 	return
 }
 
@@ -11893,58 +12231,698 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Room) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
+func (z *RolloutEvidence) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zf88ce922limitMaps {
+	if zb0001 > zf88ce922limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "free":
-			z.Free, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Free")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
 	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Room) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "free"
-	err = en.Append(0x81, 0xa4, 0x66, 0x72, 0x65, 0x65)
+	z.OtherAnswers, err = dc.ReadInt()
 	if err != nil {
+		err = msgp.WrapError(err, "OtherAnswers")
 		return
 	}
-	err = en.WriteInt(z.Free)
+	z.OtherFailures, err = dc.ReadInt()
 	if err != nil {
-		err = msgp.WrapError(err, "Free")
+		err = msgp.WrapError(err, "OtherFailures")
 		return
 	}
-	return
+	z.OtherSlow, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "OtherSlow")
+		return
+	}
+	z.RouteHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "RouteHash")
+		return
+	}
+	z.TargetAnswers, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "TargetAnswers")
+		return
+	}
+	z.TargetFailures, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "TargetFailures")
+		return
+	}
+	z.TargetSlow, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "TargetSlow")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *RolloutEvidence) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 7
+	err = en.Append(0x97)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OtherAnswers)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherAnswers")
+		return
+	}
+	err = en.WriteInt(z.OtherFailures)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherFailures")
+		return
+	}
+	err = en.WriteInt(z.OtherSlow)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherSlow")
+		return
+	}
+	err = en.WriteInt(z.RouteHash)
+	if err != nil {
+		err = msgp.WrapError(err, "RouteHash")
+		return
+	}
+	err = en.WriteInt(z.TargetAnswers)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetAnswers")
+		return
+	}
+	err = en.WriteInt(z.TargetFailures)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetFailures")
+		return
+	}
+	err = en.WriteInt(z.TargetSlow)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetSlow")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RolloutEvidence) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendInt(o, z.OtherAnswers)
+	o = msgp.AppendInt(o, z.OtherFailures)
+	o = msgp.AppendInt(o, z.OtherSlow)
+	o = msgp.AppendInt(o, z.RouteHash)
+	o = msgp.AppendInt(o, z.TargetAnswers)
+	o = msgp.AppendInt(o, z.TargetFailures)
+	o = msgp.AppendInt(o, z.TargetSlow)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RolloutEvidence) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	z.OtherAnswers, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherAnswers")
+		return
+	}
+	z.OtherFailures, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherFailures")
+		return
+	}
+	z.OtherSlow, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherSlow")
+		return
+	}
+	z.RouteHash, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RouteHash")
+		return
+	}
+	z.TargetAnswers, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetAnswers")
+		return
+	}
+	z.TargetFailures, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetFailures")
+		return
+	}
+	z.TargetSlow, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetSlow")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RolloutEvidence) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *RolloutOrder) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "duration_ms":
+			z.DurationMs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "DurationMs")
+				return
+			}
+		case "order_version":
+			z.OrderVersion, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "OrderVersion")
+				return
+			}
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "target":
+			z.Target, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Target")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *RolloutOrder) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "duration_ms"
+	err = en.Append(0x84, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.DurationMs)
+	if err != nil {
+		err = msgp.WrapError(err, "DurationMs")
+		return
+	}
+	// write "order_version"
+	err = en.Append(0xad, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.OrderVersion)
+	if err != nil {
+		err = msgp.WrapError(err, "OrderVersion")
+		return
+	}
+	// write "service"
+	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	// write "target"
+	err = en.Append(0xa6, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RolloutOrder) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "duration_ms"
+	o = append(o, 0x84, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt(o, z.DurationMs)
+	// string "order_version"
+	o = append(o, 0xad, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendInt(o, z.OrderVersion)
+	// string "service"
+	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "target"
+	o = append(o, 0xa6, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74)
+	o = msgp.AppendString(o, z.Target)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RolloutOrder) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "duration_ms":
+			z.DurationMs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DurationMs")
+				return
+			}
+		case "order_version":
+			z.OrderVersion, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OrderVersion")
+				return
+			}
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "target":
+			z.Target, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Target")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RolloutOrder) Msgsize() (s int) {
+	s = 1 + 12 + msgp.IntSize + 14 + msgp.IntSize + 8 + msgp.StringPrefixSize + len(z.Service) + 7 + msgp.StringPrefixSize + len(z.Target)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *RolloutReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Evidence")
+		return
+	}
+	if zb0002 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Evidence) >= int(zb0002) {
+		z.Evidence = (z.Evidence)[:zb0002]
+	} else {
+		z.Evidence = make([]RolloutEvidence, zb0002)
+	}
+	for za0001 := range z.Evidence {
+		err = z.Evidence[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Evidence", za0001)
+			return
+		}
+	}
+	z.OrderVersion, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "OrderVersion")
+		return
+	}
+	z.OtherInFlight, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "OtherInFlight")
+		return
+	}
+	z.Recorded, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Recorded")
+		return
+	}
+	z.ServiceHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "ServiceHash")
+		return
+	}
+	z.ShareMilli, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "ShareMilli")
+		return
+	}
+	{
+		var zb0003 string
+		zb0003, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "State")
+			return
+		}
+		z.State = RolloutState(zb0003)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *RolloutReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 7
+	err = en.Append(0x97)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Evidence)))
+	if err != nil {
+		err = msgp.WrapError(err, "Evidence")
+		return
+	}
+	for za0001 := range z.Evidence {
+		err = z.Evidence[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Evidence", za0001)
+			return
+		}
+	}
+	err = en.WriteInt(z.OrderVersion)
+	if err != nil {
+		err = msgp.WrapError(err, "OrderVersion")
+		return
+	}
+	err = en.WriteInt(z.OtherInFlight)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherInFlight")
+		return
+	}
+	err = en.WriteBool(z.Recorded)
+	if err != nil {
+		err = msgp.WrapError(err, "Recorded")
+		return
+	}
+	err = en.WriteInt(z.ServiceHash)
+	if err != nil {
+		err = msgp.WrapError(err, "ServiceHash")
+		return
+	}
+	err = en.WriteInt(z.ShareMilli)
+	if err != nil {
+		err = msgp.WrapError(err, "ShareMilli")
+		return
+	}
+	err = en.WriteString(string(z.State))
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RolloutReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 7
+	o = append(o, 0x97)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Evidence)))
+	for za0001 := range z.Evidence {
+		o, err = z.Evidence[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Evidence", za0001)
+			return
+		}
+	}
+	o = msgp.AppendInt(o, z.OrderVersion)
+	o = msgp.AppendInt(o, z.OtherInFlight)
+	o = msgp.AppendBool(o, z.Recorded)
+	o = msgp.AppendInt(o, z.ServiceHash)
+	o = msgp.AppendInt(o, z.ShareMilli)
+	o = msgp.AppendString(o, string(z.State))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RolloutReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Evidence")
+		return
+	}
+	if zb0002 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Evidence) >= int(zb0002) {
+		z.Evidence = (z.Evidence)[:zb0002]
+	} else {
+		z.Evidence = make([]RolloutEvidence, zb0002)
+	}
+	for za0001 := range z.Evidence {
+		bts, err = z.Evidence[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Evidence", za0001)
+			return
+		}
+	}
+	z.OrderVersion, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OrderVersion")
+		return
+	}
+	z.OtherInFlight, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OtherInFlight")
+		return
+	}
+	z.Recorded, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Recorded")
+		return
+	}
+	z.ServiceHash, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ServiceHash")
+		return
+	}
+	z.ShareMilli, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ShareMilli")
+		return
+	}
+	{
+		var zb0003 string
+		zb0003, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "State")
+			return
+		}
+		z.State = RolloutState(zb0003)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RolloutReport) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Evidence {
+		s += z.Evidence[za0001].Msgsize()
+	}
+	s += msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(string(z.State))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *RolloutState) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 string
+		zb0001, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = RolloutState(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z RolloutState) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteString(string(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RolloutState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RolloutState) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = RolloutState(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RolloutState) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Room) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "free":
+			z.Free, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Free")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Room) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "free"
+	err = en.Append(0x81, 0xa4, 0x66, 0x72, 0x65, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Free)
+	if err != nil {
+		err = msgp.WrapError(err, "Free")
+		return
+	}
+	return
 }
 
 // MarshalMsg implements msgp.Marshaler
@@ -12197,6 +13175,12 @@
 				err = msgp.WrapError(err, "Priority")
 				return
 			}
+		case "public":
+			z.Public, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Public")
+				return
+			}
 		case "target_ms":
 			z.TargetMs, err = dc.ReadInt()
 			if err != nil {
@@ -12278,9 +13262,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Route) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "host_name"
-	err = en.Append(0x89, 0xa9, 0x68, 0x6f, 0x73, 0x74, 0x5f, 0x6e, 0x61, 0x6d, 0x65)
+	err = en.Append(0x8a, 0xa9, 0x68, 0x6f, 0x73, 0x74, 0x5f, 0x6e, 0x61, 0x6d, 0x65)
 	if err != nil {
 		return
 	}
@@ -12339,6 +13323,16 @@
 		err = msgp.WrapError(err, "Priority")
 		return
 	}
+	// write "public"
+	err = en.Append(0xa6, 0x70, 0x75, 0x62, 0x6c, 0x69, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Public)
+	if err != nil {
+		err = msgp.WrapError(err, "Public")
+		return
+	}
 	// write "target_ms"
 	err = en.Append(0xa9, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74, 0x5f, 0x6d, 0x73)
 	if err != nil {
@@ -12398,9 +13392,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Route) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "host_name"
-	o = append(o, 0x89, 0xa9, 0x68, 0x6f, 0x73, 0x74, 0x5f, 0x6e, 0x61, 0x6d, 0x65)
+	o = append(o, 0x8a, 0xa9, 0x68, 0x6f, 0x73, 0x74, 0x5f, 0x6e, 0x61, 0x6d, 0x65)
 	o = msgp.AppendString(o, z.HostName)
 	// string "idempotent"
 	o = append(o, 0xaa, 0x69, 0x64, 0x65, 0x6d, 0x70, 0x6f, 0x74, 0x65, 0x6e, 0x74)
@@ -12417,6 +13411,9 @@
 	// string "priority"
 	o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
 	o = msgp.AppendInt(o, z.Priority)
+	// string "public"
+	o = append(o, 0xa6, 0x70, 0x75, 0x62, 0x6c, 0x69, 0x63)
+	o = msgp.AppendBool(o, z.Public)
 	// string "target_ms"
 	o = append(o, 0xa9, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt(o, z.TargetMs)
@@ -12496,6 +13493,12 @@
 				err = msgp.WrapError(err, "Priority")
 				return
 			}
+		case "public":
+			z.Public, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Public")
+				return
+			}
 		case "target_ms":
 			z.TargetMs, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -12578,7 +13581,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Route) Msgsize() (s int) {
-	s = 1 + 10 + msgp.StringPrefixSize + len(z.HostName) + 11 + msgp.BoolSize + 13 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name) + 7 + msgp.StringPrefixSize + len(z.Prefix) + 9 + msgp.IntSize + 10 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	s = 1 + 10 + msgp.StringPrefixSize + len(z.HostName) + 11 + msgp.BoolSize + 13 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name) + 7 + msgp.StringPrefixSize + len(z.Prefix) + 9 + msgp.IntSize + 7 + msgp.BoolSize + 10 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Targets {
 		s += 1 + 8 + msgp.StringPrefixSize + len(z.Targets[za0001].Service) + 7 + msgp.IntSize
 	}
@@ -15006,6 +16009,290 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Tenant) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "burst":
+			z.Burst, err = dc.ReadFloat64()
+			if err != nil {
+				err = msgp.WrapError(err, "Burst")
+				return
+			}
+		case "key_digests":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "KeyDigests")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.KeyDigests) >= int(zb0002) {
+				z.KeyDigests = (z.KeyDigests)[:zb0002]
+			} else {
+				z.KeyDigests = make([]string, zb0002)
+			}
+			for za0001 := range z.KeyDigests {
+				z.KeyDigests[za0001], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "KeyDigests", za0001)
+					return
+				}
+			}
+		case "name":
+			z.Name, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "priority":
+			z.Priority, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		case "rate_per_second":
+			z.RatePerSecond, err = dc.ReadFloat64()
+			if err != nil {
+				err = msgp.WrapError(err, "RatePerSecond")
+				return
+			}
+		case "unreadable":
+			z.Unreadable, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Unreadable")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Tenant) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 6
+	// write "burst"
+	err = en.Append(0x86, 0xa5, 0x62, 0x75, 0x72, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.Burst)
+	if err != nil {
+		err = msgp.WrapError(err, "Burst")
+		return
+	}
+	// write "key_digests"
+	err = en.Append(0xab, 0x6b, 0x65, 0x79, 0x5f, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.KeyDigests)))
+	if err != nil {
+		err = msgp.WrapError(err, "KeyDigests")
+		return
+	}
+	for za0001 := range z.KeyDigests {
+		err = en.WriteString(z.KeyDigests[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "KeyDigests", za0001)
+			return
+		}
+	}
+	// write "name"
+	err = en.Append(0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	// write "priority"
+	err = en.Append(0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Priority)
+	if err != nil {
+		err = msgp.WrapError(err, "Priority")
+		return
+	}
+	// write "rate_per_second"
+	err = en.Append(0xaf, 0x72, 0x61, 0x74, 0x65, 0x5f, 0x70, 0x65, 0x72, 0x5f, 0x73, 0x65, 0x63, 0x6f, 0x6e, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteFloat64(z.RatePerSecond)
+	if err != nil {
+		err = msgp.WrapError(err, "RatePerSecond")
+		return
+	}
+	// write "unreadable"
+	err = en.Append(0xaa, 0x75, 0x6e, 0x72, 0x65, 0x61, 0x64, 0x61, 0x62, 0x6c, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Unreadable)
+	if err != nil {
+		err = msgp.WrapError(err, "Unreadable")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Tenant) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "burst"
+	o = append(o, 0x86, 0xa5, 0x62, 0x75, 0x72, 0x73, 0x74)
+	o = msgp.AppendFloat64(o, z.Burst)
+	// string "key_digests"
+	o = append(o, 0xab, 0x6b, 0x65, 0x79, 0x5f, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.KeyDigests)))
+	for za0001 := range z.KeyDigests {
+		o = msgp.AppendString(o, z.KeyDigests[za0001])
+	}
+	// string "name"
+	o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "priority"
+	o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+	o = msgp.AppendInt(o, z.Priority)
+	// string "rate_per_second"
+	o = append(o, 0xaf, 0x72, 0x61, 0x74, 0x65, 0x5f, 0x70, 0x65, 0x72, 0x5f, 0x73, 0x65, 0x63, 0x6f, 0x6e, 0x64)
+	o = msgp.AppendFloat64(o, z.RatePerSecond)
+	// string "unreadable"
+	o = append(o, 0xaa, 0x75, 0x6e, 0x72, 0x65, 0x61, 0x64, 0x61, 0x62, 0x6c, 0x65)
+	o = msgp.AppendBool(o, z.Unreadable)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Tenant) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "burst":
+			z.Burst, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Burst")
+				return
+			}
+		case "key_digests":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KeyDigests")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.KeyDigests) >= int(zb0002) {
+				z.KeyDigests = (z.KeyDigests)[:zb0002]
+			} else {
+				z.KeyDigests = make([]string, zb0002)
+			}
+			for za0001 := range z.KeyDigests {
+				z.KeyDigests[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "KeyDigests", za0001)
+					return
+				}
+			}
+		case "name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "priority":
+			z.Priority, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		case "rate_per_second":
+			z.RatePerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RatePerSecond")
+				return
+			}
+		case "unreadable":
+			z.Unreadable, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unreadable")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Tenant) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Float64Size + 12 + msgp.ArrayHeaderSize
+	for za0001 := range z.KeyDigests {
+		s += msgp.StringPrefixSize + len(z.KeyDigests[za0001])
+	}
+	s += 5 + msgp.StringPrefixSize + len(z.Name) + 9 + msgp.IntSize + 16 + msgp.Float64Size + 11 + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Transaction) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -138,6 +138,9 @@
 	// RegistrationsAt is the revision of the sender's registrations.
 	RegistrationsAt int `json:"registrations_at" msg:"registrations_at"`
 
+	// Rollouts are the reports on the rollouts in force; empty where loads is.
+	Rollouts []RolloutReport `json:"rollouts" msg:"rollouts"`
+
 	// Sequence grows with each beacon of an incarnation.
 	Sequence int `json:"sequence" msg:"sequence"`
 
@@ -289,6 +292,14 @@
 	// Services are sorted by name.
 	Services []ServiceRule `json:"services" msg:"services"`
 
+	// Tenants are sorted by name; if there are any, calls need the API key of one of
+	// them unless their route is public.
+	Tenants []Tenant `json:"tenants" msg:"tenants"`
+
+	// TenantsIncomplete reports that the name or the keys of a tenant could not be
+	// read, so that an unknown key may belong to it.
+	TenantsIncomplete bool `json:"tenants_incomplete" msg:"tenants_incomplete"`
+
 	// Version grows with each declaration; 0 means none.
 	Version int `json:"version" msg:"version"`
 }
@@ -302,8 +313,8 @@
 	// Evacuated are the names of the data centres that receive no new work.
 	Evacuated []string `json:"evacuated" msg:"evacuated"`
 
-	// OrdersAt is the version of the store as of which the declaration and the
-	// evacuations hold; 0 means that they were never read.
+	// OrdersAt is the version of the store as of which the declaration, the
+	// evacuations and the rollout orders hold; 0 means that they were never read.
 	OrdersAt int `json:"orders_at" msg:"orders_at"`
 
 	// Registrations are sorted by ID.
@@ -313,6 +324,9 @@
 	// the store shifted left by declared.RevisionBits plus a count of the
 	// registrations that a host dropped by itself; 0 means that they were never read.
 	RegistrationsAt int `json:"registrations_at" msg:"registrations_at"`
+
+	// Rollouts are the orders in force sorted by service.
+	Rollouts []RolloutOrder `json:"rollouts" msg:"rollouts"`
 }
 
 // DeclaredAnswer carries the declared state that the requesting host lacks.
@@ -330,8 +344,8 @@
 	// Gone are the IDs of the registrations that were dropped since that revision.
 	Gone []string `json:"gone" msg:"gone"`
 
-	// OrdersAt is the version of the store as of which the declaration and the
-	// evacuations hold.
+	// OrdersAt is the version of the store as of which the declaration, the
+	// evacuations and the rollout orders hold.
 	OrdersAt int `json:"orders_at" msg:"orders_at"`
 
 	// Registrations are those that changed since that revision, or all of them.
@@ -352,6 +366,9 @@
 	// may have lapsed while the store was unavailable; they are not among those in
 	// the answer.
 	RetainLapsedMs int `json:"retain_lapsed_ms" msg:"retain_lapsed_ms"`
+
+	// Rollouts are the orders in force sorted by service.
+	Rollouts []RolloutOrder `json:"rollouts" msg:"rollouts"`
 }
 
 // DeclaredRequest asks an entry host for the declared state that the requesting
@@ -891,6 +908,10 @@
 	// StartedMs is the start of the backend server in Unix milliseconds by its own
 	// clock.
 	StartedMs int `json:"started_ms" msg:"started_ms"`
+
+	// Version is the version of the software that the backend server runs; empty if
+	// it is not stated.
+	Version string `json:"version" msg:"version"`
 }
 
 // RingDump is the fill level of one ring between duties.
@@ -905,6 +926,85 @@
 	Name string `json:"name" msg:"name"`
 }
 
+// RolloutEvidence is what one entry host has counted since a rollout began in the
+// answers to the calls of one route.
+type RolloutEvidence struct {
+	// OtherAnswers is the number of answers of the other backend servers.
+	OtherAnswers int `json:"other_answers" msg:"other_answers"`
+
+	// OtherFailures is the number of these that failed.
+	OtherFailures int `json:"other_failures" msg:"other_failures"`
+
+	// OtherSlow is the number of these that succeeded and took several times as long
+	// as usual.
+	OtherSlow int `json:"other_slow" msg:"other_slow"`
+
+	// RouteHash is the 32-bit hash of the name of the route.
+	RouteHash int `json:"route_hash" msg:"route_hash"`
+
+	// TargetAnswers is the number of answers of backend servers of the target
+	// version.
+	TargetAnswers int `json:"target_answers" msg:"target_answers"`
+
+	// TargetFailures is the number of these that failed.
+	TargetFailures int `json:"target_failures" msg:"target_failures"`
+
+	// TargetSlow is the number of these that succeeded and took several times as long
+	// as usual.
+	TargetSlow int `json:"target_slow" msg:"target_slow"`
+}
+
+// RolloutOrder is an operator's order to move the calls of a service to backend
+// servers of another software version.
+type RolloutOrder struct {
+	// DurationMs is the time within which the rollout is to be completed in
+	// milliseconds.
+	DurationMs int `json:"duration_ms" msg:"duration_ms"`
+
+	// OrderVersion is the version of the store's row and distinguishes successive
+	// orders.
+	OrderVersion int `json:"order_version" msg:"order_version"`
+
+	// Service is the name of the service; there is at most one order for each.
+	Service string `json:"service" msg:"service"`
+
+	// Target is the software version to move to.
+	Target string `json:"target" msg:"target"`
+}
+
+// RolloutReport is what one entry host tells the others about a rollout.
+type RolloutReport struct {
+	// Evidence is what the sender has counted by itself.
+	Evidence []RolloutEvidence `json:"evidence" msg:"evidence"`
+
+	// OrderVersion identifies the order.
+	OrderVersion int `json:"order_version" msg:"order_version"`
+
+	// OtherInFlight is the number of attempts of the sender in flight on the other
+	// backend servers.
+	OtherInFlight int `json:"other_in_flight" msg:"other_in_flight"`
+
+	// Recorded reports that the state is that of the store; a host that is told so
+	// takes it over.
+	Recorded bool `json:"recorded" msg:"recorded"`
+
+	// ServiceHash is the 32-bit hash of the name of the service.
+	ServiceHash int `json:"service_hash" msg:"service_hash"`
+
+	// ShareMilli is the share of the calls of the sender that go to the target
+	// version in thousandths.
+	ShareMilli int `json:"share_milli" msg:"share_milli"`
+
+	// State corresponds to the JSON schema field "state".
+	State RolloutState `json:"state" msg:"state"`
+}
+
+type RolloutState string
+
+const RolloutStateCompleted RolloutState = "completed"
+const RolloutStateRolledBack RolloutState = "rolled_back"
+const RolloutStateRunning RolloutState = "running"
+
 // Room is the answer to a RoomRequest.
 type Room struct {
 	// Free is the number of calls that the cell can take over now; 0 also means that
@@ -945,6 +1045,9 @@
 	// highest rank.
 	Priority int `json:"priority" msg:"priority"`
 
+	// Public allows calls without the API key of a tenant.
+	Public bool `json:"public" msg:"public"`
+
 	// TargetMs is the latency objective in milliseconds.
 	TargetMs int `json:"target_ms" msg:"target_ms"`
 
@@ -1156,6 +1259,31 @@
 	WaitMs int `json:"wait_ms" msg:"wait_ms"`
 }
 
+// Tenant is an organisation whose callers authenticate with API keys.
+type Tenant struct {
+	// Burst is the number of calls that the tenant may make at once beyond its rate.
+	Burst float64 `json:"burst" msg:"burst"`
+
+	// KeyDigests are the digests of the API keys as tenant.Digest returns them. Hosts
+	// never hold the keys themselves.
+	KeyDigests []string `json:"key_digests" msg:"key_digests"`
+
+	// Name is unique in a declaration.
+	Name string `json:"name" msg:"name"`
+
+	// Priority is the rank of the calls of the tenant and replaces that of the route;
+	// -1 is not declared.
+	Priority int `json:"priority" msg:"priority"`
+
+	// RatePerSecond is the number of calls per second that the tenant may make
+	// through all hosts together; 0 sets no limit.
+	RatePerSecond float64 `json:"rate_per_second" msg:"rate_per_second"`
+
+	// Unreadable reports that the limit could not be read, so that calls of the
+	// tenant are rejected as not run.
+	Unreadable bool `json:"unreadable" msg:"unreadable"`
+}
+
 // Transaction writes all of its rows or none; each row carries the version that it
 // replaces.
 type Transaction struct {
