placement, declared, edge: a resumed process places nothing until its state is confirmed

A host that was stopped for 3.6 s sent calls that had waited, in the moment it went on, to backend servers that had left 3 s before (allowed: 2.5 s). Its readiness waited for a confirmation, its calls did not; an answer to a read from before the freeze counted as one. Change: the calls duty notices a gap of a second between steps and places nothing until the control duty reports that the state was confirmed by reads or beacons from since, for 3 s at most. A sender checks the age of its attempt again after it has opened the connection.

--- a/declared/adopt.go
+++ b/declared/adopt.go
@@ -138,6 +138,9 @@
 	if peer.Hash == r.Hash {
 		r.noteHeard(now, confirmed)
 		r.notePeerConfirmed(confirmed)
+		if peer.Age < r.timing.staleAfter {
+			r.equalHeardAt = now
+		}
 	}
 	state := peerState{name: peer.Name, address: peer.Address, ordersAt: peer.OrdersAt, registrationsAt: peer.RegistrationsAt, confirmedAt: confirmed}
 	delete(r.newer, peer.Name)
--- a/declared/declared.go
+++ b/declared/declared.go
@@ -144,13 +144,17 @@
 	history  history
 	// deltaMismatch is set if a peer's changes, applied to this replica, did not yield
 	// the peer's registrations.
-	deltaMismatch     bool
-	reading           [2]bool
-	readAt            [2]time.Time
-	historyLost       [2]bool
-	startedAt         time.Time
-	readConfirmedAt   [2]time.Time
-	peerConfirmedAt   time.Time
+	deltaMismatch   bool
+	reading         [2]bool
+	readAt          [2]time.Time
+	historyLost     [2]bool
+	startedAt       time.Time
+	readConfirmedAt [2]time.Time
+	peerConfirmedAt time.Time
+	// confirmedFrom is when the last answered read of each table began.
+	confirmedFrom [2]time.Time
+	// equalHeardAt is when a peer with a fresh state last said that it equals this host's.
+	equalHeardAt      time.Time
 	retainLapsedUntil time.Time
 	failures          int
 	// firstFailedAt and failedAt are when the first and the last of the consecutive failed
--- a/declared/poll.go
+++ b/declared/poll.go
@@ -18,6 +18,20 @@
 	return own
 }
 
+// staleInputWindow is how long after the process was held up beacons do not count,
+// because they may have arrived meanwhile: one round of beacons between serving hosts.
+const staleInputWindow = 100 * time.Millisecond
+
+// ConfirmedSince reports whether the state in force was confirmed by what was asked or
+// sent after a given time: by reads that began since, or by a peer whose state is equal.
+func (r *Replica) ConfirmedSince(since time.Time) bool {
+	if r.equalHeardAt.After(since.Add(staleInputWindow)) {
+		return true
+	}
+
+	return !r.confirmedFrom[Orders].Before(since) && !r.confirmedFrom[Registrations].Before(since)
+}
+
 // dueReads returns the reads that are due.
 func (r *Replica) dueReads(now time.Time) []Action {
 	if !r.isReader(now) {
@@ -188,6 +202,7 @@
 func (r *Replica) noteReadSuccess(now time.Time, table Table) []Action {
 	r.noteHeard(now, now)
 	r.reading[table], r.failures, r.readConfirmedAt[table], r.behindSince = false, 0, now, time.Time{}
+	r.confirmedFrom[table] = r.readAt[table]
 	if r.lostAt.IsZero() {
 		return nil
 	}
--- a/edge/calls.go
+++ b/edge/calls.go
@@ -25,6 +25,10 @@
 	loadReportInterval = 50 * time.Millisecond
 	// rateInterval is the time over which the rate of arriving calls is averaged.
 	rateInterval = 2 * time.Second
+	// heldUpThreshold is the time between two steps of the calls duty, which are at most
+	// idleTickInterval apart otherwise, from which the declared state may be too old to
+	// place calls by. Together with a normal propagation it is below any agreed bound.
+	heldUpThreshold = time.Second
 	// lateInForce is how long a declared state may wait for the calls duty before it is
 	// logged as late.
 	lateInForce = 50 * time.Millisecond
@@ -57,6 +61,7 @@
 	arrivals        int
 	rateSince       time.Time
 	rate            int
+	steppedAt       time.Time
 }
 
 // run handles inputs and ticks until the context ends, then cancels the
@@ -117,6 +122,7 @@
 // tick advances the placer's clock and, at most once per loadReportInterval,
 // sends a load report to the control duty.
 func (d *callsDuty) tick(now time.Time) {
+	d.noteHeldUp(now)
 	d.apply(now, d.placer.Step(now, placement.Ticked{}))
 	if !d.serving && len(d.inFlight) == 0 || now.Sub(d.loadsReportedAt) < loadReportInterval {
 		return
@@ -133,6 +139,7 @@
 
 // step handles one input.
 func (d *callsDuty) step(now time.Time, input Input) {
+	d.noteHeldUp(now)
 	switch input := input.(type) {
 	case CallArrived:
 		d.arrivals++
@@ -158,6 +165,23 @@
 	}
 }
 
+// noteHeldUp keeps calls from being placed after the process was held up, until the
+// control duty reports that the declared state has been confirmed.
+func (d *callsDuty) noteHeldUp(now time.Time) {
+	heldUp := now.Sub(d.steppedAt)
+	if d.steppedAt.IsZero() || heldUp < heldUpThreshold {
+		d.steppedAt = now
+
+		return
+	}
+	d.steppedAt = now
+	d.log.Event(eventlog.Warning, "calls_held_up", "process was held up; placing no calls until the declared state is confirmed", eventlog.Duration("for", heldUp))
+	d.apply(now, d.placer.Step(now, placement.Resumed{}))
+	if d.control.Offer(ConfirmationRequested{Since: now}) != nil {
+		d.metrics.Dropped("confirmations")
+	}
+}
+
 // noteInForce records how long a declared state waited for this duty, from which on calls
 // are placed by it.
 func (d *callsDuty) noteInForce(now time.Time, change DeclaredChanged) {
--- a/edge/control.go
+++ b/edge/control.go
@@ -63,6 +63,9 @@
 	startedAt  time.Time
 	lastTickAt time.Time
 	resumedAt  time.Time
+	// confirmSince is the time after which the calls duty needs the declared state to be
+	// confirmed, or zero.
+	confirmSince time.Time
 }
 
 // run handles inputs and ticks until the context ends.
@@ -132,7 +135,7 @@
 
 // ready reports whether this host can serve calls.
 func (d *controlDuty) ready(now time.Time) bool {
-	confirmed := d.resumedAt.IsZero() || d.replica.ConfirmedAt().After(d.resumedAt)
+	confirmed := d.resumedAt.IsZero() || d.replica.ConfirmedSince(d.resumedAt)
 
 	return d.replica.HasState() && !d.stopping && confirmed && d.directory.Settled(now)
 }
@@ -165,6 +168,8 @@
 		_ = input.Reply.Offer(d.ready(now)) // as above
 	case DeclaredQuery:
 		_ = input.Reply.Offer(d.replica.Answer(now, input.Request)) // as above
+	case ConfirmationRequested:
+		d.confirmSince = input.Since
 	case Stopping:
 		d.stopping = true
 
@@ -221,7 +226,20 @@
 		}
 	}
 
-	return nil
+	return d.reportConfirmed(ctx, now)
+}
+
+// reportConfirmed tells the calls duty that the declared state has been confirmed, if it
+// waits for that. Changes of the state were passed to it before.
+func (d *controlDuty) reportConfirmed(ctx context.Context, now time.Time) error {
+	if d.confirmSince.IsZero() || !d.replica.ConfirmedSince(d.confirmSince) {
+		return nil
+	}
+	d.log.Event(eventlog.Info, "state_confirmed", "declared state confirmed after the process was held up; placing calls again",
+		eventlog.Duration("after", now.Sub(d.confirmSince)))
+	d.confirmSince = time.Time{}
+
+	return d.changes.Put(ctx, PlacementEvent{Event: placement.StateConfirmed{}})
 }
 
 // announceDeclared has the directory send a beacon about a new declared state
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -325,16 +325,23 @@
 	Reply *ring.Ring[schema.DeclaredAnswer]
 }
 
+// ConfirmationRequested asks to be told when the declared state has been confirmed.
+type ConfirmationRequested struct {
+	// Since is the time after which it has to be confirmed.
+	Since time.Time
+}
+
 // Stopping reports that a planned stop of this host has begun.
 type Stopping struct{}
 
-func (DeclaredEvent) controlInput()   {}
-func (BeaconArrived) controlInput()   {}
-func (MembersRead) controlInput()     {}
-func (MembersAnswered) controlInput() {}
-func (MembersQuery) controlInput()    {}
-func (LoadsReported) controlInput()   {}
-func (AddressesQuery) controlInput()  {}
-func (ReadyQuery) controlInput()      {}
-func (DeclaredQuery) controlInput()   {}
-func (Stopping) controlInput()        {}
+func (DeclaredEvent) controlInput()         {}
+func (BeaconArrived) controlInput()         {}
+func (MembersRead) controlInput()           {}
+func (MembersAnswered) controlInput()       {}
+func (MembersQuery) controlInput()          {}
+func (LoadsReported) controlInput()         {}
+func (AddressesQuery) controlInput()        {}
+func (ReadyQuery) controlInput()            {}
+func (DeclaredQuery) controlInput()         {}
+func (ConfirmationRequested) controlInput() {}
+func (Stopping) controlInput()              {}
--- a/edge/sender.go
+++ b/edge/sender.go
@@ -82,6 +82,9 @@
 	if err := openConnection(attempt, connection); err != nil {
 		return DecodedAnswer{Result: placement.Unsent{Local: attempt.Context.Err() != nil, Cause: err}}
 	}
+	if time.Since(attempt.offeredAt) > maxSenderWait+maxDialTimeout { // the process was held up meanwhile
+		return DecodedAnswer{Result: placement.Unsent{Local: true, Cause: errSendersBusy}}
+	}
 	decoded, reusable := s.exchange(attempt, connection)
 	if !reusable {
 		connection.Close()
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -183,7 +183,8 @@
 
 // The reasons.
 const (
-	// ReasonNotReady says that this host has not received a declaration yet.
+	// ReasonNotReady says that this host has not received a declaration yet, or that its
+	// declared state has not been confirmed since the process was held up.
 	ReasonNotReady Reason = "not_ready"
 	// ReasonMemory says that this host had no memory for the request.
 	ReasonMemory Reason = "no_memory"
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -130,7 +130,7 @@
 	case now.Sub(c.arrived) < p.maxLateWait(c):
 		return false
 	default:
-		p.refuse(now, c, p.noServerReason(c.service))
+		p.refuse(now, c, p.noServerReason(now, c.service))
 	}
 
 	return true
@@ -183,10 +183,13 @@
 	return taken, slots
 }
 
-// noServerReason returns why a call was not sent: ReasonNoServer if every
-// backend server is draining, leaving or evacuated, and ReasonOverloaded otherwise, also
-// if the others are ejected or cold.
-func (p *Placer) noServerReason(service *service) Reason {
+// noServerReason returns why a call was not sent: ReasonNotReady if the declared state
+// is not confirmed, ReasonNoServer if every backend server is draining, leaving or
+// evacuated, and ReasonOverloaded otherwise, also if the others are ejected or cold.
+func (p *Placer) noServerReason(now time.Time, service *service) Reason {
+	if p.awaitsConfirmation(now) {
+		return ReasonNotReady
+	}
 	for _, server := range service.servers {
 		if !server.Draining && !server.Leaving() && !p.evacuated[server.DataCentre] {
 			return ReasonOverloaded
@@ -218,7 +221,7 @@
 	if c.targetDeadline.Sub(now) < after+c.route.Work {
 		after = max(after, time.Duration(lateRetryAfterShare*float64(c.callerDeadline.Sub(now))))
 	}
-	if reason == ReasonStopping {
+	if reason == ReasonStopping || reason == ReasonNotReady {
 		after = time.Duration(float64(stopRetryAfter) * (1 + retryAfterJitter*(2*p.random.Float64()-1)))
 	} else if pause, paused := p.shortestPause(now, c.service); paused {
 		after = time.Duration(float64(pause) * (1 + pauseJitter*p.random.Float64()))
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -58,8 +58,12 @@
 // choose returns the candidate with the lowest cost that the call was not sent
 // to yet, or nil if there is none. It considers ejected backend servers, and those
 // that have just announced that they leave, only if there is no other candidate:
-// some calls may still succeed there.
+// some calls may still succeed there. There is none until the declared state of a resumed
+// process is confirmed.
 func (p *Placer) choose(now time.Time, c *call) *candidate {
+	if p.awaitsConfirmation(now) {
+		return nil
+	}
 	if best := p.cheapest(now, c, false); best != nil {
 		return best
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -84,6 +84,8 @@
 	startedAt   time.Time
 	steppedAt   time.Time
 	resumedAt   time.Time
+	// unconfirmedUntil is zero unless the process resumed and its state is not confirmed yet.
+	unconfirmedUntil time.Time
 	// stop is zero unless this host stops.
 	stop    StopBegun
 	actions []Action
@@ -147,6 +149,10 @@
 		}
 	case StopBegun:
 		p.stop = event
+	case Resumed:
+		p.unconfirmedUntil = now.Add(confirmationLimit)
+	case StateConfirmed:
+		p.unconfirmedUntil = time.Time{}
 	case Ticked:
 		p.tick(now)
 	}
--- a/placement/stop.go
+++ b/placement/stop.go
@@ -9,8 +9,8 @@
 	// stopWorkFactor is the multiple of a route's usual work within which nearly all
 	// of its calls end.
 	stopWorkFactor = 8
-	// stopRetryAfter is the mean retry delay of calls that a stopping host rejects.
-	// Other hosts can take them at once.
+	// stopRetryAfter is the mean retry delay of calls that a stopping or resumed host
+	// rejects. Other hosts can take them at once.
 	stopRetryAfter = 100 * time.Millisecond
 )
 
