--- a/edge/calls_test.go
+++ b/edge/calls_test.go
@@ -156,6 +156,7 @@
 			}
 			sentAt := signalAt.Add(test.sentAfter)
 			duty.takeChanges()
+			duty.steppedAt = sentAt // the duty ticks meanwhile
 			declared := declaredService(1, "a")
 			declared.Declaration.Routes[0].TargetMs = 250
 			duty.step(sentAt, DeclaredChanged{Declared: declared, AdoptedAt: sentAt})
