placement: a call leaves its data centre only if that pays

Cause: a price for each KiB of the answer was weighed against any difference of risk. With small answers, the best of many backend servers elsewhere seemed better for a fifth of all calls, and each host sent calls to every backend server elsewhere that it had not used for 1.5 s. Change: the best candidate of the own data centre and of the others are compared by their risk of a late answer alone; a call leaves if the difference exceeds the price of its bytes and a margin for chance, and avoids data centres that need their slots. Hosts prefer different backend servers elsewhere. Only the host that measures a backend server makes sure that it gets calls.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -56,6 +56,9 @@
 	ShiftEvery time.Duration
 	// Rate is the total number of calls a second to all hosts.
 	Rate float64
+	// HostRates are the shares of the calls that arrive at each host, or nil for equal
+	// ones.
+	HostRates []float64
 	// Burst multiplies the rate in the middle third of the run. 0 means no
 	// burst.
 	Burst float64
--- a/bench/fleet_hosts.go
+++ b/bench/fleet_hosts.go
@@ -101,6 +101,9 @@
 // pickHost returns the number of a random host that has not crashed, or -1.
 func (f *Fleet) pickHost() int {
 	first := f.random.IntN(len(f.hosts))
+	if f.HostRates != nil {
+		first = f.drawHost()
+	}
 	for i := range f.hosts {
 		if at := (first + i) % len(f.hosts); !f.hosts[at].dead {
 			return at
@@ -110,6 +113,18 @@
 	return -1
 }
 
+// drawHost draws a host by HostRates.
+func (f *Fleet) drawHost() int {
+	drawn := f.random.Float64()
+	for i, share := range f.HostRates {
+		if drawn -= share; drawn < 0 {
+			return i
+		}
+	}
+
+	return len(f.HostRates) - 1
+}
+
 // injectFaults starts and ends the host faults that are due in this step.
 func (f *Fleet) injectFaults() {
 	elapsed := f.now.Sub(f.startedAt)
--- a/edge/calllog.go
+++ b/edge/calllog.go
@@ -24,13 +24,18 @@
 // decision.
 func (d *callsDuty) logSend(_ time.Time, request *Request, action placement.Send) {
 	reason := action.Reason
-	d.log.Event(eventlog.Info, "call_sent", "sending call to backend server",
+	fields := []eventlog.Field{
 		eventlog.Text("request_id", request.ID), eventlog.Count("attempt", uint64(action.Attempt)),
 		eventlog.Text("backend_server", action.Server), eventlog.Text("address", action.Address),
 		eventlog.Text("server_data_centre", reason.DataCentre), eventlog.Text("route", reason.Route), eventlog.Text("service", reason.Service),
 		eventlog.Integer("version", reason.Version), eventlog.Flag("repeat", reason.Repeat), eventlog.Flag("hedge", reason.Hedge),
 		eventlog.Number("pace", reason.Pace), eventlog.Duration("pace_age", reason.PaceAge),
-		eventlog.Integer("in_flight", reason.InFlight), eventlog.Duration("expected", reason.Expected), eventlog.Duration("waited", reason.Waited))
+		eventlog.Integer("in_flight", reason.InFlight), eventlog.Duration("expected", reason.Expected), eventlog.Duration("waited", reason.Waited),
+	}
+	if reason.Crossing {
+		fields = append(fields, eventlog.Number("lateness_saved", reason.LatenessSaved))
+	}
+	d.log.Event(eventlog.Info, "call_sent", "sending call to backend server", fields...)
 }
 
 // logEnded logs how an attempt ended. A complete answer is not logged here,
--- a/edge/calls.go
+++ b/edge/calls.go
@@ -202,6 +202,9 @@
 	attempt.answer = input.Decoded.Answer
 	delete(d.inFlight, attempt.Attempt)
 	d.logEnded(now, attempt, input.Decoded.Result)
+	if whole, ok := input.Decoded.Result.(placement.Whole); ok && attempt.Reason.Crossing {
+		d.metrics.Crossed(attempt.Reason.Service, whole.Size+len(attempt.Request.Body))
+	}
 	d.apply(now, d.placer.Step(now, placement.AttemptEnded{
 		Attempt: attempt.Attempt, Result: input.Decoded.Result, Load: input.Decoded.Load, Notice: input.Decoded.Notice,
 	}))
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -63,6 +63,11 @@
 	}
 }
 
+// Crossed counts the bytes of the bodies of a call that left the data centre.
+func (m *Metrics) Crossed(service string, bytes int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_crossing_body_bytes_total{service=%q}`, service)).Add(bytes)
+}
+
 // Finished counts a finished call and records its duration.
 func (m *Metrics) Finished(action placement.Finish) {
 	outcome, reason, _ := outcomeLabels(action.Outcome)
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -50,6 +50,10 @@
 	InFlight int
 	// Expected is the expected time until the answer.
 	Expected time.Duration
+	// Crossing says that the call leaves the data centre of this host.
+	Crossing bool
+	// LatenessSaved is the risk of a late answer that the call is spared by leaving it.
+	LatenessSaved float64
 	// Waited is the time since the call arrived at this host.
 	Waited time.Duration
 }
--- a/placement/attempts.go
+++ b/placement/attempts.go
@@ -51,6 +51,7 @@
 		Route: c.route.Name, Service: c.service.Name, DataCentre: server.DataCentre, Version: p.declared.Declaration.Version,
 		Repeat: c.sends > 0, Hedge: hedge, Pace: server.PaceNow(now), PaceAge: age(now, server.PaceMeasuredAt),
 		InFlight: server.TotalInFlight(now), Expected: to.expected, Waited: now.Sub(c.arrived),
+		Crossing: server.DataCentre != p.Options.DataCentre, LatenessSaved: to.saved,
 	}
 	started := &attempt{id: p.lastAttempt, call: c, server: server, started: now, progressAt: now}
 	p.attempts[started.id] = started
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -14,9 +14,9 @@
 	// maxServerQueue is the number of calls that may queue at a backend server
 	// beyond its slots; more would be refused or reset there.
 	maxServerQueue = 2
-	// unusedAfter is how long a backend server goes without calls from this
-	// host until it is preferred, so that each new backend server receives
-	// some.
+	// unusedAfter is how long a backend server goes without calls from the host
+	// that measures it until that host prefers it, so that each new backend server
+	// receives some.
 	unusedAfter = 1500 * time.Millisecond
 	// unusedBonus is the additional risk that is accepted for this preference.
 	unusedBonus = 0.1
@@ -49,9 +49,12 @@
 	// expected is the expected time until the answer, including the expected
 	// loss of time to failures.
 	expected time.Duration
-	// cost is the risk of a late answer plus the cost of leaving the data
-	// centre.
-	cost        float64
+	// cost is the risk of a late answer plus what orders candidates of equal risk.
+	cost float64
+	// lateness is the risk of a late answer.
+	lateness float64
+	// saved is the risk of a late answer that a call is spared by leaving the data centre.
+	saved       float64
 	hasFreeSlot bool
 }
 
@@ -71,21 +74,28 @@
 	return p.cheapest(now, c, true)
 }
 
-// cheapest returns the candidate with the lowest cost. As a last resort, ejected
-// backend servers that are reachable and those that are leaving are considered.
+// cheapest returns the candidate with the lowest cost in this data centre, or in the
+// others if leaving it pays. As a last resort, ejected backend servers that are reachable
+// and those that are leaving are considered.
 func (p *Placer) cheapest(now time.Time, c *call, lastResort bool) *candidate {
-	var best *candidate
+	var local, remote *candidate
 	for _, server := range c.service.servers {
 		if slices.Contains(c.triedServers, server.ID) || !p.eligible(now, c.service, server, lastResort) {
 			continue
 		}
-		next := p.assess(now, c, server)
-		if best == nil || next.cost < best.cost {
-			best = &next
+		next, best := p.assess(now, c, server), &local
+		if server.DataCentre != p.Options.DataCentre {
+			best = &remote
+		}
+		if *best == nil || next.cost < (*best).cost {
+			*best = &next
 		}
 	}
+	if remote != nil && p.crossingPays(now, c, local, remote) {
+		return remote
+	}
 
-	return best
+	return local
 }
 
 // eligible reports whether a call may be sent to the backend server.
@@ -131,16 +141,20 @@
 	switch {
 	case server.DataCentre != p.Options.DataCentre:
 		expected += crossingDelay
-		cost = c.route.Size / kibibyte * p.Options.CrossingCost
+		cost = spreadCost * server.spread
 	case !server.Measured:
 		cost = remoteLoadCost
 	}
-	if now.Sub(server.SentAt) > unusedAfter {
+	if server.Measured && now.Sub(server.SentAt) > unusedAfter {
 		cost -= unusedBonus
 	}
-	cost += risk(expected, max(c.targetDeadline.Sub(now), c.route.Target()/4)) + slowdownRisk*slowdownCost(c.route)
+	left := max(c.targetDeadline.Sub(now), c.route.Target()/4)
+	lateness := lateRisk(expected, left) + slowdownRisk*slowdownCost(c.route)
+	cost += lateness + durationWeight*shareOf(expected, left)
 
-	return candidate{server: server, expected: expected, cost: cost, hasFreeSlot: server.TotalInFlight(now) < server.SlotLimit()}
+	return candidate{
+		server: server, expected: expected, cost: cost, lateness: lateness, hasFreeSlot: server.TotalInFlight(now) < server.SlotLimit(),
+	}
 }
 
 // slowdownCost returns the risk of a late answer if the machine slows down. A
@@ -153,13 +167,14 @@
 	return slowdownCostOnce
 }
 
-// risk returns the risk of an answer that comes too late, plus a small cost for
-// the duration itself.
-func risk(expected, left time.Duration) float64 {
-	share := float64(expected) / float64(max(left, 1))
-	late := (share - safeShare) / (certainLateShare - safeShare)
+// shareOf returns an expected duration as a share of the remaining time.
+func shareOf(expected, left time.Duration) float64 {
+	return float64(expected) / float64(max(left, 1))
+}
 
-	return min(max(late, 0), 1) + durationWeight*share
+// lateRisk returns the risk of an answer that comes too late.
+func lateRisk(expected, left time.Duration) float64 {
+	return min(max((shareOf(expected, left)-safeShare)/(certainLateShare-safeShare), 0), 1)
 }
 
 // assignMeasuring determines which backend servers this host measures. Each is
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -269,6 +269,7 @@
 			p.unregister(server)
 		}
 		server = newServer(now, registration, service)
+		server.spread = spreadShare(p.Options.Host, registration.ID)
 		p.servers[registration.ID] = server
 		p.serversByHash[Hash(registration.ID)] = server
 		service.servers = append(service.servers, server)
--- a/placement/server.go
+++ b/placement/server.go
@@ -91,6 +91,8 @@
 	// it or probes were not answered.
 	Unreachable bool
 
+	// spread is a fixed number from 0 to 1 that differs between hosts.
+	spread           float64
 	contention       *Contention
 	failureStreak    int
 	ejections        int
--- a/placement/service.go
+++ b/placement/service.go
@@ -33,6 +33,9 @@
 	queue      []*call
 	budget     *budget
 	lastCallAt time.Time
+	// usageOf is the result of usage, as of usageAt.
+	usageOf map[string]slotCount
+	usageAt time.Time
 	// refusedBacklog is the number of refused calls that the service has not
 	// had the capacity to serve since they were refused, as of
 	// refusedBacklogAt.
