--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -24,6 +24,7 @@
 	metrics.Gauge("baobabdrum_dropped_log_lines", func() float64 { return 0 })
 	metrics.Sent(placement.Choice{Service: "s", PaceAge: time.Millisecond})
 	metrics.Finished(placement.Finish{Service: "s", Outcome: placement.NoRoute{}, Took: time.Millisecond})
+	metrics.Crossed("s", 1)
 	metrics.Cancelled(placement.CancelTimeout)
 	metrics.ArrivedStopping()
 	metrics.StateChanged("ejected")
