directory: load reports go to other data centres with every second beacon

Cause: load reports among serving hosts are most of the bytes that hosts send between data centres, and hosts send few calls there. A beacon says whether it has reports, so that one without does not wipe out what its sender reported before, and only such beacons wake the calls duty. TestOnlyBeaconsWithReportsReachTheCallsDuty fails with the condition of before.

--- a/directory/beacons.go
+++ b/directory/beacons.go
@@ -15,15 +15,36 @@
 	}
 	toServing, toOthers := d.takeDue(now)
 	if toOthers {
-		others = append(others, d.addresses(false)...)
+		others = append(others, d.spareAddresses()...)
 		d.ceased = false
 	}
 	var actions []Action
 	if len(others) > 0 {
 		actions = append(actions, SendBeacon{Addresses: others})
 	}
-	if servingAddresses := d.addresses(true); toServing && len(servingAddresses) > 0 {
-		actions = append(actions, SendBeacon{Addresses: servingAddresses, Loads: d.serves(d.Self.Name)})
+	if toServing {
+		actions = append(actions, d.servingBeacons()...)
+	}
+
+	return actions
+}
+
+// servingBeacons returns the beacons to the serving hosts. Those of other data centres
+// receive load reports with every second one only: they send few calls here, and the
+// reports are most of what hosts send between data centres.
+func (d *Directory) servingBeacons() []Action {
+	loads := d.serves(d.Self.Name)
+	d.sparesLoads = !d.sparesLoads
+	near, far := d.servingAddresses()
+	if loads && !d.sparesLoads {
+		near, far = append(near, far...), nil
+	}
+	var actions []Action
+	if len(near) > 0 {
+		actions = append(actions, SendBeacon{Addresses: near, Loads: loads})
+	}
+	if len(far) > 0 {
+		actions = append(actions, SendBeacon{Addresses: far})
 	}
 
 	return actions
@@ -52,12 +73,28 @@
 	return serving, others
 }
 
-// addresses returns the peer addresses of the serving hosts, or of the spare hosts
-// with which this host exchanges beacons.
-func (d *Directory) addresses(serving bool) []string {
+// servingAddresses returns the peer addresses of the serving hosts in this host's data
+// centre and in others.
+func (d *Directory) servingAddresses() (near, far []string) {
+	for name, other := range d.members {
+		switch {
+		case !d.serves(name):
+		case other.beacon.DataCentre == d.Self.DataCentre:
+			near = append(near, other.beacon.PeerAddress)
+		default:
+			far = append(far, other.beacon.PeerAddress)
+		}
+	}
+
+	return near, far
+}
+
+// spareAddresses returns the peer addresses of the spare hosts with which this host
+// exchanges beacons.
+func (d *Directory) spareAddresses() []string {
 	var addresses []string
 	for name, other := range d.members {
-		if d.serves(name) == serving && (serving || d.exchanges(other.beacon)) {
+		if !d.serves(name) && d.exchanges(other.beacon) {
 			addresses = append(addresses, other.beacon.PeerAddress)
 		}
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -109,6 +109,9 @@
 	// ceased is set from when this host ceases to serve until it has told all hosts.
 	ceased        bool
 	updatePending bool
+	// sparesLoads is set if the last beacon to serving hosts of other data centres had no
+	// load reports.
+	sparesLoads bool
 	// selectionOutdated requests a new selection with the next tick, selectionUrgent
 	// one at once.
 	selectionOutdated bool
--- a/edge/control.go
+++ b/edge/control.go
@@ -188,8 +188,7 @@
 	if received.Name == d.directory.Self.Name {
 		return nil
 	}
-	reports := len(received.Loads) > 0 || len(received.Leaving) > 0 || received.Serves
-	if reports && d.calls.Offer(PlacementEvent{Event: placement.LoadsReceived{Host: received.Name, Loads: received.Loads, Leaving: received.Leaving}}) != nil {
+	if received.Reports && d.calls.Offer(PlacementEvent{Event: placement.LoadsReceived{Host: received.Name, Loads: received.Loads, Leaving: received.Leaving}}) != nil {
 		d.metrics.Dropped("loads_heard")
 	}
 
@@ -339,7 +338,7 @@
 	message := d.directory.Self
 	message.Sequence = d.sequence
 	if action.Loads {
-		message.Loads, message.Leaving = d.loads, d.leaving
+		message.Reports, message.Loads, message.Leaving = true, d.loads, d.leaving
 	}
 	message.DeclaredHash, message.OrdersAt, message.RegistrationsAt = d.replica.Hash, d.replica.Declared.OrdersAt, d.replica.Declared.RegistrationsAt
 	message.Reads, message.Lost = d.replica.Reads(now), d.directory.Lost(now)
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -916,8 +916,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 19 {
-		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
+	if zb0001 != 20 {
+		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
 		return
 	}
 	z.CallerAddress, err = dc.ReadString()
@@ -1081,6 +1081,11 @@
 		err = msgp.WrapError(err, "RegistrationsAt")
 		return
 	}
+	z.Reports, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Reports")
+		return
+	}
 	var zb0006 uint32
 	zb0006, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -1123,8 +1128,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Beacon) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 19
-	err = en.Append(0xdc, 0x0, 0x13)
+	// array header, size 20
+	err = en.Append(0xdc, 0x0, 0x14)
 	if err != nil {
 		return
 	}
@@ -1240,6 +1245,11 @@
 		err = msgp.WrapError(err, "RegistrationsAt")
 		return
 	}
+	err = en.WriteBool(z.Reports)
+	if err != nil {
+		err = msgp.WrapError(err, "Reports")
+		return
+	}
 	err = en.WriteArrayHeader(uint32(len(z.Rollouts)))
 	if err != nil {
 		err = msgp.WrapError(err, "Rollouts")
@@ -1273,8 +1283,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beacon) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 19
-	o = append(o, 0xdc, 0x0, 0x13)
+	// array header, size 20
+	o = append(o, 0xdc, 0x0, 0x14)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendInt(o, z.Calls)
 	o = msgp.AppendInt(o, z.Capacity)
@@ -1309,6 +1319,7 @@
 	o = msgp.AppendBool(o, z.Reads)
 	o = msgp.AppendBool(o, z.Ready)
 	o = msgp.AppendInt(o, z.RegistrationsAt)
+	o = msgp.AppendBool(o, z.Reports)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Rollouts)))
 	for za0004 := range z.Rollouts {
 		o, err = z.Rollouts[za0004].MarshalMsg(o)
@@ -1331,8 +1342,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 19 {
-		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
+	if zb0001 != 20 {
+		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
 		return
 	}
 	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
@@ -1496,6 +1507,11 @@
 		err = msgp.WrapError(err, "RegistrationsAt")
 		return
 	}
+	z.Reports, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Reports")
+		return
+	}
 	var zb0006 uint32
 	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -1547,7 +1563,7 @@
 	for za0003 := range z.Lost {
 		s += msgp.StringPrefixSize + len(z.Lost[za0003])
 	}
-	s += msgp.StringPrefixSize + len(z.Name) + msgp.IntSize + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.BoolSize + msgp.BoolSize + msgp.IntSize + msgp.ArrayHeaderSize
+	s += msgp.StringPrefixSize + len(z.Name) + msgp.IntSize + msgp.StringPrefixSize + len(z.PeerAddress) + msgp.BoolSize + msgp.BoolSize + msgp.IntSize + msgp.BoolSize + msgp.ArrayHeaderSize
 	for za0004 := range z.Rollouts {
 		s += z.Rollouts[za0004].Msgsize()
 	}
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -108,11 +108,10 @@
 	DeclaredHash int `json:"declared_hash" msg:"declared_hash"`
 
 	// Leaving are the backend servers that recently told the sender that they are
-	// leaving; empty where loads is.
+	// leaving.
 	Leaving []LeavingServer `json:"leaving" msg:"leaving"`
 
-	// Loads are the loads that the sender measured and its attempts in flight; empty
-	// unless the sender and the receivers place calls.
+	// Loads are the loads that the sender measured and its attempts in flight.
 	Loads []ServerLoad `json:"loads" msg:"loads"`
 
 	// Lost are the names of the hosts that the sender has just stopped hearing.
@@ -138,7 +137,11 @@
 	// RegistrationsAt is the revision of the sender's registrations.
 	RegistrationsAt int `json:"registrations_at" msg:"registrations_at"`
 
-	// Rollouts are the reports on the rollouts in force; empty where loads is.
+	// Reports says that loads, leaving and rollouts are what the sender has to
+	// report; otherwise they are left out.
+	Reports bool `json:"reports" msg:"reports"`
+
+	// Rollouts are the reports on the rollouts in force.
 	Rollouts []RolloutReport `json:"rollouts" msg:"rollouts"`
 
 	// Sequence grows with each beacon of an incarnation.
