placement: types of events and actions of rollouts

Cause: the integration in edge and platform needs the names before the decisions exist. Change: rollout.Limits, phases, reasons and counts; placement.RecordRollout, RolloutChanged, RolloutRecorded, LoadsReceived.Rollouts, Options.Rollout and Placer.Rollouts, without behaviour. Evidence counts answers to calls that began on cold backend servers apart, because they must not dilute the share of slow ones. The dump has a list of rollouts, empty for now. Result: lint and the race-enabled tests of the touched packages pass.

--- a/edge/calls.go
+++ b/edge/calls.go
@@ -211,6 +211,7 @@
 			d.metrics.StateChanged(string(action.Status))
 			d.log.Event(eventlog.Info, "backend_server_"+string(action.Status), "backend server receives fewer calls or none",
 				eventlog.Text("backend_server", action.Server), eventlog.Number("failures", action.Failures), eventlog.Duration("for", action.For))
+		case placement.RecordRollout, placement.RolloutChanged:
 		}
 	}
 	for _, attempt := range unsent {
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -1,6 +1,11 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/rollout"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
 
 // Action is an output of Placer.Step, carried out by the code that calls it.
 //
@@ -155,11 +160,46 @@
 	For time.Duration
 }
 
+// RecordRollout writes the state of a rollout to the store, unless the store has a final
+// state of the same order already. It ends with a RolloutRecorded. One that is not carried
+// out is requested again.
+type RecordRollout struct {
+	// Service is the name of the service.
+	Service string
+	// Target is the version of the order.
+	Target string
+	// OrderVersion identifies the order.
+	OrderVersion int
+	// State is the state to write. With running, it is only ensured that there is a state.
+	State schema.RolloutState
+}
+
+// RolloutChanged says that this host sends another share of the calls of a service to the
+// target version from now on, for logs and metrics.
+type RolloutChanged struct {
+	// Service is the name of the service.
+	Service string
+	// Target is the version of the order.
+	Target string
+	// OrderVersion identifies the order.
+	OrderVersion int
+	// Phase is the phase of the rollout.
+	Phase rollout.Phase
+	// Share is the share of the calls that go to the target version.
+	Share float64
+	// Reason says why the phase or the share changed.
+	Reason rollout.Reason
+	// Evidence are the answers to calls of all routes, of all hosts.
+	Evidence rollout.Counts
+}
+
 func (Send) action()                {}
 func (Cancel) action()              {}
 func (Finish) action()              {}
 func (Probe) action()               {}
 func (ServerStatusChanged) action() {}
+func (RecordRollout) action()       {}
+func (RolloutChanged) action()      {}
 
 // ServerStatus is the status of a backend server as seen by this host. Its
 // values leave the process and stay stable.
--- a/placement/events.go
+++ b/placement/events.go
@@ -82,6 +82,8 @@
 	Loads []schema.ServerLoad
 	// Leaving are the backend servers that told that host that they are leaving.
 	Leaving []schema.LeavingServer
+	// Rollouts are that host's reports on the rollout orders.
+	Rollouts []schema.RolloutReport
 }
 
 // PeersChanged replaces the list of serving hosts.
@@ -104,6 +106,18 @@
 	OnlyHostUntil time.Time
 }
 
+// RolloutRecorded reports the end of a RecordRollout.
+type RolloutRecorded struct {
+	// Service is the name of the service.
+	Service string
+	// OrderVersion identifies the order.
+	OrderVersion int
+	// State is the state that the store has now, if Failed is false.
+	State schema.RolloutState
+	// Failed says that the store could not be read or written.
+	Failed bool
+}
+
 // Ticked says that time has passed.
 type Ticked struct{}
 
@@ -116,6 +130,7 @@
 func (PeersChanged) event()    {}
 func (BudgetChanged) event()   {}
 func (StopBegun) event()       {}
+func (RolloutRecorded) event() {}
 func (Ticked) event()          {}
 
 // Load is a load report of a backend server.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -34,6 +34,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/baobabdrum/baobabdrum/rollout"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -53,6 +54,8 @@
 	// CrossingCost is the risk of a late answer, per KiB of the answer, that is
 	// accepted to keep a call in this host's data centre.
 	CrossingCost float64
+	// Rollout bounds the exposure of callers to a new version of a service.
+	Rollout rollout.Limits
 }
 
 // Placer holds the state of the backend servers as one host knows it, and the
@@ -147,6 +150,8 @@
 		}
 	case StopBegun:
 		p.stop = event
+	case RolloutRecorded:
+		p.rolloutRecorded(now, event)
 	case Ticked:
 		p.tick(now)
 	}
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -6196,26 +6196,49 @@
 				err = msgp.WrapError(err, "OpenCalls")
 				return
 			}
-		case "serving":
+		case "rollouts":
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Serving")
+				err = msgp.WrapError(err, "Rollouts")
 				return
 			}
 			if zb0003 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Serving) >= int(zb0003) {
-				z.Serving = (z.Serving)[:zb0003]
+			if cap(z.Rollouts) >= int(zb0003) {
+				z.Rollouts = (z.Rollouts)[:zb0003]
 			} else {
-				z.Serving = make([]string, zb0003)
+				z.Rollouts = make([]RolloutStatus, zb0003)
 			}
-			for za0002 := range z.Serving {
-				z.Serving[za0002], err = dc.ReadString()
+			for za0002 := range z.Rollouts {
+				err = z.Rollouts[za0002].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Serving", za0002)
+					err = msgp.WrapError(err, "Rollouts", za0002)
+					return
+				}
+			}
+		case "serving":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Serving")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Serving) >= int(zb0004) {
+				z.Serving = (z.Serving)[:zb0004]
+			} else {
+				z.Serving = make([]string, zb0004)
+			}
+			for za0003 := range z.Serving {
+				z.Serving[za0003], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Serving", za0003)
 					return
 				}
 			}
@@ -6232,9 +6255,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EdgeDump) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "backend_servers"
-	err = en.Append(0x84, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
+	err = en.Append(0x85, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
 	if err != nil {
 		return
 	}
@@ -6270,6 +6293,23 @@
 		err = msgp.WrapError(err, "OpenCalls")
 		return
 	}
+	// write "rollouts"
+	err = en.Append(0xa8, 0x72, 0x6f, 0x6c, 0x6c, 0x6f, 0x75, 0x74, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Rollouts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Rollouts")
+		return
+	}
+	for za0002 := range z.Rollouts {
+		err = z.Rollouts[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Rollouts", za0002)
+			return
+		}
+	}
 	// write "serving"
 	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x6e, 0x67)
 	if err != nil {
@@ -6280,10 +6320,10 @@
 		err = msgp.WrapError(err, "Serving")
 		return
 	}
-	for za0002 := range z.Serving {
-		err = en.WriteString(z.Serving[za0002])
+	for za0003 := range z.Serving {
+		err = en.WriteString(z.Serving[za0003])
 		if err != nil {
-			err = msgp.WrapError(err, "Serving", za0002)
+			err = msgp.WrapError(err, "Serving", za0003)
 			return
 		}
 	}
@@ -6293,9 +6333,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *EdgeDump) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "backend_servers"
-	o = append(o, 0x84, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
+	o = append(o, 0x85, 0xaf, 0x62, 0x61, 0x63, 0x6b, 0x65, 0x6e, 0x64, 0x5f, 0x73, 0x65, 0x72, 0x76, 0x65, 0x72, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.BackendServers)))
 	for za0001 := range z.BackendServers {
 		o, err = z.BackendServers[za0001].MarshalMsg(o)
@@ -6314,11 +6354,21 @@
 	// string "open_calls"
 	o = append(o, 0xaa, 0x6f, 0x70, 0x65, 0x6e, 0x5f, 0x63, 0x61, 0x6c, 0x6c, 0x73)
 	o = msgp.AppendInt(o, z.OpenCalls)
+	// string "rollouts"
+	o = append(o, 0xa8, 0x72, 0x6f, 0x6c, 0x6c, 0x6f, 0x75, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rollouts)))
+	for za0002 := range z.Rollouts {
+		o, err = z.Rollouts[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Rollouts", za0002)
+			return
+		}
+	}
 	// string "serving"
 	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x6e, 0x67)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Serving)))
-	for za0002 := range z.Serving {
-		o = msgp.AppendString(o, z.Serving[za0002])
+	for za0003 := range z.Serving {
+		o = msgp.AppendString(o, z.Serving[za0003])
 	}
 	return
 }
@@ -6380,26 +6430,49 @@
 				err = msgp.WrapError(err, "OpenCalls")
 				return
 			}
-		case "serving":
+		case "rollouts":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Serving")
+				err = msgp.WrapError(err, "Rollouts")
 				return
 			}
 			if zb0003 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Serving) >= int(zb0003) {
-				z.Serving = (z.Serving)[:zb0003]
+			if cap(z.Rollouts) >= int(zb0003) {
+				z.Rollouts = (z.Rollouts)[:zb0003]
 			} else {
-				z.Serving = make([]string, zb0003)
+				z.Rollouts = make([]RolloutStatus, zb0003)
 			}
-			for za0002 := range z.Serving {
-				z.Serving[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0002 := range z.Rollouts {
+				bts, err = z.Rollouts[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Serving", za0002)
+					err = msgp.WrapError(err, "Rollouts", za0002)
+					return
+				}
+			}
+		case "serving":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Serving")
+				return
+			}
+			if zb0004 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Serving) >= int(zb0004) {
+				z.Serving = (z.Serving)[:zb0004]
+			} else {
+				z.Serving = make([]string, zb0004)
+			}
+			for za0003 := range z.Serving {
+				z.Serving[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Serving", za0003)
 					return
 				}
 			}
@@ -6421,9 +6494,13 @@
 	for za0001 := range z.BackendServers {
 		s += z.BackendServers[za0001].Msgsize()
 	}
-	s += 9 + z.Declared.Msgsize() + 11 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
-	for za0002 := range z.Serving {
-		s += msgp.StringPrefixSize + len(z.Serving[za0002])
+	s += 9 + z.Declared.Msgsize() + 11 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Rollouts {
+		s += z.Rollouts[za0002].Msgsize()
+	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0003 := range z.Serving {
+		s += msgp.StringPrefixSize + len(z.Serving[za0003])
 	}
 	return
 }
@@ -12242,8 +12319,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.OtherAnswers, err = dc.ReadInt()
@@ -12271,6 +12348,11 @@
 		err = msgp.WrapError(err, "TargetAnswers")
 		return
 	}
+	z.TargetCold, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "TargetCold")
+		return
+	}
 	z.TargetFailures, err = dc.ReadInt()
 	if err != nil {
 		err = msgp.WrapError(err, "TargetFailures")
@@ -12286,8 +12368,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *RolloutEvidence) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
 		return
 	}
@@ -12316,6 +12398,11 @@
 		err = msgp.WrapError(err, "TargetAnswers")
 		return
 	}
+	err = en.WriteInt(z.TargetCold)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetCold")
+		return
+	}
 	err = en.WriteInt(z.TargetFailures)
 	if err != nil {
 		err = msgp.WrapError(err, "TargetFailures")
@@ -12332,13 +12419,14 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RolloutEvidence) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendInt(o, z.OtherAnswers)
 	o = msgp.AppendInt(o, z.OtherFailures)
 	o = msgp.AppendInt(o, z.OtherSlow)
 	o = msgp.AppendInt(o, z.RouteHash)
 	o = msgp.AppendInt(o, z.TargetAnswers)
+	o = msgp.AppendInt(o, z.TargetCold)
 	o = msgp.AppendInt(o, z.TargetFailures)
 	o = msgp.AppendInt(o, z.TargetSlow)
 	return
@@ -12352,8 +12440,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.OtherAnswers, bts, err = msgp.ReadIntBytes(bts)
@@ -12381,6 +12469,11 @@
 		err = msgp.WrapError(err, "TargetAnswers")
 		return
 	}
+	z.TargetCold, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TargetCold")
+		return
+	}
 	z.TargetFailures, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "TargetFailures")
@@ -12397,7 +12490,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RolloutEvidence) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
 	return
 }
 
@@ -12870,6 +12963,221 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *RolloutStatus) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "hearing":
+			z.Hearing, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Hearing")
+				return
+			}
+		case "phase":
+			z.Phase, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Phase")
+				return
+			}
+		case "reason":
+			z.Reason, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "report":
+			err = z.Report.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Report")
+				return
+			}
+		case "service":
+			z.Service, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *RolloutStatus) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "hearing"
+	err = en.Append(0x85, 0xa7, 0x68, 0x65, 0x61, 0x72, 0x69, 0x6e, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Hearing)
+	if err != nil {
+		err = msgp.WrapError(err, "Hearing")
+		return
+	}
+	// write "phase"
+	err = en.Append(0xa5, 0x70, 0x68, 0x61, 0x73, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Phase)
+	if err != nil {
+		err = msgp.WrapError(err, "Phase")
+		return
+	}
+	// write "reason"
+	err = en.Append(0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Reason)
+	if err != nil {
+		err = msgp.WrapError(err, "Reason")
+		return
+	}
+	// write "report"
+	err = en.Append(0xa6, 0x72, 0x65, 0x70, 0x6f, 0x72, 0x74)
+	if err != nil {
+		return
+	}
+	err = z.Report.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Report")
+		return
+	}
+	// write "service"
+	err = en.Append(0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Service)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RolloutStatus) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "hearing"
+	o = append(o, 0x85, 0xa7, 0x68, 0x65, 0x61, 0x72, 0x69, 0x6e, 0x67)
+	o = msgp.AppendInt(o, z.Hearing)
+	// string "phase"
+	o = append(o, 0xa5, 0x70, 0x68, 0x61, 0x73, 0x65)
+	o = msgp.AppendString(o, z.Phase)
+	// string "reason"
+	o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Reason)
+	// string "report"
+	o = append(o, 0xa6, 0x72, 0x65, 0x70, 0x6f, 0x72, 0x74)
+	o, err = z.Report.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Report")
+		return
+	}
+	// string "service"
+	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RolloutStatus) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "hearing":
+			z.Hearing, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hearing")
+				return
+			}
+		case "phase":
+			z.Phase, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Phase")
+				return
+			}
+		case "reason":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "report":
+			bts, err = z.Report.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Report")
+				return
+			}
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RolloutStatus) Msgsize() (s int) {
+	s = 1 + 8 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Phase) + 7 + msgp.StringPrefixSize + len(z.Reason) + 7 + z.Report.Msgsize() + 8 + msgp.StringPrefixSize + len(z.Service)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Room) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -460,6 +460,9 @@
 	// OpenCalls is the number of calls without an outcome.
 	OpenCalls int `json:"open_calls" msg:"open_calls"`
 
+	// Rollouts are sorted by service.
+	Rollouts []RolloutStatus `json:"rollouts" msg:"rollouts"`
+
 	// Serving are the names of the hosts whose addresses callers receive.
 	Serving []string `json:"serving" msg:"serving"`
 }
@@ -946,6 +949,10 @@
 	// version.
 	TargetAnswers int `json:"target_answers" msg:"target_answers"`
 
+	// TargetCold is the number of these to calls that began while the backend server
+	// was cold; they are never counted as slow.
+	TargetCold int `json:"target_cold" msg:"target_cold"`
+
 	// TargetFailures is the number of these that failed.
 	TargetFailures int `json:"target_failures" msg:"target_failures"`
 
@@ -1005,6 +1012,25 @@
 const RolloutStateRolledBack RolloutState = "rolled_back"
 const RolloutStateRunning RolloutState = "running"
 
+// RolloutStatus is an entry host's view of one rollout order.
+type RolloutStatus struct {
+	// Hearing is the number of hosts, itself included, whose reports are recent
+	// enough.
+	Hearing int `json:"hearing" msg:"hearing"`
+
+	// Phase is the phase of the rollout at this host.
+	Phase string `json:"phase" msg:"phase"`
+
+	// Reason is why the phase or the share changed last.
+	Reason string `json:"reason" msg:"reason"`
+
+	// Report corresponds to the JSON schema field "report".
+	Report RolloutReport `json:"report" msg:"report"`
+
+	// Service is the name of the service.
+	Service string `json:"service" msg:"service"`
+}
+
 // Room is the answer to a RoomRequest.
 type Room struct {
 	// Free is the number of calls that the cell can take over now; 0 also means that
