rollout: shares, evidence and verdicts of rollout orders; their use in placement

Cause: rollout orders were not acted on; a bad version got its full share of the calls, and good ones were never reported as completed. Change: package rollout decides for each order which share of the calls goes to the target version, from evidence that the hosts report to each other, and which state is recorded. placement owns one for each order, divides first attempts, keeps calls from backend servers that no order allows, and counts the results.

--- a/placement/attempts.go
+++ b/placement/attempts.go
@@ -38,8 +38,10 @@
 	// contendedTime is the time during which the backend server had so many
 	// attempts that they may have slowed each other down.
 	contendedTime time.Duration
-	cancelled     bool
-	lossRecorded  bool
+	// cold says that the backend server was cold when the attempt began.
+	cold         bool
+	cancelled    bool
+	lossRecorded bool
 }
 
 // send starts an attempt of a call on a backend server.
@@ -52,7 +54,8 @@
 		Repeat: c.sends > 0, Hedge: hedge, Pace: server.PaceNow(now), PaceAge: age(now, server.PaceMeasuredAt),
 		InFlight: server.TotalInFlight(now), Expected: to.expected, Waited: now.Sub(c.arrived),
 	}
-	started := &attempt{id: p.lastAttempt, call: c, server: server, started: now, progressAt: now}
+	started := &attempt{id: p.lastAttempt, call: c, server: server, started: now, progressAt: now, cold: server.Cold(now)}
+	c.service.countRolloutSend(c, server)
 	p.attempts[started.id] = started
 	c.inFlight = append(c.inFlight, started)
 	c.triedServers = append(c.triedServers, server.ID)
@@ -98,6 +101,9 @@
 		}
 	case Cancelled:
 	}
+	if ended.call.service.rollout != nil {
+		p.countEvidence(now, ended, event.Result)
+	}
 }
 
 // observeWhole updates the backend server, the route and the contention
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -188,7 +188,7 @@
 // if the others are ejected or cold.
 func (p *Placer) noServerReason(service *service) Reason {
 	for _, server := range service.servers {
-		if !server.Draining && !server.Leaving() && !p.evacuated[server.DataCentre] {
+		if !server.Withheld && !server.Draining && !server.Leaving() && !p.evacuated[server.DataCentre] {
 			return ReasonOverloaded
 		}
 	}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -60,19 +60,22 @@
 // that have just announced that they leave, only if there is no other candidate:
 // some calls may still succeed there.
 func (p *Placer) choose(now time.Time, c *call) *candidate {
-	if best := p.cheapest(now, c, false); best != nil {
+	if c.service.rollout.divides() {
+		return p.chooseSide(now, c)
+	}
+	if best := p.cheapest(now, c, nil, false); best != nil {
 		return best
 	}
 
-	return p.cheapest(now, c, true)
+	return p.cheapest(now, c, nil, true)
 }
 
 // cheapest returns the candidate with the lowest cost. As a last resort, ejected
 // backend servers that are reachable and those that are leaving are considered.
-func (p *Placer) cheapest(now time.Time, c *call, lastResort bool) *candidate {
+func (p *Placer) cheapest(now time.Time, c *call, side side, lastResort bool) *candidate {
 	var best *candidate
 	for _, server := range c.service.servers {
-		if slices.Contains(c.triedServers, server.ID) || !p.eligible(now, c.service, server, lastResort) {
+		if side != nil && !onSide(side, server) || slices.Contains(c.triedServers, server.ID) || !p.eligible(now, c.service, server, lastResort) {
 			continue
 		}
 		next := p.assess(now, c, server)
@@ -86,7 +89,7 @@
 
 // eligible reports whether a call may be sent to the backend server.
 func (p *Placer) eligible(now time.Time, service *service, server *Server, lastResort bool) bool {
-	if server.Draining || server.Slots == 0 || p.evacuated[server.DataCentre] || server.Paused(now) {
+	if server.Withheld || server.Draining || server.Slots == 0 || p.evacuated[server.DataCentre] || server.Paused(now) {
 		return false
 	}
 	if server.Ejected(now) && (!lastResort || server.Unreachable) {
--- a/placement/dump.go
+++ b/placement/dump.go
@@ -13,7 +13,7 @@
 func (p *Placer) Dump(now time.Time) schema.EdgeDump {
 	dump := schema.EdgeDump{
 		Declared: p.declared, OpenCalls: len(p.calls), Serving: []string{}, BackendServers: make([]schema.ServerState, 0, len(p.servers)),
-		Rollouts: []schema.RolloutStatus{},
+		Rollouts: p.rolloutStatuses(now),
 	}
 	for _, peer := range p.peers.Serving {
 		dump.Serving = append(dump.Serving, peer.Name)
--- a/placement/measure.go
+++ b/placement/measure.go
@@ -179,6 +179,7 @@
 	}
 	reported := p.reportedBy[event.Host][:0]
 	p.adoptLeaving(now, event.Leaving)
+	p.adoptRollouts(now, event.Host, event.Rollouts)
 	for _, load := range event.Loads {
 		server, known := p.serversByHash[load.ServerHash]
 		if !known {
--- a/placement/notices.go
+++ b/placement/notices.go
@@ -136,7 +136,7 @@
 func (p *Placer) shortestPause(now time.Time, service *service) (time.Duration, bool) {
 	shortest := time.Duration(0)
 	for _, server := range service.servers {
-		if server.Draining || server.Leaving() || p.evacuated[server.DataCentre] {
+		if server.Withheld || server.Draining || server.Leaving() || p.evacuated[server.DataCentre] {
 			continue
 		}
 		left := server.PausedUntil.Sub(now)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -70,8 +70,10 @@
 	servers       map[string]*Server
 	serversByHash map[int]*Server
 	evacuated     map[string]bool
-	leaving       map[string]leavingServer
-	paused        map[string]pausedServer
+	// rollouts are the services with a rollout by the hash of their name.
+	rollouts map[int]*service
+	leaving  map[string]leavingServer
+	paused   map[string]pausedServer
 	// reportedBy are the backend servers with attempts in flight by the newest report
 	// of each other host.
 	reportedBy map[string][]*Server
@@ -100,6 +102,7 @@
 		servers:       map[string]*Server{},
 		serversByHash: map[int]*Server{},
 		evacuated:     map[string]bool{},
+		rollouts:      map[int]*service{},
 		leaving:       map[string]leavingServer{},
 		paused:        map[string]pausedServer{},
 		reportedBy:    map[string][]*Server{},
@@ -143,6 +146,7 @@
 		p.peers = event.Peers
 		p.forgetReports()
 		p.assignMeasuring()
+		p.passServing(now)
 	case BudgetChanged:
 		p.Options.Budget = event.Budget
 		for _, service := range p.services {
@@ -182,6 +186,7 @@
 		for _, server := range p.servers {
 			server.suspectCold(now, p.services[server.Service].Rule)
 		}
+		p.resumeRollouts(now)
 	}
 	p.steppedAt = now
 }
@@ -192,6 +197,7 @@
 	p.updateProgress(now)
 	p.expire(now)
 	p.concludeAll(now)
+	p.tickRollouts(now)
 	for _, service := range p.services {
 		p.drainQueue(now, service, len(service.queue))
 	}
@@ -219,6 +225,7 @@
 		p.service(rule.Name).Rule = rule
 	}
 	p.applyRegistrations(now, registeredBefore, declared.Registrations)
+	p.applyOrders(now, declared.Rollouts)
 	p.forgetNotices(now)
 	for dataCentre := range before {
 		if !p.evacuated[dataCentre] {
--- a/placement/server.go
+++ b/placement/server.go
@@ -87,6 +87,8 @@
 	// Measured says that this host is responsible for probing the backend
 	// server.
 	Measured bool
+	// Withheld says that a rollout keeps this host's calls from the backend server.
+	Withheld bool
 	// Unreachable says that it was ejected because no request could be sent to
 	// it or probes were not answered.
 	Unreachable bool
@@ -143,6 +145,11 @@
 // usable reports whether the backend server may be sent calls when a slot is
 // free.
 func (s *Server) usable(now time.Time) bool {
+	return !s.Withheld && s.takesCalls(now)
+}
+
+// takesCalls is usable without regard to rollouts.
+func (s *Server) takesCalls(now time.Time) bool {
 	return !s.Draining && s.Slots > 0 && !s.Ejected(now) && !s.Leaving() && !s.Paused(now)
 }
 
--- a/placement/service.go
+++ b/placement/service.go
@@ -30,6 +30,8 @@
 
 	servers    []*Server
 	contention Contention
+	// rollout is nil unless an order was in force for the service.
+	rollout    *serviceRollout
 	queue      []*call
 	budget     *budget
 	lastCallAt time.Time
