--- a/placement/choice.go
+++ b/placement/choice.go
@@ -75,7 +75,7 @@
 func (p *Placer) cheapest(now time.Time, c *call, side side, lastResort bool) *candidate {
 	var best *candidate
 	for _, server := range c.service.servers {
-		if side != nil && !onSide(side, server) || slices.Contains(c.triedServers, server.ID) || !p.eligible(now, c.service, server, lastResort) {
+		if side != nil && !onSide(now, side, server) || slices.Contains(c.triedServers, server.ID) || !p.eligible(now, c.service, server, lastResort) {
 			continue
 		}
 		next := p.assess(now, c, server)
--- a/placement/rollouts.go
+++ b/placement/rollouts.go
@@ -38,20 +38,20 @@
 //sumtype:decl
 type side interface{ side() }
 
-// onlyVersion allows the backend servers of one version.
-type onlyVersion struct{ version string }
+// freeOfVersion allows the backend servers of one version that have a free slot.
+type freeOfVersion struct{ version string }
 
 // exceptVersion allows the backend servers of all other versions.
 type exceptVersion struct{ version string }
 
-func (onlyVersion) side()   {}
+func (freeOfVersion) side() {}
 func (exceptVersion) side() {}
 
 // onSide reports whether a side includes the backend server.
-func onSide(of side, server *Server) bool {
+func onSide(now time.Time, of side, server *Server) bool {
 	switch of := of.(type) {
-	case onlyVersion:
-		return server.Version == of.version
+	case freeOfVersion:
+		return server.Version == of.version && server.TotalInFlight(now) < server.SlotLimit()
 	case exceptVersion:
 		return server.Version != of.version
 	}
@@ -72,7 +72,7 @@
 	target, moved := decision.Order.Target, decision.Share() >= 1
 	first := c.sends == 0 && len(c.inFlight) == 0
 	if moved || first && decision.TakesTarget(Hash(c.route.Name)) {
-		if best := p.cheapest(now, c, onlyVersion{version: target}, false); best != nil && best.hasFreeSlot {
+		if best := p.cheapest(now, c, freeOfVersion{version: target}, false); best != nil {
 			// Failures do not divert calls from the target: they are the evidence.
 			best.expected, _ = best.server.Expected(now, c.route.Work, p.slowdowns)
 			if moved || best.expected <= c.targetDeadline.Sub(now) {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -20,7 +20,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/schema"
@@ -43,8 +42,6 @@
 	// lateStepTime is the part of the remaining time that replaces it shortly before the
 	// deadline.
 	lateStepTime = 0.2
-	// freshReport is the age up to which the report of a host shows its present share.
-	freshReport = time.Second
 	// quietTime is how long a host has had no attempt in flight on the others before it
 	// reports so.
 	quietTime = 300 * time.Millisecond
@@ -54,11 +51,6 @@
 	// inFlightTimeConstant is the time in which the weight of an observed number of attempts
 	// in flight falls to 37%.
 	inFlightTimeConstant = 500 * time.Millisecond
-	// departureReportAge is the age of the last report up to which a host that no longer
-	// serves has left by itself. A lost host is dropped from the serving ones later than that.
-	departureReportAge = 300 * time.Millisecond
-	// lostRetention is how long a lost host counts for the majority.
-	lostRetention = 10 * time.Minute
 	// milli converts a share to thousandths.
 	milli = 1000
 )
@@ -106,16 +98,6 @@
 	actions []Action
 }
 
-// peer is what another host reported last.
-type peer struct {
-	at            time.Time
-	share         int
-	otherInFlight int
-	// ramping says that the host has reported a larger share than while observing, ever since
-	// the order began.
-	ramping bool
-}
-
 // New returns the rollout of an order that this host has just learned of.
 func New(now time.Time, order schema.RolloutOrder, host string, limits Limits, serving []string) *Rollout {
 	r := &Rollout{
@@ -218,19 +200,6 @@
 	return report
 }
 
-// Hearing returns the number of hosts whose reports are recent enough to learn of a
-// rollback, including this one.
-func (r *Rollout) Hearing(now time.Time) int {
-	count := 1
-	for name, other := range r.peers {
-		if _, member := r.members[name]; member && now.Sub(other.at) < r.Limits.Within/2 {
-			count++
-		}
-	}
-
-	return count
-}
-
 func toMilli(share float64) int {
 	return int(math.Round(share * milli))
 }
@@ -301,21 +270,6 @@
 	}
 }
 
-// setServing replaces the serving hosts. One that was heard until now and serves no more has
-// left by itself; a lost one may be on the other side of a partition and still counts.
-func (r *Rollout) setServing(now time.Time, hosts []string) {
-	for _, name := range r.serving {
-		if other, heard := r.peers[name]; heard && now.Sub(other.at) < departureReportAge && !slices.Contains(hosts, name) {
-			delete(r.members, name)
-		}
-	}
-	r.serving = slices.Sorted(slices.Values(hosts))
-	for _, name := range r.serving {
-		r.members[name] = now
-	}
-	r.members[r.Host] = now
-}
-
 // tick takes the next step if it is due, or concludes at the deadline, and records.
 func (r *Rollout) tick(now time.Time, load Load) {
 	r.observeLoad(now, load)
@@ -342,19 +296,6 @@
 	}
 }
 
-// retain keeps the serving hosts as members and drops those that were lost long ago.
-func (r *Rollout) retain(now time.Time) {
-	for _, name := range r.serving {
-		r.members[name] = now
-	}
-	r.members[r.Host] = now
-	for name, servedAt := range r.members {
-		if now.Sub(servedAt) > lostRetention {
-			delete(r.members, name)
-		}
-	}
-}
-
 // updateSending starts or stops sending to the target.
 func (r *Rollout) updateSending(now time.Time) {
 	if sends := r.maySend(now); sends != r.sending && !r.Final() {
@@ -379,22 +320,6 @@
 	return r.hearsMajority(now) || now.Sub(r.writing.confirmedAt) < r.Limits.Within/2
 }
 
-// hearsMajority reports whether this host hears more than half of the hosts that served
-// since the order began. Of two halves, the one with the first host by name counts.
-func (r *Rollout) hearsMajority(now time.Time) bool {
-	heard := r.Hearing(now)
-	if 2*heard != len(r.members) {
-		return 2*heard > len(r.members)
-	}
-	first := r.Host
-	for name := range r.members {
-		first = min(first, name)
-	}
-	other, known := r.peers[first]
-
-	return first == r.Host || known && now.Sub(other.at) < r.Limits.Within/2
-}
-
 // advance takes the next step of the share, or rolls back at the deadline if the target was
 // never good enough anywhere.
 func (r *Rollout) advance(now time.Time) {
@@ -438,46 +363,6 @@
 	return timely && r.evidence.good(r.shareOf(0))
 }
 
-// anyPeerRamping reports whether a host has found the target good enough.
-func (r *Rollout) anyPeerRamping() bool {
-	for _, other := range r.peers {
-		if other.ramping {
-			return true
-		}
-	}
-
-	return false
-}
-
-// allReport reports whether all serving hosts have reported at least a share just now, this
-// one included.
-func (r *Rollout) allReport(now time.Time, share int) bool {
-	return toMilli(r.Share()) >= share && r.allPeers(now, func(other peer) bool { return other.share >= share })
-}
-
-// othersReport reports whether there are other serving hosts, and all of them have reported
-// at least a share just now.
-func (r *Rollout) othersReport(now time.Time, share int) bool {
-	another := slices.ContainsFunc(r.serving, func(name string) bool { return name != r.Host })
-
-	return another && r.allPeers(now, func(other peer) bool { return other.share >= share })
-}
-
-// allPeers reports whether the reports of all other serving hosts are fresh and hold.
-func (r *Rollout) allPeers(now time.Time, holds func(peer) bool) bool {
-	for _, name := range r.serving {
-		if name == r.Host {
-			continue
-		}
-		other, heard := r.peers[name]
-		if !heard || now.Sub(other.at) > freshReport || !holds(other) {
-			return false
-		}
-	}
-
-	return true
-}
-
 // mayComplete reports whether no host needs the others any more.
 func (r *Rollout) mayComplete(now time.Time) bool {
 	return r.step == len(rampShares) && r.hearsMajority(now) && now.Sub(r.busyAt) >= quietTime && r.allReport(now, milli) &&
