--- a/placement/calls.go
+++ b/placement/calls.go
@@ -191,7 +191,7 @@
 		return ReasonNotReady
 	}
 	for _, server := range service.servers {
-		if !server.Draining && !server.Leaving() && !p.evacuated[server.DataCentre] {
+		if !server.Withheld && !server.Draining && !server.Leaving() && !p.evacuated[server.DataCentre] {
 			return ReasonOverloaded
 		}
 	}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -67,20 +67,23 @@
 	if p.awaitsConfirmation(now) {
 		return nil
 	}
-	if best := p.cheapest(now, c, false); best != nil {
+	if c.service.rollout.divides() {
+		return p.chooseSide(now, c)
+	}
+	if best := p.cheapest(now, c, nil, false); best != nil {
 		return best
 	}
 
-	return p.cheapest(now, c, true)
+	return p.cheapest(now, c, nil, true)
 }
 
 // cheapest returns the candidate with the lowest cost in this data centre, or in the
 // others if leaving it pays. As a last resort, ejected backend servers that are reachable
 // and those that are leaving are considered.
-func (p *Placer) cheapest(now time.Time, c *call, lastResort bool) *candidate {
+func (p *Placer) cheapest(now time.Time, c *call, side side, lastResort bool) *candidate {
 	var local, remote *candidate
 	for _, server := range c.service.servers {
-		if slices.Contains(c.triedServers, server.ID) || !p.eligible(now, c.service, server, lastResort) {
+		if side != nil && !onSide(now, side, server) || slices.Contains(c.triedServers, server.ID) || !p.eligible(now, c.service, server, lastResort) {
 			continue
 		}
 		next, best := p.assess(now, c, server), &local
@@ -100,7 +103,7 @@
 
 // eligible reports whether a call may be sent to the backend server.
 func (p *Placer) eligible(now time.Time, service *service, server *Server, lastResort bool) bool {
-	if server.Draining || server.Slots == 0 || p.evacuated[server.DataCentre] || server.Paused(now) {
+	if server.Withheld || server.Draining || server.Slots == 0 || p.evacuated[server.DataCentre] || server.Paused(now) {
 		return false
 	}
 	if server.Ejected(now) && (!lastResort || server.Unreachable) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -34,6 +34,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/baobabdrum/baobabdrum/rollout"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -53,6 +54,8 @@
 	// CrossingCost is the risk of a late answer, per KiB of the answer, that is
 	// accepted to keep a call in this host's data centre.
 	CrossingCost float64
+	// Rollout bounds the exposure of callers to a new version of a service.
+	Rollout rollout.Limits
 }
 
 // Placer holds the state of the backend servers as one host knows it, and the
@@ -67,8 +70,10 @@
 	servers       map[string]*Server
 	serversByHash map[int]*Server
 	evacuated     map[string]bool
-	leaving       map[string]leavingServer
-	paused        map[string]pausedServer
+	// rollouts are the services with a rollout by the hash of their name.
+	rollouts map[int]*service
+	leaving  map[string]leavingServer
+	paused   map[string]pausedServer
 	// reportedBy are the backend servers with attempts in flight by the newest report
 	// of each other host.
 	reportedBy map[string][]*Server
@@ -99,6 +104,7 @@
 		servers:       map[string]*Server{},
 		serversByHash: map[int]*Server{},
 		evacuated:     map[string]bool{},
+		rollouts:      map[int]*service{},
 		leaving:       map[string]leavingServer{},
 		paused:        map[string]pausedServer{},
 		reportedBy:    map[string][]*Server{},
@@ -142,6 +148,7 @@
 		p.peers = event.Peers
 		p.forgetReports()
 		p.assignMeasuring()
+		p.passServing(now)
 	case BudgetChanged:
 		p.Options.Budget = event.Budget
 		for _, service := range p.services {
@@ -153,6 +160,8 @@
 		p.unconfirmedUntil = now.Add(confirmationLimit)
 	case StateConfirmed:
 		p.unconfirmedUntil = time.Time{}
+	case RolloutRecorded:
+		p.rolloutRecorded(now, event)
 	case Ticked:
 		p.tick(now)
 	}
@@ -183,6 +192,7 @@
 		for _, server := range p.servers {
 			server.suspectCold(now, p.services[server.Service].Rule)
 		}
+		p.resumeRollouts(now)
 	}
 	p.steppedAt = now
 }
@@ -193,6 +203,7 @@
 	p.updateProgress(now)
 	p.expire(now)
 	p.concludeAll(now)
+	p.tickRollouts(now)
 	for _, service := range p.services {
 		p.drainQueue(now, service, len(service.queue))
 	}
@@ -220,6 +231,7 @@
 		p.service(rule.Name).Rule = rule
 	}
 	p.applyRegistrations(now, registeredBefore, declared.Registrations)
+	p.applyOrders(now, declared.Rollouts)
 	p.forgetNotices(now)
 	for dataCentre := range before {
 		if !p.evacuated[dataCentre] {
