declared: rollout orders are part of the declared state

Cause: orders to roll a service out were not part of what hosts read and exchange, and a registration's version changed the hash even where it is empty. Change: OrdersRead carries orders given and withdrawn; they go into answers to peers and into the hash. An order in force is never replaced by an older one, nor by a state of the store that is older than it (a read in pages may hold rows newer than its version).

--- a/declared/adopt.go
+++ b/declared/adopt.go
@@ -29,6 +29,7 @@
 	if !slices.Equal(evacuated, r.Declared.Evacuated) {
 		r.Declared.Evacuated, r.changed = evacuated, true
 	}
+	r.adoptRollouts(read)
 	r.Declared.OrdersAt = read.At
 }
 
--- a/declared/declared.go
+++ b/declared/declared.go
@@ -1,5 +1,5 @@
 // Package declared maintains a host's replica of the declared state: the
-// operators' orders (declaration and evacuations) and the backend servers'
+// operators' orders (declaration, evacuations and rollouts) and the backend servers'
 // registrations. Operators' orders are unrelated to the orders of package caller.
 // It takes in the results of store reads and the state of peers, and returns the
 // reads and fetches to start and the state in force. It holds no clock, socket,
@@ -255,7 +255,7 @@
 // host retains.
 func (r *Replica) updateHash() {
 	r.Declared.Registrations = r.inForce()
-	r.Hash = hash(r.Declared.Declaration.Version, r.Declared.Evacuated, r.registrations.hash())
+	r.Hash = hash(r.Declared.Declaration.Version, r.Declared.Evacuated, r.registrations.hash(), r.Declared.Rollouts)
 }
 
 // withoutVolatileFields returns a registration without the fields whose changes do
@@ -267,11 +267,14 @@
 }
 
 // hash returns a 32-bit hash of the declared state.
-func hash(version int, evacuated []string, registrations int) int {
+func hash(version int, evacuated []string, registrations int, rollouts []schema.RolloutOrder) int {
 	digest := xxhash.New()
 	writeStrings(digest, strconv.Itoa(version))
 	writeStrings(digest, evacuated...)
 	writeStrings(digest, strconv.Itoa(registrations))
+	for _, order := range rollouts {
+		writeStrings(digest, order.Service, order.Target, strconv.Itoa(order.DurationMs), strconv.Itoa(order.OrderVersion))
+	}
 
 	return int(uint32(digest.Sum64())) //nolint:gosec // truncation is intended
 }
--- a/declared/events.go
+++ b/declared/events.go
@@ -23,6 +23,10 @@
 	Evacuated []string
 	// Returned are the data centres that may receive new calls again.
 	Returned []string
+	// Rollouts are the orders to roll a service out that were given or changed.
+	Rollouts []schema.RolloutOrder
+	// Withdrawn are the services whose order was withdrawn or has become unreadable.
+	Withdrawn []string
 	// Invalid is the number of problems found in the rows.
 	Invalid int
 }
@@ -110,7 +114,7 @@
 
 // The tables that hosts read.
 const (
-	// Orders is the table of the declaration and the evacuations.
+	// Orders is the table of the declaration, the evacuations and the rollouts.
 	Orders Table = iota
 	// Registrations is the table of the backend servers.
 	Registrations
--- a/declared/registrations.go
+++ b/declared/registrations.go
@@ -108,13 +108,15 @@
 	var digest xxhash.Digest
 	digest.Reset()
 	var number [24]byte
-	for _, text := range []string{registration.ID, registration.Service, registration.Address, registration.DataCentre, registration.Version} {
+	for _, text := range []string{registration.ID, registration.Service, registration.Address, registration.DataCentre} {
 		_, _ = digest.WriteString(text) // writing to a digest cannot fail
 		_, _ = digest.Write([]byte{0})
 	}
 	_, _ = digest.Write(append(strconv.AppendInt(number[:0], int64(registration.Slots), 10), 0))
 	_, _ = digest.Write(append(strconv.AppendBool(number[:0], registration.Draining), 0))
 	_, _ = digest.Write(append(strconv.AppendInt(number[:0], int64(registration.StartedMs), 10), 0))
+	// A registration without a version has the hash that it had before there were versions.
+	_, _ = digest.WriteString(registration.Version)
 
 	return digest.Sum64()
 }
--- a/declared/sync.go
+++ b/declared/sync.go
@@ -38,7 +38,7 @@
 // of them otherwise, and none that this host retains.
 func (r *Replica) Answer(now time.Time, request schema.DeclaredRequest) schema.DeclaredAnswer {
 	answer := schema.DeclaredAnswer{
-		DeclaredVersion: r.Declared.Declaration.Version, Evacuated: r.Declared.Evacuated, OrdersAt: r.Declared.OrdersAt,
+		DeclaredVersion: r.Declared.Declaration.Version, Evacuated: r.Declared.Evacuated, Rollouts: r.Declared.Rollouts, OrdersAt: r.Declared.OrdersAt,
 		RegistrationsAt: r.Declared.RegistrationsAt, RegistrationsHash: r.registrations.hash(),
 		RetainLapsedMs: int(max(r.retainLapsedUntil.Sub(now), 0).Milliseconds()),
 	}
@@ -143,8 +143,8 @@
 	}
 }
 
-// adoptPeerOrders applies a peer's declaration and evacuations if they are newer and
-// the answer contains the declaration or this host has it.
+// adoptPeerOrders applies a peer's declaration, evacuations and rollouts if they are
+// newer and the answer contains the declaration or this host has it.
 func (r *Replica) adoptPeerOrders(peer schema.DeclaredAnswer) {
 	known := r.Declared.Declaration.Version
 	omitted := peer.Declaration.Version != peer.DeclaredVersion
@@ -157,6 +157,7 @@
 	if !slices.Equal(peer.Evacuated, r.Declared.Evacuated) {
 		r.Declared.Evacuated, r.changed = peer.Evacuated, true
 	}
+	r.replaceRollouts(peer.Rollouts, nil, peer.OrdersAt)
 	r.Declared.OrdersAt = peer.OrdersAt
 }
 
