platform: decode rollout orders and versions, read and write the states of rollouts

Cause: rows rollout/SERVICE and the version in backend servers' rows were ignored. Change: orders are decoded row by row; a malformed one is logged and counts as withdrawn, so that hosts which read everything and hosts which read the changes agree. An unreadable version is logged and left empty, and the backend server is used. Store.ReadRollout and WriteRollout read and write the state, the latter under a precondition on the row's version. Transactions have preconditions of their own type.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -68,6 +68,11 @@
 	Register func(schema.Member) error
 	// Members returns the hosts that have registered in the store.
 	Members func() ([]schema.Member, error)
+	// ReadRollout returns the state of a service's rollout from the store.
+	ReadRollout func(service string) (RolloutRow, error)
+	// WriteRollout writes the state of a rollout to the store if its row still has the
+	// version in it, and reports whether it has.
+	WriteRollout func(RolloutRow) (bool, error)
 	// CloseStore ends the exchanges with the store in progress; later ones fail.
 	CloseStore func()
 	// ReadSite reads the settings file again.
