beacon: validate reports on rollouts

Cause: a beacon's reports on rollouts were taken as received. Result: go test -race ./beacon passes; without the check TestDecodeNamesTheInvalidField fails.

--- a/beacon/decode.go
+++ b/beacon/decode.go
@@ -91,7 +91,7 @@
 		}
 	}
 
-	return nil
+	return checkRollouts(beacon.Rollouts)
 }
 
 // checkLoad returns a *FieldError if a field of a load report is invalid.
--- a/beacon/decode_test.go
+++ b/beacon/decode_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"reflect"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -16,6 +17,10 @@
 	return schema.Beacon{
 		Name: "a", DataCentre: "north", CallerAddress: "10.0.0.1:80", PeerAddress: "10.0.0.1:7200", Ready: true,
 		Loads: []schema.ServerLoad{{ServerHash: 7, PacePercent: 700, AgeMs: -1}},
+		Rollouts: []schema.RolloutReport{{
+			ServiceHash: 1<<32 - 1, OrderVersion: 9, State: schema.RolloutStateRunning, ShareMilli: 1000, OtherInFlight: 3,
+			Evidence: []schema.RolloutEvidence{{RouteHash: 1<<32 - 1, TargetAnswers: 1 << 31, TargetFailures: 2, OtherAnswers: 1 << 31}},
+		}},
 	}
 }
 
@@ -24,18 +29,39 @@
 		change func(*schema.Beacon)
 		field  string
 	}{
-		"empty name":                  {change: func(b *schema.Beacon) { b.Name = "" }, field: "name"},
-		"empty data centre":           {change: func(b *schema.Beacon) { b.DataCentre = "" }, field: "data_centre"},
-		"caller address without IP":   {change: func(b *schema.Beacon) { b.CallerAddress = "north:80" }, field: "caller_address"},
-		"empty peer address":          {change: func(b *schema.Beacon) { b.PeerAddress = "" }, field: "peer_address"},
-		"negative capacity":           {change: func(b *schema.Beacon) { b.Capacity = -1 }, field: "capacity"},
-		"negative state age":          {change: func(b *schema.Beacon) { b.DeclaredAgeMs = -7 }, field: "declared_age_ms"},
-		"negative revision":           {change: func(b *schema.Beacon) { b.RegistrationsAt = -7 }, field: "registrations_at"},
-		"load age in the future":      {change: func(b *schema.Beacon) { b.Loads[0].AgeMs = -100 }, field: "loads.age_ms"},
-		"load age of an hour":         {change: func(b *schema.Beacon) { b.Loads[0].AgeMs = 3_600_000 }, field: "loads.age_ms"},
-		"pace out of range":           {change: func(b *schema.Beacon) { b.Loads[0].PacePercent = 1 << 40 }, field: "loads.pace_percent"},
-		"cold time out of range":      {change: func(b *schema.Beacon) { b.Loads[0].ColdLeftMs = 1 << 40 }, field: "loads.cold_left_ms"},
-		"negative in-flight attempts": {change: func(b *schema.Beacon) { b.Loads[0].InFlight = -4 }, field: "loads.in_flight"},
+		"empty name":                {change: func(b *schema.Beacon) { b.Name = "" }, field: "name"},
+		"empty data centre":         {change: func(b *schema.Beacon) { b.DataCentre = "" }, field: "data_centre"},
+		"caller address without IP": {change: func(b *schema.Beacon) { b.CallerAddress = "north:80" }, field: "caller_address"},
+		"empty peer address":        {change: func(b *schema.Beacon) { b.PeerAddress = "" }, field: "peer_address"},
+		"negative capacity":         {change: func(b *schema.Beacon) { b.Capacity = -1 }, field: "capacity"},
+		"negative state age":        {change: func(b *schema.Beacon) { b.DeclaredAgeMs = -7 }, field: "declared_age_ms"},
+		"negative revision":         {change: func(b *schema.Beacon) { b.RegistrationsAt = -7 }, field: "registrations_at"},
+		"load age in the future":    {change: func(b *schema.Beacon) { b.Loads[0].AgeMs = -100 }, field: "loads.age_ms"},
+		"load age of an hour":       {change: func(b *schema.Beacon) { b.Loads[0].AgeMs = 3_600_000 }, field: "loads.age_ms"},
+		"pace out of range":         {change: func(b *schema.Beacon) { b.Loads[0].PacePercent = 1 << 40 }, field: "loads.pace_percent"},
+		"cold time out of range":    {change: func(b *schema.Beacon) { b.Loads[0].ColdLeftMs = 1 << 40 }, field: "loads.cold_left_ms"},
+		"too many rollouts": {change: func(b *schema.Beacon) {
+			for len(b.Rollouts) <= beacon.MaxRollouts {
+				b.Rollouts = append(b.Rollouts, b.Rollouts[0])
+			}
+		}, field: "rollouts"},
+		"too many routes of a rollout": {change: func(b *schema.Beacon) {
+			for len(b.Rollouts[0].Evidence) <= beacon.MaxRolloutRoutes {
+				b.Rollouts[0].Evidence = append(b.Rollouts[0].Evidence, b.Rollouts[0].Evidence[0])
+			}
+		}, field: "rollouts.evidence"},
+		"rollout without an order":      {change: func(b *schema.Beacon) { b.Rollouts[0].OrderVersion = 0 }, field: "rollouts.order_version"},
+		"negative order of a rollout":   {change: func(b *schema.Beacon) { b.Rollouts[0].OrderVersion = -1 }, field: "rollouts.order_version"},
+		"unknown state of a rollout":    {change: func(b *schema.Beacon) { b.Rollouts[0].State = "odd" }, field: "rollouts.state"},
+		"empty state of a rollout":      {change: func(b *schema.Beacon) { b.Rollouts[0].State = "" }, field: "rollouts.state"},
+		"share over the whole":          {change: func(b *schema.Beacon) { b.Rollouts[0].ShareMilli = 1001 }, field: "rollouts.share_milli"},
+		"negative share":                {change: func(b *schema.Beacon) { b.Rollouts[0].ShareMilli = -1 }, field: "rollouts.share_milli"},
+		"attempts on others below 0":    {change: func(b *schema.Beacon) { b.Rollouts[0].OtherInFlight = -1 }, field: "rollouts.other_in_flight"},
+		"too many attempts on others":   {change: func(b *schema.Beacon) { b.Rollouts[0].OtherInFlight = 1<<31 + 1 }, field: "rollouts.other_in_flight"},
+		"hash of a service over 32 bit": {change: func(b *schema.Beacon) { b.Rollouts[0].ServiceHash = 1 << 32 }, field: "rollouts.service_hash"},
+		"negative hash of a service":    {change: func(b *schema.Beacon) { b.Rollouts[0].ServiceHash = -1 }, field: "rollouts.service_hash"},
+		"hash of a route over 32 bit":   {change: func(b *schema.Beacon) { b.Rollouts[0].Evidence[0].RouteHash = 1 << 32 }, field: "rollouts.evidence.route_hash"},
+		"negative in-flight attempts":   {change: func(b *schema.Beacon) { b.Loads[0].InFlight = -4 }, field: "loads.in_flight"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -51,6 +77,29 @@
 	}
 }
 
+// Guards against counts that overflow sums over all hosts.
+func TestDecodeBoundsTheCountsOfRollouts(t *testing.T) {
+	valid := validBeacon()
+	for i := range beacon.RolloutCounts(&valid.Rollouts[0].Evidence[0]) {
+		for _, count := range []int{-1, beacon.MaxRolloutCount + 1} {
+			sent := validBeacon()
+			*beacon.RolloutCounts(&sent.Rollouts[0].Evidence[0])[i] = count
+			raw, err := sent.MarshalMsg(nil)
+			assert.NilError(t, err)
+			_, err = beacon.Decode(raw)
+			var field *beacon.FieldError
+			assert.Assert(t, errors.As(err, &field), "count %d of %d: %v", i, count, err)
+			assert.Equal(t, field.Field, "rollouts.evidence")
+		}
+	}
+}
+
+// Guards against a count that is added to the evidence and not checked.
+func TestRolloutCountsAreComplete(t *testing.T) {
+	fields := reflect.TypeFor[schema.RolloutEvidence]().NumField()
+	assert.Equal(t, len(beacon.RolloutCounts(&schema.RolloutEvidence{})), fields-1, "all fields but the route are counts")
+}
+
 // Guards against a beacon that is longer than the receiver's buffer, and whose part is
 // taken for the whole.
 func TestCutBeaconsAreNotTaken(t *testing.T) {
@@ -79,6 +128,14 @@
 		for _, load := range decoded.Loads {
 			assert.Assert(t, load.AgeMs >= -1 && load.InFlight >= 0 && load.ColdLeftMs >= 0 && load.PacePercent >= 0, "%+v", load)
 		}
+		for _, report := range decoded.Rollouts {
+			assert.Assert(t, report.ShareMilli >= 0 && report.ShareMilli <= 1000 && report.OrderVersion > 0 && report.State != "", "%+v", report)
+			for _, evidence := range report.Evidence {
+				for _, count := range beacon.RolloutCounts(&evidence) {
+					assert.Assert(t, *count >= 0 && *count <= beacon.MaxRolloutCount, "%+v", evidence)
+				}
+			}
+		}
 	})
 }
 
@@ -86,7 +143,7 @@
 // length that they announce.
 func TestDecodeAllocatesNothingForAnnouncedLists(t *testing.T) {
 	sent := validBeacon()
-	sent.Loads = nil
+	sent.Loads, sent.Rollouts = nil, nil
 	encoded, err := sent.MarshalMsg(nil)
 	assert.NilError(t, err)
 	lists := 0
