edge: record states of rollouts in the store, report rollouts in beacons

Cause: the actions and events of rollouts were not carried out. Change: a duty with a ring of 64 places reads and writes the state of a rollout; a final state of the same order, or a state of a later order, is never replaced. After a failure it reports it and asks the store again after 0.3 to 2 s; a state for which the ring has no room is reported as failed at the next tick. Beacons with loads carry the reports; those that do not fit are sent in turn, because other hosts drop a beacon beyond the bounds. Changes are logged and counted.

--- a/edge/calls.go
+++ b/edge/calls.go
@@ -47,12 +47,15 @@
 	attempts *ring.Ring[*Attempt]
 	probes   *ring.Ring[placement.Probe]
 	control  *ring.Ring[ControlInput]
+	rollouts *ring.Ring[placement.RecordRollout]
 	log      *eventlog.Log
 	metrics  *Metrics
 
-	calls           map[placement.CallID]*openCall
-	inFlight        map[placement.AttemptID]*Attempt
-	serving         bool
+	calls    map[placement.CallID]*openCall
+	inFlight map[placement.AttemptID]*Attempt
+	serving  bool
+	// unrecorded are the states of rollouts for which the ring had no room.
+	unrecorded      []placement.RolloutRecorded
 	loadsReportedAt time.Time
 	arrivals        int
 	rateSince       time.Time
@@ -117,6 +120,7 @@
 // tick advances the placer's clock and, at most once per loadReportInterval,
 // sends a load report to the control duty.
 func (d *callsDuty) tick(now time.Time) {
+	d.reportUnrecorded(now)
 	d.apply(now, d.placer.Step(now, placement.Ticked{}))
 	if !d.serving && len(d.inFlight) == 0 || now.Sub(d.loadsReportedAt) < loadReportInterval {
 		return
@@ -126,7 +130,7 @@
 		d.rate = int(float64(d.arrivals) / elapsed.Seconds())
 		d.arrivals, d.rateSince = 0, now
 	}
-	if d.control.Offer(LoadsReported{Loads: d.placer.Loads(now), Calls: d.rate, Leaving: d.placer.Leaving(now)}) != nil {
+	if d.control.Offer(LoadsReported{Loads: d.placer.Loads(now), Calls: d.rate, Leaving: d.placer.Leaving(now), Rollouts: d.placer.Rollouts(now)}) != nil {
 		d.metrics.Dropped("loads")
 	}
 }
@@ -211,7 +215,10 @@
 			d.metrics.StateChanged(string(action.Status))
 			d.log.Event(eventlog.Info, "backend_server_"+string(action.Status), "backend server receives fewer calls or none",
 				eventlog.Text("backend_server", action.Server), eventlog.Number("failures", action.Failures), eventlog.Duration("for", action.For))
-		case placement.RecordRollout, placement.RolloutChanged:
+		case placement.RecordRollout:
+			d.record(action)
+		case placement.RolloutChanged:
+			d.logRollout(action)
 		}
 	}
 	for _, attempt := range unsent {
--- a/edge/control.go
+++ b/edge/control.go
@@ -53,16 +53,19 @@
 	log           *eventlog.Log
 	metrics       *Metrics
 
-	loads      []schema.ServerLoad
-	leaving    []schema.LeavingServer
-	sequence   int
-	serving    bool
-	readsStore bool
-	stopping   bool
-	seeds      []string
-	startedAt  time.Time
-	lastTickAt time.Time
-	resumedAt  time.Time
+	loads    []schema.ServerLoad
+	leaving  []schema.LeavingServer
+	rollouts []schema.RolloutReport
+	// rolloutTurn is the index of the report with which the next beacon begins.
+	rolloutTurn int
+	sequence    int
+	serving     bool
+	readsStore  bool
+	stopping    bool
+	seeds       []string
+	startedAt   time.Time
+	lastTickAt  time.Time
+	resumedAt   time.Time
 }
 
 // run handles inputs and ticks until the context ends.
@@ -155,7 +158,7 @@
 	case MembersQuery:
 		_ = input.Reply.Offer(d.directory.Members(input.Request)) // the sender of the query guarantees room
 	case LoadsReported:
-		d.loads, d.leaving = input.Loads, input.Leaving
+		d.loads, d.leaving, d.rollouts = input.Loads, input.Leaving, input.Rollouts
 
 		return d.stepDirectory(ctx, now, directory.CallsCounted{Calls: input.Calls})
 	case AddressesQuery:
@@ -183,8 +186,9 @@
 	if received.Name == d.directory.Self.Name {
 		return nil
 	}
-	reports := len(received.Loads) > 0 || len(received.Leaving) > 0 || received.Serves
-	if reports && d.calls.Offer(PlacementEvent{Event: placement.LoadsReceived{Host: received.Name, Loads: received.Loads, Leaving: received.Leaving}}) != nil {
+	reports := len(received.Loads) > 0 || len(received.Leaving) > 0 || len(received.Rollouts) > 0 || received.Serves
+	loads := placement.LoadsReceived{Host: received.Name, Loads: received.Loads, Leaving: received.Leaving, Rollouts: received.Rollouts}
+	if reports && d.calls.Offer(PlacementEvent{Event: loads}) != nil {
 		d.metrics.Dropped("loads_heard")
 	}
 
@@ -257,7 +261,7 @@
 	d.metrics.Declared(inForce.Declaration.Version, len(inForce.Registrations))
 	d.log.Event(eventlog.Info, "declared_changed", "new declared state is in force",
 		eventlog.Integer("version", inForce.Declaration.Version), eventlog.Integer("orders_at", inForce.OrdersAt),
-		eventlog.Integer("evacuated", len(inForce.Evacuated)), eventlog.Integer("backend_servers", len(inForce.Registrations)),
+		eventlog.Integer("evacuated", len(inForce.Evacuated)), eventlog.Integer("rollouts", len(inForce.Rollouts)), eventlog.Integer("backend_servers", len(inForce.Registrations)),
 		eventlog.Integer("draining", draining), eventlog.Integer("registrations_at", inForce.RegistrationsAt),
 		eventlog.Text("source", sourceOf(event)), eventlog.Text("peer", change.Peer), eventlog.Integer("hash", d.replica.Hash),
 		eventlog.Duration("unconfirmed", min(change.Unconfirmed, maxDeclaredAge)))
@@ -321,7 +325,7 @@
 	message := d.directory.Self
 	message.Sequence = d.sequence
 	if action.Loads {
-		message.Loads, message.Leaving = d.loads, d.leaving
+		message.Loads, message.Leaving, message.Rollouts = d.loads, d.leaving, d.nextRollouts()
 	}
 	message.DeclaredHash, message.OrdersAt, message.RegistrationsAt = d.replica.Hash, d.replica.Declared.OrdersAt, d.replica.Declared.RegistrationsAt
 	message.Reads, message.Lost = d.replica.Reads(now), d.directory.Lost(now)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/baobabdrum/baobabdrum/memory"
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/rollout"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -48,6 +49,8 @@
 	Propagation time.Duration
 	// Budget is the retry budget.
 	Budget placement.Budget
+	// Rollout bounds the exposure of callers to a new version of a service.
+	Rollout rollout.Limits
 	// Capacity is the number of calls per second that the host can carry.
 	Capacity int
 	// MemoryBytes is the memory that the process may use, or 0 if it is unknown.
@@ -298,6 +301,8 @@
 	Calls int
 	// Leaving are the backend servers that told this host that they are leaving.
 	Leaving []schema.LeavingServer
+	// Rollouts are this host's reports on the rollout orders.
+	Rollouts []schema.RolloutReport
 }
 
 // AddressesQuery requests the entry hosts that a caller should use.
--- a/edge/host.go
+++ b/edge/host.go
@@ -81,6 +81,7 @@
 	fetches       *ring.Ring[declared.Fetch]
 	asks          *ring.Ring[directory.AskMembers]
 	storeMembers  *ring.Ring[directory.Action]
+	rollouts      *ring.Ring[placement.RecordRollout]
 	beacons       *ring.Ring[beacon.Datagram]
 	requests      *ring.Ring[peerrpc.Request]
 	rejecting     *ring.Ring[*tcp.LingeringConn]
@@ -111,6 +112,7 @@
 		fetches:       ring.New[declared.Fetch]("fetches", 1),
 		asks:          ring.New[directory.AskMembers]("asks", 1),
 		storeMembers:  ring.New[directory.Action]("store_members", storeMembersCapacity),
+		rollouts:      ring.New[placement.RecordRollout]("rollouts", rolloutRingCapacity),
 		beacons:       ring.New[beacon.Datagram]("beacons", controlRingCapacity),
 		requests:      ring.New[peerrpc.Request]("peer_requests", controlRingCapacity),
 		rejecting:     ring.New[*tcp.LingeringConn]("rejecting", tcp.Rejecters),
@@ -265,8 +267,9 @@
 		placer: placement.New(placement.Options{
 			Host: h.Site.Name, DataCentre: h.Site.DataCentre, Seed: h.seed(),
 			Budget: h.Site.Budget, ProbeInterval: h.Settings.ProbeInterval, CrossingCost: float64(h.Settings.CrossingCost) / perMille,
+			Rollout: h.Site.Rollout,
 		}),
-		inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
+		inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, rollouts: h.rollouts, log: h.Log, metrics: h.Metrics,
 		calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
 	}
 	duties.Go("calls", calls.run)
@@ -306,6 +309,7 @@
 		return h.runReads(ctx, h.registrations, "registrations", h.Adapter.ReadRegistrations)
 	})
 	duties.Go("store members", h.runStoreMembers)
+	duties.Go("rollouts", h.runRollouts)
 	duties.Go("asks", h.runAsks)
 	duties.Go("fetches", h.runFetches)
 	duties.Go("peer requests", h.runRequests)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// Rollout counts a change of a rollout at this host and records the share of the calls
+// that go to its target version.
+func (m *Metrics) Rollout(action placement.RolloutChanged) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_rollout_changes_total{service=%q,phase=%q,reason=%q}`, action.Service, action.Phase, action.Reason)).Inc()
+	m.set.GetOrCreateGauge(fmt.Sprintf(`baobabdrum_rollout_share{service=%q}`, action.Service), nil).Set(action.Share)
+}
+
 // Store counts a call to the store and records its duration.
 func (m *Metrics) Store(call, outcome string, took time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_store_calls_total{call=%q,outcome=%q}`, call, outcome)).Inc()
--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabdrum/baobabdrum/edge"
 	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/rollout"
 )
 
 func TestPageListsEveryMetric(t *testing.T) {
@@ -33,6 +34,7 @@
 	metrics.InForce(time.Millisecond)
 	metrics.Invalid("orders", 1)
 	metrics.Exhausted("answers")
+	metrics.Rollout(placement.RolloutChanged{Service: "s", Phase: rollout.PhaseObserving, Reason: rollout.ReasonOrdered})
 	metrics.Gauge("baobabdrum_body_bytes", func() float64 { return 0 })
 	metrics.Gauge(`baobabdrum_open_connections{listener="caller"}`, func() float64 { return 0 })
 	metrics.Rejected("malformed")
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -1,9 +1,36 @@
 package edge
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/baobabdrum/baobabdrum/beacon"
+	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/rollout"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
+const (
+	// rolloutRingCapacity is the capacity of the ring of states to record: more than the
+	// orders that change at once.
+	rolloutRingCapacity = 64
+	// recordRounds is how often a state is read and written in a row while other hosts
+	// change the row in between.
+	recordRounds = 3
+	// minRecordRetry is the shortest time between a failure to record a state and the next
+	// request to the store.
+	minRecordRetry = 300 * time.Millisecond
+	// maxRecordRetry is the longest such time. The first failure sets half of it as the
+	// bound, and each further one doubles the bound up to it.
+	maxRecordRetry = 2 * time.Second
+	// maxBeaconEvidence is the largest number of routes with evidence in a beacon. At 41
+	// bytes each, they take a third of a datagram.
+	maxBeaconEvidence = 480
+)
+
 // RolloutRow is the row of the store with the state of a service's rollout.
 type RolloutRow struct {
 	// Service is the name of the service.
@@ -17,3 +44,223 @@
 	// RowVersion is the version of the row that holds the state, or 0 if there is none.
 	RowVersion int
 }
+
+// SupersededError reports a state that is not recorded because the store has the state
+// of a later order for the service.
+type SupersededError struct {
+	// Service is the name of the service.
+	Service string
+	// OrderVersion identifies the order whose state was to be recorded.
+	OrderVersion int
+	// Later identifies the later order.
+	Later int
+}
+
+// Error names the service and both orders.
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("rollout of %s by order %d is superseded by order %d", e.Service, e.OrderVersion, e.Later)
+}
+
+// ContendedError reports a state that was not recorded because other hosts changed its
+// row each time between the read and the write.
+type ContendedError struct {
+	// Service is the name of the service.
+	Service string
+}
+
+// Error names the service.
+func (e *ContendedError) Error() string {
+	return fmt.Sprintf("row with the state of the rollout of %s changed %d times while it was read and written", e.Service, recordRounds)
+}
+
+// RolloutRecorder records states of rollouts in the store. Only one duty may use it.
+type RolloutRecorder struct {
+	// Read returns the row of a service.
+	Read func(service string) (RolloutRow, error)
+	// Write writes a row if it still has the version in it, and reports whether it has.
+	Write func(RolloutRow) (bool, error)
+	// Metrics count the requests to the store.
+	Metrics *Metrics
+}
+
+// Record writes a state unless the store has a final one for the same order, and returns
+// what the store has then. It does not retry after an error.
+func (r *RolloutRecorder) Record(request placement.RecordRollout) (placement.RolloutRecorded, error) {
+	recorded := placement.RolloutRecorded{Service: request.Service, OrderVersion: request.OrderVersion, Failed: true}
+	for range recordRounds {
+		row, err := r.read(request.Service)
+		if err != nil {
+			return recorded, err
+		}
+		next, err := rowAfter(request, row)
+		if err != nil {
+			return recorded, err
+		}
+		written := next == row
+		if !written {
+			if written, err = r.write(next); err != nil {
+				return recorded, err
+			}
+		}
+		if written {
+			recorded.State, recorded.Failed = next.State, false
+
+			return recorded, nil
+		}
+	}
+
+	return recorded, &ContendedError{Service: request.Service}
+}
+
+// rowAfter returns the row that the store is to have after a request. It is the present
+// one if that holds a final state of the same order, or any state if the request only
+// ensures that there is one. A state of a later order is not replaced.
+func rowAfter(request placement.RecordRollout, row RolloutRow) (RolloutRow, error) {
+	next := RolloutRow{
+		Service: request.Service, Target: request.Target, OrderVersion: request.OrderVersion, State: request.State, RowVersion: row.RowVersion,
+	}
+	switch {
+	case row.State == "": // no row, or an unreadable one
+		return next, nil
+	case row.OrderVersion > request.OrderVersion:
+		return row, &SupersededError{Service: request.Service, OrderVersion: request.OrderVersion, Later: row.OrderVersion}
+	case row.OrderVersion < request.OrderVersion || row.Target != request.Target:
+		return next, nil
+	case row.State == schema.RolloutStateRunning:
+		return next, nil
+	default:
+		return row, nil
+	}
+}
+
+// read reads a row and counts the request.
+func (r *RolloutRecorder) read(service string) (RolloutRow, error) {
+	startedAt := time.Now()
+	row, err := r.Read(service)
+	outcome := "read"
+	if err != nil {
+		outcome = "failed"
+	}
+	r.Metrics.Store("rollouts", outcome, time.Since(startedAt))
+
+	return row, err
+}
+
+// write writes a row and counts the request.
+func (r *RolloutRecorder) write(row RolloutRow) (bool, error) {
+	startedAt := time.Now()
+	written, err := r.Write(row)
+	outcome := "written"
+	switch {
+	case err != nil:
+		outcome = "failed"
+	case !written:
+		outcome = "row_changed"
+	}
+	r.Metrics.Store("rollouts", outcome, time.Since(startedAt))
+
+	return written, err
+}
+
+// runRollouts records states of rollouts whenever the calls duty requests it. After a
+// failure it reports it, and makes the next request to the store later; the calls duty
+// requests the state again if it is still due.
+func (h *Host) runRollouts(ctx context.Context) error {
+	defer context.AfterFunc(ctx, h.Adapter.CloseStore)()
+	recorder := &RolloutRecorder{Read: h.Adapter.ReadRollout, Write: h.Adapter.WriteRollout, Metrics: h.Metrics}
+	random := rand.New(rand.NewPCG(h.seed(), 0)) //nolint:gosec // spreads the requests of hosts, not for security
+	for wait := maxRecordRetry / 2; ; {
+		request, err := h.rollouts.Take(ctx)
+		if err != nil {
+			return err
+		}
+		recorded, failure := recorder.Record(request)
+		if err := h.changes.Put(ctx, PlacementEvent{Event: recorded}); err != nil {
+			return err
+		}
+		if failure == nil {
+			h.Log.Event(eventlog.Info, "rollout_recorded", "store has the state of a rollout",
+				eventlog.Text("service", request.Service), eventlog.Text("target", request.Target), eventlog.Integer("order_version", request.OrderVersion),
+				eventlog.Text("requested", string(request.State)), eventlog.Text("state", string(recorded.State)))
+			wait = maxRecordRetry / 2
+
+			continue
+		}
+		h.Log.Event(eventlog.Warning, "rollout_not_recorded", "recording the state of a rollout in the store failed; retrying after a back-off",
+			eventlog.Text("service", request.Service), eventlog.Integer("order_version", request.OrderVersion),
+			eventlog.Text("requested", string(request.State)), eventlog.Text("error", failure.Error()))
+		pause(ctx, minRecordRetry+time.Duration(random.Int64N(int64(wait-minRecordRetry))))
+		wait = min(2*wait, maxRecordRetry)
+	}
+}
+
+// record passes a state to the duty that records it. If the ring is full, the placer
+// learns of the failure at the next tick, so that it requests the state again.
+func (d *callsDuty) record(action placement.RecordRollout) {
+	if d.rollouts.Offer(action) == nil {
+		return
+	}
+	d.metrics.Dropped("rollouts")
+	d.unrecorded = append(d.unrecorded, placement.RolloutRecorded{Service: action.Service, OrderVersion: action.OrderVersion, Failed: true})
+}
+
+// reportUnrecorded tells the placer which states were not passed to the duty that records
+// them.
+func (d *callsDuty) reportUnrecorded(now time.Time) {
+	unrecorded := d.unrecorded
+	d.unrecorded = nil
+	for _, event := range unrecorded {
+		d.apply(now, d.placer.Step(now, event))
+	}
+}
+
+// logRollout logs and counts a change of a rollout at this host.
+func (d *callsDuty) logRollout(action placement.RolloutChanged) {
+	d.metrics.Rollout(action)
+	level := eventlog.Info
+	if action.Phase == rollout.PhaseRolledBack {
+		level = eventlog.Warning
+	}
+	target, others := action.Evidence.Target, action.Evidence.Others
+	d.log.Event(level, "rollout_changed", "another share of a service's calls goes to the target version of a rollout",
+		eventlog.Text("service", action.Service), eventlog.Text("target", action.Target), eventlog.Integer("order_version", action.OrderVersion),
+		eventlog.Text("phase", string(action.Phase)), eventlog.Number("share", action.Share), eventlog.Text("reason", string(action.Reason)),
+		eventlog.Integer("target_answers", target.All), eventlog.Integer("target_failures", target.Failures),
+		eventlog.Integer("target_slow", target.Slow), eventlog.Integer("target_cold", target.Cold),
+		eventlog.Integer("other_answers", others.All), eventlog.Integer("other_failures", others.Failures), eventlog.Integer("other_slow", others.Slow))
+}
+
+// nextRollouts returns the reports on rollouts for the next beacon. Those that do not fit
+// into one beacon are sent in turn.
+func (d *controlDuty) nextRollouts() []schema.RolloutReport {
+	count := len(d.rollouts)
+	if count == 0 {
+		return nil
+	}
+	reports, routes := make([]schema.RolloutReport, 0, min(count, beacon.MaxRollouts)), 0
+	for i := range min(count, beacon.MaxRollouts) {
+		report := d.rollouts[(d.rolloutTurn+i)%count]
+		report.Evidence = boundEvidence(report.Evidence)
+		if routes += len(report.Evidence); routes > maxBeaconEvidence {
+			break
+		}
+		reports = append(reports, report)
+	}
+	d.rolloutTurn = (d.rolloutTurn + len(reports)) % count
+
+	return reports
+}
+
+// boundEvidence returns evidence within the bounds of beacons. Other hosts drop a beacon
+// beyond them and would take this host for lost.
+func boundEvidence(evidence []schema.RolloutEvidence) []schema.RolloutEvidence {
+	bounded := make([]schema.RolloutEvidence, 0, min(len(evidence), beacon.MaxRolloutRoutes))
+	for _, route := range evidence[:cap(bounded)] {
+		for _, count := range beacon.RolloutCounts(&route) {
+			*count = min(*count, beacon.MaxRolloutCount)
+		}
+		bounded = append(bounded, route)
+	}
+
+	return bounded
+}
--- /dev/null
+++ b/edge/rollouts_test.go
@@ -0,0 +1,333 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/baobabdrum/baobabdrum/beacon"
+	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/rollout"
+	"github.com/baobabdrum/baobabdrum/schema"
+)
+
+// errRowStore is the error of a store that fails.
+var errRowStore = errors.New("store unavailable")
+
+// rowStore is a store with the row of one service that may fail or be changed by others.
+// One duty uses it.
+type rowStore struct {
+	row RolloutRow
+	// failing are the requests that fail, counted from 1.
+	failing map[int]bool
+	// losing are the requests that are carried out and whose answers are lost.
+	losing map[int]bool
+	// meanwhile are the rows that others write after the reads, in order.
+	meanwhile []RolloutRow
+	requests  int
+	writes    int
+	// askedAt are the times of the requests.
+	askedAt []time.Time
+}
+
+// ask counts a request and returns whether it is carried out, and its error.
+func (s *rowStore) ask() (bool, error) {
+	s.requests++
+	s.askedAt = append(s.askedAt, time.Now())
+	if s.failing[s.requests] {
+		return false, errRowStore
+	}
+	if s.losing[s.requests] {
+		return true, errRowStore
+	}
+
+	return true, nil
+}
+
+// read returns the row, which another host may change right after.
+func (s *rowStore) read(string) (RolloutRow, error) {
+	if _, err := s.ask(); err != nil {
+		return RolloutRow{}, err
+	}
+	row := s.row
+	if len(s.meanwhile) > 0 {
+		next := s.meanwhile[0]
+		s.meanwhile = s.meanwhile[1:]
+		next.RowVersion = s.row.RowVersion + 1
+		s.row = next
+	}
+
+	return row, nil
+}
+
+// write replaces the row if it has the expected version.
+func (s *rowStore) write(row RolloutRow) (bool, error) {
+	carriedOut, err := s.ask()
+	if !carriedOut {
+		return false, err
+	}
+	if row.RowVersion != s.row.RowVersion {
+		return false, err
+	}
+	row.RowVersion++
+	s.row = row
+	s.writes++
+
+	return err == nil, err
+}
+
+// rowOf returns the row of an order with a state.
+func rowOf(order, version int, state schema.RolloutState) RolloutRow {
+	return RolloutRow{Service: "s", Target: "v2", OrderVersion: order, State: state, RowVersion: version}
+}
+
+// Guards against a final state that another one replaces, a state of a later order that
+// one of an earlier order replaces, and a request that ends without the state that the
+// store has.
+func TestRecordRollout(t *testing.T) {
+	const running, completed, rolledBack = schema.RolloutStateRunning, schema.RolloutStateCompleted, schema.RolloutStateRolledBack
+	tests := map[string]struct {
+		store  rowStore
+		ask    schema.RolloutState
+		want   schema.RolloutState
+		failed bool
+		// row is the state in the store at the end; writes are the successful ones.
+		row      schema.RolloutState
+		writes   int
+		requests int
+	}{
+		"no row, running":                {ask: running, want: running, row: running, writes: 1, requests: 2},
+		"no row, completed":              {ask: completed, want: completed, row: completed, writes: 1, requests: 2},
+		"running exists":                 {store: rowStore{row: rowOf(5, 2, running)}, ask: running, want: running, row: running, requests: 1},
+		"completed exists, running":      {store: rowStore{row: rowOf(5, 2, completed)}, ask: running, want: completed, row: completed, requests: 1},
+		"running exists, rolled back":    {store: rowStore{row: rowOf(5, 2, running)}, ask: rolledBack, want: rolledBack, row: rolledBack, writes: 1, requests: 2},
+		"completed exists, rolled back":  {store: rowStore{row: rowOf(5, 2, completed)}, ask: rolledBack, want: completed, row: completed, requests: 1},
+		"rolled back exists, completed":  {store: rowStore{row: rowOf(5, 2, rolledBack)}, ask: completed, want: rolledBack, row: rolledBack, requests: 1},
+		"final state of an earlier one":  {store: rowStore{row: rowOf(4, 2, completed)}, ask: running, want: running, row: running, writes: 1, requests: 2},
+		"final state of a later one":     {store: rowStore{row: rowOf(6, 2, completed)}, ask: completed, failed: true, row: completed, requests: 1},
+		"running state of a later one":   {store: rowStore{row: rowOf(6, 2, running)}, ask: completed, failed: true, row: running, requests: 1},
+		"unreadable row":                 {store: rowStore{row: RolloutRow{Service: "s", RowVersion: 7}}, ask: running, want: running, row: running, writes: 1, requests: 2},
+		"state of another target":        {store: rowStore{row: RolloutRow{Service: "s", Target: "v9", OrderVersion: 5, State: completed, RowVersion: 7}}, ask: running, want: running, row: running, writes: 1, requests: 2},
+		"another host was first":         {store: rowStore{row: rowOf(5, 2, running), meanwhile: []RolloutRow{rowOf(5, 0, rolledBack)}}, ask: completed, want: rolledBack, row: rolledBack, requests: 3},
+		"another host ensured the row":   {store: rowStore{meanwhile: []RolloutRow{rowOf(5, 0, running)}}, ask: completed, want: completed, row: completed, writes: 1, requests: 4},
+		"a later order came meanwhile":   {store: rowStore{row: rowOf(5, 2, running), meanwhile: []RolloutRow{rowOf(6, 0, running)}}, ask: completed, failed: true, row: running, requests: 3},
+		"the row changes again and more": {store: rowStore{meanwhile: []RolloutRow{rowOf(4, 0, running), rowOf(4, 0, completed), rowOf(4, 0, running)}}, ask: completed, failed: true, row: running, requests: 6},
+		"the read fails":                 {store: rowStore{failing: map[int]bool{1: true}}, ask: completed, failed: true, requests: 1},
+		"the write fails":                {store: rowStore{failing: map[int]bool{2: true}}, ask: completed, failed: true, requests: 2},
+		"the second read fails":          {store: rowStore{meanwhile: []RolloutRow{rowOf(5, 0, running)}, failing: map[int]bool{3: true}}, ask: completed, failed: true, row: running, requests: 3},
+		"the second write fails":         {store: rowStore{meanwhile: []RolloutRow{rowOf(5, 0, running)}, failing: map[int]bool{4: true}}, ask: completed, failed: true, row: running, requests: 4},
+		"the answer to a write is lost":  {store: rowStore{losing: map[int]bool{2: true}}, ask: completed, failed: true, row: completed, writes: 1, requests: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			recorder := &RolloutRecorder{Read: test.store.read, Write: test.store.write, Metrics: NewMetrics()}
+			request := placement.RecordRollout{Service: "s", Target: "v2", OrderVersion: 5, State: test.ask}
+			recorded, err := recorder.Record(request)
+			assert.Equal(t, err != nil, test.failed, "%v", err)
+			assert.DeepEqual(t, recorded, placement.RolloutRecorded{Service: "s", OrderVersion: 5, State: test.want, Failed: test.failed})
+			assert.Equal(t, test.store.row.State, test.row)
+			assert.Equal(t, test.store.writes, test.writes)
+			assert.Equal(t, test.store.requests, test.requests)
+		})
+	}
+}
+
+// Guards against a write whose answer was lost and that is followed by another state.
+func TestALostAnswerIsFoundByTheNextRequest(t *testing.T) {
+	store := &rowStore{losing: map[int]bool{2: true}}
+	recorder := &RolloutRecorder{Read: store.read, Write: store.write, Metrics: NewMetrics()}
+	_, err := recorder.Record(placement.RecordRollout{Service: "s", Target: "v2", OrderVersion: 5, State: schema.RolloutStateCompleted})
+	assert.Assert(t, err != nil)
+	recorded, err := recorder.Record(placement.RecordRollout{Service: "s", Target: "v2", OrderVersion: 5, State: schema.RolloutStateRolledBack})
+	assert.NilError(t, err)
+	assert.Equal(t, recorded.State, schema.RolloutStateCompleted)
+	assert.Equal(t, store.writes, 1)
+}
+
+// newRolloutHost returns a host that is not running and uses a store.
+func newRolloutHost(store *rowStore, log *bytes.Buffer) *Host {
+	logger := logrus.New()
+	logger.SetOutput(log)
+
+	return New(schema.EdgeSettings{Senders: 1}, Site{Name: "h", DataCentre: "north"}, Adapter{
+		ReadRollout: store.read, WriteRollout: store.write, CloseStore: func() {},
+	}, logrus.NewEntry(logger))
+}
+
+// Guards against a store that fails and is asked again at once, and against a request
+// that ends without a report.
+func TestFailedRecordsAreRepeatedAfterABackOff(t *testing.T) {
+	store := &rowStore{failing: map[int]bool{1: true, 2: true}}
+	h := newRolloutHost(store, &bytes.Buffer{})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- h.runRollouts(ctx) }()
+	for attempt, failed := range []bool{true, true, false} {
+		assert.NilError(t, h.rollouts.Offer(placement.RecordRollout{Service: "s", Target: "v2", OrderVersion: 5, State: schema.RolloutStateRolledBack}))
+		taken, cancelTake := context.WithTimeout(t.Context(), 2*maxRecordRetry)
+		input, err := h.changes.Take(taken)
+		cancelTake()
+		assert.NilError(t, err)
+		recorded, ok := input.(PlacementEvent).Event.(placement.RolloutRecorded)
+		assert.Assert(t, ok)
+		assert.Equal(t, recorded.Failed, failed, "attempt %d", attempt)
+	}
+	cancel()
+	assert.Assert(t, <-ended != nil)
+	for i := range 2 {
+		wait := store.askedAt[i+1].Sub(store.askedAt[i])
+		assert.Assert(t, wait >= minRecordRetry && wait < maxRecordRetry+time.Second, "the store was asked again after %s", wait)
+	}
+}
+
+// Guards against a duty that does not end while it waits after a failure.
+func TestTheRolloutsDutyEndsDuringABackOff(t *testing.T) {
+	store := &rowStore{failing: map[int]bool{1: true}}
+	h := newRolloutHost(store, &bytes.Buffer{})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- h.runRollouts(ctx) }()
+	assert.NilError(t, h.rollouts.Offer(placement.RecordRollout{Service: "s", OrderVersion: 5, State: schema.RolloutStateRunning}))
+	_, err := h.changes.Take(t.Context())
+	assert.NilError(t, err)
+	began := time.Now()
+	cancel()
+	assert.Assert(t, <-ended != nil)
+	assert.Assert(t, time.Since(began) < minRecordRetry/2, "the duty ended after %s", time.Since(began))
+}
+
+// newRolloutCalls returns a calls duty with a ring of one place for states to record.
+func newRolloutCalls(log *bytes.Buffer) *callsDuty {
+	logger := logrus.New()
+	logger.SetOutput(log)
+
+	return &callsDuty{
+		placer: placement.New(placement.Options{Host: "h", DataCentre: "north"}), rollouts: ring.New[placement.RecordRollout]("rollouts", 1),
+		control: ring.New[ControlInput]("control", 4), log: eventlog.New(logrus.NewEntry(logger)), metrics: NewMetrics(),
+	}
+}
+
+// Guards against a state that is never recorded because the ring was full once: the
+// placer waits for the end of a request that nobody carries out.
+func TestRecordsAtAFullRingAreReportedAsFailed(t *testing.T) {
+	d := newRolloutCalls(&bytes.Buffer{})
+	now := time.Unix(1000, 0)
+	for order := range 3 {
+		d.apply(now, []placement.Action{placement.RecordRollout{Service: "s", OrderVersion: order + 1, State: schema.RolloutStateRunning}})
+	}
+	taken, found := d.rollouts.Poll()
+	assert.Assert(t, found)
+	assert.Equal(t, taken.OrderVersion, 1)
+	assert.DeepEqual(t, d.unrecorded, []placement.RolloutRecorded{{Service: "s", OrderVersion: 2, Failed: true}, {Service: "s", OrderVersion: 3, Failed: true}})
+	var text bytes.Buffer
+	d.metrics.Write(&text)
+	assert.Assert(t, bytes.Contains(text.Bytes(), []byte(`baobabdrum_dropped_messages_total{what="rollouts"} 2`)))
+	d.tick(now)
+	assert.Equal(t, len(d.unrecorded), 0)
+}
+
+// Guards against a host without orders that pays for rollouts: a message to the duty that
+// records them, or reports in its beacons.
+func TestAHostWithoutOrdersReportsNothing(t *testing.T) {
+	d := newRolloutCalls(&bytes.Buffer{})
+	d.serving = true
+	d.tick(time.Unix(1000, 0))
+	input, found := d.control.Poll()
+	assert.Assert(t, found)
+	assert.Equal(t, len(input.(LoadsReported).Rollouts), 0)
+	_, found = d.rollouts.Poll()
+	assert.Assert(t, !found)
+	control := &controlDuty{rollouts: input.(LoadsReported).Rollouts}
+	assert.Equal(t, testing.AllocsPerRun(10, func() { control.nextRollouts() }), 0.0)
+}
+
+// Guards against a change that operators cannot trace.
+func TestRolloutChangesAreLogged(t *testing.T) {
+	tests := map[string]struct {
+		phase rollout.Phase
+		level string
+	}{
+		"observing":   {phase: rollout.PhaseObserving, level: "level=info"},
+		"rolled back": {phase: rollout.PhaseRolledBack, level: "level=warning"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var log, text bytes.Buffer
+			d := newRolloutCalls(&log)
+			d.apply(time.Unix(1000, 0), []placement.Action{placement.RolloutChanged{
+				Service: "s", Target: "v2", OrderVersion: 5, Phase: test.phase, Share: 0.05, Reason: rollout.ReasonFailures,
+				Evidence: rollout.Counts{Target: rollout.Answers{All: 9, Failures: 4, Slow: 3, Cold: 2}, Others: rollout.Answers{All: 70, Failures: 1}},
+			}})
+			ended, cancel := context.WithCancel(t.Context())
+			cancel()
+			assert.Assert(t, d.log.Run(ended) != nil) // writes the lines that wait
+			for _, field := range []string{test.level, "event=rollout_changed", "service=s", "target=v2", "order_version=5", "phase=" + string(test.phase), "reason=failures", "target_answers=9", "target_failures=4", "target_slow=3", "target_cold=2", "other_answers=70", "other_failures=1"} {
+				assert.Assert(t, bytes.Contains(log.Bytes(), []byte(field)), "%s is not in %s", field, log.String())
+			}
+			d.metrics.Write(&text)
+			assert.Assert(t, bytes.Contains(text.Bytes(), []byte(`baobabdrum_rollout_share{service="s"} 0.05`)), "%s", text.String())
+		})
+	}
+}
+
+// reportsOf returns reports on rollouts of as many services, each with evidence for as
+// many routes.
+func reportsOf(services, routes int) []schema.RolloutReport {
+	reports := make([]schema.RolloutReport, services)
+	for i := range reports {
+		reports[i] = schema.RolloutReport{ServiceHash: i, OrderVersion: 1, State: schema.RolloutStateRunning, Evidence: make([]schema.RolloutEvidence, routes)}
+	}
+
+	return reports
+}
+
+// Guards against a beacon that other hosts drop, so that they take this host for lost,
+// and against reports that are never sent because there are too many.
+func TestReportsOfRolloutsFitIntoBeacons(t *testing.T) {
+	tests := map[string]struct {
+		services, routes int
+		beacons          int
+	}{
+		"one":                            {services: 1, routes: 4, beacons: 1},
+		"as many as fit":                 {services: beacon.MaxRollouts, routes: 1, beacons: 1},
+		"too many services":              {services: beacon.MaxRollouts + 1, routes: 0, beacons: 2},
+		"far too many services":          {services: 3*beacon.MaxRollouts + 5, routes: 1, beacons: 4},
+		"too many routes of one service": {services: 1, routes: beacon.MaxRolloutRoutes + 7, beacons: 1},
+		"too many routes":                {services: 40, routes: beacon.MaxRolloutRoutes, beacons: 6},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := &controlDuty{rollouts: reportsOf(test.services, test.routes)}
+			for i := range d.rollouts {
+				for j := range d.rollouts[i].Evidence {
+					for _, count := range beacon.RolloutCounts(&d.rollouts[i].Evidence[j]) {
+						*count = beacon.MaxRolloutCount + 9
+					}
+				}
+			}
+			told := map[int]bool{}
+			for range test.beacons {
+				sent := schema.Beacon{
+					Name: "a", DataCentre: "north", CallerAddress: "10.0.0.1:80", PeerAddress: "10.0.0.1:7200", Loads: make([]schema.ServerLoad, 1000),
+					Rollouts: d.nextRollouts(),
+				}
+				raw, err := sent.MarshalMsg(nil)
+				assert.NilError(t, err)
+				assert.Assert(t, len(raw) < 60<<10, "%d bytes", len(raw))
+				_, err = beacon.Decode(raw)
+				assert.NilError(t, err)
+				for _, report := range sent.Rollouts {
+					told[report.ServiceHash] = true
+				}
+			}
+			assert.Equal(t, len(told), test.services)
+		})
+	}
+}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/placement"
+	"github.com/baobabdrum/baobabdrum/rollout"
 )
 
 // settingsInterval is the time between reads of the settings file, which may
@@ -65,6 +66,7 @@
 type fixedSettings struct {
 	name, dataCentre, caller, ready, directory, control, peer string
 	capacity                                                  int
+	rollout                                                   rollout.Limits
 }
 
 // fixedSettingsOf returns the fixed settings of a site.
@@ -72,5 +74,6 @@
 	return fixedSettings{
 		name: site.Name, dataCentre: site.DataCentre, caller: site.CallerAddress, ready: site.ReadyAddress,
 		directory: site.DirectoryAddress, control: site.ControlAddress, peer: site.PeerAddress, capacity: site.Capacity,
+		rollout: site.Rollout,
 	}
 }
