edge: leave the retries of rollout records to package rollout

Cause: rollout repeats a failed request after 0.3 to 2 s by itself; with a back-off of the duty beside it, requests waited in the ring, and an outdated 'completed' could have been written after the host had rolled back. Change: the duty reports failures at once and carries out the last request of each service.

--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/beacon"
@@ -20,12 +19,6 @@
 	// recordRounds is how often a state is read and written in a row while other hosts
 	// change the row in between.
 	recordRounds = 3
-	// minRecordRetry is the shortest time between a failure to record a state and the next
-	// request to the store.
-	minRecordRetry = 300 * time.Millisecond
-	// maxRecordRetry is the longest such time. The first failure sets half of it as the
-	// bound, and each further one doubles the bound up to it.
-	maxRecordRetry = 2 * time.Second
 	// maxBeaconEvidence is the largest number of routes with evidence in a beacon. At 41
 	// bytes each, they take a third of a datagram.
 	maxBeaconEvidence = 480
@@ -162,36 +155,61 @@
 	return written, err
 }
 
-// runRollouts records states of rollouts whenever the calls duty requests it. After a
-// failure it reports it, and makes the next request to the store later; the calls duty
-// requests the state again if it is still due.
+// runRollouts records states of rollouts whenever the calls duty requests it. It reports a
+// failure at once and does not retry, because the state may no longer be wanted then:
+// package rollout decides when a state is requested again.
 func (h *Host) runRollouts(ctx context.Context) error {
 	defer context.AfterFunc(ctx, h.Adapter.CloseStore)()
 	recorder := &RolloutRecorder{Read: h.Adapter.ReadRollout, Write: h.Adapter.WriteRollout, Metrics: h.Metrics}
-	random := rand.New(rand.NewPCG(h.seed(), 0)) //nolint:gosec // spreads the requests of hosts, not for security
-	for wait := maxRecordRetry / 2; ; {
-		request, err := h.rollouts.Take(ctx)
-		if err != nil {
-			return err
+	var waiting []placement.RecordRollout
+	for {
+		if len(waiting) == 0 {
+			next, err := h.rollouts.Take(ctx)
+			if err != nil {
+				return err
+			}
+			waiting = append(waiting, next)
+		}
+		for next, found := h.rollouts.Poll(); found; next, found = h.rollouts.Poll() {
+			waiting = addRecord(waiting, next)
 		}
-		recorded, failure := recorder.Record(request)
+		request := waiting[0]
+		waiting = waiting[1:]
+		recorded, err := recorder.Record(request)
+		h.logRecord(request, recorded, err)
 		if err := h.changes.Put(ctx, PlacementEvent{Event: recorded}); err != nil {
 			return err
 		}
-		if failure == nil {
-			h.Log.Event(eventlog.Info, "rollout_recorded", "store has the state of a rollout",
-				eventlog.Text("service", request.Service), eventlog.Text("target", request.Target), eventlog.Integer("order_version", request.OrderVersion),
-				eventlog.Text("requested", string(request.State)), eventlog.Text("state", string(recorded.State)))
-			wait = maxRecordRetry / 2
+	}
+}
 
-			continue
+// addRecord adds a state to those that wait to be recorded. It replaces an earlier one of
+// the same service: a host that rolls back must not complete the rollout because that
+// request had to wait for the store.
+func addRecord(waiting []placement.RecordRollout, next placement.RecordRollout) []placement.RecordRollout {
+	for i, earlier := range waiting {
+		if earlier.Service == next.Service {
+			waiting[i] = next
+
+			return waiting
 		}
-		h.Log.Event(eventlog.Warning, "rollout_not_recorded", "recording the state of a rollout in the store failed; retrying after a back-off",
-			eventlog.Text("service", request.Service), eventlog.Integer("order_version", request.OrderVersion),
-			eventlog.Text("requested", string(request.State)), eventlog.Text("error", failure.Error()))
-		pause(ctx, minRecordRetry+time.Duration(random.Int64N(int64(wait-minRecordRetry))))
-		wait = min(2*wait, maxRecordRetry)
 	}
+
+	return append(waiting, next)
+}
+
+// logRecord logs the end of a request to record a state.
+func (h *Host) logRecord(request placement.RecordRollout, recorded placement.RolloutRecorded, err error) {
+	fields := []eventlog.Field{
+		eventlog.Text("service", request.Service), eventlog.Text("target", request.Target), eventlog.Integer("order_version", request.OrderVersion),
+		eventlog.Text("requested", string(request.State)),
+	}
+	if err != nil {
+		h.Log.Event(eventlog.Warning, "rollout_not_recorded", "recording the state of a rollout in the store failed", append(fields, eventlog.Text("error", err.Error()))...)
+
+		return
+	}
+	h.Log.Event(eventlog.Info, "rollout_recorded", "store has the state of a rollout", append(fields, eventlog.Text("state", string(recorded.State)))...)
 }
 
 // record passes a state to the duty that records it. If the ring is full, the placer
