--- a/edge/rollouts_test.go
+++ b/edge/rollouts_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/baobabdrum/baobabdrum/beacon"
+	"github.com/baobabdrum/baobabdrum/directory"
 	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/ring"
@@ -346,3 +347,33 @@
 		})
 	}
 }
+
+// lastDatagram returns the newest beacon that a control duty has sent.
+func lastDatagram(t *testing.T, d *controlDuty) beacon.Datagram {
+	t.Helper()
+	var last beacon.Datagram
+	for next, found := d.beacons.Poll(); found; next, found = d.beacons.Poll() {
+		last = next
+	}
+	assert.Assert(t, last.Beacon.Name != "", "no beacon was sent")
+
+	return last
+}
+
+// Guards against reports that a host does not pass on to the others, or passes on from
+// them without the calls duty learning of it.
+func TestReportsOfRolloutsReachTheOtherHost(t *testing.T) {
+	s := newSimulation(2, 1, 1)
+	sender, receiver := s.hosts[0].duty, s.hosts[1].duty
+	reports := reportsOf(2, 1)
+	assert.NilError(t, sender.step(t.Context(), s.now, LoadsReported{Rollouts: reports}))
+	sender.sendBeacon(s.now, directory.SendBeacon{})
+	assert.Equal(t, len(lastDatagram(t, sender).Beacon.Rollouts), 0, "a beacon without loads has reports")
+	sender.sendBeacon(s.now, directory.SendBeacon{Loads: true})
+	sent := lastDatagram(t, sender).Beacon
+	assert.DeepEqual(t, sent.Rollouts, reports)
+	assert.NilError(t, receiver.step(t.Context(), s.now, BeaconArrived{Beacon: sent}))
+	input, found := receiver.calls.Poll()
+	assert.Assert(t, found)
+	assert.DeepEqual(t, input, PlacementEvent{Event: placement.LoadsReceived{Host: sent.Name, Rollouts: reports}})
+}
