--- a/edge/edge.go
+++ b/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/baobabdrum/baobabdrum/memory"
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/ring"
+	"github.com/baobabdrum/baobabdrum/rollout"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -48,6 +49,8 @@
 	Propagation time.Duration
 	// Budget is the retry budget.
 	Budget placement.Budget
+	// Rollout bounds the exposure of callers to a new version of a service.
+	Rollout rollout.Limits
 	// Capacity is the number of calls per second that the host can carry.
 	Capacity int
 	// MemoryBytes is the memory that the process may use, or 0 if it is unknown.
@@ -68,6 +71,11 @@
 	Register func(schema.Member) error
 	// Members returns the hosts that have registered in the store.
 	Members func() ([]schema.Member, error)
+	// ReadRollout returns the state of a service's rollout from the store.
+	ReadRollout func(service string) (RolloutRow, error)
+	// WriteRollout writes the state of a rollout to the store if its row still has the
+	// version in it, and reports whether it has.
+	WriteRollout func(RolloutRow) (bool, error)
 	// CloseStore ends the exchanges with the store in progress; later ones fail.
 	CloseStore func()
 	// ReadSite reads the settings file again.
@@ -293,6 +301,8 @@
 	Calls int
 	// Leaving are the backend servers that told this host that they are leaving.
 	Leaving []schema.LeavingServer
+	// Rollouts are this host's reports on the rollout orders.
+	Rollouts []schema.RolloutReport
 }
 
 // AddressesQuery requests the entry hosts that a caller should use.
