placement: calls of requests that were read ahead

A caller that pipelines idempotent requests waits for each call before the next one starts. A front can start them together only if the placer refuses to run those that may not be repeated.

CallArrived.Ahead marks such a call. Unless its route is idempotent, it ends as Deferred at once and leaves no trace: no budget, queue, weight or metric.

--- a/edge/calllog.go
+++ b/edge/calllog.go
@@ -109,6 +109,8 @@
 		return "unknown", outcome.Reason, 0
 	case placement.Abandoned:
 		return "abandoned", "", 0
+	case placement.Deferred:
+		return "deferred", "", 0
 	}
 
 	return "", "", 0
--- a/edge/calls.go
+++ b/edge/calls.go
@@ -139,6 +139,7 @@
 		d.calls[input.Call] = &openCall{request: input.Request, reply: input.Reply}
 		d.apply(now, d.placer.Step(now, placement.CallArrived{
 			Call: input.Call, HostName: input.Request.HostName, Path: input.Request.Path, Wait: input.Request.Wait, Elapsed: input.ReadFor,
+			Ahead: input.Ahead,
 		}))
 	case CallerLeft:
 		d.apply(now, d.placer.Step(now, placement.CallerLeft{Call: input.Call}))
@@ -241,6 +242,12 @@
 	}
 	delete(d.calls, action.Call)
 	reply := Reply{Outcome: action.Outcome}
+	if _, deferred := action.Outcome.(placement.Deferred); deferred {
+		d.arrivals-- // it arrives again
+		_ = call.reply.Offer(reply)
+
+		return
+	}
 	if answered, ok := action.Outcome.(placement.Answered); ok {
 		reply.Answer, reply.memory = takeAnswer(call, answered.Attempt)
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -172,8 +172,11 @@
 	Call placement.CallID
 	// Request is the decoded request.
 	Request *Request
-	// ReadFor is how long reading the body took.
+	// ReadFor is how long ago the head was read.
 	ReadFor time.Duration
+	// Ahead says that requests before this one on its connection have not been
+	// answered.
+	Ahead bool
 	// Reply receives one reply and must have room for it.
 	Reply *ring.Ring[Reply]
 }
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -96,7 +96,7 @@
 		if outcome.Reason == ReasonStopping {
 			return CancelStopping
 		}
-	case NotRun, NoRoute:
+	case NotRun, NoRoute, Deferred:
 	}
 
 	return CancelUnreachable
@@ -210,8 +210,8 @@
 	ReasonTimeout Reason = "timeout"
 )
 
-// Outcome is the outcome of a call: Answered, NoRoute, NotRun, Unknown or
-// Abandoned.
+// Outcome is the outcome of a call: Answered, NoRoute, NotRun, Unknown, Abandoned
+// or Deferred.
 //
 //sumtype:decl
 type Outcome interface{ outcome() }
@@ -242,8 +242,13 @@
 // Abandoned says that the caller disconnected.
 type Abandoned struct{}
 
+// Deferred says that a call with CallArrived.Ahead had no effect and arrives again,
+// with another CallID, when the requests before it have been answered.
+type Deferred struct{}
+
 func (Answered) outcome()  {}
 func (NoRoute) outcome()   {}
 func (NotRun) outcome()    {}
 func (Unknown) outcome()   {}
 func (Abandoned) outcome() {}
+func (Deferred) outcome()  {}
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -62,6 +62,11 @@
 
 // callArrived matches the route of a new call and sends, queues or refuses it.
 func (p *Placer) callArrived(now time.Time, event CallArrived) {
+	if event.Ahead && !p.mayRunAhead(event) {
+		p.emit(Finish{Call: event.Call, Outcome: Deferred{}})
+
+		return
+	}
 	if p.declared.Declaration.Version == 0 {
 		p.emit(Finish{Call: event.Call, Outcome: NotRun{Reason: ReasonNotReady, RetryAfter: maxRetryAfter / 2}})
 
--- a/placement/events.go
+++ b/placement/events.go
@@ -30,6 +30,9 @@
 	Wait time.Duration
 	// Elapsed is the part of Wait that passed while the request was read.
 	Elapsed time.Duration
+	// Ahead says that requests before this one on its connection have not been
+	// answered. Unless its route is idempotent, the call ends as Deferred.
+	Ahead bool
 }
 
 // CallerLeft says that the caller of a call disconnected.
