tcp: divide the bytes of a connection into requests

The HTTP server reads whatever has arrived. While it holds bytes of the next request it also holds back the response, and no one can look at them.

A ConnectionSet with DivideRequests passes the server the bytes of one request at a time and holds the others, as long as the end of each request is certain. The server receives all bytes in their order in any case, so a wrong division cannot change what it parses.

--- a/tcp/connections.go
+++ b/tcp/connections.go
@@ -62,6 +62,8 @@
 	Timeouts func() ConnectionTimeouts
 	// Events receives what happens to the connections.
 	Events ConnectionEvents
+	// DivideRequests makes the server receive one HTTP request at a time.
+	DivideRequests bool
 
 	rejecting *ring.Ring[*LingeringConn]
 
@@ -175,13 +177,17 @@
 	forgotten bool
 	// overhead belongs to the handler.
 	overhead Overhead
+	// Requests divides the bytes if the set has DivideRequests.
+	Requests Splitter
+	// Handler is the handler's state for the connection, or nil.
+	Handler any
 }
 
 // Read reads bytes. The first bytes of a request end the idle time, unless the set
 // has closed the connection meanwhile: these bytes are never handled.
 func (c *ServedConn) Read(buffer []byte) (int, error) {
 	for {
-		count, err := c.LingeringConn.Read(buffer)
+		count, err := c.receive(buffer)
 		if count > 0 && !c.Begin() {
 			return 0, net.ErrClosed
 		}
@@ -208,23 +214,33 @@
 	if c.idle != nil {
 		c.set.idle.Remove(c.idle)
 		c.idle = nil
-		c.overhead.Reset(c.set.RequestBytes)
-		_ = c.SetReadDeadline(time.Now().Add(c.set.Timeouts().Header)) // fails only on a closed connection
+		c.beginLocked()
 	}
 
 	return !c.forgotten
 }
 
+// beginLocked begins a request.
+func (c *ServedConn) beginLocked() {
+	c.overhead.Reset(c.set.RequestBytes)
+	_ = c.SetReadDeadline(time.Now().Add(c.set.Timeouts().Header)) // fails only on a closed connection
+}
+
 // Delivered allows a request more bytes, for content that was delivered.
 func (c *ServedConn) Delivered(bytes int) {
 	c.overhead.Delivered(bytes)
 }
 
-// Rest makes a connection idle.
+// Rest makes a connection idle. If bytes of the next request are held, it begins that
+// request instead, because a connection with a request must not be closed for a new one.
 func (c *ServedConn) Rest() {
 	c.set.mutex.Lock()
 	defer c.set.mutex.Unlock()
-	if c.idle == nil && !c.forgotten {
+	switch {
+	case c.idle != nil || c.forgotten:
+	case c.Requests.Held() > 0:
+		c.beginLocked()
+	default:
 		c.set.restLocked(c)
 	}
 }
