edge: run pipelined requests concurrently

Requests that a caller sent before the response to an earlier one waited for it, and a response waited in the server's buffer for the next one.

The front starts a call for each complete GET or HEAD request that arrives while one is open, and takes it over when the server reaches that request and its head is the same. A goroutine waits for bytes only on connections on which bytes have followed an open request before. A planned stop closes a connection with the response to the last request read ahead, and the process waits for connections that linger.

--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -65,7 +65,10 @@
 	// arrived after the request to stop and the time of the last one.
 	lateCalls  atomic.Int64
 	lastCallAt atomic.Int64
-	server     *fasthttp.Server
+	// aheadRequests is the number of requests that were read ahead and whose turn has
+	// not come.
+	aheadRequests atomic.Int64
+	server        *fasthttp.Server
 	// finished receives one item when the server has closed its last connection.
 	finished *ring.Ring[error]
 }
@@ -91,7 +94,9 @@
 		CloseOnShutdown:              true,
 		Logger:                       discardLogger{},
 	}
+	connections.DivideRequests = true
 	connections.Attach(front.server, bodyTimeout)
+	front.endPipelines()
 
 	return front
 }
@@ -111,7 +116,7 @@
 	if err := f.server.Serve(tcp.NewBoundedListener(accepting, f.connections)); stop() {
 		return eris.Wrap(err, "serving calls")
 	}
-	_ = f.finished.Offer(f.server.ShutdownWithContext(ctx)) // the ring has room
+	_ = f.finished.Offer(f.closeConnections(ctx)) // the ring has room
 	<-ctx.Done()
 
 	return ctx.Err()
@@ -126,7 +131,7 @@
 
 		return
 	}
-	if f.rejectOverLimit(ctx) {
+	if f.rejectOverLimit(ctx) || f.serveAhead(ctx) {
 		return
 	}
 	arrived := time.Now()
@@ -143,6 +148,11 @@
 
 		return
 	}
+	f.place(ctx, request, arrived)
+}
+
+// place passes a decoded request to the calls duty and writes the reply.
+func (f *callerFront) place(ctx *fasthttp.RequestCtx, request *Request, arrived time.Time) {
 	reply := ring.New[Reply]("reply", 1)
 	call := placement.CallID(f.lastCallID.Add(1))
 	if f.inputs.Offer(CallArrived{Call: call, Request: request, ReadFor: time.Since(arrived), Reply: reply}) != nil {
@@ -275,14 +285,18 @@
 func (f *callerFront) reply(ctx *fasthttp.RequestCtx, reply Reply) {
 	f.adapter.EncodeReply(ctx, reply)
 	releaseWhenWritten(ctx, reply)
-	if f.stopping.Load() {
-		ctx.SetConnectionClose()
-	}
+	f.flushUndivided(ctx)
+	f.closePipeline(ctx)
 }
 
 // wait returns the outcome of a call. It cancels the call when the caller
-// closes the connection.
+// closes the connection. When bytes follow the request, the connection becomes a
+// pipeline.
 func (f *callerFront) wait(ctx *fasthttp.RequestCtx, call placement.CallID, request *Request, reply *ring.Ring[Reply]) Reply {
+	conn := ctx.Conn().(*tcp.ServedConn)
+	if p := f.pipelineOf(conn); p != nil {
+		return p.wait(ctx, call, request, reply)
+	}
 	_ = ctx.Conn().SetReadDeadline(time.Time{}) // fails only on a closed connection, which is detected below
 	timer := time.NewTimer(disconnectPollInterval)
 	defer timer.Stop()
@@ -297,8 +311,11 @@
 			if time.Now().After(overdue) {
 				return Reply{Outcome: placement.Unknown{Reason: placement.ReasonTimeout}}
 			}
-			if !cancelled && peeker.Peek() == tcp.Closed {
+			switch state := peeker.Peek(); {
+			case state == tcp.Closed && !cancelled:
 				cancelled = f.inputs.Offer(CallerLeft{Call: call}) == nil
+			case state == tcp.Readable:
+				return f.newPipeline(conn).wait(ctx, call, request, reply)
 			}
 			timer.Reset(disconnectPollInterval)
 		}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -121,6 +121,16 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`baobabdrum_store_call_duration_seconds{call=%q}`, call)).Update(took.Seconds())
 }
 
+// ReadAhead counts a request that was read while one before it was open.
+func (m *Metrics) ReadAhead() {
+	m.set.GetOrCreateCounter("baobabdrum_requests_read_ahead_total").Inc()
+}
+
+// UnusedAhead counts a call that was started ahead and whose reply is not used.
+func (m *Metrics) UnusedAhead() {
+	m.set.GetOrCreateCounter("baobabdrum_unused_calls_ahead_total").Inc()
+}
+
 // Rejected counts requests that were rejected before they became calls.
 func (m *Metrics) Rejected(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_rejected_requests_total{reason=%q}`, reason)).Inc()
--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -35,6 +35,8 @@
 	metrics.Exhausted("answers")
 	metrics.Gauge("baobabdrum_body_bytes", func() float64 { return 0 })
 	metrics.Gauge(`baobabdrum_open_connections{listener="caller"}`, func() float64 { return 0 })
+	metrics.ReadAhead()
+	metrics.UnusedAhead()
 	metrics.Rejected("malformed")
 	metrics.AcceptFailed("caller")
 	metrics.ConnectionEvicted("caller")
