--- a/edge/fronts_bench_test.go
+++ b/edge/fronts_bench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,8 +80,14 @@
 	return &testFront{callerFront: front, address: listener.Addr().String(), stop: stop, ended: front.finished}
 }
 
-// answer ends a call with the path of its request.
+// answer ends a call with the target of its request. One for /once that arrives ahead is
+// deferred.
 func answer(arrived CallArrived) {
+	if arrived.Ahead && strings.HasPrefix(arrived.Request.Target, "/once") {
+		_ = arrived.Reply.Offer(Reply{Outcome: placement.Deferred{}}) // the ring has room
+
+		return
+	}
 	_ = arrived.Reply.Offer(Reply{
 		Outcome: placement.Answered{}, Answer: &dispatch.Answer{Status: http.StatusOK, Body: []byte(arrived.Request.Target)},
 	})
@@ -89,9 +96,10 @@
 // answerAll answers all calls at once until the test ends.
 func (f *testFront) answerAll(tb testing.TB) {
 	tb.Helper()
+	ctx := tb.Context()
 	go func() {
 		for {
-			input, err := f.inputs.Take(tb.Context())
+			input, err := f.inputs.Take(ctx)
 			if err != nil {
 				return
 			}
--- a/edge/pipelining_test.go
+++ b/edge/pipelining_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
 const (
@@ -324,12 +325,16 @@
 				calls[call.Call] = call
 			}
 			assert.NilError(t, leave(caller))
+			abandoned := make([]CallArrived, 0, len(calls))
 			for range 4 {
 				left, ok := front.next(soon).(CallerLeft)
 				assert.Assert(t, ok)
 				call, open := calls[left.Call]
 				assert.Assert(t, open)
 				delete(calls, left.Call)
+				abandoned = append(abandoned, call)
+			}
+			for _, call := range abandoned {
 				_ = call.Reply.Offer(Reply{Outcome: placement.Abandoned{}}) // the ring has room
 			}
 			for end := time.Now().Add(time.Second); front.connections.Open() > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
@@ -483,7 +488,25 @@
 	front.assertUnused(t, 0, 0)
 }
 
-// Guards against a call that is taken over for another request.
+// Guards against the reply to a call that was started for another request.
+func TestACallForAnotherRequestIsNotTakenOver(t *testing.T) {
+	front := newTestFront(t)
+	conn := &tcp.ServedConn{}
+	p := front.newPipeline(conn)
+	p.started = []*aheadCall{{head: []byte(get("/a")), call: 1}, {head: []byte(get("/b")), call: 2}}
+	front.aheadRequests.Store(2)
+	ctx := &fasthttp.RequestCtx{}
+	ctx.Init2(conn, discardLogger{}, true)
+	assert.NilError(t, ctx.Request.Header.Read(bufio.NewReader(strings.NewReader(get("/other")))))
+	assert.Assert(t, !front.serveAhead(ctx))
+	for id := range 2 {
+		assert.Equal(t, front.next(soon).(CallerLeft).Call, placement.CallID(id+1))
+	}
+	assert.Assert(t, conn.Requests.Undivided())
+	front.assertUnused(t, 0, 2)
+}
+
+// Guards against heads that are taken for equal.
 func TestIsHead(t *testing.T) {
 	tests := map[string]struct {
 		text, other string
