edge: readers of pipelining connections belong to a wait group

Cause: a reader was started by a bare go statement, which nothing waited for. Change: the front starts readers in a wait group and waits for them when its last connection is closed.

--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -11,6 +11,7 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
@@ -68,7 +69,9 @@
 	// aheadRequests is the number of requests that were read ahead and whose turn has
 	// not come.
 	aheadRequests atomic.Int64
-	server        *fasthttp.Server
+	// readers run while a request of a pipelining connection is open.
+	readers conc.WaitGroup
+	server  *fasthttp.Server
 	// finished receives one item when the server has closed its last connection.
 	finished *ring.Ring[error]
 }
--- a/edge/pipelining.go
+++ b/edge/pipelining.go
@@ -137,13 +137,13 @@
 	}
 }
 
-// await starts a goroutine that waits for bytes, if wanted.
+// await starts a reader that waits for bytes, if wanted.
 func (p *pipeline) await(wanted bool) {
 	if !wanted {
 		return
 	}
 	p.awaiting = true
-	go func() { _ = p.arrivals.Offer(p.conn.Await()) }() // the ring has room, as one wait runs at a time
+	p.front.readers.Go(func() { _ = p.arrivals.Offer(p.conn.Await()) }) // the ring has room, as one wait runs at a time
 }
 
 // endAwait ends the wait for bytes, so that the server can read.
@@ -326,6 +326,9 @@
 	for ctx.Err() == nil && f.connections.Open() > 0 {
 		pause(ctx, closingPollInterval)
 	}
+	if f.connections.Open() == 0 {
+		f.readers.Wait()
+	}
 
 	return err
 }
