placement: answers of slow machines are no evidence against a version

Few backend servers of the target get calls, so more of their calls run on machines that have just turned slow, and the progress of these is credited by the pace from before. Change: an answer counts as evidence of slowness only if the backend server reported a usual pace when the attempt began and with its answer.

--- a/placement/attempts.go
+++ b/placement/attempts.go
@@ -38,10 +38,11 @@
 	// contendedTime is the time during which the backend server had so many
 	// attempts that they may have slowed each other down.
 	contendedTime time.Duration
-	// cold says that the backend server was cold when the attempt began.
-	cold         bool
-	cancelled    bool
-	lossRecorded bool
+	// cold says that the backend server was cold when the attempt began, slowMachine that its
+	// machine was slow then.
+	cold, slowMachine bool
+	cancelled         bool
+	lossRecorded      bool
 }
 
 // send starts an attempt of a call on a backend server.
@@ -55,7 +56,7 @@
 		InFlight: server.TotalInFlight(now), Expected: to.expected, Waited: now.Sub(c.arrived),
 		Crossing: server.DataCentre != p.Options.DataCentre, LatenessSaved: to.saved,
 	}
-	started := &attempt{id: p.lastAttempt, call: c, server: server, started: now, progressAt: now, cold: server.Cold(now)}
+	started := &attempt{id: p.lastAttempt, call: c, server: server, started: now, progressAt: now, cold: server.Cold(now), slowMachine: server.onSlowMachine()}
 	c.service.countRolloutSend(c, server)
 	p.attempts[started.id] = started
 	c.inFlight = append(c.inFlight, started)
--- a/placement/rollouts.go
+++ b/placement/rollouts.go
@@ -14,6 +14,10 @@
 	// slowProgressFactor is the progress, relative to the usual work, from which an answer
 	// counts as slow. Progress leaves out the slowness of the machine.
 	slowProgressFactor = 2.5
+	// slowMachinePace is the pace from which a machine counts as slow: its answers say nothing
+	// about the speed of the version, because the progress of an attempt is credited by paces
+	// that are known late.
+	slowMachinePace = 1.8
 	// lossInterval is the time in which the lost answers of one backend server count as one
 	// failure: a backend server that dies loses all its answers at once, whatever its version.
 	lossInterval = 500 * time.Millisecond
@@ -95,6 +99,12 @@
 	}
 }
 
+// onSlowMachine reports whether the backend server reports that its machine is slow now. A
+// pace that is estimated from answers says the same of a slow version.
+func (s *Server) onSlowMachine() bool {
+	return !s.Unreported && s.Pace > slowMachinePace
+}
+
 // countEvidence passes the result of an attempt to the rollout of its service, unless it says
 // nothing about the version.
 func (p *Placer) countEvidence(now time.Time, ended *attempt, result Result) {
@@ -104,7 +114,7 @@
 	}
 	p.creditProgress(now, ended)
 	answered := rollout.Answered{
-		Route: Hash(ended.call.route.Name), Target: ended.server.Version == of.rollout.decision.Order.Target, Cold: ended.cold,
+		Route: Hash(ended.call.route.Name), Target: ended.server.Version == of.rollout.decision.Order.Target, Cold: ended.cold || ended.slowMachine || ended.server.onSlowMachine(),
 		Slow: float64(ended.progress) > slowProgressFactor*float64(ended.call.route.Work),
 	}
 	switch result := result.(type) {
--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -18,7 +18,8 @@
 	Failures int
 	// Slow is the number of these that were slow.
 	Slow int
-	// Cold is the number of these to calls that began while the backend server was cold.
+	// Cold is the number of these to calls that began while the backend server was cold or
+	// that ran on a slow machine.
 	// They are never counted as slow.
 	Cold int
 }
--- a/rollout/events.go
+++ b/rollout/events.go
@@ -17,7 +17,8 @@
 	Route int
 	// Target says that the backend server has the target version.
 	Target bool
-	// Cold says that the backend server was cold when the attempt began.
+	// Cold says that the backend server was cold when the attempt began, or its machine slow,
+	// so that the answer is no evidence of slowness.
 	Cold bool
 	// Failed says that the answer was a failure, or was lost.
 	Failed bool
