rollout: ticks of final rollouts cost nothing; tests for each guard

Cause: each tick went over all attempts for each order, also for those whose final state is recorded. Several guards could be taken out without a failing test. Change: one pass over the attempts for all orders that still run, and none for recorded ones; tests for completion, steps, retries, full backend servers of the target, earlier attempts and few failures on one route.

--- a/placement/rollouts.go
+++ b/placement/rollouts.go
@@ -219,19 +219,42 @@
 	}
 }
 
-// tickRollouts passes the time and the loads to the rollouts.
+// tickRollouts passes the time and the loads to the rollouts. Those whose final state is
+// recorded need neither.
 func (p *Placer) tickRollouts(now time.Time) {
+	if len(p.rollouts) == 0 {
+		return
+	}
+	inFlight := p.inFlightOnOthers()
 	for _, of := range p.rollouts {
-		if of.rollout.decision != nil {
-			p.stepRollout(now, of, rollout.Ticked{Load: p.rolloutLoad(now, of)})
+		switch {
+		case of.rollout.decision == nil || of.rollout.decision.Recorded():
+		case of.rollout.divides():
+			p.stepRollout(now, of, rollout.Ticked{Load: p.rolloutLoad(now, of, inFlight[of])})
 			p.withhold(now, of)
+		default:
+			p.stepRollout(now, of, rollout.Ticked{})
 		}
 	}
 }
 
+// inFlightOnOthers returns the number of this host's attempts in flight that are not on the
+// target, by service.
+func (p *Placer) inFlightOnOthers() map[*service]int {
+	counts := map[*service]int{}
+	for _, running := range p.attempts {
+		of := running.call.service
+		if of.rollout.divides() && running.server.Version != of.rollout.decision.Order.Target {
+			counts[of]++
+		}
+	}
+
+	return counts
+}
+
 // rolloutLoad returns the load of a service by the sides of its rollout.
-func (p *Placer) rolloutLoad(now time.Time, of *service) rollout.Load {
-	load, target := rollout.Load{}, of.rollout.decision.Order.Target
+func (p *Placer) rolloutLoad(now time.Time, of *service, otherInFlight int) rollout.Load {
+	load, target := rollout.Load{OtherInFlight: otherInFlight}, of.rollout.decision.Order.Target
 	for _, server := range of.servers {
 		load.InFlight += server.TotalInFlight(now)
 		if server.Version != target {
@@ -242,11 +265,6 @@
 			load.TargetSlots += server.SlotLimit()
 		}
 	}
-	for _, running := range p.attempts {
-		if running.call.service == of && running.server.Version != target {
-			load.OtherInFlight++
-		}
-	}
 
 	return load
 }
--- a/placement/rollouts_test.go
+++ b/placement/rollouts_test.go
@@ -166,6 +166,30 @@
 	}
 }
 
+// Guards against retries that add to the exposure beyond the share of the first attempts.
+func TestRetriesAvoidTheTarget(t *testing.T) {
+	declared := declaration(schema.Route{Idempotent: true}, versioned("a", "1"), versioned("a2", "1"), versioned("b", "2"))
+	placer := rolloutPlacer(declared, order)
+	placer.Step(begin, recorded(order, schema.RolloutStateRunning))
+	retries := 0
+	for i := range 400 {
+		now := begin.Add(time.Duration(i) * 10 * time.Millisecond)
+		placer.Step(now, placement.Ticked{})
+		send, _ := firstOf[placement.Send](call(placer, now, placement.CallID(i+1)))
+		result := placement.Whole{Status: 200}
+		if send.Server != "b" && i%2 == 0 {
+			result.Status = 500
+		}
+		actions := placer.Step(now, placement.AttemptEnded{Attempt: send.Attempt, Result: result, Load: &placement.Load{Pace: 1}})
+		if again, retried := firstOf[placement.Send](actions); retried {
+			retries++
+			assert.Assert(t, again.Server != "b", "call %d", i)
+			placer.Step(now, placement.AttemptEnded{Attempt: again.Attempt, Result: placement.Whole{Status: 200}, Load: &placement.Load{Pace: 1}})
+		}
+	}
+	assert.Assert(t, retries > 20, "%d retries", retries)
+}
+
 // Guards against a good version that is rolled back because one of its backend servers died
 // with several calls in flight.
 func TestDyingServerIsNoBadVersion(t *testing.T) {
@@ -190,6 +214,44 @@
 	assert.Equal(t, placer.Rollouts(now)[0].State, schema.RolloutStateRunning)
 }
 
+// Guards against verdicts from attempts that began before the order.
+func TestEarlierAttemptsAreNoEvidence(t *testing.T) {
+	declared := declaration(schema.Route{}, versioned("b", "2"), versioned("b2", "2"))
+	placer := rolloutPlacer(declared)
+	attempts := make([]placement.AttemptID, 0, 8)
+	for i := range 8 {
+		send, ok := firstOf[placement.Send](call(placer, begin, placement.CallID(i+1)))
+		assert.Assert(t, ok)
+		attempts = append(attempts, send.Attempt)
+	}
+	declared.Rollouts = []schema.RolloutOrder{order}
+	now := begin.Add(10 * time.Millisecond)
+	placer.Step(now, placement.DeclaredChanged{Declared: declared})
+	placer.Step(now, recorded(order, schema.RolloutStateRunning))
+	for _, attempt := range attempts {
+		placer.Step(now, placement.AttemptEnded{Attempt: attempt, Result: placement.Whole{Status: 500}})
+	}
+	assert.Equal(t, placer.Rollouts(now)[0].State, schema.RolloutStateRunning)
+}
+
+// Guards against calls that wait for a slot of the target while the others have free ones.
+func TestFullTargetGetsNoCalls(t *testing.T) {
+	declared := declaration(schema.Route{}, versioned("a", "1"), versioned("b", "2"))
+	placer := rolloutPlacer(declared, order)
+	placer.Step(begin, recorded(order, schema.RolloutStateRunning))
+	sends := 0
+	for i := range 150 {
+		now := begin.Add(time.Duration(i) * time.Millisecond)
+		send, _ := firstOf[placement.Send](call(placer, now, placement.CallID(i+1)))
+		if send.Server == "b" {
+			sends++
+		} else {
+			placer.Step(now, placement.AttemptEnded{Attempt: send.Attempt, Result: placement.Whole{Status: 200}, Load: &placement.Load{Pace: 1}})
+		}
+	}
+	assert.Equal(t, sends, 4)
+}
+
 // Guards against calls that are queued for slots, or counted as servable, of backend servers
 // that a rollout keeps them from.
 func TestWithheldServersAreNoCapacity(t *testing.T) {
--- a/rollout/evidence_test.go
+++ b/rollout/evidence_test.go
@@ -58,16 +58,18 @@
 		batches []batch
 		phase   rollout.Phase
 	}{
-		"three failures are too few":              {order: longer, batches: []batch{{answer: others, count: 100}, {answer: target, count: 3, badNth: 1}}, phase: rollout.PhaseObserving},
-		"four failures of ten":                    {order: longer, batches: []batch{{answer: others, count: 100}, {answer: target, count: 6}, {answer: target, count: 4, badNth: 1}}, phase: rollout.PhaseRolledBack},
-		"four slow answers of ten":                {order: longer, batches: []batch{{answer: others, count: 100}, {answer: target, count: 6}, {answer: target, count: 4, badNth: 1, slow: true}}, phase: rollout.PhaseRolledBack},
-		"slow answers of cold servers":            {order: longer, batches: []batch{{answer: others, count: 100}, {answer: cold, count: 40, badNth: 2, slow: true}}, phase: rollout.PhaseObserving},
-		"failures of cold servers":                {order: longer, batches: []batch{{answer: others, count: 100}, {answer: cold, count: 40, badNth: 2}}, phase: rollout.PhaseRolledBack},
-		"cold answers do not hide slow ones":      {order: longer, batches: []batch{{answer: others, count: 100}, {answer: cold, count: 300}, {answer: target, count: 12, badNth: 3, slow: true}}, phase: rollout.PhaseRolledBack},
-		"others that fail as often":               {order: longer, batches: []batch{{answer: others, count: 200, badNth: 5}, {answer: target, count: 40, badNth: 5}}, phase: rollout.PhaseObserving},
-		"others that fail later as often":         {order: longer, batches: []batch{{answer: others, count: 9000}, {answer: target, count: 500}, {answer: others, count: 200, badNth: 4, after: 10 * time.Second}, {answer: target, count: 24, badNth: 4}}, phase: rollout.PhaseObserving},
-		"failures after many good answers":        {order: longer, batches: []batch{{answer: others, count: 9000}, {answer: target, count: 3000}, {answer: others, count: 100, after: 10 * time.Second}, {answer: target, count: 24, badNth: 3}}, phase: rollout.PhaseRolledBack},
-		"failures on a route among many answers":  {order: longer, batches: []batch{{answer: others, count: 9000}, {answer: secondOthers, count: 100}, {answer: target, count: 3000}, {answer: second, count: 16, badNth: 2}}, phase: rollout.PhaseRolledBack},
+		"three failures are too few":             {order: longer, batches: []batch{{answer: others, count: 100}, {answer: target, count: 3, badNth: 1}}, phase: rollout.PhaseObserving},
+		"four failures of ten":                   {order: longer, batches: []batch{{answer: others, count: 100}, {answer: target, count: 6}, {answer: target, count: 4, badNth: 1}}, phase: rollout.PhaseRolledBack},
+		"four slow answers of ten":               {order: longer, batches: []batch{{answer: others, count: 100}, {answer: target, count: 6}, {answer: target, count: 4, badNth: 1, slow: true}}, phase: rollout.PhaseRolledBack},
+		"slow answers of cold servers":           {order: longer, batches: []batch{{answer: others, count: 100}, {answer: cold, count: 40, badNth: 2, slow: true}}, phase: rollout.PhaseObserving},
+		"failures of cold servers":               {order: longer, batches: []batch{{answer: others, count: 100}, {answer: cold, count: 40, badNth: 2}}, phase: rollout.PhaseRolledBack},
+		"cold answers do not hide slow ones":     {order: longer, batches: []batch{{answer: others, count: 100}, {answer: cold, count: 300}, {answer: target, count: 12, badNth: 3, slow: true}}, phase: rollout.PhaseRolledBack},
+		"others that fail as often":              {order: longer, batches: []batch{{answer: others, count: 200, badNth: 5}, {answer: target, count: 40, badNth: 5}}, phase: rollout.PhaseObserving},
+		"others that fail later as often":        {order: longer, batches: []batch{{answer: others, count: 9000}, {answer: target, count: 500}, {answer: others, count: 200, badNth: 4, after: 10 * time.Second}, {answer: target, count: 24, badNth: 4}}, phase: rollout.PhaseObserving},
+		"failures after many good answers":       {order: longer, batches: []batch{{answer: others, count: 9000}, {answer: target, count: 3000}, {answer: others, count: 100, after: 10 * time.Second}, {answer: target, count: 24, badNth: 3}}, phase: rollout.PhaseRolledBack},
+		"failures on a route among many answers": {order: longer, batches: []batch{{answer: others, count: 9000}, {answer: secondOthers, count: 100}, {answer: target, count: 3000}, {answer: second, count: 16, badNth: 2}}, phase: rollout.PhaseRolledBack},
+		"few failures on a route among many answers": {order: longer, batches: append([]batch{{answer: others, count: 9000}, {answer: secondOthers, count: 100}, {answer: target, count: 3000}},
+			slices.Repeat([]batch{{answer: second, count: 2, badNth: 2, after: 2 * time.Second}}, 10)...), phase: rollout.PhaseRolledBack},
 		"enough good answers in time":             {order: order(12 * time.Second), batches: []batch{{answer: others, count: 900}, {answer: target, count: 40}, {after: 8 * time.Second}}, phase: rollout.PhaseRamping},
 		"enough good answers too early":           {order: order(12 * time.Second), batches: []batch{{answer: others, count: 900}, {answer: target, count: 40}, {after: 7 * time.Second}}, phase: rollout.PhaseObserving},
 		"too few answers for the traffic":         {order: order(12 * time.Second), batches: []batch{{answer: others, count: 900}, {answer: target, count: 20}, {after: 8 * time.Second}}, phase: rollout.PhaseObserving},
@@ -227,16 +229,22 @@
 		slots    int
 		inFlight int
 		other    int
+		lost     bool
 		phase    rollout.Phase
 	}{
 		"all report and the target carries it": {slots: 40, inFlight: 100, other: 50, phase: rollout.PhaseRamping},
 		"the other host lags behind":           {slots: 40, inFlight: 100, other: 0, phase: rollout.PhaseObserving},
 		"the target cannot carry it":           {slots: 15, inFlight: 100, other: 50, phase: rollout.PhaseObserving},
+		"most hosts were lost":                 {slots: 40, inFlight: 100, other: 50, lost: true, phase: rollout.PhaseObserving},
 		"no slot of the target is warm":        {slots: 0, inFlight: 0, other: 50, phase: rollout.PhaseObserving},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := rollout.New(begin, order(10*time.Second), "a", limits, []string{"a", "b"})
+			if test.lost {
+				r.Step(begin, rollout.ServingChanged{Hosts: []string{"a", "b", "c", "d", "e"}})
+				r.Step(begin, rollout.ServingChanged{Hosts: []string{"a", "b"}})
+			}
 			r.Step(begin, rollout.Recorded{State: schema.RolloutStateRunning})
 			now := begin
 			for now.Sub(begin) < 7*time.Second {
@@ -245,8 +253,13 @@
 					OrderVersion: 7, State: schema.RolloutStateRunning, Recorded: true, ShareMilli: test.other,
 					Evidence: []schema.RolloutEvidence{{RouteHash: 1, TargetAnswers: 50, OtherAnswers: 900}},
 				}})
-				r.Step(now, rollout.Ticked{Load: rollout.Load{Registered: true, TargetSlots: test.slots, InFlight: test.inFlight}})
+				for _, action := range r.Step(now, rollout.Ticked{Load: rollout.Load{Registered: true, TargetSlots: test.slots, InFlight: test.inFlight}}) {
+					if _, ok := action.(rollout.Record); ok {
+						r.Step(now, rollout.Recorded{State: schema.RolloutStateRunning})
+					}
+				}
 			}
+			assert.Assert(t, r.Share() > 0)
 			assert.Equal(t, r.Phase(), test.phase)
 		})
 	}
@@ -266,3 +279,36 @@
 	r.Step(now, rollout.Ticked{Load: rollout.Load{Registered: true, TargetSlots: 10}})
 	assert.Assert(t, r.Share() > 0)
 }
+
+// Guards against completion while calls still run on the other versions, whose backend
+// servers then stop at once.
+func TestCompletion(t *testing.T) {
+	tests := map[string]struct {
+		otherShare, otherInFlight, inFlight int
+		recorded                            bool
+	}{
+		"all moved":                   {otherShare: 1000, recorded: true},
+		"another host has not moved":  {otherShare: 400},
+		"another host has calls left": {otherShare: 1000, otherInFlight: 1},
+		"this host has calls left":    {otherShare: 1000, inFlight: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := rollout.New(begin, order(10*time.Second), "a", limits, []string{"a", "b"})
+			r.Step(begin, rollout.Recorded{State: schema.RolloutStateRunning})
+			wanted := false
+			for now := begin; now.Sub(begin) < 10*time.Second; now = now.Add(step) {
+				r.Step(now, rollout.Reported{Host: "b", Report: schema.RolloutReport{
+					OrderVersion: 7, State: schema.RolloutStateRunning, Recorded: true, ShareMilli: test.otherShare, OtherInFlight: test.otherInFlight,
+					Evidence: []schema.RolloutEvidence{{RouteHash: 1, TargetAnswers: 50, OtherAnswers: 900}},
+				}})
+				for _, action := range r.Step(now, rollout.Ticked{Load: rollout.Load{Registered: true, TargetSlots: 40, InFlight: 4, OtherInFlight: test.inFlight}}) {
+					record, ok := action.(rollout.Record)
+					wanted = wanted || ok && record.State == schema.RolloutStateCompleted
+				}
+			}
+			assert.Equal(t, r.Phase(), rollout.PhaseMoved)
+			assert.Equal(t, wanted, test.recorded)
+		})
+	}
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -157,6 +157,12 @@
 	return r.state != schema.RolloutStateRunning
 }
 
+// Recorded reports whether the state is final and that of the store, so that nothing changes
+// any more.
+func (r *Rollout) Recorded() bool {
+	return r.Final() && r.recorded
+}
+
 // Share returns the share of the calls that go to the target. It is below that of the step
 // if the warm slots of the target cannot carry it.
 func (r *Rollout) Share() float64 {
@@ -227,7 +233,7 @@
 
 // conclude adopts a final state. A recorded one is never replaced.
 func (r *Rollout) conclude(now time.Time, state schema.RolloutState, recorded bool, reason Reason) {
-	if r.Final() && r.recorded {
+	if r.Recorded() {
 		return
 	}
 	changed := r.state != state
