placement: identify the tenant of a call by the digest of its API key

Cause: every call ran without a tenant, also without a key or with a withdrawn one. Change: package tenant maps digests of keys to tenants. A call on a route that is not public needs a known key; otherwise it ends as unauthorised, or as not run where the declaration does not tell or may be outdated (CurrencyChanged, and a freeze since the last confirmation). A send names the tenant and says that the declaration has tenants. The rank in the queue is that of the call: the tenant's, or the route's. The dump has no digests. Nothing decodes tenants or sends CurrencyChanged yet, so calls are placed as before.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -285,7 +285,7 @@
 		}
 	case placement.Unknown:
 		f.result.Unknown++
-	case placement.NoRoute, placement.Abandoned:
+	case placement.NoRoute, placement.Unauthorised, placement.Abandoned:
 	}
 }
 
--- a/edge/calllog.go
+++ b/edge/calllog.go
@@ -103,6 +103,8 @@
 		return "answered", "", 0
 	case placement.NoRoute:
 		return "no_route", "", 0
+	case placement.Unauthorised:
+		return "unauthorised", outcome.Reason, 0
 	case placement.NotRun:
 		return "not_run", outcome.Reason, outcome.RetryAfter
 	case placement.Unknown:
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -24,6 +24,11 @@
 	Deadline time.Time
 	// Reason says why this backend server was chosen.
 	Reason Choice
+	// Tenant is the name of the tenant of the call, or empty.
+	Tenant string
+	// Keys says that the declaration has tenants, so that the request must not carry
+	// the caller's key or the caller's statement of a tenant.
+	Keys bool
 }
 
 // Choice describes how a backend server was chosen, for logs and metrics.
@@ -96,7 +101,7 @@
 		if outcome.Reason == ReasonStopping {
 			return CancelStopping
 		}
-	case NotRun, NoRoute:
+	case NotRun, NoRoute, Unauthorised:
 	}
 
 	return CancelUnreachable
@@ -125,6 +130,8 @@
 	Taken int
 	// Slots is the number of slots of those backend servers.
 	Slots int
+	// Tenant is the name of the tenant of the call, or empty.
+	Tenant string
 }
 
 // Probe requests the health and load of a backend server. It ends with a
@@ -185,6 +192,18 @@
 const (
 	// ReasonNotReady says that this host has not received a declaration yet.
 	ReasonNotReady Reason = "not_ready"
+	// ReasonOutdated says that the call's key may be valid by a newer declaration than
+	// that of this host, or that this host cannot tell whether there is a newer one.
+	ReasonOutdated Reason = "declaration_unconfirmed"
+	// ReasonKeyUndecided says that the declaration does not tell whose key the call
+	// has, because several tenants hold it or not all tenants could be read.
+	ReasonKeyUndecided Reason = "key_undecided"
+	// ReasonTenantUnreadable says that the limit of the call's tenant could not be read.
+	ReasonTenantUnreadable Reason = "tenant_unreadable"
+	// ReasonNoKey says that the call has no key.
+	ReasonNoKey Reason = "no_key"
+	// ReasonUnknownKey says that no tenant holds the call's key.
+	ReasonUnknownKey Reason = "unknown_key"
 	// ReasonMemory says that this host had no memory for the request.
 	ReasonMemory Reason = "no_memory"
 	// ReasonUnreadable says that the declaration of the call's route could not be
@@ -210,8 +229,8 @@
 	ReasonTimeout Reason = "timeout"
 )
 
-// Outcome is the outcome of a call: Answered, NoRoute, NotRun, Unknown or
-// Abandoned.
+// Outcome is the outcome of a call: Answered, NoRoute, Unauthorised, NotRun,
+// Unknown or Abandoned.
 //
 //sumtype:decl
 type Outcome interface{ outcome() }
@@ -225,6 +244,13 @@
 // NoRoute says that no route matches.
 type NoRoute struct{}
 
+// Unauthorised says that the call needs the key of a tenant and has none. No backend
+// server has run it.
+type Unauthorised struct {
+	// Reason is ReasonNoKey or ReasonUnknownKey.
+	Reason Reason
+}
+
 // NotRun says that no backend server has run the call or will run it.
 type NotRun struct {
 	// Reason says why the call was not run.
@@ -242,8 +268,9 @@
 // Abandoned says that the caller disconnected.
 type Abandoned struct{}
 
-func (Answered) outcome()  {}
-func (NoRoute) outcome()   {}
-func (NotRun) outcome()    {}
-func (Unknown) outcome()   {}
-func (Abandoned) outcome() {}
+func (Answered) outcome()     {}
+func (NoRoute) outcome()      {}
+func (Unauthorised) outcome() {}
+func (NotRun) outcome()       {}
+func (Unknown) outcome()      {}
+func (Abandoned) outcome()    {}
--- a/placement/attempts.go
+++ b/placement/attempts.go
@@ -62,6 +62,7 @@
 	p.emit(Send{
 		Attempt: started.id, Call: c.id, Server: server.ID, Address: server.Address,
 		Connections: c.service.Rule.MaxConnections, Deadline: c.deadline, Reason: reason,
+		Tenant: tenantName(c.tenant), Keys: c.keys || p.keys.Required(),
 	})
 }
 
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/baobabdrum/baobabdrum/schema"
 )
 
 const (
@@ -36,8 +38,14 @@
 
 // call is a caller's request without an outcome.
 type call struct {
-	id             CallID
-	route          *Route
+	id    CallID
+	route *Route
+	// tenant is the tenant of the call, or nil.
+	tenant *schema.Tenant
+	// rank decides on the order in the queue; lower values are sent first.
+	rank int
+	// keys says that the declaration had tenants when the call arrived.
+	keys           bool
 	service        *service
 	arrived        time.Time
 	targetDeadline time.Time
@@ -73,9 +81,13 @@
 
 		return
 	}
+	holder, admitted := p.admit(now, event, route)
+	if !admitted {
+		return
+	}
 	elapsed := route.callerTimeouts.Elapsed(event.Wait)
 	c := &call{
-		id: event.Call, route: route, service: p.service(route.nextService()), arrived: now,
+		id: event.Call, route: route, tenant: holder, rank: rankOf(route, holder), keys: p.keys.Required(), service: p.service(route.nextService()), arrived: now,
 		targetDeadline: now.Add(route.Target() - elapsed - event.Elapsed), deadline: now.Add(event.Wait - event.Elapsed),
 		callerDeadline: now.Add(event.Wait - event.Elapsed), callerRetried: elapsed > 0,
 	}
@@ -236,7 +248,7 @@
 	p.emit(Finish{
 		Call: c.id, Outcome: outcome, Route: c.route.Name, Service: c.service.Name,
 		Version: p.declared.Declaration.Version, Sends: c.sends, Took: now.Sub(c.arrived),
-		Waiting: len(c.service.queue), Taken: taken, Slots: slots,
+		Waiting: len(c.service.queue), Taken: taken, Slots: slots, Tenant: tenantName(c.tenant),
 	})
 }
 
--- a/placement/dump.go
+++ b/placement/dump.go
@@ -9,11 +9,12 @@
 )
 
 // Dump returns the state of every backend server as this host knows it, and the
-// hosts whose addresses are given to callers.
+// hosts whose addresses are given to callers. It contains no digest of a key.
 func (p *Placer) Dump(now time.Time) schema.EdgeDump {
 	dump := schema.EdgeDump{
 		Declared: p.declared, OpenCalls: len(p.calls), Serving: []string{}, BackendServers: make([]schema.ServerState, 0, len(p.servers)),
 	}
+	dump.Declared.Declaration.Tenants = withoutDigests(p.declared.Declaration.Tenants)
 	for _, peer := range p.peers.Serving {
 		dump.Serving = append(dump.Serving, peer.Name)
 	}
--- a/placement/events.go
+++ b/placement/events.go
@@ -30,6 +30,8 @@
 	Wait time.Duration
 	// Elapsed is the part of Wait that passed while the request was read.
 	Elapsed time.Duration
+	// KeyDigest is the digest of the API key in the request, or empty if it has none.
+	KeyDigest string
 }
 
 // CallerLeft says that the caller of a call disconnected.
@@ -74,6 +76,19 @@
 	Declared schema.Declared
 }
 
+// CurrencyChanged says whether this host's declaration is the newest one, as far as the
+// host knows. It matters only if the declaration has tenants.
+type CurrencyChanged struct {
+	// Current says that no other host has announced a newer declaration.
+	Current bool
+	// ConfirmedAt is when the store last confirmed the declaration to this host or to
+	// another one.
+	ConfirmedAt time.Time
+	// Until is when the declaration counts as outdated unless it is confirmed again.
+	// With it, no event has to arrive at that instant, which this host may spend frozen.
+	Until time.Time
+}
+
 // LoadsReceived carries a load report from another host.
 type LoadsReceived struct {
 	// Host is the name of the other host.
@@ -112,6 +127,7 @@
 func (AttemptEnded) event()    {}
 func (ProbeEnded) event()      {}
 func (DeclaredChanged) event() {}
+func (CurrencyChanged) event() {}
 func (LoadsReceived) event()   {}
 func (PeersChanged) event()    {}
 func (BudgetChanged) event()   {}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -7,7 +7,9 @@
 //
 // A call takes this path:
 //
-//   - CallArrived matches a route, which names a service. The call is sent to a
+//   - CallArrived matches a route, which names a service. If the declaration has
+//     tenants, the call needs the key of one unless its route is public, and is
+//     otherwise unauthorised (Finish). The call is sent to a
 //     backend server that is expected to answer within the route's latency
 //     objective (Send), queued until a slot is free, or refused (Finish).
 //   - While an attempt is in flight, each Ticked estimates its progress. A call
@@ -35,6 +37,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/tenant"
 )
 
 // Options configure a placer.
@@ -53,6 +56,9 @@
 	// CrossingCost is the risk of a late answer, per KiB of the answer, that is
 	// accepted to keep a call in this host's data centre.
 	CrossingCost float64
+	// FailClosed says that a key is not accepted while this host does not know whether
+	// its declaration is the newest one.
+	FailClosed bool
 }
 
 // Placer holds the state of the backend servers as one host knows it, and the
@@ -63,6 +69,7 @@
 
 	declared      schema.Declared
 	routes        routes
+	keys          *tenant.Keys
 	services      map[string]*service
 	servers       map[string]*Server
 	serversByHash map[int]*Server
@@ -84,6 +91,10 @@
 	startedAt   time.Time
 	steppedAt   time.Time
 	resumedAt   time.Time
+	// currency is what this host last knew about whether its declaration is the newest.
+	currency CurrencyChanged
+	// frozenUntil is when this process last resumed after a freeze, or zero.
+	frozenUntil time.Time
 	// stop is zero unless this host stops.
 	stop    StopBegun
 	actions []Action
@@ -93,6 +104,7 @@
 func New(options Options) *Placer {
 	return &Placer{
 		Options:       options,
+		keys:          tenant.NewKeys(schema.Declaration{}),
 		services:      map[string]*service{},
 		servers:       map[string]*Server{},
 		serversByHash: map[int]*Server{},
@@ -122,6 +134,7 @@
 // until the next step.
 func (p *Placer) Step(now time.Time, event Event) []Action {
 	p.actions = p.actions[:0]
+	p.noteFreeze(now)
 	p.assumeCold(now)
 	switch event := event.(type) {
 	case CallArrived:
@@ -134,6 +147,8 @@
 		p.probeEnded(now, event)
 	case DeclaredChanged:
 		p.applyDeclared(now, event.Declared)
+	case CurrencyChanged:
+		p.currency = event
 	case LoadsReceived:
 		p.adoptLoads(now, event)
 	case PeersChanged:
@@ -208,6 +223,7 @@
 	}
 	if declared.Declaration.Version != p.declared.Declaration.Version {
 		p.routes = newRoutes(declared.Declaration.Routes, p.routes)
+		p.keys = tenant.NewKeys(declared.Declaration)
 	}
 	p.declared = declared
 	for _, rule := range declared.Declaration.Services {
--- a/placement/service.go
+++ b/placement/service.go
@@ -75,12 +75,12 @@
 	return time.Duration(float64(after) * (1 + retryAfterJitter*(2*random-1)))
 }
 
-// enqueue inserts a call into the queue, which is ordered by priority and then
+// enqueue inserts a call into the queue, which is ordered by rank and then
 // by arrival.
 func (s *service) enqueue(waiting *call) {
 	at, _ := slices.BinarySearchFunc(s.queue, waiting, func(a, b *call) int {
-		if a.route.Priority != b.route.Priority {
-			return a.route.Priority - b.route.Priority
+		if a.rank != b.rank {
+			return a.rank - b.rank
 		}
 
 		return a.arrived.Compare(b.arrived)
@@ -94,7 +94,7 @@
 func (s *service) queuedBefore(c *call) int {
 	count := 0
 	for _, other := range s.queue {
-		if other != c && (other.route.Priority < c.route.Priority || other.route.Priority == c.route.Priority && !other.arrived.After(c.arrived)) {
+		if other != c && (other.rank < c.rank || other.rank == c.rank && !other.arrived.After(c.arrived)) {
 			count++
 		}
 	}
