edge, declared: tell the calls duty whether the declaration is the newest one

Cause: a host that lost the store or missed an announcement cannot tell whether a key is invalid, and nothing told the placer so. Change: the replica remembers the newest orders that any host announced and when the orders in force were confirmed; the control duty passes both on as CurrencyChanged, at most four times a second unless a newer declaration is announced or arrives, and only if the declaration has tenants. Calls carry the digest of their key; call_ended names the tenant if there is one. With the setting FailClosed known keys are rejected too while the host cannot tell.

--- a/declared/adopt.go
+++ b/declared/adopt.go
@@ -130,6 +130,7 @@
 // peer's state is newer and differs. An equal hash confirms this host's state.
 func (r *Replica) comparePeer(now time.Time, peer PeerStateReceived) []Action {
 	r.heardAt = now
+	r.noteAnnounced(peer.OrdersAt)
 	delete(r.readerSeenAt, peer.Name)
 	if peer.Reads {
 		r.readerSeenAt[peer.Name], r.readerHeardAt = now, now
--- a/declared/declared.go
+++ b/declared/declared.go
@@ -174,6 +174,8 @@
 	heardAt time.Time
 	// newer are the states of peers that are newer than this host's, by name.
 	newer map[string]peerState
+	// ordersAnnounced is the newest version of the orders that a peer has announced.
+	ordersAnnounced int
 	// behindSince is the time since which this host knows of a newer state, or zero.
 	behindSince time.Time
 	changed     bool
--- a/edge/calllog.go
+++ b/edge/calllog.go
@@ -87,12 +87,17 @@
 	if reply.Answer != nil {
 		status = reply.Answer.Status
 	}
-	d.log.Event(eventlog.Info, "call_ended", "call ended",
+	fields := []eventlog.Field{
 		eventlog.Text("request_id", request.ID), eventlog.Text("outcome", outcome), eventlog.Text("reason", string(reason)),
 		eventlog.Integer("status", status), eventlog.Text("route", action.Route), eventlog.Text("service", action.Service),
 		eventlog.Integer("version", action.Version), eventlog.Integer("sends", action.Sends),
 		eventlog.Duration("took", action.Took), eventlog.Duration("retry_after", after),
-		eventlog.Integer("waiting", action.Waiting), eventlog.Integer("slots_taken", action.Taken), eventlog.Integer("slots", action.Slots))
+		eventlog.Integer("waiting", action.Waiting), eventlog.Integer("slots_taken", action.Taken), eventlog.Integer("slots", action.Slots),
+	}
+	if action.Tenant != "" {
+		fields = append(fields, eventlog.Text("tenant", action.Tenant))
+	}
+	d.log.Event(eventlog.Info, "call_ended", "call ended", fields...)
 }
 
 // outcomeLabels returns the label, the reason and the retry delay of an
--- a/edge/calls.go
+++ b/edge/calls.go
@@ -139,6 +139,7 @@
 		d.calls[input.Call] = &openCall{request: input.Request, reply: input.Reply}
 		d.apply(now, d.placer.Step(now, placement.CallArrived{
 			Call: input.Call, HostName: input.Request.HostName, Path: input.Request.Path, Wait: input.Request.Wait, Elapsed: input.ReadFor,
+			KeyDigest: input.Request.KeyDigest,
 		}))
 	case CallerLeft:
 		d.apply(now, d.placer.Step(now, placement.CallerLeft{Call: input.Call}))
--- a/edge/control.go
+++ b/edge/control.go
@@ -63,6 +63,11 @@
 	startedAt  time.Time
 	lastTickAt time.Time
 	resumedAt  time.Time
+	// propagation is how long a declaration counts as the newest one after the store
+	// confirmed it.
+	propagation time.Duration
+	// currency is what the calls duty was last told about the declaration.
+	currency placement.CurrencyChanged
 }
 
 // run handles inputs and ticks until the context ends.
@@ -221,7 +226,7 @@
 		}
 	}
 
-	return nil
+	return d.publishCurrency(ctx, now)
 }
 
 // announceDeclared has the directory send a beacon about a new declared state
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -48,6 +48,9 @@
 	Propagation time.Duration
 	// Budget is the retry budget.
 	Budget placement.Budget
+	// FailClosed rejects all API keys while the host cannot tell whether its declaration
+	// is the newest one.
+	FailClosed bool
 	// Capacity is the number of calls per second that the host can carry.
 	Capacity int
 	// MemoryBytes is the memory that the process may use, or 0 if it is unknown.
@@ -103,6 +106,8 @@
 	Wait time.Duration
 	// Deadline is the time at which the caller stops waiting.
 	Deadline time.Time
+	// KeyDigest is the digest of the API key in the request, or empty if it has none.
+	KeyDigest string
 }
 
 // Reply is the outcome of a call together with the answer, if there is one.
--- a/edge/host.go
+++ b/edge/host.go
@@ -264,7 +264,7 @@
 	calls := &callsDuty{
 		placer: placement.New(placement.Options{
 			Host: h.Site.Name, DataCentre: h.Site.DataCentre, Seed: h.seed(),
-			Budget: h.Site.Budget, ProbeInterval: h.Settings.ProbeInterval, CrossingCost: float64(h.Settings.CrossingCost) / perMille,
+			FailClosed: h.Site.FailClosed, Budget: h.Site.Budget, ProbeInterval: h.Settings.ProbeInterval, CrossingCost: float64(h.Settings.CrossingCost) / perMille,
 		}),
 		inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
 		calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
@@ -299,6 +299,7 @@
 	control := &controlDuty{
 		replica: replica, directory: view, inputs: h.control, calls: h.inputs, changes: h.changes, orders: h.orders, registrations: h.registrations,
 		fetches: h.fetches, beacons: h.beacons, asks: h.asks, storeMembers: h.storeMembers, limits: h.limits, wakeups: &h.wakeups, log: h.Log, metrics: h.Metrics, startedAt: h.started, seeds: h.Site.Seeds,
+		propagation: cmp.Or(h.Site.Propagation, declared.DefaultBound),
 	}
 	duties.Go("control", control.run)
 	duties.Go("orders", func(ctx context.Context) error { return h.runReads(ctx, h.orders, "orders", h.Adapter.ReadOrders) })
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -65,6 +65,7 @@
 type fixedSettings struct {
 	name, dataCentre, caller, ready, directory, control, peer string
 	capacity                                                  int
+	failClosed                                                bool
 }
 
 // fixedSettingsOf returns the fixed settings of a site.
@@ -72,5 +73,6 @@
 	return fixedSettings{
 		name: site.Name, dataCentre: site.DataCentre, caller: site.CallerAddress, ready: site.ReadyAddress,
 		directory: site.DirectoryAddress, control: site.ControlAddress, peer: site.PeerAddress, capacity: site.Capacity,
+		failClosed: site.FailClosed,
 	}
 }
