--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -288,7 +288,7 @@
 		}
 	case placement.Unknown:
 		f.result.Unknown++
-	case placement.NoRoute, placement.Abandoned, placement.Deferred:
+	case placement.NoRoute, placement.Unauthorised, placement.Abandoned, placement.Deferred:
 	}
 }
 
--- a/edge/calls.go
+++ b/edge/calls.go
@@ -150,7 +150,8 @@
 		d.calls[input.Call] = &openCall{request: input.Request, reply: input.Reply}
 		d.apply(now, d.placer.Step(now, placement.CallArrived{
 			Call: input.Call, HostName: input.Request.HostName, Path: input.Request.Path, Wait: input.Request.Wait, Elapsed: input.ReadFor,
-			Ahead: input.Ahead,
+			Ahead:     input.Ahead,
+			KeyDigest: input.Request.KeyDigest,
 		}))
 	case CallerLeft:
 		d.apply(now, d.placer.Step(now, placement.CallerLeft{Call: input.Call}))
--- a/edge/control.go
+++ b/edge/control.go
@@ -69,6 +69,11 @@
 	// confirmSince is the time after which the calls duty needs the declared state to be
 	// confirmed, or zero.
 	confirmSince time.Time
+	// propagation is how long a declaration counts as the newest one after the store
+	// confirmed it.
+	propagation time.Duration
+	// currency is what the calls duty was last told about the declaration.
+	currency placement.CurrencyChanged
 }
 
 // run handles inputs and ticks until the context ends.
@@ -229,7 +234,11 @@
 		}
 	}
 
-	return d.reportConfirmed(ctx, now)
+	if err := d.reportConfirmed(ctx, now); err != nil {
+		return err
+	}
+
+	return d.publishCurrency(ctx, now)
 }
 
 // reportConfirmed tells the calls duty that the declared state has been confirmed, if it
--- a/placement/events.go
+++ b/placement/events.go
@@ -33,6 +33,8 @@
 	// Ahead says that requests before this one on its connection have not been
 	// answered. Unless its route is idempotent, the call ends as Deferred.
 	Ahead bool
+	// KeyDigest is the digest of the API key in the request, or empty if it has none.
+	KeyDigest string
 }
 
 // CallerLeft says that the caller of a call disconnected.
@@ -77,6 +79,19 @@
 	Declared schema.Declared
 }
 
+// CurrencyChanged says whether this host's declaration is the newest one, as far as the
+// host knows. It matters only if the declaration has tenants.
+type CurrencyChanged struct {
+	// Current says that no other host has announced a newer declaration.
+	Current bool
+	// ConfirmedAt is when the store last confirmed the declaration to this host or to
+	// another one.
+	ConfirmedAt time.Time
+	// Until is when the declaration counts as outdated unless it is confirmed again.
+	// With it, no event has to arrive at that instant, which this host may spend frozen.
+	Until time.Time
+}
+
 // LoadsReceived carries a load report from another host.
 type LoadsReceived struct {
 	// Host is the name of the other host.
@@ -129,6 +144,7 @@
 func (AttemptEnded) event()    {}
 func (ProbeEnded) event()      {}
 func (DeclaredChanged) event() {}
+func (CurrencyChanged) event() {}
 func (LoadsReceived) event()   {}
 func (PeersChanged) event()    {}
 func (BudgetChanged) event()   {}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -7,7 +7,9 @@
 //
 // A call takes this path:
 //
-//   - CallArrived matches a route, which names a service. The call is sent to a
+//   - CallArrived matches a route, which names a service. If the declaration has
+//     tenants, the call needs the key of one unless its route is public, and is
+//     otherwise unauthorised (Finish). The call is sent to a
 //     backend server that is expected to answer within the route's latency
 //     objective (Send), queued until a slot is free, or refused (Finish).
 //   - While an attempt is in flight, each Ticked estimates its progress. A call
@@ -36,6 +38,7 @@
 
 	"github.com/baobabdrum/baobabdrum/rollout"
 	"github.com/baobabdrum/baobabdrum/schema"
+	"github.com/baobabdrum/baobabdrum/tenant"
 )
 
 // Options configure a placer.
@@ -56,6 +59,9 @@
 	CrossingCost float64
 	// Rollout bounds the exposure of callers to a new version of a service.
 	Rollout rollout.Limits
+	// FailClosed says that a key is not accepted while this host does not know whether
+	// its declaration is the newest one.
+	FailClosed bool
 }
 
 // Placer holds the state of the backend servers as one host knows it, and the
@@ -66,6 +72,7 @@
 
 	declared      schema.Declared
 	routes        routes
+	keys          *tenant.Keys
 	services      map[string]*service
 	servers       map[string]*Server
 	serversByHash map[int]*Server
@@ -91,6 +98,10 @@
 	resumedAt   time.Time
 	// unconfirmedUntil is zero unless the process resumed and its state is not confirmed yet.
 	unconfirmedUntil time.Time
+	// currency is what this host last knew about whether its declaration is the newest.
+	currency CurrencyChanged
+	// frozenUntil is when this process last resumed after a freeze, or zero.
+	frozenUntil time.Time
 	// stop is zero unless this host stops.
 	stop    StopBegun
 	actions []Action
@@ -100,6 +111,7 @@
 func New(options Options) *Placer {
 	return &Placer{
 		Options:       options,
+		keys:          tenant.NewKeys(schema.Declaration{}),
 		services:      map[string]*service{},
 		servers:       map[string]*Server{},
 		serversByHash: map[int]*Server{},
@@ -130,6 +142,7 @@
 // until the next step.
 func (p *Placer) Step(now time.Time, event Event) []Action {
 	p.actions = p.actions[:0]
+	p.noteFreeze(now)
 	p.assumeCold(now)
 	switch event := event.(type) {
 	case CallArrived:
@@ -142,6 +155,8 @@
 		p.probeEnded(now, event)
 	case DeclaredChanged:
 		p.applyDeclared(now, event.Declared)
+	case CurrencyChanged:
+		p.currency = event
 	case LoadsReceived:
 		p.adoptLoads(now, event)
 	case PeersChanged:
@@ -225,6 +240,7 @@
 	}
 	if declared.Declaration.Version != p.declared.Declaration.Version {
 		p.routes = newRoutes(declared.Declaration.Routes, p.routes)
+		p.keys = tenant.NewKeys(declared.Declaration)
 	}
 	p.declared = declared
 	for _, rule := range declared.Declaration.Services {
