directory: count the hosts that share the quotas of tenants

Cause: a host has to know among how many hosts a quota is divided. Result: go test -race ./directory passes.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -114,7 +114,9 @@
 	selectionOutdated bool
 	selectionUrgent   bool
 	knownHosts        int
-	joining           joining
+	// sharers is the number of hosts that share the quotas of tenants.
+	sharers int
+	joining joining
 	// deputies are the names of the deputies of this host's data centre.
 	deputies map[string]bool
 	// servingNames are the names of the serving hosts.
@@ -305,13 +307,7 @@
 			}
 		}
 		if silent > forgetAfter {
-			delete(d.members, name)
-			if other.beacon.DataCentre == d.Self.DataCentre {
-				d.near--
-			}
-			if d.memberAt[other.beacon.PeerAddress] == name {
-				delete(d.memberAt, other.beacon.PeerAddress)
-			}
+			d.forget(name, other)
 		}
 	}
 	for address, other := range d.unconfirmedPeers {
@@ -323,6 +319,18 @@
 	return actions
 }
 
+// forget removes a host. If it served when it was lost, it shares no quotas any more.
+func (d *Directory) forget(name string, other *member) {
+	delete(d.members, name)
+	d.selectionOutdated = d.selectionOutdated || other.beacon.Serves
+	if other.beacon.DataCentre == d.Self.DataCentre {
+		d.near--
+	}
+	if d.memberAt[other.beacon.PeerAddress] == name {
+		delete(d.memberAt, other.beacon.PeerAddress)
+	}
+}
+
 // timeout returns how long a host may be silent. Hosts that were selected just now
 // get time to notice it: until then, they and the other hosts exchange beacons as
 // rarely as spare hosts do.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -118,11 +118,13 @@
 	// lostCount counts the losses that hosts reported.
 	lostCount int
 	seq       int
+	// sharers is the number of hosts that share quotas by the last report of each host.
+	sharers map[*directory.Directory]int
 }
 
 // newFleet returns ready hosts, each with the addresses of those before it.
 func newFleet(hosts int) *fleet {
-	f := &fleet{now: start, down: map[int]bool{}, indexes: map[string]int{}}
+	f := &fleet{now: start, down: map[int]bool{}, indexes: map[string]int{}, sharers: map[*directory.Directory]int{}}
 	for i := range hosts {
 		view := directory.New(beacon(fmt.Sprint("h", i), fmt.Sprint("dc", i%3), 100+i))
 		for earlier := range i {
@@ -224,7 +226,9 @@
 			f.register(from)
 		case directory.AskMembers:
 			f.asks = append(f.asks, pendingAsk{from: from, ask: action})
-		case directory.ServingChanged, directory.PeerFound:
+		case directory.ServingChanged:
+			f.sharers[from] = action.Sharers
+		case directory.PeerFound:
 		}
 	}
 
--- a/directory/events.go
+++ b/directory/events.go
@@ -78,7 +78,8 @@
 	Loads bool
 }
 
-// ServingChanged reports a change of the serving hosts or of the number of hosts.
+// ServingChanged reports a change of the serving hosts, of the number of hosts or of
+// the number of those that share the quotas of tenants.
 type ServingChanged struct {
 	// Serving are the serving hosts, sorted by data centre and name.
 	Serving []schema.Beacon
@@ -89,6 +90,9 @@
 	Self bool
 	// Hosts is the number of known hosts, including this one.
 	Hosts int
+	// Sharers is the number of hosts that share the quotas of tenants, including this
+	// one whether it serves or not.
+	Sharers int
 }
 
 // AskMembers asks another host for the hosts that it knows. It ends with
--- a/directory/joining_test.go
+++ b/directory/joining_test.go
@@ -23,7 +23,7 @@
 // are ready as soon as they have settled. The fourth of each data centre is the
 // largest.
 func newSeededFleet(hosts int) *fleet {
-	f := &fleet{now: start, down: map[int]bool{}, indexes: map[string]int{}}
+	f := &fleet{now: start, down: map[int]bool{}, indexes: map[string]int{}, sharers: map[*directory.Directory]int{}}
 	for i := range hosts {
 		f.views = append(f.views, nil)
 		f.restart(i)
--- a/directory/selection.go
+++ b/directory/selection.go
@@ -43,19 +43,13 @@
 	hosts := d.countHosts()
 	sameIncarnation := func(a, b schema.Beacon) bool { return a.Name == b.Name && a.StartedMs == b.StartedMs }
 	changed := !slices.EqualFunc(serving, d.serving, sameIncarnation) || hosts != d.knownHosts
-	for _, beacon := range serving {
-		if other, known := d.members[beacon.Name]; known && !d.serves(beacon.Name) {
-			other.servingSince = now
-		}
-	}
 	wasServing := d.serves(d.Self.Name)
-	d.serving, d.knownHosts = serving, hosts
-	clear(d.servingNames)
-	for _, beacon := range serving {
-		d.servingNames[beacon.Name] = true
-	}
+	d.knownHosts = hosts
+	d.adoptServing(now, serving)
 	d.selectDeputies(all)
 	d.Self.Serves = d.serves(d.Self.Name)
+	sharers := d.countSharers()
+	changed, d.sharers = changed || sharers != d.sharers, sharers
 	if !wasServing && d.Self.Serves {
 		d.servingSince = now
 		d.contactAll(now)
@@ -69,7 +63,21 @@
 	d.urgent = d.urgent || wasServing != d.Self.Serves
 	d.ceased = d.ceased || wasServing && !d.Self.Serves
 
-	return []Action{ServingChanged{Serving: serving, Ahead: d.ahead(all), Self: d.Self.Serves, Hosts: hosts}}
+	return []Action{ServingChanged{Serving: serving, Ahead: d.ahead(all), Self: d.Self.Serves, Hosts: hosts, Sharers: sharers}}
+}
+
+// adoptServing replaces the serving hosts.
+func (d *Directory) adoptServing(now time.Time, serving []schema.Beacon) {
+	for _, beacon := range serving {
+		if other, known := d.members[beacon.Name]; known && !d.serves(beacon.Name) {
+			other.servingSince = now
+		}
+	}
+	d.serving = serving
+	clear(d.servingNames)
+	for _, beacon := range serving {
+		d.servingNames[beacon.Name] = true
+	}
 }
 
 // alive returns the beacons of all live hosts in order of preference to serve.
--- a/edge/control.go
+++ b/edge/control.go
@@ -335,14 +335,14 @@
 // host's rank to the replica.
 func (d *controlDuty) publishServing(ctx context.Context, now time.Time, action directory.ServingChanged) error {
 	d.serving = action.Self
-	peers := placement.Peers{Hosts: action.Hosts}
+	peers := placement.Peers{Hosts: action.Hosts, Sharers: action.Sharers}
 	names := ""
 	for _, serving := range action.Serving {
 		peers.Serving = append(peers.Serving, placement.Peer{Name: serving.Name, DataCentre: serving.DataCentre})
 		names += serving.Name + " "
 	}
 	d.log.Event(eventlog.Info, "serving_changed", "set of serving hosts changed",
-		eventlog.Text("hosts", names), eventlog.Flag("self", action.Self), eventlog.Integer("known_hosts", action.Hosts))
+		eventlog.Text("hosts", names), eventlog.Flag("self", action.Self), eventlog.Integer("known_hosts", action.Hosts), eventlog.Integer("sharers", action.Sharers))
 	if err := d.changes.Put(ctx, PlacementEvent{Event: placement.PeersChanged{Peers: peers}}); err != nil {
 		return err
 	}
--- a/placement/events.go
+++ b/placement/events.go
@@ -191,4 +191,7 @@
 	Serving []Peer
 	// Hosts is the number of known entry hosts, alive or not.
 	Hosts int
+	// Sharers is the number of hosts that share the quotas of tenants, including this
+	// host whether it serves or not.
+	Sharers int
 }
