--- a/edge/edge.go
+++ b/edge/edge.go
@@ -12,6 +12,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/valyala/fasthttp"
 
+	"github.com/baobabdrum/baobabdrum/allotment"
 	"github.com/baobabdrum/baobabdrum/declared"
 	"github.com/baobabdrum/baobabdrum/dispatch"
 	"github.com/baobabdrum/baobabdrum/memory"
@@ -48,6 +49,8 @@
 	Propagation time.Duration
 	// Budget is the retry budget.
 	Budget placement.Budget
+	// Tolerance is the tolerance of the quotas of tenants.
+	Tolerance allotment.Tolerance
 	// Capacity is the number of calls per second that the host can carry.
 	Capacity int
 	// MemoryBytes is the memory that the process may use, or 0 if it is unknown.
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"time"
 
+	"github.com/baobabdrum/baobabdrum/allotment"
 	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/placement"
 )
@@ -65,6 +66,7 @@
 type fixedSettings struct {
 	name, dataCentre, caller, ready, directory, control, peer string
 	capacity                                                  int
+	tolerance                                                 allotment.Tolerance
 }
 
 // fixedSettingsOf returns the fixed settings of a site.
@@ -72,5 +74,6 @@
 	return fixedSettings{
 		name: site.Name, dataCentre: site.DataCentre, caller: site.CallerAddress, ready: site.ReadyAddress,
 		directory: site.DirectoryAddress, control: site.ControlAddress, peer: site.PeerAddress, capacity: site.Capacity,
+		tolerance: site.Tolerance,
 	}
 }
