allotment: hosts that begin to share start with fewer tokens

Cause: 15,000 runs of TestSumOverHostsStaysWithinBound found a sequence in which two hosts begin to serve one after the other beside a single one: the calls in a window exceeded the bound by 2. Change: the part of the margin of the rate with which a host begins is halved. In the test, a call waits for 3 s at most: one that waited for 10 s exceeded a limit that was lowered meanwhile, which latency objectives rule out. Result: 45,000 runs passed. Trials with four changes in a window instead of two failed after 10,806 and 1,812 runs, by one call.

--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -33,8 +33,9 @@
 	// that begin to share, which have the right to some calls before the others have
 	// lowered their shares.
 	splitSlack = 0.75
-	// newcomers is the number of hosts for which the rest of the slack suffices if they
-	// begin to share within one window.
+	// newcomers divides what is left for hosts that begin to share. Tests show that the
+	// bound holds if two begin within one window and the others learn of them within 0.5 s;
+	// with half of this number it was exceeded where one host became three.
 	newcomers = 4
 )
 
@@ -104,8 +105,8 @@
 	}
 	known.rate, known.capacity = known.perSecond/count, total/count
 	if !a.serving {
-		reserve := (1-splitSlack)*a.Tolerance.Slack/newcomers + margin/(2*count)
-		known.capacity = min(known.capacity, reserve)
+		reserve := (1-splitSlack)*a.Tolerance.Slack + margin/count
+		known.capacity = min(known.capacity, reserve/newcomers)
 	}
 	known.limit()
 }
--- a/allotment/hosts_test.go
+++ b/allotment/hosts_test.go
@@ -15,6 +15,9 @@
 	// viewLag is the longest time in which connected hosts learn that another one
 	// begins or ceases to serve, and callers that it ceased.
 	viewLag = 500 * time.Millisecond
+	// maxWait is the longest time that a call waits until it is sent. Latency objectives
+	// are shorter.
+	maxWait = 3 * time.Second
 	// maxChanges is the number of hosts that may begin or cease to serve within one
 	// window.
 	maxChanges = 2
@@ -38,8 +41,10 @@
 	steppedAt  time.Time
 	// heard states which other hosts serve as far as this host knows.
 	heard map[int]bool
-	// waiting is the number of calls that took a token and were not sent.
-	waiting int
+	// waiting is the number of calls that took a token and were not sent, and since when
+	// the first of them waits.
+	waiting      int
+	waitingSince time.Time
 }
 
 // model is a set of hosts with one tenant that share views with a delay.
@@ -137,10 +142,21 @@
 	for _, host := range m.hosts {
 		if !host.frozen {
 			host.steppedAt = m.now
+			m.expire(host)
 		}
 	}
 }
 
+// expire ends the calls that have waited for longer than any caller does.
+func (m *model) expire(host *modelHost) {
+	if m.now.Sub(host.waitingSince) < maxWait {
+		return
+	}
+	for ; host.waiting > 0; host.waiting-- {
+		host.allotments.Return(m.now, "a")
+	}
+}
+
 // mayChange reports whether another host may begin or cease to serve.
 func (m *model) mayChange() bool {
 	m.changes = slices.DeleteFunc(m.changes, func(at time.Time) bool { return m.now.Sub(at) > tolerance.Window })
@@ -280,6 +296,9 @@
 		}
 		for range count {
 			if _, ok := host.allotments.Take(m.now, "a"); ok {
+				if host.waiting == 0 {
+					host.waitingSince = m.now
+				}
 				host.waiting++
 			}
 		}
