placement: calls beyond the quota of their tenant are refused

Cause: one tenant could take all capacity. Change: a call takes a token when its tenant is known and before it is sent or queued. The token is held while the call waits, used by its first send and returned if the call ends without one; retries and hedges take none.

--- a/edge/calls.go
+++ b/edge/calls.go
@@ -57,6 +57,7 @@
 	arrivals        int
 	rateSince       time.Time
 	rate            int
+	tenants         tenantLabels
 }
 
 // run handles inputs and ticks until the context ends, then cancels the
@@ -248,6 +249,7 @@
 		d.releaseAnswer(attempt)
 	}
 	d.metrics.Finished(action)
+	d.countQuota(action)
 	d.logFinish(call.request, action, reply)
 	_ = call.reply.Offer(reply) // the caller front guarantees room
 }
--- a/edge/control.go
+++ b/edge/control.go
@@ -335,6 +335,7 @@
 // host's rank to the replica.
 func (d *controlDuty) publishServing(ctx context.Context, now time.Time, action directory.ServingChanged) error {
 	d.serving = action.Self
+	d.metrics.Sharers(action.Sharers)
 	peers := placement.Peers{Hosts: action.Hosts, Sharers: action.Sharers}
 	names := ""
 	for _, serving := range action.Serving {
--- a/edge/host.go
+++ b/edge/host.go
@@ -265,6 +265,7 @@
 		placer: placement.New(placement.Options{
 			Host: h.Site.Name, DataCentre: h.Site.DataCentre, Seed: h.seed(),
 			Budget: h.Site.Budget, ProbeInterval: h.Settings.ProbeInterval, CrossingCost: float64(h.Settings.CrossingCost) / perMille,
+			Tolerance: h.Site.Tolerance,
 		}),
 		inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, log: h.Log, metrics: h.Metrics,
 		calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -39,6 +39,8 @@
 	metrics.AcceptFailed("caller")
 	metrics.ConnectionEvicted("caller")
 	metrics.ConnectionRejected("caller")
+	metrics.QuotaRefused("acme")
+	metrics.Sharers(3)
 	var text bytes.Buffer
 	metrics.Write(&text)
 
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -204,6 +204,9 @@
 	ReasonNoKey Reason = "no_key"
 	// ReasonUnknownKey says that no tenant holds the call's key.
 	ReasonUnknownKey Reason = "unknown_key"
+	// ReasonAllotment says that the call's tenant has used up this host's share of its
+	// quota.
+	ReasonAllotment Reason = "quota"
 	// ReasonMemory says that this host had no memory for the request.
 	ReasonMemory Reason = "no_memory"
 	// ReasonUnreadable says that the declaration of the call's route could not be
--- a/placement/attempts.go
+++ b/placement/attempts.go
@@ -56,6 +56,7 @@
 	p.attempts[started.id] = started
 	c.inFlight = append(c.inFlight, started)
 	c.triedServers = append(c.triedServers, server.ID)
+	p.noteSent(now, c)
 	c.sends++
 	server.InFlight++
 	server.SentAt = now
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -82,7 +82,7 @@
 		return
 	}
 	holder, admitted := p.admit(now, event, route)
-	if !admitted {
+	if !admitted || !p.takeToken(now, event, route, holder) {
 		return
 	}
 	elapsed := route.callerTimeouts.Elapsed(event.Wait)
@@ -241,6 +241,7 @@
 // finish ends a call and cancels its attempts in flight.
 func (p *Placer) finish(now time.Time, c *call, outcome Outcome) {
 	c.service.dequeue(c)
+	p.returnToken(now, c)
 	delete(p.calls, c.id)
 	p.openCalls = slices.DeleteFunc(p.openCalls, func(other *call) bool { return other == c })
 	p.cancelAttempts(c, cancelReason(outcome))
@@ -372,6 +373,7 @@
 		p.retry(now, c, ReasonRefused)
 	case Unsent:
 		c.sends--
+		p.noteUnsent(now, c)
 		c.unsentTries++
 		if c.unsentTries >= maxUnsentTries {
 			p.conclude(now, c, ReasonUnreachable)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,6 +36,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/baobabdrum/baobabdrum/allotment"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/tenant"
 )
@@ -59,6 +60,8 @@
 	// FailClosed says that a key is not accepted while this host does not know whether
 	// its declaration is the newest one.
 	FailClosed bool
+	// Tolerance is the tolerance of the quotas of tenants.
+	Tolerance allotment.Tolerance
 }
 
 // Placer holds the state of the backend servers as one host knows it, and the
@@ -70,6 +73,7 @@
 	declared      schema.Declared
 	routes        routes
 	keys          *tenant.Keys
+	allotments    *allotment.Allotments
 	services      map[string]*service
 	servers       map[string]*Server
 	serversByHash map[int]*Server
@@ -115,6 +119,7 @@
 		calls:         map[CallID]*call{},
 		attempts:      map[AttemptID]*attempt{},
 		slowdowns:     NewSlowdownEstimator(),
+		allotments:    allotment.New(options.Tolerance),
 		random:        rand.New(rand.NewPCG(options.Seed, options.Seed)), //nolint:gosec // placement needs no secrets
 	}
 }
@@ -153,6 +158,7 @@
 		p.adoptLoads(now, event)
 	case PeersChanged:
 		p.peers = event.Peers
+		p.allotments.SetSharers(now, event.Peers.Sharers, p.isServing())
 		p.forgetReports()
 		p.assignMeasuring()
 	case BudgetChanged:
@@ -224,6 +230,7 @@
 	if declared.Declaration.Version != p.declared.Declaration.Version {
 		p.routes = newRoutes(declared.Declaration.Routes, p.routes)
 		p.keys = tenant.NewKeys(declared.Declaration)
+		p.allotments.Apply(now, declared.Declaration.Tenants)
 	}
 	p.declared = declared
 	for _, rule := range declared.Declaration.Services {
--- a/placement/tenants.go
+++ b/placement/tenants.go
@@ -12,10 +12,11 @@
 const keyRetryAfter = 500 * time.Millisecond
 
 // noteFreeze records that this process did not run for a while, during which keys may
-// have been declared or withdrawn.
+// have been declared or withdrawn and other hosts may have begun to share the quotas.
 func (p *Placer) noteFreeze(now time.Time) {
 	if !p.steppedAt.IsZero() && now.Sub(p.steppedAt) >= freezeThreshold {
 		p.frozenUntil = now
+		p.allotments.Frozen(p.steppedAt, now)
 	}
 }
 
