--- a/edge/edge.go
+++ b/edge/edge.go
@@ -51,6 +51,9 @@
 	Budget placement.Budget
 	// Tolerance is the tolerance of the quotas of tenants.
 	Tolerance allotment.Tolerance
+	// FailClosed rejects all API keys while the host cannot tell whether its declaration
+	// is the newest one.
+	FailClosed bool
 	// Capacity is the number of calls per second that the host can carry.
 	Capacity int
 	// MemoryBytes is the memory that the process may use, or 0 if it is unknown.
@@ -106,6 +109,8 @@
 	Wait time.Duration
 	// Deadline is the time at which the caller stops waiting.
 	Deadline time.Time
+	// KeyDigest is the digest of the API key in the request, or empty if it has none.
+	KeyDigest string
 }
 
 // Reply is the outcome of a call together with the answer, if there is one.
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -67,6 +67,7 @@
 	name, dataCentre, caller, ready, directory, control, peer string
 	capacity                                                  int
 	tolerance                                                 allotment.Tolerance
+	failClosed                                                bool
 }
 
 // fixedSettingsOf returns the fixed settings of a site.
@@ -74,6 +75,7 @@
 	return fixedSettings{
 		name: site.Name, dataCentre: site.DataCentre, caller: site.CallerAddress, ready: site.ReadyAddress,
 		directory: site.DirectoryAddress, control: site.ControlAddress, peer: site.PeerAddress, capacity: site.Capacity,
-		tolerance: site.Tolerance,
+		tolerance:  site.Tolerance,
+		failClosed: site.FailClosed,
 	}
 }
