--- a/edge/calls.go
+++ b/edge/calls.go
@@ -65,6 +65,7 @@
 	rateSince       time.Time
 	rate            int
 	steppedAt       time.Time
+	tenants         tenantLabels
 }
 
 // run handles inputs and ticks until the context ends, then cancels the
@@ -291,6 +292,7 @@
 		d.releaseAnswer(attempt)
 	}
 	d.metrics.Finished(action)
+	d.countQuota(action)
 	d.logFinish(call.request, action, reply)
 	_ = call.reply.Offer(reply) // the caller front guarantees room
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -12,6 +12,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/valyala/fasthttp"
 
+	"github.com/baobabdrum/baobabdrum/allotment"
 	"github.com/baobabdrum/baobabdrum/declared"
 	"github.com/baobabdrum/baobabdrum/dispatch"
 	"github.com/baobabdrum/baobabdrum/memory"
@@ -51,6 +52,8 @@
 	Budget placement.Budget
 	// Rollout bounds the exposure of callers to a new version of a service.
 	Rollout rollout.Limits
+	// Tolerance is the tolerance of the quotas of tenants.
+	Tolerance allotment.Tolerance
 	// FailClosed rejects all API keys while the host cannot tell whether its declaration
 	// is the newest one.
 	FailClosed bool
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"time"
 
+	"github.com/baobabdrum/baobabdrum/allotment"
 	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/rollout"
@@ -67,6 +68,7 @@
 	name, dataCentre, caller, ready, directory, control, peer string
 	capacity                                                  int
 	rollout                                                   rollout.Limits
+	tolerance                                                 allotment.Tolerance
 	failClosed                                                bool
 }
 
@@ -76,6 +78,7 @@
 		name: site.Name, dataCentre: site.DataCentre, caller: site.CallerAddress, ready: site.ReadyAddress,
 		directory: site.DirectoryAddress, control: site.ControlAddress, peer: site.PeerAddress, capacity: site.Capacity,
 		rollout:    site.Rollout,
+		tolerance:  site.Tolerance,
 		failClosed: site.FailClosed,
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,6 +36,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/baobabdrum/baobabdrum/allotment"
 	"github.com/baobabdrum/baobabdrum/rollout"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/tenant"
@@ -62,6 +63,8 @@
 	// FailClosed says that a key is not accepted while this host does not know whether
 	// its declaration is the newest one.
 	FailClosed bool
+	// Tolerance is the tolerance of the quotas of tenants.
+	Tolerance allotment.Tolerance
 }
 
 // Placer holds the state of the backend servers as one host knows it, and the
@@ -73,6 +76,7 @@
 	declared      schema.Declared
 	routes        routes
 	keys          *tenant.Keys
+	allotments    *allotment.Allotments
 	services      map[string]*service
 	servers       map[string]*Server
 	serversByHash map[int]*Server
@@ -123,6 +127,7 @@
 		calls:         map[CallID]*call{},
 		attempts:      map[AttemptID]*attempt{},
 		slowdowns:     NewSlowdownEstimator(),
+		allotments:    allotment.New(options.Tolerance),
 		random:        rand.New(rand.NewPCG(options.Seed, options.Seed)), //nolint:gosec // placement needs no secrets
 	}
 }
@@ -160,15 +165,9 @@
 	case LoadsReceived:
 		p.adoptLoads(now, event)
 	case PeersChanged:
-		p.peers = event.Peers
-		p.forgetReports()
-		p.assignMeasuring()
-		p.passServing(now)
+		p.adoptPeers(now, event.Peers)
 	case BudgetChanged:
-		p.Options.Budget = event.Budget
-		for _, service := range p.services {
-			service.budget.adopt(event.Budget)
-		}
+		p.adoptBudget(event.Budget)
 	case StopBegun:
 		p.stop = event
 	case Resumed:
@@ -184,6 +183,23 @@
 	return p.actions
 }
 
+// adoptPeers replaces the hosts that serve, and what depends on them.
+func (p *Placer) adoptPeers(now time.Time, peers Peers) {
+	p.peers = peers
+	p.allotments.SetSharers(now, peers.Sharers, p.isServing())
+	p.forgetReports()
+	p.assignMeasuring()
+	p.passServing(now)
+}
+
+// adoptBudget replaces the retry budget of every service.
+func (p *Placer) adoptBudget(budget Budget) {
+	p.Options.Budget = budget
+	for _, service := range p.services {
+		service.budget.adopt(budget)
+	}
+}
+
 const (
 	// freezeThreshold is the time between two steps from which this process
 	// counts as frozen: other hosts have taken over its duties by then, and its
@@ -241,6 +257,7 @@
 	if declared.Declaration.Version != p.declared.Declaration.Version {
 		p.routes = newRoutes(declared.Declaration.Routes, p.routes)
 		p.keys = tenant.NewKeys(declared.Declaration)
+		p.allotments.Apply(now, declared.Declaration.Tenants)
 	}
 	p.declared = declared
 	for _, rule := range declared.Declaration.Services {
