edge: notice callers with two pipelined requests at a time

Such a caller was never noticed if its calls ended before the first check after 100 ms and each read of the server returned one request.

The front looks for unread bytes before the response to the first, second, fourth, eighth and so on request of a connection, so others do not pay a system call for each request. TestTwoRequestsAtATime fails without the check.

--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -306,6 +306,8 @@
 	for {
 		select {
 		case received := <-reply.Items():
+			f.noticePipelining(ctx, peeker)
+
 			return received
 		case <-timer.C:
 			if time.Now().After(overdue) {
--- a/edge/fronts_bench_test.go
+++ b/edge/fronts_bench_test.go
@@ -154,3 +154,24 @@
 
 	return response.StatusCode, string(content)
 }
+
+// BenchmarkCallersThatPipeline measures 16 calls without a backend server that are sent
+// at once.
+func BenchmarkCallersThatPipeline(b *testing.B) {
+	front := newTestFront(b)
+	front.answerAll(b)
+	conn, err := net.Dial("tcp", front.address)
+	assert.NilError(b, err)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	requests := gets(maxAheadRequests)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := io.WriteString(conn, requests); err != nil {
+			b.Fatal(err)
+		}
+		for range maxAheadRequests {
+			readResponse(b, reader)
+		}
+	}
+}
--- a/edge/pipelining.go
+++ b/edge/pipelining.go
@@ -73,6 +73,17 @@
 	return p
 }
 
+// noticePipelining gives a connection its state if bytes have followed the request that
+// is about to be answered. It looks at the first, second, fourth, eighth and so on request
+// of a connection: callers with two requests open at a time are noticed early, and others
+// do not pay a system call for each request.
+func (f *callerFront) noticePipelining(ctx *fasthttp.RequestCtx, peeker *tcp.Peeker) {
+	number := ctx.ConnRequestNum()
+	if number&(number-1) == 0 && !ctx.Request.Header.ConnectionClose() && peeker.Peek() == tcp.Readable {
+		f.newPipeline(ctx.Conn().(*tcp.ServedConn))
+	}
+}
+
 // serveAhead replies to a request that was read ahead with the reply to the call that
 // was started for it. It reports whether it did.
 func (f *callerFront) serveAhead(ctx *fasthttp.RequestCtx) bool {
--- a/edge/pipelining_test.go
+++ b/edge/pipelining_test.go
@@ -378,6 +378,28 @@
 	caller.receive(t, "/7")
 }
 
+// Guards against callers with two requests open at a time that are never noticed: each
+// call ends before the first poll, and each read of the server returns one request.
+func TestTwoRequestsAtATime(t *testing.T) {
+	front := newTestFront(t)
+	caller := front.dial(t)
+	caller.send(t, get("/0"))
+	first := front.arrived(t, "/0", false)
+	caller.send(t, get("/1"))
+	time.Sleep(10 * time.Millisecond)
+	answer(first)
+	caller.receive(t, "/0")
+	open := front.arrived(t, "/1", false)
+	for i := 2; i < 6; i++ {
+		target := fmt.Sprintf("/%d", i)
+		caller.send(t, get(target))
+		next := front.arrived(t, target, true)
+		answer(open)
+		caller.receive(t, fmt.Sprintf("/%d", i-1))
+		open = next
+	}
+}
+
 // Guards against a next request that escapes the limits because it was read ahead.
 func TestLimitsOfRequestsReadAhead(t *testing.T) {
 	limits := schema.CallerLimits{HeaderTimeoutMs: 200, HeaderBytes: 2000, IdleTimeoutMs: 400}
