rollout: up to 300 answers of a route need no exclusion of a large excess

Change: for a single route, the weaker rule holds up to 300 answers: a good version has as many bad answers with a probability of 5 %. All routes together need the exclusion from 60 answers on, as before. The race-enabled tests of rollout and those of rollouts in placement pass.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -143,14 +143,14 @@
 
 // good reports whether the answers suffice to send the target a larger share.
 func (e *evidence) good(share float64) bool {
-	if e.total.Target.All == 0 || !good(e.total.Target, ratesOf(e.total.Others)) {
+	if e.total.Target.All == 0 || !good(e.total.Target, ratesOf(e.total.Others), manyAnswers) {
 		return false
 	}
 	for _, counts := range e.all {
 		if counts.Target.All < requiredAnswers(counts.Target.All+counts.Others.All, share) {
 			return false
 		}
-		if !good(counts.Target, ratesOf(counts.Others, e.total.Others)) {
+		if !good(counts.Target, ratesOf(counts.Others, e.total.Others), manyRouteAnswers) {
 			return false
 		}
 	}
