tcp: never read ahead on connections that are not divided

FuzzPipelining (after 10 s) lost bytes in its reference front, whose set does not divide: bytes that were read ahead there were never passed to the server. The caller front always divides, so callers were not affected.

Connections of a set without DivideRequests are undivided from the start, on which nothing is read ahead, and bytes that are held are always passed on.

--- a/tcp/ahead.go
+++ b/tcp/ahead.go
@@ -10,9 +10,6 @@
 
 // receive reads bytes for the HTTP server, first those that are held.
 func (c *ServedConn) receive(buffer []byte) (int, error) {
-	if !c.set.DivideRequests {
-		return c.LingeringConn.Read(buffer)
-	}
 	if c.Requests.Held() > 0 {
 		return c.Requests.Take(buffer), nil
 	}
--- a/tcp/connections.go
+++ b/tcp/connections.go
@@ -91,6 +91,9 @@
 		return nil, false
 	}
 	served := &ServedConn{LingeringConn: conn, set: s}
+	if !s.DivideRequests {
+		served.Requests.ServeUndivided()
+	}
 	s.open[served] = struct{}{}
 	if s.finishing {
 		RaiseWriteBuffer(served.TCPConn, finishingBufferBytes)
