placement: slots of a service are counted at most once in 10 ms

Cause: each call that ended counted the slots of all backend servers of its service for its log line, and each call that could not be in time at once summed their throughput. Change: both are taken from one count that is renewed when it is 10 ms old. Evacuated data centres no longer count towards the throughput. The choice of a backend server still looks at each of them.

--- a/placement/calls.go
+++ b/placement/calls.go
@@ -170,7 +170,7 @@
 // mayStillFit reports whether a queued call is likely to start early enough to
 // be answered in time.
 func (p *Placer) mayStillFit(now time.Time, c *call, left time.Duration) bool {
-	rate := c.service.throughput(now, c.route.Work)
+	rate := c.service.throughput(now, c.route.Work, p.evacuated)
 	if rate == 0 {
 		return false
 	}
@@ -234,7 +234,7 @@
 
 // refuse ends a call that no backend server ran.
 func (p *Placer) refuse(now time.Time, c *call, reason Reason) {
-	after := c.service.retryAfter(now, c.route.Work, p.random.Float64())
+	after := c.service.retryAfter(now, c.route.Work, p.evacuated, p.random.Float64())
 	if c.targetDeadline.Sub(now) < after+c.route.Work {
 		after = max(after, time.Duration(lateRetryAfterShare*float64(c.callerDeadline.Sub(now))))
 	}
@@ -253,11 +253,11 @@
 	delete(p.calls, c.id)
 	p.openCalls = slices.DeleteFunc(p.openCalls, func(other *call) bool { return other == c })
 	p.cancelAttempts(c, cancelReason(outcome))
-	taken, slots := p.slotUsage(now, c.service)
+	slots := c.service.usage(now, p.evacuated).total
 	p.emit(Finish{
 		Call: c.id, Outcome: outcome, Route: c.route.Name, Service: c.service.Name,
 		Version: p.declared.Declaration.Version, Sends: c.sends, Took: now.Sub(c.arrived),
-		Waiting: len(c.service.queue), Taken: taken, Slots: slots, Tenant: tenantName(c.tenant),
+		Waiting: len(c.service.queue), Taken: slots.taken, Slots: slots.slots, Tenant: tenantName(c.tenant),
 	})
 }
 
--- a/placement/crossing.go
+++ b/placement/crossing.go
@@ -20,27 +20,11 @@
 	// busyMargin is the additional reduction of the risk for which a call goes to a
 	// busy data centre.
 	busyMargin = 0.3
-	// usageMaxAge is the age up to which the counts of taken slots are used.
-	usageMaxAge = 10 * time.Millisecond
 	// spreadCost is the largest difference in cost by which hosts prefer different
 	// backend servers of other data centres, whose load they learn late.
 	spreadCost = 0.1
 )
 
-// slotCount is the number of taken slots and of all slots of some backend servers.
-type slotCount struct {
-	taken, slots int
-}
-
-// utilisation returns the share of taken slots, or 1 if there are none.
-func (c slotCount) utilisation() float64 {
-	if c.slots == 0 {
-		return 1
-	}
-
-	return float64(c.taken) / float64(c.slots)
-}
-
 // crossingCost returns the risk of a late answer that is accepted to save the bytes of
 // a call between data centres.
 func (p *Placer) crossingCost(route *Route) float64 {
@@ -61,27 +45,7 @@
 		return false
 	}
 
-	return gain > busyMargin || c.service.usage(now, p.evacuated)[remote.server.DataCentre].utilisation() < busyUtilisation
-}
-
-// usage returns the slots of the usable, warm backend servers of each data centre. It is
-// counted again when it is older than usageMaxAge, so that its cost does not grow with
-// the calls.
-func (s *service) usage(now time.Time, evacuated map[string]bool) map[string]slotCount {
-	if s.usageOf != nil && now.Sub(s.usageAt) < usageMaxAge {
-		return s.usageOf
-	}
-	s.usageOf, s.usageAt = map[string]slotCount{}, now
-	for _, server := range s.servers {
-		if server.usable(now) && !server.Cold(now) && !evacuated[server.DataCentre] {
-			count := s.usageOf[server.DataCentre]
-			count.slots += server.SlotLimit()
-			count.taken += server.TotalInFlight(now)
-			s.usageOf[server.DataCentre] = count
-		}
-	}
-
-	return s.usageOf
+	return gain > busyMargin || c.service.usage(now, p.evacuated).byDataCentre[remote.server.DataCentre].utilisation() < busyUtilisation
 }
 
 // spreadShare returns a fixed number from 0 to 1 for a host and a backend server.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -260,6 +260,9 @@
 		p.allotments.Apply(now, declared.Declaration.Tenants)
 	}
 	p.declared = declared
+	for _, service := range p.services {
+		service.counted = nil
+	}
 	for _, rule := range declared.Declaration.Services {
 		p.service(rule.Name).Rule = rule
 	}
--- a/placement/service.go
+++ b/placement/service.go
@@ -35,9 +35,8 @@
 	queue      []*call
 	budget     *budget
 	lastCallAt time.Time
-	// usageOf is the result of usage, as of usageAt.
-	usageOf map[string]slotCount
-	usageAt time.Time
+	// counted is the last result of usage, or nil.
+	counted *usage
 	// refusedBacklog is the number of refused calls that the service has not
 	// had the capacity to serve since they were refused, as of
 	// refusedBacklogAt.
@@ -53,22 +52,15 @@
 
 // throughput returns the number of calls a second that the usable, warm backend
 // servers finish, for calls of the given work.
-func (s *service) throughput(now time.Time, work time.Duration) float64 {
-	rate := 0.0
-	for _, server := range s.servers {
-		if server.usable(now) && !server.Cold(now) {
-			rate += float64(server.SlotLimit()) / (server.UsualPace * work.Seconds())
-		}
-	}
-
-	return rate
+func (s *service) throughput(now time.Time, work time.Duration, evacuated map[string]bool) float64 {
+	return s.usage(now, evacuated).workPerSecond / work.Seconds()
 }
 
 // retryAfter records a refused call and returns when its caller may retry. The
 // delay is computed as if refused calls formed a queue that the service works
 // off in order.
-func (s *service) retryAfter(now time.Time, work time.Duration, random float64) time.Duration {
-	rate := retryThroughputShare * s.throughput(now, work)
+func (s *service) retryAfter(now time.Time, work time.Duration, evacuated map[string]bool, random float64) time.Duration {
+	rate := retryThroughputShare * s.throughput(now, work, evacuated)
 	if rate == 0 {
 		return maxRetryAfter
 	}
