placement: the margin for leaving the data centre falls with its free slots

Change: the margin falls to 0 with the free slots of the own data centre, a busy data centre is used if the own one is busier, and a host that sends 3% of its calls to other data centres gets the reports of their hosts with every beacon.

--- a/directory/beacons.go
+++ b/directory/beacons.go
@@ -30,8 +30,8 @@
 }
 
 // servingBeacons returns the beacons to the serving hosts. Those of other data centres
-// receive load reports with every second one only: they send few calls here, and the
-// reports are most of what hosts send between data centres.
+// receive load reports with every second one only, unless they send calls to other data
+// centres: the reports are most of what hosts send between data centres.
 func (d *Directory) servingBeacons() []Action {
 	loads := d.serves(d.Self.Name)
 	d.sparesLoads = !d.sparesLoads
@@ -73,13 +73,14 @@
 	return serving, others
 }
 
-// servingAddresses returns the peer addresses of the serving hosts in this host's data
-// centre and in others.
+// servingAddresses returns the peer addresses of the serving hosts that need load reports
+// soon, because they are in this host's data centre or send calls to others, and of the
+// other ones.
 func (d *Directory) servingAddresses() (near, far []string) {
 	for name, other := range d.members {
 		switch {
 		case !d.serves(name):
-		case other.beacon.DataCentre == d.Self.DataCentre:
+		case other.beacon.DataCentre == d.Self.DataCentre, other.beacon.Crosses:
 			near = append(near, other.beacon.PeerAddress)
 		default:
 			far = append(far, other.beacon.PeerAddress)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -182,7 +182,7 @@
 		d.Self.Ready = event.Ready
 	case CallsCounted:
 		d.selectionOutdated = d.selectionOutdated || d.Self.Calls != event.Calls
-		d.Self.Calls = event.Calls
+		d.Self.Calls, d.Self.Crosses = event.Calls, event.Crosses
 	case UpdateArrived:
 		d.updatePending = true
 	case ReadsChanged:
--- a/directory/events.go
+++ b/directory/events.go
@@ -42,6 +42,8 @@
 type CallsCounted struct {
 	// Calls is the number of calls a second that arrive at this host.
 	Calls int
+	// Crosses is set if a notable part of them is sent to other data centres.
+	Crosses bool
 }
 
 // UpdateArrived reports a change at this host that serving hosts need to receive
--- a/directory/reports_test.go
+++ b/directory/reports_test.go
@@ -44,3 +44,26 @@
 	assert.Assert(t, reports["b:2"] >= rounds-3, "%v", reports)
 	assert.Assert(t, reports["c:2"] >= rounds/2-2 && reports["c:2"] <= rounds/2+2, "%v", reports)
 }
+
+// Guards against a host that places calls in other data centres by old load reports: on a
+// small deployment under load it served fewer calls in time.
+func TestHostsThatSendCallsElsewhereGetAllLoadReports(t *testing.T) {
+	host := directory.New(beacon("a", "north", 1))
+	host.Self.Ready, host.Self.Serves = true, true
+	far := with(beacon("c", "south", 3), func(beacon *schema.Beacon) { beacon.Serves, beacon.Crosses = true, true })
+	all, reports := 0, 0
+	for round := range 20 {
+		now := start.Add(time.Duration(round) * 100 * time.Millisecond)
+		far.Sequence = round + 1
+		host.Step(now, directory.BeaconReceived{Beacon: far})
+		for _, action := range host.Step(now, directory.Ticked{}) {
+			if send, ok := action.(directory.SendBeacon); ok && slices.Contains(send.Addresses, "c:2") {
+				all++
+				if send.Loads {
+					reports++
+				}
+			}
+		}
+	}
+	assert.Assert(t, all >= 18 && reports >= all-2, "%d of %d", reports, all)
+}
--- a/edge/calls.go
+++ b/edge/calls.go
@@ -137,7 +137,7 @@
 		d.rate = int(float64(d.arrivals) / elapsed.Seconds())
 		d.arrivals, d.rateSince = 0, now
 	}
-	if d.control.Offer(LoadsReported{Loads: d.placer.Loads(now), Calls: d.rate, Leaving: d.placer.Leaving(now), Rollouts: d.placer.Rollouts(now)}) != nil {
+	if d.control.Offer(LoadsReported{Loads: d.placer.Loads(now), Calls: d.rate, Crosses: d.placer.Crosses(now), Leaving: d.placer.Leaving(now), Rollouts: d.placer.Rollouts(now)}) != nil {
 		d.metrics.Dropped("loads")
 	}
 }
--- a/edge/control.go
+++ b/edge/control.go
@@ -168,7 +168,7 @@
 	case LoadsReported:
 		d.loads, d.leaving, d.rollouts = input.Loads, input.Leaving, input.Rollouts
 
-		return d.stepDirectory(ctx, now, directory.CallsCounted{Calls: input.Calls})
+		return d.stepDirectory(ctx, now, directory.CallsCounted{Calls: input.Calls, Crosses: input.Crosses})
 	case AddressesQuery:
 		list, ttl := d.directory.Answer(input.DataCentre)
 		_ = input.Reply.Offer(Addresses{List: list, TTL: ttl}) // the sender of the query guarantees room
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -310,6 +310,8 @@
 	Loads []schema.ServerLoad
 	// Calls is the number of calls per second that arrive.
 	Calls int
+	// Crosses is set if a notable part of them is sent to other data centres.
+	Crosses bool
 	// Leaving are the backend servers that told this host that they are leaving.
 	Leaving []schema.LeavingServer
 	// Rollouts are this host's reports on the rollout orders.
--- a/placement/attempts.go
+++ b/placement/attempts.go
@@ -63,6 +63,7 @@
 	c.triedServers = append(c.triedServers, server.ID)
 	p.noteSent(now, c)
 	c.sends++
+	p.crossings.count(now, reason.Crossing)
 	server.InFlight++
 	server.SentAt = now
 	p.emit(Send{
--- a/placement/crossing.go
+++ b/placement/crossing.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Leaving the data centre. It answers two loads. In a data centre with enough backend
 // servers, one of the many in other data centres seems slightly better for nearly every
@@ -11,15 +14,24 @@
 // slots themselves.
 const (
 	// crossingMargin is the reduction of the risk of a late answer below which a call
-	// stays: the estimates for equal backend servers differ by about as much, and the
-	// best of many always seems better than the best of few.
+	// stays while its data centre is idle: the estimates for equal backend servers differ
+	// by about as much, and the best of many always seems better than the best of few. It
+	// falls to 0 with the free slots, because few free ones are soon taken.
 	crossingMargin = 0.1
 	// busyUtilisation is the share of taken slots from which a data centre is expected
 	// to need the others for its own calls.
 	busyUtilisation = 0.85
+	// busyDifference is the difference of the shares of taken slots from which calls leave
+	// for a busy data centre all the same: the own one is busier.
+	busyDifference = 0.1
 	// busyMargin is the additional reduction of the risk for which a call goes to a
 	// busy data centre.
 	busyMargin = 0.3
+	// crossingMemory is the time in which the weight of a send falls to 37%.
+	crossingMemory = time.Second
+	// notableCrossing is the share of sends that leave the data centre from which this host
+	// depends on load reports from there.
+	notableCrossing = 0.03
 	// spreadCost is the largest difference in cost by which hosts prefer different
 	// backend servers of other data centres, whose load they learn late.
 	spreadCost = 0.1
@@ -40,12 +52,36 @@
 		return true
 	}
 	remote.saved = local.lateness - remote.lateness
-	gain := remote.saved - p.crossingCost(c.route) - crossingMargin
+	gain := remote.saved - p.crossingCost(c.route)
 	if gain <= 0 {
 		return false
 	}
+	usage := c.service.usage(now, p.evacuated).byDataCentre
+	here, there := usage[p.Options.DataCentre].utilisation(), usage[remote.server.DataCentre].utilisation()
+	gain -= crossingMargin * (1 - here)
+
+	return gain > busyMargin || gain > 0 && (there < busyUtilisation || there < here-busyDifference)
+}
+
+// crossingRate counts how many sends leave the data centre. Older ones count less.
+type crossingRate struct {
+	sends, crossing float64
+	countedAt       time.Time
+}
+
+// count adds a send.
+func (r *crossingRate) count(now time.Time, crosses bool) {
+	weight := math.Exp(-float64(now.Sub(r.countedAt)) / float64(crossingMemory))
+	r.sends, r.crossing, r.countedAt = r.sends*weight+1, r.crossing*weight, now
+	if crosses {
+		r.crossing++
+	}
+}
 
-	return gain > busyMargin || c.service.usage(now, p.evacuated).byDataCentre[remote.server.DataCentre].utilisation() < busyUtilisation
+// Crosses reports whether so many calls of this host leave its data centre that it depends
+// on the load reports from there.
+func (p *Placer) Crosses(now time.Time) bool {
+	return now.Sub(p.crossings.countedAt) < crossingMemory && p.crossings.crossing >= notableCrossing*p.crossings.sends
 }
 
 // spreadShare returns a fixed number from 0 to 1 for a host and a backend server.
--- a/placement/crossing_test.go
+++ b/placement/crossing_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/baobabdrum/baobabdrum/bench"
+	"github.com/baobabdrum/baobabdrum/schema"
 )
 
 // crossingFleet returns a fleet of three data centres with ten backend servers each,
@@ -65,3 +66,27 @@
 		})
 	}
 }
+
+// Guards against a host that does not say that it depends on load reports from other data
+// centres, or says so for ever.
+func TestCrosses(t *testing.T) {
+	remote := registration("b")
+	remote.DataCentre = "south"
+	tests := map[string]struct {
+		servers []schema.Registration
+		after   time.Duration
+		crosses bool
+	}{
+		"calls stay":       {servers: []schema.Registration{registration("a"), remote}},
+		"calls leave":      {servers: []schema.Registration{remote}, crosses: true},
+		"calls left once":  {servers: []schema.Registration{remote}, after: 2 * time.Second},
+		"nothing was sent": {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			placer := newPlacer(declaration(schema.Route{}, test.servers...))
+			call(placer, begin, 1)
+			assert.Equal(t, placer.Crosses(begin.Add(test.after)), test.crosses)
+		})
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -94,6 +94,7 @@
 	// hedgeFrom is the position in openCalls at which the next tick looks for hedges.
 	hedgeFrom   int
 	openCalls   []*call
+	crossings   crossingRate
 	random      *rand.Rand
 	slowdowns   *SlowdownEstimator
 	lastAttempt AttemptID
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -916,8 +916,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 20 {
-		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
+	if zb0001 != 21 {
+		err = msgp.ArrayError{Wanted: 21, Got: zb0001}
 		return
 	}
 	z.CallerAddress, err = dc.ReadString()
@@ -935,6 +935,11 @@
 		err = msgp.WrapError(err, "Capacity")
 		return
 	}
+	z.Crosses, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Crosses")
+		return
+	}
 	z.DataCentre, err = dc.ReadString()
 	if err != nil {
 		err = msgp.WrapError(err, "DataCentre")
@@ -1128,8 +1133,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Beacon) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 20
-	err = en.Append(0xdc, 0x0, 0x14)
+	// array header, size 21
+	err = en.Append(0xdc, 0x0, 0x15)
 	if err != nil {
 		return
 	}
@@ -1148,6 +1153,11 @@
 		err = msgp.WrapError(err, "Capacity")
 		return
 	}
+	err = en.WriteBool(z.Crosses)
+	if err != nil {
+		err = msgp.WrapError(err, "Crosses")
+		return
+	}
 	err = en.WriteString(z.DataCentre)
 	if err != nil {
 		err = msgp.WrapError(err, "DataCentre")
@@ -1283,11 +1293,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beacon) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 20
-	o = append(o, 0xdc, 0x0, 0x14)
+	// array header, size 21
+	o = append(o, 0xdc, 0x0, 0x15)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendInt(o, z.Calls)
 	o = msgp.AppendInt(o, z.Capacity)
+	o = msgp.AppendBool(o, z.Crosses)
 	o = msgp.AppendString(o, z.DataCentre)
 	o = msgp.AppendInt(o, z.DeclaredAgeMs)
 	o = msgp.AppendInt(o, z.DeclaredHash)
@@ -1342,8 +1353,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 20 {
-		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
+	if zb0001 != 21 {
+		err = msgp.ArrayError{Wanted: 21, Got: zb0001}
 		return
 	}
 	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
@@ -1361,6 +1372,11 @@
 		err = msgp.WrapError(err, "Capacity")
 		return
 	}
+	z.Crosses, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Crosses")
+		return
+	}
 	z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "DataCentre")
@@ -1555,7 +1571,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Beacon) Msgsize() (s int) {
-	s = 3 + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.DataCentre) + msgp.IntSize + msgp.IntSize + msgp.ArrayHeaderSize + (len(z.Leaving) * (24 + msgp.IntSize + msgp.IntSize)) + msgp.ArrayHeaderSize
+	s = 3 + msgp.StringPrefixSize + len(z.CallerAddress) + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.StringPrefixSize + len(z.DataCentre) + msgp.IntSize + msgp.IntSize + msgp.ArrayHeaderSize + (len(z.Leaving) * (24 + msgp.IntSize + msgp.IntSize)) + msgp.ArrayHeaderSize
 	for za0002 := range z.Loads {
 		s += z.Loads[za0002].Msgsize()
 	}
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -97,6 +97,10 @@
 	// Capacity is the number of calls per second that the sender can carry.
 	Capacity int `json:"capacity" msg:"capacity"`
 
+	// Crosses reports that the sender sends a notable part of its calls to other data
+	// centres and depends on their reports.
+	Crosses bool `json:"crosses" msg:"crosses"`
+
 	// DataCentre is the name of the data centre in which the sender runs.
 	DataCentre string `json:"data_centre" msg:"data_centre"`
 
