edge: requests that were answered hold no memory of the budget

The reservation of a pipelining connection grew with each read and was released only when nothing was held ahead. A caller that always has a few requests outstanding never reaches that state, so its connection took budget without bound until other callers were refused for lack of memory.

The reservation now equals what is held at each turn and after each read. This also counts the bytes that came with the server's own read.

--- a/edge/pipelining.go
+++ b/edge/pipelining.go
@@ -164,17 +164,23 @@
 		return false
 	}
 
-	return p.held.Grow(p.conn.Requests.Held()-before) == nil
+	return p.account()
+}
+
+// account makes the reservation equal what is held ahead now, and reports whether the
+// memory budget admits it. What the server has received no longer counts.
+func (p *pipeline) account() bool {
+	p.held.Release()
+	count := p.conn.Requests.Held()
+
+	return count == 0 || p.held.Grow(count) == nil
 }
 
 // start starts calls for the requests that were read ahead. It reports whether more
 // bytes may be read ahead. Nothing runs beside an open request that may change what
 // later ones read, or after a request that closes the connection.
 func (p *pipeline) start(open *fasthttp.RequestHeader) bool {
-	if p.conn.Requests.Held() == 0 {
-		p.held.Release()
-	}
-	if open.ConnectionClose() || !open.IsGet() && !open.IsHead() {
+	if !p.account() || open.ConnectionClose() || !open.IsGet() && !open.IsHead() {
 		return false
 	}
 	for len(p.started) < maxAheadRequests && !p.front.stopping.Load() {
