placement: no call is sent with a key that was withdrawn while it waited

A call was judged at its arrival only. One that waited for a slot, for the confirmation after the process was held up, or for a second attempt was sent with the tenant of its arrival, however long ago its key had been withdrawn; after a freeze that exceeds the 5 s of a revoked key.

A new declaration now ends the calls that were not sent and whose key their tenant no longer holds (unauthorised, or not run if the host is outdated or another tenant holds it; on a public route the call goes on without a tenant, and its token is returned). Calls with an attempt in flight are neither retried nor hedged. A declaration without tenants leaves waiting calls as they are, as before.

--- a/placement/attempts.go
+++ b/placement/attempts.go
@@ -225,7 +225,7 @@
 // hedge sends one call to a second backend server if that is likely to help.
 func (p *Placer) hedge(now time.Time, c *call, remaining time.Duration, lost bool) {
 	best := p.choose(now, c)
-	if best == nil || !best.hasFreeSlot || best.expected >= c.deadline.Sub(now) {
+	if best == nil || !best.hasFreeSlot || best.expected >= c.deadline.Sub(now) || p.keyWithdrawn(c) {
 		return
 	}
 	helps := best.expected <= c.targetDeadline.Sub(now) && float64(best.expected) < hedgeGain*float64(remaining)
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -40,8 +40,9 @@
 type call struct {
 	id    CallID
 	route *Route
-	// tenant is the tenant of the call, or nil.
-	tenant *schema.Tenant
+	// tenant is the tenant of the call, or nil, and keyDigest the digest of its key.
+	tenant    *schema.Tenant
+	keyDigest string
 	// rank decides on the order in the queue; lower values are sent first.
 	rank int
 	// keys says that the declaration had tenants when the call arrived.
@@ -92,7 +93,7 @@
 	}
 	elapsed := route.callerTimeouts.Elapsed(event.Wait)
 	c := &call{
-		id: event.Call, route: route, tenant: holder, rank: rankOf(route, holder), keys: p.keys.Required(), service: p.service(route.nextService()), arrived: now,
+		id: event.Call, route: route, tenant: holder, keyDigest: event.KeyDigest, rank: rankOf(route, holder), keys: p.keys.Required(), service: p.service(route.nextService()), arrived: now,
 		targetDeadline: now.Add(route.Target() - elapsed - event.Elapsed), deadline: now.Add(event.Wait - event.Elapsed),
 		callerDeadline: now.Add(event.Wait - event.Elapsed), callerRetried: elapsed > 0,
 	}
@@ -319,7 +320,7 @@
 	if len(c.inFlight) > 0 {
 		return
 	}
-	if c.callerLeft || c.mayHaveRun && !c.route.Idempotent {
+	if c.callerLeft || c.mayHaveRun && !c.route.Idempotent || p.keyWithdrawn(c) {
 		p.conclude(now, c, reason)
 
 		return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -254,12 +254,16 @@
 	for _, dataCentre := range declared.Evacuated {
 		p.evacuated[dataCentre] = true
 	}
-	if declared.Declaration.Version != p.declared.Declaration.Version {
+	replaced := declared.Declaration.Version != p.declared.Declaration.Version
+	if replaced {
 		p.routes = newRoutes(declared.Declaration.Routes, p.routes)
 		p.keys = tenant.NewKeys(declared.Declaration)
 		p.allotments.Apply(now, declared.Declaration.Tenants)
 	}
 	p.declared = declared
+	if replaced {
+		p.endWithdrawn(now)
+	}
 	for _, rule := range declared.Declaration.Services {
 		p.service(rule.Name).Rule = rule
 	}
--- a/placement/tenants.go
+++ b/placement/tenants.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/schema"
@@ -79,6 +80,38 @@
 	}
 }
 
+// keyWithdrawn reports whether the declaration in force has tenants and the tenant of a
+// call no longer holds its key.
+func (p *Placer) keyWithdrawn(c *call) bool {
+	if c.tenant == nil || !p.keys.Required() {
+		return false
+	}
+	known, held := p.keys.Identify(c.keyDigest).(tenant.Known)
+
+	return !held || known.Tenant.Name != c.tenant.Name
+}
+
+// endWithdrawn ends the calls that wait to be sent although their key was withdrawn. On a
+// public route they go on without a tenant. Calls with an attempt in flight get no other.
+func (p *Placer) endWithdrawn(now time.Time) {
+	for _, c := range slices.Clone(p.openCalls) {
+		if c.sends > 0 || !p.keyWithdrawn(c) {
+			continue
+		}
+		if c.route.Public {
+			p.returnToken(now, c)
+			c.tenant = nil
+
+			continue
+		}
+		_, outcome := p.judgeKey(now, c.keyDigest)
+		if outcome == nil { // another tenant holds the key now
+			outcome = p.keyNotJudged()
+		}
+		p.finish(now, c, outcome)
+	}
+}
+
 // keyNotJudged returns the outcome of a call whose key may be valid by a declaration
 // that this host does not have.
 func (p *Placer) keyNotJudged() Outcome {
