declared: an answer that waited during a freeze confirms its begin only

A read of the orders that was open during a freeze counted as a confirmation when its answer was handled. The placer ignores confirmations of the first 100 ms after a freeze, but decoding a large row may take longer; the host then rejected a key that had been declared during the freeze (401) instead of answering not run.

The replica notices steps that are 500 ms apart. Until a read that began after that is answered, or a peer confirms the state, the orders count as confirmed when the last answered read began. Only the judgement of keys uses this; reads, beacons and lapsed registrations are as before.

--- a/declared/declared.go
+++ b/declared/declared.go
@@ -186,6 +186,9 @@
 	// unconfirmed is the time since the store had confirmed this host's state before the
 	// event being applied.
 	unconfirmed time.Duration
+	// steppedAt is the time of the last step, and heldUpUntil when this process last
+	// resumed after it had been held up, or zero.
+	steppedAt, heldUpUntil time.Time
 }
 
 // NewReplica returns an empty replica of a host at which a change must be in force
@@ -210,6 +213,7 @@
 	if r.startedAt.IsZero() {
 		r.startedAt = now
 	}
+	r.noteHeldUp(now)
 	var actions []Action
 	switch event := event.(type) {
 	case OrdersRead:
