placement: a call whose deadline has passed is not sent

A call that arrived after its deadline was sent if a backend server had spare slots. This happens to a pipelined request that is deferred, whose time counts from when its head was read, and to a queued call that a freed slot reaches before the tick that expires it. It ended as unknown, so its caller could not repeat it if it may run once only. It now ends as any call at its deadline: not run, unless an earlier attempt may have run.

TestCallThatArrivesAfterItsDeadlineIsNotRun failed before in the two cases past the deadline (sent). go test -race ./placement passes (100 s).

--- a/placement/calls.go
+++ b/placement/calls.go
@@ -137,6 +137,8 @@
 	best := p.choose(now, c)
 	left := c.targetDeadline.Sub(now)
 	switch {
+	case !now.Before(c.deadline):
+		p.conclude(now, c, ReasonTimeout)
 	case best != nil && best.expected <= left:
 		p.send(now, c, best)
 	case p.mayStillFit(now, c, left):
