tcp, edge: the time of a pipelined call counts from its head

A request that was read ahead but not started (not idempotent, with a body, or beyond a bound) was given its whole deadline and latency objective at its turn, although its caller had waited since it sent the head. Only deferred calls counted from the head.

The splitter notes when the bytes that it holds were read, in steps of 10 ms and at most 64 of them, and the front counts from the end of the head. Connections that do not pipeline hold no bytes and pay nothing for it. Undivided connections still count from the turn.

--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -129,7 +129,8 @@
 func (f *callerFront) serve(ctx *fasthttp.RequestCtx) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	if !ctx.Conn().(*tcp.ServedConn).Begin() {
+	conn := ctx.Conn().(*tcp.ServedConn)
+	if !conn.Begin() {
 		f.reply(ctx, Reply{Outcome: placement.NotRun{Reason: placement.ReasonOverloaded, RetryAfter: rejectRetryAfter}})
 
 		return
@@ -143,6 +144,9 @@
 		f.lateCalls.Add(1)
 		f.lastCallAt.Store(arrived.UnixNano())
 	}
+	if readAt := conn.Requests.HeadReadAt(); !readAt.IsZero() {
+		arrived = readAt
+	}
 	request := f.adapter.DecodeCall(ctx, arrived)
 	held := f.budget.Reserve(memory.Requests)
 	defer held.Release()
--- a/tcp/split.go
+++ b/tcp/split.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
+	"time"
 )
 
 const (
@@ -14,6 +16,11 @@
 	maxSplitHead = 20 << 10
 	// maxLengthDigits bounds the digits of a Content-Length, so that it cannot overflow.
 	maxLengthDigits = 15
+	// arrivalStep is the time in which held bytes count as read together, so that a caller
+	// that sends single bytes does not make the list of their times long.
+	arrivalStep = 10 * time.Millisecond
+	// maxArrivals bounds that list. Later bytes count as read with the last ones in it.
+	maxArrivals = 64
 )
 
 // headEnd is the end of the last line of a head with the empty line.
@@ -162,6 +169,19 @@
 	body int
 	// undivided is set after a request whose end is uncertain.
 	undivided bool
+	// arrivals says when the bytes that are held were read.
+	arrivals []arrival
+	// headEnd is the number of bytes that completed a head in the last delivery, or 0.
+	headEnd int
+	// headReadAt is when the last byte of the newest head that the server received was
+	// read, if it was held.
+	headReadAt time.Time
+}
+
+// arrival says when held bytes up to a number of them were read.
+type arrival struct {
+	end int
+	at  time.Time
 }
 
 // Held returns the number of bytes that the server has not received.
@@ -169,9 +189,21 @@
 	return len(s.ahead)
 }
 
+// HeadReadAt returns when the head of the request that the server receives was read, or
+// zero if the server received it at once.
+func (s *Splitter) HeadReadAt() time.Time {
+	return s.headReadAt
+}
+
 // Add adds bytes that the server has not received.
 func (s *Splitter) Add(data []byte) {
 	s.ahead = append(s.ahead, data...)
+	now, last := time.Now(), len(s.arrivals)-1
+	if last >= 0 && (last+1 == maxArrivals || now.Sub(s.arrivals[last].at) < arrivalStep) {
+		s.arrivals[last].end = len(s.ahead)
+	} else {
+		s.arrivals = append(s.arrivals, arrival{end: len(s.ahead), at: now})
+	}
 }
 
 // Keep takes bytes that were read for the server. It returns how many of them the
@@ -189,6 +221,7 @@
 func (s *Splitter) Take(buffer []byte) int {
 	count := s.advance(s.ahead[:min(len(buffer), len(s.ahead))])
 	copy(buffer, s.ahead[:count])
+	s.removeArrivals(count)
 	s.ahead, s.returned = s.ahead[count:], max(s.returned-count, 0)
 	if len(s.ahead) == 0 {
 		s.ahead = nil // the memory of a burst is not kept
@@ -197,9 +230,26 @@
 	return count
 }
 
+// removeArrivals removes the times at which the first of the held bytes were read, and
+// keeps that of the end of a head.
+func (s *Splitter) removeArrivals(count int) {
+	for _, next := range s.arrivals {
+		if s.headEnd > 0 && next.end >= s.headEnd {
+			s.headReadAt = next.at
+
+			break
+		}
+	}
+	s.arrivals = slices.DeleteFunc(s.arrivals, func(next arrival) bool { return next.end <= count })
+	for i := range s.arrivals {
+		s.arrivals[i].end -= count
+	}
+}
+
 // advance returns how many bytes belong to the request that the server receives, and
 // records that it receives them.
 func (s *Splitter) advance(data []byte) int {
+	s.headEnd = 0
 	if s.undivided {
 		return len(data)
 	}
@@ -228,8 +278,8 @@
 		return len(data)
 	case HeadComplete:
 	}
-	s.head = nil
-	size := head.Size - before + head.Body
+	s.head, s.headEnd, s.headReadAt = nil, head.Size-before, time.Time{}
+	size := s.headEnd + head.Body
 	count := min(size, len(data))
 	s.body = size - count
 
@@ -264,5 +314,5 @@
 
 // ServeUndivided stops dividing the bytes.
 func (s *Splitter) ServeUndivided() {
-	s.undivided, s.head = true, nil
+	s.undivided, s.head, s.headReadAt = true, nil, time.Time{}
 }
