allotment: hosts lend parts of their shares to each other

Cause: each host has an equal share of a tenant's quota, so a tenant whose callers are spread unevenly is refused below it. Change: a host that needs more than its share of a tenant reports it; others lend what their own demand does not need. A lender lowers its share before it names the loan. A borrower that uses less says so, and the part returns at once. The package is not used for that yet: BeginSharing is not called and beacons carry no reports.

--- a/allotment/allotment.go
+++ b/allotment/allotment.go
@@ -1,6 +1,7 @@
 // Package allotment limits the calls of tenants. The quota of a tenant holds for
 // all hosts together; each host enforces an equal share of it by itself, with a
-// token bucket for each tenant, and needs no message for a call. The package
+// token bucket for each tenant, and needs no message for a call. Hosts lend parts of
+// their shares to others that need more (shares.go, loans.go). The package
 // holds no clock, socket, goroutine or lock. Change this package to change how a
 // quota is divided among the hosts.
 //
@@ -47,6 +48,8 @@
 	buckets map[string]*bucket
 	sharers int
 	serving bool
+	// sharing is nil unless this host may lend and borrow.
+	sharing *sharing
 }
 
 // New returns the allotments of a host that shares with no other and does not
@@ -66,16 +69,17 @@
 		}
 		known, found := before[tenant.Name]
 		if !found {
-			known = &bucket{filledAt: now}
+			known = &bucket{filledAt: now, ledger: newLedger(), wanted: map[int]need{}}
 		}
-		known.fill(now)
+		a.fill(now, known)
 		known.perSecond, known.burst = tenant.RatePerSecond, tenant.Burst
-		a.divide(known)
+		a.divide(now, known)
 		if !found {
 			known.tokens = known.capacity
 		}
 		a.buckets[tenant.Name] = known
 	}
+	a.indexTenants()
 }
 
 // SetSharers sets the number of hosts that share the quotas, this host included,
@@ -87,15 +91,15 @@
 	}
 	a.sharers, a.serving = count, serving
 	for _, known := range a.buckets {
-		known.fill(now)
-		a.divide(known)
+		a.fill(now, known)
+		a.divide(now, known)
 	}
 }
 
 // divide sets this host's share of a tenant's quota. A host that does not serve
 // holds no more than a host may use that begins to share: the others do not
 // count it, and when it begins to serve they have not lowered their shares yet.
-func (a *Allotments) divide(known *bucket) {
+func (a *Allotments) divide(now time.Time, known *bucket) {
 	count := float64(a.sharers)
 	// The shares leave this part of the quota's upper limit unused.
 	margin := a.Tolerance.Over * a.Tolerance.Window.Seconds() * known.perSecond
@@ -103,12 +107,52 @@
 	if total == 0 {
 		total = margin / 2 // otherwise a tenant without a burst would get no calls
 	}
-	known.rate, known.capacity = known.perSecond/count, total/count
+	rate, size := a.parts(now, known)
+	known.equalSize = total / count
+	known.rate, known.capacity = known.perSecond/count*rate, known.equalSize*size
 	if !a.serving {
 		reserve := (1-splitSlack)*a.Tolerance.Slack + margin/count
 		known.capacity = min(known.capacity, reserve/newcomers)
 	}
 	known.limit()
+	known.changesAt = a.nextChange(now, known)
+}
+
+// parts returns what this host may use of a tenant's quota, relative to the equal shares
+// of the rate and of the size.
+func (a *Allotments) parts(now time.Time, known *bucket) (rate, size float64) {
+	if a.sharing == nil {
+		return 1, 1
+	}
+	lent, borrowed := known.ledger.sums(now)
+	if a.sharers > 1 && now.Before(a.sharing.cautiousUntil) {
+		lent = parts{rate: max(lent.rate, maxLent), size: max(lent.size, sizeOf(maxLent))}
+	}
+	if !a.serving {
+		borrowed = parts{}
+	}
+
+	return float64(max(wholeShare-lent.rate, 0)+borrowed.rate) / wholeShare, float64(max(wholeShare-lent.size, 0)+borrowed.size) / wholeShare
+}
+
+// nextChange returns the first time after an instant at which this host may use another
+// part of a tenant's quota, or zero.
+func (a *Allotments) nextChange(now time.Time, known *bucket) time.Time {
+	next := known.ledger.nextChange(now)
+	if a.sharing != nil && a.sharing.cautiousUntil.After(now) && (next.IsZero() || a.sharing.cautiousUntil.Before(next)) {
+		next = a.sharing.cautiousUntil
+	}
+
+	return next
+}
+
+// fill adds the tokens of the time since the last call, at the rates that held then.
+func (a *Allotments) fill(now time.Time, known *bucket) {
+	for at := known.changesAt; !at.IsZero() && !at.After(now); at = known.changesAt {
+		known.fill(at)
+		a.divide(at, known)
+	}
+	known.fill(now)
 }
 
 // Frozen states that this process did not run between two instants. Other hosts
@@ -116,9 +160,10 @@
 // that time.
 func (a *Allotments) Frozen(from, until time.Time) {
 	for _, known := range a.buckets {
-		known.fill(from)
+		a.fill(from, known)
 		known.filledAt = until
 	}
+	a.dropBorrowed(until)
 }
 
 // Take takes a token for a call of a tenant. If there is none, it returns false and
@@ -130,13 +175,15 @@
 		return 0, true
 	}
 
+	a.fill(now, known)
+
 	return known.take(now)
 }
 
 // Sent states that a call is sent for which a token was taken.
 func (a *Allotments) Sent(now time.Time, tenant string) {
 	if known, limited := a.buckets[tenant]; limited {
-		known.fill(now)
+		a.fill(now, known)
 		known.held = max(known.held-1, 0)
 	}
 }
@@ -145,7 +192,7 @@
 // it.
 func (a *Allotments) Unsent(now time.Time, tenant string) {
 	if known, limited := a.buckets[tenant]; limited {
-		known.fill(now)
+		a.fill(now, known)
 		known.held++
 		known.limit()
 	}
@@ -154,7 +201,7 @@
 // Return gives back the token of a call that ended without having been sent.
 func (a *Allotments) Return(now time.Time, tenant string) {
 	if known, limited := a.buckets[tenant]; limited {
-		known.fill(now)
+		a.fill(now, known)
 		known.held = max(known.held-1, 0)
 		known.tokens++
 		known.limit()
--- a/allotment/bucket.go
+++ b/allotment/bucket.go
@@ -1,6 +1,9 @@
 package allotment
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// minRetryAfter is the shortest retry delay given to a refused caller: a round trip
@@ -21,6 +24,23 @@
 	// held is the number of taken tokens whose calls were not sent yet.
 	held     float64
 	filledAt time.Time
+	// changesAt is when the next loan ends, or zero.
+	changesAt time.Time
+	// equalSize is the size of the equal share of a host.
+	equalSize float64
+	ledger    ledger
+	// wanted are the needs of other hosts by the hash of their names.
+	wanted map[int]need
+	// arrivals counts the calls since the demand was last measured.
+	arrivals int
+	// demand is the smoothed number of calls a second that arrive at this host.
+	demand float64
+	// fastDemand is the same, smoothed less.
+	fastDemand float64
+	// measurements is the number of measurements since the demand changed.
+	measurements float64
+	// needs says that this host reports a need.
+	needs bool
 	// dueAt is when the last refused call is expected to receive a token.
 	dueAt time.Time
 }
@@ -39,11 +59,33 @@
 	b.tokens = max(min(b.tokens, b.capacity-b.held), 0)
 }
 
+// margin returns what this host wants to admit relative to its demand.
+func (b *bucket) margin() float64 {
+	if b.capacity <= 0 {
+		return emptyMargin
+	}
+
+	return emptyMargin + (fullMargin-emptyMargin)*b.tokens/b.capacity
+}
+
+// measure updates the demand after some time.
+func (b *bucket) measure(elapsed time.Duration) {
+	measured := float64(b.arrivals) / elapsed.Seconds()
+	b.fastDemand += fastWeight * (measured - b.fastDemand)
+	b.measurements++
+	b.demand += max(slowWeight, 1/b.measurements) * (measured - b.demand)
+	variance := max(b.demand, b.fastDemand) / elapsed.Seconds() * fastWeight / (2 - fastWeight)
+	if math.Abs(b.fastDemand-b.demand) > changeDeviations*math.Sqrt(variance) {
+		b.demand, b.measurements = b.fastDemand, 2
+	}
+	b.arrivals = 0
+}
+
 // take takes a token, or returns the time until there will be one for this call,
 // within the bounds of retry delays, and false. Calls that were refused before it are
 // expected to return in order, each for one token.
 func (b *bucket) take(now time.Time) (time.Duration, bool) {
-	b.fill(now)
+	b.arrivals++
 	if b.tokens >= 1 {
 		b.tokens--
 		b.held++
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -916,8 +916,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 20 {
-		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
+	if zb0001 != 21 {
+		err = msgp.ArrayError{Wanted: 21, Got: zb0001}
 		return
 	}
 	z.CallerAddress, err = dc.ReadString()
@@ -1118,6 +1118,11 @@
 		err = msgp.WrapError(err, "Serves")
 		return
 	}
+	err = z.Shares.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Shares")
+		return
+	}
 	z.StartedMs, err = dc.ReadInt()
 	if err != nil {
 		err = msgp.WrapError(err, "StartedMs")
@@ -1128,8 +1133,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Beacon) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 20
-	err = en.Append(0xdc, 0x0, 0x14)
+	// array header, size 21
+	err = en.Append(0xdc, 0x0, 0x15)
 	if err != nil {
 		return
 	}
@@ -1272,6 +1277,11 @@
 		err = msgp.WrapError(err, "Serves")
 		return
 	}
+	err = z.Shares.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Shares")
+		return
+	}
 	err = en.WriteInt(z.StartedMs)
 	if err != nil {
 		err = msgp.WrapError(err, "StartedMs")
@@ -1283,8 +1293,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beacon) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 20
-	o = append(o, 0xdc, 0x0, 0x14)
+	// array header, size 21
+	o = append(o, 0xdc, 0x0, 0x15)
 	o = msgp.AppendString(o, z.CallerAddress)
 	o = msgp.AppendInt(o, z.Calls)
 	o = msgp.AppendInt(o, z.Capacity)
@@ -1330,6 +1340,11 @@
 	}
 	o = msgp.AppendInt(o, z.Sequence)
 	o = msgp.AppendBool(o, z.Serves)
+	o, err = z.Shares.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Shares")
+		return
+	}
 	o = msgp.AppendInt(o, z.StartedMs)
 	return
 }
@@ -1342,8 +1357,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 20 {
-		err = msgp.ArrayError{Wanted: 20, Got: zb0001}
+	if zb0001 != 21 {
+		err = msgp.ArrayError{Wanted: 21, Got: zb0001}
 		return
 	}
 	z.CallerAddress, bts, err = msgp.ReadStringBytes(bts)
@@ -1544,6 +1559,11 @@
 		err = msgp.WrapError(err, "Serves")
 		return
 	}
+	bts, err = z.Shares.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Shares")
+		return
+	}
 	z.StartedMs, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "StartedMs")
@@ -1567,7 +1587,7 @@
 	for za0004 := range z.Rollouts {
 		s += z.Rollouts[za0004].Msgsize()
 	}
-	s += msgp.IntSize + msgp.BoolSize + msgp.IntSize
+	s += msgp.IntSize + msgp.BoolSize + z.Shares.Msgsize() + msgp.IntSize
 	return
 }
 
@@ -15951,6 +15971,700 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ShareLoan) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Echo, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Echo")
+		return
+	}
+	z.PartMilli, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "PartMilli")
+		return
+	}
+	z.ReceiverHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "ReceiverHash")
+		return
+	}
+	z.TenantHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "TenantHash")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ShareLoan) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Echo)
+	if err != nil {
+		err = msgp.WrapError(err, "Echo")
+		return
+	}
+	err = en.WriteInt(z.PartMilli)
+	if err != nil {
+		err = msgp.WrapError(err, "PartMilli")
+		return
+	}
+	err = en.WriteInt(z.ReceiverHash)
+	if err != nil {
+		err = msgp.WrapError(err, "ReceiverHash")
+		return
+	}
+	err = en.WriteInt(z.TenantHash)
+	if err != nil {
+		err = msgp.WrapError(err, "TenantHash")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ShareLoan) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendInt(o, z.Echo)
+	o = msgp.AppendInt(o, z.PartMilli)
+	o = msgp.AppendInt(o, z.ReceiverHash)
+	o = msgp.AppendInt(o, z.TenantHash)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ShareLoan) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Echo, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Echo")
+		return
+	}
+	z.PartMilli, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PartMilli")
+		return
+	}
+	z.ReceiverHash, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ReceiverHash")
+		return
+	}
+	z.TenantHash, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TenantHash")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ShareLoan) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ShareNeed) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Calls, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	z.TenantHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "TenantHash")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ShareNeed) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	err = en.WriteInt(z.TenantHash)
+	if err != nil {
+		err = msgp.WrapError(err, "TenantHash")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ShareNeed) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt(o, z.Calls)
+	o = msgp.AppendInt(o, z.TenantHash)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ShareNeed) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Calls, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	z.TenantHash, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TenantHash")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ShareNeed) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ShareReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Loans")
+		return
+	}
+	if zb0002 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Loans) >= int(zb0002) {
+		z.Loans = (z.Loans)[:zb0002]
+	} else {
+		z.Loans = make([]ShareLoan, zb0002)
+	}
+	for za0001 := range z.Loans {
+		err = z.Loans[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Loans", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Needs")
+		return
+	}
+	if zb0003 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Needs) >= int(zb0003) {
+		z.Needs = (z.Needs)[:zb0003]
+	} else {
+		z.Needs = make([]ShareNeed, zb0003)
+	}
+	for za0002 := range z.Needs {
+		var zb0004 uint32
+		zb0004, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Needs", za0002)
+			return
+		}
+		if zb0004 > zf88ce922limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0004 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+			return
+		}
+		z.Needs[za0002].Calls, err = dc.ReadInt()
+		if err != nil {
+			err = msgp.WrapError(err, "Needs", za0002, "Calls")
+			return
+		}
+		z.Needs[za0002].TenantHash, err = dc.ReadInt()
+		if err != nil {
+			err = msgp.WrapError(err, "Needs", za0002, "TenantHash")
+			return
+		}
+	}
+	z.Number, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	var zb0005 uint32
+	zb0005, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Returns")
+		return
+	}
+	if zb0005 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Returns) >= int(zb0005) {
+		z.Returns = (z.Returns)[:zb0005]
+	} else {
+		z.Returns = make([]ShareReturn, zb0005)
+	}
+	for za0003 := range z.Returns {
+		var zb0006 uint32
+		zb0006, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Returns", za0003)
+			return
+		}
+		if zb0006 > zf88ce922limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+			return
+		}
+		z.Returns[za0003].LenderHash, err = dc.ReadInt()
+		if err != nil {
+			err = msgp.WrapError(err, "Returns", za0003, "LenderHash")
+			return
+		}
+		z.Returns[za0003].Number, err = dc.ReadInt()
+		if err != nil {
+			err = msgp.WrapError(err, "Returns", za0003, "Number")
+			return
+		}
+		z.Returns[za0003].TenantHash, err = dc.ReadInt()
+		if err != nil {
+			err = msgp.WrapError(err, "Returns", za0003, "TenantHash")
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ShareReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Loans)))
+	if err != nil {
+		err = msgp.WrapError(err, "Loans")
+		return
+	}
+	for za0001 := range z.Loans {
+		err = z.Loans[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Loans", za0001)
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Needs)))
+	if err != nil {
+		err = msgp.WrapError(err, "Needs")
+		return
+	}
+	for za0002 := range z.Needs {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Needs[za0002].Calls)
+		if err != nil {
+			err = msgp.WrapError(err, "Needs", za0002, "Calls")
+			return
+		}
+		err = en.WriteInt(z.Needs[za0002].TenantHash)
+		if err != nil {
+			err = msgp.WrapError(err, "Needs", za0002, "TenantHash")
+			return
+		}
+	}
+	err = en.WriteInt(z.Number)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Returns)))
+	if err != nil {
+		err = msgp.WrapError(err, "Returns")
+		return
+	}
+	for za0003 := range z.Returns {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Returns[za0003].LenderHash)
+		if err != nil {
+			err = msgp.WrapError(err, "Returns", za0003, "LenderHash")
+			return
+		}
+		err = en.WriteInt(z.Returns[za0003].Number)
+		if err != nil {
+			err = msgp.WrapError(err, "Returns", za0003, "Number")
+			return
+		}
+		err = en.WriteInt(z.Returns[za0003].TenantHash)
+		if err != nil {
+			err = msgp.WrapError(err, "Returns", za0003, "TenantHash")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ShareReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loans)))
+	for za0001 := range z.Loans {
+		o, err = z.Loans[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Loans", za0001)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Needs)))
+	for za0002 := range z.Needs {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendInt(o, z.Needs[za0002].Calls)
+		o = msgp.AppendInt(o, z.Needs[za0002].TenantHash)
+	}
+	o = msgp.AppendInt(o, z.Number)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Returns)))
+	for za0003 := range z.Returns {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendInt(o, z.Returns[za0003].LenderHash)
+		o = msgp.AppendInt(o, z.Returns[za0003].Number)
+		o = msgp.AppendInt(o, z.Returns[za0003].TenantHash)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ShareReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Loans")
+		return
+	}
+	if zb0002 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Loans) >= int(zb0002) {
+		z.Loans = (z.Loans)[:zb0002]
+	} else {
+		z.Loans = make([]ShareLoan, zb0002)
+	}
+	for za0001 := range z.Loans {
+		bts, err = z.Loans[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Loans", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Needs")
+		return
+	}
+	if zb0003 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Needs) >= int(zb0003) {
+		z.Needs = (z.Needs)[:zb0003]
+	} else {
+		z.Needs = make([]ShareNeed, zb0003)
+	}
+	for za0002 := range z.Needs {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Needs", za0002)
+			return
+		}
+		if zb0004 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+			return
+		}
+		z.Needs[za0002].Calls, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Needs", za0002, "Calls")
+			return
+		}
+		z.Needs[za0002].TenantHash, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Needs", za0002, "TenantHash")
+			return
+		}
+	}
+	z.Number, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Returns")
+		return
+	}
+	if zb0005 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Returns) >= int(zb0005) {
+		z.Returns = (z.Returns)[:zb0005]
+	} else {
+		z.Returns = make([]ShareReturn, zb0005)
+	}
+	for za0003 := range z.Returns {
+		var zb0006 uint32
+		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Returns", za0003)
+			return
+		}
+		if zb0006 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0006}
+			return
+		}
+		z.Returns[za0003].LenderHash, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Returns", za0003, "LenderHash")
+			return
+		}
+		z.Returns[za0003].Number, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Returns", za0003, "Number")
+			return
+		}
+		z.Returns[za0003].TenantHash, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Returns", za0003, "TenantHash")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ShareReport) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Loans {
+		s += z.Loans[za0001].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize + (len(z.Needs) * (19 + msgp.IntSize + msgp.IntSize)) + msgp.IntSize + msgp.ArrayHeaderSize + (len(z.Returns) * (32 + msgp.IntSize + msgp.IntSize + msgp.IntSize))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ShareReturn) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zf88ce922limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.LenderHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "LenderHash")
+		return
+	}
+	z.Number, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	z.TenantHash, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "TenantHash")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ShareReturn) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.LenderHash)
+	if err != nil {
+		err = msgp.WrapError(err, "LenderHash")
+		return
+	}
+	err = en.WriteInt(z.Number)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	err = en.WriteInt(z.TenantHash)
+	if err != nil {
+		err = msgp.WrapError(err, "TenantHash")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ShareReturn) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt(o, z.LenderHash)
+	o = msgp.AppendInt(o, z.Number)
+	o = msgp.AppendInt(o, z.TenantHash)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ShareReturn) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.LenderHash, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LenderHash")
+		return
+	}
+	z.Number, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	z.TenantHash, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TenantHash")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ShareReturn) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Snapshot) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -137,8 +137,8 @@
 	// RegistrationsAt is the revision of the sender's registrations.
 	RegistrationsAt int `json:"registrations_at" msg:"registrations_at"`
 
-	// Reports says that loads, leaving and rollouts are what the sender has to
-	// report; otherwise they are left out.
+	// Reports says that loads, leaving, rollouts and shares are what the sender has
+	// to report; otherwise they are left out.
 	Reports bool `json:"reports" msg:"reports"`
 
 	// Rollouts are the reports on the rollouts in force.
@@ -151,6 +151,9 @@
 	// addresses callers receive.
 	Serves bool `json:"serves" msg:"serves"`
 
+	// Shares corresponds to the JSON schema field "shares".
+	Shares ShareReport `json:"shares" msg:"shares"`
+
 	// StartedMs is the start of the sender in Unix milliseconds and distinguishes its
 	// incarnations.
 	StartedMs int `json:"started_ms" msg:"started_ms"`
@@ -1263,6 +1266,67 @@
 	Name string `json:"name" msg:"name"`
 }
 
+// ShareLoan lends a part of the sender's equal share of the quota of a tenant to
+// another entry host.
+type ShareLoan struct {
+	// Echo is the number of the newest share report of the borrowing host that the
+	// sender has received; the loan ends some time after that report was made.
+	Echo int `json:"echo" msg:"echo"`
+
+	// PartMilli is the part in thousandths of the sender's equal share; 0 ends the
+	// loan.
+	PartMilli int `json:"part_milli" msg:"part_milli"`
+
+	// ReceiverHash is the 32-bit hash of the name of the borrowing host.
+	ReceiverHash int `json:"receiver_hash" msg:"receiver_hash"`
+
+	// TenantHash is the 32-bit hash of the name of the tenant.
+	TenantHash int `json:"tenant_hash" msg:"tenant_hash"`
+}
+
+// ShareNeed states that an entry host needs more than its equal share of the quota
+// of a tenant.
+type ShareNeed struct {
+	// Calls is the number of calls a second that the host would like to admit.
+	Calls int `json:"calls" msg:"calls"`
+
+	// TenantHash is the 32-bit hash of the name of the tenant.
+	TenantHash int `json:"tenant_hash" msg:"tenant_hash"`
+}
+
+// ShareReport is what one entry host tells the others about its shares of the
+// quotas of tenants.
+type ShareReport struct {
+	// Loans are a bounded number of the loans of the sender.
+	Loans []ShareLoan `json:"loans" msg:"loans"`
+
+	// Needs are a bounded number of the tenants for which the sender needs more than
+	// its share.
+	Needs []ShareNeed `json:"needs" msg:"needs"`
+
+	// Number grows with each report, also over a restart of the host; 0 means that
+	// there is no report.
+	Number int `json:"number" msg:"number"`
+
+	// Returns are a bounded number of the loans that the sender recently ceased to
+	// use.
+	Returns []ShareReturn `json:"returns" msg:"returns"`
+}
+
+// ShareReturn states that the sender no longer uses earlier and larger loans of
+// another entry host.
+type ShareReturn struct {
+	// LenderHash is the 32-bit hash of the name of the lending host.
+	LenderHash int `json:"lender_hash" msg:"lender_hash"`
+
+	// Number is the number of the lender's share report before which the sender uses
+	// no loan of it.
+	Number int `json:"number" msg:"number"`
+
+	// TenantHash is the 32-bit hash of the name of the tenant.
+	TenantHash int `json:"tenant_hash" msg:"tenant_hash"`
+}
+
 // Snapshot is a copy of an accepted configuration in the platform's object store.
 type Snapshot struct {
 	// Checksum is the xxhash of the value in hexadecimal digits.
