edge, placement, beacon: share reports travel in beacons

Cause: package allotment could lend and borrow, but no host sent or received reports. Change: the placer makes the share report, numbers it and keeps its time; the calls duty passes it with the loads, the control duty sends an excerpt with each beacon that has reports, and passes those of others with LoadsReceived. PeersChanged states from which hosts a placer borrows. beacon validates the new fields. Hashes and numbers have 31 bits, because the codec needs 9 bytes instead of 5 for 32.

--- a/allotment/reports.go
+++ b/allotment/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/baobabdrum/baobabdrum/schema"
@@ -19,6 +20,8 @@
 	MaxLoans = 6
 	// MaxReturns bounds the returns of an excerpt.
 	MaxReturns = 4
+	// MaxNumber is the largest hash and the largest number of a report.
+	MaxNumber = math.MaxInt32
 	// maxCalls bounds the calls of a need.
 	maxCalls = 1 << 30
 )
--- a/allotment/shares.go
+++ b/allotment/shares.go
@@ -64,9 +64,10 @@
 	heardAt time.Time
 }
 
-// Hash returns the 32-bit hash that identifies a host or a tenant in share reports.
+// Hash returns the 31-bit hash that identifies a host or a tenant in share reports. The
+// encoding needs 9 bytes instead of 5 for a number of 32 bits.
 func Hash(name string) int {
-	return int(uint32(xxhash.Sum64String(name))) //nolint:gosec // truncation is intended
+	return int(xxhash.Sum64String(name) & MaxNumber)
 }
 
 // sharing is the state of the loans of one host for all tenants.
@@ -197,7 +198,10 @@
 	if len(s.sent) > 0 && now.Sub(s.sent[len(s.sent)-1].at) < reportInterval {
 		return s.report
 	}
-	number := max(int(now.UnixMilli()/reportInterval.Milliseconds())&math.MaxUint32, s.report.Number+1)
+	number := max(int(now.UnixMilli()/reportInterval.Milliseconds())%MaxNumber, s.report.Number+1)
+	if number > MaxNumber { // every 6.8 years; loans begin anew
+		number, s.sent = 1, nil
+	}
 	s.report = schema.ShareReport{Number: number}
 	for _, hash := range slices.Sorted(maps.Keys(s.byHash)) {
 		if known := s.byHash[hash]; known != nil {
--- a/beacon/decode.go
+++ b/beacon/decode.go
@@ -91,7 +91,11 @@
 		}
 	}
 
-	return checkRollouts(beacon.Rollouts)
+	if err := checkRollouts(beacon.Rollouts); err != nil {
+		return err
+	}
+
+	return checkShares(beacon.Shares)
 }
 
 // checkLoad returns a *FieldError if a field of a load report is invalid.
--- a/edge/calls.go
+++ b/edge/calls.go
@@ -66,6 +66,7 @@
 	rate            int
 	steppedAt       time.Time
 	tenants         tenantLabels
+	borrowed        borrowedShares
 }
 
 // run handles inputs and ticks until the context ends, then cancels the
@@ -137,7 +138,10 @@
 		d.rate = int(float64(d.arrivals) / elapsed.Seconds())
 		d.arrivals, d.rateSince = 0, now
 	}
-	if d.control.Offer(LoadsReported{Loads: d.placer.Loads(now), Calls: d.rate, Leaving: d.placer.Leaving(now), Rollouts: d.placer.Rollouts(now)}) != nil {
+	d.noteShares(now, d.placer.Shares(now))
+	if d.control.Offer(LoadsReported{
+		Loads: d.placer.Loads(now), Calls: d.rate, Leaving: d.placer.Leaving(now), Rollouts: d.placer.Rollouts(now), Shares: d.placer.ShareReport(now),
+	}) != nil {
 		d.metrics.Dropped("loads")
 	}
 }
--- a/edge/control.go
+++ b/edge/control.go
@@ -58,14 +58,17 @@
 	rollouts []schema.RolloutReport
 	// rolloutTurn is the index of the report with which the next beacon begins.
 	rolloutTurn int
-	sequence    int
-	serving     bool
-	readsStore  bool
-	stopping    bool
-	seeds       []string
-	startedAt   time.Time
-	lastTickAt  time.Time
-	resumedAt   time.Time
+	shares      schema.ShareReport
+	// sharesTurn counts the beacons with excerpts of share reports.
+	sharesTurn int
+	sequence   int
+	serving    bool
+	readsStore bool
+	stopping   bool
+	seeds      []string
+	startedAt  time.Time
+	lastTickAt time.Time
+	resumedAt  time.Time
 	// confirmSince is the time after which the calls duty needs the declared state to be
 	// confirmed, or zero.
 	confirmSince time.Time
@@ -166,7 +169,7 @@
 	case MembersQuery:
 		_ = input.Reply.Offer(d.directory.Members(input.Request)) // the sender of the query guarantees room
 	case LoadsReported:
-		d.loads, d.leaving, d.rollouts = input.Loads, input.Leaving, input.Rollouts
+		d.loads, d.leaving, d.rollouts, d.shares = input.Loads, input.Leaving, input.Rollouts, input.Shares
 
 		return d.stepDirectory(ctx, now, directory.CallsCounted{Calls: input.Calls})
 	case AddressesQuery:
@@ -196,7 +199,7 @@
 	if received.Name == d.directory.Self.Name {
 		return nil
 	}
-	loads := placement.LoadsReceived{Host: received.Name, Loads: received.Loads, Leaving: received.Leaving, Rollouts: received.Rollouts}
+	loads := placement.LoadsReceived{Host: received.Name, Loads: received.Loads, Leaving: received.Leaving, Rollouts: received.Rollouts, Shares: received.Shares}
 	if received.Reports && d.calls.Offer(PlacementEvent{Event: loads}) != nil {
 		d.metrics.Dropped("loads_heard")
 	}
@@ -352,6 +355,7 @@
 	message.Sequence = d.sequence
 	if action.Loads {
 		message.Reports, message.Loads, message.Leaving, message.Rollouts = true, d.loads, d.leaving, d.nextRollouts()
+		message.Shares = d.nextShares()
 	}
 	message.DeclaredHash, message.OrdersAt, message.RegistrationsAt = d.replica.Hash, d.replica.Declared.OrdersAt, d.replica.Declared.RegistrationsAt
 	message.Reads, message.Lost = d.replica.Reads(now), d.directory.Lost(now)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -314,6 +314,8 @@
 	Leaving []schema.LeavingServer
 	// Rollouts are this host's reports on the rollout orders.
 	Rollouts []schema.RolloutReport
+	// Shares is this host's report on its shares of the quotas of tenants.
+	Shares schema.ShareReport
 }
 
 // AddressesQuery requests the entry hosts that a caller should use.
--- a/placement/events.go
+++ b/placement/events.go
@@ -102,6 +102,8 @@
 	Leaving []schema.LeavingServer
 	// Rollouts are that host's reports on the rollout orders.
 	Rollouts []schema.RolloutReport
+	// Shares is that host's report on its shares of the quotas of tenants.
+	Shares schema.ShareReport
 }
 
 // PeersChanged replaces the list of serving hosts.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -164,6 +164,7 @@
 		p.currency = event
 	case LoadsReceived:
 		p.adoptLoads(now, event)
+		p.allotments.Received(now, event.Host, event.Shares)
 	case PeersChanged:
 		p.adoptPeers(now, event.Peers)
 	case BudgetChanged:
@@ -187,6 +188,7 @@
 func (p *Placer) adoptPeers(now time.Time, peers Peers) {
 	p.peers = peers
 	p.allotments.SetSharers(now, peers.Sharers, p.isServing())
+	p.allotments.SetPeers(now, peers.names())
 	p.forgetReports()
 	p.assignMeasuring()
 	p.passServing(now)
@@ -217,6 +219,7 @@
 func (p *Placer) assumeCold(now time.Time) {
 	if p.startedAt.IsZero() {
 		p.startedAt = now
+		p.allotments.BeginSharing(now, p.Options.Host)
 	}
 	if len(p.servers) > 0 && now.Sub(p.steppedAt) >= freezeThreshold {
 		p.resumedAt = now
--- a/placement/quotas.go
+++ b/placement/quotas.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/baobabdrum/baobabdrum/allotment"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
@@ -45,3 +46,23 @@
 		p.allotments.Return(now, c.tenant.Name)
 	}
 }
+
+// ShareReport returns what this host tells the others about its shares of the quotas.
+func (p *Placer) ShareReport(now time.Time) schema.ShareReport {
+	return p.allotments.Report(now)
+}
+
+// Shares returns what this host has lent and borrowed of the quotas.
+func (p *Placer) Shares(now time.Time) []allotment.Share {
+	return p.allotments.Shares(now)
+}
+
+// names returns the names of the hosts that serve.
+func (p Peers) names() []string {
+	names := make([]string, 0, len(p.Serving))
+	for _, peer := range p.Serving {
+		names = append(names, peer.Name)
+	}
+
+	return names
+}
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -1277,10 +1277,10 @@
 	// loan.
 	PartMilli int `json:"part_milli" msg:"part_milli"`
 
-	// ReceiverHash is the 32-bit hash of the name of the borrowing host.
+	// ReceiverHash is the 31-bit hash of the name of the borrowing host.
 	ReceiverHash int `json:"receiver_hash" msg:"receiver_hash"`
 
-	// TenantHash is the 32-bit hash of the name of the tenant.
+	// TenantHash is the 31-bit hash of the name of the tenant.
 	TenantHash int `json:"tenant_hash" msg:"tenant_hash"`
 }
 
@@ -1290,7 +1290,7 @@
 	// Calls is the number of calls a second that the host would like to admit.
 	Calls int `json:"calls" msg:"calls"`
 
-	// TenantHash is the 32-bit hash of the name of the tenant.
+	// TenantHash is the 31-bit hash of the name of the tenant.
 	TenantHash int `json:"tenant_hash" msg:"tenant_hash"`
 }
 
@@ -1316,14 +1316,14 @@
 // ShareReturn states that the sender no longer uses earlier and larger loans of
 // another entry host.
 type ShareReturn struct {
-	// LenderHash is the 32-bit hash of the name of the lending host.
+	// LenderHash is the 31-bit hash of the name of the lending host.
 	LenderHash int `json:"lender_hash" msg:"lender_hash"`
 
 	// Number is the number of the lender's share report before which the sender uses
 	// no loan of it.
 	Number int `json:"number" msg:"number"`
 
-	// TenantHash is the 32-bit hash of the name of the tenant.
+	// TenantHash is the 31-bit hash of the name of the tenant.
 	TenantHash int `json:"tenant_hash" msg:"tenant_hash"`
 }
 
