--- a/directory/sharing_test.go
+++ b/directory/sharing_test.go
@@ -97,3 +97,36 @@
 	assert.Equal(t, sharers, 2)
 	assert.Assert(t, view.Self.Serves)
 }
+
+// Guards against hosts that all stop at about the same time, none of which serves any more,
+// and each of which takes the whole quota for the callers that it still has.
+func TestStoppingHostsShareWithEachOther(t *testing.T) {
+	view := directory.New(beacon("a", "north", 1))
+	sharers := 0
+	step := func(at time.Time, event directory.Event) {
+		for _, action := range view.Step(at, event) {
+			if change, ok := action.(directory.ServingChanged); ok {
+				sharers = change.Sharers
+			}
+		}
+	}
+	hear := func(at time.Time, name string, sequence int, serves, ready bool) {
+		step(at, directory.BeaconReceived{Beacon: with(beacon(name, name, 2), func(beacon *schema.Beacon) {
+			beacon.Serves, beacon.Ready, beacon.Sequence = serves, ready, sequence
+		})})
+	}
+	step(start, directory.ReadyChanged{Ready: true})
+	hear(start, "b", 1, true, true)
+	hear(start, "c", 1, true, true)
+	assert.Equal(t, sharers, 3)
+	hear(start, "b", 2, false, false)
+	assert.Equal(t, sharers, 2, "a host that serves does not count one that stops")
+	step(start, directory.ReadyChanged{Ready: false})
+	assert.Equal(t, sharers, 3, "this host stops, b stops and c serves")
+	hear(start, "c", 2, false, false)
+	assert.Equal(t, sharers, 3, "all three stop")
+	for second := 1; second < 60; second++ {
+		step(start.Add(time.Duration(second)*time.Second), directory.Ticked{})
+	}
+	assert.Equal(t, sharers, 1, "the others are gone")
+}
