--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -46,6 +46,7 @@
 	metrics.ConnectionRejected("caller")
 	metrics.QuotaRefused("acme")
 	metrics.Sharers(3)
+	metrics.Shares(1, 2)
 	var text bytes.Buffer
 	metrics.Write(&text)
 
