--- a/edge/host.go
+++ b/edge/host.go
@@ -268,7 +268,7 @@
 			Host: h.Site.Name, DataCentre: h.Site.DataCentre, Seed: h.seed(),
 			FailClosed: h.Site.FailClosed, Budget: h.Site.Budget, ProbeInterval: h.Settings.ProbeInterval, CrossingCost: float64(h.Settings.CrossingCost) / perMille,
 			Rollout:   h.Site.Rollout,
-			Tolerance: h.Site.Tolerance,
+			Tolerance: h.Site.Tolerance, QuotaLoans: h.Settings.QuotaLoans,
 		}),
 		inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, rollouts: h.rollouts, log: h.Log, metrics: h.Metrics,
 		calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -60,6 +60,9 @@
 	CrossingCost float64
 	// Rollout bounds the exposure of callers to a new version of a service.
 	Rollout rollout.Limits
+	// QuotaLoans lets this host lend parts of its shares of quotas to others and borrow
+	// from them.
+	QuotaLoans bool
 	// FailClosed says that a key is not accepted while this host does not know whether
 	// its declaration is the newest one.
 	FailClosed bool
@@ -220,7 +223,9 @@
 func (p *Placer) assumeCold(now time.Time) {
 	if p.startedAt.IsZero() {
 		p.startedAt = now
-		p.allotments.BeginSharing(now, p.Options.Host)
+		if p.Options.QuotaLoans {
+			p.allotments.BeginSharing(now, p.Options.Host)
+		}
 	}
 	if len(p.servers) > 0 && now.Sub(p.steppedAt) >= freezeThreshold {
 		p.resumedAt = now
--- a/placement/shares_test.go
+++ b/placement/shares_test.go
@@ -18,7 +18,8 @@
 		declared := withTenants(declaration(schema.Route{Idempotent: true}, registration("a")))
 		declared.Declaration.Tenants[0].RatePerSecond, declared.Declaration.Tenants[0].Burst = 100, 50
 		placer := placement.New(placement.Options{
-			Host: name, DataCentre: "north", Budget: retryBudget, ProbeInterval: 100 * time.Millisecond,
+			QuotaLoans: true,
+			Host:       name, DataCentre: "north", Budget: retryBudget, ProbeInterval: 100 * time.Millisecond,
 			Tolerance: allotment.Tolerance{Window: 5 * time.Second, Over: 0.1, Slack: 20},
 		})
 		placer.Step(begin, placement.PeersChanged{Peers: placement.Peers{
--- a/schema/settings_gen.go
+++ b/schema/settings_gen.go
@@ -123,6 +123,7 @@
 	Probers       string `long:"probers" env:"BAOBABDRUM_EDGE_PROBERS" default:"12" value-name:"integer" description:"number of prober duties, each of which runs one probe at a time, in threads (1 to 1024)"`
 	ProbeInterval string `long:"probe-interval" env:"BAOBABDRUM_EDGE_PROBE_INTERVAL" default:"50ms" value-name:"duration" description:"time between load reports of a backend server that is in use, by answers or else by probes (20ms to 1m)"`
 	CrossingCost  string `long:"crossing-cost" env:"BAOBABDRUM_EDGE_CROSSING_COST" default:"50" value-name:"integer" description:"risk of a late answer that is accepted for each KiB of an answer to keep a call in its data centre, in ‰ (0 to 1000)"`
+	QuotaLoans    string `long:"quota-loans" env:"BAOBABDRUM_EDGE_QUOTA_LOANS" default:"false" value-name:"boolean" description:"whether hosts lend parts of their shares of the quotas of tenants to each other; for callers that are uneven over the hosts"`
 	Seed          string `long:"seed" env:"BAOBABDRUM_EDGE_SEED" default:"0" value-name:"integer" description:"seed of random choices; 0 draws one at start (0 to 9223372036854775807)"`
 	LogLevel      string `long:"log-level" env:"BAOBABDRUM_EDGE_LOG_LEVEL" default:"info" value-name:"level" description:"lowest level that is logged: error, warning, info or debug"`
 }
@@ -137,6 +138,8 @@
 	ProbeInterval time.Duration
 	// CrossingCost is set by --crossing-cost: risk of a late answer that is accepted for each KiB of an answer to keep a call in its data centre, in ‰ (0 to 1000).
 	CrossingCost int
+	// QuotaLoans is set by --quota-loans: whether hosts lend parts of their shares of the quotas of tenants to each other; for callers that are uneven over the hosts.
+	QuotaLoans bool
 	// Seed is set by --seed: seed of random choices; 0 draws one at start (0 to 9223372036854775807).
 	Seed int
 	// LogLevel is set by --log-level: lowest level that is logged: error, warning, info or debug.
@@ -151,6 +154,7 @@
 		Probers:       c.integer("probers", f.Probers, "1", "1024"),
 		ProbeInterval: c.duration("probe-interval", f.ProbeInterval, "20ms", "1m"),
 		CrossingCost:  c.integer("crossing-cost", f.CrossingCost, "0", "1000"),
+		QuotaLoans:    c.boolean("quota-loans", f.QuotaLoans),
 		Seed:          c.integer("seed", f.Seed, "0", "9223372036854775807"),
 		LogLevel:      c.level("log-level", f.LogLevel),
 	}
