placement, edge: only a current declaration denies a route

What callers saw: 404 for routes that had been added and confirmed more than the bound before, at hosts that fall behind.

Cause: a 404 came from whatever declaration a host had, however old, although callers do not repeat a request after it. A 401 already needed a declaration that is known to be the newest one.

Change: a call without a route is rejected for good only by a current declaration, and as not run with Retry-After otherwise. Hosts report whether their declaration is current without tenants, too.

Two tests asserted the fault and now assert the opposite as strictly: the case 'no route on an outdated host' of TestKeys, and TestHostsWithoutTenantsReportNoCurrency. TestCallsWithoutServer and TestUnreadableRoutes first confirm their declaration.

--- a/edge/currency.go
+++ b/edge/currency.go
@@ -6,7 +6,6 @@
 
 	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/placement"
-	"github.com/baobabdrum/baobabdrum/schema"
 )
 
 // currencyInterval is the shortest time between two reports that the declaration was
@@ -14,15 +13,11 @@
 // confirmed counts as outdated.
 const currencyInterval = 250 * time.Millisecond
 
-// hasTenants reports whether calls may need the key of a tenant.
-func hasTenants(declaration schema.Declaration) bool {
-	return len(declaration.Tenants) > 0 || declaration.TenantsIncomplete
-}
-
 // publishCurrency tells the calls duty whether this host's declaration is the newest one
-// as far as it knows. A host whose declaration has no tenants does nothing here.
+// as far as it knows. A call without a route or a valid key is rejected for good only if
+// it is.
 func (d *controlDuty) publishCurrency(ctx context.Context, now time.Time) error {
-	if !hasTenants(d.replica.Declared.Declaration) {
+	if d.replica.Declared.Declaration.Version == 0 {
 		return nil
 	}
 	confirmed := d.replica.OrdersConfirmedAt()
--- a/edge/currency_test.go
+++ b/edge/currency_test.go
@@ -105,14 +105,23 @@
 	assert.Assert(t, s.current(behind))
 }
 
-// Guards against work for deployments without tenants.
-func TestHostsWithoutTenantsReportNoCurrency(t *testing.T) {
+// Guards against hosts that cannot tell whether a route exists because their declaration
+// has no tenants, and against reports before there is a declaration.
+func TestHostsWithoutTenantsReportTheirCurrency(t *testing.T) {
 	s := newSimulation(3, 1, 1)
+	for _, host := range s.hosts {
+		host.duty.propagation = simulatedBound
+		assert.Assert(t, host.duty.currency.ConfirmedAt.IsZero())
+	}
 	s.run(6 * time.Second)
 	for _, host := range s.hosts {
 		assert.Assert(t, host.duty.replica.HasState())
-		assert.Assert(t, host.duty.currency.ConfirmedAt.IsZero())
+		assert.Assert(t, s.current(host))
 	}
+	s.hosts[0].cut = cutAll
+	s.run(2 * simulatedBound)
+	assert.Assert(t, !s.current(s.hosts[0]))
+	assert.Assert(t, s.current(s.hosts[1]))
 }
 
 // Guards against an announcement of newer orders that is forgotten with the host that made
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -83,7 +83,7 @@
 	}
 	route := p.routes.match(event.HostName, event.Path)
 	if route == nil || len(route.Targets) == 0 {
-		p.finishUnrouted(event.Call, route)
+		p.finishUnrouted(now, event.Call, route)
 
 		return
 	}
@@ -109,15 +109,19 @@
 	}
 }
 
-// finishUnrouted ends a call without a service: as not run if its route, or one
-// that may be its route, could not be read, and as NoRoute otherwise.
-func (p *Placer) finishUnrouted(id CallID, route *Route) {
+// finishUnrouted ends a call without a service: as NoRoute only if the declaration is
+// complete and known to be the newest one, because callers do not repeat such a call, and
+// as not run otherwise.
+func (p *Placer) finishUnrouted(now time.Time, id CallID, route *Route) {
 	ended := Finish{Call: id, Outcome: NoRoute{}, Version: p.declared.Declaration.Version}
 	if route != nil {
 		ended.Route = route.Name
 	}
-	if route != nil || p.declared.Declaration.Incomplete {
+	switch {
+	case route != nil || p.declared.Declaration.Incomplete:
 		ended.Outcome = NotRun{Reason: ReasonUnreadable, RetryAfter: maxRetryAfter}
+	case !p.isCurrent(now):
+		ended.Outcome = p.notJudged()
 	}
 	p.emit(ended)
 }
--- a/placement/notices_test.go
+++ b/placement/notices_test.go
@@ -241,7 +241,9 @@
 		t.Run(name, func(t *testing.T) {
 			state := declaration(schema.Route{}, registration("a"))
 			test.change(&state.Declaration)
-			finish, ended := firstOf[placement.Finish](call(newPlacer(state), begin, 1))
+			placer := newPlacer(state)
+			placer.Step(confirmed, currentUntil(confirmed, begin.Add(time.Minute)))
+			finish, ended := firstOf[placement.Finish](call(placer, confirmed, 1))
 			assert.Assert(t, ended)
 			assert.DeepEqual(t, finish.Outcome, test.want)
 		})
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -214,9 +214,10 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			placer := newPlacer(test.declared)
-			actions := placer.Step(begin, placement.CallArrived{Call: 1, HostName: "a.example", Path: test.path, Wait: time.Second})
+			placer.Step(confirmed, currentUntil(confirmed, begin.Add(time.Minute)))
+			actions := placer.Step(confirmed, placement.CallArrived{Call: 1, HostName: "a.example", Path: test.path, Wait: time.Second})
 			if _, ended := firstOf[placement.Finish](actions); !ended {
-				actions = placer.Step(begin.Add(60*time.Millisecond), placement.Ticked{})
+				actions = placer.Step(confirmed.Add(60*time.Millisecond), placement.Ticked{})
 			}
 			finish, ok := firstOf[placement.Finish](actions)
 			assert.Assert(t, ok)
--- a/placement/tenants.go
+++ b/placement/tenants.go
@@ -8,9 +8,10 @@
 	"github.com/baobabdrum/baobabdrum/tenant"
 )
 
-// keyRetryAfter is the mean retry delay of calls whose key this host cannot judge yet.
-// Hosts usually fetch a newer declaration, or have theirs confirmed, in less time.
-const keyRetryAfter = 500 * time.Millisecond
+// outdatedRetryAfter is the mean retry delay of calls whose route or key this host cannot
+// judge yet. Hosts usually fetch a newer declaration, or have theirs confirmed, in less
+// time.
+const outdatedRetryAfter = 500 * time.Millisecond
 
 // noteFreeze records that this process did not run for a while, during which keys may
 // have been declared or withdrawn and other hosts may have begun to share the quotas.
@@ -62,7 +63,7 @@
 			return identity.Tenant, NotRun{Reason: ReasonTenantUnreadable, RetryAfter: maxRetryAfter}
 		}
 		if !current && p.Options.FailClosed {
-			return identity.Tenant, p.keyNotJudged()
+			return identity.Tenant, p.notJudged()
 		}
 
 		return identity.Tenant, nil
@@ -72,7 +73,7 @@
 	}
 	switch {
 	case !current:
-		return nil, p.keyNotJudged()
+		return nil, p.notJudged()
 	case digest == "":
 		return nil, Unauthorised{Reason: ReasonNoKey}
 	default:
@@ -106,16 +107,16 @@
 		}
 		_, outcome := p.judgeKey(now, c.keyDigest)
 		if outcome == nil { // another tenant holds the key now
-			outcome = p.keyNotJudged()
+			outcome = p.notJudged()
 		}
 		p.finish(now, c, outcome)
 	}
 }
 
-// keyNotJudged returns the outcome of a call whose key may be valid by a declaration
-// that this host does not have.
-func (p *Placer) keyNotJudged() Outcome {
-	after := time.Duration(float64(keyRetryAfter) * (1 + retryAfterJitter*(2*p.random.Float64()-1)))
+// notJudged returns the outcome of a call whose route or key may be valid by a
+// declaration that this host does not have.
+func (p *Placer) notJudged() Outcome {
+	after := time.Duration(float64(outdatedRetryAfter) * (1 + retryAfterJitter*(2*p.random.Float64()-1)))
 
 	return NotRun{Reason: ReasonOutdated, RetryAfter: after}
 }
--- a/placement/tenants_test.go
+++ b/placement/tenants_test.go
@@ -99,7 +99,7 @@
 		"unknown key on a host whose declaration was not confirmed": {path: private, key: "x", reason: placement.ReasonOutdated},
 		"no key on a public route of an outdated host":              {events: announced, path: public},
 		"no route":                                  {events: current, path: "", outcome: placement.NoRoute{}},
-		"no route on an outdated host":              {events: announced, path: "", outcome: placement.NoRoute{}},
+		"no route on an outdated host":              {events: announced, path: "", reason: placement.ReasonOutdated},
 		"key without tenants in the declaration":    {change: noTenants, path: private, key: "a1", withoutKey: true},
 		"no key without tenants in the declaration": {change: noTenants, path: private, withoutKey: true},
 	}
