placement: match host names in any spelling

Callers saw: 404 for a request whose Host is A.Example or a.example. while the route has a.example, and for any request if the declared name has upper case. Host names are case-insensitive (RFC 9110, section 4.2.3), and the dot of the root names the same host.

Cause: routes were looked up by the exact text.

Change: the routes are kept and looked up by canonical host name, for the declaration and for requests in one place. The backend server gets the name as before: as the caller sent it, without the port.

--- a/placement/routes.go
+++ b/placement/routes.go
@@ -88,7 +88,7 @@
 	r.uncontendedWork += time.Duration(max(workWeight, 1/float64(r.uncontendedAnswers)) * float64(duration-r.uncontendedWork))
 }
 
-// routes holds the routes by host name, each list sorted by descending length
+// routes holds the routes by canonical host name, each list sorted by descending length
 // of the prefix.
 type routes map[string][]*Route
 
@@ -108,7 +108,8 @@
 			route.Work, route.Size, route.callerTimeouts = old.Work, old.Size, old.callerTimeouts
 			route.uncontendedWork, route.uncontendedAnswers = old.uncontendedWork, old.uncontendedAnswers
 		}
-		made[entry.HostName] = append(made[entry.HostName], route)
+		host := canonicalHost(entry.HostName)
+		made[host] = append(made[host], route)
 	}
 	for _, list := range made {
 		slices.SortFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -119,7 +120,7 @@
 
 // match returns the route with the longest prefix of the path, or nil.
 func (r routes) match(hostName, path string) *Route {
-	for _, route := range r[hostName] {
+	for _, route := range r[canonicalHost(hostName)] {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route
 		}
@@ -127,3 +128,9 @@
 
 	return nil
 }
+
+// canonicalHost returns the spelling of a host name in which names are compared: in
+// lower case, without the dot of the root.
+func canonicalHost(name string) string {
+	return strings.ToLower(strings.TrimSuffix(name, "."))
+}
