edge: count only the header fields to the limit of a head

Callers saw: 431 for a head whose fields are within the declared max_header_bytes, if the request line or the empty line takes the sum over it; with the largest limit, 16 KiB, also for any request line of more than 1,022 bytes.

Cause: the front counted the request line, the fields and the empty line. The declaration does not say which of them count, and callers that count the fields only stay within their limit and are refused.

Change: only the fields and their line ends count, for requests that are read in turn and ahead alike, so a head that is within the limit by either count passes. The read buffer has 2 KiB for the request line instead of 1; buffers of 17 and of 18 KiB have the same size class (18,432 bytes) in Go's allocator, so a connection takes as much memory as before.

--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -85,7 +85,7 @@
 	front.server = &fasthttp.Server{
 		Handler:                      front.serve,
 		ErrorHandler:                 front.rejectHead,
-		ReadBufferSize:               maxHeaderBytes,
+		ReadBufferSize:               maxHeadBytes,
 		WriteBufferSize:              writeBufferSize,
 		MaxRequestBodySize:           maxPrefetchBytes,
 		StreamRequestBody:            true,
@@ -175,9 +175,8 @@
 // and reports whether it did.
 func (f *callerFront) rejectOverLimit(ctx *fasthttp.RequestCtx) bool {
 	header := &ctx.Request.Header
-	requestLine := len(header.Method()) + len(header.RequestURI()) + len(header.Protocol()) + len("  \r\n")
 	switch limit := f.limits.bodyBytes(); {
-	case requestLine+len(header.RawHeaders()) > f.limits.headerBytes():
+	case !f.limits.allowsHead(header):
 		f.reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, rejectedHeaderBytes)
 	case limit > 0 && header.ContentLength() > limit:
 		f.reject(ctx, fasthttp.StatusRequestEntityTooLarge, rejectedBodyBytes)
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -5,15 +5,17 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
 const (
-	// maxHeaderBytes is the largest request head in bytes: the largest limit that can
-	// be declared, plus room for the line end.
-	maxHeaderBytes = maxDeclaredHeaderBytes + 1<<10
-	// maxDeclaredHeaderBytes is the largest limit of a request head in bytes. A larger
+	// maxHeadBytes is the largest request head in bytes: the largest limit that can be
+	// declared, plus room for the request line.
+	maxHeadBytes = maxDeclaredHeaderBytes + 2<<10
+	// maxDeclaredHeaderBytes is the largest limit of header fields in bytes. A larger
 	// declared one is lowered to it.
 	maxDeclaredHeaderBytes = 16 << 10
 	// defaultHeaderTimeout applies if operators declare none.
@@ -60,11 +62,17 @@
 	return before == nil || *before != next
 }
 
-// headerBytes returns the largest size of a request head.
+// headerBytes returns the largest size of the header fields of a request.
 func (l *callerLimits) headerBytes() int {
 	return l.inForce.Load().HeaderBytes
 }
 
+// allowsHead reports whether a request head is within the limits. The request line and
+// the empty line do not count, because callers count a head with or without them.
+func (l *callerLimits) allowsHead(header *fasthttp.RequestHeader) bool {
+	return len(header.RawHeaders())-len("\r\n") <= l.headerBytes()
+}
+
 // bodyBytes returns the largest size of a request body, or 0 if there is no limit.
 func (l *callerLimits) bodyBytes() int {
 	return l.inForce.Load().BodyBytes
--- a/edge/pipelining.go
+++ b/edge/pipelining.go
@@ -242,7 +242,7 @@
 	header := &p.decoder.Request.Header
 	header.Reset()
 	reader := bufio.NewReaderSize(bytes.NewReader(head), len(head))
-	if len(head) > p.front.limits.headerBytes() || header.Read(reader) != nil || reader.Buffered() > 0 || !isHead(head, header) {
+	if header.Read(reader) != nil || reader.Buffered() > 0 || !isHead(head, header) || !p.front.limits.allowsHead(header) {
 		return nil
 	}
 
