edge: refuse bodies that stop in their framing as too slow

Callers saw: 400 for a chunked body that stopped for longer than the time for a body (10 s) in the line of a chunk size, at the end of a chunk or at the end of the body. 400 is final. 408 was sent only if the body stopped elsewhere, and promises that the request has not run.

Cause: the front looks for a timeout in the error of the HTTP library, whose ErrBrokenChunk and errors of trailers hide their cause.

Change: the connection notes whether its last read ended at its deadline, and the front asks that, for heads and bodies alike.

Result: TestBodiesThatStopAreTooSlow on a host with sockets: 5 of 11 cases failed with 400 before, all give 408 now, with the race detector, and no backend server ran any. The tests of tcp and those of limits, pipelines and connections in edge pass.

--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -189,14 +189,11 @@
 
 // rejectHead ends a request whose head could not be read.
 func (f *callerFront) rejectHead(ctx *fasthttp.RequestCtx, err error) {
-	var (
-		tooLarge *fasthttp.ErrSmallBuffer
-		slow     net.Error
-	)
+	var tooLarge *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &tooLarge):
 		f.reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, rejectedHeaderBytes)
-	case errors.As(err, &slow) && slow.Timeout():
+	case timedOut(ctx):
 		f.reject(ctx, fasthttp.StatusRequestTimeout, rejectedHeaderTimeout)
 	default:
 		f.reject(ctx, fasthttp.StatusBadRequest, rejectedMalformed)
@@ -212,6 +209,14 @@
 	linger(ctx)
 }
 
+// timedOut reports whether a request was not read to its end in time. Errors of the HTTP
+// library do not always tell, as some hide their cause.
+func timedOut(ctx *fasthttp.RequestCtx) bool {
+	conn, ok := ctx.Conn().(*tcp.ServedConn)
+
+	return ok && conn.TimedOut
+}
+
 // linger keeps the connection open until the caller has read the answer.
 func linger(ctx *fasthttp.RequestCtx) {
 	if lingering, ok := ctx.Conn().(interface{ Linger() }); ok {
@@ -246,7 +251,6 @@
 	var (
 		exhausted *memory.ExhaustedError
 		tooLarge  *backendhttp.BodyLimitError
-		slow      net.Error
 	)
 	switch {
 	case errors.As(err, &exhausted):
@@ -255,7 +259,7 @@
 		linger(ctx)
 	case errors.As(err, &tooLarge):
 		f.reject(ctx, fasthttp.StatusRequestEntityTooLarge, rejectedBodyBytes)
-	case errors.As(err, &slow) && slow.Timeout():
+	case timedOut(ctx):
 		f.reject(ctx, fasthttp.StatusRequestTimeout, rejectedBodyTimeout)
 	default:
 		f.reject(ctx, fasthttp.StatusBadRequest, rejectedMalformed)
--- a/tcp/connections.go
+++ b/tcp/connections.go
@@ -180,6 +180,8 @@
 	forgotten bool
 	// overhead belongs to the handler.
 	overhead Overhead
+	// TimedOut is set if the last read ended at its deadline. It belongs to the handler.
+	TimedOut bool
 	// Requests divides the bytes if the set has DivideRequests.
 	Requests Splitter
 	// Handler is the handler's state for the connection, or nil.
@@ -191,13 +193,14 @@
 func (c *ServedConn) Read(buffer []byte) (int, error) {
 	for {
 		count, err := c.receive(buffer)
+		c.TimedOut = errors.Is(err, os.ErrDeadlineExceeded)
 		if count > 0 && !c.Begin() {
 			return 0, net.ErrClosed
 		}
 		if exceeded := c.overhead.Received(count); exceeded != nil {
 			return 0, exceeded
 		}
-		if count > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if count > 0 || !c.TimedOut {
 			return count, err
 		}
 		idle, extended := c.extend()
