placement: test calls whose routes overlap

14 cases: the prefix of all paths, routes of one host and prefix, unreadable ones before, behind and inside others, paths without a route.

--- a/placement/routes_test.go
+++ b/placement/routes_test.go
@@ -39,3 +39,46 @@
 		})
 	}
 }
+
+// Guards against calls that are refused as unknown because routes overlap: one is
+// unreadable, or has the host and the prefix of another.
+func TestOverlappingRoutes(t *testing.T) {
+	route := func(name, prefix string, targets ...schema.RouteTarget) schema.Route {
+		return schema.Route{Name: name, HostName: "a.example", Prefix: prefix, Targets: targets, MaxAttempts: 1, TargetMs: 400, TimeoutMs: 1000}
+	}
+	known := schema.RouteTarget{Service: "stock", Weight: 1}
+	tests := map[string]struct {
+		routes []schema.Route
+		path   string
+		sent   bool
+		none   bool
+	}{
+		"prefix of all paths":             {routes: []schema.Route{route("r", "/", known)}, path: "/", sent: true},
+		"prefix of all paths, two":        {routes: []schema.Route{route("r", "/", known)}, path: "//x/../y", sent: true},
+		"longer one first":                {routes: []schema.Route{route("r", "/"), route("s", "/x/", known)}, path: "/x/", sent: true},
+		"longer one last":                 {routes: []schema.Route{route("s", "/x/", known), route("t", "/")}, path: "/x/", sent: true},
+		"unreadable, longer":              {routes: []schema.Route{route("r", "/", known), route("s", "/x/")}, path: "/x/"},
+		"unreadable, no slash":            {routes: []schema.Route{route("r", "/x")}, path: "/xy"},
+		"same prefix":                     {routes: []schema.Route{route("r", "/x/", known), route("s", "/x/", known)}, path: "/x/", sent: true},
+		"same prefix, unreadable second":  {routes: []schema.Route{route("r", "/x/", known), route("s", "/x/")}, path: "/x/", sent: true},
+		"same prefix, unreadable first":   {routes: []schema.Route{route("r", "/x/"), route("s", "/x/", known)}, path: "/x/"},
+		"no path":                         {routes: []schema.Route{route("r", "/", known)}, path: "", none: true},
+		"path without the slash":          {routes: []schema.Route{route("r", "/x/", known)}, path: "/x", none: true},
+		"path in another spelling":        {routes: []schema.Route{route("r", "/x/", known)}, path: "/X/", none: true},
+		"path of the server as a whole":   {routes: []schema.Route{route("r", "/", known)}, path: "*", none: true},
+		"unreadable route of other paths": {routes: []schema.Route{route("r", "/y/")}, path: "/x/", none: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			declared := declaration(schema.Route{}, registration("a"))
+			declared.Declaration.Routes = test.routes
+			actions := newPlacer(declared).Step(begin, placement.CallArrived{Call: 1, HostName: "a.example", Path: test.path, Wait: time.Second})
+			_, sent := firstOf[placement.Send](actions)
+			assert.Equal(t, sent, test.sent)
+			finish, finished := firstOf[placement.Finish](actions)
+			assert.Equal(t, finished, !test.sent)
+			_, none := finish.Outcome.(placement.NoRoute)
+			assert.Equal(t, none, test.none)
+		})
+	}
+}
