--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -179,7 +179,7 @@
 	// BodyBytes is the largest size of the body of a request in bytes.
 	BodyBytes int `json:"body_bytes" msg:"body_bytes"`
 
-	// HeaderBytes is the largest size of the head of a request in bytes.
+	// HeaderBytes is the largest size of the header fields of a request in bytes.
 	HeaderBytes int `json:"header_bytes" msg:"header_bytes"`
 
 	// HeaderTimeoutMs is the longest time to receive the head of a request in
