Log requests that are rejected before they become calls

Change: event request_rejected with the reason, the status, a fixed text for the fault, the size of the head and whether the connection was pipelining; at most 20 lines in 10 s. The bound is the one of the lines on borrowed shares, now one type. Rejections have a file of their own.

Result: go test -race ./edge -run 'Rejected|Rejection' -count=5 passes; the lines hold no key.

--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/memory"
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/ring"
@@ -55,6 +55,7 @@
 type callerFront struct {
 	adapter     Adapter
 	inputs      *ring.Ring[Input]
+	log         *eventlog.Log
 	metrics     *Metrics
 	budget      *memory.Budget
 	limits      *callerLimits
@@ -69,6 +70,8 @@
 	// aheadRequests is the number of requests that were read ahead and whose turn has
 	// not come.
 	aheadRequests atomic.Int64
+	// rejections bounds the log lines about requests that did not become calls.
+	rejections lineBurst
 	// readers run while a request of a pipelining connection is open.
 	readers conc.WaitGroup
 	server  *fasthttp.Server
@@ -77,9 +80,9 @@
 }
 
 // newCallerFront returns a front that does not serve yet.
-func newCallerFront(adapter Adapter, inputs *ring.Ring[Input], metrics *Metrics, budget *memory.Budget, limits *callerLimits, connections *tcp.ConnectionSet) *callerFront {
+func newCallerFront(adapter Adapter, inputs *ring.Ring[Input], log *eventlog.Log, metrics *Metrics, budget *memory.Budget, limits *callerLimits, connections *tcp.ConnectionSet) *callerFront {
 	front := &callerFront{
-		adapter: adapter, inputs: inputs, metrics: metrics, budget: budget, limits: limits, connections: connections,
+		adapter: adapter, inputs: inputs, log: log, metrics: metrics, budget: budget, limits: limits, connections: connections,
 		finished: ring.New[error]("finished", 1),
 	}
 	front.server = &fasthttp.Server{
@@ -171,48 +174,6 @@
 	f.reply(ctx, f.wait(ctx, call, request, reply))
 }
 
-// rejectOverLimit ends a request whose head is too large or announces a body that is,
-// and reports whether it did.
-func (f *callerFront) rejectOverLimit(ctx *fasthttp.RequestCtx) bool {
-	header := &ctx.Request.Header
-	requestLine := len(header.Method()) + len(header.RequestURI()) + len(header.Protocol()) + len("  \r\n")
-	switch limit := f.limits.bodyBytes(); {
-	case requestLine+len(header.RawHeaders()) > f.limits.headerBytes():
-		f.reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, rejectedHeaderBytes)
-	case limit > 0 && header.ContentLength() > limit:
-		f.reject(ctx, fasthttp.StatusRequestEntityTooLarge, rejectedBodyBytes)
-	default:
-		return false
-	}
-
-	return true
-}
-
-// rejectHead ends a request whose head could not be read.
-func (f *callerFront) rejectHead(ctx *fasthttp.RequestCtx, err error) {
-	var (
-		tooLarge *fasthttp.ErrSmallBuffer
-		slow     net.Error
-	)
-	switch {
-	case errors.As(err, &tooLarge):
-		f.reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, rejectedHeaderBytes)
-	case errors.As(err, &slow) && slow.Timeout():
-		f.reject(ctx, fasthttp.StatusRequestTimeout, rejectedHeaderTimeout)
-	default:
-		f.reject(ctx, fasthttp.StatusBadRequest, rejectedMalformed)
-	}
-}
-
-// reject ends a request that was not read to its end and closes the connection when
-// the caller has read the answer.
-func (f *callerFront) reject(ctx *fasthttp.RequestCtx, status int, reason string) {
-	f.metrics.Rejected(reason)
-	ctx.SetStatusCode(status)
-	ctx.SetConnectionClose()
-	linger(ctx)
-}
-
 // linger keeps the connection open until the caller has read the answer.
 func linger(ctx *fasthttp.RequestCtx) {
 	if lingering, ok := ctx.Conn().(interface{ Linger() }); ok {
@@ -240,29 +201,6 @@
 	return err
 }
 
-// rejectBody ends a call whose body was not read. No backend server runs it. The
-// connection is closed, because the rest of the body is still to come.
-func (f *callerFront) rejectBody(ctx *fasthttp.RequestCtx, err error) {
-	ctx.SetConnectionClose()
-	var (
-		exhausted *memory.ExhaustedError
-		tooLarge  *backendhttp.BodyLimitError
-		slow      net.Error
-	)
-	switch {
-	case errors.As(err, &exhausted):
-		f.metrics.Exhausted(exhausted.Use.String())
-		f.reply(ctx, Reply{Outcome: placement.NotRun{Reason: placement.ReasonMemory, RetryAfter: memoryRetryAfter}})
-		linger(ctx)
-	case errors.As(err, &tooLarge):
-		f.reject(ctx, fasthttp.StatusRequestEntityTooLarge, rejectedBodyBytes)
-	case errors.As(err, &slow) && slow.Timeout():
-		f.reject(ctx, fasthttp.StatusRequestTimeout, rejectedBodyTimeout)
-	default:
-		f.reject(ctx, fasthttp.StatusBadRequest, rejectedMalformed)
-	}
-}
-
 // releaseWhenWritten returns what an answer holds of the memory budget, for a large
 // answer when it has been written.
 func releaseWhenWritten(ctx *fasthttp.RequestCtx, reply Reply) {
--- a/edge/fronts_bench_test.go
+++ b/edge/fronts_bench_test.go
@@ -43,7 +43,8 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	metrics, limits := NewMetrics(), newCallerLimits()
-	events := newListenerEvents("test", eventlog.New(logrus.NewEntry(logger)), metrics).connectionEvents()
+	log := eventlog.New(logrus.NewEntry(logger))
+	events := newListenerEvents("test", log, metrics).connectionEvents()
 	adapter := Adapter{
 		DecodeCall: func(ctx *fasthttp.RequestCtx, now time.Time) *Request {
 			return &Request{
@@ -63,7 +64,7 @@
 		},
 	}
 	inputs := ring.New[Input]("calls", callsRingCapacity)
-	front := newCallerFront(adapter, inputs, metrics, memory.NewBudget(64<<20), limits, tcp.NewConnectionSet(1024, limits.timeouts, events, nil))
+	front := newCallerFront(adapter, inputs, log, metrics, memory.NewBudget(64<<20), limits, tcp.NewConnectionSet(1024, limits.timeouts, events, nil))
 	for _, change := range changes {
 		change(front)
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -119,7 +119,7 @@
 	}
 	h.budget = memory.NewBudget(int(bodyMemoryShare * float64(cmp.Or(site.MemoryBytes, defaultMemoryBytes))))
 	h.limits = newCallerLimits()
-	h.front = newCallerFront(adapter, h.inputs, h.Metrics, h.budget, h.limits, h.newConnections("caller", callerSocketShare, h.limits, h.rejecting))
+	h.front = newCallerFront(adapter, h.inputs, h.Log, h.Metrics, h.budget, h.limits, h.newConnections("caller", callerSocketShare, h.limits, h.rejecting))
 	h.queries = &dutyClient{control: h.control, calls: h.inputs}
 	h.grace.Store(int64(site.Grace))
 	h.Metrics.Gauge("baobabdrum_body_bytes", func() float64 { return float64(h.budget.Used()) })
--- a/edge/listeners.go
+++ b/edge/listeners.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/eventlog"
@@ -9,9 +8,6 @@
 )
 
 const (
-	// listenerLogInterval is the shortest time between log lines of one kind about one
-	// listener.
-	listenerLogInterval = time.Second
 	// defaultDescriptors is the number of descriptors of the process if the platform
 	// states none.
 	defaultDescriptors = 4096
@@ -81,22 +77,3 @@
 			eventlog.Text("listener", e.name), eventlog.Integer("bound", bound), eventlog.Count("unlogged", left))
 	}
 }
-
-// lineRate limits log lines to one per listenerLogInterval.
-type lineRate struct {
-	loggedAt atomic.Int64
-	unlogged atomic.Uint64
-}
-
-// next reports whether a line may be logged now, and how many were left out since the
-// last one.
-func (r *lineRate) next(now time.Time) (unlogged uint64, ok bool) {
-	last := r.loggedAt.Load()
-	if now.UnixNano()-last < int64(listenerLogInterval) || !r.loggedAt.CompareAndSwap(last, now.UnixNano()) {
-		r.unlogged.Add(1)
-
-		return 0, false
-	}
-
-	return r.unlogged.Swap(0), true
-}
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -8,19 +8,10 @@
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
-const (
-	// shareLogInterval is the time over which log lines about borrowed shares are bounded.
-	shareLogInterval = 10 * time.Second
-	// maxShareLogs is the largest number of these lines in that time.
-	maxShareLogs = 20
-)
-
 // borrowedShares tracks for which tenants this host borrows.
 type borrowedShares struct {
 	tenants map[string]bool
-	// since and logged count the log lines of an interval.
-	since  time.Time
-	logged int
+	lines   lineBurst
 }
 
 // changes returns the tenants for which this host has begun and ceased to borrow.
@@ -45,16 +36,6 @@
 	return begun, ended
 }
 
-// mayLog reports whether one more line may be logged.
-func (b *borrowedShares) mayLog(now time.Time) bool {
-	if now.Sub(b.since) >= shareLogInterval {
-		b.since, b.logged = now, 0
-	}
-	b.logged++
-
-	return b.logged <= maxShareLogs
-}
-
 // noteShares records what this host has lent and borrowed, and logs for which tenants it
 // begins and ceases to borrow.
 func (d *callsDuty) noteShares(now time.Time, shares []allotment.Share) {
@@ -66,12 +47,12 @@
 	d.metrics.Shares(lent, borrowed)
 	begun, ended := d.borrowed.changes(shares)
 	for _, tenant := range begun {
-		if d.borrowed.mayLog(now) {
+		if _, ok := d.borrowed.lines.next(now); ok {
 			d.log.Event(eventlog.Info, "shares_borrowed", "this host borrows parts of other hosts' shares of a quota", eventlog.Text("tenant", tenant))
 		}
 	}
 	for _, tenant := range ended {
-		if d.borrowed.mayLog(now) {
+		if _, ok := d.borrowed.lines.next(now); ok {
 			d.log.Event(eventlog.Info, "shares_returned", "this host has only its own share of a quota", eventlog.Text("tenant", tenant))
 		}
 	}
--- a/tcp/connections.go
+++ b/tcp/connections.go
@@ -234,6 +234,12 @@
 	c.overhead.Delivered(bytes)
 }
 
+// Received returns the number of bytes that the handler has received since the request
+// began.
+func (c *ServedConn) Received() int {
+	return c.overhead.received
+}
+
 // Rest makes a connection idle. If bytes of the next request are held, it begins that
 // request instead, because a connection with a request must not be closed for a new one.
 func (c *ServedConn) Rest() {
--- a/tcp/overhead.go
+++ b/tcp/overhead.go
@@ -18,16 +18,18 @@
 // Overhead bounds the bytes of a message that are received and deliver no content. It
 // belongs to the duty that reads the message.
 type Overhead struct {
-	left int
+	left     int
+	received int
 }
 
 // Reset begins a message, whose framing may have some bytes beyond those for its content.
 func (o *Overhead) Reset(bytes int) {
-	o.left = bytes
+	o.left, o.received = bytes, 0
 }
 
 // Received counts bytes that were received, and returns an *OverheadError at the bound.
 func (o *Overhead) Received(bytes int) error {
+	o.received += bytes
 	if o.left -= bytes; o.left < 0 {
 		return &OverheadError{}
 	}
