Log the declaration behind a refused call, and unsigned failures

The control duty records the confirmation in a value that the calls duty reads, so that no message is added.

--- a/edge/beacons_test.go
+++ b/edge/beacons_test.go
@@ -36,7 +36,7 @@
 				calls:     ring.New[Input]("calls", 2), changes: ring.New[Input]("changes", 8), beacons: ring.New[beacon.Datagram]("beacons", 8),
 				asks: ring.New[directory.AskMembers]("asks", 2), storeMembers: ring.New[directory.Action]("store_members", 2),
 				orders: ring.New[declared.Read]("orders", 1), registrations: ring.New[declared.Read]("registrations", 1), fetches: ring.New[declared.Fetch]("fetches", 1),
-				log: eventlog.New(logrus.NewEntry(logger)), metrics: NewMetrics(),
+				log: eventlog.New(logrus.NewEntry(logger)), metrics: NewMetrics(), confirmation: &confirmation{},
 			}
 			received := schema.Beacon{Name: "b", DataCentre: "south", CallerAddress: "b:1", PeerAddress: "b:2", StartedMs: 1, Sequence: 1, Serves: true, Reports: test.reports}
 			assert.NilError(t, duty.handleBeacon(t.Context(), time.Now(), received))
--- a/edge/calllog.go
+++ b/edge/calllog.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/eventlog"
@@ -9,6 +10,9 @@
 	"github.com/baobabdrum/baobabdrum/placement"
 )
 
+// maxLoggedBytes is the largest part of a text of a caller that is logged.
+const maxLoggedBytes = 200
+
 // SendersBusyError reports that no sender was free to run an attempt.
 type SendersBusyError struct{}
 
@@ -86,7 +90,7 @@
 }
 
 // logFinish logs how a call ended.
-func (d *callsDuty) logFinish(request *Request, action placement.Finish, reply Reply) {
+func (d *callsDuty) logFinish(now time.Time, request *Request, action placement.Finish, reply Reply) {
 	outcome, reason, after := outcomeLabels(action.Outcome)
 	status := 0
 	if reply.Answer != nil {
@@ -102,9 +106,35 @@
 	if action.Tenant != "" {
 		fields = append(fields, eventlog.Text("tenant", action.Tenant))
 	}
+	switch action.Outcome.(type) {
+	case placement.NoRoute, placement.Unauthorised:
+		fields = append(fields, d.refusalFields(now, request)...)
+	case placement.Answered:
+		if status >= http.StatusMultipleChoices {
+			fields = append(fields, eventlog.Flag("signed", reply.Signed))
+		}
+	case placement.NotRun, placement.Unknown, placement.Abandoned, placement.Deferred:
+	}
 	d.log.Event(eventlog.Info, "call_ended", "call ended", fields...)
 }
 
+// refusalFields returns what tells why a call was refused that its caller may have taken
+// for a proper one: what it addressed, how long ago its head was read, and how this host
+// came by the declaration.
+func (d *callsDuty) refusalFields(now time.Time, request *Request) []eventlog.Field {
+	return []eventlog.Field{
+		eventlog.Text("host_name", cutText(request.HostName)), eventlog.Text("path", cutText(request.Path)),
+		eventlog.Duration("since_read", now.Sub(request.Deadline.Add(-request.Wait))),
+		eventlog.Duration("adopted", now.Sub(d.adopted.at)), eventlog.Duration("unconfirmed", d.confirmation.age(now)),
+		eventlog.Text("source", d.adopted.source),
+	}
+}
+
+// cutText returns the first maxLoggedBytes bytes of a text that a caller sent.
+func cutText(text string) string {
+	return text[:min(len(text), maxLoggedBytes)]
+}
+
 // outcomeLabels returns the label, the reason and the retry delay of an
 // outcome, for logs and metrics.
 func outcomeLabels(outcome placement.Outcome) (string, placement.Reason, time.Duration) {
--- a/edge/calls.go
+++ b/edge/calls.go
@@ -5,9 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/baobabdrum/baobabdrum/dispatch"
 	"github.com/baobabdrum/baobabdrum/eventlog"
-	"github.com/baobabdrum/baobabdrum/memory"
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/ring"
 )
@@ -65,6 +63,8 @@
 	rateSince       time.Time
 	rate            int
 	steppedAt       time.Time
+	confirmation    *confirmation
+	adopted         adoption
 	tenants         tenantLabels
 	borrowed        borrowedShares
 }
@@ -165,6 +165,7 @@
 	case PlacementEvent:
 		d.apply(now, d.placer.Step(now, input.Event))
 	case DeclaredChanged:
+		d.adopted.note(input)
 		d.apply(now, d.placer.Step(now, placement.DeclaredChanged{Declared: input.Declared}))
 		d.noteInForce(now, input)
 	case ServingChanged:
@@ -210,7 +211,7 @@
 func (d *callsDuty) handleAttemptEnded(now time.Time, input AttemptEnded) {
 	attempt := input.Attempt
 	attempt.cancel()
-	attempt.answer = input.Decoded.Answer
+	attempt.answer, attempt.signed = input.Decoded.Answer, input.Decoded.Signed
 	delete(d.inFlight, attempt.Attempt)
 	d.logEnded(now, attempt, input.Decoded.Result)
 	if whole, ok := input.Decoded.Result.(placement.Whole); ok && attempt.Reason.Crossing {
@@ -240,7 +241,7 @@
 				attempt.cancel()
 			}
 		case placement.Finish:
-			d.finish(action)
+			d.finish(now, action)
 		case placement.Probe:
 			if err := d.probes.Offer(action); err != nil {
 				d.metrics.Dropped("probes")
@@ -276,7 +277,7 @@
 }
 
 // finish replies to a caller.
-func (d *callsDuty) finish(action placement.Finish) {
+func (d *callsDuty) finish(now time.Time, action placement.Finish) {
 	call, known := d.calls[action.Call]
 	if !known {
 		return
@@ -290,14 +291,14 @@
 		return
 	}
 	if answered, ok := action.Outcome.(placement.Answered); ok {
-		reply.Answer, reply.memory = takeAnswer(call, answered.Attempt)
+		reply.takeAnswer(call, answered.Attempt)
 	}
 	for _, attempt := range call.attempts {
 		d.releaseAnswer(attempt)
 	}
 	d.metrics.Finished(action)
 	d.countQuota(action)
-	d.logFinish(call.request, action, reply)
+	d.logFinish(now, call.request, action, reply)
 	_ = call.reply.Offer(reply) // the caller front guarantees room
 }
 
@@ -317,19 +318,15 @@
 	return open
 }
 
-// takeAnswer returns the answer to one of a call's attempts, or nil, and what it
-// holds of the memory budget.
-func takeAnswer(call *openCall, id placement.AttemptID) (*dispatch.Answer, *memory.Reservation) {
+// takeAnswer moves the answer to one of a call's attempts, if there is one, and what it
+// holds of the memory budget into the reply.
+func (r *Reply) takeAnswer(call *openCall, id placement.AttemptID) {
 	for _, attempt := range call.attempts {
 		if attempt.Attempt == id {
-			answer, held := attempt.answer, attempt.memory
+			r.Answer, r.Signed, r.memory = attempt.answer, attempt.signed, attempt.memory
 			attempt.answer, attempt.memory = nil, nil
-
-			return answer, held
 		}
 	}
-
-	return nil, nil
 }
 
 // releaseAnswer releases the answer of an attempt that has ended and is not
--- a/edge/control.go
+++ b/edge/control.go
@@ -49,6 +49,7 @@
 	asks          *ring.Ring[directory.AskMembers]
 	storeMembers  *ring.Ring[directory.Action]
 	limits        *callerLimits
+	confirmation  *confirmation
 	wakeups       *wakeups
 	log           *eventlog.Log
 	metrics       *Metrics
@@ -224,7 +225,7 @@
 		case declared.Changed:
 			d.logDeclared(event, action)
 			d.applyLimits(action.Declared.Declaration.Limits)
-			if err := d.changes.Put(ctx, DeclaredChanged{Declared: action.Declared, AdoptedAt: now}); err != nil {
+			if err := d.changes.Put(ctx, DeclaredChanged{Declared: action.Declared, AdoptedAt: now, Source: sourceOf(event)}); err != nil {
 				return err
 			}
 			if err := d.announceDeclared(ctx, now, event); err != nil {
@@ -237,6 +238,7 @@
 		}
 	}
 
+	d.confirmation.record(d.replica.OrdersConfirmedAt())
 	if err := d.reportConfirmed(ctx, now); err != nil {
 		return err
 	}
@@ -279,36 +281,6 @@
 	}
 }
 
-// logDeclared records the declared state in force in the log and the metrics.
-func (d *controlDuty) logDeclared(event declared.Event, change declared.Changed) {
-	inForce, draining := change.Declared, 0
-	for _, registration := range inForce.Registrations {
-		if registration.Draining {
-			draining++
-		}
-	}
-	d.metrics.Declared(inForce.Declaration.Version, len(inForce.Registrations))
-	d.log.Event(eventlog.Info, "declared_changed", "new declared state is in force",
-		eventlog.Integer("version", inForce.Declaration.Version), eventlog.Integer("orders_at", inForce.OrdersAt),
-		eventlog.Integer("evacuated", len(inForce.Evacuated)), eventlog.Integer("rollouts", len(inForce.Rollouts)), eventlog.Integer("backend_servers", len(inForce.Registrations)),
-		eventlog.Integer("draining", draining), eventlog.Integer("registrations_at", inForce.RegistrationsAt),
-		eventlog.Text("source", sourceOf(event)), eventlog.Text("peer", change.Peer), eventlog.Integer("hash", d.replica.Hash),
-		eventlog.Duration("unconfirmed", min(change.Unconfirmed, maxDeclaredAge)))
-}
-
-// sourceOf names what an event that changed the declared state came from.
-func sourceOf(event declared.Event) string {
-	switch event.(type) {
-	case declared.OrdersRead, declared.RegistrationsRead:
-		return "store"
-	case declared.PeerAnswered:
-		return "peer"
-	case declared.HistoryLost, declared.ReadFailed, declared.PeerStateReceived, declared.FetchFailed, declared.RankChanged, declared.Ticked:
-	}
-
-	return "retention_ended"
-}
-
 // applyLimits puts declared limits on callers' requests in force.
 func (d *controlDuty) applyLimits(declared schema.CallerLimits) {
 	if d.limits.apply(declared) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -127,6 +127,8 @@
 	Outcome placement.Outcome
 	// Answer is the backend server's answer if the outcome is Answered, else nil.
 	Answer *dispatch.Answer
+	// Signed reports whether the answer has the signature of a backend server.
+	Signed bool
 
 	memory *memory.Reservation
 }
@@ -145,6 +147,8 @@
 	// cancelledFor is empty until the calls duty cancels the attempt.
 	cancelledFor placement.CancelReason
 	answer       *dispatch.Answer
+	// signed reports whether the answer has the signature of a backend server.
+	signed bool
 	// memory is what the answer holds of the budget.
 	memory *memory.Reservation
 }
@@ -167,6 +171,8 @@
 	Load *placement.Load
 	// Answer is the answer to forward to the caller, or nil.
 	Answer *dispatch.Answer
+	// Signed reports whether the answer has the signature of a backend server.
+	Signed bool
 	// KeepFor is how long the backend server keeps the idle connection open, or 0
 	// if it does not say.
 	KeepFor time.Duration
@@ -224,6 +230,8 @@
 	Declared schema.Declared
 	// AdoptedAt is when the control duty adopted it.
 	AdoptedAt time.Time
+	// Source names where it came from: store, peer or retention_ended.
+	Source string
 }
 
 // ServingChanged reports whether callers receive this host's address.
--- a/edge/host.go
+++ b/edge/host.go
@@ -87,6 +87,7 @@
 	rejecting     *ring.Ring[*tcp.LingeringConn]
 	budget        *memory.Budget
 	limits        *callerLimits
+	confirmation  *confirmation
 	front         *callerFront
 	queries       *dutyClient
 	grace         atomic.Int64
@@ -118,7 +119,7 @@
 		rejecting:     ring.New[*tcp.LingeringConn]("rejecting", tcp.Rejecters),
 	}
 	h.budget = memory.NewBudget(int(bodyMemoryShare * float64(cmp.Or(site.MemoryBytes, defaultMemoryBytes))))
-	h.limits = newCallerLimits()
+	h.limits, h.confirmation = newCallerLimits(), &confirmation{}
 	h.front = newCallerFront(adapter, h.inputs, h.Log, h.Metrics, h.budget, h.limits, h.newConnections("caller", callerSocketShare, h.limits, h.rejecting))
 	h.queries = &dutyClient{control: h.control, calls: h.inputs}
 	h.grace.Store(int64(site.Grace))
@@ -271,7 +272,7 @@
 			Tolerance: h.Site.Tolerance, QuotaLoans: h.Settings.QuotaLoans,
 		}),
 		inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, rollouts: h.rollouts, log: h.Log, metrics: h.Metrics,
-		calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
+		confirmation: h.confirmation, calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
 	}
 	duties.Go("calls", calls.run)
 	for range senderCount(h.Settings, h.Site) {
@@ -302,7 +303,7 @@
 	replica.Early = h.Site.Seed || directory.LikelyToServe(h.Site.Capacity)
 	control := &controlDuty{
 		replica: replica, directory: view, inputs: h.control, calls: h.inputs, changes: h.changes, orders: h.orders, registrations: h.registrations,
-		fetches: h.fetches, beacons: h.beacons, asks: h.asks, storeMembers: h.storeMembers, limits: h.limits, wakeups: &h.wakeups, log: h.Log, metrics: h.Metrics, startedAt: h.started, seeds: h.Site.Seeds,
+		fetches: h.fetches, beacons: h.beacons, asks: h.asks, storeMembers: h.storeMembers, limits: h.limits, confirmation: h.confirmation, wakeups: &h.wakeups, log: h.Log, metrics: h.Metrics, startedAt: h.started, seeds: h.Site.Seeds,
 		propagation: cmp.Or(h.Site.Propagation, declared.DefaultBound),
 	}
 	duties.Go("control", control.run)
--- a/edge/propagation_test.go
+++ b/edge/propagation_test.go
@@ -137,7 +137,7 @@
 		orders: ring.New[declared.Read]("orders", 1), registrations: ring.New[declared.Read]("registrations", 1),
 		fetches: ring.New[declared.Fetch]("fetches", 1), beacons: ring.New[beacon.Datagram]("beacons", controlRingCapacity),
 		asks: ring.New[directory.AskMembers]("asks", 1), storeMembers: ring.New[directory.Action]("store_members", storeMembersCapacity),
-		log: eventlog.New(logrus.NewEntry(log)), metrics: NewMetrics(), limits: newCallerLimits(), wakeups: &wakeups{}, startedAt: started,
+		log: eventlog.New(logrus.NewEntry(log)), metrics: NewMetrics(), confirmation: &confirmation{}, limits: newCallerLimits(), wakeups: &wakeups{}, startedAt: started,
 	}
 	s.hosts, s.byAddress[address] = append(s.hosts, host), host
 	s.deliver(host, started.Sub(s.now), MembersRead{Addresses: []string{"10.0.0.0:1", "10.0.0.1:1", "10.0.0.2:1"}})
