Compare refused calls with the declarations before and after

Change: placement keeps the routes and keys of the declaration before, and the look-ups of the last 256 refused calls. Finish has a Refusal with what was withdrawn and the numbers of routes and keys by which calls are placed; RefusalsOutdated reports the refused calls that a new declaration allows, once a declaration. They are logged (call_ended, refusals_outdated) and counted (baobabdrum_outdated_refusals_total). No decision reads them.

--- a/bench/fleet_hosts.go
+++ b/bench/fleet_hosts.go
@@ -252,7 +252,7 @@
 			f.finish(i, action)
 		case placement.Probe:
 			f.probe(i, action)
-		case placement.ServerStatusChanged, placement.RecordRollout, placement.RolloutChanged:
+		case placement.ServerStatusChanged, placement.RecordRollout, placement.RolloutChanged, placement.RefusalsOutdated:
 		}
 	}
 }
--- a/edge/calllog.go
+++ b/edge/calllog.go
@@ -108,7 +108,7 @@
 	}
 	switch action.Outcome.(type) {
 	case placement.NoRoute, placement.Unauthorised:
-		fields = append(fields, d.refusalFields(now, request)...)
+		fields = append(fields, d.refusalFields(now, request, action.Refusal)...)
 	case placement.Answered:
 		if status >= http.StatusMultipleChoices {
 			fields = append(fields, eventlog.Flag("signed", reply.Signed))
@@ -121,13 +121,27 @@
 // refusalFields returns what tells why a call was refused that its caller may have taken
 // for a proper one: what it addressed, how long ago its head was read, and how this host
 // came by the declaration.
-func (d *callsDuty) refusalFields(now time.Time, request *Request) []eventlog.Field {
-	return []eventlog.Field{
+func (d *callsDuty) refusalFields(now time.Time, request *Request, refusal placement.Refusal) []eventlog.Field {
+	fields := []eventlog.Field{
 		eventlog.Text("host_name", cutText(request.HostName)), eventlog.Text("path", cutText(request.Path)),
 		eventlog.Duration("since_read", now.Sub(request.Deadline.Add(-request.Wait))),
 		eventlog.Duration("adopted", now.Sub(d.adopted.at)), eventlog.Duration("unconfirmed", d.confirmation.age(now)),
 		eventlog.Text("source", d.adopted.source),
+		eventlog.Integer("routes", refusal.Routes), eventlog.Integer("keys", refusal.Keys), eventlog.Flag("withdrawn", refusal.Withdrawn),
+	}
+	if refusal.Withdrawn {
+		fields = append(fields, eventlog.Duration("withdrawn_for", refusal.WithdrawnFor))
 	}
+
+	return fields
+}
+
+// logOutdated records that a new declaration allows calls that were refused.
+func (d *callsDuty) logOutdated(action placement.RefusalsOutdated) {
+	d.metrics.OutdatedRefusals(action)
+	d.log.Event(eventlog.Warning, "refusals_outdated", "new declaration allows calls that were refused before",
+		eventlog.Integer("version", action.Version), eventlog.Integer("no_route", action.Routes), eventlog.Integer("unknown_key", action.Keys),
+		eventlog.Duration("oldest", action.Oldest), eventlog.Duration("newest", action.Newest))
 }
 
 // cutText returns the first maxLoggedBytes bytes of a text that a caller sent.
--- a/edge/calllog_test.go
+++ b/edge/calllog_test.go
@@ -1,10 +1,13 @@
 package edge
 
 import (
+	"context"
+	"io"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"github.com/baobabdrum/baobabdrum/beacon"
@@ -141,3 +144,47 @@
 		assert.Assert(t, !strings.Contains(lines, digest), lines)
 	}
 }
+
+// Guards against refused calls that a late host explains by nothing but their version.
+func TestRefusalsAreComparedWithOtherDeclarations(t *testing.T) {
+	now := time.Unix(1000, 0)
+	log, written := newBufferedLog()
+	duty := newLoggedCalls(log)
+	other := declaredService(2, "a")
+	other.Declaration.Routes[0].HostName = "b.example"
+	arrived := func(call placement.CallID, hostName string) {
+		duty.step(now, CallArrived{Call: call, Reply: ring.New[Reply]("reply", 1), Request: &Request{HostName: hostName, Path: "/", Wait: time.Second, Deadline: now.Add(time.Second)}})
+	}
+	duty.step(now, DeclaredChanged{Declared: declaredService(1, "a"), AdoptedAt: now})
+	arrived(1, "b.example")
+	now = now.Add(200 * time.Millisecond)
+	duty.step(now, DeclaredChanged{Declared: other, AdoptedAt: now})
+	now = now.Add(100 * time.Millisecond)
+	arrived(2, "a.example")
+	lines := loggedBy(t, log, written)
+	for _, want := range []string{
+		"event=refusals_outdated", "level=warning", "no_route=1", "unknown_key=0", "newest=200ms", "oldest=200ms", "version=2",
+		"withdrawn=false", "withdrawn=true withdrawn_for=100ms", "routes=1", "keys=0",
+	} {
+		assert.Assert(t, strings.Contains(lines, want), "%s in %s", want, lines)
+	}
+	assert.Assert(t, hasMetric(duty.metrics, `baobabdrum_outdated_refusals_total{reason="no_route"} 1`))
+}
+
+// BenchmarkRefusedCalls measures a call that no route matches, with its line in the log.
+func BenchmarkRefusedCalls(b *testing.B) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	log := eventlog.New(logrus.NewEntry(logger))
+	duty := newLoggedCalls(log)
+	now := time.Now()
+	duty.step(now, DeclaredChanged{Declared: declaredService(1, "a"), AdoptedAt: now})
+	request := &Request{HostName: "b.example", Path: "/a/b/c", Wait: time.Second, Deadline: now.Add(time.Second)}
+	ended, cancel := context.WithCancel(b.Context())
+	cancel()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		duty.step(now, CallArrived{Call: placement.CallID(i + 1), Request: request, Reply: ring.New[Reply]("reply", 1)})
+		_ = log.Run(ended) // writes the line and ends
+	}
+}
--- a/edge/calls.go
+++ b/edge/calls.go
@@ -254,6 +254,8 @@
 			d.record(action)
 		case placement.RolloutChanged:
 			d.logRollout(action)
+		case placement.RefusalsOutdated:
+			d.logOutdated(action)
 		}
 	}
 	for _, attempt := range unsent {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -75,6 +75,15 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`baobabdrum_call_duration_seconds{service=%q,outcome=%q}`, action.Service, outcome)).Update(action.Took.Seconds())
 }
 
+// OutdatedRefusals counts refused calls that a newer declaration allows.
+func (m *Metrics) OutdatedRefusals(action placement.RefusalsOutdated) {
+	for reason, calls := range map[string]int{"no_route": action.Routes, string(placement.ReasonUnknownKey): action.Keys} {
+		if calls > 0 {
+			m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_outdated_refusals_total{reason=%q}`, reason)).Add(calls)
+		}
+	}
+}
+
 // Cancelled counts a cancelled attempt.
 func (m *Metrics) Cancelled(reason placement.CancelReason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabdrum_cancelled_attempts_total{reason=%q}`, reason)).Inc()
--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -26,6 +26,7 @@
 	metrics.Sent(placement.Choice{Service: "s", PaceAge: time.Millisecond})
 	metrics.Finished(placement.Finish{Service: "s", Outcome: placement.NoRoute{}, Took: time.Millisecond})
 	metrics.Crossed("s", 1)
+	metrics.OutdatedRefusals(placement.RefusalsOutdated{Routes: 1, Keys: 1})
 	metrics.Cancelled(placement.CancelTimeout)
 	metrics.ArrivedStopping()
 	metrics.StateChanged("ejected")
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -141,6 +141,8 @@
 	Slots int
 	// Tenant is the name of the tenant of the call, or empty.
 	Tenant string
+	// Refusal says more if the outcome is NoRoute or Unauthorised.
+	Refusal Refusal
 }
 
 // Probe requests the health and load of a backend server. It ends with a
@@ -211,6 +213,7 @@
 func (ServerStatusChanged) action() {}
 func (RecordRollout) action()       {}
 func (RolloutChanged) action()      {}
+func (RefusalsOutdated) action()    {}
 
 // ServerStatus is the status of a backend server as seen by this host. Its
 // values leave the process and stay stable.
--- a/placement/calls.go
+++ b/placement/calls.go
@@ -83,7 +83,7 @@
 	}
 	route := p.routes.match(event.HostName, event.Path)
 	if route == nil || len(route.Targets) == 0 {
-		p.finishUnrouted(event.Call, route)
+		p.finishUnrouted(now, event, route)
 
 		return
 	}
@@ -109,19 +109,6 @@
 	}
 }
 
-// finishUnrouted ends a call without a service: as not run if its route, or one
-// that may be its route, could not be read, and as NoRoute otherwise.
-func (p *Placer) finishUnrouted(id CallID, route *Route) {
-	ended := Finish{Call: id, Outcome: NoRoute{}, Version: p.declared.Declaration.Version}
-	if route != nil {
-		ended.Route = route.Name
-	}
-	if route != nil || p.declared.Declaration.Incomplete {
-		ended.Outcome = NotRun{Reason: ReasonUnreadable, RetryAfter: maxRetryAfter}
-	}
-	p.emit(ended)
-}
-
 // place sends or refuses a call and returns true, or returns false if the call
 // has to be queued. A call that can be answered in time is sent to the best
 // backend server, and one that can be in time after a wait is queued. Any other
@@ -261,6 +248,7 @@
 		Call: c.id, Outcome: outcome, Route: c.route.Name, Service: c.service.Name,
 		Version: p.declared.Declaration.Version, Sends: c.sends, Took: now.Sub(c.arrived),
 		Waiting: len(c.service.queue), Taken: slots.taken, Slots: slots.slots, Tenant: tenantName(c.tenant),
+		Refusal: p.keyRefusal(now, outcome, c.keyDigest),
 	})
 }
 
--- a/placement/notices_test.go
+++ b/placement/notices_test.go
@@ -30,7 +30,7 @@
 					probes++
 				}
 				placer.Step(now, placement.ProbeEnded{Server: action.Server, Answered: true, Healthy: true, Load: &placement.Load{Pace: 1}})
-			case placement.Cancel, placement.Finish, placement.ServerStatusChanged, placement.RecordRollout, placement.RolloutChanged:
+			case placement.Cancel, placement.Finish, placement.ServerStatusChanged, placement.RecordRollout, placement.RolloutChanged, placement.RefusalsOutdated:
 			}
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -79,6 +79,7 @@
 	declared      schema.Declared
 	routes        routes
 	keys          *tenant.Keys
+	refusals      refusals
 	allotments    *allotment.Allotments
 	services      map[string]*service
 	servers       map[string]*Server
@@ -265,8 +266,13 @@
 	}
 	replaced := declared.Declaration.Version != p.declared.Declaration.Version
 	if replaced {
+		rulesBefore := rules{}
+		if p.declared.Declaration.Version != 0 {
+			rulesBefore = rules{routes: p.routes, keys: p.keys}
+		}
 		p.routes = newRoutes(declared.Declaration.Routes, p.routes)
 		p.keys = tenant.NewKeys(declared.Declaration)
+		p.noteReplaced(now, declared.Declaration.Version, rulesBefore)
 		p.allotments.Apply(now, declared.Declaration.Tenants)
 	}
 	p.declared = declared
--- a/placement/rollouts_fleet_test.go
+++ b/placement/rollouts_fleet_test.go
@@ -209,7 +209,7 @@
 		f.later(h, 40*time.Millisecond, placement.RolloutRecorded{Service: action.Service, OrderVersion: action.OrderVersion, State: f.store[action.Service]})
 	case placement.RolloutChanged:
 		f.ramped = f.ramped || action.Phase == rollout.PhaseRamping
-	case placement.ServerStatusChanged:
+	case placement.ServerStatusChanged, placement.RefusalsOutdated:
 	}
 }
 
--- a/placement/tenants.go
+++ b/placement/tenants.go
@@ -45,6 +45,7 @@
 	}
 	p.emit(Finish{
 		Call: event.Call, Outcome: outcome, Route: route.Name, Version: p.declared.Declaration.Version, Tenant: tenantName(holder),
+		Refusal: p.keyRefusal(now, outcome, event.KeyDigest),
 	})
 
 	return nil, false
--- a/tenant/tenant.go
+++ b/tenant/tenant.go
@@ -79,6 +79,11 @@
 	}
 }
 
+// Count returns the number of different keys.
+func (k *Keys) Count() int {
+	return len(k.identities)
+}
+
 // Required reports whether the declaration has tenants, also if none of them could
 // be read.
 func (k *Keys) Required() bool {
--- a/tenant/tenant_test.go
+++ b/tenant/tenant_test.go
@@ -102,3 +102,21 @@
 		})
 	}
 }
+
+// Guards against a count by which a lost key does not show.
+func TestKeysAreCountedOnce(t *testing.T) {
+	tests := map[string]struct {
+		tenants []schema.Tenant
+		want    int
+	}{
+		"none":              {},
+		"of two tenants":    {tenants: []schema.Tenant{{Name: "acme", KeyDigests: digests("a1", "a2")}, {Name: "base", KeyDigests: digests("b1")}}, want: 3},
+		"listed twice":      {tenants: []schema.Tenant{{Name: "acme", KeyDigests: digests("a1", "a1")}}, want: 1},
+		"shared by tenants": {tenants: []schema.Tenant{{Name: "acme", KeyDigests: digests("a1")}, {Name: "base", KeyDigests: digests("a1")}}, want: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, tenant.NewKeys(schema.Declaration{Tenants: test.tenants}).Count(), test.want)
+		})
+	}
+}
