--- a/edge/calllog_test.go
+++ b/edge/calllog_test.go
@@ -98,7 +98,7 @@
 			log, written := newBufferedLog()
 			duty := newLoggedCalls(log)
 			duty.step(now, DeclaredChanged{Declared: declaredService(1, "a"), AdoptedAt: now})
-	duty.step(now, PlacementEvent{Event: placement.CurrencyChanged{Current: true, ConfirmedAt: now, Until: now.Add(time.Minute)}})
+			duty.step(now, PlacementEvent{Event: placement.CurrencyChanged{Current: true, ConfirmedAt: now, Until: now.Add(time.Minute)}})
 			duty.step(now, CallArrived{Call: 1, Reply: ring.New[Reply]("reply", 1), Request: &Request{HostName: "a.example", Path: "/", Wait: time.Second}})
 			attempt, sent := duty.attempts.Poll()
 			assert.Assert(t, sent)
