edge: only a current declaration rejects a request by its limits

A host with an outdated declaration would answer 431 or 413, which callers do not repeat, to a request that a newer declaration allows.

Cause: the caller front applies the limits of whatever declaration its host has.

Change: a request over a declared limit is rejected for good only while the declaration counts as the newest one, and with 503 and Retry-After otherwise. A head beyond the read buffer is still 431.

The front of the tests has a current declaration and encodes a call that was not run as 503.

--- a/edge/currency.go
+++ b/edge/currency.go
@@ -13,9 +13,8 @@
 // confirmed counts as outdated.
 const currencyInterval = 250 * time.Millisecond
 
-// publishCurrency tells the calls duty whether this host's declaration is the newest one
-// as far as it knows. A call without a route or a valid key is rejected for good only if
-// it is.
+// publishCurrency tells the calls duty and the caller front whether this host's declaration is the newest one
+// as far as it knows. A request is rejected for good by the declaration only if it is.
 func (d *controlDuty) publishCurrency(ctx context.Context, now time.Time) error {
 	if d.replica.Declared.Declaration.Version == 0 {
 		return nil
@@ -31,6 +30,7 @@
 			eventlog.Duration("unconfirmed", min(now.Sub(confirmed), maxDeclaredAge)))
 	}
 	d.currency = next
+	d.limits.currency.Store(&next)
 
 	return d.changes.Put(ctx, PlacementEvent{Event: next})
 }
--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -40,6 +40,9 @@
 	heldBodyBytes = 32 << 10
 	// memoryRetryAfter is the retry delay of calls for which there was no memory.
 	memoryRetryAfter = 500 * time.Millisecond
+	// limitRetryAfter is the retry delay of requests over a limit of an outdated
+	// declaration. Hosts usually have a newer one, or theirs confirmed, in less time.
+	limitRetryAfter = 500 * time.Millisecond
 	// bodyTimeout is the time in which a caller must send the body of a request.
 	bodyTimeout = 10 * time.Second
 	// queryTimeout is the longest wait for the answer of a duty.
--- a/edge/fronts_bench_test.go
+++ b/edge/fronts_bench_test.go
@@ -43,6 +43,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	metrics, limits := NewMetrics(), newCallerLimits()
+	limits.currency.Store(&placement.CurrencyChanged{Current: true, Until: time.Now().Add(time.Hour)})
 	log := eventlog.New(logrus.NewEntry(logger))
 	events := newListenerEvents("test", log, metrics).connectionEvents()
 	adapter := Adapter{
@@ -53,6 +54,11 @@
 			}
 		},
 		EncodeReply: func(ctx *fasthttp.RequestCtx, reply Reply) {
+			if _, notRun := reply.Outcome.(placement.NotRun); notRun {
+				ctx.SetStatusCode(http.StatusServiceUnavailable)
+
+				return
+			}
 			if reply.Answer == nil {
 				ctx.SetStatusCode(http.StatusBadGateway)
 				ctx.SetConnectionClose()
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/tcp"
 )
@@ -38,6 +39,9 @@
 // replaces them, and the front reads them.
 type callerLimits struct {
 	inForce atomic.Pointer[schema.CallerLimits]
+	// currency says whether their declaration is the newest one. It is nil until that is
+	// known.
+	currency atomic.Pointer[placement.CurrencyChanged]
 }
 
 // newCallerLimits returns the limits that apply without a declaration.
@@ -62,6 +66,13 @@
 	return before == nil || *before != next
 }
 
+// isCurrent reports whether the declaration of the limits is known to be the newest one.
+func (l *callerLimits) isCurrent(now time.Time) bool {
+	currency := l.currency.Load()
+
+	return currency != nil && currency.Current && !now.After(currency.Until)
+}
+
 // headerBytes returns the largest size of the header fields of a request.
 func (l *callerLimits) headerBytes() int {
 	return l.inForce.Load().HeaderBytes
--- a/edge/rejections.go
+++ b/edge/rejections.go
@@ -106,9 +106,9 @@
 	size := headSize(header)
 	switch limit := f.limits.bodyBytes(); {
 	case !f.limits.allowsHead(header):
-		f.reject(ctx, rejection{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Reason: rejectedHeaderBytes, Fault: faultHeadLimit, HeadBytes: size})
+		f.rejectOverDeclared(ctx, rejection{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Reason: rejectedHeaderBytes, Fault: faultHeadLimit, HeadBytes: size})
 	case limit > 0 && header.ContentLength() > limit:
-		f.reject(ctx, rejection{Status: fasthttp.StatusRequestEntityTooLarge, Reason: rejectedBodyBytes, Fault: faultBodyAnnounced, HeadBytes: size})
+		f.rejectOverDeclared(ctx, rejection{Status: fasthttp.StatusRequestEntityTooLarge, Reason: rejectedBodyBytes, Fault: faultBodyAnnounced, HeadBytes: size})
 	default:
 		return false
 	}
@@ -116,6 +116,19 @@
 	return true
 }
 
+// rejectOverDeclared ends a request that exceeds a declared limit. By an outdated
+// declaration it is not rejected for good, because a newer one may allow it.
+func (f *callerFront) rejectOverDeclared(ctx *fasthttp.RequestCtx, rejected rejection) {
+	if f.limits.isCurrent(time.Now()) {
+		f.reject(ctx, rejected)
+
+		return
+	}
+	rejected.Status = fasthttp.StatusServiceUnavailable
+	f.reject(ctx, rejected)
+	f.reply(ctx, Reply{Outcome: placement.NotRun{Reason: placement.ReasonOutdated, RetryAfter: limitRetryAfter}})
+}
+
 // rejectHead ends a request whose head could not be read.
 func (f *callerFront) rejectHead(ctx *fasthttp.RequestCtx, err error) {
 	var tooLarge *fasthttp.ErrSmallBuffer
@@ -183,7 +196,7 @@
 		linger(ctx)
 	case errors.As(err, &tooLarge):
 		rejected.Status, rejected.Reason, rejected.Fault = fasthttp.StatusRequestEntityTooLarge, rejectedBodyBytes, faultBodyLimit
-		f.reject(ctx, rejected)
+		f.rejectOverDeclared(ctx, rejected)
 	case timedOut(ctx):
 		rejected.Status, rejected.Reason, rejected.Fault = fasthttp.StatusRequestTimeout, rejectedBodyTimeout, faultSlow
 		f.reject(ctx, rejected)
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -240,8 +240,9 @@
 	// ReasonNotReady says that this host has not received a declaration yet, or that its
 	// declared state has not been confirmed since the process was held up.
 	ReasonNotReady Reason = "not_ready"
-	// ReasonOutdated says that the call's key may be valid by a newer declaration than
-	// that of this host, or that this host cannot tell whether there is a newer one.
+	// ReasonOutdated says that the call's route or key, or its size, may be valid by a
+	// newer declaration than that of this host, or that this host cannot tell whether
+	// there is a newer one.
 	ReasonOutdated Reason = "declaration_unconfirmed"
 	// ReasonKeyUndecided says that the declaration does not tell whose key the call
 	// has, because several tenants hold it or not all tenants could be read.
