--- a/scripts/edge-soak.sh
+++ b/scripts/edge-soak.sh
@@ -27,9 +27,10 @@
 DURATION=${DURATION:-$([[ -n $PLANNED ]] && echo 45 || echo 15)}
 HOSTS=${HOSTS:-$([[ -n $PLANNED ]] && echo 4 || echo 6)}
 
-# start_edge HOST: starts an entry host unless it is running.
+# start_edge HOST: starts an entry host unless it is running, and records the start.
 start_edge() {
   [[ -v "pids[edge-$1]" ]] && return
+  echo "$(now_ms) START $1" >>"$out/signals"
   BAOBABDRUM_NODE_FILE=$out/host-$1.json start "edge-$1" bin/baobabdrum edge
 }
 
