edge, declared: tests of declarations that stay current for too long

Callers could be answered 404 or 401 by hosts whose beacons and answers of the store wait before they are handled, although a newer declaration allows the call.

Cause: a confirmation counts from the time at which it is handled, not at which it arrived, and the wait is no part of the age that is passed on.

--- a/edge/propagation_test.go
+++ b/edge/propagation_test.go
@@ -72,7 +72,9 @@
 	down     bool
 	cut      simulatedCut
 	nextTick time.Time
-	reads    map[declared.Table]*simulatedRead
+	// inputDelay is how long inputs wait at this host until it handles them.
+	inputDelay time.Duration
+	reads      map[declared.Table]*simulatedRead
 }
 
 // simulation runs the control duties of many hosts and a store in simulated time.
@@ -165,7 +167,7 @@
 
 // deliver schedules an input of a host.
 func (s *simulation) deliver(to *simulatedHost, delay time.Duration, input ControlInput) {
-	s.inputs = append(s.inputs, simulatedInput{at: s.now.Add(delay), to: to, input: input})
+	s.inputs = append(s.inputs, simulatedInput{at: s.now.Add(delay + to.inputDelay), to: to, input: input})
 }
 
 // run advances simulated time.
