--- a/placement/tenants.go
+++ b/placement/tenants.go
@@ -23,12 +23,12 @@
 }
 
 // isCurrent reports whether the declaration in force is known to be the newest one.
-// After a freeze or a hold-up it is not until it has been confirmed again. A confirmation in the
+// After a freeze it is not until it has been confirmed again. A confirmation in the
 // first moments does not count, because it may have arrived during the freeze.
 func (p *Placer) isCurrent(now time.Time) bool {
 	confirmed := p.frozenUntil.IsZero() || p.currency.ConfirmedAt.After(p.frozenUntil.Add(staleInputWindow))
 
-	return p.currency.Current && confirmed && !now.After(p.currency.Until) && !p.awaitsConfirmation(now)
+	return p.currency.Current && confirmed && !now.After(p.currency.Until)
 }
 
 // admit returns the tenant of a call, or nil if it has none, and whether the call may
