tcp, peerrpc, jsonhttp: transfers last as long as they proceed

One cause: a fetch from another host had 0.7 s in all and a read of the store 0.8 s in all, whatever the size, and one that was cut off began at its first byte again.

A transfer now ends when nothing arrives for the time that it had in all before, or less than 32 KiB a second on average; the first byte is due as before. So silence is noticed as soon as it was, and what proceeds is not lost.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -72,6 +72,7 @@
 	overhead    tcp.Overhead
 	sent        int
 	received    int
+	progress    *tcp.Progress
 	answers     int
 	requestIDs  []uint64 // hashes
 	usableUntil time.Time
@@ -94,7 +95,7 @@
 // request, is replaced. The deadline also applies to the next exchange. After an
 // error the connection is closed.
 func (c *Connection) Open(ctx context.Context, deadline time.Time) error {
-	c.sent, c.received = 0, 0
+	c.sent, c.received, c.progress = 0, 0, nil
 	if c.conn != nil {
 		expired := !c.usableUntil.IsZero() && time.Now().After(c.usableUntil)
 		if !expired && c.conn.SetDeadline(deadline) == nil && c.usable() {
@@ -109,7 +110,7 @@
 		return eris.Wrapf(err, "connecting to %s", c.Address)
 	}
 	c.conn, c.peeker, c.answers, c.requestIDs = conn, tcp.NewPeeker(conn), 0, c.requestIDs[:0]
-	received := &receiver{socket: conn, overhead: &c.overhead, count: &c.received}
+	received := &receiver{socket: conn, connection: c}
 	if c.reader == nil {
 		c.reader, c.writer = bufio.NewReaderSize(received, maxHeadSize), bufio.NewWriterSize(c, writeBufferSize)
 	}
@@ -125,6 +126,11 @@
 	return nil
 }
 
+// Extend moves the deadline of the exchange that follows Open as its response arrives.
+func (c *Connection) Extend(progress *tcp.Progress) {
+	c.progress = progress
+}
+
 // OpenFor is like Open for a request whose response repeats its ID. It replaces a
 // connection on which the ID was sent before: a second copy of the earlier response
 // could not be told from the response to this request.
@@ -156,17 +162,18 @@
 // receiver receives the bytes of one socket within the bound on framing. A body may be
 // read from it after its connection was closed, which fails.
 type receiver struct {
-	socket   net.Conn
-	overhead *tcp.Overhead
-	// count is the number of bytes received since the connection was last opened.
-	count *int
+	socket     net.Conn
+	connection *Connection
 }
 
 // Read receives bytes.
 func (r *receiver) Read(buffer []byte) (int, error) {
 	count, err := r.socket.Read(buffer)
-	*r.count += count
-	if exceeded := r.overhead.Received(count); exceeded != nil {
+	r.connection.received += count
+	if progress := r.connection.progress; progress != nil && count > 0 {
+		_ = r.socket.SetReadDeadline(progress.Received(time.Now(), count)) // fails on a closed connection, as the next Read does
+	}
+	if exceeded := r.connection.overhead.Received(count); exceeded != nil {
 		return 0, exceeded
 	}
 
--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
 const (
@@ -50,7 +51,9 @@
 	Address string
 	// Token is sent as a bearer token with each request unless it is empty.
 	Token string
-	// Timeout is the maximum time for one request and its response.
+	// Timeout limits the time until the first byte of a response, with that for connecting
+	// and sending, and the time without any byte after that. A response that proceeds may
+	// take longer, see tcp.Progress.
 	Timeout time.Duration
 
 	connections *backendhttp.Connections
@@ -178,7 +181,7 @@
 	return copied, nil
 }
 
-// exchange sends a request and reads the whole response within the timeout. It returns
+// exchange sends a request and reads the whole response as long as it proceeds. It returns
 // the number of bytes that were received.
 func (c *Client) exchange(request *fasthttp.Request, response *fasthttp.Response) (int, error) {
 	connection, err := c.connections.Acquire(c.Address)
@@ -186,9 +189,11 @@
 		return 0, err
 	}
 	defer c.connections.Release(connection)
-	if err := connection.Open(c.closing, time.Now().Add(c.Timeout)); err != nil {
+	progress := tcp.NewProgress(time.Now(), c.Timeout)
+	if err := connection.Open(c.closing, progress.Deadline); err != nil {
 		return 0, err
 	}
+	connection.Extend(progress)
 	defer backendhttp.AbortOnCancel(c.closing, connection)()
 	accept := func(*fasthttp.Response) bool { return true }
 	if err := connection.ExchangeWhole(request, response, backendhttp.LimitBody(MaxAnswerBytes), accept); err != nil {
--- a/peerrpc/client.go
+++ b/peerrpc/client.go
@@ -10,30 +10,55 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/baobabdrum/baobabdrum/tcp"
 )
 
 // maxClientConnections limits the connections that a client keeps open.
 const maxClientConnections = 64
 
-// countingConn counts the bytes that it receives. The reader of net/rpc and the duty that
-// owns the client use it at once.
-type countingConn struct {
+// callConn counts the bytes that it receives, and moves the deadline of a call as they
+// arrive. The reader of net/rpc and the duty that owns the client use it at once.
+type callConn struct {
 	net.Conn
 
 	received atomic.Int64
+	// progress bounds the call in progress, or is nil. Between begin and end of a call only
+	// the reader uses what it points to.
+	progress atomic.Pointer[tcp.Progress]
 }
 
 // Read receives bytes.
-func (c *countingConn) Read(buffer []byte) (int, error) {
+func (c *callConn) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
 	c.received.Add(int64(count))
+	if progress := c.progress.Load(); progress != nil && count > 0 {
+		_ = c.SetReadDeadline(progress.Received(time.Now(), count)) // fails on a closed connection, as the next Read does
+	}
 
 	return count, err //nolint:wrapcheck // net/rpc compares it with io.EOF
 }
 
+// begin bounds the call that follows.
+func (c *callConn) begin(progress *tcp.Progress) error {
+	if err := c.SetDeadline(progress.Deadline); err != nil {
+		return eris.Wrap(err, "setting the deadline of a call")
+	}
+	c.progress.Store(progress)
+
+	return nil
+}
+
+// end removes the bound of a call whose response has been read.
+func (c *callConn) end() error {
+	c.progress.Store(nil)
+
+	return eris.Wrap(c.SetDeadline(time.Time{}), "clearing the deadline of a connection")
+}
+
 // connection is an open connection to another host.
 type connection struct {
-	conn     *countingConn
+	conn     *callConn
 	rpc      *rpc.Client
 	lastUsed time.Time
 }
@@ -43,7 +68,9 @@
 type Client struct {
 	// Token is the shared secret, sent when a connection opens.
 	Token string
-	// Timeout limits each call, with the time for connecting.
+	// Timeout limits the time until the first byte of each response, with that for
+	// connecting, and the time without any byte after that. A response that proceeds may
+	// take longer, see tcp.Progress.
 	Timeout time.Duration
 	// Received is the number of bytes that were received in the last call.
 	Received int
@@ -67,12 +94,12 @@
 // closes the connection. Requests between hosts may be repeated: if a kept connection
 // turns out to be closed, the request is sent once more on a new one.
 func Call[In, Out any](ctx context.Context, client *Client, address, method string, in *In, out *Out) error {
-	deadline := time.Now().Add(client.Timeout)
+	startedAt := time.Now()
 	client.Received = 0
 	_, kept := client.connections[address]
-	err := callOnce(ctx, client, address, method, in, out, deadline)
+	err := callOnce(ctx, client, address, method, in, out, tcp.NewProgress(startedAt, client.Timeout))
 	if kept && isClosed(err) {
-		return callOnce(ctx, client, address, method, in, out, deadline)
+		return callOnce(ctx, client, address, method, in, out, tcp.NewProgress(startedAt, client.Timeout))
 	}
 
 	return err
@@ -86,15 +113,15 @@
 }
 
 // callOnce sends a request on one connection.
-func callOnce[In, Out any](ctx context.Context, client *Client, address, method string, in *In, out *Out, deadline time.Time) error {
+func callOnce[In, Out any](ctx context.Context, client *Client, address, method string, in *In, out *Out, progress *tcp.Progress) error {
 	open, err := client.connect(ctx, address)
 	if err != nil {
 		return err
 	}
-	if err := open.conn.SetDeadline(deadline); err != nil {
+	if err := open.conn.begin(progress); err != nil {
 		client.drop(address)
 
-		return eris.Wrapf(err, "setting the deadline of a call to peer %s", address)
+		return eris.Wrapf(err, "calling peer %s", address)
 	}
 	defer context.AfterFunc(ctx, func() { _ = open.conn.Close() })() // ends the call
 	before := open.conn.received.Load()
@@ -105,7 +132,7 @@
 		return eris.Wrapf(err, "calling method %s of peer %s", method, address)
 	}
 
-	return eris.Wrapf(open.conn.SetDeadline(time.Time{}), "clearing the deadline of the connection to peer %s", address)
+	return eris.Wrapf(open.conn.end(), "calling peer %s", address)
 }
 
 // connect returns the open connection to a host or opens one. At the limit it
@@ -124,8 +151,8 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "connecting to peer %s", address)
 	}
-	counting := &countingConn{Conn: conn}
-	open := &connection{conn: counting, rpc: rpc.NewClientWithCodec(newCodec(counting, c.Token, maxAnswerBytes)), lastUsed: time.Now()}
+	made := &callConn{Conn: conn}
+	open := &connection{conn: made, rpc: rpc.NewClientWithCodec(newCodec(made, c.Token, maxAnswerBytes)), lastUsed: time.Now()}
 	c.connections[address] = open
 
 	return open, nil
--- a/peerrpc/server_connections.go
+++ b/peerrpc/server_connections.go
@@ -16,8 +16,8 @@
 	limit  int
 	// answered is told of each answer, unless it is nil.
 	answered AnswerObserver
-	open   sync.Map // net.Conn to struct{}
-	duties conc.WaitGroup
+	open     sync.Map // net.Conn to struct{}
+	duties   conc.WaitGroup
 }
 
 // newServerConnections returns an empty set of connections.
