declared: hosts fetch the changes of a declaration

A cause: whenever a version differed, however small the change, an answer between hosts held the whole declaration, so each change of one route cost the size of all of them times the number of hosts: 55 MB for 121 hosts and 2,800 routes, over the links of the few that had it first.

A replica now records in which version each route, service and tenant last changed, as it does for registrations, and answers with what changed since the version that the other host has, what was dropped, and a hash of the result. A host whose result differs fetches the whole, as does one whose version is older than the history. Hashes cover the encoding of an entry, so new fields count. Hosts of earlier releases do not ask for changes and get the whole.

A replacement of all routes is not yet.

--- a/declared/adopt.go
+++ b/declared/adopt.go
@@ -14,11 +14,15 @@
 	if read.At < r.Declared.OrdersAt {
 		return
 	}
+	var newest schema.Declaration
 	for _, declaration := range read.Declarations {
-		if declaration.Version > r.Declared.Declaration.Version {
-			r.Declared.Declaration, r.changed = declaration, true
+		if declaration.Version > max(newest.Version, r.Declared.Declaration.Version) {
+			newest = declaration
 		}
 	}
+	if newest.Version > 0 {
+		r.replaceDeclaration(newest, newDeclarationIndex(newest))
+	}
 	evacuated := slices.Clone(read.Evacuated)
 	if !read.Full {
 		evacuated = append(evacuated, r.Declared.Evacuated...)
--- a/declared/declared.go
+++ b/declared/declared.go
@@ -127,6 +127,12 @@
 	until        time.Time
 }
 
+// mismatch says which of a peer's changes, applied to this replica, did not yield the
+// peer's state.
+type mismatch struct {
+	declaration, registrations bool
+}
+
 // Replica is one host's replica of the declared state.
 type Replica struct {
 	// Declared is the state in force.
@@ -142,9 +148,11 @@
 	// retained are registrations that the store no longer has and that stay in force.
 	retained map[string]retainedRegistration
 	history  history
-	// deltaMismatch is set if a peer's changes, applied to this replica, did not yield
-	// the peer's registrations.
-	deltaMismatch bool
+	// declarationIndex describes the declaration in force, and declarationHistory holds the
+	// versions in which its entries changed.
+	declarationIndex   declarationIndex
+	declarationHistory history
+	mismatch           mismatch
 	reading       [2]bool
 	readAt        [2]time.Time
 	historyLost   [2]bool
--- a/declared/sync.go
+++ b/declared/sync.go
@@ -8,11 +8,13 @@
 	"github.com/baobabdrum/baobabdrum/schema"
 )
 
-// historyEntries bounds the registrations whose last change is recorded. It exceeds
-// the number of registrations in use together with the recently dropped ones.
+// historyEntries bounds the registrations, or the entries of the declaration, whose last
+// change is recorded. It exceeds the number of those in use together with the recently
+// dropped ones.
 const historyEntries = 1 << 15
 
-// history records the revision of each registration's last change.
+// history records the revision of the last change of each registration, or the version of
+// that of each entry of the declaration.
 type history struct {
 	changed map[string]int
 	// completeFrom is the revision from which the history is complete.
@@ -24,7 +26,7 @@
 	return history{changed: map[string]int{}, completeFrom: from}
 }
 
-// record notes that a registration changed or was dropped at a revision. A full
+// record notes that something changed or was dropped at a revision. A full
 // history starts afresh.
 func (h *history) record(id string, at int) {
 	if len(h.changed) >= historyEntries {
@@ -34,8 +36,8 @@
 }
 
 // Answer returns the declared state that the requesting host lacks. It contains
-// only the changed registrations if the history reaches back far enough, and all
-// of them otherwise, and none that this host retains.
+// only what changed if the history reaches back far enough, and all of it
+// otherwise, and no registration that this host retains.
 func (r *Replica) Answer(now time.Time, request schema.DeclaredRequest) schema.DeclaredAnswer {
 	answer := schema.DeclaredAnswer{
 		DeclaredVersion: r.Declared.Declaration.Version, Evacuated: r.Declared.Evacuated, Rollouts: r.Declared.Rollouts, OrdersAt: r.Declared.OrdersAt,
@@ -43,7 +45,7 @@
 		RetainLapsedMs: int(max(r.retainLapsedUntil.Sub(now), 0).Milliseconds()),
 	}
 	if request.Version != answer.DeclaredVersion {
-		answer.Declaration = r.Declared.Declaration
+		r.answerDeclaration(&answer, request)
 	}
 	if request.RegistrationsAt < max(r.history.completeFrom, 1) || request.RegistrationsAt > answer.RegistrationsAt {
 		answer.Registrations = r.registrations.list
@@ -104,26 +106,29 @@
 	return []Action{r.startFetch(*newest)}
 }
 
-// startFetch returns a fetch of the state that this host lacks, or of all
-// registrations after a mismatch.
+// startFetch returns a fetch of the state that this host lacks, or of all that did not
+// match.
 func (r *Replica) startFetch(peer peerState) Action {
 	r.fetching, r.fetchedFrom = true, peer
 	fetch := Fetch{Address: peer.address, Version: r.Declared.Declaration.Version, RegistrationsAt: r.Declared.RegistrationsAt}
-	if r.deltaMismatch {
+	if r.mismatch.declaration {
+		fetch.Version = 0
+	}
+	if r.mismatch.registrations {
 		fetch.RegistrationsAt = 0
 	}
 
 	return fetch
 }
 
-// adoptAnswer applies a peer's answer. If its changes do not fit this replica, all
-// registrations are fetched from the same peer. A newer state that was announced
-// meanwhile is fetched next.
+// adoptAnswer applies a peer's answer. If its changes do not fit this replica, the whole
+// is fetched from the same peer. A newer state that was announced meanwhile is fetched
+// next.
 func (r *Replica) adoptAnswer(now time.Time, peer schema.DeclaredAnswer) []Action {
-	before := r.deltaMismatch
-	r.fetching, r.deltaMismatch = false, false
+	before := r.mismatch
+	r.fetching, r.mismatch = false, mismatch{}
 	r.adoptPeer(now, peer)
-	if r.deltaMismatch && !before {
+	if r.mismatch != (mismatch{}) && before == (mismatch{}) {
 		return []Action{r.startFetch(r.fetchedFrom)}
 	}
 	if r.changed {
@@ -153,8 +158,8 @@
 	if peer.OrdersAt <= r.Declared.OrdersAt || peer.DeclaredVersion < known || omitted && peer.DeclaredVersion != known {
 		return
 	}
-	if peer.DeclaredVersion > known {
-		r.Declared.Declaration, r.changed = peer.Declaration, true
+	if peer.DeclaredVersion > known && !r.adoptPeerDeclaration(peer) {
+		return
 	}
 	if !slices.Equal(peer.Evacuated, r.Declared.Evacuated) {
 		r.Declared.Evacuated, r.changed = peer.Evacuated, true
@@ -164,7 +169,7 @@
 }
 
 // adoptPeerRegistrations applies a peer's newer registrations. If the result does
-// not match the peer's hash, it sets deltaMismatch and changes nothing else.
+// not match the peer's hash, it sets mismatch and changes nothing else.
 func (r *Replica) adoptPeerRegistrations(now time.Time, peer schema.DeclaredAnswer) {
 	gone := peer.Gone
 	if peer.RegistrationsAfter == 0 {
@@ -175,8 +180,8 @@
 			}
 		}
 	}
-	r.deltaMismatch = r.registrations.hashAfter(peer.Registrations, gone) != peer.RegistrationsHash
-	if r.deltaMismatch {
+	r.mismatch.registrations = r.registrations.hashAfter(peer.Registrations, gone) != peer.RegistrationsHash
+	if r.mismatch.registrations {
 		return
 	}
 	r.recordPeerChanges(peer, gone)
--- a/edge/propagation_test.go
+++ b/edge/propagation_test.go
@@ -285,7 +285,7 @@
 
 		return
 	}
-	answer := to.duty.replica.Answer(s.now, schema.DeclaredRequest{Sender: host.address, Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt})
+	answer := to.duty.replica.Answer(s.now, schema.DeclaredRequest{Sender: host.address, Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt, TakesChanges: true})
 	if s.links != nil {
 		s.sendAnswer(to, host, fetch, answer)
 
--- a/edge/reads.go
+++ b/edge/reads.go
@@ -162,7 +162,7 @@
 		var (
 			answer  schema.DeclaredAnswer
 			event   declared.Event = declared.FetchFailed{}
-			request                = schema.DeclaredRequest{Sender: h.Site.Name, Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt}
+			request                = schema.DeclaredRequest{Sender: h.Site.Name, Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt, TakesChanges: true}
 		)
 		startedAt := time.Now()
 		err = peerrpc.Call(ctx, client, fetch.Address, peerrpc.MethodDeclared, &request, &answer)
--- a/schema/codec_gen.go
+++ b/schema/codec_gen.go
@@ -4484,6 +4484,41 @@
 				err = msgp.WrapError(err, "Declaration")
 				return
 			}
+		case "declaration_after":
+			z.DeclarationAfter, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "DeclarationAfter")
+				return
+			}
+		case "declaration_gone":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "DeclarationGone")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.DeclarationGone) >= int(zb0002) {
+				z.DeclarationGone = (z.DeclarationGone)[:zb0002]
+			} else {
+				z.DeclarationGone = make([]string, zb0002)
+			}
+			for za0001 := range z.DeclarationGone {
+				z.DeclarationGone[za0001], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "DeclarationGone", za0001)
+					return
+				}
+			}
+		case "declaration_hash":
+			z.DeclarationHash, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "DeclarationHash")
+				return
+			}
 		case "declared_version":
 			z.DeclaredVersion, err = dc.ReadInt()
 			if err != nil {
@@ -4491,48 +4526,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0002 > zf88ce922limitArrays {
+			if zb0003 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0002) {
-				z.Evacuated = (z.Evacuated)[:zb0002]
+			if cap(z.Evacuated) >= int(zb0003) {
+				z.Evacuated = (z.Evacuated)[:zb0003]
 			} else {
-				z.Evacuated = make([]string, zb0002)
+				z.Evacuated = make([]string, zb0003)
 			}
-			for za0001 := range z.Evacuated {
-				z.Evacuated[za0001], err = dc.ReadString()
+			for za0002 := range z.Evacuated {
+				z.Evacuated[za0002], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0001)
+					err = msgp.WrapError(err, "Evacuated", za0002)
 					return
 				}
 			}
 		case "gone":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Gone")
 				return
 			}
-			if zb0003 > zf88ce922limitArrays {
+			if zb0004 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Gone) >= int(zb0003) {
-				z.Gone = (z.Gone)[:zb0003]
+			if cap(z.Gone) >= int(zb0004) {
+				z.Gone = (z.Gone)[:zb0004]
 			} else {
-				z.Gone = make([]string, zb0003)
+				z.Gone = make([]string, zb0004)
 			}
-			for za0002 := range z.Gone {
-				z.Gone[za0002], err = dc.ReadString()
+			for za0003 := range z.Gone {
+				z.Gone[za0003], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Gone", za0002)
+					err = msgp.WrapError(err, "Gone", za0003)
 					return
 				}
 			}
@@ -4543,25 +4578,25 @@
 				return
 			}
 		case "registrations":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Registrations")
 				return
 			}
-			if zb0004 > zf88ce922limitArrays {
+			if zb0005 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Registrations) >= int(zb0004) {
-				z.Registrations = (z.Registrations)[:zb0004]
+			if cap(z.Registrations) >= int(zb0005) {
+				z.Registrations = (z.Registrations)[:zb0005]
 			} else {
-				z.Registrations = make([]Registration, zb0004)
+				z.Registrations = make([]Registration, zb0005)
 			}
-			for za0003 := range z.Registrations {
-				err = z.Registrations[za0003].DecodeMsg(dc)
+			for za0004 := range z.Registrations {
+				err = z.Registrations[za0004].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Registrations", za0003)
+					err = msgp.WrapError(err, "Registrations", za0004)
 					return
 				}
 			}
@@ -4590,25 +4625,25 @@
 				return
 			}
 		case "rollouts":
-			var zb0005 uint32
-			zb0005, err = dc.ReadArrayHeader()
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Rollouts")
 				return
 			}
-			if zb0005 > zf88ce922limitArrays {
+			if zb0006 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Rollouts) >= int(zb0005) {
-				z.Rollouts = (z.Rollouts)[:zb0005]
+			if cap(z.Rollouts) >= int(zb0006) {
+				z.Rollouts = (z.Rollouts)[:zb0006]
 			} else {
-				z.Rollouts = make([]RolloutOrder, zb0005)
+				z.Rollouts = make([]RolloutOrder, zb0006)
 			}
-			for za0004 := range z.Rollouts {
-				err = z.Rollouts[za0004].DecodeMsg(dc)
+			for za0005 := range z.Rollouts {
+				err = z.Rollouts[za0005].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Rollouts", za0004)
+					err = msgp.WrapError(err, "Rollouts", za0005)
 					return
 				}
 			}
@@ -4625,9 +4660,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *DeclaredAnswer) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 11
+	// map header, size 14
 	// write "declaration"
-	err = en.Append(0x8b, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	err = en.Append(0x8e, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	if err != nil {
 		return
 	}
@@ -4636,6 +4671,43 @@
 		err = msgp.WrapError(err, "Declaration")
 		return
 	}
+	// write "declaration_after"
+	err = en.Append(0xb1, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.DeclarationAfter)
+	if err != nil {
+		err = msgp.WrapError(err, "DeclarationAfter")
+		return
+	}
+	// write "declaration_gone"
+	err = en.Append(0xb0, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x67, 0x6f, 0x6e, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.DeclarationGone)))
+	if err != nil {
+		err = msgp.WrapError(err, "DeclarationGone")
+		return
+	}
+	for za0001 := range z.DeclarationGone {
+		err = en.WriteString(z.DeclarationGone[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "DeclarationGone", za0001)
+			return
+		}
+	}
+	// write "declaration_hash"
+	err = en.Append(0xb0, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x68, 0x61, 0x73, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.DeclarationHash)
+	if err != nil {
+		err = msgp.WrapError(err, "DeclarationHash")
+		return
+	}
 	// write "declared_version"
 	err = en.Append(0xb0, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x65, 0x64, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	if err != nil {
@@ -4656,10 +4728,10 @@
 		err = msgp.WrapError(err, "Evacuated")
 		return
 	}
-	for za0001 := range z.Evacuated {
-		err = en.WriteString(z.Evacuated[za0001])
+	for za0002 := range z.Evacuated {
+		err = en.WriteString(z.Evacuated[za0002])
 		if err != nil {
-			err = msgp.WrapError(err, "Evacuated", za0001)
+			err = msgp.WrapError(err, "Evacuated", za0002)
 			return
 		}
 	}
@@ -4673,10 +4745,10 @@
 		err = msgp.WrapError(err, "Gone")
 		return
 	}
-	for za0002 := range z.Gone {
-		err = en.WriteString(z.Gone[za0002])
+	for za0003 := range z.Gone {
+		err = en.WriteString(z.Gone[za0003])
 		if err != nil {
-			err = msgp.WrapError(err, "Gone", za0002)
+			err = msgp.WrapError(err, "Gone", za0003)
 			return
 		}
 	}
@@ -4700,10 +4772,10 @@
 		err = msgp.WrapError(err, "Registrations")
 		return
 	}
-	for za0003 := range z.Registrations {
-		err = z.Registrations[za0003].EncodeMsg(en)
+	for za0004 := range z.Registrations {
+		err = z.Registrations[za0004].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Registrations", za0003)
+			err = msgp.WrapError(err, "Registrations", za0004)
 			return
 		}
 	}
@@ -4757,10 +4829,10 @@
 		err = msgp.WrapError(err, "Rollouts")
 		return
 	}
-	for za0004 := range z.Rollouts {
-		err = z.Rollouts[za0004].EncodeMsg(en)
+	for za0005 := range z.Rollouts {
+		err = z.Rollouts[za0005].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Rollouts", za0004)
+			err = msgp.WrapError(err, "Rollouts", za0005)
 			return
 		}
 	}
@@ -4770,28 +4842,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *DeclaredAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 14
 	// string "declaration"
-	o = append(o, 0x8b, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+	o = append(o, 0x8e, 0xab, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 	o, err = z.Declaration.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Declaration")
 		return
 	}
+	// string "declaration_after"
+	o = append(o, 0xb1, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x61, 0x66, 0x74, 0x65, 0x72)
+	o = msgp.AppendInt(o, z.DeclarationAfter)
+	// string "declaration_gone"
+	o = append(o, 0xb0, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x67, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.DeclarationGone)))
+	for za0001 := range z.DeclarationGone {
+		o = msgp.AppendString(o, z.DeclarationGone[za0001])
+	}
+	// string "declaration_hash"
+	o = append(o, 0xb0, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x68, 0x61, 0x73, 0x68)
+	o = msgp.AppendInt(o, z.DeclarationHash)
 	// string "declared_version"
 	o = append(o, 0xb0, 0x64, 0x65, 0x63, 0x6c, 0x61, 0x72, 0x65, 0x64, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendInt(o, z.DeclaredVersion)
 	// string "evacuated"
 	o = append(o, 0xa9, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
-	for za0001 := range z.Evacuated {
-		o = msgp.AppendString(o, z.Evacuated[za0001])
+	for za0002 := range z.Evacuated {
+		o = msgp.AppendString(o, z.Evacuated[za0002])
 	}
 	// string "gone"
 	o = append(o, 0xa4, 0x67, 0x6f, 0x6e, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
-	for za0002 := range z.Gone {
-		o = msgp.AppendString(o, z.Gone[za0002])
+	for za0003 := range z.Gone {
+		o = msgp.AppendString(o, z.Gone[za0003])
 	}
 	// string "orders_at"
 	o = append(o, 0xa9, 0x6f, 0x72, 0x64, 0x65, 0x72, 0x73, 0x5f, 0x61, 0x74)
@@ -4799,10 +4883,10 @@
 	// string "registrations"
 	o = append(o, 0xad, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Registrations)))
-	for za0003 := range z.Registrations {
-		o, err = z.Registrations[za0003].MarshalMsg(o)
+	for za0004 := range z.Registrations {
+		o, err = z.Registrations[za0004].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Registrations", za0003)
+			err = msgp.WrapError(err, "Registrations", za0004)
 			return
 		}
 	}
@@ -4821,10 +4905,10 @@
 	// string "rollouts"
 	o = append(o, 0xa8, 0x72, 0x6f, 0x6c, 0x6c, 0x6f, 0x75, 0x74, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Rollouts)))
-	for za0004 := range z.Rollouts {
-		o, err = z.Rollouts[za0004].MarshalMsg(o)
+	for za0005 := range z.Rollouts {
+		o, err = z.Rollouts[za0005].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Rollouts", za0004)
+			err = msgp.WrapError(err, "Rollouts", za0005)
 			return
 		}
 	}
@@ -4859,6 +4943,41 @@
 				err = msgp.WrapError(err, "Declaration")
 				return
 			}
+		case "declaration_after":
+			z.DeclarationAfter, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DeclarationAfter")
+				return
+			}
+		case "declaration_gone":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DeclarationGone")
+				return
+			}
+			if zb0002 > zf88ce922limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.DeclarationGone) >= int(zb0002) {
+				z.DeclarationGone = (z.DeclarationGone)[:zb0002]
+			} else {
+				z.DeclarationGone = make([]string, zb0002)
+			}
+			for za0001 := range z.DeclarationGone {
+				z.DeclarationGone[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "DeclarationGone", za0001)
+					return
+				}
+			}
+		case "declaration_hash":
+			z.DeclarationHash, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DeclarationHash")
+				return
+			}
 		case "declared_version":
 			z.DeclaredVersion, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -4866,48 +4985,48 @@
 				return
 			}
 		case "evacuated":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-			if zb0002 > zf88ce922limitArrays {
+			if zb0003 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Evacuated) >= int(zb0002) {
-				z.Evacuated = (z.Evacuated)[:zb0002]
+			if cap(z.Evacuated) >= int(zb0003) {
+				z.Evacuated = (z.Evacuated)[:zb0003]
 			} else {
-				z.Evacuated = make([]string, zb0002)
+				z.Evacuated = make([]string, zb0003)
 			}
-			for za0001 := range z.Evacuated {
-				z.Evacuated[za0001], bts, err = msgp.ReadStringBytes(bts)
+			for za0002 := range z.Evacuated {
+				z.Evacuated[za0002], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Evacuated", za0001)
+					err = msgp.WrapError(err, "Evacuated", za0002)
 					return
 				}
 			}
 		case "gone":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Gone")
 				return
 			}
-			if zb0003 > zf88ce922limitArrays {
+			if zb0004 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Gone) >= int(zb0003) {
-				z.Gone = (z.Gone)[:zb0003]
+			if cap(z.Gone) >= int(zb0004) {
+				z.Gone = (z.Gone)[:zb0004]
 			} else {
-				z.Gone = make([]string, zb0003)
+				z.Gone = make([]string, zb0004)
 			}
-			for za0002 := range z.Gone {
-				z.Gone[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0003 := range z.Gone {
+				z.Gone[za0003], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Gone", za0002)
+					err = msgp.WrapError(err, "Gone", za0003)
 					return
 				}
 			}
@@ -4918,25 +5037,25 @@
 				return
 			}
 		case "registrations":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Registrations")
 				return
 			}
-			if zb0004 > zf88ce922limitArrays {
+			if zb0005 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Registrations) >= int(zb0004) {
-				z.Registrations = (z.Registrations)[:zb0004]
+			if cap(z.Registrations) >= int(zb0005) {
+				z.Registrations = (z.Registrations)[:zb0005]
 			} else {
-				z.Registrations = make([]Registration, zb0004)
+				z.Registrations = make([]Registration, zb0005)
 			}
-			for za0003 := range z.Registrations {
-				bts, err = z.Registrations[za0003].UnmarshalMsg(bts)
+			for za0004 := range z.Registrations {
+				bts, err = z.Registrations[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Registrations", za0003)
+					err = msgp.WrapError(err, "Registrations", za0004)
 					return
 				}
 			}
@@ -4965,25 +5084,25 @@
 				return
 			}
 		case "rollouts":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Rollouts")
 				return
 			}
-			if zb0005 > zf88ce922limitArrays {
+			if zb0006 > zf88ce922limitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Rollouts) >= int(zb0005) {
-				z.Rollouts = (z.Rollouts)[:zb0005]
+			if cap(z.Rollouts) >= int(zb0006) {
+				z.Rollouts = (z.Rollouts)[:zb0006]
 			} else {
-				z.Rollouts = make([]RolloutOrder, zb0005)
+				z.Rollouts = make([]RolloutOrder, zb0006)
 			}
-			for za0004 := range z.Rollouts {
-				bts, err = z.Rollouts[za0004].UnmarshalMsg(bts)
+			for za0005 := range z.Rollouts {
+				bts, err = z.Rollouts[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Rollouts", za0004)
+					err = msgp.WrapError(err, "Rollouts", za0005)
 					return
 				}
 			}
@@ -5001,21 +5120,25 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *DeclaredAnswer) Msgsize() (s int) {
-	s = 1 + 12 + z.Declaration.Msgsize() + 17 + msgp.IntSize + 10 + msgp.ArrayHeaderSize
-	for za0001 := range z.Evacuated {
-		s += msgp.StringPrefixSize + len(z.Evacuated[za0001])
+	s = 1 + 12 + z.Declaration.Msgsize() + 18 + msgp.IntSize + 17 + msgp.ArrayHeaderSize
+	for za0001 := range z.DeclarationGone {
+		s += msgp.StringPrefixSize + len(z.DeclarationGone[za0001])
+	}
+	s += 17 + msgp.IntSize + 17 + msgp.IntSize + 10 + msgp.ArrayHeaderSize
+	for za0002 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0002])
 	}
 	s += 5 + msgp.ArrayHeaderSize
-	for za0002 := range z.Gone {
-		s += msgp.StringPrefixSize + len(z.Gone[za0002])
+	for za0003 := range z.Gone {
+		s += msgp.StringPrefixSize + len(z.Gone[za0003])
 	}
 	s += 10 + msgp.IntSize + 14 + msgp.ArrayHeaderSize
-	for za0003 := range z.Registrations {
-		s += z.Registrations[za0003].Msgsize()
+	for za0004 := range z.Registrations {
+		s += z.Registrations[za0004].Msgsize()
 	}
 	s += 20 + msgp.IntSize + 17 + msgp.IntSize + 19 + msgp.IntSize + 17 + msgp.IntSize + 9 + msgp.ArrayHeaderSize
-	for za0004 := range z.Rollouts {
-		s += z.Rollouts[za0004].Msgsize()
+	for za0005 := range z.Rollouts {
+		s += z.Rollouts[za0005].Msgsize()
 	}
 	return
 }
@@ -5054,6 +5177,12 @@
 				err = msgp.WrapError(err, "Sender")
 				return
 			}
+		case "takes_changes":
+			z.TakesChanges, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "TakesChanges")
+				return
+			}
 		case "version":
 			z.Version, err = dc.ReadInt()
 			if err != nil {
@@ -5072,10 +5201,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z DeclaredRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *DeclaredRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
 	// write "registrations_at"
-	err = en.Append(0x83, 0xb0, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x74)
+	err = en.Append(0x84, 0xb0, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x74)
 	if err != nil {
 		return
 	}
@@ -5094,6 +5223,16 @@
 		err = msgp.WrapError(err, "Sender")
 		return
 	}
+	// write "takes_changes"
+	err = en.Append(0xad, 0x74, 0x61, 0x6b, 0x65, 0x73, 0x5f, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.TakesChanges)
+	if err != nil {
+		err = msgp.WrapError(err, "TakesChanges")
+		return
+	}
 	// write "version"
 	err = en.Append(0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	if err != nil {
@@ -5108,15 +5247,18 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z DeclaredRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *DeclaredRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "registrations_at"
-	o = append(o, 0x83, 0xb0, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x74)
+	o = append(o, 0x84, 0xb0, 0x72, 0x65, 0x67, 0x69, 0x73, 0x74, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x5f, 0x61, 0x74)
 	o = msgp.AppendInt(o, z.RegistrationsAt)
 	// string "sender"
 	o = append(o, 0xa6, 0x73, 0x65, 0x6e, 0x64, 0x65, 0x72)
 	o = msgp.AppendString(o, z.Sender)
+	// string "takes_changes"
+	o = append(o, 0xad, 0x74, 0x61, 0x6b, 0x65, 0x73, 0x5f, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x73)
+	o = msgp.AppendBool(o, z.TakesChanges)
 	// string "version"
 	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendInt(o, z.Version)
@@ -5157,6 +5299,12 @@
 				err = msgp.WrapError(err, "Sender")
 				return
 			}
+		case "takes_changes":
+			z.TakesChanges, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TakesChanges")
+				return
+			}
 		case "version":
 			z.Version, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -5176,8 +5324,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z DeclaredRequest) Msgsize() (s int) {
-	s = 1 + 17 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Sender) + 8 + msgp.IntSize
+func (z *DeclaredRequest) Msgsize() (s int) {
+	s = 1 + 17 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Sender) + 14 + msgp.BoolSize + 8 + msgp.IntSize
 	return
 }
 
--- a/schema/messages_gen.go
+++ b/schema/messages_gen.go
@@ -344,6 +344,18 @@
 	// Declaration corresponds to the JSON schema field "declaration".
 	Declaration Declaration `json:"declaration" msg:"declaration"`
 
+	// DeclarationAfter is the version to which the changes in the declaration apply;
+	// 0 means that it is whole.
+	DeclarationAfter int `json:"declaration_after" msg:"declaration_after"`
+
+	// DeclarationGone are the keys of the routes, services and tenants that were
+	// dropped since that version: the kind, a slash and the name.
+	DeclarationGone []string `json:"declaration_gone" msg:"declaration_gone"`
+
+	// DeclarationHash is the 32-bit hash of the declaration that results from
+	// changes, by which the requesting host checks its own.
+	DeclarationHash int `json:"declaration_hash" msg:"declaration_hash"`
+
 	// DeclaredVersion is the version of the declaration in force; the declaration
 	// itself is left out if the requesting host has that version.
 	DeclaredVersion int `json:"declared_version" msg:"declared_version"`
@@ -391,6 +403,11 @@
 	// Sender is the name of the requesting host; the answer does not depend on it.
 	Sender string `json:"sender" msg:"sender"`
 
+	// TakesChanges reports that the requesting host applies the changes since its
+	// version of the declaration; a host of an earlier release takes whole
+	// declarations only.
+	TakesChanges bool `json:"takes_changes" msg:"takes_changes"`
+
 	// Version is the version of the declaration that the requesting host has.
 	Version int `json:"version" msg:"version"`
 }
