peerrpc: large answers about the declared state are compressed

What remained after progress and changes: a declaration of which every entry is new, or one for hosts that have none, is still sent whole to every host, 485 kB at 2,800 routes. Most of it repeats: the names of fields, hosts and services.

The size after decompression is bounded like an answer. Hosts of earlier releases call the method of before and get the whole; a new host that asks an old one fails and reads the store.

--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/baobabdrum/baobabdrum/declared"
+	"github.com/baobabdrum/baobabdrum/peerrpc"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/tcp"
 )
@@ -93,7 +94,7 @@
 		if s.sizes == nil {
 			s.sizes = map[[2]int]int{}
 		}
-		s.sizes[versions] = encodedSize(&answer)
+		s.sizes[versions] = encodedSize(&peerrpc.DeclaredAnswer{Body: answer})
 	}
 	s.transfer(&simulatedTransfer{
 		from: from, to: to, timeout: fetchTimeout, size: float64(s.sizes[versions]),
--- a/edge/reads.go
+++ b/edge/reads.go
@@ -160,15 +160,15 @@
 			return err
 		}
 		var (
-			answer  schema.DeclaredAnswer
+			answer  peerrpc.DeclaredAnswer
 			event   declared.Event = declared.FetchFailed{}
 			request                = schema.DeclaredRequest{Sender: h.Site.Name, Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt, TakesChanges: true}
 		)
 		startedAt := time.Now()
-		err = peerrpc.Call(ctx, client, fetch.Address, peerrpc.MethodDeclared, &request, &answer)
+		err = peerrpc.Call(ctx, client, fetch.Address, peerrpc.MethodDeclaredPacked, &request, &answer)
 		took := time.Since(startedAt)
 		if err == nil {
-			event = declared.PeerAnswered{Answer: answer}
+			event = declared.PeerAnswered{Answer: answer.Body}
 		}
 		h.noteFetched(fetch, client.Received, took, err)
 		if err := h.control.Put(ctx, DeclaredEvent{Event: event}); err != nil {
--- a/peerrpc/codec.go
+++ b/peerrpc/codec.go
@@ -131,14 +131,21 @@
 // string lengths and nesting depth of incoming messages.
 func newCodec(conn io.ReadWriteCloser, token string, limit int) *codec {
 	received := &messageReader{Reader: conn, limit: limit}
-	in := msgp.NewReader(received)
+	made := &codec{token: token, conn: conn, received: received, in: newMessageReader(received), sent: countingWriter{Writer: conn}}
+	made.out = msgp.NewWriter(&made.sent)
+
+	return made
+}
+
+// newMessageReader returns a decoder that limits list lengths, string lengths and the
+// nesting depth.
+func newMessageReader(from io.Reader) *msgp.Reader {
+	in := msgp.NewReader(from)
 	in.SetMaxElements(maxElements)
 	in.SetMaxStringLength(maxStringBytes)
 	in.SetMaxRecursionDepth(maxDepth)
-	made := &codec{token: token, conn: conn, received: received, in: in, sent: countingWriter{Writer: conn}}
-	made.out = msgp.NewWriter(&made.sent)
 
-	return made
+	return in
 }
 
 // WriteRequest writes the method, the sequence number and the body, preceded by
--- a/peerrpc/peerrpc.go
+++ b/peerrpc/peerrpc.go
@@ -59,6 +59,9 @@
 	Reply *ring.Ring[schema.DeclaredAnswer]
 }
 
+// DeclaredAnswer is the answer of MethodDeclaredPacked.
+type DeclaredAnswer = Packed[schema.DeclaredAnswer, *schema.DeclaredAnswer]
+
 // MembersRequest asks for the entry hosts that this host knows.
 type MembersRequest struct {
 	schema.MembersRequest
@@ -128,6 +131,11 @@
 	return forward(p.requests, DeclaredRequest{DeclaredRequest: *request, Reply: reply}, reply, out)
 }
 
+// DeclaredPacked is Declared with an answer that is compressed if it is large.
+func (p *EdgePeer) DeclaredPacked(request *schema.DeclaredRequest, out *DeclaredAnswer) error {
+	return p.Declared(request, &out.Body)
+}
+
 // Members returns the entry hosts that this host knows.
 func (p *EdgePeer) Members(request *schema.MembersRequest, out *schema.MembersAnswer) error {
 	reply := ring.New[schema.MembersAnswer]("members", 1)
@@ -190,6 +198,9 @@
 	MethodRoom = "Room"
 	// MethodMembers returns the entry hosts that the receiver knows.
 	MethodMembers = "Members"
-	// MethodDeclared returns the declarations that the sender lacks.
+	// MethodDeclared returns the declarations that the sender lacks. Hosts of earlier
+	// releases call it.
 	MethodDeclared = "Declared"
+	// MethodDeclaredPacked is MethodDeclared with a DeclaredAnswer.
+	MethodDeclaredPacked = "DeclaredPacked"
 )
