--- a/edge/reads.go
+++ b/edge/reads.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// fetchTimeout is the time in which another host must answer a fetch.
+	// fetchTimeout is the time in which another host must begin to answer, and in which
+	// something more must arrive after that.
 	fetchTimeout = 700 * time.Millisecond
 	// slowFetch is the duration from which a fetch is logged.
 	slowFetch = 100 * time.Millisecond
@@ -160,7 +161,7 @@
 			return err
 		}
 		var (
-			answer  peerrpc.DeclaredAnswer
+			answer  peerrpc.PackedDeclaredAnswer
 			event   declared.Event = declared.FetchFailed{}
 			request                = schema.DeclaredRequest{Sender: h.Site.Name, Version: fetch.Version, RegistrationsAt: fetch.RegistrationsAt, TakesChanges: true}
 		)
--- a/host/peers.go
+++ b/host/peers.go
@@ -20,7 +20,8 @@
 	exchangeRingCapacity = 2
 	// exchangeTimeout is the timeout of a digest exchange.
 	exchangeTimeout = 300 * time.Millisecond
-	// fetchTimeout is the timeout of fetching the configuration from a peer.
+	// fetchTimeout is the time in which a peer must begin to send its configuration, and in
+	// which something more must arrive after that.
 	fetchTimeout = 2 * time.Second
 )
 
--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -51,10 +51,12 @@
 	Address string
 	// Token is sent as a bearer token with each request unless it is empty.
 	Token string
-	// Timeout limits the time until the first byte of a response, with that for connecting
-	// and sending, and the time without any byte after that. A response that proceeds may
-	// take longer, see tcp.Progress.
+	// Timeout is the maximum time for one request and its response.
 	Timeout time.Duration
+	// ExtendTimeout lets a response that proceeds take longer than Timeout, which then
+	// limits the time until its first byte and the time without any byte after that, see
+	// tcp.Progress.
+	ExtendTimeout bool
 
 	connections *backendhttp.Connections
 	closing     context.Context //nolint:containedctx // ends the requests in progress
@@ -181,7 +183,7 @@
 	return copied, nil
 }
 
-// exchange sends a request and reads the whole response as long as it proceeds. It returns
+// exchange sends a request and reads the whole response within the timeout. It returns
 // the number of bytes that were received.
 func (c *Client) exchange(request *fasthttp.Request, response *fasthttp.Response) (int, error) {
 	connection, err := c.connections.Acquire(c.Address)
@@ -193,7 +195,9 @@
 	if err := connection.Open(c.closing, progress.Deadline); err != nil {
 		return 0, err
 	}
-	connection.Extend(progress)
+	if c.ExtendTimeout {
+		connection.Extend(progress)
+	}
 	defer backendhttp.AbortOnCancel(c.closing, connection)()
 	accept := func(*fasthttp.Response) bool { return true }
 	if err := connection.ExchangeWhole(request, response, backendhttp.LimitBody(MaxAnswerBytes), accept); err != nil {
--- a/tablehttp/tablehttp.go
+++ b/tablehttp/tablehttp.go
@@ -30,9 +30,13 @@
 	client *jsonhttp.Client
 }
 
-// New returns a client with a timeout for each request.
+// New returns a client with a timeout for each request. The response may take longer as
+// long as it proceeds, because a row may hold a large configuration.
 func New(address string, timeout time.Duration) *Client {
-	return &Client{client: jsonhttp.NewClient(address, "", timeout)}
+	client := jsonhttp.NewClient(address, "", timeout)
+	client.ExtendTimeout = true
+
+	return &Client{client: client}
 }
 
 // Read returns a row. Version 0 means that it does not exist.
