edge, peerrpc: large declarations also while readers lose the store

TestLargeDeclarationsAreInForceInTime covers the readers of the store getting no answer, or being refused, at the moment of the change. The packed answer has a name of its own beside schema.DeclaredAnswer.

--- a/edge/large_declarations_test.go
+++ b/edge/large_declarations_test.go
@@ -35,6 +35,8 @@
 		// changes is the number of changes, which follow each other by gap.
 		changes int
 		gap     time.Duration
+		// cut is how the readers lose the store just before the last change.
+		cut simulatedCut
 	}{
 		"one route changes": {hosts: 121, changes: 1, change: func(before []schema.Route) []schema.Route {
 			changed := append([]schema.Route(nil), before...)
@@ -54,6 +56,12 @@
 		"changes follow each other": {hosts: 121, changes: 6, gap: 400 * time.Millisecond, change: func(before []schema.Route) []schema.Route {
 			return append(manyRoutes(10, fmt.Sprint("added", len(before))), before...)
 		}},
+		"readers get no answers": {hosts: 121, changes: 1, cut: cutSilent, change: func(before []schema.Route) []schema.Route {
+			return append(manyRoutes(routes/2, "added"), before...)
+		}},
+		"readers are refused": {hosts: 121, changes: 1, cut: cutRejected, change: func([]schema.Route) []schema.Route {
+			return manyRoutes(routes, "new")
+		}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -69,6 +77,9 @@
 				s.declare()
 				s.run(test.gap)
 			}
+			for _, host := range s.readers() {
+				host.cut = test.cut
+			}
 			s.routes = test.change(s.routes)
 			s.declare()
 			s.assertInForce(t, "after the last change")
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -94,7 +94,7 @@
 		if s.sizes == nil {
 			s.sizes = map[[2]int]int{}
 		}
-		s.sizes[versions] = encodedSize(&peerrpc.DeclaredAnswer{Body: answer})
+		s.sizes[versions] = encodedSize(&peerrpc.PackedDeclaredAnswer{Body: answer})
 	}
 	s.transfer(&simulatedTransfer{
 		from: from, to: to, timeout: fetchTimeout, size: float64(s.sizes[versions]),
--- a/peerrpc/packed_test.go
+++ b/peerrpc/packed_test.go
@@ -42,13 +42,13 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			answer := peerrpc.DeclaredAnswer{Body: schema.DeclaredAnswer{Declaration: declarationOf(test.routes), DeclaredVersion: 3}}
+			answer := peerrpc.PackedDeclaredAnswer{Body: schema.DeclaredAnswer{Declaration: declarationOf(test.routes), DeclaredVersion: 3}}
 			encoded, err := answer.Body.MarshalMsg(nil)
 			assert.NilError(t, err)
 			var wire bytes.Buffer
 			assert.NilError(t, msgp.Encode(&wire, &answer))
 			assert.Assert(t, wire.Len()*test.smaller <= len(encoded), "%d bytes of %d", wire.Len(), len(encoded))
-			var decoded peerrpc.DeclaredAnswer
+			var decoded peerrpc.PackedDeclaredAnswer
 			assert.NilError(t, msgp.Decode(&wire, &decoded))
 			assert.Equal(t, len(decoded.Body.Declaration.Routes), test.routes)
 			if test.routes > 0 {
@@ -75,7 +75,7 @@
 	}
 	for name, wire := range tests {
 		t.Run(name, func(t *testing.T) {
-			var decoded peerrpc.DeclaredAnswer
+			var decoded peerrpc.PackedDeclaredAnswer
 			assert.Assert(t, msgp.Decode(bytes.NewReader(wire), &decoded) != nil)
 		})
 	}
--- a/peerrpc/peerrpc.go
+++ b/peerrpc/peerrpc.go
@@ -59,8 +59,8 @@
 	Reply *ring.Ring[schema.DeclaredAnswer]
 }
 
-// DeclaredAnswer is the answer of MethodDeclaredPacked.
-type DeclaredAnswer = Packed[schema.DeclaredAnswer, *schema.DeclaredAnswer]
+// PackedDeclaredAnswer is the answer of MethodDeclaredPacked.
+type PackedDeclaredAnswer = Packed[schema.DeclaredAnswer, *schema.DeclaredAnswer]
 
 // MembersRequest asks for the entry hosts that this host knows.
 type MembersRequest struct {
@@ -132,7 +132,7 @@
 }
 
 // DeclaredPacked is Declared with an answer that is compressed if it is large.
-func (p *EdgePeer) DeclaredPacked(request *schema.DeclaredRequest, out *DeclaredAnswer) error {
+func (p *EdgePeer) DeclaredPacked(request *schema.DeclaredRequest, out *PackedDeclaredAnswer) error {
 	return p.Declared(request, &out.Body)
 }
 
@@ -201,6 +201,6 @@
 	// MethodDeclared returns the declarations that the sender lacks. Hosts of earlier
 	// releases call it.
 	MethodDeclared = "Declared"
-	// MethodDeclaredPacked is MethodDeclared with a DeclaredAnswer.
+	// MethodDeclaredPacked is MethodDeclared with a PackedDeclaredAnswer.
 	MethodDeclaredPacked = "DeclaredPacked"
 )
