--- a/declared/declaration_test.go
+++ b/declared/declaration_test.go
@@ -142,6 +142,18 @@
 	}), "%v", actions)
 }
 
+// drawRoutes returns routes of which each is left out or has one of two contents.
+func drawRoutes(t *rapid.T) []schema.Route {
+	var routes []schema.Route
+	for name := range 6 {
+		if content := rapid.IntRange(0, 2).Draw(t, "route"); content > 0 {
+			routes = append(routes, routesNamed(content, fmt.Sprint("r", name))...)
+		}
+	}
+
+	return routes
+}
+
 // Guards against replicas that differ after changes which cross, skip versions or undo each
 // other.
 func TestReplicasThatFetchChangesAgree(t *testing.T) {
@@ -149,12 +161,7 @@
 		replicas := []*declared.Replica{declare(), declare(), declare(), declare()}
 		for version := range rapid.IntRange(2, 12).Draw(t, "versions") {
 			version++
-			declaration := schema.Declaration{Version: version}
-			for name := range 6 {
-				if content := rapid.IntRange(0, 2).Draw(t, "route"); content > 0 {
-					declaration.Routes = append(declaration.Routes, routesNamed(content, fmt.Sprint("r", name))...)
-				}
-			}
+			declaration := schema.Declaration{Version: version, Routes: drawRoutes(t)}
 			replicas[0].Step(start, declared.OrdersRead{At: version, Declarations: []schema.Declaration{declaration}})
 			for i := 1; i < len(replicas); i++ {
 				if rapid.Bool().Draw(t, "fetches") {
--- a/declared/declared.go
+++ b/declared/declared.go
@@ -153,10 +153,10 @@
 	declarationIndex   declarationIndex
 	declarationHistory history
 	mismatch           mismatch
-	reading       [2]bool
-	readAt        [2]time.Time
-	historyLost   [2]bool
-	startedAt     time.Time
+	reading            [2]bool
+	readAt             [2]time.Time
+	historyLost        [2]bool
+	startedAt          time.Time
 	// readConfirmedAt is when the last answer of the store for each table arrived, and
 	// answeredAt when it was handled.
 	readConfirmedAt, answeredAt [2]time.Time
