backendhttp: a status line with a status that does not exist ends a response

Alone such an answer was cut already. But a head in which the status line of another response stands, which is rejected as a cut head, was accepted if that status was below 100: callers got 'HTTP/1.1 200 OK, X-Odd: aHTTP/1.1 000 Odd' as a success with the fields and the body of the answer of status 000, and so for a cut status line before it. The search for a second status line took only statuses from 100 on.

It takes any three digits now, and the status of the head itself is checked by itself. TestAnswersWithAStatusThatDoesNotExistAreNotForwarded (through a whole host) and two cases of TestMalformedHeadsAreRejected: two forms through the host got 200 before, and one case was accepted.

--- a/backendhttp/head.go
+++ b/backendhttp/head.go
@@ -92,6 +92,8 @@
 	switch {
 	case !begins:
 		return fail("no status line")
+	case status < http.StatusContinue:
+		return fail("a status that does not exist")
 	case hasStatusLine(head[1:]):
 		return fail("a second status line")
 	case bytes.Count(head, lineEnd) != bytes.Count(head, lineEnd[1:]):
@@ -118,7 +120,8 @@
 	}
 }
 
-// statusAt returns the status if the text begins with a status line.
+// statusAt returns the status if the text begins with a status line. The status may be
+// none of HTTP.
 func statusAt(text []byte) (int, bool) {
 	rest, found := bytes.CutPrefix(text, versionPrefix)
 	if !found || len(rest) < len("1 200 ") {
@@ -128,9 +131,9 @@
 	if minor != '0' && minor != '1' || rest[1] != ' ' || end != ' ' && end != '\r' {
 		return 0, false
 	}
-	status, err := strconv.Atoi(string(digits))
+	status, err := strconv.ParseUint(string(digits), 10, 0)
 
-	return status, err == nil && status >= http.StatusContinue
+	return int(status), err == nil //nolint:gosec // three digits
 }
 
 // isInterim reports whether another response to the same request follows one with
