jsonhttp, platform: what the store states holds from its first byte

Reads of the store may take seconds since they last as long as they proceed, and a read counted as a confirmation from when it was complete: a host with a slow link would have taken its declaration for the newest one for as long as the transfer took beyond the bound, and refused calls by it for good. It counts from the first byte now, which bounds it as before; the decoding time counts from the last one.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -72,6 +72,7 @@
 	overhead    tcp.Overhead
 	sent        int
 	received    int
+	begunAt     time.Time
 	progress    *tcp.Progress
 	answers     int
 	requestIDs  []uint64 // hashes
@@ -95,7 +96,7 @@
 // request, is replaced. The deadline also applies to the next exchange. After an
 // error the connection is closed.
 func (c *Connection) Open(ctx context.Context, deadline time.Time) error {
-	c.sent, c.received, c.progress = 0, 0, nil
+	c.sent, c.received, c.begunAt, c.progress = 0, 0, time.Time{}, nil
 	if c.conn != nil {
 		expired := !c.usableUntil.IsZero() && time.Now().After(c.usableUntil)
 		if !expired && c.conn.SetDeadline(deadline) == nil && c.usable() {
@@ -169,10 +170,7 @@
 // Read receives bytes.
 func (r *receiver) Read(buffer []byte) (int, error) {
 	count, err := r.socket.Read(buffer)
-	r.connection.received += count
-	if progress := r.connection.progress; progress != nil && count > 0 {
-		_ = r.socket.SetReadDeadline(progress.Received(time.Now(), count)) // fails on a closed connection, as the next Read does
-	}
+	r.connection.noteReceived(r.socket, count)
 	if exceeded := r.connection.overhead.Received(count); exceeded != nil {
 		return 0, exceeded
 	}
@@ -180,6 +178,21 @@
 	return count, err //nolint:wrapcheck // bufio compares it with io.EOF
 }
 
+// noteReceived notes that bytes arrived on a socket, and moves its deadline.
+func (c *Connection) noteReceived(socket net.Conn, count int) {
+	if count == 0 {
+		return
+	}
+	now := time.Now()
+	if c.received == 0 {
+		c.begunAt = now
+	}
+	c.received += count
+	if c.progress != nil {
+		_ = socket.SetReadDeadline(c.progress.Received(now, count)) // fails on a closed connection, as the next Read does
+	}
+}
+
 // Write sends bytes and counts those that were sent.
 func (c *Connection) Write(data []byte) (int, error) {
 	count, err := c.conn.Write(data)
@@ -354,6 +367,11 @@
 	return c.received
 }
 
+// BegunAt returns when the first byte arrived since the connection was last opened, or zero.
+func (c *Connection) BegunAt() time.Time {
+	return c.begunAt
+}
+
 // Close closes the connection. Open may be called again.
 func (c *Connection) Close() {
 	if c.conn != nil {
--- a/declared/events.go
+++ b/declared/events.go
@@ -29,8 +29,11 @@
 	Withdrawn []string
 	// Invalid is the number of problems found in the rows.
 	Invalid int
-	// ArrivedAt is when the answer arrived, or zero if it is handled as it arrives.
+	// ArrivedAt is when the answer began to arrive, or zero if it is handled as it arrives.
+	// What it states held then.
 	ArrivedAt time.Time
+	// ReceivedAt is when the answer had arrived.
+	ReceivedAt time.Time
 	// Bytes is the number of bytes that were received.
 	Bytes int
 }
@@ -48,8 +51,11 @@
 	Gone []string
 	// Invalid is the number of problems found in the rows.
 	Invalid int
-	// ArrivedAt is when the answer arrived, or zero if it is handled as it arrives.
+	// ArrivedAt is when the answer began to arrive, or zero if it is handled as it arrives.
+	// What it states held then.
 	ArrivedAt time.Time
+	// ReceivedAt is when the answer had arrived.
+	ReceivedAt time.Time
 	// Bytes is the number of bytes that were received.
 	Bytes int
 }
--- a/edge/reads.go
+++ b/edge/reads.go
@@ -42,10 +42,10 @@
 		switch event := event.(type) {
 		case declared.OrdersRead:
 			h.Metrics.Invalid(table, event.Invalid)
-			h.noteDecoded(table, event.Bytes, time.Since(event.ArrivedAt))
+			h.noteDecoded(table, event.Bytes, time.Since(event.ReceivedAt))
 		case declared.RegistrationsRead:
 			h.Metrics.Invalid(table, event.Invalid)
-			h.noteDecoded(table, event.Bytes, time.Since(event.ArrivedAt))
+			h.noteDecoded(table, event.Bytes, time.Since(event.ReceivedAt))
 		case declared.ReadFailed:
 			outcome = "failed"
 		case declared.HistoryLost:
--- a/jsonhttp/jsonhttp.go
+++ b/jsonhttp/jsonhttp.go
@@ -127,6 +127,8 @@
 	// Received is the number of bytes that were received, also of a response that broke
 	// off.
 	Received int
+	// BegunAt is when the first of them arrived. What the response states held then.
+	BegunAt time.Time
 }
 
 // Header returns the value of the first header field with this name in any case of
@@ -156,7 +158,8 @@
 }
 
 // Do sends a request and returns the response regardless of its status. The path
-// must be percent-encoded and may have a query. After an error, only Received is set.
+// must be percent-encoded and may have a query. After an error, only Received and
+// BegunAt are set.
 func (c *Client) Do(method, path string, body []byte, headers ...Header) (Response, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -171,11 +174,11 @@
 		request.Header.Set(header.Name, header.Value)
 	}
 	request.SetBodyRaw(body)
-	received, err := c.exchange(request, response)
+	copied, err := c.exchange(request, response)
 	if err != nil {
-		return Response{Received: received}, eris.Wrapf(err, "%s %s%s", method, c.Address, path)
+		return copied, eris.Wrapf(err, "%s %s%s", method, c.Address, path)
 	}
-	copied := Response{Status: response.StatusCode(), Body: response.Body(), Received: received}
+	copied.Status, copied.Body = response.StatusCode(), response.Body()
 	for name, value := range response.Header.All() {
 		copied.Headers = append(copied.Headers, Header{Name: string(name), Value: string(value)})
 	}
@@ -184,30 +187,28 @@
 }
 
 // exchange sends a request and reads the whole response within the timeout. It returns
-// the number of bytes that were received.
-func (c *Client) exchange(request *fasthttp.Request, response *fasthttp.Response) (int, error) {
+// what is known of a response that broke off.
+func (c *Client) exchange(request *fasthttp.Request, response *fasthttp.Response) (Response, error) {
 	connection, err := c.connections.Acquire(c.Address)
 	if err != nil {
-		return 0, err
+		return Response{}, err
 	}
 	defer c.connections.Release(connection)
 	progress := tcp.NewProgress(time.Now(), c.Timeout)
 	if err := connection.Open(c.closing, progress.Deadline); err != nil {
-		return 0, err
+		return Response{}, err
 	}
 	if c.ExtendTimeout {
 		connection.Extend(progress)
 	}
 	defer backendhttp.AbortOnCancel(c.closing, connection)()
 	accept := func(*fasthttp.Response) bool { return true }
-	if err := connection.ExchangeWhole(request, response, backendhttp.LimitBody(MaxAnswerBytes), accept); err != nil {
-		return connection.Received(), err
-	}
-	if response.ConnectionClose() {
+	err = connection.ExchangeWhole(request, response, backendhttp.LimitBody(MaxAnswerBytes), accept)
+	if err == nil && response.ConnectionClose() {
 		connection.Close()
 	}
 
-	return connection.Received(), nil
+	return Response{Received: connection.Received(), BegunAt: connection.BegunAt()}, err
 }
 
 // Handle returns a handler that decodes a message, rejecting unknown fields, and
