--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -25,8 +25,7 @@
 // simulatedTransfer is an answer on its way from a host, or from the store, to a host.
 type simulatedTransfer struct {
 	// from is nil for an answer of the store.
-	from, to  *simulatedHost
-	startedAt time.Time
+	from, to *simulatedHost
 	// timeout is how long nothing may arrive.
 	timeout time.Duration
 	// progress moves ends, the time at which the transfer is given up.
@@ -52,7 +51,7 @@
 
 // transfer starts a transfer on the links.
 func (s *simulation) transfer(transfer *simulatedTransfer) {
-	transfer.startedAt, transfer.progress = s.now, tcp.NewProgress(s.now, transfer.timeout)
+	transfer.progress = tcp.NewProgress(s.now, transfer.timeout)
 	transfer.ends = transfer.progress.Deadline
 	s.transfers = append(s.transfers, transfer)
 }
