--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*world) int{
 	"restored-store": restoredStore,
+	"stalled-log":    stalledLog,
 }
 
 // play runs a case and ends what it started.
