--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
@@ -40,5 +42,12 @@
 		}
 	}()
 	w = newWorld()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		w.close()
+		os.Exit(couldNot)
+	}()
 	return run(w)
 }
