directory: hosts register again in a restored store

A host that serves writes its address to the store once, and hosts that know no other host look there. A store that comes back from a copy older than that row does not have it, and nothing wrote it again: a host whose seeds are stale found nobody.

The directory learns that the store was restored, once for each epoch, and then registers a host that serves as it does at its start.

Test: edge.TestHostsRegisterAgainInARestoredStore, whose three cases failed before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -153,7 +153,7 @@
 		return append(actions, d.dueBeacons(now, true)...)
 	case CallsCounted:
 		return append(actions, d.dueBeacons(now, false)...) // with the newest load reports
-	case BeaconReceived, ReadyChanged, UpdateArrived, ReadsChanged, AskFailed:
+	case BeaconReceived, ReadyChanged, UpdateArrived, ReadsChanged, StoreRestored, AskFailed:
 		if d.joining.asks == 0 {
 			actions = append(actions, d.dueJoining(now)...)
 		}
@@ -183,6 +183,8 @@
 	case CallsCounted:
 		d.selectionOutdated = d.selectionOutdated || d.Self.Calls != event.Calls
 		d.Self.Calls, d.Self.Crosses = event.Calls, event.Crosses
+	case StoreRestored:
+		d.joining.registered = false
 	case UpdateArrived:
 		d.updatePending = true
 	case ReadsChanged:
--- a/directory/events.go
+++ b/directory/events.go
@@ -54,6 +54,10 @@
 // hosts depend on the readers.
 type ReadsChanged struct{}
 
+// StoreRestored reports that the store was restored from a copy, which may lack what hosts
+// wrote since.
+type StoreRestored struct{}
+
 // Ticked reports that time has passed.
 type Ticked struct{}
 
@@ -63,6 +67,7 @@
 func (CallsCounted) event()    {}
 func (UpdateArrived) event()   {}
 func (ReadsChanged) event()    {}
+func (StoreRestored) event()   {}
 func (Ticked) event()          {}
 func (MembersAnswered) event() {}
 func (AskFailed) event()       {}
--- a/directory/joining.go
+++ b/directory/joining.go
@@ -55,11 +55,12 @@
 	// exchange beacons with this host.
 	book map[string]bookEntry
 	// known is the largest number of hosts that this host or another one knew.
-	known      int
-	asks       int
-	nextAskAt  time.Time
-	asking     bool
-	joinedAt   time.Time
+	known     int
+	asks      int
+	nextAskAt time.Time
+	asking    bool
+	joinedAt  time.Time
+	// registered says that the store has, or soon will have, this host's row.
 	registered bool
 	// isolatedSince is the time since which this host is isolated, or zero.
 	isolatedSince time.Time
--- a/edge/control.go
+++ b/edge/control.go
@@ -79,6 +79,8 @@
 	// outdatedAt and missedAt are the versions in force for which an outdated answer and a
 	// lost history were logged.
 	outdatedAt, missedAt [2]schema.StoreVersion
+	// epoch is that of the store to which the directory has adapted.
+	epoch int
 	// currency is what the calls duty was last told about the declaration.
 	currency placement.CurrencyChanged
 }
@@ -244,9 +246,9 @@
 		case declared.HistoryMissed:
 			d.logMissed(action)
 		case declared.StoreRestored:
-			d.metrics.Restored(tableLabels[action.Table])
-			d.log.Event(eventlog.Warning, "store_restored", "declared state in force is that of a store that was restored from a copy",
-				eventlog.Text("table", tableLabels[action.Table]), eventlog.Text("version", action.At.String()), eventlog.Text("before", action.Before.String()))
+			if err := d.handleRestored(ctx, now, action); err != nil {
+				return err
+			}
 		case declared.StoreLost:
 			d.log.Event(eventlog.Warning, "store_lost", "store does not answer; the declared state in force stays")
 		case declared.StoreRegained:
@@ -262,6 +264,20 @@
 	return d.publishCurrency(ctx, now)
 }
 
+// handleRestored records that a table is that of a restored store, and has the directory
+// register this host again once.
+func (d *controlDuty) handleRestored(ctx context.Context, now time.Time, action declared.StoreRestored) error {
+	d.metrics.Restored(tableLabels[action.Table])
+	d.log.Event(eventlog.Warning, "store_restored", "declared state in force is that of a store that was restored from a copy",
+		eventlog.Text("table", tableLabels[action.Table]), eventlog.Text("version", action.At.String()), eventlog.Text("before", action.Before.String()))
+	if action.At.Epoch <= d.epoch {
+		return nil
+	}
+	d.epoch = action.At.Epoch
+
+	return d.stepDirectory(ctx, now, directory.StoreRestored{})
+}
+
 // logOutdated counts an answer of the store that was ignored, and logs the first one for
 // each version in force.
 func (d *controlDuty) logOutdated(action declared.ReadOutdated) {
--- a/edge/restored_test.go
+++ b/edge/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -140,3 +141,36 @@
 		}
 	})
 }
+
+// Guards against hosts that nobody finds any more, because the row with their address was
+// written after the copy from which the store came back.
+func TestHostsRegisterAgainInARestoredStore(t *testing.T) {
+	tests := map[string]struct {
+		hosts, dataCentres, returns int
+	}{
+		"one host":                   {hosts: 1, dataCentres: 1, returns: 1},
+		"fifteen hosts":              {hosts: 15, dataCentres: 3, returns: 1},
+		"fifteen hosts, two returns": {hosts: 15, dataCentres: 3, returns: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(test.hosts, test.dataCentres, 1)
+			copied := s.clone()
+			s.run(8 * time.Second)
+			for range test.returns {
+				s.away = true
+				s.run(time.Second)
+				s.restore(copied)
+				s.run(simulatedTouch)
+			}
+			serving := 0
+			for _, host := range s.hosts {
+				if host.duty.directory.Self.Serves {
+					serving++
+					assert.Assert(t, slices.Contains(s.members, host.address), "%s serves and is not registered", host.address)
+				}
+			}
+			assert.Equal(t, len(s.members), serving)
+		})
+	}
+}
