edge, platform: record the state of a rollout only in the epoch of its order

A host that had read an order before the store was restored recorded its state in the restored store, under the order's version of the store before. Operators' next orders have lower versions there, so their states were refused as superseded for good. A write could also replace another row than the one that was read, because a restored store gives its version out again.

A row now has the epoch of the store from which it was read.

--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -34,8 +34,15 @@
 	OrderVersion schema.StoreVersion
 	// State is the state, or empty if there is none or it is unreadable.
 	State schema.RolloutState
-	// RowVersion is the version of the row that holds the state, or 0 if there is none.
-	RowVersion int
+	// RowVersion is the version of the row that holds the state, or 0 in the epoch of the
+	// store if there is none.
+	RowVersion schema.StoreVersion
+}
+
+// precedesOrder reports whether the row is older than the order whose state it states: a
+// host wrote it that had read the order before the store was restored.
+func (r RolloutRow) precedesOrder() bool {
+	return r.OrderVersion.Version >= r.RowVersion.Version
 }
 
 // SupersededError reports a state that is not recorded because the store has the state
@@ -54,6 +61,22 @@
 	return fmt.Sprintf("rollout of %s by order %s is superseded by order %s", e.Service, e.OrderVersion, e.Later)
 }
 
+// RestoredError reports a state that is not recorded because the store was restored since
+// the order was read.
+type RestoredError struct {
+	// Service is the name of the service.
+	Service string
+	// OrderVersion identifies the order whose state was to be recorded.
+	OrderVersion schema.StoreVersion
+	// Epoch is that of the store.
+	Epoch int
+}
+
+// Error names the service, the order and the epoch of the store.
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("rollout of %s by order %s is of another epoch than the store, which has %d", e.Service, e.OrderVersion, e.Epoch)
+}
+
 // ContendedError reports a state that was not recorded because other hosts changed its
 // row each time between the read and the write.
 type ContendedError struct {
@@ -107,13 +130,16 @@
 
 // rowAfter returns the row that the store is to have after a request. It is the present
 // one if that holds a final state of the same order, or any state if the request only
-// ensures that there is one. A state of a later order is not replaced.
+// ensures that there is one. A state of a later order is not replaced. Orders only compare
+// within an epoch of the store.
 func rowAfter(request placement.RecordRollout, row RolloutRow) (RolloutRow, error) {
 	next := RolloutRow{
 		Service: request.Service, Target: request.Target, OrderVersion: request.OrderVersion, State: request.State, RowVersion: row.RowVersion,
 	}
 	switch {
-	case row.State == "": // no row, or an unreadable one
+	case row.RowVersion.Epoch != request.OrderVersion.Epoch:
+		return row, &RestoredError{Service: request.Service, OrderVersion: request.OrderVersion, Epoch: row.RowVersion.Epoch}
+	case row.State == "" || row.precedesOrder(): // no row, an unreadable one, or a leftover
 		return next, nil
 	case row.OrderVersion.IsNewer(request.OrderVersion):
 		return row, &SupersededError{Service: request.Service, OrderVersion: request.OrderVersion, Later: row.OrderVersion}
