--- a/edge/host.go
+++ b/edge/host.go
@@ -92,6 +92,8 @@
 	queries       *dutyClient
 	grace         atomic.Int64
 	wakeups       wakeups
+	// readingSince is when the read of each table in progress began in Unix nanoseconds, or 0.
+	readingSince [2]atomic.Int64
 }
 
 // New returns a host that is not running. Run starts it.
@@ -124,6 +126,9 @@
 	h.queries = &dutyClient{control: h.control, calls: h.inputs}
 	h.grace.Store(int64(site.Grace))
 	h.Metrics.Gauge("baobabdrum_body_bytes", func() float64 { return float64(h.budget.Used()) })
+	for table, label := range tableLabels {
+		h.Metrics.Gauge(fmt.Sprintf(`baobabdrum_store_read_in_progress_seconds{table=%q}`, label), func() float64 { return h.readInProgress(table) })
+	}
 	h.Metrics.Gauge("baobabdrum_dropped_log_lines", func() float64 { return float64(h.Log.Dropped()) })
 
 	return h
--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -42,6 +42,7 @@
 	metrics.Restored("orders")
 	metrics.Exhausted("answers")
 	metrics.Rollout(placement.RolloutChanged{Service: "s", Phase: rollout.PhaseObserving, Reason: rollout.ReasonOrdered})
+	metrics.Gauge(`baobabdrum_store_read_in_progress_seconds{table="orders"}`, func() float64 { return 0 })
 	metrics.Gauge("baobabdrum_body_bytes", func() float64 { return 0 })
 	metrics.Gauge(`baobabdrum_open_connections{listener="caller"}`, func() float64 { return 0 })
 	metrics.ReadAhead()
