eventlog: all lines of a host go through the queue that never blocks

With nobody reading the log pipes, hosts never read the store again after it was away: calls ran by old declarations for good, and a host did not end at SIGTERM.

Cause: platform.Store wrote its lines to the logger in the duties that read the store, past the queue that drops what does not fit. The write to a full pipe does not return. All duties of `baobabdrum host` wrote so, and at the end of a process the duty that writes the queue waited for the pipe too.

The adapter, dispatch and the duties of `baobabdrum host` now use eventlog.Log. Its writes happen on a goroutine that may stay in one, for which the end of the process waits for 0.1 s at most.

--- a/callerhttp/stack_test.go
+++ b/callerhttp/stack_test.go
@@ -20,6 +20,7 @@
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/callerhttp"
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/group"
 	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
@@ -78,7 +79,7 @@
 	log.SetOutput(t.Output())
 	probes := ring.New[dispatch.Probe]("probers", 1)
 	pool := backend.NewPool(backend.Options{QueueLength: 16, Hosts: 1, Seed: 1})
-	duty := dispatch.New(s.inputs, attempts, probes, caller.NewRouter("host-1", time.Second), pool, log.WithField("test", t.Name()))
+	duty := dispatch.New(s.inputs, attempts, probes, caller.NewRouter("host-1", time.Second), pool, eventlog.New(log.WithField("test", t.Name())))
 	duty.Metrics = prometheus.NewDispatch(s.metrics)
 	duties.Go("dispatch", duty.Run)
 	for range testSenders {
--- a/cmd/edge.go
+++ b/cmd/edge.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/baobabdrum/baobabdrum/edge"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/platform"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -46,7 +47,7 @@
 	if site.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(site.MemoryBytes)))
 	}
-	log := Output{Results: c.output.Messages, Messages: c.output.Results}.logger(settings.LogLevel, logrus.Fields{"host": site.Name, "data_centre": site.DataCentre})
+	log := eventlog.New(Output{Results: c.output.Messages, Messages: c.output.Results}.logger(settings.LogLevel, logrus.Fields{"host": site.Name, "data_centre": site.DataCentre}))
 	ctx, cancel := signalContext()
 	defer cancel()
 	reload := make(chan os.Signal, 1)
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/host"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -27,7 +28,7 @@
 	if err := invalid("settings", append(faults, host.Check(settings)...)); err != nil {
 		return err
 	}
-	log := c.output.logger(settings.LogLevel, logrus.Fields{"host": settings.Name, "data_centre": settings.DataCentre})
+	log := eventlog.New(c.output.logger(settings.LogLevel, logrus.Fields{"host": settings.Name, "data_centre": settings.DataCentre}))
 	runtime.GOMAXPROCS(min(settings.Processors, runtime.NumCPU()))
 	ctx, cancel := signalContext()
 	defer cancel()
--- a/dispatch/duty.go
+++ b/dispatch/duty.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/baobabdrum/baobabdrum/backend"
 	"github.com/baobabdrum/baobabdrum/caller"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/prometheus"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
@@ -71,7 +70,7 @@
 	// Metrics records calls, attempts, probes and the state of the cells.
 	Metrics *prometheus.Dispatch
 	// Log receives invariant violations.
-	Log *logrus.Entry
+	Log *eventlog.Log
 
 	calls       map[caller.CallID]*pendingCall
 	pendingAsks map[caller.CallID]*ring.Ring[AskReply]
@@ -84,7 +83,7 @@
 }
 
 // New returns a duty without a configuration.
-func New(inputs *ring.Ring[Input], attempts *ring.Ring[*Attempt], probes *ring.Ring[Probe], router *caller.Router, pool *backend.Pool, log *logrus.Entry) *Duty {
+func New(inputs *ring.Ring[Input], attempts *ring.Ring[*Attempt], probes *ring.Ring[Probe], router *caller.Router, pool *backend.Pool, log *eventlog.Log) *Duty {
 	return &Duty{
 		Inputs:   inputs,
 		Attempts: attempts,
@@ -260,5 +259,5 @@
 // reportViolation counts and logs an invariant violation.
 func (d *Duty) reportViolation(violation caller.Violation) {
 	d.Metrics.Violation(violation.Invariant)
-	d.Log.WithFields(logrus.Fields{"event": "invariant_broken", "invariant": violation.Invariant}).Error(violation.Detail)
+	d.Log.Event(eventlog.Error, "invariant_broken", violation.Detail, eventlog.Text("invariant", violation.Invariant))
 }
--- a/dispatch/duty_test.go
+++ b/dispatch/duty_test.go
@@ -11,6 +11,7 @@
 	"github.com/baobabdrum/baobabdrum/backend"
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -25,7 +26,7 @@
 	duty := dispatch.New(
 		ring.New[dispatch.Input]("dispatch", 16), ring.New[*dispatch.Attempt]("senders", 16),
 		ring.New[dispatch.Probe]("probers", 16), caller.NewRouter("host-1", time.Second),
-		backend.NewPool(backend.Options{QueueLength: 16, Hosts: 1, Seed: 1}), logrus.NewEntry(log),
+		backend.NewPool(backend.Options{QueueLength: 16, Hosts: 1, Seed: 1}), eventlog.New(logrus.NewEntry(log)),
 	)
 	hosts := []schema.Host{{Name: "host-1", DataCentre: "north", CallerAddress: "127.0.0.1:1"}}
 	duty.Step(startTime, dispatch.Route{Routes: duty.Router.Routes.WithHosts(hosts, nil)})
--- a/dispatch/targets_test.go
+++ b/dispatch/targets_test.go
@@ -10,6 +10,7 @@
 	"github.com/baobabdrum/baobabdrum/backend"
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -31,7 +32,7 @@
 			duty := dispatch.New(
 				ring.New[dispatch.Input]("dispatch", 1), ring.New[*dispatch.Attempt]("senders", 1),
 				ring.New[dispatch.Probe]("probers", 1), caller.NewRouter("host-1", time.Second),
-				backend.NewPool(backend.Options{QueueLength: 1, Hosts: test.hosts, Seed: 1}), logrus.NewEntry(logrus.New()),
+				backend.NewPool(backend.Options{QueueLength: 1, Hosts: test.hosts, Seed: 1}), eventlog.New(logrus.NewEntry(logrus.New())),
 			)
 			duty.ConfiguredHosts, duty.Targets = test.hosts, ring.New[[]dispatch.Target]("opener", 1)
 			test.server.Service, test.server.DataCentre, test.server.Address = "catalogue", "mu-north", "127.0.0.1:1"
--- a/edge/calls_test.go
+++ b/edge/calls_test.go
@@ -69,7 +69,7 @@
 	const calls = 50
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	h := New(schema.EdgeSettings{Senders: calls}, Site{Name: "h", DataCentre: "north"}, Adapter{}, logrus.NewEntry(logger))
+	h := New(schema.EdgeSettings{Senders: calls}, Site{Name: "h", DataCentre: "north"}, Adapter{}, eventlog.New(logrus.NewEntry(logger)))
 	h.grace.Store(int64(time.Second))
 	duty := &callsDuty{
 		placer: placement.New(placement.Options{Host: "h", DataCentre: "north"}),
@@ -104,7 +104,7 @@
 	const grace = time.Second
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	h := New(schema.EdgeSettings{Senders: 1}, Site{Name: "h", DataCentre: "north"}, Adapter{}, logrus.NewEntry(logger))
+	h := New(schema.EdgeSettings{Senders: 1}, Site{Name: "h", DataCentre: "north"}, Adapter{}, eventlog.New(logrus.NewEntry(logger)))
 	h.grace.Store(int64(grace))
 	assert.NilError(t, h.inputs.Offer(CallArrived{Call: 1})) // the duty does not come to it
 	go func() {
@@ -141,7 +141,7 @@
 		t.Run(name, func(t *testing.T) {
 			logger := logrus.New()
 			logger.SetOutput(io.Discard)
-			h := New(schema.EdgeSettings{Senders: 1}, Site{Name: "h", DataCentre: "north"}, Adapter{}, logrus.NewEntry(logger))
+			h := New(schema.EdgeSettings{Senders: 1}, Site{Name: "h", DataCentre: "north"}, Adapter{}, eventlog.New(logrus.NewEntry(logger)))
 			h.grace.Store(int64(6 * time.Second))
 			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 			defer cancel()
--- a/edge/host.go
+++ b/edge/host.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/sirupsen/logrus"
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
 	"github.com/baobabdrum/baobabdrum/beacon"
@@ -97,12 +96,12 @@
 }
 
 // New returns a host that is not running. Run starts it.
-func New(settings schema.EdgeSettings, site Site, adapter Adapter, log *logrus.Entry) *Host {
+func New(settings schema.EdgeSettings, site Site, adapter Adapter, log *eventlog.Log) *Host {
 	h := &Host{
 		Settings:      settings,
 		Site:          site,
 		Adapter:       adapter,
-		Log:           eventlog.New(log),
+		Log:           log,
 		Metrics:       NewMetrics(),
 		started:       time.Now(),
 		inputs:        ring.New[Input]("calls", callsRingCapacity),
--- a/edge/rollouts_test.go
+++ b/edge/rollouts_test.go
@@ -170,7 +170,7 @@
 
 	return New(schema.EdgeSettings{Senders: 1}, Site{Name: "h", DataCentre: "north"}, Adapter{
 		ReadRollout: store.read, WriteRollout: store.write, CloseStore: func() {},
-	}, logrus.NewEntry(logger))
+	}, eventlog.New(logrus.NewEntry(logger)))
 }
 
 // recordedBy returns the next report of the duty that records states of rollouts.
--- a/edge/wakeups_test.go
+++ b/edge/wakeups_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -59,7 +60,7 @@
 			t.Parallel()
 			logger := logrus.New()
 			logger.SetOutput(io.Discard)
-			h := New(schema.EdgeSettings{Senders: 1}, Site{Name: "h", DataCentre: "north"}, Adapter{}, logrus.NewEntry(logger))
+			h := New(schema.EdgeSettings{Senders: 1}, Site{Name: "h", DataCentre: "north"}, Adapter{}, eventlog.New(logrus.NewEntry(logger)))
 			h.grace.Store(int64(grace))
 			sentAt := time.Now().Add(-delay)
 			h.wakeups.ticked(sentAt.Add(-controlTickInterval), sentAt)
--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -19,6 +19,8 @@
 
 // The levels.
 const (
+	// Debug is for what is expected under faults and ends by itself.
+	Debug = logrus.DebugLevel
 	// Info is for decisions and changes of state.
 	Info = logrus.InfoLevel
 	// Warning is for conditions that an operator may have to investigate.
@@ -33,6 +35,9 @@
 	maxQueuedLines = 2048
 	// droppedInterval is the minimum time between lines that report dropped lines.
 	droppedInterval = time.Second
+	// flushTimeout bounds the time for which the end of the process waits for lines to be
+	// written.
+	flushTimeout = 100 * time.Millisecond
 )
 
 // Field is a key=value pair of a line.
@@ -101,8 +106,33 @@
 	return l.dropped.Load()
 }
 
-// Run writes lines until the context ends, and then those still queued.
+// Run writes lines until the context ends, and then those still queued, but no longer than
+// flushTimeout: nothing ends a write to a pipe that nobody reads, and the process must not
+// wait for it.
 func (l *Log) Run(ctx context.Context) error {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		l.writeQueued(ctx)
+	}()
+	<-ctx.Done()
+	select {
+	case <-written:
+	case <-time.After(flushTimeout):
+	}
+
+	return ctx.Err()
+}
+
+// Flush writes the lines that are queued, as Run does at its end.
+func (l *Log) Flush() {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = l.Run(ended) // it only returns the end of the context
+}
+
+// writeQueued writes lines until the context ends, and then those still queued.
+func (l *Log) writeQueued(ctx context.Context) {
 	reported, reportedAt := uint64(0), time.Now()
 	for {
 		next, err := l.lines.Take(ctx)
@@ -119,10 +149,9 @@
 	for next, ok := l.lines.Poll(); ok; next, ok = l.lines.Poll() {
 		l.write(next)
 	}
-
-	return ctx.Err()
 }
 
+// write writes one line, and waits as long as the output does not take it.
 func (l *Log) write(next line) {
 	fields := make(logrus.Fields, len(next.fields)+1)
 	fields["event"] = next.event
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -55,3 +55,30 @@
 	}
 	assert.Assert(t, log.Dropped() > 0)
 }
+
+// stalledOutput takes no bytes until it is released.
+type stalledOutput struct{ released chan struct{} }
+
+// Write waits for the release.
+func (o stalledOutput) Write(content []byte) (int, error) {
+	<-o.released
+
+	return len(content), nil
+}
+
+// Guards against a process that does not end because its log takes no lines any more.
+func TestAStalledOutputDoesNotHoldUpTheEnd(t *testing.T) {
+	output := stalledOutput{released: make(chan struct{})}
+	defer close(output.released)
+	target := logrus.New()
+	target.SetOutput(output)
+	log := eventlog.New(logrus.NewEntry(target))
+	log.Event(eventlog.Info, "call_sent", "a call was sent")
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, log.Run(ctx), context.DeadlineExceeded)
+	log.Event(eventlog.Info, "call_sent", "a call was sent")
+	log.Flush()
+	assert.Assert(t, time.Since(began) < time.Second, "the end took %s", time.Since(began))
+}
--- a/host/claims.go
+++ b/host/claims.go
@@ -5,10 +5,9 @@
 	"crypto/rand"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/table"
 	"github.com/baobabdrum/baobabdrum/tablehttp"
@@ -50,7 +49,7 @@
 	claims   *ring.Ring[dispatch.Claim]
 	results  *ring.Ring[dispatch.Input]
 	platform *tablehttp.Client
-	log      *logrus.Entry
+	log      *eventlog.Log
 	circuit  *table.Circuit
 }
 
@@ -131,7 +130,7 @@
 	result, err := c.platform.Write(action.Transaction)
 	if err != nil {
 		c.circuit.Failed(time.Now())
-		c.log.WithFields(logrus.Fields{"event": "claims_failed", "claims": len(action.Transaction.Rows)}).Warn(err)
+		c.log.Event(eventlog.Warning, "claims_failed", err.Error(), eventlog.Integer("claims", len(action.Transaction.Rows)))
 
 		return table.Failed{Cause: err}
 	}
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/peer"
 	"github.com/baobabdrum/baobabdrum/ring"
@@ -67,7 +66,7 @@
 				return err
 			}
 		case operator.Violation:
-			h.Log.WithFields(logrus.Fields{"event": "invariant_broken", "invariant": action.Invariant}).Error(action.Detail)
+			h.Log.Event(eventlog.Error, "invariant_broken", action.Detail, eventlog.Text("invariant", action.Invariant))
 		}
 	}
 
@@ -77,10 +76,9 @@
 // putInForce sends the configuration to the duties that use it: routing and
 // stop with the overrides applied, peers as version and overrides for digests.
 func (h *Host) putInForce(ctx context.Context, action operator.PutInForce) error {
-	h.Log.WithFields(logrus.Fields{
-		"event": "configuration_in_force", "version": action.Configuration.Version,
-		"change_id": action.Configuration.ChangeID, "source": action.Source, "overrides": len(action.Overrides),
-	}).Info("configuration changed; updating routing, planned stops and peers")
+	h.Log.Event(eventlog.Info, "configuration_in_force", "configuration changed; updating routing, planned stops and peers",
+		eventlog.Integer("version", action.Configuration.Version), eventlog.Text("change_id", action.Configuration.ChangeID),
+		eventlog.Text("source", action.Source), eventlog.Integer("overrides", len(action.Overrides)))
 	effective := operator.ApplyOverrides(action.Configuration, action.Overrides)
 	if err := h.routing.Put(ctx, dispatch.Configure{Configuration: effective}); err != nil {
 		return err
--- a/host/host.go
+++ b/host/host.go
@@ -16,13 +16,13 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
-	"github.com/sirupsen/logrus"
 
 	"github.com/baobabdrum/baobabdrum/backend"
 	"github.com/baobabdrum/baobabdrum/backendhttp"
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/callerhttp"
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/group"
 	"github.com/baobabdrum/baobabdrum/operatorhttp"
 	"github.com/baobabdrum/baobabdrum/peer"
@@ -66,7 +66,7 @@
 	// Self is the record that the host announces to its peers.
 	Self schema.Host
 	// Log receives one line for each event.
-	Log *logrus.Entry
+	Log *eventlog.Log
 
 	dispatch        *ring.Ring[dispatch.Input]
 	attempts        *ring.Ring[*dispatch.Attempt]
@@ -118,7 +118,7 @@
 }
 
 // New returns a host with empty rings and a new incarnation.
-func New(settings schema.HostSettings, log *logrus.Entry) *Host {
+func New(settings schema.HostSettings, log *eventlog.Log) *Host {
 	seed := uint64(settings.Seed) //nolint:gosec // checked to be non-negative
 	if seed == 0 {
 		var drawn [8]byte
@@ -207,9 +207,8 @@
 		return err
 	}
 	defer open.close()
-	h.Log.WithFields(logrus.Fields{
-		"event": "host_started", "incarnation": h.Self.Incarnation, "caller_address": h.Settings.CallerAddress,
-	}).Info("listening")
+	h.Log.Event(eventlog.Info, "host_started", "listening",
+		eventlog.Text("incarnation", h.Self.Incarnation), eventlog.Text("caller_address", h.Settings.CallerAddress))
 
 	duties := group.New(context.WithoutCancel(interrupted))
 	closing, closeFrontEnd := context.WithCancel(context.WithoutCancel(interrupted))
@@ -224,11 +223,14 @@
 	duties.Go("stop", func(ctx context.Context) error { return h.runStop(ctx, interrupted, closeFrontEnd) })
 	h.startFrontEnds(closing, duties, open, metrics)
 
+	duties.Go("log", h.Log.Run)
+
 	var stopped *StoppedError
 	if err := duties.Wait(); !errors.As(err, &stopped) {
 		return err
 	}
-	h.Log.WithField("event", "host_stopped").Info("the planned stop is finished")
+	h.Log.Event(eventlog.Info, "host_stopped", "the planned stop is finished")
+	h.Log.Flush()
 
 	return nil
 }
@@ -242,11 +244,11 @@
 		if now-before < int64(connectionLogInterval) || !last.CompareAndSwap(before, now) {
 			return
 		}
-		fields := logrus.Fields{"event": event, "listener": listener}
+		fields := []eventlog.Field{eventlog.Text("listener", listener)}
 		if err != nil {
-			fields[logrus.ErrorKey] = err
+			fields = append(fields, eventlog.Text("error", err.Error()))
 		}
-		h.Log.WithFields(fields).Warning(text)
+		h.Log.Event(eventlog.Warning, event, text, fields...)
 	}
 
 	return tcp.ConnectionEvents{
--- a/host/operator.go
+++ b/host/operator.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
-	"github.com/sirupsen/logrus"
 
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/operatorhttp"
 	"github.com/baobabdrum/baobabdrum/ring"
@@ -83,14 +83,12 @@
 
 // replyChange logs the result of a change and replies to the operator.
 func (h *Host) replyChange(reply *ring.Ring[operatorhttp.ChangeReply], result schema.ChangeResult, failure error) {
-	entry := h.Log.WithFields(logrus.Fields{
-		"event": "change", "state": result.State, "version": result.Version, "change_id": result.ChangeID,
-	})
+	level, message := eventlog.Info, "processed a configuration change"
 	if failure != nil {
-		entry.Warn(failure)
-	} else {
-		entry.Info("processed a configuration change")
+		level, message = eventlog.Warning, failure.Error()
 	}
+	h.Log.Event(level, "change", message,
+		eventlog.Text("state", result.State), eventlog.Integer("version", result.Version), eventlog.Text("change_id", result.ChangeID))
 	if reply != nil {
 		_ = reply.Offer(operatorhttp.ChangeReply{Result: result, Err: failure}) // the ring has room by contract
 	}
--- a/host/orders_test.go
+++ b/host/orders_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/baobabdrum/baobabdrum/backendhttp"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/host"
 	"github.com/baobabdrum/baobabdrum/jsonhttp"
 	"github.com/baobabdrum/baobabdrum/schema"
@@ -159,7 +160,7 @@
 	d.stops[at] = cancel
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	started := host.New(d.settings[at], logrus.NewEntry(logger))
+	started := host.New(d.settings[at], eventlog.New(logrus.NewEntry(logger)))
 	d.hosts[at].Go(func() {
 		if err := started.Run(ctx); err != nil {
 			t.Errorf("host %d: %v", at, err)
--- a/host/outage_test.go
+++ b/host/outage_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/host"
 	"github.com/baobabdrum/baobabdrum/jsonhttp"
 	"github.com/baobabdrum/baobabdrum/operatorhttp"
@@ -64,7 +65,7 @@
 		running conc.WaitGroup
 		failure error
 	)
-	running.Go(func() { failure = host.New(settings, logrus.NewEntry(logger)).Run(ctx) })
+	running.Go(func() { failure = host.New(settings, eventlog.New(logrus.NewEntry(logger))).Run(ctx) })
 	t.Cleanup(func() {
 		cancel()
 		running.Wait()
--- a/host/peers.go
+++ b/host/peers.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/peer"
 	"github.com/baobabdrum/baobabdrum/peerrpc"
@@ -101,7 +100,7 @@
 	case peerrpc.ConfigurationRequest:
 		// If the ring is full, the peer gets no reply and asks again.
 		if err := h.configurations.Offer(configurationQuery{reply: request.Reply}); err != nil {
-			h.Log.WithField("event", "configuration_not_served").Warn(err)
+			h.Log.Event(eventlog.Warning, "configuration_not_served", err.Error())
 		}
 	case peerrpc.DeclaredRequest:
 		_ = request.Reply.Offer(schema.DeclaredAnswer{}) // only hosts on the users' platform ask, and none is a peer
@@ -129,11 +128,11 @@
 func (h *Host) executePeerAction(ctx context.Context, action peer.Action) error {
 	switch action := action.(type) {
 	case peer.LiveChanged:
-		h.Log.WithFields(logrus.Fields{"event": "hosts_changed", "live": len(action.Hosts)}).Info("set of live hosts changed; updating routing")
+		h.Log.Event(eventlog.Info, "hosts_changed", "set of live hosts changed; updating routing", eventlog.Integer("live", len(action.Hosts)))
 
 		return h.routing.Put(ctx, dispatch.Hosts{Hosts: action.Hosts, Leaving: action.Leaving})
 	case peer.IsolationChanged:
-		h.Log.WithFields(logrus.Fields{"event": "isolation_changed", "isolated": action.Isolated}).Warn("isolation (freeze or partition) started or ended; updating dispatch")
+		h.Log.Event(eventlog.Warning, "isolation_changed", "isolation (freeze or partition) started or ended; updating dispatch", eventlog.Flag("isolated", action.Isolated))
 
 		return h.dispatch.Put(ctx, dispatch.Isolate{Isolated: action.Isolated})
 	case peer.SharesChanged:
@@ -148,7 +147,7 @@
 		event := operator.OverridesReceived{Overrides: action.Overrides}
 		h.logDroppedOffer("overrides_skipped", h.configurations.Offer(configurationEvent{event}))
 	case peer.Violation:
-		h.Log.WithFields(logrus.Fields{"event": "invariant_broken", "invariant": action.Invariant}).Error(action.Detail)
+		h.Log.Event(eventlog.Error, "invariant_broken", action.Detail, eventlog.Text("invariant", action.Invariant))
 	}
 
 	return nil
@@ -158,7 +157,7 @@
 // again with a later digest.
 func (h *Host) logDroppedOffer(event string, err error) {
 	if err != nil {
-		h.Log.WithField("event", event).Debug(err)
+		h.Log.Event(eventlog.Debug, event, err.Error())
 	}
 }
 
@@ -174,7 +173,7 @@
 		var reply schema.Digest
 		var event peer.Event = peer.ExchangeFailed{Address: exchange.Address}
 		if err := peerrpc.Call(ctx, client, exchange.Address, peerrpc.MethodExchange, &exchange.Digest, &reply); err != nil {
-			h.Log.WithField("event", "exchange_failed").Debug(err)
+			h.Log.Event(eventlog.Debug, "exchange_failed", err.Error())
 		} else {
 			event = peer.DigestReceived{Digest: reply, Asked: exchange.Asked}
 		}
@@ -196,7 +195,7 @@
 		var configuration schema.Configuration
 		request := schema.ConfigurationRequest{Above: fetch.Above}
 		if err := peerrpc.Call(ctx, client, fetch.Address, peerrpc.MethodConfiguration, &request, &configuration); err != nil {
-			h.Log.WithField("event", "fetch_failed").Debug(err)
+			h.Log.Event(eventlog.Debug, "fetch_failed", err.Error())
 
 			continue
 		}
--- a/host/persister.go
+++ b/host/persister.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/schema"
 	"github.com/baobabdrum/baobabdrum/table"
@@ -107,7 +108,7 @@
 		if failure == nil {
 			p.host.replyChange(nil, result, nil)
 		} else {
-			p.host.Log.WithField("event", "override_not_kept").WithField("change_id", override.ChangeID).Debug(failure)
+			p.host.Log.Event(eventlog.Debug, "override_not_kept", failure.Error(), eventlog.Text("change_id", override.ChangeID))
 		}
 	}
 	p.retryAt = due
--- a/host/platform.go
+++ b/host/platform.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/peer"
 	"github.com/baobabdrum/baobabdrum/schema"
@@ -74,7 +75,7 @@
 		return nil
 	}
 	r.circuit.Failed(time.Now())
-	r.host.Log.WithField("event", "platform_unavailable").WithField("circuit", r.circuit.State).Warn(failure)
+	r.host.Log.Event(eventlog.Warning, "platform_unavailable", failure.Error(), eventlog.Text("circuit", string(r.circuit.State)))
 
 	return r.restore(ctx)
 }
@@ -161,13 +162,13 @@
 	for _, key := range table.SnapshotKeys() {
 		snapshot, err := r.host.platform.ReadObject(key)
 		if err != nil {
-			r.host.Log.WithField("event", "snapshot_unavailable").Warn(err)
+			r.host.Log.Event(eventlog.Warning, "snapshot_unavailable", err.Error())
 
 			continue
 		}
 		configuration, err := table.DecodeSnapshot(snapshot)
 		if err != nil {
-			r.host.Log.WithField("event", "snapshot_invalid").Error(err)
+			r.host.Log.Event(eventlog.Error, "snapshot_invalid", err.Error())
 
 			continue
 		}
--- a/host/room.go
+++ b/host/room.go
@@ -7,6 +7,7 @@
 	"github.com/baobabdrum/baobabdrum/backend"
 	"github.com/baobabdrum/baobabdrum/caller"
 	"github.com/baobabdrum/baobabdrum/dispatch"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/peerrpc"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -32,7 +33,7 @@
 		request := schema.RoomRequest{Service: seek.Neighbour.Cell.Service, DataCentre: seek.Neighbour.Cell.DataCentre}
 		var room schema.Room
 		if err := peerrpc.Call(ctx, client, seek.Neighbour.Host.PeerAddress, peerrpc.MethodRoom, &request, &room); err != nil {
-			h.Log.WithField("event", "room_not_found").Debug(err)
+			h.Log.Event(eventlog.Debug, "room_not_found", err.Error())
 
 			continue
 		}
--- a/host/stop.go
+++ b/host/stop.go
@@ -5,8 +5,7 @@
 	"net"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/operator"
 	"github.com/baobabdrum/baobabdrum/peer"
 	"github.com/baobabdrum/baobabdrum/ring"
@@ -69,13 +68,13 @@
 	for _, action := range actions {
 		switch action.(type) {
 		case operator.Leave:
-			h.Log.WithFields(logrus.Fields{"event": "stop_started"}).Info("planned stop started; forwarding calls to other hosts")
+			h.Log.Event(eventlog.Info, "stop_started", "planned stop started; forwarding calls to other hosts")
 			h.front.Leave()
 			if err := h.peers.Put(ctx, peerEvent{peer.LeaveStarted{}}); err != nil {
 				return err
 			}
 		case operator.CloseFront:
-			h.Log.WithFields(logrus.Fields{"event": "front_closed"}).Info("caller front end closed; finishing calls in flight")
+			h.Log.Event(eventlog.Info, "front_closed", "caller front end closed; finishing calls in flight")
 			closeFrontEnd()
 		}
 	}
