--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -217,8 +217,11 @@
 	return logger.WithFields(fields)
 }
 
-// signalContext returns a context that ends on an interrupt or termination
-// signal.
+// signalContext returns a context that ends on an interrupt or termination signal. A host
+// goes on without its log if the reader of the log has ended, so the signal that says so is
+// ignored.
 func signalContext() (context.Context, context.CancelFunc) {
+	signal.Ignore(syscall.SIGPIPE)
+
 	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 }
