--- a/edge/host.go
+++ b/edge/host.go
@@ -50,7 +50,7 @@
 	// defaultMemoryBytes is the memory of the process if the platform states none.
 	defaultMemoryBytes = 256e6
 	// maxPeerRequestBytes is the largest size in bytes of a request of another host,
-	// which names hosts and revisions.
+	// which names hosts and versions.
 	maxPeerRequestBytes = 16 << 10
 	// perMille converts thousandths to a fraction.
 	perMille = 1000
