backendhttp: a response without a length does not end with a reset

Callers got a part of an answer as a complete one, with status 200 and a length of its own: a backend server had answered a long upload at once, without a length, and reset the connection while the upload was being sent. A part of a 503 that states that the request was not run counted too, and an order was sent to a second backend server.

Cause: the kernel reports the error of a socket once. While the request was being sent, the write took it (ECONNRESET). Connection then reads what the backend server may have answered, and its read returned io.EOF, as after an orderly end, which is what completes a response without a length.

With a length or chunks, a cut was detected before.

Fix: Connection keeps the error that a write took from the socket, and its reads return that error in place of io.EOF. A stream that the backend server ended before it reset the connection stays complete, because Linux then reports EPIPE to the write (tcp.TookSocketError).

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -72,6 +73,7 @@
 	overhead    tcp.Overhead
 	sent        int
 	received    int
+	lost        error // the error of the socket that a write returned
 	begunAt     time.Time
 	progress    *tcp.Progress
 	answers     int
@@ -110,7 +112,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "connecting to %s", c.Address)
 	}
-	c.conn, c.peeker, c.answers, c.requestIDs = conn, tcp.NewPeeker(conn), 0, c.requestIDs[:0]
+	c.conn, c.peeker, c.lost, c.answers, c.requestIDs = conn, tcp.NewPeeker(conn), nil, 0, c.requestIDs[:0]
 	received := &receiver{socket: conn, connection: c}
 	if c.reader == nil {
 		c.reader, c.writer = bufio.NewReaderSize(received, maxHeadSize), bufio.NewWriterSize(c, writeBufferSize)
@@ -167,9 +169,12 @@
 	connection *Connection
 }
 
-// Read receives bytes.
+// Read receives bytes. It returns io.EOF only if the remote side ended its stream.
 func (r *receiver) Read(buffer []byte) (int, error) {
 	count, err := r.socket.Read(buffer)
+	if errors.Is(err, io.EOF) && r.connection.lost != nil {
+		err = r.connection.lost
+	}
 	r.connection.noteReceived(r.socket, count)
 	if exceeded := r.connection.overhead.Received(count); exceeded != nil {
 		return 0, exceeded
@@ -197,6 +202,9 @@
 func (c *Connection) Write(data []byte) (int, error) {
 	count, err := c.conn.Write(data)
 	c.sent += count
+	if tcp.TookSocketError(err) {
+		c.lost = err
+	}
 
 	return count, err //nolint:wrapcheck // the sender wraps it with the address
 }
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -119,3 +119,13 @@
 		}
 	})
 }
+
+// TookSocketError reports whether a failed write returned the error of the socket, such as
+// that of a reset. The kernel returns it only once: a read after the write returns io.EOF,
+// as if the remote side had ended its stream. With EPIPE it had, because Linux reports a
+// reset behind the end of the stream as EPIPE.
+func TookSocketError(err error) bool {
+	var number syscall.Errno
+
+	return errors.As(err, &number) && number != syscall.EPIPE
+}
--- a/tcp/tcp_test.go
+++ b/tcp/tcp_test.go
@@ -1,6 +1,7 @@
 package tcp_test
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -63,3 +64,43 @@
 
 	return dialled.(*net.TCPConn), accepted.(*net.TCPConn)
 }
+
+// Guards against a read whose io.EOF is taken for the end of a stream that was reset, and
+// against an end in order that is taken for a reset.
+func TestTookSocketError(t *testing.T) {
+	tests := map[string]struct {
+		end  func(t *testing.T, near, far *net.TCPConn)
+		want bool
+	}{
+		"reset": {want: true, end: func(t *testing.T, _, far *net.TCPConn) {
+			assert.NilError(t, far.SetLinger(0))
+			assert.NilError(t, far.Close())
+		}},
+		"closed with unread bytes": {want: true, end: func(t *testing.T, _, far *net.TCPConn) { assert.NilError(t, far.Close()) }},
+		"ended, then reset": {end: func(t *testing.T, _, far *net.TCPConn) {
+			assert.NilError(t, far.CloseWrite())
+			time.Sleep(10 * time.Millisecond) // the end arrives before the reset
+			assert.NilError(t, far.Close())
+		}},
+		"closed locally": {end: func(t *testing.T, near, _ *net.TCPConn) { assert.NilError(t, near.Close()) }},
+		"write deadline": {end: func(t *testing.T, near, _ *net.TCPConn) {
+			assert.NilError(t, near.SetWriteDeadline(time.Now().Add(-time.Second)))
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			near, far := pair(t)
+			_, err := near.Write([]byte("unread"))
+			assert.NilError(t, err)
+			test.end(t, near, far)
+			for err == nil {
+				_, err = near.Write(make([]byte, 1<<20))
+			}
+			assert.Equal(t, tcp.TookSocketError(err), test.want, "%v", err)
+			if test.want {
+				_, err = near.Read(make([]byte, 1))
+				assert.Equal(t, err, io.EOF, "the error is returned once")
+			}
+		})
+	}
+}
