backendhttp: reject responses whose heads have malformed field names

Callers got answers in whose head the name of a field held a blank or a control byte: with that field passed on, or with a body that was not the backend server's. With "Content Length: 2" the body was all that came until the end of the connection; with "X-Upstream-Signature: s" before " Content-Length: 2" the length went into the signature as well. A 503 with such a head counted as a refusal that states that the request was not run. The heads of interim responses could hold any bytes.

Cause: fasthttp accepts blanks in a name and removes those behind it, so that "Content-Length : 2" frames the body, and it joins a line that begins with a blank to the line before. awaitHead, which reads every head, checked the status line and the line ends only, and nothing else of an interim response.

A line that begins with a blank is accepted as the continuation of a value, as before, only if it has no colon, because with a colon it could be a field. All readers use awaitHead: calls, probes, the store and operators' commands, in both balancers.

--- a/backendhttp/head.go
+++ b/backendhttp/head.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// checkHead returns the status of a head, or a *HeadError.
+// checkHead returns the status of a head, or a *HeadError or *FieldError.
 func checkHead(head []byte) (int, error) {
 	fail := func(problem string) (int, error) {
 		return 0, &HeadError{Problem: problem, Head: string(head[:min(len(head), snippetSize)])}
@@ -102,7 +102,7 @@
 		return fail("a transfer coding that its version does not know")
 	}
 
-	return status, nil
+	return status, checkFields(head[bytes.Index(head, lineEnd)+len(lineEnd):])
 }
 
 // hasStatusLine reports whether there is a status line anywhere in the text. Within a
--- a/backendhttp/prober_test.go
+++ b/backendhttp/prober_test.go
@@ -34,6 +34,9 @@
 		"error status":            {serve: answering("HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n")},
 		"no response":             {serve: answering(""), timeout: settleTime},
 		"incomplete response":     {serve: answering("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok"), timeout: settleTime},
+		"blank in a name":         {serve: answering("HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n")},
+		"blank behind the length": {serve: answering("HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n")},
+		"status 000":              {serve: answering("HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n")},
 		"reset":                   {serve: func(conn *net.TCPConn, _ *bufio.Reader) { reset(conn) }},
 		"all connections of this host in use": {
 			serve: answering(""), busy: true, want: true,
