backendhttp: reject responses whose trailers have malformed field names

Callers got answers in chunks whose trailers held a name with a blank, a line that began with one, or a bare line feed, as complete and signed answers. The trailers themselves were never passed on.

Cause: fasthttp's stream reads the trailers inside the read of the last chunk, and its parser accepts such lines, as it did in heads. Nothing of ours saw the bytes before.

Fix: Connection reads the bodies itself (framedBody), with one type for each way in which a response states its end. The copy that kept trailers from being looked up as fields of the head is no longer needed.

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -70,6 +70,7 @@
 	peeker      *tcp.Peeker
 	reader      *bufio.Reader
 	writer      *bufio.Writer
+	body        *framedBody // of the response that is being read
 	overhead    tcp.Overhead
 	sent        int
 	received    int
@@ -209,24 +210,23 @@
 	return count, err //nolint:wrapcheck // the sender wraps it with the address
 }
 
-// Exchange sends a request and reads the head of the response. A body is returned
-// as a stream, which must be read to its end before the next exchange. If sending
-// fails after some bytes, a response is returned only if it is marked as shed.
+// Exchange sends a request and reads the head of the response. Its Body must be read to
+// the end before the next exchange. If sending fails after some bytes, a response is
+// returned only if it is marked as shed.
 func (c *Connection) Exchange(request *fasthttp.Request, response *fasthttp.Response) error {
-	response.StreamBody = true
-	response.SkipBody = request.Header.IsHead()
+	withoutBody := request.Header.IsHead()
 	if err := c.send(request); err != nil {
-		if c.sent == 0 || c.readHead(response) != nil || len(response.Header.Peek(HeaderShed)) == 0 {
+		if c.sent == 0 || c.readHead(response, withoutBody) != nil || len(response.Header.Peek(HeaderShed)) == 0 {
 			return err
 		}
 		response.SetConnectionClose()
 
 		return nil
 	}
-	if err := c.readHead(response); err != nil {
+	if err := c.readHead(response, withoutBody); err != nil {
 		return err
 	}
-	unframed := response.Header.ContentLength() < -1 && response.BodyStream() != nil
+	unframed := response.Header.ContentLength() < -1 && c.body != nil
 	if unframed || response.StatusCode() == fasthttp.StatusSwitchingProtocols {
 		return &UnframedError{Status: response.StatusCode()}
 	}
@@ -305,39 +305,34 @@
 	return &ForeignAnswerError{Answers: maxAnswers}
 }
 
-// readHead reads the head of a response, whose body follows as a stream.
-func (c *Connection) readHead(response *fasthttp.Response) error {
+// readHead reads the head of a response. Its Body follows.
+func (c *Connection) readHead(response *fasthttp.Response, withoutBody bool) error {
+	c.body = nil
 	if err := awaitHead(c.reader); err != nil {
 		return err
 	}
+	if err := response.Header.Read(c.reader); err != nil {
+		return err
+	}
+	if !withoutBody && hasBody(response.StatusCode()) {
+		c.body = &framedBody{reader: c.reader, framing: framingOf(&response.Header, c.reader)}
+	}
 
-	return response.ReadLimitBody(c.reader, 0)
+	return nil
 }
 
 // readWhole reads a response with its body.
 func (c *Connection) readWhole(response *fasthttp.Response, withoutBody bool, read BodyReader) error {
 	response.Reset()
-	response.StreamBody, response.SkipBody = true, withoutBody
-	if err := c.readHead(response); err != nil {
+	if err := c.readHead(response, withoutBody); err != nil {
 		return err
 	}
-	stream := response.BodyStream()
+	stream := c.Body()
 	if stream == nil {
 		return nil
 	}
-	if response.Header.ContentLength() == -1 {
-		// Fields would be looked up among the trailers, too.
-		var head fasthttp.ResponseHeader
-		response.Header.CopyTo(&head)
-		defer head.CopyTo(&response.Header)
-	}
-	body, err := read(&tcp.Content{Reader: stream, Delivered: c.overhead.Delivered}, max(response.Header.ContentLength(), -1))
+	body, err := read(stream, max(response.Header.ContentLength(), -1))
 	if err != nil {
-		_ = c.conn.Close() // releasing the response must not wait for the rest of the body
-
-		return err
-	}
-	if err := response.CloseBodyStream(); err != nil {
 		return err
 	}
 	response.SetBodyRaw(body)
@@ -345,9 +340,13 @@
 	return nil
 }
 
-// Body returns the body of the response of the last Exchange.
-func (c *Connection) Body(response *fasthttp.Response) io.Reader {
-	return &tcp.Content{Reader: response.BodyStream(), Delivered: c.overhead.Delivered}
+// Body returns the body of the response whose head was read last, or nil if it has none.
+func (c *Connection) Body() io.Reader {
+	if c.body == nil {
+		return nil
+	}
+
+	return &tcp.Content{Reader: c.body, Delivered: c.overhead.Delivered}
 }
 
 // Reused reports whether a response was read on the open connection before, so that
--- a/backendhttp/head.go
+++ b/backendhttp/head.go
@@ -63,16 +63,25 @@
 }
 
 // peekHead returns a complete head with the empty line at its end, without
-// consuming it.
+// consuming it. It drops empty lines before it.
 func peekHead(reader *bufio.Reader) ([]byte, error) {
+	for {
+		head, err := peekFields(reader)
+		if err != nil || len(head) > len(lineEnd) {
+			return head, err
+		}
+		if _, err := reader.Discard(len(head)); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// peekFields returns the lines up to an empty one and with it, without consuming them.
+func peekFields(reader *bufio.Reader) ([]byte, error) {
 	for {
 		buffered, _ := reader.Peek(reader.Buffered()) // does not read
 		if bytes.HasPrefix(buffered, lineEnd) {
-			if _, err := reader.Discard(len(lineEnd)); err != nil {
-				return nil, err
-			}
-
-			continue
+			return buffered[:len(lineEnd)], nil
 		}
 		if end := bytes.Index(buffered, headEnd); end >= 0 {
 			return buffered[:end+len(headEnd)], nil
--- a/backendhttp/names_test.go
+++ b/backendhttp/names_test.go
@@ -24,6 +24,8 @@
 	"head of chunks": "HTTP/1.1 200 OK\r\nId: wanted\r\nTransfer-Encoding: chunked\r\nFIELD\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	"interim":        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nFIELD\r\n\r\nHTTP/1.1 200 OK\r\nId: wanted\r\nContent-Length: 4\r\n\r\nbody",
 	"only interim":   "HTTP/1.1 100 Continue\r\nFIELD\r\n\r\nHTTP/1.1 200 OK\r\nId: wanted\r\nContent-Length: 4\r\n\r\nbody",
+	"trailers":       "HTTP/1.1 200 OK\r\nId: wanted\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Sum: 1\r\nFIELD\r\n\r\n",
+	"only trailer":   "HTTP/1.1 200 OK\r\nId: wanted\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n4\r\nbody\r\n0\r\nFIELD\r\n\r\n",
 	"no length":      "HTTP/1.1 200 OK\r\nId: wanted\r\nFIELD\r\n\r\nbody",
 	"no content":     "HTTP/1.1 204 No Content\r\nId: wanted\r\nFIELD\r\n\r\n",
 	"foreign before": "HTTP/1.1 200 OK\r\nId: other\r\nFIELD\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\nId: wanted\r\nContent-Length: 4\r\n\r\nbody",
--- a/backendhttp/prober.go
+++ b/backendhttp/prober.go
@@ -57,9 +57,9 @@
 	request.SetRequestURI(healthPath)
 	request.Header.SetHost(probe.Address)
 	err = connection.Exchange(request, response)
-	whole := err == nil && response.BodyStream() == nil
-	if err == nil && response.BodyStream() != nil {
-		_, err = (&body{stream: connection.Body(response), remaining: response.Header.ContentLength()}).read(maxBufferedBody)
+	whole := err == nil
+	if stream := connection.Body(); whole && stream != nil {
+		_, err = (&body{stream: stream, remaining: response.Header.ContentLength()}).read(maxBufferedBody)
 		whole = errors.Is(err, io.EOF)
 	}
 	if !whole || response.ConnectionClose() {
--- a/backendhttp/prober_test.go
+++ b/backendhttp/prober_test.go
@@ -36,6 +36,7 @@
 		"incomplete response":     {serve: answering("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok"), timeout: settleTime},
 		"blank in a name":         {serve: answering("HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n")},
 		"blank behind the length": {serve: answering("HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n")},
+		"blank in a trailer":      {serve: answering("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Sum: 1\r\n\r\n")},
 		"status 000":              {serve: answering("HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n")},
 		"reset":                   {serve: func(conn *net.TCPConn, _ *bufio.Reader) { reset(conn) }},
 		"all connections of this host in use": {
--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -110,10 +110,11 @@
 	if isShed(answer) {
 		return dispatch.Ended{Attempt: attempt, Result: backend.Shed{}}
 	}
-	if response.BodyStream() == nil {
+	stream := connection.Body()
+	if stream == nil {
 		return dispatch.Ended{Attempt: attempt, Result: backend.Whole{Status: answer.Status}, Answer: answer}
 	}
-	body := &body{stream: connection.Body(response), remaining: answer.Length}
+	body := &body{stream: stream, remaining: answer.Length}
 	first, err := body.read(maxBufferedBody)
 	answer.Body = first
 	if errors.Is(err, io.EOF) {
--- a/backendhttp/sender_test.go
+++ b/backendhttp/sender_test.go
@@ -66,6 +66,8 @@
 		"blank before the content length":         {raw: okHead + "X-Odd: 1\r\n Content-Length: 5\r\n\r\nstock", want: "Cut"},
 		"control byte in a name":                  {raw: okHead + "X-\x01Odd: 1\r\nContent-Length: 5\r\n\r\nstock", want: "Cut"},
 		"interim response, blank in a name":       {raw: "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + sized("stock"), want: "Cut"},
+		"trailer, blank in a name":                {raw: chunked + "5\r\nstock\r\n0\r\nX Sum: 1\r\n\r\n", want: "Cut"},
+		"trailer, blank behind a name":            {raw: chunked + "5\r\nstock\r\n0\r\nX-Sum : 1\r\n\r\n", want: "Cut"},
 		"malformed content length":                {raw: okHead + "Content-Length: five\r\n\r\nstock", want: "Cut"},
 		"conflicting content lengths":             {raw: okHead + "Content-Length: 5\r\nContent-Length: 3\r\n\r\nstock", want: "Cut"},
 		"content length and chunked":              {raw: okHead + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstock\r\n0\r\n\r\n", want: "Whole", body: "stock"},
--- a/edge/sender_test.go
+++ b/edge/sender_test.go
@@ -44,6 +44,7 @@
 		"blank behind the length":  {raw: okHead + "Content-Length : 2\r\n\r\nok"},
 		"control byte in a name":   {raw: okHead + "X-\x01Odd: 1\r\nContent-Length: 2\r\n\r\nok"},
 		"interim, blank in a name": {raw: "HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\n" + okHead + "Content-Length: 2\r\n\r\nok"},
+		"trailer, blank in a name": {raw: okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Sum: 1\r\n\r\n"},
 		"status 000":               {raw: "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok"},
 		"cut length":               {raw: okHead + "Content-Length: 3\r\n\r\nok"},
 		"no last chunk":            {raw: okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"},
