backendhttp: a response that switches the protocol is none, however sending ended

Callers got status 101, as a signed answer, when a backend server sent it during a long upload and then ended the connection. Such a response has no end: what follows it belongs to another protocol.

Cause: exchangeWhole had two paths. Only the one after a request that was sent completely rejected 101; the other read one response and took it.

Fix: both paths read responses in the same place, and readWhole rejects 101 for both.

Failed before, with the same tests:

--- FAIL: TestResponsesBeforeTheRequestWasSent switched_protocol,_reset: early_test.go:113: err is nil: taken as "" (6 cases; also closed with unread bytes, ended and then reset) --- FAIL: TestAnswersDuringAnUpload switched_protocol,_reset: 101 != 502

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -277,29 +278,29 @@
 	return err
 }
 
-// exchangeWhole does the work of ExchangeWhole except for closing the connection.
+// exchangeWhole does the work of ExchangeWhole except for closing the connection. If
+// sending fails after some bytes, the response may have been sent before that.
 func (c *Connection) exchangeWhole(request *fasthttp.Request, response *fasthttp.Response, read BodyReader, accept func(*fasthttp.Response) bool) error {
 	withoutBody := request.Header.IsHead()
-	if err := c.send(request); err != nil {
-		if c.sent == 0 || c.readWhole(response, withoutBody, read) != nil || !accept(response) {
-			return err
-		}
-		response.SetConnectionClose()
-
-		return nil
+	sendErr := c.send(request)
+	if sendErr != nil && c.sent == 0 {
+		return sendErr
 	}
 	for range maxAnswers {
 		if err := c.readWhole(response, withoutBody, read); err != nil {
-			return err
-		}
-		if response.StatusCode() == fasthttp.StatusSwitchingProtocols {
-			return &UnframedError{Status: response.StatusCode()}
+			return cmp.Or(sendErr, err)
 		}
 		accepted := accept(response)
 		c.answers++
+		if accepted && sendErr != nil {
+			response.SetConnectionClose()
+		}
 		if accepted {
 			return nil
 		}
+		if sendErr != nil {
+			return sendErr
+		}
 	}
 
 	return &ForeignAnswerError{Answers: maxAnswers}
@@ -327,6 +328,9 @@
 	if err := c.readHead(response, withoutBody); err != nil {
 		return err
 	}
+	if response.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		return &UnframedError{Status: response.StatusCode()}
+	}
 	stream := c.Body()
 	if stream == nil {
 		return nil
--- a/backendhttp/early_test.go
+++ b/backendhttp/early_test.go
@@ -98,6 +98,7 @@
 		"cut last chunk":            {raw: chunked + "4\r\nbody\r\n0\r\n", cut: true},
 		"cut trailers":              {raw: chunked + "4\r\nbody\r\n0\r\nX-Sum: 1\r\n", cut: true},
 		"cut head":                  {raw: head, cut: true},
+		"switched protocol":         {raw: "HTTP/1.1 101 Switching Protocols\r\nId: wanted\r\n\r\n", cut: true},
 	}
 	for name, test := range tests {
 		for end, finish := range earlyEnds {
