backendhttp: read on behind another request's response when sending failed

Callers lost a complete answer that was sent during a long upload, if a late copy of an earlier answer arrived on the connection before it.

Cause: after a failed write, one response was read at most.

Fix: the same number of responses is read in both cases. Which of them belongs to the request is decided as before, so no other one is taken.

Failed before: TestResponsesToUnfinishedRequests/behind_another_one's: cut_test.go:303: false (err == nil) != true: write: connection reset by peer

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -298,12 +298,9 @@
 		if accepted {
 			return nil
 		}
-		if sendErr != nil {
-			return sendErr
-		}
 	}
 
-	return &ForeignAnswerError{Answers: maxAnswers}
+	return cmp.Or[error](sendErr, &ForeignAnswerError{Answers: maxAnswers})
 }
 
 // readHead reads the head of a response. Its Body follows.
--- a/backendhttp/cut_test.go
+++ b/backendhttp/cut_test.go
@@ -275,6 +275,7 @@
 	}{
 		"to this request":           {raw: wanted, taken: true},
 		"interim responses before":  {raw: "HTTP/1.1 100 Continue\r\n\r\n" + wanted, taken: true},
+		"behind another one's":      {raw: strings.Replace(wanted, "wanted", "other", 1) + wanted, taken: true},
 		"to another request":        {raw: strings.Replace(wanted, "wanted", "other", 1)},
 		"to no request":             {raw: strings.Replace(wanted, "Id: wanted\r\n", "", 1)},
 		"truncated head":            {raw: wanted[:30]},
