backendhttp: a truncated shed response does not count as shed

A response that marks a call as shed was taken by its head alone: with a body that broke off, with malformed trailers, and, when it arrived before the request was sent, without any length. An order was then sent to another backend server, on the word of a response that its sender never completed.

Cause: receive returned Shed before it read the body, and Exchange checked the framing only if sending had succeeded.

Fix: the body of a shed response is read to its end, and Exchange checks the framing in both cases. An incomplete one is Cut: whether the call ran is unknown.

TestSenderReportsWhatArrived expected Shed for "shed, closed early", and TestSenderNeverReportsCutResponsesAsComplete allowed it for a cut body. Both are as strict now as for any other response, and complete shed responses with bodies and chunks are covered too.

Failed before, with the same tests:

--- FAIL: TestSenderReportsWhatArrived shed,_closed_early, shed,_no_last_chunk, shed,_malformed_trailer: Shed != Cut --- FAIL: TestSenderReadsAShedResponseToAnUnfinishedRequest shed,_cut_length, shed,_no_last_chunk, shed,_no_length: Shed != Cut --- FAIL: TestSenderNeverReportsCutResponsesAsComplete shed,_reset, shed,_closed: Shed != Cut: cut at byte 60

--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -215,17 +215,18 @@
 // the end before the next exchange. If sending fails after some bytes, a response is
 // returned only if it is marked as shed.
 func (c *Connection) Exchange(request *fasthttp.Request, response *fasthttp.Response) error {
-	withoutBody := request.Header.IsHead()
-	if err := c.send(request); err != nil {
-		if c.sent == 0 || c.readHead(response, withoutBody) != nil || len(response.Header.Peek(HeaderShed)) == 0 {
-			return err
+	sendErr := c.send(request)
+	if sendErr != nil && c.sent == 0 {
+		return sendErr
+	}
+	if err := c.readHead(response, request.Header.IsHead()); err != nil {
+		return cmp.Or(sendErr, err)
+	}
+	if sendErr != nil {
+		if len(response.Header.Peek(HeaderShed)) == 0 {
+			return sendErr
 		}
 		response.SetConnectionClose()
-
-		return nil
-	}
-	if err := c.readHead(response, withoutBody); err != nil {
-		return err
 	}
 	unframed := response.Header.ContentLength() < -1 && c.body != nil
 	if unframed || response.StatusCode() == fasthttp.StatusSwitchingProtocols {
--- a/backendhttp/cut_test.go
+++ b/backendhttp/cut_test.go
@@ -350,8 +350,7 @@
 					s.start(t, http.MethodPost, "/", time.Second)
 					got := s.wait(t)
 					result := resultName(got.result)
-					shedHead := name == "shed" && at >= whole.headLength()
-					assert.Assert(t, result == "Cut" || shedHead && result == "Shed", "%s after a cut at byte %d", result, at)
+					assert.Equal(t, result, "Cut", "cut at byte %d", at)
 					assert.Assert(t, !got.whole, "cut at byte %d", at)
 				}
 			})
--- a/backendhttp/sender.go
+++ b/backendhttp/sender.go
@@ -106,11 +106,10 @@
 
 // receive reads the body of a response. A body above maxBufferedBody is streamed.
 func (s *Sender) receive(ctx context.Context, attempt *dispatch.Attempt, connection *Connection, response *fasthttp.Response) dispatch.Ended {
-	answer := decode(attempt, response)
+	answer, stream := decode(attempt, response), connection.Body()
 	if isShed(answer) {
-		return dispatch.Ended{Attempt: attempt, Result: backend.Shed{}}
+		return s.shed(attempt, connection, stream)
 	}
-	stream := connection.Body()
 	if stream == nil {
 		return dispatch.Ended{Attempt: attempt, Result: backend.Whole{Status: answer.Status}, Answer: answer}
 	}
@@ -131,6 +130,18 @@
 	return s.stream(attempt, connection, body, answer)
 }
 
+// shed reads a response that marks the call as shed to its end, because a truncated one
+// counts for nothing. The stream is nil if it has no body.
+func (*Sender) shed(attempt *dispatch.Attempt, connection *Connection, stream io.Reader) dispatch.Ended {
+	if stream != nil {
+		if _, err := io.Copy(io.Discard, stream); err != nil {
+			return dispatch.Ended{Attempt: attempt, Result: failedResult(attempt, connection, err)}
+		}
+	}
+
+	return dispatch.Ended{Attempt: attempt, Result: backend.Shed{}}
+}
+
 // stream passes on the rest of a large body in parts. A caller that does not read
 // it delays the attempt until its deadline at most.
 func (*Sender) stream(attempt *dispatch.Attempt, connection *Connection, body *body, answer *dispatch.Answer) dispatch.Ended {
--- a/backendhttp/sender_test.go
+++ b/backendhttp/sender_test.go
@@ -81,7 +81,13 @@
 		"no content":                              {raw: "HTTP/1.1 204 No Content\r\n\r\n", want: "Whole"},
 		"not modified":                            {raw: "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", want: "Whole"},
 		"shed":                                    {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nContent-Length: 0\r\n\r\n", want: "Shed"},
-		"shed, closed early":                      {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nContent-Length: 9\r\n\r\n", end: closeConn, want: "Shed"},
+		"shed, body":                              {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nContent-Length: 4\r\n\r\nbusy", want: "Shed"},
+		"shed, chunks":                            {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n", want: "Shed"},
+		"shed, closed early":                      {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nContent-Length: 9\r\n\r\n", end: closeConn, want: "Cut"},
+		"shed, no last chunk":                     {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n", end: closeConn, want: "Cut"},
+		"shed, malformed trailer":                 {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Sum: 1\r\n\r\n", want: "Cut"},
+		"shed, neither length nor chunks":         {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\n\r\nbusy", end: closeConn, want: "Cut"},
+		"shed, long body":                         {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 1_000_000), want: "Shed"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -228,6 +234,11 @@
 		want string
 	}{
 		"shed":                    {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", want: "Shed"},
+		"shed, body":              {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nContent-Length: 4\r\n\r\nbusy", want: "Shed"},
+		"shed, cut length":        {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nContent-Length: 9\r\n\r\nbusy", want: "Cut"},
+		"shed, no last chunk":     {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n", want: "Cut"},
+		"shed, no length":         {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\n\r\nbusy", want: "Cut"},
+		"no length":               {raw: "HTTP/1.1 200 OK\r\n\r\nbody", want: "Cut"},
 		"another status":          {raw: "HTTP/1.1 500 Failed\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", want: "Cut"},
 		"no response":             {want: "Cut"},
 		"truncated shed response": {raw: "HTTP/1.1 503 Busy\r\nBaobabdrum-Shed: 1\r\n", want: "Cut"},
