backendhttp: names and comments of bodies and socket errors

Read as a newcomer: socketErr says what the field holds, the loop over responses has one exit for each case, and comments name the errors that a reader sees. No behaviour changes.

--- a/backendhttp/body.go
+++ b/backendhttp/body.go
@@ -54,8 +54,8 @@
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// framedBody reads the body of one response. It returns io.EOF only where the response
-// states the end of its body, and once more if it is read beyond it.
+// framedBody reads the body of one response. It returns io.EOF only at the end that the
+// response states, and io.ErrUnexpectedEOF if the connection ends before.
 type framedBody struct {
 	reader  *bufio.Reader
 	framing framing
@@ -100,8 +100,8 @@
 	}
 }
 
-// readTrailers reads the trailers behind the last chunk and drops them. It returns io.EOF
-// at the empty line behind them.
+// readTrailers reads the trailers behind the last chunk and drops them. It returns io.EOF,
+// the end of the body, if they are complete.
 func readTrailers(reader *bufio.Reader) error {
 	trailers, err := peekFields(reader)
 	if errors.Is(err, io.EOF) {
--- a/backendhttp/connection.go
+++ b/backendhttp/connection.go
@@ -75,7 +75,7 @@
 	overhead    tcp.Overhead
 	sent        int
 	received    int
-	lost        error // the error of the socket that a write returned
+	socketErr   error // returned by a write, so that reads no longer return it
 	begunAt     time.Time
 	progress    *tcp.Progress
 	answers     int
@@ -114,7 +114,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "connecting to %s", c.Address)
 	}
-	c.conn, c.peeker, c.lost, c.answers, c.requestIDs = conn, tcp.NewPeeker(conn), nil, 0, c.requestIDs[:0]
+	c.conn, c.peeker, c.socketErr, c.answers, c.requestIDs = conn, tcp.NewPeeker(conn), nil, 0, c.requestIDs[:0]
 	received := &receiver{socket: conn, connection: c}
 	if c.reader == nil {
 		c.reader, c.writer = bufio.NewReaderSize(received, maxHeadSize), bufio.NewWriterSize(c, writeBufferSize)
@@ -174,8 +174,8 @@
 // Read receives bytes. It returns io.EOF only if the remote side ended its stream.
 func (r *receiver) Read(buffer []byte) (int, error) {
 	count, err := r.socket.Read(buffer)
-	if errors.Is(err, io.EOF) && r.connection.lost != nil {
-		err = r.connection.lost
+	if errors.Is(err, io.EOF) && r.connection.socketErr != nil {
+		err = r.connection.socketErr
 	}
 	r.connection.noteReceived(r.socket, count)
 	if exceeded := r.connection.overhead.Received(count); exceeded != nil {
@@ -205,7 +205,7 @@
 	count, err := c.conn.Write(data)
 	c.sent += count
 	if tcp.TookSocketError(err) {
-		c.lost = err
+		c.socketErr = err
 	}
 
 	return count, err //nolint:wrapcheck // the sender wraps it with the address
@@ -293,18 +293,20 @@
 		}
 		accepted := accept(response)
 		c.answers++
-		if accepted && sendErr != nil {
-			response.SetConnectionClose()
+		if !accepted {
+			continue
 		}
-		if accepted {
-			return nil
+		if sendErr != nil {
+			response.SetConnectionClose()
 		}
+
+		return nil
 	}
 
 	return cmp.Or[error](sendErr, &ForeignAnswerError{Answers: maxAnswers})
 }
 
-// readHead reads the head of a response. Its Body follows.
+// readHead reads the head of a response, which Body follows unless the response has none.
 func (c *Connection) readHead(response *fasthttp.Response, withoutBody bool) error {
 	c.body = nil
 	if err := awaitHead(c.reader); err != nil {
