review: a late write brings a leaving backend server back

Cause: the adapter does not read the number of a backend server's statement, so that an older statement of the same incarnation replaces a newer one.

Change: case 13 with a script. Nothing is fixed.

--- a/review/standin-3/releases.go
+++ b/review/standin-3/releases.go
@@ -58,8 +58,8 @@
 		return false, fmt.Errorf("the host did not become ready")
 	}
 	began := time.Now()
-	calm := began.Add(76 * time.Second)
-	end := calm.Add(20 * time.Second)
+	calm := began.Add(88 * time.Second)
+	end := calm.Add(19 * time.Second)
 	judgedFrom := calm.Add(drainTimeout + touch + time.Second)
 	var (
 		running  sync.WaitGroup
--- a/review/standin-3/run.sh
+++ b/review/standin-3/run.sh
@@ -13,6 +13,7 @@
   rm -rf "$work"
 }
 trap finish EXIT
+trap 'exit 2' INT TERM
 
 for program in baobabdrum review-3; do
   [[ -x $root/target/$program ]] || { echo "target/$program is not built" >&2; exit 2; }
--- a/review/standin-3/upstream.go
+++ b/review/standin-3/upstream.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// heartbeat is the time between two writes of an upstream.
+const heartbeat = 1500 * time.Millisecond
+
 // fleet is a set of sound upstreams.
 type fleet struct {
 	store   *store
@@ -23,8 +26,8 @@
 	nextIP  atomic.Int64
 	port    int
 	members sync.Map // id to *upstream
-	// onRun is called with the id of a request that begins to run, if it is set.
-	onRun func(id string)
+	// onRun is called when a request begins to run, if it is set.
+	onRun func(id string, at *upstream)
 }
 
 // upstream is one incarnation of a server.
@@ -35,12 +38,18 @@
 	address string
 	born    time.Time
 	beat    int
+	// beatMutex guards beat.
+	beatMutex sync.Mutex
+	// ackedAt is when the store accepted that the upstream drains, in Unix nanoseconds.
+	ackedAt atomic.Int64
 
 	server   *http.Server
 	slot     chan struct{}
 	running  atomic.Int64
 	waiting  atomic.Int64
 	draining atomic.Bool
+	// reported receives one item when the upstream has reported that it drains.
+	reported chan struct{}
 	gone     chan struct{}
 }
 
@@ -48,7 +57,7 @@
 func (f *fleet) start(service string, cold bool) *upstream {
 	number := f.nextIP.Add(1)
 	u := &upstream{
-		fleet: f, service: service, born: time.Now(), slot: make(chan struct{}, f.slots), gone: make(chan struct{}),
+		fleet: f, service: service, born: time.Now(), slot: make(chan struct{}, f.slots), gone: make(chan struct{}), reported: make(chan struct{}, 1),
 		id: fmt.Sprintf("i-%08x", number), address: fmt.Sprintf("127.%d.%d.%d:%d", 64+number/60000, number/250%240, 1+number%250, f.port),
 	}
 	if !cold {
@@ -73,21 +82,31 @@
 
 // register writes what the upstream says of itself into the store.
 func (u *upstream) register() {
+	u.fleet.store.put("servers", u.id, u.statement())
+}
+
+// statement returns what the upstream says of itself next, with the next number.
+func (u *upstream) statement() string {
+	u.beatMutex.Lock()
+	defer u.beatMutex.Unlock()
 	state := "ready"
 	if u.draining.Load() {
 		state = "draining"
 	}
 	u.beat++
-	u.fleet.store.put("servers", u.id, fmt.Sprintf(names["registration"], u.service, u.address, "zone-a", "v1", u.fleet.slots, state, u.coldLeft().Milliseconds(), u.beat, u.born.UnixMilli()))
+
+	return fmt.Sprintf(names["registration"], u.service, u.address, "zone-a", "v1", u.fleet.slots, state, u.coldLeft().Milliseconds(), u.beat, u.born.UnixMilli())
 }
 
 func (u *upstream) keepRegistered() {
-	ticker := time.NewTicker(1500 * time.Millisecond)
+	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			u.register()
+		case <-u.reported:
+			ticker.Reset(heartbeat)
 		case <-u.gone:
 			u.fleet.store.put("servers", u.id, "")
 
@@ -101,6 +120,9 @@
 func (u *upstream) drain(serveOn time.Duration) {
 	u.draining.Store(true)
 	u.register()
+	u.reported <- struct{}{}
+	u.ackedAt.Store(time.Now().UnixNano())
+	u.fleet.record.add("draining acked", u.id)
 	time.Sleep(serveOn)
 	u.fleet.members.Delete(u.id)
 	close(u.gone)
@@ -118,6 +140,7 @@
 	head.Set("Keep-Alive", "timeout=10")
 	if u.draining.Load() {
 		head.Set("Connection", "close")
+		head.Set(names["leaving"], "1")
 	}
 	if r.URL.Path == "/health" {
 		head.Set(names["warmup"], strconv.FormatInt(u.coldLeft().Milliseconds(), 10))
@@ -164,6 +187,9 @@
 	u.running.Add(1)
 	defer func() { u.running.Add(-1); <-u.slot }()
 	u.fleet.record.add("run", id, u.id, r.Method, r.URL.RequestURI(), len(body))
+	if u.fleet.onRun != nil {
+		u.fleet.onRun(id, u)
+	}
 	select {
 	case <-time.After(u.fleet.work):
 	case <-r.Context().Done():
