edge: gauges of steps in progress and of the write to the log

The metrics could not tell which part of a host is held up: the read of a table in progress had a gauge, but a control or calls duty that waits, or a log line that is being written, had none.

baobabdrum_step_in_progress_seconds{duty} shows the current step of the two duties for which all others wait, and baobabdrum_log_write_in_progress_seconds the write of a line to the standard output. group.Step measures them, and the reads of the store, by the steady clock: the gauge of the reads followed jumps of the time of day.

Measured: go test ./edge ./eventlog ./group passes; no change of behaviour.

--- a/edge/calls.go
+++ b/edge/calls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/group"
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/ring"
 )
@@ -52,6 +53,8 @@
 	rollouts *ring.Ring[placement.RecordRollout]
 	log      *eventlog.Log
 	metrics  *Metrics
+	// steps measures each step, as every call waits for this duty.
+	steps group.Step
 
 	calls    map[placement.CallID]*openCall
 	inFlight map[placement.AttemptID]*Attempt
@@ -79,8 +82,10 @@
 	for {
 		select {
 		case change := <-d.changes.Items():
+			d.steps.Begin()
 			d.step(time.Now(), change)
 		case input := <-d.inputs.Items():
+			d.steps.Begin()
 			d.takeChanges()
 			d.step(time.Now(), input)
 			if interval := d.interval(); interval < delay {
@@ -88,12 +93,14 @@
 				timer.Reset(delay)
 			}
 		case <-timer.C:
+			d.steps.Begin()
 			d.tick(time.Now())
 			delay = d.interval()
 			timer.Reset(delay)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		d.steps.End()
 	}
 }
 
--- a/edge/control.go
+++ b/edge/control.go
@@ -11,6 +11,7 @@
 	"github.com/baobabdrum/baobabdrum/declared"
 	"github.com/baobabdrum/baobabdrum/directory"
 	"github.com/baobabdrum/baobabdrum/eventlog"
+	"github.com/baobabdrum/baobabdrum/group"
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/ring"
 	"github.com/baobabdrum/baobabdrum/schema"
@@ -53,6 +54,8 @@
 	wakeups       *wakeups
 	log           *eventlog.Log
 	metrics       *Metrics
+	// steps measures each step, as the reads and the fronts wait for this duty.
+	steps group.Step
 
 	loads    []schema.ServerLoad
 	leaving  []schema.LeavingServer
@@ -95,10 +98,12 @@
 	for {
 		select {
 		case input := <-d.inputs.Items():
+			d.steps.Begin()
 			if err := d.step(ctx, time.Now(), input); err != nil {
 				return err
 			}
 		case <-timer.C:
+			d.steps.Begin()
 			if err := d.tick(ctx, time.Now()); err != nil {
 				return err
 			}
@@ -109,6 +114,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		d.steps.End()
 	}
 }
 
--- a/edge/host.go
+++ b/edge/host.go
@@ -91,8 +91,8 @@
 	queries       *dutyClient
 	grace         atomic.Int64
 	wakeups       wakeups
-	// readingSince is when the read of each table in progress began in Unix nanoseconds, or 0.
-	readingSince [2]atomic.Int64
+	// reading measures the read of each table in progress.
+	reading [2]group.Step
 }
 
 // New returns a host that is not running. Run starts it.
@@ -126,8 +126,9 @@
 	h.grace.Store(int64(site.Grace))
 	h.Metrics.Gauge("baobabdrum_body_bytes", func() float64 { return float64(h.budget.Used()) })
 	for table, label := range tableLabels {
-		h.Metrics.Gauge(fmt.Sprintf(`baobabdrum_store_read_in_progress_seconds{table=%q}`, label), func() float64 { return h.readInProgress(table) })
+		h.Metrics.Gauge(fmt.Sprintf(`baobabdrum_store_read_in_progress_seconds{table=%q}`, label), func() float64 { return h.reading[table].InProgress().Seconds() })
 	}
+	h.Metrics.Gauge("baobabdrum_log_write_in_progress_seconds", func() float64 { return h.Log.Writing.InProgress().Seconds() })
 	h.Metrics.Gauge("baobabdrum_dropped_log_lines", func() float64 { return float64(h.Log.Dropped()) })
 
 	return h
@@ -278,6 +279,7 @@
 		inputs: h.inputs, changes: h.changes, attempts: h.attempts, probes: h.probes, control: h.control, rollouts: h.rollouts, log: h.Log, metrics: h.Metrics,
 		confirmation: h.confirmation, calls: map[placement.CallID]*openCall{}, inFlight: map[placement.AttemptID]*Attempt{}, rateSince: time.Now(),
 	}
+	h.exposeSteps("calls", &calls.steps)
 	duties.Go("calls", calls.run)
 	for range senderCount(h.Settings, h.Site) {
 		duty := &sender{adapter: h.Adapter, attempts: h.attempts, reports: h.inputs, connections: connections, budget: h.budget}
@@ -289,6 +291,11 @@
 	}
 }
 
+// exposeSteps adds the gauge of the steps of a duty.
+func (h *Host) exposeSteps(duty string, steps *group.Step) {
+	h.Metrics.Gauge(fmt.Sprintf(`baobabdrum_step_in_progress_seconds{duty=%q}`, duty), func() float64 { return steps.InProgress().Seconds() })
+}
+
 // senderCount returns the number of senders: the configured one, or more on a host
 // that can carry more calls, of which each may take a second.
 func senderCount(settings schema.EdgeSettings, site Site) int {
@@ -310,6 +317,7 @@
 		fetches: h.fetches, beacons: h.beacons, asks: h.asks, storeMembers: h.storeMembers, limits: h.limits, confirmation: h.confirmation, wakeups: &h.wakeups, log: h.Log, metrics: h.Metrics, startedAt: h.started, seeds: h.Site.Seeds,
 		propagation: cmp.Or(h.Site.Propagation, declared.DefaultBound),
 	}
+	h.exposeSteps("control", &control.steps)
 	duties.Go("control", control.run)
 	duties.Go("orders", func(ctx context.Context) error {
 		return h.runReads(ctx, h.orders, tableLabels[declared.Orders], h.Adapter.ReadOrders)
--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -43,6 +43,8 @@
 	metrics.Exhausted("answers")
 	metrics.Rollout(placement.RolloutChanged{Service: "s", Phase: rollout.PhaseObserving, Reason: rollout.ReasonOrdered})
 	metrics.Gauge(`baobabdrum_store_read_in_progress_seconds{table="orders"}`, func() float64 { return 0 })
+	metrics.Gauge(`baobabdrum_step_in_progress_seconds{duty="control"}`, func() float64 { return 0 })
+	metrics.Gauge("baobabdrum_log_write_in_progress_seconds", func() float64 { return 0 })
 	metrics.Gauge("baobabdrum_body_bytes", func() float64 { return 0 })
 	metrics.Gauge(`baobabdrum_open_connections{listener="caller"}`, func() float64 { return 0 })
 	metrics.ReadAhead()
--- a/edge/reads.go
+++ b/edge/reads.go
@@ -40,9 +40,9 @@
 			return err
 		}
 		startedAt := time.Now()
-		h.readingSince[next.Table].Store(startedAt.UnixNano())
+		h.reading[next.Table].Begin()
 		event := read(next)
-		h.readingSince[next.Table].Store(0)
+		h.reading[next.Table].End()
 		outcome := "read"
 		switch event := event.(type) {
 		case declared.OrdersRead:
@@ -64,16 +64,6 @@
 	}
 }
 
-// readInProgress returns for how long the read of a table in progress has lasted in seconds,
-// or 0 if there is none.
-func (h *Host) readInProgress(table declared.Table) float64 {
-	if since := h.readingSince[table].Load(); since != 0 {
-		return time.Since(time.Unix(0, since)).Seconds()
-	}
-
-	return 0
-}
-
 // noteDecoded records an answer of the store in the metrics, and one that was decoded
 // slowly in the log.
 func (h *Host) noteDecoded(table string, bytes int, took time.Duration) {
--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/baobabdrum/baobabdrum/group"
 	"github.com/baobabdrum/baobabdrum/ring"
 )
 
@@ -81,6 +82,9 @@
 
 // Log queues events from any duty and writes them in Run.
 type Log struct {
+	// Writing measures the write of a line in progress.
+	Writing group.Step
+
 	entry   *logrus.Entry
 	lines   *ring.Ring[line]
 	dropped atomic.Uint64
@@ -160,5 +164,7 @@
 			fields[field.Key] = field.Value
 		}
 	}
+	l.Writing.Begin()
 	l.entry.WithTime(next.at).WithFields(fields).Log(next.level, next.message)
+	l.Writing.End()
 }
