cmd: a host process ends although nobody reads its last message

A host that cannot start or go on (settings that cannot be used, an address that is taken, a failed duty) prints why and exits, so that it is started again.

The commands edge and host now give up on their last message after 1 s. The commands for operators wait for their reader as before.

Tests: cmd.TestHostsEndThoughNobodyReadsTheirMessages failed in all five cases before (not ended after 2 s), and so did both cases of platform.TestAProcessEndsThoughNobodyReadsItsErrors with real processes. They pass now. TestCommandsWaitForTheReaderOfTheirMessages passed before and after.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -74,6 +74,9 @@
 	}
 	parser.CommandHandler = execute
 	_, err := parser.ParseArgs(args)
+	if active := parser.Active; active != nil && hostCommands[active.Name] {
+		output.Messages = boundedWriter{target: messages, timeout: messageTimeout}
+	}
 
 	return exit(output, err)
 }
