tcp: a draining listener ends although accept fails

A process without free descriptors never ended after SIGTERM and had to be killed: the kernel refuses accept with EMFILE also when no connection waits, so the draining listener of the callers never saw an empty queue, and neither the time limit of the draining nor the end of the grace period ended the loop, in which the caller front stayed.

--- a/tcp/linger.go
+++ b/tcp/linger.go
@@ -102,15 +102,16 @@
 			_ = l.SetDeadline(time.Now().Add(drainPoll)) // fails only on a closed listener
 		}
 		conn, err := l.AcceptTCP()
+		waited := errors.Is(err, os.ErrDeadlineExceeded)
 		switch {
 		case err == nil:
 			return &LingeringConn{TCPConn: conn}, nil
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, err
-		case draining > 0 && (empty >= drainPolls || time.Now().UnixNano() > draining):
+		case draining > 0 && (waited && empty >= drainPolls || time.Now().UnixNano() > draining):
 			_ = l.Close() // nothing is accepted any more
 
 			return nil, net.ErrClosed
+		case !waited:
+			return nil, err
 		}
 	}
 }
