cmd: messages of libraries go to the log

Requests for the metrics of a host were never answered once a library had something to report and nobody read the standard error: the library of the process metrics prints with the standard logger, for example when no descriptor is free or a file below /proc cannot be read, and the write to the full pipe does not return. The standard logger holds its lock meanwhile, so every later message of any library waits too, with the connection it serves.

edge and host now pass the messages of the standard logger and of fiber to the event log, which drops what does not fit, as the line library_message.

--- a/cmd/edge.go
+++ b/cmd/edge.go
@@ -48,6 +48,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(site.MemoryBytes)))
 	}
 	log := eventlog.New(Output{Results: c.output.Messages, Messages: c.output.Results}.logger(settings.LogLevel, logrus.Fields{"host": site.Name, "data_centre": site.DataCentre}))
+	captureLibraries(log)
 	ctx, cancel := signalContext()
 	defer cancel()
 	reload := make(chan os.Signal, 1)
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -29,6 +29,7 @@
 		return err
 	}
 	log := eventlog.New(c.output.logger(settings.LogLevel, logrus.Fields{"host": settings.Name, "data_centre": settings.DataCentre}))
+	captureLibraries(log)
 	runtime.GOMAXPROCS(min(settings.Processors, runtime.NumCPU()))
 	ctx, cancel := signalContext()
 	defer cancel()
