cmd: a panic does not wait for the reader of the standard error

On a panic, a fatal error of the runtime or SIGQUIT, the runtime stops all goroutines and writes stacks to the standard error.

edge and host open the pipe of their standard error once more through /proc and put a descriptor that does not wait in its place. What the pipe has no room for is lost, the process ends. Other processes that share the inherited descriptor keep its mode, and the log lines of host and the last message keep the inherited one. Files, terminals and sockets stay as they are. Where the pipe cannot be opened, the line errors_may_block says so.

Test: the case 'a fatal error of the runtime' of platform.TestAProcessEndsThoughNobodyReadsItsErrors failed before (not ended 2 s after SIGQUIT) and passes now.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -46,6 +46,8 @@
 	Results io.Writer
 	// Messages receives log lines and errors.
 	Messages io.Writer
+	// Blocking is why writes of the runtime to the standard error may wait, or nil.
+	Blocking error
 }
 
 // Command is a subcommand with its help.
@@ -62,7 +64,11 @@
 
 // Run parses the command line, executes the command and returns the exit code.
 func Run(args []string, results, messages io.Writer) int {
-	output := Output{Results: results, Messages: messages}
+	output, last := Output{Results: results, Messages: messages}, messages
+	if len(args) > 0 && hostCommands[args[0]] {
+		output = hostOutput(output)
+		last = boundedWriter{target: output.Messages, timeout: messageTimeout}
+	}
 	parser := flags.NewNamedParser("baobabdrum", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "A load balancer for servers whose load shifts in milliseconds.\n" + exitCodes
 	for _, command := range commands(output) {
@@ -74,11 +80,8 @@
 	}
 	parser.CommandHandler = execute
 	_, err := parser.ParseArgs(args)
-	if active := parser.Active; active != nil && hostCommands[active.Name] {
-		output.Messages = boundedWriter{target: messages, timeout: messageTimeout}
-	}
 
-	return exit(output, err)
+	return exit(Output{Results: results, Messages: last}, err)
 }
 
 // execute runs a command and rejects surplus arguments.
--- a/cmd/edge.go
+++ b/cmd/edge.go
@@ -47,8 +47,9 @@
 	if site.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(site.MemoryBytes)))
 	}
-	log := eventlog.New(Output{Results: c.output.Messages, Messages: c.output.Results}.logger(settings.LogLevel, logrus.Fields{"host": site.Name, "data_centre": site.DataCentre}))
+	log := eventlog.New(Output{Messages: c.output.Results}.logger(settings.LogLevel, logrus.Fields{"host": site.Name, "data_centre": site.DataCentre}))
 	captureLibraries(log)
+	c.output.noteBlocking(log)
 	ctx, cancel := signalContext()
 	defer cancel()
 	reload := make(chan os.Signal, 1)
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -30,6 +30,7 @@
 	}
 	log := eventlog.New(c.output.logger(settings.LogLevel, logrus.Fields{"host": settings.Name, "data_centre": settings.DataCentre}))
 	captureLibraries(log)
+	c.output.noteBlocking(log)
 	runtime.GOMAXPROCS(min(settings.Processors, runtime.NumCPU()))
 	ctx, cancel := signalContext()
 	defer cancel()
--- a/cmd/messages.go
+++ b/cmd/messages.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/baobabdrum/baobabdrum/eventlog"
 )
 
 // messageTimeout bounds the time for which the end of a host waits for the output of its last
@@ -16,6 +19,28 @@
 // hostCommands are the commands that run a host. What starts them may not read their output.
 var hostCommands = map[string]bool{"host": true, "edge": true}
 
+// hostOutput returns the output of a command that runs a host. Nothing but the messages of the
+// command waits for the reader of its standard error.
+func hostOutput(output Output) Output {
+	if output.Messages != io.Writer(os.Stderr) {
+		return output
+	}
+	waiting, err := detachErrors()
+	if waiting != nil {
+		output.Messages = waiting
+	}
+	output.Blocking = err
+
+	return output
+}
+
+// noteBlocking logs why the process may wait for the reader of its standard error.
+func (o Output) noteBlocking(log *eventlog.Log) {
+	if o.Blocking != nil {
+		log.Event(eventlog.Warning, "errors_may_block", "a panic may wait for the reader of the standard error", eventlog.Text("error", o.Blocking.Error()))
+	}
+}
+
 // WriteTimeoutError reports an output that did not take a message in time.
 type WriteTimeoutError struct {
 	// Timeout is the time that the output had.
