--- a/tcp/linger.go
+++ b/tcp/linger.go
@@ -94,7 +94,7 @@
 }
 
 // Accept waits for the next connection. A draining listener returns net.ErrClosed
-// when its queue is empty.
+// when its queue is empty, or after maxDrainTime.
 func (l *LingeringListener) Accept() (net.Conn, error) {
 	for empty := 0; ; empty++ {
 		draining := l.drainUntil.Load()
