--- a/cmd/messages_test.go
+++ b/cmd/messages_test.go
@@ -9,9 +9,6 @@
 	"github.com/baobabdrum/baobabdrum/cmd"
 )
 
-// gracePeriod is the time within which a host ends.
-const gracePeriod = 6 * time.Second
-
 // stalledOutput takes no bytes until it is released.
 type stalledOutput struct{ released chan struct{} }
 
@@ -41,8 +38,8 @@
 			select {
 			case code := <-ended:
 				assert.Equal(t, code, cmd.ExitInvalid)
-			case <-time.After(gracePeriod):
-				t.Fatalf("the command has not ended after %s", gracePeriod)
+			case <-time.After(2 * time.Second):
+				t.Fatal("the command has not ended after 2 s")
 			}
 		})
 	}
