cmd, eventlog: bound the lines about messages of libraries

Each line was cut to 400 bytes, but nothing bounded their number: a library that prints for each request would have filled the queue of the log, and lines about calls would have been dropped for them.

At most 20 such lines in 10 s are logged now, each with the number of those left out before it, as with rejected requests. The type that bounds these moves from edge to eventlog.Burst, so that there is one of it; its figures are the same.

Test: the case 'flood' of cmd.TestMessagesOfLibrariesAreLogged failed before and passes now; the tests of rejected requests and of shares in edge pass unchanged but for the names.

--- a/cmd/libraries_test.go
+++ b/cmd/libraries_test.go
@@ -24,8 +24,13 @@
 		want  string
 	}{
 		"standard logger": {print: func() { log.Printf("ERROR: no %s", "descriptor") }, want: `text="ERROR: no descriptor"`},
-		"fiber":           {print: func() { fiberlog.Errorf("no %s", "handler") }, want: "no handler"},
-		"long":            {print: func() { log.Print(strings.Repeat("x", 5000)) }, want: "text=" + strings.Repeat("x", maxLibraryLine) + "\n"},
+		"flood": {print: func() {
+			for range 1000 {
+				log.Print("again")
+			}
+		}, want: "text=again unlogged=0\n"},
+		"fiber": {print: func() { fiberlog.Errorf("no %s", "handler") }, want: "no handler"},
+		"long":  {print: func() { log.Print(strings.Repeat("x", 5000)) }, want: "text=" + strings.Repeat("x", maxLibraryLine) + " unlogged=0\n"},
 	}
 	flags := log.Flags()
 	t.Cleanup(func() {
@@ -44,6 +49,7 @@
 			assert.ErrorIs(t, events.Run(ended), context.Canceled)
 			assert.Assert(t, cmp.Contains(written.String(), "event=library_message"))
 			assert.Assert(t, cmp.Contains(written.String(), test.want))
+			assert.Assert(t, strings.Count(written.String(), "\n") <= eventlog.MaxBurstLines, "%d lines", strings.Count(written.String(), "\n"))
 		})
 	}
 }
--- a/edge/fronts.go
+++ b/edge/fronts.go
@@ -74,7 +74,7 @@
 	// not come.
 	aheadRequests atomic.Int64
 	// rejections bounds the log lines about requests that did not become calls.
-	rejections lineBurst
+	rejections eventlog.Burst
 	// readers run while a request of a pipelining connection is open.
 	readers conc.WaitGroup
 	server  *fasthttp.Server
--- a/edge/lines.go
+++ b/edge/lines.go
@@ -1,19 +1,12 @@
 package edge
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 )
 
-const (
-	// lineInterval is the shortest time between log lines of a lineRate.
-	lineInterval = time.Second
-	// burstInterval is the time over which the lines of a lineBurst are bounded.
-	burstInterval = 10 * time.Second
-	// maxBurstLines is the largest number of these lines in that time.
-	maxBurstLines = 20
-)
+// lineInterval is the shortest time between log lines of a lineRate.
+const lineInterval = time.Second
 
 // lineRate limits log lines to one per lineInterval.
 type lineRate struct {
@@ -33,30 +26,3 @@
 
 	return r.unlogged.Swap(0), true
 }
-
-// lineBurst limits log lines to maxBurstLines per burstInterval.
-type lineBurst struct {
-	mutex    sync.Mutex
-	since    time.Time
-	logged   int
-	unlogged uint64
-}
-
-// next reports whether a line may be logged now, and how many were left out since the
-// last one.
-func (b *lineBurst) next(now time.Time) (unlogged uint64, ok bool) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if now.Sub(b.since) >= burstInterval {
-		b.since, b.logged = now, 0
-	}
-	if b.logged >= maxBurstLines {
-		b.unlogged++
-
-		return 0, false
-	}
-	unlogged, b.unlogged = b.unlogged, 0
-	b.logged++
-
-	return unlogged, true
-}
--- a/edge/rejections.go
+++ b/edge/rejections.go
@@ -165,7 +165,7 @@
 
 // logRejection logs a request that does not become a call, unless many are.
 func (f *callerFront) logRejection(ctx *fasthttp.RequestCtx, rejected rejection) {
-	unlogged, ok := f.rejections.next(time.Now())
+	unlogged, ok := f.rejections.Next(time.Now())
 	if !ok {
 		return
 	}
--- a/edge/rejections_test.go
+++ b/edge/rejections_test.go
@@ -114,7 +114,7 @@
 
 // Guards against a log that grows with the number of malformed requests.
 func TestLinesAboutRejectedRequestsAreBounded(t *testing.T) {
-	const requests = maxBurstLines + 10
+	const requests = eventlog.MaxBurstLines + 10
 	log, written := newBufferedLog()
 	front := newTestFront(t, func(front *callerFront) { front.log = log })
 	for range requests {
@@ -123,9 +123,9 @@
 		_, err := io.Copy(io.Discard, caller.reader)
 		assert.NilError(t, err)
 	}
-	assert.Equal(t, strings.Count(loggedBy(t, log, written), "event=request_rejected"), maxBurstLines)
+	assert.Equal(t, strings.Count(loggedBy(t, log, written), "event=request_rejected"), eventlog.MaxBurstLines)
 	assert.Assert(t, hasMetric(front.metrics, fmt.Sprintf(`baobabdrum_rejected_requests_total{reason="malformed"} %d`, requests)))
-	unlogged, ok := front.rejections.next(time.Now().Add(burstInterval))
+	unlogged, ok := front.rejections.Next(time.Now().Add(eventlog.BurstInterval))
 	assert.Assert(t, ok)
-	assert.Equal(t, unlogged, uint64(requests-maxBurstLines))
+	assert.Equal(t, unlogged, uint64(requests-eventlog.MaxBurstLines))
 }
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -11,7 +11,7 @@
 // borrowedShares tracks for which tenants this host borrows.
 type borrowedShares struct {
 	tenants map[string]bool
-	lines   lineBurst
+	lines   eventlog.Burst
 }
 
 // changes returns the tenants for which this host has begun and ceased to borrow.
@@ -47,12 +47,12 @@
 	d.metrics.Shares(lent, borrowed)
 	begun, ended := d.borrowed.changes(shares)
 	for _, tenant := range begun {
-		if _, ok := d.borrowed.lines.next(now); ok {
+		if _, ok := d.borrowed.lines.Next(now); ok {
 			d.log.Event(eventlog.Info, "shares_borrowed", "this host borrows parts of other hosts' shares of a quota", eventlog.Text("tenant", tenant))
 		}
 	}
 	for _, tenant := range ended {
-		if _, ok := d.borrowed.lines.next(now); ok {
+		if _, ok := d.borrowed.lines.Next(now); ok {
 			d.log.Event(eventlog.Info, "shares_returned", "this host has only its own share of a quota", eventlog.Text("tenant", tenant))
 		}
 	}
--- a/edge/shares_test.go
+++ b/edge/shares_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/baobabdrum/baobabdrum/allotment"
 	"github.com/baobabdrum/baobabdrum/directory"
+	"github.com/baobabdrum/baobabdrum/eventlog"
 	"github.com/baobabdrum/baobabdrum/placement"
 	"github.com/baobabdrum/baobabdrum/schema"
 )
@@ -48,19 +49,19 @@
 func TestBorrowedSharesAreLogged(t *testing.T) {
 	var log bytes.Buffer
 	d := newRolloutCalls(&log)
-	shares := make([]allotment.Share, 0, maxBurstLines+5)
-	for i := range maxBurstLines + 5 {
+	shares := make([]allotment.Share, 0, eventlog.MaxBurstLines+5)
+	for i := range eventlog.MaxBurstLines + 5 {
 		shares = append(shares, allotment.Share{Tenant: fmt.Sprint("t", i), Borrowed: 500})
 	}
 	now := time.Unix(1000, 0)
 	d.noteShares(now, shares)
 	assert.Assert(t, hasMetric(d.metrics, "baobabdrum_quota_shares_borrowed 12.5"))
-	d.noteShares(now.Add(burstInterval), []allotment.Share{{Tenant: "t0", Lent: 250}})
+	d.noteShares(now.Add(eventlog.BurstInterval), []allotment.Share{{Tenant: "t0", Lent: 250}})
 	assert.Assert(t, hasMetric(d.metrics, "baobabdrum_quota_shares_borrowed 0"))
 	assert.Assert(t, hasMetric(d.metrics, "baobabdrum_quota_shares_lent 0.25"))
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	assert.Assert(t, d.log.Run(ended) != nil) // writes the lines that wait
-	assert.Equal(t, bytes.Count(log.Bytes(), []byte("event=shares_borrowed")), maxBurstLines)
-	assert.Equal(t, bytes.Count(log.Bytes(), []byte("event=shares_returned")), maxBurstLines)
+	assert.Equal(t, bytes.Count(log.Bytes(), []byte("event=shares_borrowed")), eventlog.MaxBurstLines)
+	assert.Equal(t, bytes.Count(log.Bytes(), []byte("event=shares_returned")), eventlog.MaxBurstLines)
 }
